--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,196 @@
+// Package errkind is the closed list of error kinds and the table from a kind
+// to the answer that a caller gets.
+package errkind
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names one way in which a request can fail.
+type Kind string
+
+// The closed list of kinds. A kind is part of the public API.
+const (
+	BadRequest       Kind = "bad_request"
+	BadBatchLine     Kind = "bad_batch_line"
+	Unauthorized     Kind = "unauthorized"
+	NotFound         Kind = "not_found"
+	MethodNotAllowed Kind = "method_not_allowed"
+	UnknownService   Kind = "unknown_service"
+	KeyReused        Kind = "idempotency_key_reused"
+	InProgress       Kind = "in_progress"
+	Conflict         Kind = "conflict"
+	TooLarge         Kind = "too_large"
+	HeaderTooLarge   Kind = "header_too_large"
+	RateLimited      Kind = "rate_limited"
+	Overloaded       Kind = "overloaded"
+	DeadlineTooShort Kind = "deadline_too_short"
+	Timeout          Kind = "timeout"
+	NoBackend        Kind = "no_backend"
+	Draining         Kind = "draining"
+	BackendFailed    Kind = "backend_failed"
+	BackendRefused   Kind = "backend_refused"
+	OutcomeUnknown   Kind = "outcome_unknown"
+	LogUnavailable   Kind = "log_unavailable"
+	Expired          Kind = "expired"
+	Cancelled        Kind = "cancelled"
+	Internal         Kind = "internal"
+)
+
+// Outcome says what is known about the execution of a failed request.
+type Outcome string
+
+// The outcomes. NotRun is only ever said with proof.
+const (
+	NotRun   Outcome = "not_run"
+	Unknown  Outcome = "unknown"
+	Complete Outcome = "complete"
+)
+
+// Answer is what a caller gets for a kind.
+type Answer struct {
+	// Status is the HTTP status code.
+	Status int
+	// Type is the error type of the OpenAI error shape.
+	Type string
+	// RetryAfter is the default time until a retry helps, zero if none does.
+	RetryAfter time.Duration
+	// Outcome is the default outcome.
+	Outcome Outcome
+}
+
+const (
+	typeInvalid   = "invalid_request_error"
+	typeAuth      = "authentication_error"
+	typeRateLimit = "rate_limit_error"
+	typeServer    = "server_error"
+)
+
+var answers = map[Kind]Answer{
+	BadRequest:       {http.StatusBadRequest, typeInvalid, 0, NotRun},
+	BadBatchLine:     {http.StatusBadRequest, typeInvalid, 0, NotRun},
+	Unauthorized:     {http.StatusUnauthorized, typeAuth, 0, NotRun},
+	NotFound:         {http.StatusNotFound, typeInvalid, 0, NotRun},
+	MethodNotAllowed: {http.StatusMethodNotAllowed, typeInvalid, 0, NotRun},
+	UnknownService:   {http.StatusNotFound, typeInvalid, 0, NotRun},
+	KeyReused:        {http.StatusUnprocessableEntity, typeInvalid, 0, NotRun},
+	InProgress:       {http.StatusConflict, typeInvalid, time.Second, Unknown},
+	Conflict:         {http.StatusConflict, typeInvalid, 0, NotRun},
+	TooLarge:         {http.StatusRequestEntityTooLarge, typeInvalid, 0, NotRun},
+	HeaderTooLarge:   {http.StatusRequestHeaderFieldsTooLarge, typeInvalid, 0, NotRun},
+	RateLimited:      {http.StatusTooManyRequests, typeRateLimit, time.Second, NotRun},
+	Overloaded:       {http.StatusServiceUnavailable, typeServer, time.Second, NotRun},
+	DeadlineTooShort: {http.StatusServiceUnavailable, typeServer, time.Second, NotRun},
+	Timeout:          {http.StatusGatewayTimeout, typeServer, time.Second, Unknown},
+	NoBackend:        {http.StatusServiceUnavailable, typeServer, 2 * time.Second, NotRun},
+	Draining:         {http.StatusServiceUnavailable, typeServer, time.Second, NotRun},
+	BackendFailed:    {http.StatusBadGateway, typeServer, time.Second, Unknown},
+	BackendRefused:   {http.StatusBadGateway, typeServer, 0, Complete},
+	OutcomeUnknown:   {http.StatusBadGateway, typeServer, 0, Unknown},
+	LogUnavailable:   {http.StatusServiceUnavailable, typeServer, 5 * time.Second, NotRun},
+	Expired:          {http.StatusGone, typeInvalid, 0, Complete},
+	Cancelled:        {499, typeInvalid, 0, Unknown},
+	Internal:         {http.StatusInternalServerError, typeServer, time.Second, Unknown},
+}
+
+// Kinds returns every kind with its answer.
+func Kinds() map[Kind]Answer {
+	out := make(map[Kind]Answer, len(answers))
+	for k, a := range answers {
+		out[k] = a
+	}
+	return out
+}
+
+// Lookup returns the answer for a kind; an unlisted kind gets Internal's.
+func Lookup(k Kind) Answer {
+	if a, ok := answers[k]; ok {
+		return a
+	}
+	return answers[Internal]
+}
+
+// Error is a failure of a listed kind.
+type Error struct {
+	Kind    Kind
+	Message string
+	// Param names the place in the request that is at fault, may be empty.
+	Param string
+	// Outcome overrides the kind's default outcome if set.
+	Outcome Outcome
+	// RetryAfter overrides the kind's default if positive.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// New returns an error of the given kind.
+func New(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an error of the given kind that keeps its cause.
+func Wrap(cause error, k Kind, format string, args ...any) *Error {
+	e := New(k, format, args...)
+	e.cause = cause
+	return e
+}
+
+// WithParam names the place in the request that is at fault.
+func (e *Error) WithParam(p string) *Error {
+	e.Param = p
+	return e
+}
+
+// WithOutcome sets the outcome told to the caller.
+func (e *Error) WithOutcome(o Outcome) *Error {
+	e.Outcome = o
+	return e
+}
+
+// WithRetryAfter sets when the caller should come back.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("%s: %s: %v", e.Kind, e.Message, e.cause)
+	}
+	return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Answer returns the table's answer with the error's overrides applied.
+func (e *Error) Answer() Answer {
+	a := Lookup(e.Kind)
+	if e.Outcome != "" {
+		a.Outcome = e.Outcome
+	}
+	if e.RetryAfter > 0 {
+		a.RetryAfter = e.RetryAfter
+	}
+	return a
+}
+
+// From returns err as an *Error; an error of no kind becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, "internal error")
+}
+
+// Is reports whether err is of kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,103 @@
+// Package event numbers what the processes log. docs/events.md is the
+// catalogue; a test keeps the two in step.
+package event
+
+import "github.com/charmbracelet/log"
+
+// ID numbers one kind of event.
+type ID int
+
+// Level is the severity an event is logged at.
+type Level = log.Level
+
+// Spec describes one event of the catalogue.
+type Spec struct {
+	ID    ID
+	Name  string
+	Level Level
+	// Help says when the event is logged.
+	Help string
+}
+
+// The events: 1xx lifecycle, 2xx routing, 3xx placement and batch,
+// 4xx admission, 5xx journal, 6xx configuration, 7xx membership.
+const (
+	Started         ID = 101
+	Draining        ID = 102
+	Stopped         ID = 103
+	RequestRouted   ID = 201
+	RequestRefused  ID = 202
+	RequestRetried  ID = 203
+	RequestDone     ID = 204
+	ItemPlaced      ID = 301
+	ItemDone        ID = 302
+	JobAccepted     ID = 303
+	JobFinished     ID = 304
+	JobCancelled    ID = 305
+	ItemRequeued    ID = 306
+	AttemptAdmitted ID = 401
+	AttemptRefused  ID = 402
+	BatchPreempted  ID = 403
+	AttemptVetoed   ID = 404
+	LogDown         ID = 501
+	LogUp           ID = 502
+	RecordSkipped   ID = 503
+	RetentionGap    ID = 504
+	ConfigInForce   ID = 601
+	ConfigRefused   ID = 602
+	BackendSeen     ID = 701
+	BackendLeaving  ID = 702
+	BackendGone     ID = 703
+	BackendEjected  ID = 704
+	BackendReturned ID = 705
+)
+
+var catalogue = []Spec{
+	{Started, "started", log.InfoLevel, "a process serves"},
+	{Draining, "draining", log.InfoLevel, "a process refuses new work and finishes what runs"},
+	{Stopped, "stopped", log.InfoLevel, "a process has finished and exits"},
+	{RequestRouted, "request_routed", log.InfoLevel, "an entry chose a backend server for an online request"},
+	{RequestRefused, "request_refused", log.InfoLevel, "an entry gave a request its final, failed answer"},
+	{RequestRetried, "request_retried", log.InfoLevel, "an entry tries a request again elsewhere"},
+	{RequestDone, "request_done", log.DebugLevel, "an online request got its whole answer"},
+	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
+	{ItemDone, "item_done", log.DebugLevel, "a batch item has its committed result"},
+	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was folded from the log"},
+	{JobFinished, "job_finished", log.InfoLevel, "every item of a batch job has its result"},
+	{JobCancelled, "job_cancelled", log.InfoLevel, "a cancel record was folded"},
+	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item goes back to its job's queue"},
+	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
+	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
+	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an online arrival"},
+	{AttemptVetoed, "attempt_vetoed", log.InfoLevel, "a sidecar promised never to start an attempt"},
+	{LogDown, "log_down", log.WarnLevel, "the log service does not answer"},
+	{LogUp, "log_up", log.InfoLevel, "the log service answers again"},
+	{RecordSkipped, "record_skipped", log.ErrorLevel, "a record of the log could not be read and was skipped by rule"},
+	{RetentionGap, "retention_gap", log.ErrorLevel, "a reader fell behind the log's retention"},
+	{ConfigInForce, "config_in_force", log.InfoLevel, "a configuration version is in force in this process"},
+	{ConfigRefused, "config_refused", log.WarnLevel, "a configuration record was refused"},
+	{BackendSeen, "backend_seen", log.InfoLevel, "a backend server joined the table"},
+	{BackendLeaving, "backend_leaving", log.InfoLevel, "a backend server leaves and gets no new work"},
+	{BackendGone, "backend_gone", log.InfoLevel, "a backend server left the table"},
+	{BackendEjected, "backend_ejected", log.WarnLevel, "a backend server failed too often and gets no work for a while"},
+	{BackendReturned, "backend_returned", log.InfoLevel, "an ejected backend server gets work again"},
+}
+
+var byID = func() map[ID]Spec {
+	m := make(map[ID]Spec, len(catalogue))
+	for _, s := range catalogue {
+		m[s.ID] = s
+	}
+	return m
+}()
+
+// Catalogue returns every event in order of its number.
+func Catalogue() []Spec {
+	return append([]Spec(nil), catalogue...)
+}
+
+// Log writes one line for event id with alternating keys and values.
+func Log(l *log.Logger, id ID, kv ...any) {
+	s := byID[id]
+	l.Log(s.Level, s.Name, append([]any{"event", int(id)}, kv...)...)
+}
--- /dev/null
+++ b/journal/journaltest/memlog.go
@@ -0,0 +1,168 @@
+// Package journaltest holds an in-memory log service for tests, with faults.
+package journaltest
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// ErrDown is what a MemLog that is down answers.
+var ErrDown = errors.New("log service down")
+
+// MemLog is a log service in memory. The zero value is not usable.
+type MemLog struct {
+	mu       sync.Mutex
+	streams  map[string]*memStream
+	down     bool
+	onAppend func(stream string, payload []byte) Fault
+}
+
+// Fault is what happens to one append.
+type Fault int
+
+// The faults of an append.
+const (
+	None Fault = iota
+	// Drop fails the append without effect.
+	Drop
+	// LoseAnswer appends and fails.
+	LoseAnswer
+	// ApplyLate fails now and appends when Flush is called.
+	ApplyLate
+)
+
+type memStream struct {
+	first   journal.Offset
+	records []journal.Record
+	late    [][]byte
+	grown   chan struct{}
+}
+
+// NewMemLog returns an empty log service.
+func NewMemLog() *MemLog {
+	return &MemLog{streams: make(map[string]*memStream)}
+}
+
+// SetDown takes the log service down or up.
+func (m *MemLog) SetDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// OnAppend sets a function that chooses the fault of each append.
+func (m *MemLog) OnAppend(f func(stream string, payload []byte) Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.onAppend = f
+}
+
+// Append implements journal.Log.
+func (m *MemLog) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return 0, ErrDown
+	}
+	fault := None
+	if m.onAppend != nil {
+		fault = m.onAppend(stream, payload)
+	}
+	s := m.stream(stream)
+	switch fault {
+	case Drop:
+		return 0, ErrDown
+	case ApplyLate:
+		s.late = append(s.late, append([]byte(nil), payload...))
+		return 0, ErrDown
+	}
+	at := s.append(payload)
+	if fault == LoseAnswer {
+		return 0, ErrDown
+	}
+	return at, nil
+}
+
+// Flush appends what ApplyLate held back.
+func (m *MemLog) Flush() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.streams {
+		for _, p := range s.late {
+			s.append(p)
+		}
+		s.late = nil
+	}
+}
+
+// Expire drops the records of a stream below an offset.
+func (m *MemLog) Expire(stream string, below journal.Offset) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.stream(stream)
+	for len(s.records) > 0 && s.records[0].Offset < below {
+		s.records = s.records[1:]
+		s.first++
+	}
+}
+
+// Read implements journal.Log.
+func (m *MemLog) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		if m.down {
+			m.mu.Unlock()
+			return journal.Page{}, ErrDown
+		}
+		s := m.stream(stream)
+		page, grown := s.page(from, limit), s.grown
+		m.mu.Unlock()
+		if len(page.Records) > 0 || from > page.Next {
+			return page, nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return page, nil
+		case <-ctx.Done():
+			return journal.Page{}, ctx.Err()
+		}
+	}
+}
+
+// stream returns a stream, making it if needed; the caller holds mu.
+func (m *MemLog) stream(name string) *memStream {
+	s, ok := m.streams[name]
+	if !ok {
+		s = &memStream{grown: make(chan struct{})}
+		m.streams[name] = s
+	}
+	return s
+}
+
+func (s *memStream) append(payload []byte) journal.Offset {
+	at := s.first + journal.Offset(len(s.records))
+	s.records = append(s.records, journal.Record{Offset: at, Payload: append([]byte(nil), payload...)})
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return at
+}
+
+func (s *memStream) page(from journal.Offset, limit int) journal.Page {
+	next := s.first + journal.Offset(len(s.records))
+	page := journal.Page{First: s.first, Next: next}
+	from = max(from, s.first)
+	if from >= next {
+		return page
+	}
+	recs := s.records[from-s.first:]
+	page.Records = append(page.Records, recs[:min(limit, len(recs))]...)
+	return page
+}
