--- a/admission/admission.go
+++ b/admission/admission.go
@@ -143,7 +143,7 @@
 		out = append(out, c.apply(now, i)...)
 	}
 	out = append(out, c.expire(now)...)
-	return append(out, c.schedule(now)...)
+	return append(out, c.schedule()...)
 }
 
 // Load returns the present load.
@@ -222,7 +222,7 @@
 	return out
 }
 
-func (c *Core) schedule(now time.Duration) []Action {
+func (c *Core) schedule() []Action {
 	var out []Action
 	for _, class := range []Class{Online, Batch} {
 		for len(c.queues[class]) > 0 && c.running[Online]+c.running[Batch] < c.policy.Slots {
