Platform client and stand-ins

Cause: the thin path needs the platform and backend servers on real sockets. Ruled out: hertz's client, which can't be cancelled while waiting for headers. Result: builds; not exercised yet.

--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,97 @@
+// Package peer holds the transport between the system's own processes:
+// connect-go over unencrypted HTTP/2, with one connection pool per traffic
+// class, so that bulk bytes never stand before a live token.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+)
+
+const (
+	dialTimeout = time.Second
+	// pingAfter and pingTimeout find a peer that is frozen or cut off while a
+	// stream is open.
+	pingAfter       = 2 * time.Second
+	pingTimeout     = 2 * time.Second
+	idleTimeout     = 90 * time.Second
+	headerTimeout   = 5 * time.Second
+	shutdownTimeout = 5 * time.Second
+)
+
+// Clients opens clients of peers. Each class has connections of its own.
+type Clients struct {
+	online, batch, control *http.Client
+}
+
+// NewClients returns clients without any connection yet.
+func NewClients() *Clients {
+	return &Clients{online: newHTTPClient(), batch: newHTTPClient(), control: newHTTPClient()}
+}
+
+// Online returns a client for online attempts.
+func (c *Clients) Online(addr string) peerv1connect.SidecarClient {
+	return peerv1connect.NewSidecarClient(c.online, "http://"+addr)
+}
+
+// Batch returns a client for batch attempts.
+func (c *Clients) Batch(addr string) peerv1connect.SidecarClient {
+	return peerv1connect.NewSidecarClient(c.batch, "http://"+addr)
+}
+
+// Control returns a client for reports, vetoes and drains.
+func (c *Clients) Control(addr string) peerv1connect.SidecarClient {
+	return peerv1connect.NewSidecarClient(c.control, "http://"+addr)
+}
+
+// Entry returns a client of another entry.
+func (c *Clients) Entry(addr string) peerv1connect.EntryClient {
+	return peerv1connect.NewEntryClient(c.control, "http://"+addr)
+}
+
+// Close closes idle connections.
+func (c *Clients) Close() {
+	for _, h := range []*http.Client{c.online, c.batch, c.control} {
+		h.CloseIdleConnections()
+	}
+}
+
+func newHTTPClient() *http.Client {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{
+		Protocols:       &p,
+		DialContext:     dialer.DialContext,
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
+}
+
+// Serve serves a connect handler on ln until ctx ends, then finishes what runs
+// within a bounded time.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	var p http.Protocols
+	p.SetUnencryptedHTTP2(true)
+	p.SetHTTP1(true)
+	srv := &http.Server{Handler: h, Protocols: &p, ReadHeaderTimeout: headerTimeout}
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(ln) }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "peer: serve")
+	case <-ctx.Done():
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := srv.Shutdown(sctx); err != nil {
+		_ = srv.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,144 @@
+// Package platform is the client of the platform's services: the append-only
+// log and the list of instances. It uses net/http since hertz's client can't be
+// cancelled while it waits for a response header.
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+const (
+	dialIdleTimeout = 90 * time.Second
+	callTimeout     = 5 * time.Second
+	maxErrorBody    = 1 << 10
+)
+
+// State is how the platform describes an instance.
+type State string
+
+// The states of an instance.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Instance is one row of the platform's lagging list of instances.
+type Instance struct {
+	Name    string `json:"instance"`
+	Role    string `json:"role"`
+	Service string `json:"service,omitempty"`
+	Region  string `json:"region"`
+	Zone    string `json:"availability_zone"`
+	// PeerAddr is where the system's process on the instance serves its peers.
+	PeerAddr string `json:"peer_addr"`
+	State    State  `json:"state"`
+}
+
+// InstanceList is the body of the list's answer.
+type InstanceList struct {
+	Instances []Instance `json:"instances"`
+}
+
+// AppendResponse is the body of an append's answer.
+type AppendResponse struct {
+	Offset uint64 `json:"offset"`
+}
+
+// ReadResponse is the body of a read's answer.
+type ReadResponse struct {
+	First   uint64       `json:"first"`
+	Next    uint64       `json:"next"`
+	Records []ReadRecord `json:"records"`
+}
+
+// ReadRecord is one record of a read's answer.
+type ReadRecord struct {
+	Offset  uint64 `json:"offset"`
+	Payload []byte `json:"payload"`
+}
+
+// LogClient is the HTTP client of the log service.
+type LogClient struct{ c client }
+
+// NewLog returns a client of the log service at addr, an IP:port.
+func NewLog(addr string) *LogClient { return &LogClient{newClient(addr)} }
+
+// Append implements journal.Log.
+func (l *LogClient) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+	var out AppendResponse
+	path := "/v1/streams/" + url.PathEscape(stream) + "/records"
+	err := l.c.do(ctx, http.MethodPost, path, payload, &out)
+	return journal.Offset(out.Offset), err
+}
+
+// Read implements journal.Log.
+func (l *LogClient) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+	var out ReadResponse
+	path := fmt.Sprintf("/v1/streams/%s/records?from=%d&max=%d&wait_ms=%d",
+		url.PathEscape(stream), uint64(from), limit, wait.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	if err := l.c.do(ctx, http.MethodGet, path, nil, &out); err != nil {
+		return journal.Page{}, err
+	}
+	page := journal.Page{First: journal.Offset(out.First), Next: journal.Offset(out.Next)}
+	for _, r := range out.Records {
+		page.Records = append(page.Records, journal.Record{Offset: journal.Offset(r.Offset), Payload: r.Payload})
+	}
+	return page, nil
+}
+
+// InstancesClient is the HTTP client of the instance list.
+type InstancesClient struct{ c client }
+
+// NewInstances returns a client of the instance list at addr, an IP:port.
+func NewInstances(addr string) *InstancesClient { return &InstancesClient{newClient(addr)} }
+
+// List returns the platform's present list, which lags.
+func (i *InstancesClient) List(ctx context.Context) ([]Instance, error) {
+	var out InstanceList
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	err := i.c.do(ctx, http.MethodGet, "/v1/instances", nil, &out)
+	return out.Instances, err
+}
+
+type client struct {
+	base string
+	http *http.Client
+}
+
+func newClient(addr string) client {
+	return client{
+		base: "http://" + addr,
+		http: &http.Client{Transport: &http.Transport{IdleConnTimeout: dialIdleTimeout, MaxIdleConnsPerHost: 16}},
+	}
+}
+
+func (c client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+		return errors.Errorf("platform: %s %s: status %d: %s", method, path, resp.StatusCode, text)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "platform: decode answer")
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Engine is a model engine that batches continuously: every step gives each
+// running stream one token, and a step takes longer the more streams run and
+// the more prompt tokens enter in it. It knows no priorities and admits
+// requests as they come.
+type Engine struct {
+	settings EngineSettings
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	streams map[*stream]struct{}
+	prefill int
+	stats   EngineStats
+}
+
+// EngineStats counts what an engine did.
+type EngineStats struct {
+	Running  int            `json:"running"`
+	Started  int            `json:"started"`
+	Finished int            `json:"finished"`
+	Stopped  int            `json:"stopped"`
+	Tokens   int            `json:"tokens"`
+	Attempts map[string]int `json:"attempts"`
+}
+
+// stream is one running generation; tokens receives one value per step.
+type stream struct {
+	tokens chan struct{}
+	left   int
+}
+
+// NewEngine returns an idle engine.
+func NewEngine(s EngineSettings) *Engine {
+	s.setDefaults()
+	return &Engine{
+		settings: s,
+		wake:     make(chan struct{}, 1),
+		streams:  make(map[*stream]struct{}),
+		stats:    EngineStats{Attempts: make(map[string]int)},
+	}
+}
+
+// Run steps the engine until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	for {
+		d := e.stepTime()
+		if d == 0 {
+			select {
+			case <-e.wake:
+				continue
+			case <-ctx.Done():
+				return
+			}
+		}
+		select {
+		case <-time.After(d):
+			e.step()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stepTime returns the length of the next step, zero if nothing runs.
+func (e *Engine) stepTime() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.streams) == 0 {
+		return 0
+	}
+	d := time.Duration(e.settings.StepBase)
+	d += time.Duration(len(e.streams)) * time.Duration(e.settings.StepPerStream)
+	d += time.Duration(e.prefill) * time.Duration(e.settings.PrefillPerToken)
+	e.prefill = 0
+	return d
+}
+
+// step gives every running stream one token.
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for s := range e.streams {
+		s.tokens <- struct{}{} // never blocks: the channel holds all tokens
+		e.stats.Tokens++
+		s.left--
+		if s.left == 0 {
+			close(s.tokens)
+			delete(e.streams, s)
+			e.stats.Finished++
+		}
+	}
+}
+
+// start adds a stream of n tokens.
+func (e *Engine) start(attempt string, prompt, n int) *stream {
+	s := &stream{tokens: make(chan struct{}, n), left: n}
+	e.mu.Lock()
+	e.stats.Started++
+	e.stats.Attempts[attempt]++
+	if n > 0 {
+		e.streams[s] = struct{}{}
+		e.prefill += prompt
+	} else {
+		close(s.tokens)
+	}
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+	return s
+}
+
+// stop removes a stream whose caller has gone.
+func (e *Engine) stop(s *stream) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, ok := e.streams[s]; ok {
+		delete(e.streams, s)
+		e.stats.Stopped++
+	}
+}
+
+// Stats returns a copy of the counts.
+func (e *Engine) Stats() EngineStats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := e.stats
+	out.Running = len(e.streams)
+	out.Attempts = make(map[string]int, len(e.stats.Attempts))
+	for k, v := range e.stats.Attempts {
+		out.Attempts[k] = v
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/instances.go
@@ -0,0 +1,73 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+)
+
+// InstanceList is the platform's list of live and leaving instances.
+type InstanceList struct {
+	mu   sync.Mutex
+	rows []platform.Instance
+}
+
+// NewInstanceList returns a list with every row live.
+func NewInstanceList(rows []InstanceRow) *InstanceList {
+	l := &InstanceList{}
+	for _, r := range rows {
+		l.rows = append(l.rows, r.instance())
+	}
+	return l
+}
+
+// Routes registers the list's calls.
+func (l *InstanceList) Routes(h *server.Hertz) {
+	h.GET("/v1/instances", l.list)
+	h.PUT("/v1/instances/:instance", l.put)
+	h.DELETE("/v1/instances/:instance", l.remove)
+}
+
+func (l *InstanceList) list(_ context.Context, c *app.RequestContext) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.JSON(http.StatusOK, platform.InstanceList{Instances: l.rows})
+}
+
+// put adds an instance or replaces its row.
+func (l *InstanceList) put(_ context.Context, c *app.RequestContext) {
+	var row platform.Instance
+	if err := c.BindJSON(&row); err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	row.Name = c.Param("instance")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.rows {
+		if l.rows[i].Name == row.Name {
+			l.rows[i] = row
+			c.JSON(http.StatusOK, row)
+			return
+		}
+	}
+	l.rows = append(l.rows, row)
+	c.JSON(http.StatusOK, row)
+}
+
+func (l *InstanceList) remove(_ context.Context, c *app.RequestContext) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.rows {
+		if l.rows[i].Name == c.Param("instance") {
+			l.rows = append(l.rows[:i:i], l.rows[i+1:]...)
+			break
+		}
+	}
+	c.Status(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/logservice.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+)
+
+const maxReadWait = 30 * time.Second
+
+// LogService is the platform's append-only log in memory, with faults.
+type LogService struct {
+	log *journaltest.MemLog
+
+	mu      sync.Mutex
+	faults  LogFaults
+	appends uint64
+}
+
+// LogFaults are the faults in force at a log service.
+type LogFaults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// DelayMS delays every append.
+	DelayMS int `json:"delay_ms"`
+	// LoseAnswers is how many of the next appends take effect but fail.
+	LoseAnswers int `json:"lose_answers"`
+	// ApplyLate is how many of the next appends fail and take effect LateMS
+	// later.
+	ApplyLate int `json:"apply_late"`
+	LateMS    int `json:"late_ms"`
+}
+
+// LogStats counts what a log service did.
+type LogStats struct {
+	Appends uint64 `json:"appends"`
+}
+
+// NewLogService returns an empty log service.
+func NewLogService() *LogService {
+	l := &LogService{log: journaltest.NewMemLog()}
+	l.log.OnAppend(l.fault)
+	return l
+}
+
+// Log returns the log itself, for use within the process.
+func (l *LogService) Log() journal.Log { return l.log }
+
+// Routes registers the service's calls.
+func (l *LogService) Routes(h *server.Hertz) {
+	h.POST("/v1/streams/:stream/records", l.append)
+	h.GET("/v1/streams/:stream/records", l.read)
+	h.PUT("/faults", l.setFaults)
+	h.GET("/stats", l.stats)
+}
+
+func (l *LogService) append(ctx context.Context, c *app.RequestContext) {
+	time.Sleep(l.delay())
+	at, err := l.log.Append(ctx, c.Param("stream"), c.Request.Body())
+	if err != nil {
+		c.String(http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	c.JSON(http.StatusOK, platform.AppendResponse{Offset: uint64(at)})
+}
+
+func (l *LogService) read(ctx context.Context, c *app.RequestContext) {
+	from, err := strconv.ParseUint(c.DefaultQuery("from", "0"), 10, 64)
+	if err != nil {
+		c.String(http.StatusBadRequest, "from: %v", err)
+		return
+	}
+	limit, err := strconv.Atoi(c.DefaultQuery("max", "100"))
+	if err != nil || limit < 1 {
+		c.String(http.StatusBadRequest, "max: not a positive number")
+		return
+	}
+	waitMS, err := strconv.Atoi(c.DefaultQuery("wait_ms", "0"))
+	if err != nil || waitMS < 0 {
+		c.String(http.StatusBadRequest, "wait_ms: not a number")
+		return
+	}
+	wait := min(time.Duration(waitMS)*time.Millisecond, maxReadWait)
+	page, err := l.log.Read(ctx, c.Param("stream"), journal.Offset(from), limit, wait)
+	if err != nil {
+		c.String(http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	out := platform.ReadResponse{First: uint64(page.First), Next: uint64(page.Next)}
+	for _, r := range page.Records {
+		out.Records = append(out.Records, platform.ReadRecord{Offset: uint64(r.Offset), Payload: r.Payload})
+	}
+	c.JSON(http.StatusOK, out)
+}
+
+func (l *LogService) setFaults(_ context.Context, c *app.RequestContext) {
+	var f LogFaults
+	if err := c.BindJSON(&f); err != nil {
+		c.String(http.StatusBadRequest, err.Error())
+		return
+	}
+	l.SetFaults(f)
+	c.JSON(http.StatusOK, f)
+}
+
+// SetFaults puts faults in force.
+func (l *LogService) SetFaults(f LogFaults) {
+	l.log.SetDown(f.Down)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+func (l *LogService) stats(_ context.Context, c *app.RequestContext) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.JSON(http.StatusOK, LogStats{Appends: l.appends})
+}
+
+func (l *LogService) delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.faults.DelayMS) * time.Millisecond
+}
+
+// fault chooses what happens to one append.
+func (l *LogService) fault(string, []byte) journaltest.Fault {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.appends++
+	if l.faults.LoseAnswers > 0 {
+		l.faults.LoseAnswers--
+		return journaltest.LoseAnswer
+	}
+	if l.faults.ApplyLate > 0 {
+		l.faults.ApplyLate--
+		time.AfterFunc(time.Duration(l.faults.LateMS)*time.Millisecond, l.log.Flush)
+		return journaltest.ApplyLate
+	}
+	return journaltest.None
+}
--- /dev/null
+++ b/internal/standin/settings.go
@@ -0,0 +1,102 @@
+// Package standin holds small stand-ins for what the system meets: the
+// platform's log service and instance list, a model engine and a plain service.
+package standin
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+)
+
+// Settings say which stand-ins one process serves. Addresses are IP:port.
+type Settings struct {
+	Log       LogSettings       `toml:"log,omitempty"`
+	Instances InstancesSettings `toml:"instances,omitempty"`
+	Engines   []EngineSettings  `toml:"engine,omitempty"`
+	Plain     []PlainSettings   `toml:"plain,omitempty"`
+}
+
+// LogSettings configure the log service.
+type LogSettings struct {
+	Listen string `toml:"listen,omitempty"`
+}
+
+// InstancesSettings configure the instance list.
+type InstancesSettings struct {
+	Listen string        `toml:"listen,omitempty"`
+	List   []InstanceRow `toml:"instance,omitempty"`
+}
+
+// InstanceRow is one instance of the list.
+type InstanceRow struct {
+	Name     string `toml:"instance"`
+	Role     string `toml:"role"`
+	Service  string `toml:"service,omitempty"`
+	Region   string `toml:"region"`
+	Zone     string `toml:"availability_zone"`
+	PeerAddr string `toml:"peer_addr"`
+}
+
+// EngineSettings configure one model engine.
+type EngineSettings struct {
+	Listen string   `toml:"listen"`
+	Models []string `toml:"models"`
+	// StepBase is the time of one step with a single stream, StepPerStream
+	// what each further stream adds.
+	StepBase      desired.Duration `toml:"step_base,omitempty"`
+	StepPerStream desired.Duration `toml:"step_per_stream,omitempty"`
+	// PrefillPerToken is what each prompt token adds to the step it enters in.
+	PrefillPerToken desired.Duration `toml:"prefill_per_token,omitempty"`
+}
+
+// PlainSettings configure one plain service.
+type PlainSettings struct {
+	Listen string           `toml:"listen"`
+	Delay  desired.Duration `toml:"delay,omitempty"`
+}
+
+const (
+	defaultStepBase        = 5 * time.Millisecond
+	defaultStepPerStream   = 200 * time.Microsecond
+	defaultPrefillPerToken = 20 * time.Microsecond
+)
+
+// Load reads a settings file; unknown keys are errors.
+func Load(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "standin settings")
+	}
+	var s Settings
+	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, errors.Wrapf(err, "standin settings %s", path)
+	}
+	return s, nil
+}
+
+func (e *EngineSettings) setDefaults() {
+	if e.StepBase == 0 {
+		e.StepBase = desired.Duration(defaultStepBase)
+	}
+	if e.StepPerStream == 0 {
+		e.StepPerStream = desired.Duration(defaultStepPerStream)
+	}
+	if e.PrefillPerToken == 0 {
+		e.PrefillPerToken = desired.Duration(defaultPrefillPerToken)
+	}
+}
+
+func (r InstanceRow) instance() platform.Instance {
+	return platform.Instance{
+		Name: r.Name, Role: r.Role, Service: r.Service,
+		Region: r.Region, Zone: r.Zone, PeerAddr: r.PeerAddr,
+		State: platform.Live,
+	}
+}
