--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,6 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	cmd := &cli.Command{
 		Name:  "standin",
 		Usage: "stand-ins for the platform's services and for backend servers",
@@ -28,7 +27,9 @@
 			return standin.Run(ctx, s)
 		},
 	}
-	if err := cmd.Run(ctx, os.Args); err != nil {
+	err := cmd.Run(ctx, os.Args)
+	stop()
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		os.Exit(1)
 	}
