Sidecar: the process beside one backend server

Cause: engines know no priorities, so ordering, veto and refusal are decided beside them. Change: attempts with sequence numbers and explicit ends, ledger of started and vetoed attempts with a floor, drain that hands batch back, backend client whose non-repeatable calls never use pooled connections.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -255,3 +255,6 @@
 		}
 	}
 }
+
+// Slots returns how many attempts the backend server takes at once.
+func (c *Core) Slots() int { return c.policy.Slots }
--- a/desired/types.go
+++ b/desired/types.go
@@ -102,3 +102,6 @@
 	Path          string `toml:"path"`
 	NonIdempotent bool   `toml:"non_idempotent,omitempty"`
 }
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,77 @@
+// Package ops is what every process serves to operators: health, readiness and
+// metrics, on a hertz server that stops gracefully.
+package ops
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+)
+
+const exitWait = 200 * time.Millisecond
+
+// DrainResult answers a drain order.
+type DrainResult struct {
+	Instance   string `json:"instance"`
+	InProgress int    `json:"in_progress"`
+}
+
+// Serve serves routes on ln until ctx ends.
+func Serve(ctx context.Context, ln net.Listener, routes func(*server.Hertz), opts ...config.Option) error {
+	hlog.SetLevel(hlog.LevelFatal)
+	opts = append([]config.Option{
+		server.WithListener(ln),
+		server.WithTransport(standard.NewTransporter),
+		server.WithExitWaitTime(exitWait),
+		server.WithDisablePrintRoute(true),
+	}, opts...)
+	h := server.New(opts...)
+	routes(h)
+	return Run(ctx, h, exitWait)
+}
+
+// Run runs a hertz server until ctx ends, then gives its connections up to
+// wait to finish.
+func Run(ctx context.Context, h *server.Hertz, wait time.Duration) error {
+	done := make(chan error, 1)
+	go func() { done <- h.Run() }()
+	select {
+	case err := <-done:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
+	defer cancel()
+	_ = h.Shutdown(sctx)
+	return nil
+}
+
+// Health registers liveness and readiness.
+func Health(h *server.Hertz, ready func() bool) {
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	h.GET("/readyz", func(_ context.Context, c *app.RequestContext) {
+		if ready() {
+			c.String(http.StatusOK, "ready\n")
+			return
+		}
+		c.String(http.StatusServiceUnavailable, "draining\n")
+	})
+}
+
+// Metrics registers the metrics of a set and of the process.
+func Metrics(h *server.Hertz, set *metrics.Set) {
+	h.GET("/metrics", func(_ context.Context, c *app.RequestContext) {
+		c.SetContentType("text/plain; charset=utf-8")
+		set.WritePrometheus(c)
+		metrics.WriteProcessMetrics(c)
+	})
+}
--- /dev/null
+++ b/internal/sidecar/backend.go
@@ -0,0 +1,222 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/openai/openai-go/v3/packages/ssestream"
+	"github.com/pkg/errors"
+	"github.com/tidwall/sjson"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+)
+
+const (
+	requestIDHeader  = "X-Request-Id"
+	plainChunkBytes  = 32 << 10
+	maxErrorBytes    = 4 << 10
+	backendIdle      = 60 * time.Second
+	backendIdleConns = 256
+)
+
+// backend is the client of the backend server beside this sidecar. Calls that
+// may not be repeated use connections of their own, which the transport never
+// retries.
+type backend struct {
+	base   string
+	pooled *http.Client
+	fresh  *http.Client
+}
+
+func newBackend(addr string) *backend {
+	pooled := &http.Transport{MaxIdleConnsPerHost: backendIdleConns, IdleConnTimeout: backendIdle}
+	fresh := &http.Transport{DisableKeepAlives: true}
+	return &backend{
+		base:   "http://" + addr,
+		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		fresh:  &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// completion is the part of a streamed chat chunk that is read.
+type completion struct {
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     uint32 `json:"prompt_tokens"`
+		CompletionTokens uint32 `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+// chat streams one chat completion. emit returns false once nobody listens.
+// An answer without an explicit end is an error.
+func (b *backend) chat(ctx context.Context, req *peerv1.RunRequest, emit func(*peerv1.Delta) bool) (*peerv1.End, error) {
+	body, err := chatBody(req)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := b.send(ctx, b.pooled, http.MethodPost, "/v1/chat/completions", req, body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	dec := ssestream.NewDecoder(resp)
+	if resp.StatusCode != http.StatusOK {
+		return nil, statusError(resp)
+	}
+	return readChat(dec, emit)
+}
+
+func readChat(dec ssestream.Decoder, emit func(*peerv1.Delta) bool) (*peerv1.End, error) {
+	end := &peerv1.End{}
+	for dec.Next() {
+		data := dec.Event().Data
+		if bytes.HasPrefix(data, []byte("[DONE]")) {
+			if end.FinishReason == "" {
+				return nil, errors.New("backend server ended without a finish reason")
+			}
+			return end, nil
+		}
+		var c completion
+		if err := json.Unmarshal(data, &c); err != nil {
+			return nil, errors.Wrap(err, "backend server's chunk")
+		}
+		if !readChunk(c, end, emit) {
+			return nil, errors.New("nobody listens")
+		}
+	}
+	if err := dec.Err(); err != nil {
+		return nil, errors.Wrap(err, "backend server's stream")
+	}
+	return nil, errors.New("backend server's stream was cut")
+}
+
+// readChunk takes one chunk in; it returns false once nobody listens.
+func readChunk(c completion, end *peerv1.End, emit func(*peerv1.Delta) bool) bool {
+	if c.Usage != nil {
+		end.PromptTokens = c.Usage.PromptTokens
+		end.CompletionTokens = c.Usage.CompletionTokens
+	}
+	for _, ch := range c.Choices {
+		if ch.FinishReason != "" {
+			end.FinishReason = ch.FinishReason
+		}
+		if ch.Delta.Content == "" {
+			continue
+		}
+		if !emit(&peerv1.Delta{Data: []byte(ch.Delta.Content), Tokens: 1}) {
+			return false
+		}
+	}
+	return true
+}
+
+type assistantMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chatBody makes the engine stream, report usage and, if the attempt resumes
+// an earlier one, continue its text.
+func chatBody(req *peerv1.RunRequest) ([]byte, error) {
+	body := req.Body
+	set := func(path string, v any) {
+		if b, err := sjson.SetBytes(body, path, v); err == nil {
+			body = b
+		}
+	}
+	set("stream", true)
+	set("stream_options.include_usage", true)
+	if req.ResumeTokens > 0 {
+		set("messages.-1", assistantMessage{Role: "assistant", Content: req.ResumeText})
+		set("add_generation_prompt", false)
+		set("continue_final_message", true)
+		if req.MaxTokens > 0 {
+			left := int(req.MaxTokens) - int(req.ResumeTokens)
+			set("max_tokens", max(left, 0))
+			body, _ = sjson.DeleteBytes(body, "max_completion_tokens")
+		}
+	}
+	if !json.Valid(body) {
+		return nil, errkind.New(errkind.BadRequest, "body is not JSON")
+	}
+	return body, nil
+}
+
+// plain makes one call to a plain service and streams its answer.
+func (b *backend) plain(ctx context.Context, req *peerv1.RunRequest, emit func(*peerv1.RunEvent) bool) (*peerv1.End, error) {
+	client := b.pooled
+	if req.NonIdempotent {
+		client = b.fresh
+	}
+	resp, err := b.send(ctx, client, req.Method, req.Path, req, req.Body)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	head := &peerv1.Head{Status: uint32(resp.StatusCode)}
+	for name, values := range resp.Header {
+		for _, v := range values {
+			head.Headers = append(head.Headers, &peerv1.Header{Name: name, Value: v})
+		}
+	}
+	if !emit(&peerv1.RunEvent{Event: &peerv1.RunEvent_Head{Head: head}}) {
+		return nil, errors.New("nobody listens")
+	}
+	return copyBody(resp.Body, emit)
+}
+
+func copyBody(r io.Reader, emit func(*peerv1.RunEvent) bool) (*peerv1.End, error) {
+	buf := make([]byte, plainChunkBytes)
+	for {
+		n, err := r.Read(buf)
+		if n > 0 {
+			d := &peerv1.Delta{Data: append([]byte(nil), buf[:n]...)}
+			if !emit(&peerv1.RunEvent{Event: &peerv1.RunEvent_Delta{Delta: d}}) {
+				return nil, errors.New("nobody listens")
+			}
+		}
+		if err == io.EOF {
+			return &peerv1.End{FinishReason: "stop"}, nil
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "backend server's answer")
+		}
+	}
+}
+
+func (b *backend) send(ctx context.Context, client *http.Client, method, path string, req *peerv1.RunRequest, body []byte) (*http.Response, error) {
+	hr, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadRequest, "request can't be built")
+	}
+	for _, h := range req.Headers {
+		hr.Header.Add(h.Name, h.Value)
+	}
+	if req.Model {
+		hr.Header.Set("Content-Type", "application/json")
+		hr.Header.Set("Accept", "text/event-stream")
+	}
+	hr.Header.Set(requestIDHeader, req.AttemptId)
+	resp, err := client.Do(hr)
+	return resp, errors.Wrap(err, "backend server")
+}
+
+func statusError(resp *http.Response) error {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return errkind.New(errkind.BackendFailed, "backend server: status %d: %s", resp.StatusCode, text)
+	}
+	return errkind.New(errkind.BackendRefused, "backend server: status %d: %s", resp.StatusCode, text)
+}
--- /dev/null
+++ b/internal/sidecar/server.go
@@ -0,0 +1,229 @@
+// Package sidecar is the process beside one backend server and the only way to
+// it: it orders, admits, preempts and refuses attempts.
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/peer"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+const (
+	// tickInterval drives deadlines; arrivals and endings tick at once.
+	tickInterval = 10 * time.Millisecond
+	// leaveNotice is how long a drained sidecar stays up to say that it leaves.
+	leaveNotice = 500 * time.Millisecond
+)
+
+// Server is one sidecar. mu guards everything below it, so that starting an
+// attempt, vetoing it and refusing it exclude each other.
+type Server struct {
+	settings    settings.Settings
+	incarnation string
+	logger      *log.Logger
+	backend     *backend
+	epoch       time.Time
+	metrics     *metricSet
+	drainOnce   sync.Once
+	drained     chan struct{}
+
+	mu       sync.Mutex
+	core     *admission.Core
+	attempts map[string]*attempt
+	ledger   *ledger
+	policy   policy
+	draining bool
+}
+
+// New returns a sidecar that serves once Serve is called.
+func New(s settings.Settings, logger *log.Logger) *Server {
+	return &Server{
+		settings:    s,
+		incarnation: uuid.NewString(),
+		logger:      logger.With("instance", s.Instance),
+		backend:     newBackend(s.Backend.Address),
+		epoch:       time.Now(),
+		metrics:     newMetricSet(),
+		drained:     make(chan struct{}),
+		core:        admission.New(admission.Policy{}),
+		attempts:    make(map[string]*attempt),
+		ledger:      newLedger(ledgerSize),
+	}
+}
+
+// Incarnation names this life of the sidecar.
+func (s *Server) Incarnation() string { return s.incarnation }
+
+// Serve serves until ctx ends, then drains: new work is refused, what runs is
+// finished, and only then Serve returns.
+func (s *Server) Serve(ctx context.Context) error {
+	ln, err := net.Listen("tcp", s.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "sidecar")
+	}
+	srvCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewSidecarHandler(s))
+	var g errgroup.Group
+	g.Go(func() error { defer stop(); return peer.Serve(srvCtx, ln, mux) })
+	if s.settings.OperatorListen != "" {
+		g.Go(func() error { return s.serveOperator(srvCtx) })
+	}
+	g.Go(func() error { s.tickLoop(srvCtx); return nil })
+	event.Log(s.logger, event.Started, "role", "sidecar", "incarnation", s.incarnation, "peer", s.settings.PeerListen)
+	select {
+	case <-ctx.Done():
+		s.drain()
+	case <-s.drained:
+	case <-srvCtx.Done():
+		return g.Wait()
+	}
+	s.waitIdle(srvCtx)
+	stop()
+	err = g.Wait()
+	event.Log(s.logger, event.Stopped)
+	return err
+}
+
+// drain refuses new work from now on and hands batch work back.
+func (s *Server) drain() {
+	s.drainOnce.Do(func() {
+		event.Log(s.logger, event.Draining)
+		s.mu.Lock()
+		s.draining = true
+		s.tick(admission.Drain{})
+		s.handBack()
+		s.mu.Unlock()
+		close(s.drained)
+	})
+}
+
+// handBack gives batch attempts that may be repeated back to their owners with
+// what they have produced; the caller holds mu.
+func (s *Server) handBack() {
+	for id, a := range s.attempts {
+		switch {
+		case a.req.Class != peerv1.Class_CLASS_BATCH:
+		case !a.started:
+			s.tick(admission.Cancel{ID: id})
+			a.refuse(errkind.Draining, 0)
+		case !a.req.NonIdempotent:
+			a.cancel(errPreempted)
+		}
+	}
+}
+
+// waitIdle returns once no attempt is left and peers have had time to hear
+// that the instance leaves.
+func (s *Server) waitIdle(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	notice := time.After(leaveNotice)
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		if s.inProgress() > 0 {
+			continue
+		}
+		select {
+		case <-notice:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) inProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts)
+}
+
+func (s *Server) tickLoop(ctx context.Context) {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.mu.Lock()
+			s.tick()
+			s.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick runs the core and carries out its actions; the caller holds mu.
+func (s *Server) tick(in ...admission.Input) {
+	for _, a := range s.core.Tick(time.Since(s.epoch), in...) {
+		s.act(a)
+	}
+}
+
+func (s *Server) act(a admission.Action) {
+	at, ok := s.attempts[a.ID]
+	if !ok {
+		return
+	}
+	switch a.Kind {
+	case admission.Start:
+		s.start(at)
+	case admission.Refuse:
+		event.Log(s.logger, event.AttemptRefused, "attempt", a.ID, "kind", a.Err)
+		at.refuse(a.Err, a.RetryAfter)
+	case admission.Preempt:
+		event.Log(s.logger, event.BatchPreempted, "attempt", a.ID, "job", at.req.Job)
+		s.metrics.preempted.Inc()
+		at.cancel(errPreempted)
+	case admission.Stop:
+		at.cancel(errStopped)
+	}
+}
+
+// Run implements peerv1connect.SidecarHandler.
+func (s *Server) Run(ctx context.Context, req *connect.Request[peerv1.RunRequest], stream *connect.ServerStream[peerv1.RunEvent]) error {
+	a := newAttempt(ctx, req.Msg)
+	defer a.close()
+	if s.enter(a) {
+		defer s.leave(a)
+	}
+	var seq uint64
+	for {
+		select {
+		case ev := <-a.events:
+			ev.Seq = seq
+			seq++
+			ev.Load = s.load()
+			if err := stream.Send(ev); err != nil {
+				return err
+			}
+			if final(ev) {
+				return nil
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
