--- /dev/null
+++ b/desired/parse.go
@@ -0,0 +1,47 @@
+package desired
+
+import (
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
+)
+
+// MaxDocumentBytes bounds the size of a document.
+const MaxDocumentBytes = 256 << 10
+
+// Parse reads a whole document strictly, fills in the defaults and validates
+// it. name is used in errors only. A faulty document gives a *stricttoml.Error
+// that lists its problems with their places.
+func Parse(name string, raw []byte) (Document, error) {
+	if len(raw) > MaxDocumentBytes {
+		return Document{}, errors.Errorf("%s: %d bytes, more than %d", name, len(raw), MaxDocumentBytes)
+	}
+	var d Document
+	if err := stricttoml.Decode(name, raw, &d); err != nil {
+		return Document{}, err
+	}
+	d.SetDefaults()
+	if err := d.Validate(); err != nil {
+		return Document{}, stricttoml.Place(name, raw, err)
+	}
+	return d, nil
+}
+
+// Load reads a document from a file.
+func Load(path string) (Document, []byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Document{}, nil, errors.Wrap(err, "desired state")
+	}
+	d, err := Parse(path, raw)
+	return d, raw, err
+}
+
+// Marshal returns the document as TOML that Parse accepts.
+func (d Document) Marshal() ([]byte, error) {
+	b, err := toml.Marshal(d)
+	return b, errors.Wrap(err, "desired state: encode")
+}
--- /dev/null
+++ b/desired/stricttoml/problem.go
@@ -0,0 +1,76 @@
+// Package stricttoml decodes TOML files strictly: an unknown key, a value of
+// the wrong type and a failed check are reported with file, line, column, key
+// and, where one is known, the likely fix.
+package stricttoml
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Problem is one fault of a file.
+type Problem struct {
+	File string `json:"file"`
+	// Line and Column count from one; zero means that no place is known.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Key is the path of the key at fault, like "service[1].kind".
+	Key     string `json:"key"`
+	Message string `json:"message"`
+	// Fix is the likely correction, may be empty.
+	Fix string `json:"fix,omitempty"`
+}
+
+// String formats the problem like a compiler does.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.File != "" {
+		b.WriteString(p.File + ":")
+	}
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "%d:%d:", p.Line, p.Column)
+	}
+	if b.Len() > 0 {
+		b.WriteString(" ")
+	}
+	if p.Key != "" {
+		b.WriteString(p.Key + ": ")
+	}
+	b.WriteString(p.Message)
+	if p.Fix != "" {
+		b.WriteString(" (" + p.Fix + ")")
+	}
+	return b.String()
+}
+
+// Error is the error of a file with at least one problem.
+type Error struct {
+	Problems []Problem
+}
+
+// Error lists the problems, one a line.
+func (e *Error) Error() string {
+	lines := make([]string, len(e.Problems))
+	for i, p := range e.Problems {
+		lines[i] = p.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Checks collects the problems that a check of decoded values finds.
+type Checks struct {
+	problems []Problem
+}
+
+// Add records a problem of the value at a key.
+func (c *Checks) Add(key, fix, format string, args ...any) {
+	c.problems = append(c.problems, Problem{Key: key, Message: fmt.Sprintf(format, args...), Fix: fix})
+}
+
+// Err returns an *Error with the problems found, or nil.
+func (c *Checks) Err() error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	return &Error{Problems: c.problems}
+}
