--- /dev/null
+++ b/desired/publisher.go
@@ -0,0 +1,172 @@
+package desired
+
+import (
+	"context"
+	"io"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// Errors of a Publisher.
+var (
+	// ErrUnconfirmed says that the publication may or may not have been
+	// appended, and may take effect late. Publishing again is harmless: of two
+	// publications with one base at most one is accepted.
+	ErrUnconfirmed = errors.New("desired: the publication may or may not be in the log")
+	// ErrUndecided says that the publication is in the log but that what was
+	// in force before it is not known here.
+	ErrUndecided = errors.New("desired: the publication is not decided yet")
+	// ErrNothingToRecover says that the version in force is known, so that a
+	// publication must be based on it.
+	ErrNothingToRecover = errors.New("desired: the version in force is known; publish on its base instead")
+)
+
+// Publication is what an operator asks for.
+type Publication struct {
+	Base     uint64
+	Document []byte
+	Author   string
+	Note     string
+	// Recover publishes though every copy of the version in force has expired
+	// from the log; Base is ignored.
+	Recover bool
+}
+
+// Publisher reads and publishes configuration on the log service directly, so
+// that it works while every process of the system is down.
+type Publisher struct {
+	log    journal.Log
+	logger *log.Logger
+}
+
+// NewPublisher returns a publisher; logger gets the events of the journal and
+// may be nil.
+func NewPublisher(l journal.Log, logger *log.Logger) *Publisher {
+	if logger == nil {
+		logger = log.New(io.Discard)
+	}
+	return &Publisher{log: l, logger: logger}
+}
+
+// Snapshot is what the log held at one moment.
+type Snapshot struct {
+	// InForce is nil while no version is in force or known to be.
+	InForce *Version
+	// Known is false if the log does not say any more what is in force.
+	Known bool
+	// History lists the publications that are kept, oldest first.
+	History []Verdict
+}
+
+// Read folds the log to its end.
+func (p *Publisher) Read(ctx context.Context) (Snapshot, error) {
+	r, err := openReader(ctx, p.log, p.logger, newID())
+	if err != nil {
+		return Snapshot{}, err
+	}
+	defer r.close()
+	return r.snapshot(), nil
+}
+
+func (r *reader) snapshot() Snapshot {
+	s := Snapshot{Known: r.table.Known(), History: r.table.History()}
+	if v, ok := r.table.InForce(); ok {
+		s.InForce = &v
+	}
+	return s
+}
+
+// Document returns a document that was published, by its version.
+func (p *Publisher) Document(ctx context.Context, version uint64) ([]byte, error) {
+	if version == 0 {
+		return nil, errors.New("desired: version 0 has no document")
+	}
+	stream := journal.NewStream(p.log, Stream, journal.Options{Writer: newID(), Logger: p.logger})
+	entries, err := stream.Load(ctx, journal.Offset(version-1))
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) == 0 || entries[0].Kind != KindPublish {
+		return nil, errors.Errorf("desired: no publication has the number %d", version)
+	}
+	var record Publish
+	if err := entries[0].Decode(&record); err != nil {
+		return nil, err
+	}
+	return record.Document, nil
+}
+
+// Publish appends a publication and returns what became of it. A faulty
+// document is refused before anything is appended, and so is one whose base is
+// not in force any more; both give a verdict without an offset that counts.
+// An append whose answer is lost is repeated under one sequence number, which
+// the fold counts once.
+func (p *Publisher) Publish(ctx context.Context, pub Publication) (Verdict, error) {
+	if _, err := Parse("document", pub.Document); err != nil {
+		return Verdict{}, err
+	}
+	id := newID()
+	r, err := openReader(ctx, p.log, p.logger, id)
+	if err != nil {
+		return Verdict{}, err
+	}
+	defer r.close()
+	record := Publish{
+		ID: id, Base: pub.Base, Document: pub.Document, Author: pub.Author,
+		Note: pub.Note, Recover: pub.Recover, Seen: r.stream.Folded(),
+	}
+	if v, err := r.precheck(record); err != nil || v.State == Conflicted {
+		return v, err
+	}
+	return r.publish(ctx, record)
+}
+
+// precheck decides what can be decided without an append.
+func (r *reader) precheck(p Publish) (Verdict, error) {
+	if !r.table.Known() {
+		return Verdict{State: Undecided}, nil
+	}
+	if p.Recover {
+		return Verdict{}, ErrNothingToRecover
+	}
+	v := Verdict{State: Undecided, ID: p.ID, Base: p.Base, Author: p.Author, Note: p.Note}
+	now, _ := r.table.InForce()
+	if now.Number != p.Base {
+		v.State, v.Winner, v.WinnerAuthor = Conflicted, now.Number, now.Author
+	}
+	return v, nil
+}
+
+func (r *reader) publish(ctx context.Context, p Publish) (Verdict, error) {
+	entry, err := journal.NewEntry(KindPublish, p)
+	if err != nil {
+		return Verdict{}, err
+	}
+	pos, err := r.stream.Commit(ctx, entry)
+	if errors.Is(err, journal.ErrUnconfirmed) {
+		return Verdict{}, errors.Wrapf(ErrUnconfirmed, "publication %s", p.ID)
+	}
+	if err != nil {
+		return Verdict{}, errors.Wrap(err, "desired: publish")
+	}
+	return r.await(ctx, pos.Offset)
+}
+
+// await returns the verdict of the publication at an offset once it is decided.
+func (r *reader) await(ctx context.Context, at journal.Offset) (Verdict, error) {
+	for {
+		changed := r.table.Changed()
+		v, ok := r.table.Verdict(at)
+		if ok && v.State != Undecided {
+			return v, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return v, errors.Wrapf(ErrUndecided, "publication at offset %d", at)
+		}
+	}
+}
--- /dev/null
+++ b/desired/reader.go
@@ -0,0 +1,61 @@
+package desired
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// reader folds the configuration stream for the length of one command.
+type reader struct {
+	table  *Table
+	stream *journal.Stream
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// openReader returns a reader that has folded everything in the log.
+func openReader(ctx context.Context, l journal.Log, logger *log.Logger, id string) (*reader, error) {
+	r := &reader{table: NewTable(Hooks{}), done: make(chan struct{})}
+	if err := BeginTable(ctx, l, r.table); err != nil {
+		return nil, err
+	}
+	r.stream = journal.NewStream(l, Stream, journal.Options{
+		Writer: id, Fold: r.table, Interval: time.Nanosecond, Logger: logger,
+	})
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	r.stop = stop
+	go func() {
+		defer close(r.done)
+		r.stream.Run(run)
+	}()
+	if err := r.stream.CaughtUp(ctx); err != nil {
+		r.close()
+		return nil, errors.Wrap(err, "desired: read the log")
+	}
+	return r, nil
+}
+
+func (r *reader) close() {
+	r.stop()
+	<-r.done
+}
+
+// BeginTable tells an empty table which record is the oldest that the log
+// keeps. Call it before the table's stream runs.
+func BeginTable(ctx context.Context, l journal.Log, t *Table) error {
+	page, err := l.Read(ctx, Stream, 0, 1, 0)
+	if err != nil {
+		return errors.Wrap(err, "desired: read the log")
+	}
+	t.Gap(page.First)
+	return nil
+}
+
+// newID returns an identifier that is unique for ever.
+func newID() string { return uuid.NewString() }
--- /dev/null
+++ b/desired/record.go
@@ -0,0 +1,75 @@
+package desired
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// Stream is the name of the configuration stream at the log service.
+const Stream = "configuration"
+
+// The kinds of entry of the configuration stream.
+const (
+	KindPublish journal.EntryKind = 1
+	KindRenewal journal.EntryKind = 2
+)
+
+// Errors of the fold; journal logs them with the position.
+var (
+	// ErrMalformed says that an entry contradicts itself or the log.
+	ErrMalformed = errors.New("desired: malformed entry")
+	// ErrUncertified says that a renewal was prepared so long ago that a newer
+	// version may have been accepted and expired since.
+	ErrUncertified = errors.New("desired: renewal does not reach back to the oldest record kept")
+)
+
+// Publish asks for a document to become the next version. The version is the
+// offset of its record plus one.
+type Publish struct {
+	// ID identifies the publication in the history, chosen by the publisher.
+	ID string `cbor:"1,keyasint"`
+	// Base is the version that the document was based on, zero for none.
+	Base uint64 `cbor:"2,keyasint"`
+	// Document is TOML as Parse reads it; its own base is not looked at.
+	Document []byte `cbor:"3,keyasint"`
+	Author   string `cbor:"4,keyasint,omitempty"`
+	Note     string `cbor:"5,keyasint,omitempty"`
+	// Recover replaces the check of Base after every copy of the version in
+	// force has expired: the publication is accepted if no version was
+	// accepted at or after the offset Seen.
+	Recover bool           `cbor:"6,keyasint,omitempty"`
+	Seen    journal.Offset `cbor:"7,keyasint,omitempty"`
+}
+
+// Renewal repeats the version in force before its newest copy expires. It
+// certifies that Version was in force once every record below Seen was folded.
+// A renewal changes the version in force of nobody who knows a newer one.
+type Renewal struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Base    uint64 `cbor:"2,keyasint"`
+	// Document is empty if Version is zero.
+	Document []byte         `cbor:"3,keyasint"`
+	Author   string         `cbor:"4,keyasint,omitempty"`
+	Note     string         `cbor:"5,keyasint,omitempty"`
+	Seen     journal.Offset `cbor:"6,keyasint"`
+	ID       string         `cbor:"7,keyasint,omitempty"`
+}
+
+// check refuses a renewal that no process can have prepared.
+func (r Renewal) check(at journal.Offset) error {
+	if r.Seen > at || r.Version > uint64(r.Seen) {
+		return errors.Wrapf(ErrMalformed, "renewal of version %d seen to %d at offset %d", r.Version, r.Seen, at)
+	}
+	return nil
+}
+
+func (p Publish) check(pos journal.Position) error {
+	if pos.Index > 0 {
+		return errors.Wrap(ErrMalformed, "a publication must be the first entry of its record")
+	}
+	if p.Seen > pos.Offset {
+		return errors.Wrapf(ErrMalformed, "publication seen to %d at offset %d", p.Seen, pos.Offset)
+	}
+	return nil
+}
--- /dev/null
+++ b/desired/renewer.go
@@ -0,0 +1,85 @@
+package desired
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// Committer appends entries as journal.Stream does.
+type Committer interface {
+	Commit(ctx context.Context, entries ...journal.Entry) (journal.Position, error)
+}
+
+// Renewer keeps a copy of the version in force in the log. Several processes
+// may run one: the fold ignores what the others append.
+type Renewer struct {
+	Table  *Table
+	Stream Committer
+	// Interval is the age at which the newest copy is renewed. It must be well
+	// below the retention time of the log, so that a copy exists at all times
+	// whose Seen is still kept.
+	Interval time.Duration
+	// Chosen reports whether this process renews, nil for always. It only
+	// saves appends; a wrong answer does no harm.
+	Chosen func() bool
+	// Failed is told of an append that failed, may be nil.
+	Failed func(error)
+}
+
+// Run renews until ctx ends.
+func (r *Renewer) Run(ctx context.Context) {
+	copyAt, _ := r.Table.Copy()
+	timer := time.NewTimer(r.Interval)
+	defer timer.Stop()
+	for {
+		changed := r.Table.Changed()
+		at, overtaken := r.Table.Copy()
+		if at != copyAt {
+			copyAt = at
+			timer.Reset(r.Interval)
+		}
+		if overtaken {
+			r.renew(ctx)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			r.renew(ctx)
+			timer.Reset(r.Interval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// renew appends one renewal. The table prepares it just before the append; one
+// that is delayed after that proves nothing to a reader that starts later.
+func (r *Renewer) renew(ctx context.Context) {
+	if r.Chosen != nil && !r.Chosen() {
+		return
+	}
+	record, ok := r.Table.Renewal()
+	if !ok {
+		return
+	}
+	entry, err := journal.NewEntry(KindRenewal, record)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Interval)
+	defer cancel()
+	if _, err := r.Stream.Commit(ctx, entry); err != nil {
+		r.fail(errors.Wrap(err, "desired: renewal"))
+	}
+}
+
+func (r *Renewer) fail(err error) {
+	if r.Failed != nil {
+		r.Failed(err)
+	}
+}
