--- /dev/null
+++ b/internal/dev/demo.go
@@ -0,0 +1,144 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	readyTries = 200
+	readyRetry = 50 * time.Millisecond
+	batchItems = 100
+	batchTries = 600
+)
+
+// Demonstrate runs the deployment and shows on w one live request, one call to
+// a plain service and one batch job. It returns after that if once is set, else
+// it serves until ctx ends.
+func (d *Deployment) Demonstrate(ctx context.Context, w io.Writer, once bool) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	c := &caller{base: "http://" + d.Listen}
+	err := c.demonstrate(ctx, w)
+	if err == nil {
+		d.explain(w)
+	}
+	if once || err != nil {
+		stop()
+	}
+	if runErr := <-done; err == nil {
+		err = runErr
+	}
+	return err
+}
+
+func (d *Deployment) explain(w io.Writer) {
+	_, _ = fmt.Fprintf(w, `
+callers    http://%[1]s     operators  http://%[2]s     log service  %[3]s
+try        curl -N http://%[1]s/v1/chat/completions -H 'Content-Type: application/json' \
+             -d '{"model":"%[4]s","stream":true,"messages":[{"role":"user","content":"hello there"}]}'
+`, d.Listen, d.Operators, d.Log, ModelName)
+}
+
+// caller is the demonstration's client.
+type caller struct{ base string }
+
+func (c *caller) demonstrate(ctx context.Context, w io.Writer) error {
+	if err := c.waitReady(ctx); err != nil {
+		return err
+	}
+	steps := []func(context.Context, io.Writer) error{c.live, c.plain, c.batch}
+	for _, step := range steps {
+		if err := step(ctx, w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitReady returns once a live request is answered.
+func (c *caller) waitReady(ctx context.Context) error {
+	var err error
+	for range readyTries {
+		_, err = c.call(ctx, http.MethodPost, "/v1/chat/completions", chatBody("ready", false))
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(readyRetry):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return errors.Wrap(err, "dev: the deployment does not get ready")
+}
+
+func chatBody(text string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":8,"messages":[{"role":"user","content":%q}]}`, ModelName, stream, text)
+}
+
+func (c *caller) live(ctx context.Context, w io.Writer) error {
+	started := time.Now()
+	body, err := c.call(ctx, http.MethodPost, "/v1/chat/completions", chatBody("when can you tune my piano", true))
+	if err != nil {
+		return err
+	}
+	if !bytes.Contains(body, []byte("[DONE]")) {
+		return errors.New("dev: the streamed answer has no end")
+	}
+	events := bytes.Count(body, []byte("data:"))
+	_, _ = fmt.Fprintf(w, "live request: %d events streamed, whole, in %s\n", events, time.Since(started).Round(time.Millisecond))
+	return nil
+}
+
+func (c *caller) plain(ctx context.Context, w io.Writer) error {
+	body, err := c.call(ctx, http.MethodGet, "/services/"+PlainService+"/tuners/42", "")
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(w, "plain service: %s\n", bytes.TrimSpace(body))
+	return nil
+}
+
+func (c *caller) call(ctx context.Context, method, path, body string) ([]byte, error) {
+	return c.send(ctx, method, path, "application/json", strings.NewReader(body))
+}
+
+func (c *caller) send(ctx context.Context, method, path, contentType string, body io.Reader) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Content-Type", contentType)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("%s %s: status %d: %s", method, path, resp.StatusCode, out)
+	}
+	return out, nil
+}
+
+func (c *caller) callJSON(ctx context.Context, method, path, body string, out any) error {
+	b, err := c.call(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(b, out), path)
+}
--- /dev/null
+++ b/internal/entry/answer.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/google/uuid"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+)
+
+const (
+	requestIDHeader      = "X-Request-Id"
+	idempotencyKeyHeader = "Idempotency-Key"
+	bearerPrefix         = "Bearer "
+	requestIDKey         = "catkinrudder.request_id"
+)
+
+// errorBody is the OpenAI error shape with kind and outcome.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Param   *string         `json:"param"`
+	Code    string          `json:"code"`
+	Kind    errkind.Kind    `json:"kind"`
+	Outcome errkind.Outcome `json:"outcome"`
+}
+
+func newErrorBody(err *errkind.Error) errorBody {
+	a := err.Answer()
+	d := errorDetail{
+		Message: err.Message,
+		Type:    a.Type,
+		Code:    string(err.Kind),
+		Kind:    err.Kind,
+		Outcome: a.Outcome,
+	}
+	if err.Param != "" {
+		d.Param = &err.Param
+	}
+	return errorBody{d}
+}
+
+// fail gives a request its final, failed answer.
+func (e *Server) fail(c *app.RequestContext, err error) {
+	kerr := errkind.From(err)
+	a := kerr.Answer()
+	e.metrics.refused(kerr.Kind).Inc()
+	event.Log(e.logger, event.RequestRefused, "request", requestID(c), "kind", kerr.Kind, "outcome", a.Outcome, "err", kerr)
+	if a.RetryAfter > 0 {
+		seconds := int(math.Ceil(a.RetryAfter.Seconds()))
+		c.Header("Retry-After", strconv.Itoa(seconds))
+	}
+	c.JSON(a.Status, newErrorBody(kerr))
+}
+
+// track counts a request as in progress and gives it an id.
+func (e *Server) track(ctx context.Context, c *app.RequestContext) {
+	e.inProgress.Add(1)
+	defer e.inProgress.Add(-1)
+	id := uuid.NewString()
+	c.Set(requestIDKey, id)
+	c.Header(requestIDHeader, id)
+	if e.draining.Load() {
+		c.SetConnectionClose()
+	}
+	started := time.Now()
+	c.Next(ctx)
+	e.metrics.requestSeconds.UpdateDuration(started)
+}
+
+func requestID(c *app.RequestContext) string { return c.GetString(requestIDKey) }
+
+// workspace returns the workspace that the request's bearer key belongs to.
+func (e *Server) workspace(c *app.RequestContext) (string, error) {
+	doc, err := e.document()
+	if err != nil {
+		return "", err
+	}
+	return workspaceOf(doc, c)
+}
+
+func workspaceOf(doc *desired.Document, c *app.RequestContext) (string, error) {
+	auth := string(c.GetHeader("Authorization"))
+	key := strings.TrimPrefix(auth, bearerPrefix)
+	ws, ok := doc.WorkspaceForKey(key)
+	if !ok {
+		return "", errkind.New(errkind.Unauthorized, "the bearer key belongs to no workspace")
+	}
+	return ws, nil
+}
+
+func (e *Server) noRoute(_ context.Context, c *app.RequestContext) {
+	e.fail(c, errkind.New(errkind.NotFound, "no such path: %s", c.Path()))
+}
+
+func (e *Server) noMethod(_ context.Context, c *app.RequestContext) {
+	e.fail(c, errkind.New(errkind.MethodNotAllowed, "%s is not allowed on %s", c.Method(), c.Path()))
+}
+
+func (e *Server) writeJSON(c *app.RequestContext, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	c.Data(http.StatusOK, "application/json", b)
+}
--- /dev/null
+++ b/internal/entry/chat.go
@@ -0,0 +1,266 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol/sse"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+)
+
+const (
+	chatPath = "/v1/chat/completions"
+	// bytesPerToken estimates tokens from text.
+	bytesPerToken = 4
+	// prefixBytes is how much of the first message decides cache affinity.
+	prefixBytes      = 512
+	defaultMaxTokens = 512
+)
+
+// chatRequest is the part of a chat request that is read here; the rest goes to
+// the engine as it is.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       streamOptions `json:"stream_options"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	N                   int           `json:"n"`
+	Store               *bool         `json:"store"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// parseChat checks a chat request; errors name the place.
+func parseChat(body []byte) (*chatRequest, error) {
+	var r chatRequest
+	if err := json.Unmarshal(body, &r); err != nil {
+		return nil, errkind.New(errkind.BadRequest, "body is not a chat request: %v", err)
+	}
+	switch {
+	case r.Model == "":
+		return nil, errkind.New(errkind.BadRequest, "model must be set").WithParam("model")
+	case len(r.Messages) == 0:
+		return nil, errkind.New(errkind.BadRequest, "messages must not be empty").WithParam("messages")
+	case r.N > 1:
+		return nil, errkind.New(errkind.BadRequest, "only one choice is supported").WithParam("n")
+	case r.MaxTokens < 0 || r.MaxCompletionTokens < 0:
+		return nil, errkind.New(errkind.BadRequest, "the token limit must not be negative").WithParam("max_tokens")
+	}
+	return &r, nil
+}
+
+func (r *chatRequest) maxTokens() int {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	return r.MaxTokens
+}
+
+// newChatCall builds the call of a chat request in a workspace.
+func newChatCall(doc *desired.Document, workspace string, body []byte) (*call, *chatRequest, error) {
+	req, err := parseChat(body)
+	if err != nil {
+		return nil, nil, err
+	}
+	svc, ok := doc.ServiceForModel(req.Model)
+	if !ok {
+		return nil, nil, errkind.New(errkind.UnknownService, "no service has the model %q", req.Model).WithParam("model")
+	}
+	c := &call{
+		workspace:    workspace,
+		service:      svc.Name,
+		class:        admission.Online,
+		model:        true,
+		modelName:    req.Model,
+		method:       http.MethodPost,
+		path:         chatPath,
+		body:         body,
+		promptTokens: len(body) / bytesPerToken,
+		maxTokens:    req.maxTokens(),
+		prefix:       prefixOf(svc, workspace, req),
+		deadline:     time.Now().Add(deadlineOf(svc)),
+	}
+	return c, req, nil
+}
+
+func deadlineOf(svc *desired.Service) time.Duration {
+	if svc.Deadline > 0 {
+		return svc.Deadline.Std()
+	}
+	return defaultDeadline
+}
+
+// prefixOf hashes the prompt's leading part. Prompt caches are not shared
+// across workspaces unless the service allows it.
+func prefixOf(svc *desired.Service, workspace string, req *chatRequest) uint64 {
+	first := req.Messages[0].Content
+	h := xxhash.New()
+	if !svc.SharePrefixes {
+		_, _ = h.WriteString(workspace)
+	}
+	_, _ = h.WriteString("\x00" + req.Model + "\x00")
+	_, _ = h.Write(first[:min(len(first), prefixBytes)])
+	return h.Sum64()
+}
+
+func (e *Server) chat(ctx context.Context, c *app.RequestContext) {
+	doc, err := e.document()
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	ws, err := workspaceOf(doc, c)
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	if err := e.checkBody(c); err != nil {
+		e.fail(c, err)
+		return
+	}
+	cl, req, err := newChatCall(doc, ws, c.Request.Body())
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	cl.id = requestID(c)
+	if req.Stream {
+		e.chatStream(ctx, c, cl, req)
+		return
+	}
+	e.chatWhole(ctx, c, cl)
+}
+
+func (e *Server) checkBody(c *app.RequestContext) error {
+	if n := len(c.Request.Body()); n > e.settings.Limits.MaxBodyBytes {
+		return errkind.New(errkind.TooLarge, "body of %d bytes is over the limit of %d", n, e.settings.Limits.MaxBodyBytes)
+	}
+	return nil
+}
+
+// textSink gathers an answer's text.
+type textSink struct{ text strings.Builder }
+
+func (t *textSink) head(*peerv1.Head) error { return nil }
+
+func (t *textSink) delta(d *peerv1.Delta) error {
+	t.text.Write(d.Data)
+	return nil
+}
+
+func (e *Server) chatWhole(ctx context.Context, c *app.RequestContext, cl *call) {
+	out := &textSink{}
+	end, kerr := e.run(ctx, cl, out)
+	if kerr != nil {
+		e.fail(c, kerr)
+		return
+	}
+	event.Log(e.logger, event.RequestDone, "request", cl.id)
+	e.writeJSON(c, newCompletion(cl, out.text.String(), end))
+}
+
+// streamSink passes an answer on as server-sent events. Nothing is written
+// before the first token, so that an early failure is an ordinary answer.
+type streamSink struct {
+	call    *call
+	ctx     *app.RequestContext
+	writer  *sse.Writer
+	created int64
+}
+
+func (s *streamSink) head(*peerv1.Head) error { return nil }
+
+func (s *streamSink) delta(d *peerv1.Delta) error {
+	if s.writer == nil {
+		s.open()
+		if err := s.chunk(chunkDelta{Role: roleAssistant}, nil); err != nil {
+			return err
+		}
+	}
+	return s.chunk(chunkDelta{Content: string(d.Data)}, nil)
+}
+
+func (s *streamSink) open() {
+	s.writer = sse.NewWriter(s.ctx)
+	s.created = time.Now().Unix()
+}
+
+func (s *streamSink) chunk(d chunkDelta, finish *string) error {
+	return s.write(chunk{
+		ID:      completionID(s.call.id),
+		Object:  objectChunk,
+		Created: s.created,
+		Model:   s.call.modelName,
+		Choices: []chunkChoice{{Delta: d, FinishReason: finish}},
+	})
+}
+
+func (s *streamSink) write(v any) error {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return s.writer.WriteEvent("", "", b)
+}
+
+func (e *Server) chatStream(ctx context.Context, c *app.RequestContext, cl *call, req *chatRequest) {
+	out := &streamSink{call: cl, ctx: c}
+	end, kerr := e.run(ctx, cl, out)
+	if kerr != nil {
+		e.failStream(c, out, kerr)
+		return
+	}
+	if out.writer == nil {
+		out.open()
+	}
+	event.Log(e.logger, event.RequestDone, "request", cl.id)
+	_ = out.finish(end, req.StreamOptions.IncludeUsage)
+}
+
+// finish writes the explicit end of a whole answer.
+func (s *streamSink) finish(end *peerv1.End, usage bool) error {
+	if err := s.chunk(chunkDelta{}, &end.FinishReason); err != nil {
+		return err
+	}
+	if usage {
+		last := chunk{
+			ID: completionID(s.call.id), Object: objectChunk, Created: s.created, Model: s.call.modelName,
+			Choices: []chunkChoice{}, Usage: usageOf(s.call, end),
+		}
+		if err := s.write(last); err != nil {
+			return err
+		}
+	}
+	return s.writer.WriteEvent("", "", []byte("[DONE]"))
+}
+
+// failStream ends a broken stream with an error event and without [DONE], so
+// that nobody takes it for whole.
+func (e *Server) failStream(c *app.RequestContext, out *streamSink, kerr *errkind.Error) {
+	if out.writer == nil {
+		e.fail(c, kerr)
+		return
+	}
+	e.metrics.refused(kerr.Kind).Inc()
+	event.Log(e.logger, event.RequestRefused, "request", out.call.id, "kind", kerr.Kind, "err", kerr)
+	_ = out.write(newErrorBody(kerr))
+}
--- /dev/null
+++ b/internal/entry/fleet.go
@@ -0,0 +1,341 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/dgryski/go-rendezvous"
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/peer"
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/routing"
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+const (
+	pollInterval  = 500 * time.Millisecond
+	reportTimeout = 400 * time.Millisecond
+	// reportsAtOnce bounds the reports that one poll asks for in parallel.
+	reportsAtOnce = 32
+	// missedReports is how many reports in a row an entry or a sidecar may
+	// miss before it counts as gone.
+	missedReports = 4
+)
+
+// member is what an entry knows of one instance.
+type member struct {
+	instance platform.Instance
+	// incarnation is empty until the first report.
+	incarnation string
+	version     uint64
+	missed      int
+	leaving     bool
+	draining    bool
+}
+
+// fleet keeps the tables of instances. mu guards members and table.
+type fleet struct {
+	settings settings.Settings
+	clients  *peer.Clients
+	logger   *log.Logger
+	config   *desired.Table
+	list     *platform.InstancesClient
+	epoch    time.Time
+	poke     chan struct{}
+
+	mu      sync.Mutex
+	members map[string]*member
+	table   *routing.Table
+}
+
+func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table) *fleet {
+	return &fleet{
+		settings: s,
+		clients:  clients,
+		logger:   logger,
+		config:   config,
+		list:     platform.NewInstances(s.Platform.Instances),
+		epoch:    time.Now(),
+		poke:     make(chan struct{}, 1),
+		members:  make(map[string]*member),
+		table:    routing.New(s.Region, s.Zone, xxhash.Sum64String(s.Instance)),
+	}
+}
+
+func (f *fleet) now() time.Duration { return time.Since(f.epoch) }
+
+// run polls the platform's list and the instances on it until ctx ends.
+func (f *fleet) run(ctx context.Context) {
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		f.poll(ctx)
+		select {
+		case <-t.C:
+		case <-f.poke:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// configChanged makes the next poll happen at once.
+func (f *fleet) configChanged() {
+	select {
+	case f.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (f *fleet) poll(ctx context.Context) {
+	if rows, err := f.list.List(ctx); err == nil {
+		f.sync(rows)
+	}
+	var g errgroup.Group
+	g.SetLimit(reportsAtOnce)
+	for _, m := range f.snapshot() {
+		switch settings.Role(m.instance.Role) {
+		case settings.RoleSidecar:
+			g.Go(func() error { f.pollSidecar(ctx, m); return nil })
+		case settings.RoleEntry:
+			g.Go(func() error { f.pollEntry(ctx, m); return nil })
+		}
+	}
+	_ = g.Wait()
+}
+
+// sync takes over the platform's list.
+func (f *fleet) sync(rows []platform.Instance) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		seen[row.Name] = true
+		m, ok := f.members[row.Name]
+		if !ok || m.instance.PeerAddr != row.PeerAddr {
+			m = &member{}
+			f.members[row.Name] = m
+		}
+		m.instance = row
+		if row.State == platform.Leaving {
+			f.markLeaving(m)
+		}
+	}
+	for name := range f.members {
+		if !seen[name] {
+			f.forget(name)
+		}
+	}
+}
+
+// forget drops an instance; the caller holds mu.
+func (f *fleet) forget(name string) {
+	delete(f.members, name)
+	f.table.Remove(name)
+	event.Log(f.logger, event.BackendGone, "backend", name)
+}
+
+// markLeaving stops new work to an instance; the caller holds mu.
+func (f *fleet) markLeaving(m *member) {
+	if !m.leaving {
+		event.Log(f.logger, event.BackendLeaving, "backend", m.instance.Name)
+	}
+	m.leaving = true
+	f.table.Remove(m.instance.Name)
+}
+
+func (f *fleet) snapshot() []member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]member, 0, len(f.members))
+	for _, m := range f.members {
+		out = append(out, *m)
+	}
+	return out
+}
+
+// pollSidecar asks one sidecar for its report and hands it a newer policy.
+func (f *fleet) pollSidecar(ctx context.Context, m member) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req := connect.NewRequest(&peerv1.ReportRequest{Policy: f.policyFor(m)})
+	resp, err := f.clients.Control(m.instance.PeerAddr).Report(ctx, req)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cur, ok := f.members[m.instance.Name]
+	if !ok {
+		return
+	}
+	if err != nil {
+		f.missedReport(cur)
+		return
+	}
+	f.reported(cur, resp.Msg)
+}
+
+// missedReport counts a report that did not come; the caller holds mu.
+func (f *fleet) missedReport(m *member) {
+	m.missed++
+	if m.missed != missedReports {
+		return
+	}
+	m.incarnation = ""
+	f.table.Remove(m.instance.Name)
+	event.Log(f.logger, event.BackendGone, "backend", m.instance.Name)
+}
+
+// reported takes over a sidecar's report; the caller holds mu.
+func (f *fleet) reported(m *member, r *peerv1.ReportResponse) {
+	m.missed = 0
+	m.version = r.Load.ConfigVersion
+	if m.incarnation != r.Incarnation {
+		m.incarnation = r.Incarnation
+		m.leaving = m.instance.State == platform.Leaving
+		event.Log(f.logger, event.BackendSeen, "backend", r.Instance, "incarnation", r.Incarnation, "service", r.Service)
+	}
+	if r.Load.Leaving {
+		f.markLeaving(m)
+	}
+	if m.leaving {
+		return
+	}
+	f.table.Upsert(routing.Backend{
+		Instance:    m.instance.Name,
+		Addr:        m.instance.PeerAddr,
+		Incarnation: r.Incarnation,
+		Service:     r.Service,
+		Region:      r.Region,
+		Zone:        r.Zone,
+	})
+	f.table.Observe(f.now(), m.instance.Name, toLoad(r.Load))
+}
+
+func toLoad(l *peerv1.Load) routing.Load {
+	return routing.Load{
+		RunningOnline: int(l.RunningOnline),
+		RunningBatch:  int(l.RunningBatch),
+		QueuedOnline:  int(l.QueuedOnline),
+		QueuedBatch:   int(l.QueuedBatch),
+		Slots:         int(l.Slots),
+		BatchRoom:     int(l.BatchRoom),
+		Step:          time.Duration(l.StepUs) * time.Microsecond,
+		Leaving:       l.Leaving,
+	}
+}
+
+// policyFor returns the policy for a sidecar that has an older one, else nil.
+func (f *fleet) policyFor(m member) *peerv1.Policy {
+	v, ok := f.config.InForce()
+	if !ok || v.Number <= m.version {
+		return nil
+	}
+	svc, ok := v.Document.Service(m.instance.Service)
+	if !ok {
+		return nil
+	}
+	raw, err := toml.Marshal(svc)
+	if err != nil {
+		return nil
+	}
+	return &peerv1.Policy{Version: v.Number, Service: raw, ChecksFencing: svc.ChecksFencing}
+}
+
+func (f *fleet) pollEntry(ctx context.Context, m member) {
+	if m.instance.Name == f.settings.Instance {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	resp, err := f.clients.Entry(m.instance.PeerAddr).Status(ctx, connect.NewRequest(&peerv1.StatusRequest{}))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	cur, ok := f.members[m.instance.Name]
+	if !ok {
+		return
+	}
+	if err != nil {
+		cur.missed++
+		return
+	}
+	cur.missed = 0
+	cur.incarnation = resp.Msg.Incarnation
+	cur.version = resp.Msg.ConfigVersion
+	cur.draining = resp.Msg.Draining
+}
+
+// peerEntries returns the addresses of up to most other live entries.
+func (f *fleet) peerEntries(most int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, m := range f.members {
+		if len(out) == most {
+			break
+		}
+		if m.instance.Role == string(settings.RoleEntry) && m.instance.Name != f.settings.Instance && m.missed < missedReports {
+			out = append(out, m.instance.PeerAddr)
+		}
+	}
+	return out
+}
+
+// owns reports whether this entry is the one that carries a duty: the first in
+// rendezvous order over the live entries.
+func (f *fleet) owns(duty string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	names := []string{f.settings.Instance}
+	for name, m := range f.members {
+		live := m.instance.Role == string(settings.RoleEntry) && m.missed < missedReports && !m.draining && !m.leaving
+		if live && name != f.settings.Instance {
+			names = append(names, name)
+		}
+	}
+	return rendezvous.New(names, xxhash.Sum64String).Lookup(duty) == f.settings.Instance
+}
+
+// pick chooses a backend server for one attempt.
+func (f *fleet) pick(q routing.Request) (routing.Decision, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Pick(f.now(), q)
+}
+
+// observe takes over the load that came with an answer.
+func (f *fleet) observe(instance string, l *peerv1.Load) {
+	if l == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m, ok := f.members[instance]; ok && l.Leaving {
+		f.markLeaving(m)
+		return
+	}
+	f.table.Observe(f.now(), instance, toLoad(l))
+}
+
+// done records how an attempt went.
+func (f *fleet) done(instance string, r routing.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.table.Done(f.now(), instance, r) {
+		event.Log(f.logger, event.BackendEjected, "backend", instance)
+	}
+}
+
+// batchRoom is how many more batch attempts of a service would start at once.
+func (f *fleet) batchRoom(service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.BatchRoom(f.now(), service)
+}
--- /dev/null
+++ b/internal/entry/routes.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/ops"
+)
+
+// callerRoutes registers what callers may ask.
+func (e *Server) callerRoutes(h *server.Hertz) {
+	h.Use(e.track)
+	h.NoRoute(e.noRoute)
+	h.NoMethod(e.noMethod)
+	ops.Health(h, e.ready)
+	h.POST(chatPath, e.chat)
+	h.GET("/v1/models", e.models)
+	h.Any("/services/:service/*path", e.plain)
+}
+
+// ready is false while draining and before a configuration is in force.
+func (e *Server) ready() bool {
+	_, ok := e.config.InForce()
+	return ok && !e.draining.Load()
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelInfo `json:"data"`
+}
+
+type modelInfo struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Server) models(_ context.Context, c *app.RequestContext) {
+	doc, err := e.document()
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	if _, err := workspaceOf(doc, c); err != nil {
+		e.fail(c, err)
+		return
+	}
+	out := modelList{Object: "list", Data: []modelInfo{}}
+	for _, svc := range doc.Services {
+		if svc.Kind != desired.Model {
+			continue
+		}
+		for _, m := range svc.Models {
+			out.Data = append(out.Data, modelInfo{ID: m, Object: "model", OwnedBy: svc.Name})
+		}
+	}
+	e.writeJSON(c, out)
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,190 @@
+// Package entry is the process that faces callers and operators: it checks,
+// routes and answers live requests, and carries its share of batch jobs.
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/ops"
+	"github.com/catkinrudder/catkinrudder/internal/peer"
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+const (
+	// drainNotice is how long a draining entry still takes requests while the
+	// balancer turns away.
+	drainNotice = time.Second
+	idleCheck   = 10 * time.Millisecond
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes   = 64 << 10
+	requestReadLimit = 30 * time.Second
+	keepAliveIdle    = 60 * time.Second
+	exitWait         = time.Second
+	appendBurst      = 10
+)
+
+// Server is one entry instance.
+type Server struct {
+	settings    settings.Settings
+	incarnation string
+	logger      *log.Logger
+	metrics     *metricSet
+	clients     *peer.Clients
+	fleet       *fleet
+	log         journal.Log
+	budget      *rate.Limiter
+	config      *desired.Table
+	configLog   *journal.Stream
+	retries     *rate.Limiter
+
+	inProgress atomic.Int64
+	draining   atomic.Bool
+	drainOrder chan struct{}
+}
+
+// New returns an entry that serves once Serve is called.
+func New(s settings.Settings, logger *log.Logger) *Server {
+	e := &Server{
+		settings:    s,
+		incarnation: uuid.NewString(),
+		logger:      logger.With("instance", s.Instance),
+		metrics:     newMetricSet(),
+		clients:     peer.NewClients(),
+		log:         platform.NewLog(s.Platform.Log),
+		budget:      rate.NewLimiter(rate.Limit(s.Limits.AppendsPerSecond), appendBurst),
+		retries:     rate.NewLimiter(retriesPerSecond, retryBurst),
+		drainOrder:  make(chan struct{}, 1),
+	}
+	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
+	e.configLog = e.stream(desired.Stream, e.config)
+	e.fleet = newFleet(s, e.clients, e.logger, e.config)
+	return e
+}
+
+// Serve serves until ctx ends or a drain is ordered, then finishes every
+// request in progress and returns.
+func (e *Server) Serve(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, run := errgroup.WithContext(run)
+	if err := e.listen(run, g); err != nil {
+		return err
+	}
+	g.Go(func() error { e.followConfig(run); return nil })
+	g.Go(func() error { e.fleet.run(run); return nil })
+	event.Log(e.logger, event.Started, "role", "entry", "incarnation", e.incarnation, "listen", e.settings.Listen)
+	select {
+	case <-ctx.Done():
+	case <-e.drainOrder:
+	case <-run.Done():
+		return g.Wait()
+	}
+	e.drain(run)
+	stop()
+	err := g.Wait()
+	e.clients.Close()
+	event.Log(e.logger, event.Stopped)
+	return err
+}
+
+// listen opens every listener before anything is served.
+func (e *Server) listen(ctx context.Context, g *errgroup.Group) error {
+	callers, err := net.Listen("tcp", e.settings.Listen)
+	if err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	peers, err := net.Listen("tcp", e.settings.PeerListen)
+	if err != nil {
+		return errors.Wrap(err, "entry: peer_listen")
+	}
+	opts, err := e.callerOptions(callers)
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewEntryHandler(e))
+	g.Go(func() error { return peer.Serve(ctx, peers, mux) })
+	g.Go(func() error {
+		hlog.SetLevel(hlog.LevelFatal)
+		h := server.New(opts...)
+		e.callerRoutes(h)
+		return ops.Run(ctx, h, exitWait)
+	})
+	if e.settings.OperatorListen == "" {
+		return nil
+	}
+	operators, err := net.Listen("tcp", e.settings.OperatorListen)
+	if err != nil {
+		return errors.Wrap(err, "entry: operator_listen")
+	}
+	g.Go(func() error { return ops.Serve(ctx, operators, e.operatorRoutes) })
+	return nil
+}
+
+func (e *Server) callerOptions(ln net.Listener) ([]config.Option, error) {
+	opts := []config.Option{
+		server.WithListener(ln),
+		server.WithMaxRequestBodySize(e.settings.Limits.MaxFileBytes),
+		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithReadTimeout(requestReadLimit),
+		server.WithIdleTimeout(keepAliveIdle),
+		server.WithExitWaitTime(exitWait),
+		server.WithHandleMethodNotAllowed(true),
+		server.WithSenseClientDisconnection(true),
+		server.WithDisablePrintRoute(true),
+	}
+	if e.settings.TLS.CertFile == "" {
+		return opts, nil
+	}
+	cert, err := tls.LoadX509KeyPair(e.settings.TLS.CertFile, e.settings.TLS.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "entry: tls")
+	}
+	tlsConfig := &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	return append(opts, server.WithTLS(tlsConfig)), nil
+}
+
+// drain waits until the balancer has turned away and nothing is in progress.
+func (e *Server) drain(ctx context.Context) {
+	e.draining.Store(true)
+	event.Log(e.logger, event.Draining)
+	t := time.NewTicker(idleCheck)
+	defer t.Stop()
+	since := time.Now()
+	for time.Since(since) < drainNotice || e.inProgress.Load() > 0 {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// stream returns a journal stream of this process.
+func (e *Server) stream(name string, fold journal.Fold) *journal.Stream {
+	return journal.NewStream(e.log, name, journal.Options{
+		Writer: e.incarnation,
+		Fold:   fold,
+		Budget: e.budget,
+		Logger: e.logger,
+	})
+}
