Batch jobs end to end: blobs, fold, scheduler, runner and HTTP surface

A workspace lives in one shard, so that idempotency keys are decided by one stream. Content becomes real with the record that carries its manifest; an abandoned upload leaves no row. Ruled out: a row per item with its body, and output files in order of completion. Seen: a job of 1,000 items over the in-memory log, race detector on, each item dispatched once, output in item order.

--- /dev/null
+++ b/batch/line.go
@@ -0,0 +1,120 @@
+package batch
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// MaxLineBytes bounds one line of a batch input.
+const MaxLineBytes = 1 << 20
+
+// Line is one request of a batch input.
+type Line struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// The endpoints of a job.
+const (
+	EndpointChat     = "/v1/chat/completions"
+	EndpointServices = "/services/"
+)
+
+// ValidEndpoint reports whether a job may name this endpoint.
+func ValidEndpoint(e string) bool {
+	if e == EndpointChat {
+		return true
+	}
+	rest, ok := strings.CutPrefix(e, EndpointServices)
+	service, _, _ := strings.Cut(rest, "/")
+	return ok && service != ""
+}
+
+// ServiceOf returns the service that a /services/ path names, or "".
+func ServiceOf(path string) string {
+	rest, ok := strings.CutPrefix(path, EndpointServices)
+	if !ok {
+		return ""
+	}
+	service, _, _ := strings.Cut(rest, "/")
+	return service
+}
+
+// ParseLine reads one line of the input of a job with this endpoint. On a
+// fault it returns a LineError without a line number.
+func ParseLine(raw []byte, endpoint string) (Line, *LineError) {
+	if len(raw) > MaxLineBytes {
+		return Line{}, &LineError{Code: "line_too_large", Message: "the line is longer than 1 MiB"}
+	}
+	var l Line
+	if err := json.Unmarshal(raw, &l); err != nil {
+		return Line{}, jsonError(err)
+	}
+	if le := l.check(endpoint); le != nil {
+		return Line{}, le
+	}
+	return l, nil
+}
+
+func jsonError(err error) *LineError {
+	var typ *json.UnmarshalTypeError
+	if errors.As(err, &typ) && typ.Field != "" {
+		return &LineError{Code: "invalid_type", Message: typ.Field + " must be a " + typ.Type.String(), Param: typ.Field}
+	}
+	return &LineError{Code: "invalid_json_line", Message: "the line is not a JSON object: " + err.Error()}
+}
+
+func (l Line) check(endpoint string) *LineError {
+	missing := func(param string) *LineError {
+		return &LineError{Code: "missing_required_parameter", Message: param + " is missing", Param: param}
+	}
+	switch {
+	case l.CustomID == "":
+		return missing("custom_id")
+	case l.Method == "":
+		return missing("method")
+	case l.URL == "":
+		return missing("url")
+	case !matches(endpoint, l.URL):
+		return &LineError{Code: "invalid_url", Message: "the url does not belong to the batch's endpoint " + endpoint, Param: "url"}
+	}
+	if endpoint != EndpointChat {
+		return nil
+	}
+	if l.Method != "POST" {
+		return &LineError{Code: "invalid_method", Message: "the method must be POST", Param: "method"}
+	}
+	if body := bytes.TrimSpace(l.Body); len(body) == 0 || body[0] != '{' {
+		return missing("body")
+	}
+	return nil
+}
+
+// matches reports whether a line's url belongs to a job's endpoint: the same
+// path, or a path of the same service below it.
+func matches(endpoint, url string) bool {
+	path, _, _ := strings.Cut(url, "?")
+	if path == endpoint {
+		return true
+	}
+	if endpoint == EndpointChat {
+		return false
+	}
+	return strings.HasPrefix(path, strings.TrimSuffix(endpoint, "/")+"/") && !strings.Contains(path, "/../")
+}
+
+// Model returns the model that the line's body asks for, or "".
+func (l Line) Model() string {
+	var b struct {
+		Model string `json:"model"`
+	}
+	if json.Unmarshal(l.Body, &b) != nil {
+		return ""
+	}
+	return b.Model
+}
--- /dev/null
+++ b/batch/output.go
@@ -0,0 +1,220 @@
+package batch
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+const (
+	// outputWindow is how many items are put in order at a time.
+	outputWindow = 1024
+	// segmentCache is how many decoded segments are held at a time.
+	segmentCache = 8
+)
+
+// outputLine is one line of an output or error file.
+type outputLine struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *outputResponse `json:"response"`
+	Error    *outputError    `json:"error"`
+}
+
+type outputResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+type outputError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+func (r Result) line(job string) outputLine {
+	l := outputLine{ID: requestID(job, r.Index), CustomID: r.CustomID}
+	if r.ErrorCode != "" {
+		l.Error = &outputError{Code: r.ErrorCode, Message: r.Error}
+	}
+	if r.Status != 0 {
+		l.Response = &outputResponse{StatusCode: r.Status, RequestID: r.RequestID, Body: jsonBody(r.Body)}
+	}
+	return l
+}
+
+// requestID names one item in the output files.
+func requestID(job string, item uint32) string { return fmt.Sprintf("batch_req_%s_%d", job, item) }
+
+// jsonBody returns a body as JSON; one that is not JSON becomes a string.
+func jsonBody(b []byte) json.RawMessage {
+	if len(b) == 0 {
+		return json.RawMessage("null")
+	}
+	if json.Valid(b) {
+		return b
+	}
+	s, err := json.Marshal(string(b))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return s
+}
+
+// outputJob is what is needed to write a job's output files.
+type outputJob struct {
+	id       string
+	total    uint32
+	segments []segmentRow
+	input    blob.Manifest
+	blocks   []int64
+	// missing says what became of items without a result; empty if they are
+	// left out.
+	missing string
+}
+
+// resultReader reads a job's results in order of item.
+type resultReader struct {
+	stream Stream
+	store  *blob.Store
+	job    outputJob
+	cache  map[int][]Result
+	order  []int
+}
+
+// write writes the results that failed, or those that did not, as JSON lines
+// in order of item and returns how many there were. It holds one window of
+// results and segmentCache segments in memory.
+func (o *resultReader) write(ctx context.Context, w io.Writer, failed bool) (int, error) {
+	buf := bufio.NewWriter(w)
+	enc := json.NewEncoder(buf)
+	enc.SetEscapeHTML(false)
+	n := 0
+	for first := uint32(0); first < o.job.total; first += outputWindow {
+		rs, err := o.window(ctx, first, min(o.job.total, first+outputWindow))
+		if err != nil {
+			return n, err
+		}
+		for _, r := range rs {
+			if r == nil || r.Failed() != failed {
+				continue
+			}
+			if err := enc.Encode(r.line(o.job.id)); err != nil {
+				return n, errors.Wrap(err, "batch: write output")
+			}
+			n++
+		}
+	}
+	return n, errors.Wrap(buf.Flush(), "batch: write output")
+}
+
+// window returns the results of items first to end-1.
+func (o *resultReader) window(ctx context.Context, first, end uint32) ([]*Result, error) {
+	out := make([]*Result, end-first)
+	for i, row := range o.job.segments {
+		if row.last < first || row.first >= end {
+			continue
+		}
+		rs, err := o.segment(ctx, i)
+		if err != nil {
+			return nil, err
+		}
+		for k := range rs {
+			if item := rs[k].Index; item >= first && item < end && row.holds(k) {
+				out[item-first] = &rs[k]
+			}
+		}
+	}
+	if o.job.missing == "" {
+		return out, nil
+	}
+	return out, o.fillMissing(ctx, out, first)
+}
+
+// fillMissing gives items without a result an error result.
+func (o *resultReader) fillMissing(ctx context.Context, out []*Result, first uint32) error {
+	for i := 0; i < len(out); i += BlockItems {
+		part := out[i:min(len(out), i+BlockItems)]
+		if full(part) {
+			continue
+		}
+		lines, err := readItems(ctx, o.store, o.job.input, o.job.blocks, first+uint32(i), uint32(len(part)))
+		if err != nil {
+			return err
+		}
+		for k, raw := range lines {
+			if part[k] == nil {
+				part[k] = &Result{
+					Index: first + uint32(i+k), CustomID: customID(raw),
+					ErrorCode: "batch_" + o.job.missing, Error: "the batch " + o.job.missing + " before this request was done",
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func full(rs []*Result) bool {
+	for _, r := range rs {
+		if r == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func customID(raw []byte) string {
+	var l Line
+	if json.Unmarshal(raw, &l) != nil {
+		return ""
+	}
+	return l.CustomID
+}
+
+// segment returns the decoded results of one segment row.
+func (o *resultReader) segment(ctx context.Context, i int) ([]Result, error) {
+	if rs, ok := o.cache[i]; ok {
+		return rs, nil
+	}
+	s, err := loadSegment(ctx, o.stream, o.job.segments[i])
+	if err != nil {
+		return nil, err
+	}
+	rs, err := s.Results()
+	if err != nil {
+		return nil, err
+	}
+	if len(o.order) == segmentCache {
+		delete(o.cache, o.order[0])
+		o.order = o.order[1:]
+	}
+	o.cache[i] = rs
+	o.order = append(o.order, i)
+	return rs, nil
+}
+
+// loadSegment reads a segment's body back from the log.
+func loadSegment(ctx context.Context, stream Stream, row segmentRow) (Segment, error) {
+	entries, err := stream.Load(ctx, row.offset)
+	if err != nil {
+		return Segment{}, err
+	}
+	if int(row.index) >= len(entries) {
+		return Segment{}, errors.Wrapf(journal.ErrFormat, "no entry %d/%d", row.offset, row.index)
+	}
+	var s Segment
+	err = entries[row.index].Decode(&s)
+	return s, err
+}
+
+// holds reports whether the row has the first completion of its k-th item.
+func (r segmentRow) holds(k int) bool {
+	return r.won == nil || (k/8 < len(r.won) && r.won[k/8]&(1<<(k%8)) != 0)
+}
--- /dev/null
+++ b/batch/query.go
@@ -0,0 +1,215 @@
+package batch
+
+import (
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// JobView is a copy of a job's state, without its items.
+type JobView struct {
+	Job
+	Status    Status
+	Service   string
+	Total     uint32
+	OK        uint32
+	FailedN   uint32
+	Errors    []LineError
+	StartedAt int64
+	FailedAt  int64
+	// CancelledAt is when the cancel was asked for.
+	CancelledAt int64
+	EndedAt     int64
+	OutputFile  string
+	ErrorFile   string
+}
+
+// File returns a workspace's file. An expired one is errkind.Expired, another
+// workspace's is errkind.NotFound.
+func (t *Table) File(workspace, id string, now time.Time) (File, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.files[id]
+	if !ok || r.file.Workspace != workspace {
+		return File{}, errkind.New(errkind.NotFound, "no such file: %s", id).WithParam("file_id")
+	}
+	if r.file.Expires != 0 && now.Unix() >= r.file.Expires {
+		return File{}, errkind.New(errkind.Expired, "file %s has expired", id).WithParam("file_id")
+	}
+	f := r.file
+	f.Content = r.content.manifest
+	return f, nil
+}
+
+// Files returns up to limit files of a workspace, newest first, that come
+// after the file named after, and whether there are more. An empty purpose
+// stands for every purpose.
+func (t *Table) Files(workspace, purpose, after string, limit int, now time.Time) ([]File, bool, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	keep := func(id string) bool {
+		f := t.files[id].file
+		return (purpose == "" || f.Purpose == purpose) && (f.Expires == 0 || now.Unix() < f.Expires)
+	}
+	ids, more, err := page(t.fileOrder[workspace], after, limit, keep)
+	out := make([]File, len(ids))
+	for i, id := range ids {
+		out[i] = t.files[id].file
+		out[i].Content = t.files[id].content.manifest
+	}
+	return out, more, err
+}
+
+// Job returns a workspace's job; another workspace's is errkind.NotFound.
+func (t *Table) Job(workspace, id string) (JobView, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.jobs[id]
+	if !ok || r.job.Workspace != workspace {
+		return JobView{}, errkind.New(errkind.NotFound, "no such batch: %s", id).WithParam("batch_id")
+	}
+	return r.view(), nil
+}
+
+// Jobs returns up to limit jobs of a workspace, newest first, that come after
+// the job named after, and whether there are more.
+func (t *Table) Jobs(workspace, after string, limit int) ([]JobView, bool, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	ids, more, err := page(t.jobOrder[workspace], after, limit, func(string) bool { return true })
+	out := make([]JobView, len(ids))
+	for i, id := range ids {
+		out[i] = t.jobs[id].view()
+	}
+	return out, more, err
+}
+
+// page walks ids backwards.
+func page(ids []string, after string, limit int, keep func(string) bool) ([]string, bool, error) {
+	i := len(ids) - 1
+	if after != "" {
+		for i >= 0 && ids[i] != after {
+			i--
+		}
+		if i < 0 {
+			return nil, false, errkind.New(errkind.BadRequest, "unknown cursor: %s", after).WithParam("after")
+		}
+		i--
+	}
+	var out []string
+	for ; i >= 0; i-- {
+		if !keep(ids[i]) {
+			continue
+		}
+		if len(out) == limit {
+			return out, true, nil
+		}
+		out = append(out, ids[i])
+	}
+	return out, false, nil
+}
+
+// JobByKey returns the job bound to an idempotency key. Other content under
+// the same key is errkind.KeyReused.
+func (t *Table) JobByKey(workspace, key, hash string) (JobView, bool, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	id, ok, err := t.byKey(keyID{workspace, key, true}, hash)
+	if !ok || err != nil {
+		return JobView{}, ok, err
+	}
+	return t.jobs[id].view(), true, nil
+}
+
+// FileByKey is JobByKey for files.
+func (t *Table) FileByKey(workspace, key, hash string) (File, bool, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	id, ok, err := t.byKey(keyID{workspace, key, false}, hash)
+	if !ok || err != nil {
+		return File{}, ok, err
+	}
+	f := t.files[id].file
+	f.Content = t.files[id].content.manifest
+	return f, true, nil
+}
+
+func (t *Table) byKey(k keyID, hash string) (string, bool, error) {
+	row, ok := t.keys[k]
+	if !ok || k.key == "" {
+		return "", false, nil
+	}
+	if row.hash != hash {
+		return "", false, errkind.New(errkind.KeyReused, "the idempotency key was used with other content").WithParam("Idempotency-Key")
+	}
+	return row.id, true, nil
+}
+
+// Open returns the jobs that are not terminal, in order of their ids.
+func (t *Table) Open() []JobView {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []JobView
+	for _, r := range t.open {
+		out = append(out, r.view())
+	}
+	sortViews(out)
+	return out
+}
+
+// Done reports whether an item has its folded result, or its job is gone.
+func (t *Table) Done(job string, item uint32) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.jobs[job]
+	return !ok || r.doneBits == nil || r.doneBits.has(item)
+}
+
+// input returns where a job's input and its blocks stand.
+func (t *Table) input(job string) (blob.Manifest, []int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.jobs[job]
+	if !ok {
+		return nil, nil
+	}
+	return r.input.manifest, r.blocks
+}
+
+// outputJob returns what is needed to write a job's output files, all as of
+// one moment, with the job.
+func (t *Table) outputJob(job string) (outputJob, JobView, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.jobs[job]
+	if !ok || r.status.Terminal() {
+		return outputJob{}, JobView{}, false
+	}
+	segments := append([]segmentRow(nil), r.segments...)
+	return outputJob{id: job, total: r.total, segments: segments, input: r.input.manifest, blocks: r.blocks}, r.view(), true
+}
+
+func (r *jobRow) view() JobView {
+	return JobView{
+		Job: r.job, Status: r.status, Service: r.service, Total: r.total, OK: r.ok, FailedN: r.failed,
+		Errors: r.errors, StartedAt: r.startedAt, FailedAt: r.failedAt, CancelledAt: r.cancelledAt,
+		EndedAt: r.endedAt, OutputFile: r.output, ErrorFile: r.errID,
+	}
+}
+
+var _ journal.Fold = (*Table)(nil)
+
+// OpenJobs returns how many jobs of a workspace are not terminal.
+func (t *Table) OpenJobs(workspace string) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := 0
+	for _, r := range t.open {
+		if r.job.Workspace == workspace {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/batch/run_job.go
@@ -0,0 +1,118 @@
+package batch
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"math"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// validate reads a job's whole input and appends what came of it.
+func (r *Runner) validate(ctx context.Context, s *shardState, v JobView, _ bool) error {
+	input, _ := s.Table.input(v.ID)
+	c, err := checkInput(s.store.Open(ctx, input, 0), v.Endpoint, r.opts.Services)
+	if err != nil {
+		return err
+	}
+	now := time.Now().Unix()
+	if len(c.errors) > 0 {
+		return commit(ctx, s.Stream, KindFailed, Failed{Job: v.ID, Errors: c.errors, At: now})
+	}
+	event.Log(r.opts.Logger, event.JobAccepted, "job", v.ID, "service", c.service, "items", c.total)
+	return commit(ctx, s.Stream, KindStarted, Started{Job: v.ID, Service: c.service, Total: c.total, Blocks: c.blocks, At: now})
+}
+
+func commit(ctx context.Context, stream Stream, kind journal.EntryKind, body any) error {
+	e, err := journal.NewEntry(kind, body)
+	if err != nil {
+		return err
+	}
+	_, err = stream.Commit(ctx, e)
+	return err
+}
+
+// finish writes a job's output files and appends its end.
+func (r *Runner) finish(ctx context.Context, s *shardState, v JobView, expired bool) error {
+	job, v, ok := s.Table.outputJob(v.ID)
+	if !ok {
+		return nil
+	}
+	if expired && v.Total > 0 {
+		job.missing = "expired"
+	}
+	out := &resultReader{stream: s.Stream, store: s.store, job: job, cache: make(map[int][]Result)}
+	end := Finished{Job: v.ID, At: time.Now().Unix(), Expired: expired, Done: v.OK + v.FailedN}
+	var err error
+	if v.OK > 0 {
+		if end.Output, err = r.writeOutput(ctx, s, v, out, false); err != nil {
+			return err
+		}
+	}
+	if v.FailedN > 0 || job.missing != "" {
+		if end.Errors, err = r.writeOutput(ctx, s, v, out, true); err != nil {
+			return err
+		}
+	}
+	event.Log(r.opts.Logger, event.JobFinished, "job", v.ID, "ok", v.OK, "failed", v.FailedN, "total", v.Total, "expired", expired)
+	return commit(ctx, s.Stream, KindFinished, end)
+}
+
+// writeOutput writes one output file and returns the record that brings it
+// into being, or nil if it would be empty.
+func (r *Runner) writeOutput(ctx context.Context, s *shardState, v JobView, out *resultReader, failed bool) (*File, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	pr, pw := io.Pipe()
+	lines := make(chan int, 1)
+	go func() {
+		n, err := out.write(ctx, pw, failed)
+		lines <- n
+		pw.CloseWithError(err)
+	}()
+	w, err := s.store.Write(ctx, pr, math.MaxInt64)
+	pr.CloseWithError(err)
+	n := <-lines
+	if err != nil || n == 0 {
+		return nil, err
+	}
+	name := v.ID + "_output.jsonl"
+	if failed {
+		name = v.ID + "_errors.jsonl"
+	}
+	now := time.Now()
+	return &File{
+		ID: NewID("file-"), Workspace: v.Workspace, Name: name, Purpose: PurposeOutput, SHA256: w.SHA256,
+		Content: w.Manifest, Created: now.Unix(), Expires: now.Add(r.retention(v.Service)).Unix(),
+	}, nil
+}
+
+func (r *Runner) retention(service string) time.Duration {
+	if d := r.opts.Services.ResultRetention(service); d > 0 {
+		return d
+	}
+	return DefaultRetention
+}
+
+// NewID returns a new unguessable id with a prefix.
+func NewID(prefix string) string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // never fails
+	return prefix + hex.EncodeToString(b[:])
+}
+
+// anyJob returns a job of whatever workspace.
+func (t *Table) anyJob(id string) (JobView, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.jobs[id]
+	if !ok {
+		return JobView{}, errkind.New(errkind.NotFound, "no such batch: %s", id)
+	}
+	return r.view(), nil
+}
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,392 @@
+package batch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// Times and limits of the runner.
+const (
+	tickInterval  = 25 * time.Millisecond
+	commitRetry   = 200 * time.Millisecond
+	maxBuffered   = 8 << 20
+	maxBackground = 2
+	// DefaultRetention is how long results stay readable if their service
+	// declares nothing.
+	DefaultRetention = 30 * 24 * time.Hour
+)
+
+// Stream is the part of journal.Stream that the runner needs.
+type Stream interface {
+	blob.Stream
+	// CaughtUp returns once everything that is in the log now is folded.
+	CaughtUp(ctx context.Context) error
+}
+
+// Shard is one stream of files and jobs with its fold.
+type Shard struct {
+	ID     int
+	Stream Stream
+	Table  *Table
+}
+
+// Services is what the runner needs to know of the desired state.
+type Services interface {
+	Catalog
+	// MaxTries returns the bound on the tries of one item, zero if none is set.
+	MaxTries(service string) int
+	// ResultRetention returns how long results stay readable, zero if unset.
+	ResultRetention(service string) time.Duration
+}
+
+// RunnerOptions configure a Runner.
+type RunnerOptions struct {
+	// Incarnation of this process; attempt ids start with it.
+	Incarnation string
+	Shards      []Shard
+	Dispatcher  Dispatcher
+	Services    Services
+	// Owner reports whether this process runs the jobs of a shard now. Two
+	// owners at once cost work but never a second result.
+	Owner  func(shard int) bool
+	Logger *log.Logger
+}
+
+// Runner runs the jobs of the shards it owns.
+type Runner struct {
+	opts   RunnerOptions
+	sched  *Scheduler
+	shards []*shardState
+	ended  chan endedAttempt
+	done   chan func()
+	wg     sync.WaitGroup
+
+	// The fields below belong to the goroutine in Run.
+	attempts   map[AttemptID]*attempt
+	jobs       map[string]*jobState
+	pending    []Ended
+	buffered   int
+	background int
+}
+
+type shardState struct {
+	Shard
+	store *blob.Store
+	owned bool
+	// ready says that the completions of former owners have been folded.
+	ready bool
+}
+
+// jobState is what the owner of a job keeps beside its row.
+type jobState struct {
+	shard      *shardState
+	collector  collector
+	committing int
+	// running counts the attempts whose goroutine has not returned, stopped
+	// ones included.
+	running int
+	busy    bool
+	expired bool
+}
+
+type attempt struct {
+	job      *jobState
+	id       string
+	item     uint32
+	customID string
+	cancel   context.CancelFunc
+	stopped  bool
+}
+
+type endedAttempt struct {
+	id       AttemptID
+	customID string
+	result   *Result
+	ended    Ended
+}
+
+// NewRunner returns a runner that does nothing until Run.
+func NewRunner(opts RunnerOptions) *Runner {
+	r := &Runner{
+		opts:     opts,
+		sched:    NewScheduler(),
+		ended:    make(chan endedAttempt, 256),
+		done:     make(chan func(), 16),
+		attempts: make(map[AttemptID]*attempt),
+		jobs:     make(map[string]*jobState),
+	}
+	for _, s := range opts.Shards {
+		r.shards = append(r.shards, &shardState{Shard: s, store: blob.NewStore(s.Stream)})
+	}
+	return r
+}
+
+// Run runs jobs until ctx ends and then waits for what it started.
+func (r *Runner) Run(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer r.wg.Wait()
+	defer cancel()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case e := <-r.ended:
+			r.onEnded(e)
+		case f := <-r.done:
+			f()
+		}
+		r.drain()
+		r.tick(ctx, time.Now())
+	}
+}
+
+// drain takes what else has happened without waiting.
+func (r *Runner) drain() {
+	for {
+		select {
+		case e := <-r.ended:
+			r.onEnded(e)
+		case f := <-r.done:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+func (r *Runner) onEnded(e endedAttempt) {
+	a, ok := r.attempts[e.id]
+	if !ok {
+		return
+	}
+	a.cancel()
+	a.job.running--
+	if e.result != nil {
+		a.job.collector.add(time.Now(), *e.result)
+		r.buffered += e.result.size()
+	}
+	if a.stopped {
+		delete(r.attempts, e.id)
+		return
+	}
+	a.customID = e.customID
+	r.pending = append(r.pending, e.ended)
+}
+
+func (r *Runner) tick(ctx context.Context, now time.Time) {
+	r.syncShards(ctx)
+	in := r.inputs(ctx, now)
+	out := r.sched.Tick(now, in)
+	for _, g := range out.GiveUp {
+		r.giveUp(now, g)
+	}
+	for _, e := range in.Ended {
+		delete(r.attempts, e.Attempt)
+	}
+	for _, id := range out.Stop {
+		r.stop(id)
+	}
+	for _, job := range out.Expire {
+		if js, ok := r.jobs[job]; ok {
+			js.expired = true
+		}
+	}
+	for _, st := range out.Start {
+		r.startRange(ctx, st)
+	}
+	r.flush(ctx, now)
+}
+
+// syncShards notices which shards are owned; a new owner folds everything that
+// former owners completed before it starts anything.
+func (r *Runner) syncShards(ctx context.Context) {
+	for _, s := range r.shards {
+		owned := r.opts.Owner(s.ID)
+		if owned == s.owned {
+			continue
+		}
+		s.owned, s.ready = owned, false
+		if owned {
+			r.catchUp(ctx, s)
+		}
+	}
+}
+
+func (r *Runner) catchUp(ctx context.Context, s *shardState) {
+	r.spawn(ctx, func() func() {
+		err := s.Stream.CaughtUp(ctx)
+		return func() {
+			if err != nil {
+				s.owned = false
+				return
+			}
+			s.ready = s.owned
+		}
+	})
+}
+
+// spawn runs work on a goroutine and what it returns on Run's.
+func (r *Runner) spawn(ctx context.Context, work func() func()) {
+	r.wg.Add(1)
+	go func() {
+		defer r.wg.Done()
+		f := work()
+		select {
+		case r.done <- f:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// inputs gathers what the scheduler needs and starts the background work that
+// open jobs call for.
+func (r *Runner) inputs(ctx context.Context, now time.Time) Inputs {
+	in := Inputs{Room: make(map[string]int), Ended: r.pending, Hold: r.buffered >= maxBuffered}
+	r.pending = nil
+	open := make(map[string]bool)
+	for _, s := range r.shards {
+		if !s.owned || !s.ready {
+			continue
+		}
+		for _, v := range s.Table.Open() {
+			open[v.ID] = true
+			js := r.job(s, v.ID)
+			r.runBackground(ctx, now, js, v)
+			if v.Status != InProgress || js.expired {
+				continue
+			}
+			in.Jobs = append(in.Jobs, r.jobInput(s, v))
+			if _, ok := in.Room[v.Service]; !ok {
+				in.Room[v.Service] = r.opts.Dispatcher.Room(v.Service)
+			}
+		}
+	}
+	r.forget(open)
+	return in
+}
+
+func (r *Runner) job(s *shardState, id string) *jobState {
+	js, ok := r.jobs[id]
+	if !ok {
+		js = &jobState{shard: s}
+		r.jobs[id] = js
+	}
+	return js
+}
+
+// forget drops jobs that are no longer run here once they are idle.
+func (r *Runner) forget(open map[string]bool) {
+	for id, js := range r.jobs {
+		if !open[id] && js.idle() && !js.busy {
+			delete(r.jobs, id)
+		}
+	}
+}
+
+// idle reports whether every attempt has returned and every result is folded.
+func (js *jobState) idle() bool {
+	return js.running == 0 && js.committing == 0 && len(js.collector.results) == 0
+}
+
+func (r *Runner) jobInput(s *shardState, v JobView) JobInput {
+	return JobInput{
+		ID: v.ID, Service: v.Service, Total: v.Total, Deadline: time.Unix(v.Deadline, 0),
+		MaxTries: r.opts.Services.MaxTries(v.Service),
+		Done:     func(item uint32) bool { return s.Table.Done(v.ID, item) },
+	}
+}
+
+// runBackground starts the validation or the end of a job if it is time for it.
+func (r *Runner) runBackground(ctx context.Context, now time.Time, js *jobState, v JobView) {
+	if js.busy || r.background >= maxBackground {
+		return
+	}
+	late := js.expired || now.Unix() >= v.Deadline
+	var work func(context.Context, *shardState, JobView, bool) error
+	switch {
+	case v.Status == Validating && !late:
+		work = r.validate
+	case v.Status == Validating, v.Status == Finalizing, v.Status == Cancelling, v.Status == InProgress && js.expired:
+		if v.Status != Finalizing && !js.idle() {
+			return
+		}
+		work = r.finish
+	default:
+		return
+	}
+	js.busy = true
+	r.background++
+	expired := late && (v.Status == Validating || v.Status == InProgress)
+	r.spawn(ctx, func() func() {
+		err := work(ctx, js.shard, v, expired)
+		if err != nil {
+			r.opts.Logger.Error("batch job", "job", v.ID, "status", v.Status, "err", err)
+			sleep(ctx, commitRetry)
+		}
+		return func() {
+			js.busy = false
+			r.background--
+		}
+	})
+}
+
+// flush commits the results that are due.
+func (r *Runner) flush(ctx context.Context, now time.Time) {
+	for id, js := range r.jobs {
+		ending := js.running == 0 && len(js.collector.results) > 0
+		if !js.collector.due(now) && !ending {
+			continue
+		}
+		results, size := js.collector.take()
+		js.committing++
+		r.spawn(ctx, func() func() {
+			err := commitSegment(ctx, js.shard.Stream, id, results)
+			if err != nil {
+				r.opts.Logger.Error("batch results", "job", id, "items", len(results), "err", err)
+			}
+			return func() {
+				js.committing--
+				r.buffered -= size
+			}
+		})
+	}
+}
+
+// commitSegment appends results until they are folded. A segment that is
+// appended twice is harmless: the first completion of an item wins.
+func commitSegment(ctx context.Context, stream Stream, job string, results []Result) error {
+	s, err := NewSegment(job, results)
+	if err != nil {
+		return err
+	}
+	e, err := journal.NewEntry(KindSegment, s)
+	if err != nil {
+		return err
+	}
+	for {
+		_, err = stream.Commit(ctx, e)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		sleep(ctx, commitRetry)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/blob/blob.go
@@ -0,0 +1,191 @@
+// Package blob keeps content in a log stream as a sequence of chunks. A chunk
+// is one journal entry; a Manifest lists where the chunks stand. Memory holds
+// the manifest alone: bodies are read back from the log when they are needed.
+//
+// A chunk has no meaning for the fold of its stream. Content comes into being
+// with the record that carries its manifest, so an abandoned upload leaves
+// nothing behind but log records that expire.
+package blob
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// MaxChunkBytes bounds the content of one chunk.
+const MaxChunkBytes = 256 << 10
+
+// KindChunk is the entry kind of a chunk.
+const KindChunk journal.EntryKind = 300
+
+// Chunk is the body of a chunk entry.
+type Chunk struct {
+	Data []byte `cbor:"1,keyasint"`
+}
+
+// Ref says where one chunk stands and how many bytes it holds.
+type Ref struct {
+	Offset journal.Offset `cbor:"1,keyasint"`
+	Index  uint32         `cbor:"2,keyasint"`
+	Len    uint32         `cbor:"3,keyasint"`
+}
+
+// Manifest lists the chunks of one content in order.
+type Manifest []Ref
+
+// Size returns the content's length in bytes.
+func (m Manifest) Size() int64 {
+	var n int64
+	for _, r := range m {
+		n += int64(r.Len)
+	}
+	return n
+}
+
+// Oldest returns the lowest offset that the manifest depends on.
+func (m Manifest) Oldest() journal.Offset {
+	oldest := ^journal.Offset(0)
+	for _, r := range m {
+		oldest = min(oldest, r.Offset)
+	}
+	return oldest
+}
+
+// Stream is the part of journal.Stream that blobs need.
+type Stream interface {
+	Commit(ctx context.Context, entries ...journal.Entry) (journal.Position, error)
+	Load(ctx context.Context, at journal.Offset) ([]journal.Entry, error)
+}
+
+// Written describes content that was written.
+type Written struct {
+	Manifest Manifest
+	Size     int64
+	// SHA256 is the content's hash in hexadecimal.
+	SHA256 string
+}
+
+// Store reads and writes content in one stream. It holds no state and may be
+// used concurrently.
+type Store struct {
+	stream Stream
+}
+
+// NewStore returns a store over a stream.
+func NewStore(s Stream) *Store { return &Store{stream: s} }
+
+// Write appends the content of r in chunks and returns its manifest. It holds
+// one chunk in memory. Content of more than limit bytes is errkind.TooLarge.
+func (s *Store) Write(ctx context.Context, r io.Reader, limit int64) (Written, error) {
+	var w Written
+	hash := sha256.New()
+	buf := make([]byte, MaxChunkBytes)
+	for {
+		n, err := io.ReadFull(r, buf)
+		if n > 0 {
+			if w.Size+int64(n) > limit {
+				return Written{}, errkind.New(errkind.TooLarge, "content is larger than %d bytes", limit)
+			}
+			ref, cerr := s.writeChunk(ctx, buf[:n])
+			if cerr != nil {
+				return Written{}, cerr
+			}
+			hash.Write(buf[:n])
+			w.Size += int64(n)
+			w.Manifest = append(w.Manifest, ref)
+		}
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			w.SHA256 = hex.EncodeToString(hash.Sum(nil))
+			return w, nil
+		}
+		if err != nil {
+			return Written{}, errors.Wrap(err, "blob: read content")
+		}
+	}
+}
+
+func (s *Store) writeChunk(ctx context.Context, data []byte) (Ref, error) {
+	e, err := journal.NewEntry(KindChunk, Chunk{Data: data})
+	if err != nil {
+		return Ref{}, err
+	}
+	pos, err := s.stream.Commit(ctx, e)
+	if err != nil {
+		return Ref{}, errkind.Wrap(err, errkind.LogUnavailable, "content could not be stored")
+	}
+	return Ref{Offset: pos.Offset, Index: uint32(pos.Index), Len: uint32(len(data))}, nil
+}
+
+// Chunk reads one chunk.
+func (s *Store) Chunk(ctx context.Context, ref Ref) ([]byte, error) {
+	entries, err := s.stream.Load(ctx, ref.Offset)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.LogUnavailable, "stored content could not be read")
+	}
+	if int(ref.Index) >= len(entries) || entries[ref.Index].Kind != KindChunk {
+		return nil, errkind.New(errkind.Internal, "record %d/%d is no chunk", ref.Offset, ref.Index)
+	}
+	c, err := DecodeChunk(entries[ref.Index])
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "chunk %d/%d", ref.Offset, ref.Index)
+	}
+	if len(c.Data) != int(ref.Len) {
+		return nil, errkind.New(errkind.Internal, "chunk %d/%d has %d bytes, not %d", ref.Offset, ref.Index, len(c.Data), ref.Len)
+	}
+	return c.Data, nil
+}
+
+// DecodeChunk reads a chunk entry.
+func DecodeChunk(e journal.Entry) (Chunk, error) {
+	var c Chunk
+	if err := e.Decode(&c); err != nil {
+		return Chunk{}, err
+	}
+	if len(c.Data) == 0 || len(c.Data) > MaxChunkBytes {
+		return Chunk{}, errors.Wrapf(journal.ErrFormat, "chunk of %d bytes", len(c.Data))
+	}
+	return c, nil
+}
+
+// Reader reads content from an offset on, one chunk in memory at a time.
+type Reader struct {
+	ctx   context.Context
+	store *Store
+	refs  Manifest
+	skip  int64
+	buf   []byte
+}
+
+// Open returns a reader over a manifest that starts at byte from. Its reads
+// end when ctx does.
+func (s *Store) Open(ctx context.Context, m Manifest, from int64) *Reader {
+	for len(m) > 0 && from >= int64(m[0].Len) {
+		from -= int64(m[0].Len)
+		m = m[1:]
+	}
+	return &Reader{ctx: ctx, store: s, refs: m, skip: from}
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	for len(r.buf) == 0 {
+		if len(r.refs) == 0 {
+			return 0, io.EOF
+		}
+		data, err := r.store.Chunk(r.ctx, r.refs[0])
+		if err != nil {
+			return 0, err
+		}
+		r.buf, r.refs, r.skip = data[r.skip:], r.refs[1:], 0
+	}
+	n := copy(p, r.buf)
+	r.buf = r.buf[n:]
+	return n, nil
+}
