Batch jobs end to end: the thin path is whole

Cause: files and batches had no dispatcher. Change: shards of the batch streams, runner owned by rendezvous over live entries, dispatcher that makes one attempt of the batch class per try. Left: non-idempotent calls in batch jobs are refused until claims exist.

--- /dev/null
+++ b/internal/entry/batch.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/batch"
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+)
+
+// batchShards is how many streams hold files and jobs. It is part of the
+// stored format.
+const batchShards = 16
+
+// batches is an entry's share of the batch work.
+type batches struct {
+	shards  batch.Shards
+	streams []runnable
+	runner  *batch.Runner
+}
+
+// runnable is a stream that folds while it runs.
+type runnable interface{ Run(ctx context.Context) }
+
+func (e *Server) newBatches() *batches {
+	b := &batches{}
+	for i := range batchShards {
+		table := batch.NewTable()
+		stream := e.stream(batch.StreamName(i), table)
+		b.streams = append(b.streams, stream)
+		b.shards = append(b.shards, batch.Shard{ID: i, Stream: stream, Table: table})
+	}
+	b.runner = batch.NewRunner(batch.RunnerOptions{
+		Incarnation: e.incarnation,
+		Shards:      b.shards,
+		Dispatcher:  &dispatcher{e},
+		Services:    services{e},
+		Owner:       func(shard int) bool { return !e.draining.Load() && e.fleet.owns("batch/"+strconv.Itoa(shard)) },
+		Logger:      e.logger,
+	})
+	return b
+}
+
+func (e *Server) batchRoutes(h *server.Hertz) {
+	batchapi.Register(h, batchapi.Deps{
+		Shards:       e.batches.shards,
+		Fail:         e.fail,
+		Workspace:    e.workspace,
+		MaxJobs:      e.maxJobs,
+		MaxFileBytes: int64(e.settings.Limits.MaxFileBytes),
+	})
+}
+
+func (e *Server) maxJobs(workspace string) int {
+	doc, err := e.document()
+	if err != nil {
+		return 0
+	}
+	ws, _ := doc.Workspace(workspace)
+	return ws.Limits.MaxJobs
+}
+
+// services tells the batch runner what the desired state says.
+type services struct{ e *Server }
+
+func (s services) find(name string) *desired.Service {
+	if doc, err := s.e.document(); err == nil {
+		if svc, ok := doc.Service(name); ok {
+			return svc
+		}
+	}
+	return &desired.Service{}
+}
+
+// ServiceForModel implements batch.Catalog.
+func (s services) ServiceForModel(model string) (string, bool) {
+	doc, err := s.e.document()
+	if err != nil {
+		return "", false
+	}
+	svc, ok := doc.ServiceForModel(model)
+	if !ok {
+		return "", false
+	}
+	return svc.Name, true
+}
+
+// HasService implements batch.Catalog.
+func (s services) HasService(name string) bool { return s.find(name).Kind == desired.Plain }
+
+// MaxTries implements batch.Services.
+func (s services) MaxTries(service string) int { return s.find(service).MaxTries }
+
+// ResultRetention implements batch.Services.
+func (s services) ResultRetention(service string) time.Duration {
+	return s.find(service).ResultRetention.Std()
+}
+
+// dispatcher runs batch items as attempts of the batch class.
+type dispatcher struct{ e *Server }
+
+// Room implements batch.Dispatcher.
+func (d *dispatcher) Room(service string) int { return d.e.fleet.batchRoom(service) }
+
+// Dispatch implements batch.Dispatcher.
+func (d *dispatcher) Dispatch(ctx context.Context, it batch.Item) (batch.Answer, error) {
+	doc, err := d.e.document()
+	if err != nil {
+		return batch.Answer{}, err
+	}
+	if it.Model != "" {
+		return d.chat(ctx, doc, it)
+	}
+	return d.plain(ctx, doc, it)
+}
+
+func (d *dispatcher) chat(ctx context.Context, doc *desired.Document, it batch.Item) (batch.Answer, error) {
+	c, _, err := newChatCall(doc, it.Workspace, it.Body)
+	if err != nil {
+		return badItem(it, errkind.From(err)), nil
+	}
+	c.forItem(it)
+	out := &textSink{}
+	res, worker := d.e.runOnce(ctx, c, avoid(it), out)
+	if res.ending != whole {
+		return d.failed(it, c, res, worker)
+	}
+	body, err := json.Marshal(newCompletion(c, string(c.resumeText), res.end))
+	return batch.Answer{Status: http.StatusOK, RequestID: c.id, Body: body, Worker: worker}, err
+}
+
+func (d *dispatcher) plain(ctx context.Context, doc *desired.Document, it batch.Item) (batch.Answer, error) {
+	svc, ok := doc.Service(it.Service)
+	if !ok {
+		return badItem(it, errkind.New(errkind.UnknownService, "no service is called %q", it.Service)), nil
+	}
+	if svc.NonIdempotent(it.Method, it.Path) {
+		return badItem(it, errkind.New(errkind.BadRequest, "calls that may not be repeated can't run in a batch job")), nil
+	}
+	c := &call{
+		workspace: it.Workspace,
+		service:   svc.Name,
+		method:    it.Method,
+		path:      it.Path,
+		body:      it.Body,
+		headers:   []*peerv1.Header{{Name: "Content-Type", Value: "application/json"}},
+	}
+	c.forItem(it)
+	out := &plainSink{limit: d.e.settings.Limits.MaxBodyBytes}
+	res, worker := d.e.runOnce(ctx, c, avoid(it), out)
+	if res.ending != whole {
+		return d.failed(it, c, res, worker)
+	}
+	return batch.Answer{Status: out.status, RequestID: c.id, Body: out.body.Bytes(), Worker: worker}, nil
+}
+
+// forItem makes a call one attempt at a batch item.
+func (c *call) forItem(it batch.Item) {
+	c.id = it.Attempt
+	c.class = admission.Batch
+	c.job = it.Job
+	c.deadline = it.Deadline
+	c.resumeText = []byte(it.ResumeText)
+	c.resumeTokens = it.ResumeTokens
+}
+
+func avoid(it batch.Item) []string {
+	if it.Avoid == "" {
+		return nil
+	}
+	return []string{it.Avoid}
+}
+
+// failed turns an attempt that was not whole into what the runner acts on.
+func (d *dispatcher) failed(it batch.Item, c *call, res result, worker string) (batch.Answer, error) {
+	switch {
+	case res.ending == preempted:
+		return batch.Answer{}, &batch.PreemptedError{ResumeText: string(c.resumeText), ResumeTokens: c.resumeTokens}
+	case res.ending == rejected:
+		return badItem(it, res.err), nil
+	case res.ending == broken && res.err.Kind == errkind.BackendFailed:
+		return batch.Answer{}, &batch.WorkerDiedError{Worker: worker}
+	}
+	return batch.Answer{}, res.err
+}
+
+// badItem is the answer to an item that can never be done.
+func badItem(it batch.Item, err *errkind.Error) batch.Answer {
+	body, _ := json.Marshal(newErrorBody(err))
+	return batch.Answer{Status: err.Answer().Status, RequestID: it.Attempt, Body: body}
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -105,6 +105,20 @@
 	}
 }
 
+// runOnce makes a single attempt, for callers that schedule tries themselves.
+// It returns the backend server that was chosen, if any.
+func (e *Server) runOnce(ctx context.Context, c *call, exclude []string, out sink) (result, string) {
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	d, ok := e.fleet.pick(c.request(exclude))
+	if !ok {
+		err := errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service)
+		return result{ending: notStarted, err: err}, ""
+	}
+	event.Log(e.logger, event.ItemPlaced, "request", c.id, "job", c.job, "service", c.service, "backend", d.Backend.Instance, "reason", d.Reason)
+	return e.attempt(ctx, c, d.Backend, out), d.Backend.Instance
+}
+
 // conclude decides whether an attempt's end is the call's end.
 func (e *Server) conclude(ctx context.Context, c *call, res result) (bool, *peerv1.End, *errkind.Error) {
 	switch res.ending {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -18,6 +18,7 @@
 	ops.Health(h, e.ready)
 	h.POST(chatPath, e.chat)
 	h.GET("/v1/models", e.models)
+	e.batchRoutes(h)
 	h.Any("/services/:service/*path", e.plain)
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,6 +55,7 @@
 	config      *desired.Table
 	configLog   *journal.Stream
 	retries     *rate.Limiter
+	batches     *batches
 
 	inProgress atomic.Int64
 	draining   atomic.Bool
@@ -77,6 +78,7 @@
 	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
 	e.configLog = e.stream(desired.Stream, e.config)
 	e.fleet = newFleet(s, e.clients, e.logger, e.config)
+	e.batches = e.newBatches()
 	return e
 }
 
@@ -91,6 +93,10 @@
 	}
 	g.Go(func() error { e.followConfig(run); return nil })
 	g.Go(func() error { e.fleet.run(run); return nil })
+	for _, s := range e.batches.streams {
+		g.Go(func() error { s.Run(run); return nil })
+	}
+	g.Go(func() error { e.batches.runner.Run(run); return nil })
 	event.Log(e.logger, event.Started, "role", "entry", "incarnation", e.incarnation, "listen", e.settings.Listen)
 	select {
 	case <-ctx.Done():
