--- /dev/null
+++ b/journal/follow.go
@@ -0,0 +1,180 @@
+package journal
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/event"
+)
+
+const (
+	// pruneEvery is how far the retention moves, in records, between two
+	// passes over the known writers.
+	pruneEvery = 1024
+)
+
+// errLogShrank says that the log ends below what has been folded.
+var errLogShrank = errors.New("journal: log ends below the folded offset")
+
+// Resetter is a Fold that wants to know when records were lost behind the
+// retention: the fold has not seen the records below first and must rebuild
+// what it can't take from the records that follow. Reset is called by the
+// goroutine that calls Apply.
+type Resetter interface {
+	Reset(first Offset)
+}
+
+// Pruner is a Fold that remembers something only as long as the log keeps a
+// record of it. Prune is called now and then with the oldest kept offset, by
+// the goroutine that calls Apply.
+type Pruner interface {
+	Prune(first Offset)
+}
+
+// followLoop folds the stream from its oldest kept record on.
+func (s *Stream) followLoop(ctx context.Context) {
+	wait := newBackoff()
+	for ctx.Err() == nil {
+		page, err := s.readPage(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		s.setReadDown(err)
+		if err != nil {
+			sleep(ctx, wait.NextBackOff())
+			continue
+		}
+		wait.Reset()
+		s.foldPage(page)
+		if len(page.Records) == 0 && page.Next <= s.Folded() {
+			sleep(ctx, minBackoff)
+		}
+	}
+}
+
+func (s *Stream) readPage(ctx context.Context) (Page, error) {
+	at := s.Folded()
+	page, err := s.log.Read(ctx, s.name, at, readPage, readWait)
+	if err == nil && page.Next < at {
+		return Page{}, errors.Wrapf(errLogShrank, "at %d, end %d", at, page.Next)
+	}
+	return page, err
+}
+
+func (s *Stream) foldPage(page Page) {
+	s.skipTo(page.First)
+	for _, r := range page.Records {
+		if r.Offset < s.Folded() {
+			continue
+		}
+		s.skipTo(r.Offset)
+		s.foldRecord(r)
+		s.advance(r.Offset + 1)
+	}
+	if s.prune(page.First) {
+		if p, ok := s.opts.Fold.(Pruner); ok {
+			p.Prune(page.First)
+		}
+	}
+}
+
+// skipTo moves on to an offset and tells the fold if records were missed. The
+// oldest kept record is where a stream starts, so the first page has no gap.
+func (s *Stream) skipTo(first Offset) {
+	s.mu.Lock()
+	at, opened := s.folded, s.opened
+	s.opened = true
+	s.mu.Unlock()
+	if first <= at {
+		return
+	}
+	if opened {
+		event.Log(s.opts.Logger, event.RetentionGap, "stream", s.name, "from", at, "first", first)
+		if r, ok := s.opts.Fold.(Resetter); ok {
+			r.Reset(first)
+		}
+	}
+	s.advance(first)
+}
+
+func (s *Stream) foldRecord(r Record) {
+	env, err := unmarshalEnvelope(r.Payload)
+	if err != nil {
+		event.Log(s.opts.Logger, event.RecordSkipped, "stream", s.name, "offset", r.Offset, "err", err)
+		return
+	}
+	if !s.fresh(env, r.Offset) {
+		return
+	}
+	for i, e := range env.Entries {
+		if err := s.opts.Fold.Apply(Position{Offset: r.Offset, Index: i}, e); err != nil {
+			event.Log(s.opts.Logger, event.RecordSkipped, "stream", s.name, "offset", r.Offset, "index", i, "kind", e.Kind, "err", err)
+		}
+	}
+	if env.Writer != s.opts.Writer {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.finishSeq(env.Seq, Position{Offset: r.Offset}, nil)
+}
+
+// fresh reports whether the record is the first of its sequence number and not
+// a late original of one that its writer has gone past.
+func (s *Stream) fresh(env envelope, at Offset) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if env.Seq <= s.lastSeq[env.Writer].seq {
+		return false
+	}
+	s.lastSeq[env.Writer] = writerPos{seq: env.Seq, at: at}
+	return true
+}
+
+// prune forgets the writers whose newest record is no longer kept. A duplicate
+// that takes effect after its original has expired is not recognised; a fold
+// that can't bear that compares versions. It reports whether it made a pass.
+func (s *Stream) prune(first Offset) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if first < s.pruned+pruneEvery {
+		return false
+	}
+	s.pruned = first
+	for w, p := range s.lastSeq {
+		if p.at < first && w != s.opts.Writer {
+			delete(s.lastSeq, w)
+		}
+	}
+	return true
+}
+
+func (s *Stream) advance(to Offset) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.folded = to
+	close(s.advanced)
+	s.advanced = make(chan struct{})
+}
+
+func (s *Stream) setAppendDown(err error) { s.setDown(&s.appendDown, err) }
+
+func (s *Stream) setReadDown(err error) { s.setDown(&s.readDown, err) }
+
+// setDown notes the result of one call and logs when the log service as a
+// whole goes down or comes up.
+func (s *Stream) setDown(flag *bool, err error) {
+	s.mu.Lock()
+	before := s.appendDown || s.readDown
+	*flag = err != nil
+	after := s.appendDown || s.readDown
+	s.mu.Unlock()
+	switch {
+	case before == after:
+	case after:
+		event.Log(s.opts.Logger, event.LogDown, "stream", s.name, "err", err)
+	default:
+		event.Log(s.opts.Logger, event.LogUp, "stream", s.name)
+	}
+}
--- a/journal/stream.go
+++ b/journal/stream.go
@@ -2,58 +2,78 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
-	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
-
-	"github.com/catkinrudder/catkinrudder/event"
 )
 
 // Errors of Commit.
 var (
 	// ErrFull says that the buffer is full; the entries were not appended.
 	ErrFull = errors.New("journal: commit buffer full")
+	// ErrTooLarge says that the entries can't be one record; they were not
+	// appended.
+	ErrTooLarge = errors.New("journal: commit too large")
 	// ErrNotAppended says that the caller's context ended before the entries
 	// were sent; they never will be.
 	ErrNotAppended = errors.New("journal: not appended")
 	// ErrUnconfirmed says that the entries may or may not be in the log.
 	ErrUnconfirmed = errors.New("journal: append unconfirmed")
-	// ErrStopped says that the stream no longer runs.
+	// ErrStopped says that the stream no longer runs; the entries were not
+	// appended.
 	ErrStopped = errors.New("journal: stream stopped")
+	// ErrNotKept says that the log no longer keeps, or never had, a record.
+	ErrNotKept = errors.New("journal: record not kept")
 )
 
 const (
-	defaultInterval   = 10 * time.Millisecond
-	defaultMaxPending = 4096
-	defaultMaxRecord  = 512 << 10
-	readPage          = 256
-	readWait          = 2 * time.Second
-	appendTimeout     = 5 * time.Second
-	minBackoff        = 20 * time.Millisecond
-	maxBackoff        = 2 * time.Second
+	defaultInterval     = 10 * time.Millisecond
+	defaultMaxPending   = 4096
+	defaultPendingBytes = 32 << 20
+	defaultMaxRecord    = 512 << 10
+	defaultMaxCommit    = 4 << 20
+	// maxEntries bounds the entries of one record, below the CBOR decoder's
+	// limit on the elements of an array.
+	maxEntries = 1 << 16
+	readPage   = 256
+	readWait   = 2 * time.Second
 )
 
 // Options configure a Stream.
 type Options struct {
 	// Writer is the incarnation of this process, unique for ever.
 	Writer string
-	// Fold gives the stream its meaning.
+	// Fold gives the stream its meaning. If it is a Resetter it is told of
+	// records that were lost behind the retention.
 	Fold Fold
-	// Interval is how long the first entry of a group commit waits for others.
+	// Interval is how long the first entry of a group commit waits for others,
+	// and the least time between two appends.
 	Interval time.Duration
 	// Budget limits appends across the streams of this process, may be nil.
+	// While it is exhausted, group commits grow.
 	Budget *rate.Limiter
-	// MaxPending bounds the entries that wait to be appended.
+	// MaxPending bounds the commits that wait to be appended.
 	MaxPending int
-	// MaxRecordBytes bounds the entry bytes of one group commit.
+	// MaxPendingBytes bounds the entry bytes that wait to be appended.
+	MaxPendingBytes int
+	// MaxRecordBytes bounds the entry bytes of a record of several commits.
 	MaxRecordBytes int
+	// MaxCommitBytes bounds the entry bytes of one commit, which is never
+	// split over records.
+	MaxCommitBytes int
 	Logger         *log.Logger
 }
 
+// NewBudget returns a limiter of appends a second for Options.Budget. It saves
+// up nothing while idle, so an outage is not followed by a burst.
+func NewBudget(appendsPerSecond float64) *rate.Limiter {
+	return rate.NewLimiter(rate.Limit(appendsPerSecond), 1)
+}
+
 // Stream appends to one log stream and folds it in offset order. Its mutex
 // guards everything below it; Apply is called without it, by one goroutine.
 type Stream struct {
@@ -61,16 +81,21 @@
 	name string
 	opts Options
 	wake chan struct{}
-
-	mu       sync.Mutex
-	pending  []*commit
-	inflight map[uint64][]*commit
-	nextSeq  uint64
-	folded   Offset
-	lastSeq  map[string]writerPos
-	advanced chan struct{}
-	down     bool
-	stopped  bool
+	done chan struct{}
+
+	mu           sync.Mutex
+	pending      []*commit
+	pendingBytes int
+	inflight     map[uint64]*group
+	nextSeq      uint64
+	folded       Offset
+	opened       bool
+	lastSeq      map[string]writerPos
+	pruned       Offset
+	advanced     chan struct{}
+	appendDown   bool
+	readDown     bool
+	stopped      bool
 }
 
 type writerPos struct {
@@ -78,6 +103,7 @@
 	at  Offset
 }
 
+// commit is one call of Commit or Submit.
 type commit struct {
 	entries []Entry
 	size    int
@@ -87,32 +113,45 @@
 	err     error
 }
 
+// group is the commits of one record, from being sent until being folded.
+type group struct {
+	seq     uint64
+	commits []*commit
+	done    chan struct{}
+}
+
 // NewStream returns a stream that does nothing until Run.
 func NewStream(l Log, name string, opts Options) *Stream {
-	if opts.Interval <= 0 {
-		opts.Interval = defaultInterval
-	}
-	if opts.MaxPending <= 0 {
-		opts.MaxPending = defaultMaxPending
-	}
-	if opts.MaxRecordBytes <= 0 {
-		opts.MaxRecordBytes = defaultMaxRecord
+	setDefault(&opts.Interval, defaultInterval)
+	setDefault(&opts.MaxPending, defaultMaxPending)
+	setDefault(&opts.MaxPendingBytes, defaultPendingBytes)
+	setDefault(&opts.MaxRecordBytes, defaultMaxRecord)
+	setDefault(&opts.MaxCommitBytes, defaultMaxCommit)
+	if opts.Logger == nil {
+		opts.Logger = log.New(io.Discard)
 	}
 	return &Stream{
 		log:      l,
 		name:     name,
 		opts:     opts,
 		wake:     make(chan struct{}, 1),
-		inflight: make(map[uint64][]*commit),
+		done:     make(chan struct{}),
+		inflight: make(map[uint64]*group),
 		lastSeq:  make(map[string]writerPos),
 		advanced: make(chan struct{}),
 	}
 }
 
+func setDefault[T int | time.Duration](v *T, d T) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
 // Name returns the stream's name at the log service.
 func (s *Stream) Name() string { return s.name }
 
-// Run appends and folds until ctx ends.
+// Run appends and folds until ctx ends. It is called once.
 func (s *Stream) Run(ctx context.Context) {
 	var wg sync.WaitGroup
 	wg.Add(2)
@@ -123,13 +162,15 @@
 }
 
 // Commit appends entries as one unit and returns once they have been folded
-// here together with everything before them.
+// here together with everything before them. ErrUnconfirmed says that they may
+// take effect, now or later; after every other error they never will.
 func (s *Stream) Commit(ctx context.Context, entries ...Entry) (Position, error) {
-	c := &commit{entries: entries, done: make(chan struct{})}
-	for _, e := range entries {
-		c.size += len(e.Body)
-	}
-	if err := s.enqueue(c); err != nil {
+	return s.commit(ctx, entries, s.opts.MaxCommitBytes)
+}
+
+func (s *Stream) commit(ctx context.Context, entries []Entry, maxBytes int) (Position, error) {
+	c, err := s.enqueue(entries, maxBytes)
+	if err != nil {
 		return Position{}, err
 	}
 	select {
@@ -140,6 +181,14 @@
 	}
 }
 
+// Submit queues entries as one unit and does not wait for them. They follow
+// every earlier Commit and Submit of this stream in the log, and are lost if
+// the stream stops before they are sent.
+func (s *Stream) Submit(entries ...Entry) error {
+	_, err := s.enqueue(entries, s.opts.MaxCommitBytes)
+	return err
+}
+
 // CaughtUp returns once everything that was in the log at the time of the call
 // has been folded.
 func (s *Stream) CaughtUp(ctx context.Context) error {
@@ -156,6 +205,8 @@
 		}
 		select {
 		case <-ch:
+		case <-s.done:
+			return ErrStopped
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -169,78 +220,36 @@
 	return s.folded
 }
 
-// Down reports whether the last call to the log service failed.
+// Down reports whether the last append or the last read failed.
 func (s *Stream) Down() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.down
+	return s.appendDown || s.readDown
 }
 
 // Load reads the entries of one record again, to fetch a body that the fold
-// did not keep.
+// did not keep. It returns ErrNotKept if the log no longer has the record.
 func (s *Stream) Load(ctx context.Context, at Offset) ([]Entry, error) {
 	page, err := s.log.Read(ctx, s.name, at, 1, 0)
 	if err != nil {
 		return nil, errors.Wrap(err, "journal: load")
 	}
 	if len(page.Records) == 0 || page.Records[0].Offset != at {
-		return nil, errors.Errorf("journal: offset %d is not kept", at)
+		return nil, errors.Wrapf(ErrNotKept, "offset %d", at)
 	}
 	env, err := unmarshalEnvelope(page.Records[0].Payload)
 	return env.Entries, err
 }
 
-func (s *Stream) enqueue(c *commit) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopped {
-		return ErrStopped
-	}
-	if len(s.pending) >= s.opts.MaxPending {
-		return ErrFull
-	}
-	s.pending = append(s.pending, c)
-	s.signal()
-	return nil
-}
-
-// signal wakes the append loop; the channel holds at most one wake-up.
-func (s *Stream) signal() {
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
-// abandon withdraws a commit whose caller has gone.
-func (s *Stream) abandon(c *commit) (Position, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	select {
-	case <-c.done:
-		return c.pos, c.err
-	default:
-	}
-	if c.sent {
-		return Position{}, ErrUnconfirmed
-	}
-	for i, p := range s.pending {
-		if p == c {
-			s.pending = append(s.pending[:i:i], s.pending[i+1:]...)
-			break
-		}
-	}
-	return Position{}, ErrNotAppended
-}
-
 func (s *Stream) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stopped = true
+	close(s.done)
 	for _, c := range s.pending {
 		c.finish(Position{}, ErrNotAppended)
 	}
-	s.pending = nil
+	s.pending, s.pendingBytes = nil, 0
 	for seq := range s.inflight {
 		s.finishSeq(seq, Position{}, ErrUnconfirmed)
 	}
@@ -251,208 +260,16 @@
 	close(c.done)
 }
 
-// appendLoop sends one group commit at a time: a sequence number is sent again
-// until the log answers or the entry has been folded, so sequence numbers of a
-// writer reach the log in order, late originals excepted.
-func (s *Stream) appendLoop(ctx context.Context) {
-	for {
-		select {
-		case <-s.wake:
-		case <-ctx.Done():
-			return
-		}
-		if !sleep(ctx, s.opts.Interval) {
-			return
-		}
-		for {
-			if s.opts.Budget != nil && s.opts.Budget.Wait(ctx) != nil {
-				return
-			}
-			seq, payload := s.nextGroup()
-			if payload == nil {
-				break
-			}
-			if !s.appendUntilKnown(ctx, seq, payload) {
-				return
-			}
-		}
-	}
-}
-
-// nextGroup takes as many pending commits as fit one record.
-func (s *Stream) nextGroup() (uint64, []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.pending) == 0 {
-		return 0, nil
-	}
-	var group []*commit
-	var entries []Entry
-	size := 0
-	for len(s.pending) > 0 {
-		c := s.pending[0]
-		if len(group) > 0 && size+c.size > s.opts.MaxRecordBytes {
-			break
-		}
-		s.pending = s.pending[1:]
-		c.sent = true
-		group = append(group, c)
-		entries = append(entries, c.entries...)
-		size += c.size
-	}
-	s.nextSeq++
-	env := envelope{Version: formatVersion, Writer: s.opts.Writer, Seq: s.nextSeq, Entries: entries}
-	payload, err := env.marshal()
-	if err != nil {
-		for _, c := range group {
-			c.finish(Position{}, err)
-		}
-		return 0, nil
-	}
-	s.inflight[s.nextSeq] = group
-	return s.nextSeq, payload
-}
-
-func (s *Stream) appendUntilKnown(ctx context.Context, seq uint64, payload []byte) bool {
-	wait := newBackoff()
-	for {
-		actx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := s.log.Append(actx, s.name, payload)
-		cancel()
-		if err == nil {
-			s.setDown(false, nil)
-			return true
-		}
-		s.setDown(true, err)
-		if !sleep(ctx, wait.NextBackOff()) {
-			return false
-		}
-		if s.isFolded(seq) {
-			return true
-		}
-	}
-}
-
-func (s *Stream) isFolded(seq uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	_, waiting := s.inflight[seq]
-	return !waiting
-}
-
-// followLoop folds the stream from its oldest kept record on.
-func (s *Stream) followLoop(ctx context.Context) {
-	wait := newBackoff()
-	for ctx.Err() == nil {
-		page, err := s.log.Read(ctx, s.name, s.Folded(), readPage, readWait)
-		if err != nil {
-			if ctx.Err() != nil {
-				return
-			}
-			s.setDown(true, err)
-			sleep(ctx, wait.NextBackOff())
-			continue
-		}
-		wait.Reset()
-		s.setDown(false, nil)
-		s.foldPage(page)
-	}
-}
-
-func (s *Stream) foldPage(page Page) {
-	if at := s.Folded(); page.First > at {
-		if at > 0 {
-			event.Log(s.opts.Logger, event.RetentionGap, "stream", s.name, "from", at, "first", page.First)
-		}
-		s.advance(page.First)
-	}
-	for _, r := range page.Records {
-		s.foldRecord(r)
-		s.advance(r.Offset + 1)
-	}
-}
-
-func (s *Stream) foldRecord(r Record) {
-	env, err := unmarshalEnvelope(r.Payload)
-	if err != nil {
-		event.Log(s.opts.Logger, event.RecordSkipped, "stream", s.name, "offset", r.Offset, "err", err)
-		return
-	}
-	if !s.fresh(env, r.Offset) {
-		return
-	}
-	for i, e := range env.Entries {
-		if err := s.opts.Fold.Apply(Position{Offset: r.Offset, Index: i}, e); err != nil {
-			event.Log(s.opts.Logger, event.RecordSkipped, "stream", s.name, "offset", r.Offset, "index", i, "kind", e.Kind, "err", err)
-		}
-	}
-	if env.Writer != s.opts.Writer {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.finishSeq(env.Seq, Position{Offset: r.Offset}, nil)
-}
-
-// fresh reports whether the record is the first of its sequence number and not
-// a late original of one that its writer has gone past.
-func (s *Stream) fresh(env envelope, at Offset) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if env.Seq <= s.lastSeq[env.Writer].seq {
-		return false
-	}
-	s.lastSeq[env.Writer] = writerPos{seq: env.Seq, at: at}
-	return true
-}
-
 // finishSeq answers the commits of one group; the caller holds mu.
 func (s *Stream) finishSeq(seq uint64, pos Position, err error) {
-	for _, c := range s.inflight[seq] {
+	g, ok := s.inflight[seq]
+	if !ok {
+		return
+	}
+	for _, c := range g.commits {
 		c.finish(pos, err)
 		pos.Index += len(c.entries)
 	}
+	close(g.done)
 	delete(s.inflight, seq)
 }
-
-func (s *Stream) advance(to Offset) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.folded = to
-	close(s.advanced)
-	s.advanced = make(chan struct{})
-}
-
-func (s *Stream) setDown(down bool, err error) {
-	s.mu.Lock()
-	changed := s.down != down
-	s.down = down
-	s.mu.Unlock()
-	if !changed {
-		return
-	}
-	if down {
-		event.Log(s.opts.Logger, event.LogDown, "stream", s.name, "err", err)
-		return
-	}
-	event.Log(s.opts.Logger, event.LogUp, "stream", s.name)
-}
-
-func newBackoff() *backoff.ExponentialBackOff {
-	b := backoff.NewExponentialBackOff()
-	b.InitialInterval = minBackoff
-	b.MaxInterval = maxBackoff
-	return b
-}
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
