desired: tests against a naive fold, through lost answers and expiry

Publisher: dropped, lost and late appends give one verdict and one history row; of eight racing publishers one wins.

--- /dev/null
+++ b/desired/fold_test.go
@@ -0,0 +1,228 @@
+package desired
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// naive is the meaning of a stream that nothing has expired from: a plain loop
+// over every record.
+type naive struct {
+	entries  []journal.Entry
+	verdicts []State
+	// inForce[i] is the version in force before record i.
+	inForce []uint64
+}
+
+func (n *naive) next() journal.Offset { return journal.Offset(len(n.entries)) }
+
+func (n *naive) now() uint64 { return n.inForce[len(n.inForce)-1] }
+
+func (n *naive) publish(t assert.TestingT, p Publish, valid bool) {
+	e, err := journal.NewEntry(KindPublish, p)
+	assert.NilError(t, err)
+	state, now := Accepted, n.now()
+	switch {
+	case p.Recover && now > uint64(p.Seen), !p.Recover && p.Base != now:
+		state = Conflicted
+	case !valid:
+		state = Invalid
+	default:
+		now = uint64(n.next()) + 1
+	}
+	n.add(e, state, now)
+}
+
+func (n *naive) renew(t assert.TestingT, r Renewal) {
+	e, err := journal.NewEntry(KindRenewal, r)
+	assert.NilError(t, err)
+	n.add(e, "", n.now())
+}
+
+func (n *naive) add(e journal.Entry, s State, now uint64) {
+	n.entries = append(n.entries, e)
+	n.verdicts = append(n.verdicts, s)
+	n.inForce = append(n.inForce, now)
+}
+
+// renewal is what a complete reader certifies now.
+func (n *naive) renewal(t assert.TestingT) Renewal {
+	r := Renewal{Version: n.now(), Seen: n.next()}
+	if r.Version > 0 {
+		var p Publish
+		assert.NilError(t, n.entries[r.Version-1].Decode(&p))
+		r.Base, r.Document = p.Base, p.Document
+	}
+	return r
+}
+
+func document(i int) []byte {
+	return []byte(fmt.Sprintf("[[service]]\nname = \"s%d\"\nkind = \"plain\"\n", i))
+}
+
+// generate draws a stream with races, invalid documents and delayed renewals.
+func generate(t *rapid.T) *naive {
+	n := &naive{inForce: []uint64{0}}
+	var frozen []Renewal
+	for i := range rapid.IntRange(1, 30).Draw(t, "records") {
+		switch rapid.IntRange(0, 6).Draw(t, "record") {
+		case 0, 1, 2:
+			n.publish(t, Publish{ID: fmt.Sprint(i), Base: n.now(), Document: document(i)}, true)
+		case 3:
+			base := rapid.SampledFrom(n.inForce).Draw(t, "base")
+			raw := rapid.SampledFrom([][]byte{document(i), []byte("no = 1")}).Draw(t, "document")
+			n.publish(t, Publish{Base: base, Document: raw}, len(raw) > 6)
+		case 4:
+			frozen = append(frozen, n.renewal(t))
+		case 5:
+			r := n.renewal(t)
+			if len(frozen) > 0 {
+				r = rapid.SampledFrom(frozen).Draw(t, "stale")
+			}
+			n.renew(t, r)
+		case 6:
+			seen := rapid.Uint64Range(0, uint64(n.next())).Draw(t, "seen")
+			n.publish(t, Publish{Recover: true, Seen: journal.Offset(seen), Document: document(i)}, true)
+		}
+	}
+	return n
+}
+
+// fold feeds records [from, to) to a table and compares it with the naive
+// version after each.
+func fold(t *rapid.T, table *Table, n *naive, from, to journal.Offset) {
+	for at := from; at < to; at++ {
+		before, _ := table.InForce()
+		err := table.Apply(journal.Position{Offset: at}, n.entries[at])
+		assert.Assert(t, err == nil || errors.Is(err, ErrUncertified), "%v", err)
+		now, _ := table.InForce()
+		assert.Assert(t, now.Number >= before.Number, "version went down")
+		assert.Assert(t, now.Number <= n.inForce[at+1], "version was never accepted")
+		if table.Known() {
+			assert.Equal(t, now.Number, n.inForce[at+1])
+		}
+	}
+	for _, v := range table.History() {
+		if v.State != Undecided {
+			assert.Equal(t, v.Accepted(), n.verdicts[v.Offset] == Accepted, "offset %d: %s", v.Offset, v)
+		}
+	}
+}
+
+func TestTableAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := generate(t)
+		if n.next() == 0 {
+			t.Skip("empty stream")
+		}
+		whole := NewTable(Hooks{})
+		fold(t, whole, n, 0, n.next())
+		assert.Assert(t, whole.Known())
+
+		// A reader that stopped at some record and found a gap, or that starts
+		// after records have expired.
+		last := rapid.Uint64Range(0, uint64(n.next())).Draw(t, "last")
+		first := rapid.Uint64Range(last, uint64(n.next())).Draw(t, "first")
+		late := NewTable(Hooks{})
+		fold(t, late, n, 0, journal.Offset(last))
+		late.Gap(journal.Offset(first))
+		fold(t, late, n, journal.Offset(first), n.next())
+
+		// A fresh renewal settles it.
+		r, ok := whole.Renewal()
+		assert.Assert(t, ok)
+		end := n.next()
+		n.renew(t, r)
+		fold(t, late, n, end, n.next())
+		assert.Assert(t, late.Known())
+		got, _ := late.InForce()
+		want, _ := whole.InForce()
+		assert.Equal(t, got.Number, want.Number)
+		assert.DeepEqual(t, got.Raw, want.Raw)
+	})
+}
+
+// A newer version expires before the stale renewal of an older one does: the
+// stale renewal must bring nothing back.
+func TestStaleRenewalOutlivesNewerVersion(t *testing.T) {
+	n := &naive{inForce: []uint64{0}}
+	n.publish(t, Publish{Document: document(1)}, true)
+	stale := n.renewal(t)
+	n.publish(t, Publish{Base: 1, Document: document(2)}, true)
+	holder := NewTable(Hooks{})
+	apply(t, holder, n, 0, nil)
+	n.renew(t, stale)
+
+	fresh := NewTable(Hooks{})
+	fresh.Gap(2) // version 2 at offset 1 has expired, the stale renewal has not
+	apply(t, fresh, n, 2, ErrUncertified)
+	_, ok := fresh.InForce()
+	assert.Assert(t, !ok && !fresh.Known())
+
+	apply(t, holder, n, 2, nil)
+	_, overtaken := holder.Copy()
+	assert.Assert(t, overtaken, "a holder must renew at once")
+	r, ok := holder.Renewal()
+	assert.Assert(t, ok)
+	n.renew(t, r)
+	apply(t, holder, n, 3, nil)
+	apply(t, fresh, n, 3, nil)
+	_, overtaken = holder.Copy()
+	assert.Assert(t, !overtaken)
+	v, ok := fresh.InForce()
+	assert.Assert(t, ok)
+	assert.Equal(t, v.Number, uint64(2))
+}
+
+// apply folds the records from an offset on.
+func apply(t *testing.T, table *Table, n *naive, from journal.Offset, want error) {
+	t.Helper()
+	for at := from; at < n.next(); at++ {
+		assert.ErrorIs(t, table.Apply(journal.Position{Offset: at}, n.entries[at]), want)
+	}
+}
+
+func TestAdoptNeverGoesDown(t *testing.T) {
+	var seen []uint64
+	table := NewTable(Hooks{InForce: func(v Version) { seen = append(seen, v.Number) }})
+	took, err := table.Adopt(9, document(9))
+	assert.Assert(t, took && err == nil)
+	took, err = table.Adopt(3, document(3))
+	assert.Assert(t, !took && err == nil)
+	_, err = table.Adopt(12, []byte("no = 1"))
+	assert.ErrorContains(t, err, "unknown key")
+
+	n := &naive{inForce: []uint64{0}}
+	n.publish(t, Publish{Document: document(1)}, true)
+	n.publish(t, Publish{Base: 1, Document: []byte("no = 1")}, false)
+	apply(t, table, n, 0, nil)
+	v, _ := table.InForce()
+	assert.Equal(t, v.Number, uint64(9))
+	assert.DeepEqual(t, seen, []uint64{9})
+	verdict, ok := table.Verdict(1)
+	assert.Assert(t, ok && verdict.State == Invalid)
+}
+
+func FuzzApply(f *testing.F) {
+	publish, _ := journal.NewEntry(KindPublish, Publish{Document: document(1)})
+	renewal, _ := journal.NewEntry(KindRenewal, Renewal{Version: 1, Seen: 1, Document: document(1)})
+	f.Add(uint16(KindPublish), publish.Body, uint64(0))
+	f.Add(uint16(KindRenewal), renewal.Body, uint64(5))
+	f.Add(uint16(9), []byte{0xff}, uint64(1))
+	f.Fuzz(func(t *testing.T, kind uint16, body []byte, at uint64) {
+		table := NewTable(Hooks{})
+		table.Gap(journal.Offset(at))
+		_ = table.Apply(journal.Position{Offset: journal.Offset(at)}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		if v, ok := table.InForce(); ok {
+			assert.Assert(t, v.Number <= at+1)
+			assert.NilError(t, v.Document.Validate())
+		}
+	})
+}
--- /dev/null
+++ b/desired/publisher_test.go
@@ -0,0 +1,160 @@
+package desired
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+)
+
+func publish(t *testing.T, l journal.Log, base uint64, i int) (Verdict, error) {
+	t.Helper()
+	return NewPublisher(l, nil).Publish(t.Context(), Publication{Base: base, Document: document(i), Author: "ada"})
+}
+
+func TestPublishThroughFaults(t *testing.T) {
+	for name, fault := range map[string]journaltest.Fault{
+		"none": journaltest.None, "drop": journaltest.Drop,
+		"lost answer": journaltest.LoseAnswer, "late": journaltest.ApplyLate,
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := journaltest.NewMemLog()
+				first := true
+				l.OnAppend(func(string, []byte) journaltest.Fault {
+					if !first {
+						return journaltest.None
+					}
+					first = false
+					return fault
+				})
+				v, err := publish(t, l, 0, 1)
+				assert.NilError(t, err)
+				assert.Equal(t, v.State, Accepted)
+				l.Flush()
+				s, err := NewPublisher(l, nil).Read(t.Context())
+				assert.NilError(t, err)
+				assert.Equal(t, len(s.History), 1, "accepted or listed twice")
+				assert.Equal(t, s.InForce.Number, v.Version)
+			})
+		})
+	}
+}
+
+func TestRacingPublishersHaveOneWinner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := journaltest.NewMemLog()
+		const racers = 8
+		var wg sync.WaitGroup
+		verdicts := make([]Verdict, racers)
+		for i := range racers {
+			wg.Go(func() { verdicts[i], _ = publish(t, l, 0, i) })
+		}
+		wg.Wait()
+		won := 0
+		for _, v := range verdicts {
+			if v.State == Accepted {
+				won++
+				continue
+			}
+			assert.Equal(t, v.State, Conflicted)
+			assert.Equal(t, v.Winner, uint64(1))
+			assert.Equal(t, v.String(), "conflict: based on version 0, but version 1 (by ada) is in force")
+		}
+		assert.Equal(t, won, 1)
+	})
+}
+
+func TestPublishRefusesBeforeAppending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := journaltest.NewMemLog()
+		appends := 0
+		l.OnAppend(func(string, []byte) journaltest.Fault { appends++; return journaltest.None })
+		p := NewPublisher(l, nil)
+		_, err := p.Publish(t.Context(), Publication{Document: []byte("bases = 1")})
+		assert.ErrorContains(t, err, `did you mean "base"?`)
+		v, err := p.Publish(t.Context(), Publication{Base: 4, Document: document(1)})
+		assert.NilError(t, err)
+		assert.Equal(t, v.State, Conflicted)
+		assert.Equal(t, appends, 0)
+		l.SetDown(true)
+		_, err = p.Publish(t.Context(), Publication{Document: document(1)})
+		assert.ErrorIs(t, err, journaltest.ErrDown)
+	})
+}
+
+func TestPublishUnconfirmedWhenLogGoesDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := journaltest.NewMemLog()
+		l.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.ApplyLate })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		_, err := NewPublisher(l, nil).Publish(ctx, Publication{Document: document(1)})
+		assert.ErrorIs(t, err, ErrUnconfirmed)
+		l.OnAppend(nil)
+		again, err := publish(t, l, 0, 2)
+		assert.NilError(t, err)
+		assert.Equal(t, again.State, Accepted)
+		l.Flush()
+		s, err := NewPublisher(l, nil).Read(t.Context())
+		assert.NilError(t, err)
+		assert.Equal(t, s.InForce.Number, again.Version, "a late original took effect")
+		assert.Equal(t, s.History[1].State, Conflicted)
+	})
+}
+
+func TestRecoverAfterEveryCopyExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := journaltest.NewMemLog()
+		_, err := publish(t, l, 0, 1)
+		assert.NilError(t, err)
+		p := NewPublisher(l, nil)
+		recovery := Publication{Document: document(2), Recover: true}
+		_, err = p.Publish(t.Context(), recovery)
+		assert.ErrorIs(t, err, ErrNothingToRecover)
+		l.Expire(Stream, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		_, err = p.Publish(ctx, Publication{Base: 1, Document: document(3)})
+		assert.ErrorIs(t, err, ErrUndecided)
+		v, err := p.Publish(t.Context(), recovery)
+		assert.NilError(t, err)
+		assert.Equal(t, v.State, Accepted)
+	})
+}
+
+func TestRenewerKeepsVersionPastRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := journaltest.NewMemLog()
+		v, err := publish(t, l, 0, 1)
+		assert.NilError(t, err)
+		table := NewTable(Hooks{})
+		assert.NilError(t, BeginTable(t.Context(), l, table))
+		stream := journal.NewStream(l, Stream, journal.Options{Writer: "w", Fold: table})
+		ctx, cancel := context.WithCancel(t.Context())
+		go stream.Run(ctx)
+		renewer := Renewer{Table: table, Stream: stream, Interval: time.Minute, Failed: func(err error) {
+			assert.Assert(t, errors.Is(err, journal.ErrStopped) || ctx.Err() != nil, "%v", err)
+		}}
+		go renewer.Run(ctx)
+		for range 5 {
+			time.Sleep(2 * time.Minute)
+			l.Expire(Stream, stream.Folded()-1)
+		}
+		s, err := NewPublisher(l, nil).Read(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, s.Known)
+		assert.Equal(t, s.InForce.Number, v.Version)
+		assert.Assert(t, stream.Folded() <= 12, "%d records in 10 minutes", stream.Folded())
+		cancel()
+		synctest.Wait()
+	})
+}
