--- a/settings/settings.go
+++ b/settings/settings.go
@@ -3,12 +3,11 @@
 package settings
 
 import (
-	"bytes"
-	"net"
 	"os"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
 )
 
 // Role is what a process does.
@@ -80,19 +79,22 @@
 	if err != nil {
 		return Settings{}, errors.Wrap(err, "settings")
 	}
-	s, err := Parse(raw)
-	return s, errors.Wrapf(err, "settings %s", path)
+	return ParseFile(path, raw)
 }
 
-// Parse reads and checks settings; unknown keys are errors.
-func Parse(raw []byte) (Settings, error) {
+// Parse reads and checks settings that come from no file.
+func Parse(raw []byte) (Settings, error) { return ParseFile("settings", raw) }
+
+// ParseFile reads and checks the settings in raw; unknown keys are errors. A
+// faulty file gives a *stricttoml.Error that lists its problems with name,
+// line, column, key and the likely fix.
+func ParseFile(name string, raw []byte) (Settings, error) {
 	var s Settings
-	dec := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
+	if err := stricttoml.Decode(name, raw, &s); err != nil {
 		return Settings{}, err
 	}
 	s.SetDefaults()
-	return s, s.Validate()
+	return s, stricttoml.Place(name, raw, s.Validate())
 }
 
 // SetDefaults fills what was left out.
@@ -107,43 +109,3 @@
 		s.Limits.AppendsPerSecond = DefaultAppendsPerSecond
 	}
 }
-
-// Validate checks the settings.
-func (s *Settings) Validate() error {
-	if s.Instance == "" {
-		return errors.New("instance: must be set")
-	}
-	if s.Zone == "" || s.Region == "" {
-		return errors.New("region, availability_zone: must be set")
-	}
-	if err := checkAddr("peer_listen", s.PeerListen); err != nil {
-		return err
-	}
-	if err := checkAddr("platform.instances", s.Platform.Instances); err != nil {
-		return err
-	}
-	switch s.Role {
-	case RoleEntry:
-		if err := checkAddr("platform.log", s.Platform.Log); err != nil {
-			return err
-		}
-		return checkAddr("listen", s.Listen)
-	case RoleSidecar:
-		if s.Backend.Service == "" {
-			return errors.New("backend.service: must be set for a sidecar")
-		}
-		return checkAddr("backend.address", s.Backend.Address)
-	}
-	return errors.Errorf("role: %q is neither %q nor %q", s.Role, RoleEntry, RoleSidecar)
-}
-
-func checkAddr(name, addr string) error {
-	host, _, err := net.SplitHostPort(addr)
-	if err != nil {
-		return errors.Errorf("%s: %q is not IP:port", name, addr)
-	}
-	if net.ParseIP(host) == nil {
-		return errors.Errorf("%s: host %q is not an IP number", name, host)
-	}
-	return nil
-}
