--- /dev/null
+++ b/internal/bench/cache.go
@@ -0,0 +1,61 @@
+package bench
+
+import "container/list"
+
+// prefixCache is a least-recently-used cache of prompt prefixes, measured in
+// tokens. It shares its memory with the running streams.
+type prefixCache struct {
+	capacity, used, reserved int
+	order                    *list.List
+	entries                  map[uint64]*list.Element
+}
+
+type cacheEntry struct {
+	key    uint64
+	tokens int
+}
+
+func newPrefixCache(capacity int) *prefixCache {
+	return &prefixCache{capacity: capacity, order: list.New(), entries: make(map[uint64]*list.Element)}
+}
+
+// lookup returns how many tokens of a prefix are cached.
+func (c *prefixCache) lookup(key uint64) int {
+	if el, ok := c.entries[key]; ok {
+		return el.Value.(*cacheEntry).tokens
+	}
+	return 0
+}
+
+// use makes a prefix the most recently used.
+func (c *prefixCache) use(key uint64, tokens int) {
+	if key == 0 || tokens <= 0 {
+		return
+	}
+	if el, ok := c.entries[key]; ok {
+		ent := el.Value.(*cacheEntry)
+		c.used += max(tokens-ent.tokens, 0)
+		ent.tokens = max(ent.tokens, tokens)
+		c.order.MoveToFront(el)
+	} else {
+		c.entries[key] = c.order.PushFront(&cacheEntry{key: key, tokens: tokens})
+		c.used += tokens
+	}
+	c.evict()
+}
+
+// reserve changes the tokens that running streams hold.
+func (c *prefixCache) reserve(tokens int) {
+	c.reserved += tokens
+	c.evict()
+}
+
+func (c *prefixCache) evict() {
+	for c.used+c.reserved > c.capacity && c.order.Len() > 0 {
+		el := c.order.Back()
+		ent := el.Value.(*cacheEntry)
+		c.used -= ent.tokens
+		delete(c.entries, ent.key)
+		c.order.Remove(el)
+	}
+}
--- /dev/null
+++ b/internal/bench/leastwork.go
@@ -0,0 +1,125 @@
+package bench
+
+import (
+	"sort"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/routing"
+)
+
+// leastWorkRow is one backend server of leastWorkTable.
+type leastWorkRow struct {
+	backend  routing.Backend
+	load     routing.Load
+	loadAt   time.Duration
+	sent     int // attempts sent since the load was reported
+	failures int
+	ejected  time.Duration // until
+}
+
+// leastWorkTable is the project's first routing policy, kept as a baseline: the
+// least work of all backend servers, wherever they stand.
+type leastWorkTable struct {
+	rows map[string]*leastWorkRow
+}
+
+func newLeastWorkTable() *leastWorkTable {
+	return &leastWorkTable{rows: make(map[string]*leastWorkRow)}
+}
+
+// Upsert adds a backend server or replaces what is known of its addresses and
+// incarnation; a new incarnation forgets load and failures.
+func (t *leastWorkTable) Upsert(b routing.Backend) {
+	r, ok := t.rows[b.Instance]
+	if !ok || r.backend.Incarnation != b.Incarnation {
+		t.rows[b.Instance] = &leastWorkRow{backend: b}
+		return
+	}
+	r.backend = b
+}
+
+// Observe records a load report.
+func (t *leastWorkTable) Observe(now time.Duration, instance string, l routing.Load) {
+	if r, ok := t.rows[instance]; ok {
+		r.load, r.loadAt, r.sent = l, now, 0
+	}
+}
+
+// Done records how an attempt went. It reports whether the backend server was
+// ejected by it.
+func (t *leastWorkTable) Done(now time.Duration, instance string, res routing.Result) bool {
+	r, ok := t.rows[instance]
+	if !ok {
+		return false
+	}
+	if res != routing.Failed {
+		r.failures = 0
+		return false
+	}
+	r.failures++
+	if r.failures < leastWorkEjectAfter {
+		return false
+	}
+	r.failures = 0
+	r.ejected = now + leastWorkEjectFor
+	return true
+}
+
+const (
+	leastWorkEjectAfter = 3
+	leastWorkEjectFor   = 2 * time.Second
+)
+
+// Pick chooses a backend server; ok is false if none is fit.
+func (t *leastWorkTable) Pick(now time.Duration, q routing.Request) (routing.Decision, bool) {
+	var best *leastWorkRow
+	for _, r := range t.sorted() {
+		if !t.fit(now, r, q) {
+			continue
+		}
+		if best == nil || r.work() < best.work() {
+			best = r
+		}
+	}
+	if best == nil {
+		return routing.Decision{}, false
+	}
+	best.sent++
+	return routing.Decision{Backend: best.backend, Reason: routing.LeastLoaded}, true
+}
+
+// BatchRoom is how many more batch attempts of a service would start at once.
+func (t *leastWorkTable) BatchRoom(now time.Duration, service string) int {
+	room := 0
+	for _, r := range t.rows {
+		if r.backend.Service == service && t.fit(now, r, routing.Request{Service: service}) {
+			room += max(r.load.BatchRoom-r.sent, 0)
+		}
+	}
+	return room
+}
+
+func (t *leastWorkTable) sorted() []*leastWorkRow {
+	out := make([]*leastWorkRow, 0, len(t.rows))
+	for _, r := range t.rows {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].backend.Instance < out[j].backend.Instance })
+	return out
+}
+
+func (t *leastWorkTable) fit(now time.Duration, r *leastWorkRow, q routing.Request) bool {
+	if r.backend.Service != q.Service || r.backend.Incarnation == "" || r.load.Leaving || now < r.ejected {
+		return false
+	}
+	for _, x := range q.Exclude {
+		if x == r.backend.Instance {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *leastWorkRow) work() int {
+	return r.load.RunningOnline + r.load.RunningBatch + r.load.QueuedOnline + r.load.QueuedBatch + r.sent
+}
--- /dev/null
+++ b/internal/bench/policy.go
@@ -0,0 +1,125 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/routing"
+)
+
+// policy is one way to run a deployment.
+type policy struct {
+	name     string
+	batch    bool
+	admitter func(Service) admitter
+	// routers returns the routers for online requests and batch items.
+	routers func(z Zone, seed uint64) (online, batch router)
+	// reserved marks the workers set aside for batch.
+	reserved func(*worker) bool
+	// lotItems is the size of the lots in which batch items are sent at once;
+	// zero follows the router's room.
+	lotItems int
+}
+
+// The names of the policies, in order of the report.
+const (
+	noBatch    = "no-batch"
+	ours       = "catkinrudder"
+	previous   = "previous"
+	static     = "static"
+	naive      = "naive"
+	naiveCap   = "naive-capped"
+	naiveLots  = "naive-lots"
+)
+
+func oursPolicy(name string, batch bool) policy {
+	return policy{
+		name: name, batch: batch,
+		admitter: func(s Service) admitter { return admission.New(s.Policy) },
+		routers: func(z Zone, seed uint64) (router, router) {
+			t := routing.New(z.Region, z.Name, seed)
+			return t, t
+		},
+	}
+}
+
+func previousPolicy() policy {
+	return policy{
+		name: previous, batch: true,
+		admitter: func(s Service) admitter { return newFirstComeCore(s.Policy) },
+		routers: func(Zone, uint64) (router, router) {
+			t := newLeastWorkTable()
+			return t, t
+		},
+	}
+}
+
+// staticPolicy sets a third of the workers aside for batch.
+func staticPolicy() policy {
+	p := previousPolicy()
+	p.name = static
+	p.routers = func(Zone, uint64) (router, router) { return newLeastWorkTable(), newLeastWorkTable() }
+	p.reserved = func(w *worker) bool {
+		svc := w.sim.dep.Services[w.service]
+		return svc.Batch != nil && w.index >= svc.Workers*2/3
+	}
+	return p
+}
+
+// naivePolicy mixes without priorities, round robin, and keeps a fixed number
+// of batch items at each worker.
+func naivePolicy(name string, items int) policy {
+	return policy{
+		name: name, batch: true,
+		admitter: func(Service) admitter { return &passThrough{slots: items} },
+		routers: func(_ Zone, seed uint64) (router, router) {
+			t := &roundRobin{services: make(map[string]*ring), start: int(seed)}
+			return t, t
+		},
+	}
+}
+
+// naiveLotsPolicy mixes without priorities, round robin, and sends each lot of
+// batch items to the engines when it arrives.
+func naiveLotsPolicy(items int) policy {
+	p := naivePolicy(naiveLots, items)
+	p.lotItems = items
+	return p
+}
+
+// passThrough starts every attempt as it comes.
+type passThrough struct {
+	slots   int
+	class   map[string]admission.Class
+	running [2]int
+}
+
+// Tick implements admitter.
+func (p *passThrough) Tick(_ time.Duration, in ...admission.Input) []admission.Action {
+	if p.class == nil {
+		p.class = make(map[string]admission.Class)
+	}
+	var out []admission.Action
+	for _, i := range in {
+		switch i := i.(type) {
+		case admission.Arrive:
+			p.class[i.Attempt.ID] = i.Attempt.Class
+			p.running[i.Attempt.Class]++
+			out = append(out, admission.Action{Kind: admission.Start, ID: i.Attempt.ID})
+		case admission.Finish:
+			if c, ok := p.class[i.ID]; ok {
+				p.running[c]--
+				delete(p.class, i.ID)
+			}
+		}
+	}
+	return out
+}
+
+// Load implements admitter.
+func (p *passThrough) Load() admission.Load {
+	return admission.Load{
+		RunningOnline: p.running[admission.Online], RunningBatch: p.running[admission.Batch],
+		BatchRoom: max(p.slots-p.running[admission.Batch], 0),
+	}
+}
--- /dev/null
+++ b/internal/bench/roundrobin.go
@@ -0,0 +1,76 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/routing"
+)
+
+// roundRobin takes the backend servers of each service in turn.
+type roundRobin struct {
+	services map[string]*ring
+	start    int
+}
+
+type ring struct {
+	rows []routing.Backend
+	room []int
+	next int
+}
+
+// Upsert implements router.
+func (t *roundRobin) Upsert(b routing.Backend) {
+	r, ok := t.services[b.Service]
+	if !ok {
+		r = &ring{next: t.start}
+		t.services[b.Service] = r
+	}
+	r.rows, r.room = append(r.rows, b), append(r.room, 0)
+}
+
+// Observe implements router.
+func (t *roundRobin) Observe(_ time.Duration, instance string, l routing.Load) {
+	for _, r := range t.services {
+		for i := range r.rows {
+			if r.rows[i].Instance == instance {
+				r.room[i] = l.BatchRoom
+			}
+		}
+	}
+}
+
+// Done implements router.
+func (t *roundRobin) Done(time.Duration, string, routing.Result) bool { return false }
+
+// Pick implements router. A batch item takes the next backend server that has
+// room.
+func (t *roundRobin) Pick(_ time.Duration, q routing.Request) (routing.Decision, bool) {
+	r, ok := t.services[q.Service]
+	if !ok {
+		return routing.Decision{}, false
+	}
+	for range r.rows {
+		r.next++
+		i := r.next % len(r.rows)
+		if q.Class == admission.Batch {
+			if r.room[i] <= 0 {
+				continue
+			}
+			r.room[i]--
+		}
+		return routing.Decision{Backend: r.rows[i], Reason: routing.LeastLoaded}, true
+	}
+	return routing.Decision{}, false
+}
+
+// BatchRoom implements router.
+func (t *roundRobin) BatchRoom(_ time.Duration, service string) int {
+	n := 0
+	if r, ok := t.services[service]; ok {
+		for _, room := range r.room {
+			n += max(room, 0)
+		}
+	}
+	return n
+}
