--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -23,13 +23,13 @@
 
 // The names of the policies, in order of the report.
 const (
-	noBatch    = "no-batch"
-	ours       = "catkinrudder"
-	previous   = "previous"
-	static     = "static"
-	naive      = "naive"
-	naiveCap   = "naive-capped"
-	naiveLots  = "naive-lots"
+	noBatch   = "no-batch"
+	ours      = "catkinrudder"
+	previous  = "previous"
+	static    = "static"
+	naive     = "naive"
+	naiveCap  = "naive-capped"
+	naiveLots = "naive-lots"
 )
 
 func oursPolicy(name string, batch bool) policy {
@@ -79,10 +79,13 @@
 	}
 }
 
+// unbounded is a bound that no run reaches.
+const unbounded = 1 << 20
+
 // naiveLotsPolicy mixes without priorities, round robin, and sends each lot of
 // batch items to the engines when it arrives.
 func naiveLotsPolicy(items int) policy {
-	p := naivePolicy(naiveLots, items)
+	p := naivePolicy(naiveLots, unbounded)
 	p.lotItems = items
 	return p
 }
