--- /dev/null
+++ b/admission/core.go
@@ -0,0 +1,160 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/qmuntal/stateless"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+)
+
+// Core holds the table of attempts. It is not safe for concurrent use.
+type Core struct {
+	policy   Policy
+	now      time.Duration
+	rows     map[string]*row
+	queues   [2]queue
+	running  [2]int
+	prefills [2]int // running attempts without a first token
+	batch    []*row // running batch attempts in order of start
+	draining bool
+	expiry   time.Duration // earliest deadline of a queued attempt
+	steps    stepModel
+	service  [2]mean // time from start to end, in seconds
+	pace     pace
+	machine  *stateless.StateMachine
+	current  *row // the row that machine works on
+	out      []Action
+}
+
+const (
+	defaultSlots    = 16
+	defaultMaxQueue = 256
+)
+
+// New returns a core with a policy in force.
+func New(p Policy) *Core {
+	c := &Core{rows: make(map[string]*row), expiry: never}
+	c.machine = newMachine(c)
+	c.setPolicy(p)
+	return c
+}
+
+// Tick applies inputs in order at time now, which never goes back, and returns
+// what to do. It runs when an input arrives and on a timer.
+func (c *Core) Tick(now time.Duration, in ...Input) []Action {
+	c.now, c.out = now, nil
+	for _, i := range in {
+		c.apply(i)
+	}
+	c.expire()
+	c.preempt()
+	c.startOnline()
+	c.startBatch()
+	return c.out
+}
+
+func (c *Core) setPolicy(p Policy) {
+	if p.Slots <= 0 {
+		p.Slots = defaultSlots
+	}
+	if p.MaxQueue <= 0 {
+		p.MaxQueue = defaultMaxQueue
+	}
+	c.policy = p
+}
+
+func (c *Core) apply(in Input) {
+	switch in := in.(type) {
+	case Token:
+		c.token(in.ID)
+	case Arrive:
+		c.arrive(in.Attempt)
+	case Finish:
+		c.finish(in.ID)
+	case Cancel:
+		c.cancel(in.ID)
+	case SetPolicy:
+		c.setPolicy(in.Policy)
+	case Drain:
+		c.draining = true
+	}
+}
+
+// arrive queues an attempt or refuses it at once.
+func (c *Core) arrive(a Attempt) {
+	if _, ok := c.rows[a.ID]; ok {
+		return
+	}
+	wait := c.predictedWait(a.Class)
+	switch {
+	case c.draining:
+		c.refuse(a.ID, errkind.Draining, 0)
+	case c.queues[a.Class].len() >= c.policy.MaxQueue:
+		c.refuse(a.ID, errkind.Overloaded, wait)
+	case a.Deadline > 0 && wait > a.Deadline:
+		c.refuse(a.ID, errkind.DeadlineTooShort, wait)
+	default:
+		c.enqueue(a)
+	}
+}
+
+func (c *Core) enqueue(a Attempt) {
+	r := &row{attempt: a, arrived: c.now, state: queued}
+	c.rows[a.ID] = r
+	c.queues[a.Class].push(r)
+	if a.Deadline > 0 {
+		c.expiry = min(c.expiry, c.now+a.Deadline)
+	}
+}
+
+// token notes the progress of a running attempt.
+func (c *Core) token(id string) {
+	r, ok := c.rows[id]
+	if !ok || r.state != running {
+		return
+	}
+	if !r.decoding {
+		r.decoding = true
+		c.prefills[r.attempt.Class]--
+	} else {
+		c.steps.observe(c.runningTotal(), c.now-r.tokenAt, c.prefills[Online]+c.prefills[Batch] == 0 && r.clean)
+	}
+	r.clean = c.prefills[Online]+c.prefills[Batch] == 0
+	r.tokenAt = c.now
+}
+
+func (c *Core) finish(id string) {
+	r, ok := c.rows[id]
+	if !ok {
+		return
+	}
+	if r.state == running {
+		c.service[r.attempt.Class].add((c.now - r.started).Seconds())
+	}
+	c.fire(r, end)
+	delete(c.rows, id)
+}
+
+func (c *Core) cancel(id string) {
+	r, ok := c.rows[id]
+	if !ok {
+		return
+	}
+	switch r.state {
+	case queued:
+		c.fire(r, end)
+		delete(c.rows, id)
+	case running:
+		c.fire(r, stop)
+		c.act(Action{Kind: Stop, ID: id})
+	}
+}
+
+func (c *Core) refuse(id string, k errkind.Kind, retryAfter time.Duration) {
+	c.act(Action{Kind: Refuse, ID: id, Err: k, RetryAfter: retryAfter})
+}
+
+func (c *Core) act(a Action) { c.out = append(c.out, a) }
+
+func (c *Core) runningTotal() int { return c.running[Online] + c.running[Batch] }
--- /dev/null
+++ b/admission/lifecycle.go
@@ -0,0 +1,99 @@
+package admission
+
+import (
+	"context"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/qmuntal/stateless"
+)
+
+const never = time.Duration(math.MaxInt64)
+
+// state is the state of an attempt's row.
+type state uint8
+
+const (
+	queued state = iota
+	running
+	stopping // cancelled at the backend server, Finish is still to come
+	ended
+)
+
+// trigger moves a row from state to state.
+type trigger uint8
+
+const (
+	start trigger = iota
+	stop
+	end
+)
+
+// row is one attempt.
+type row struct {
+	attempt  Attempt
+	state    state
+	arrived  time.Duration
+	started  time.Duration
+	tokenAt  time.Duration
+	decoding bool // has produced a token
+	clean    bool // no attempt was being prefilled at tokenAt
+}
+
+// newMachine returns the state machine of all rows of a core. Its storage is
+// the core's current row.
+func newMachine(c *Core) *stateless.StateMachine {
+	m := stateless.NewStateMachineWithExternalStorage(
+		func(context.Context) (stateless.State, error) { return c.current.state, nil },
+		func(_ context.Context, s stateless.State) error {
+			c.current.state = s.(state)
+			return nil
+		},
+		stateless.FiringImmediate,
+	)
+	m.Configure(queued).Permit(start, running).Permit(end, ended).OnExit(c.onDequeue)
+	m.Configure(running).Permit(stop, stopping).Permit(end, ended).OnEntry(c.onStart).OnExit(c.onRelease)
+	m.Configure(stopping).Permit(end, ended)
+	m.Configure(ended)
+	return m
+}
+
+// fire moves a row. A trigger that the row's state does not permit is a
+// programming error.
+func (c *Core) fire(r *row, t trigger) {
+	c.current = r
+	if err := c.machine.Fire(t); err != nil {
+		panic(err)
+	}
+}
+
+func (c *Core) onDequeue(context.Context, ...any) error {
+	c.queues[c.current.attempt.Class].remove()
+	return nil
+}
+
+func (c *Core) onStart(context.Context, ...any) error {
+	r := c.current
+	r.started = c.now
+	c.running[r.attempt.Class]++
+	c.prefills[r.attempt.Class]++
+	if r.attempt.Class == Batch {
+		c.batch = append(c.batch, r)
+	}
+	return nil
+}
+
+// onRelease frees the slot of a row that stops or ends.
+func (c *Core) onRelease(context.Context, ...any) error {
+	r := c.current
+	c.running[r.attempt.Class]--
+	if !r.decoding {
+		c.prefills[r.attempt.Class]--
+	}
+	if r.attempt.Class == Batch {
+		i := slices.Index(c.batch, r)
+		c.batch = slices.Delete(c.batch, i, i+1)
+	}
+	return nil
+}
--- /dev/null
+++ b/admission/queue.go
@@ -0,0 +1,30 @@
+package admission
+
+// queue holds the queued rows of one class in order of arrival. Rows that left
+// the queue stay in it as holes until they come to the front.
+type queue struct {
+	rows []*row
+	live int
+}
+
+func (q *queue) len() int { return q.live }
+
+func (q *queue) push(r *row) {
+	q.rows = append(q.rows, r)
+	q.live++
+}
+
+// remove counts a row that has left the queued state.
+func (q *queue) remove() { q.live-- }
+
+// front returns the first queued row, or nil.
+func (q *queue) front() *row {
+	for len(q.rows) > 0 {
+		if q.rows[0].state == queued {
+			return q.rows[0]
+		}
+		q.rows[0] = nil
+		q.rows = q.rows[1:]
+	}
+	return nil
+}
