--- /dev/null
+++ b/routing/pool.go
@@ -0,0 +1,69 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxSubset is how many backend servers of a service an entry uses in its own
+// region, and as many in the others.
+const maxSubset = 32
+
+// pool holds the backend servers of one service, and the subset of them that
+// this entry uses.
+type pool struct {
+	all           []*row
+	local, remote []*row
+	stale         bool
+}
+
+func (p *pool) add(r *row) {
+	p.all = append(p.all, r)
+	p.stale = true
+}
+
+func (p *pool) remove(r *row) {
+	if i := slices.Index(p.all, r); i >= 0 {
+		p.all = slices.Delete(p.all, i, i+1)
+	}
+	p.stale = true
+}
+
+// refresh chooses the subset by highest random weight (Thaler and Ravishankar,
+// 1998), so that a change of one backend server moves few others.
+func (p *pool) refresh(region string, seed uint64) {
+	if !p.stale {
+		return
+	}
+	p.stale = false
+	p.local, p.remote = p.local[:0], p.remote[:0]
+	for _, r := range p.all {
+		if r.backend.Region == region {
+			p.local = append(p.local, r)
+		} else {
+			p.remote = append(p.remote, r)
+		}
+	}
+	p.local, p.remote = subset(p.local, seed), subset(p.remote, seed)
+}
+
+func subset(rows []*row, seed uint64) []*row {
+	slices.SortFunc(rows, func(a, b *row) int {
+		if c := cmp.Compare(weight(b.hash, seed), weight(a.hash, seed)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.backend.Instance, b.backend.Instance)
+	})
+	return rows[:min(len(rows), maxSubset)]
+}
+
+// weight is the random weight of a backend server for a key: the finalizer of
+// MurmurHash3 over both hashes.
+func weight(server, key uint64) uint64 {
+	h := server ^ key*0x9e3779b97f4a7c15
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
