--- a/routing/pick.go
+++ b/routing/pick.go
@@ -34,10 +34,7 @@
 // pickOnline scores the backend servers of the region, and those of the others
 // if that pays.
 func (t *Table) pickOnline(now time.Duration, p *pool, q Request) (*row, Reason) {
-	best, why := t.pickIn(now, active(now, p.local), q)
-	if best == nil || best.full(now) {
-		best, why = t.pickIn(now, p.local, q)
-	}
+	best, why := t.pickIn(now, p.local, q)
 	if best != nil && !best.full(now) {
 		return best, why
 	}
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -45,7 +45,6 @@
 		}
 	}
 	p.local, p.remote = subset(p.local, seed), subset(p.remote, seed)
-	sortCommon(p.local)
 }
 
 func subset(rows []*row, seed uint64) []*row {
@@ -58,16 +57,6 @@
 	return rows[:min(len(rows), maxSubset)]
 }
 
-// sortCommon puts rows into the order that all entries share.
-func sortCommon(rows []*row) {
-	slices.SortFunc(rows, func(a, b *row) int {
-		if c := cmp.Compare(a.hash, b.hash); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.backend.Instance, b.backend.Instance)
-	})
-}
-
 // weight is the random weight of a backend server for a key: the finalizer of
 // MurmurHash3 over both hashes.
 func weight(server, key uint64) uint64 {
