Keyed calls at most once, stored replies, recorded answers

Cause: non-idempotent calls were only sent once per request; a resend by the client ran again. Change: keyed non-idempotent calls are claimed in the log before dispatch, released only on a refusal or veto, else unknown; batch items that may not be repeated go the same way; chat replies are kept by service setting, store field or Idempotency-Key before their end is told. Not yet proved under faults.

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -20,8 +20,10 @@
 const (
 	requestIDHeader      = "X-Request-Id"
 	idempotencyKeyHeader = "Idempotency-Key"
-	bearerPrefix         = "Bearer "
-	requestIDKey         = "catkinrudder.request_id"
+	// recordedHeader tells whether an answer is kept and can be read again.
+	recordedHeader = "X-Catkinrudder-Recorded"
+	bearerPrefix   = "Bearer "
+	requestIDKey   = "catkinrudder.request_id"
 )
 
 // errorBody is the OpenAI error shape with kind and outcome.
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -21,6 +22,10 @@
 // stored format.
 const batchShards = 16
 
+// itemKeyPrefix keeps the keys of batch items apart from those of callers,
+// whose header values can't hold it.
+const itemKeyPrefix = "\x00item/"
+
 // batches is an entry's share of the batch work.
 type batches struct {
 	shards  batch.Shards
@@ -143,9 +148,6 @@
 	if !ok {
 		return badItem(it, errkind.New(errkind.UnknownService, "no service is called %q", it.Service)), nil
 	}
-	if svc.NonIdempotent(it.Method, it.Path) {
-		return badItem(it, errkind.New(errkind.BadRequest, "calls that may not be repeated can't run in a batch job")), nil
-	}
 	c := &call{
 		workspace: it.Workspace,
 		service:   svc.Name,
@@ -155,6 +157,10 @@
 		headers:   []*peerv1.Header{{Name: "Content-Type", Value: "application/json"}},
 	}
 	c.forItem(it)
+	path, _, _ := strings.Cut(it.Path, "?")
+	if svc.NonIdempotent(it.Method, path) {
+		return d.claimed(ctx, svc, it, c)
+	}
 	out := &plainSink{limit: d.e.settings.Limits.MaxBodyBytes}
 	res, worker := d.e.runOnce(ctx, c, avoid(it), out)
 	if res.ending != whole {
@@ -163,6 +169,20 @@
 	return batch.Answer{Status: out.status, RequestID: c.id, Body: out.body.Bytes(), Worker: worker}, nil
 }
 
+// claimed runs an item that may not be repeated, under the item's own key. An
+// unknown outcome is the item's final result.
+func (d *dispatcher) claimed(ctx context.Context, svc *desired.Service, it batch.Item, c *call) (batch.Answer, error) {
+	c.nonIdempotent = true
+	rec, _, err := d.e.claims.run(ctx, c, svc, itemKeyPrefix+it.Key)
+	if err == nil {
+		return batch.Answer{Status: rec.Status, RequestID: c.id, Body: rec.Body}, nil
+	}
+	if kerr := errkind.From(err); kerr.Kind == errkind.OutcomeUnknown {
+		return badItem(it, kerr), nil
+	}
+	return batch.Answer{}, err
+}
+
 // forItem makes a call one attempt at a batch item.
 func (c *call) forItem(it batch.Item) {
 	c.id = it.Attempt
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -27,7 +27,10 @@
 
 // call is one request towards the backend servers of a service.
 type call struct {
-	id            string
+	id string
+	// attemptID names the only attempt of a claimed call; empty for others,
+	// whose attempts get new ids.
+	attemptID     string
 	workspace     string
 	service       string
 	class         admission.Class
@@ -283,7 +286,7 @@
 		class = peerv1.Class_CLASS_BATCH
 	}
 	return &peerv1.RunRequest{
-		AttemptId:     uuid.NewString(),
+		AttemptId:     c.nextAttempt(),
 		Incarnation:   b.Incarnation,
 		Class:         class,
 		Service:       c.service,
@@ -304,3 +307,10 @@
 		ClaimOffset:   c.claimOffset,
 	}
 }
+
+func (c *call) nextAttempt() string {
+	if c.attemptID != "" {
+		return c.attemptID
+	}
+	return uuid.NewString()
+}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -143,11 +144,20 @@
 		return
 	}
 	cl.id = requestID(c)
+	svc, _ := doc.Service(cl.service)
+	kept := newKeeping(cl, svc, req, string(c.GetHeader(idempotencyKeyHeader)))
+	if e.replay(ctx, c, cl, kept, req) {
+		return
+	}
+	if kept.any() && svc.LogDown == desired.RefuseNotRun && e.claims.stream.Down() {
+		e.fail(c, errkind.New(errkind.LogUnavailable, "the reply could not be recorded now; it was not run"))
+		return
+	}
 	if req.Stream {
-		e.chatStream(ctx, c, cl, req)
+		e.chatStream(ctx, c, cl, req, kept)
 		return
 	}
-	e.chatWhole(ctx, c, cl)
+	e.chatWhole(ctx, c, cl, req, kept)
 }
 
 func (e *Server) checkBody(c *app.RequestContext) error {
@@ -167,15 +177,28 @@
 	return nil
 }
 
-func (e *Server) chatWhole(ctx context.Context, c *app.RequestContext, cl *call) {
+func (e *Server) chatWhole(ctx context.Context, c *app.RequestContext, cl *call, req *chatRequest, kept *keeping) {
 	out := &textSink{}
 	end, kerr := e.run(ctx, cl, out)
 	if kerr != nil {
 		e.fail(c, kerr)
 		return
 	}
+	body := newCompletion(cl, out.text.String(), end)
+	recorded, first, err := e.keep(ctx, cl, kept, body)
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	if !first {
+		e.replay(ctx, c, cl, kept, req)
+		return
+	}
+	if kept.any() {
+		c.Header(recordedHeader, strconv.FormatBool(recorded))
+	}
 	event.Log(e.logger, event.RequestDone, "request", cl.id)
-	e.writeJSON(c, newCompletion(cl, out.text.String(), end))
+	e.writeJSON(c, body)
 }
 
 // streamSink passes an answer on as server-sent events. Nothing is written
@@ -185,6 +208,9 @@
 	ctx     *app.RequestContext
 	writer  *sse.Writer
 	created int64
+	// recorded tells, on the last chunk, whether the reply is kept; nil if it
+	// was not asked for.
+	recorded *bool
 }
 
 func (s *streamSink) head(*peerv1.Head) error { return nil }
@@ -205,13 +231,17 @@
 }
 
 func (s *streamSink) chunk(d chunkDelta, finish *string) error {
-	return s.write(chunk{
+	return s.write(s.newChunk(d, finish))
+}
+
+func (s *streamSink) newChunk(d chunkDelta, finish *string) chunk {
+	return chunk{
 		ID:      completionID(s.call.id),
 		Object:  objectChunk,
 		Created: s.created,
 		Model:   s.call.modelName,
 		Choices: []chunkChoice{{Delta: d, FinishReason: finish}},
-	})
+	}
 }
 
 func (s *streamSink) write(v any) error {
@@ -222,7 +252,7 @@
 	return s.writer.WriteEvent("", "", b)
 }
 
-func (e *Server) chatStream(ctx context.Context, c *app.RequestContext, cl *call, req *chatRequest) {
+func (e *Server) chatStream(ctx context.Context, c *app.RequestContext, cl *call, req *chatRequest, kept *keeping) {
 	out := &streamSink{call: cl, ctx: c}
 	end, kerr := e.run(ctx, cl, out)
 	if kerr != nil {
@@ -232,20 +262,32 @@
 	if out.writer == nil {
 		out.open()
 	}
+	recorded, first, err := e.keep(ctx, cl, kept, newCompletion(cl, string(cl.resumeText), end))
+	if err == nil && !first {
+		err = errkind.New(errkind.InProgress, "another request with this key was answered first; send it again for its answer").WithOutcome(errkind.Complete)
+	}
+	if err != nil {
+		e.failStream(c, out, errkind.From(err))
+		return
+	}
+	if kept.any() {
+		out.recorded = &recorded
+	}
 	event.Log(e.logger, event.RequestDone, "request", cl.id)
 	_ = out.finish(end, req.StreamOptions.IncludeUsage)
 }
 
 // finish writes the explicit end of a whole answer.
 func (s *streamSink) finish(end *peerv1.End, usage bool) error {
-	if err := s.chunk(chunkDelta{}, &end.FinishReason); err != nil {
+	last := s.newChunk(chunkDelta{}, &end.FinishReason)
+	last.Recorded = s.recorded
+	if err := s.write(last); err != nil {
 		return err
 	}
 	if usage {
-		last := chunk{
-			ID: completionID(s.call.id), Object: objectChunk, Created: s.created, Model: s.call.modelName,
-			Choices: []chunkChoice{}, Usage: usageOf(s.call, end),
-		}
+		last := s.newChunk(chunkDelta{}, nil)
+		last.Choices = []chunkChoice{}
+		last.Usage = usageOf(s.call, end)
 		if err := s.write(last); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/entry/claims.go
@@ -0,0 +1,236 @@
+package entry
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/google/uuid"
+
+	"github.com/catkinrudder/catkinrudder/claim"
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/journal"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/routing"
+)
+
+const (
+	// settleTime is how long after a call's deadline its claim may still be
+	// settled and its answer recorded.
+	settleTime       = 5 * time.Second
+	vetoTimeout      = time.Second
+	defaultRetention = 30 * 24 * time.Hour
+)
+
+// claims runs keyed calls that may not be repeated, at most once each.
+type claims struct {
+	entry   *Server
+	fold    *claim.Fold
+	stream  *journal.Stream
+	claimer *claim.Claimer
+}
+
+func (e *Server) newClaims() *claims {
+	fold := claim.NewFold()
+	stream := e.stream(claim.StreamName, fold)
+	return &claims{
+		entry:   e,
+		fold:    fold,
+		stream:  stream,
+		claimer: claim.NewClaimer(stream, fold, vetoer{e}),
+	}
+}
+
+// run carries one keyed call to its recorded answer. recorded is false if the
+// answer is not in the log and the service allows that.
+func (k *claims) run(ctx context.Context, c *call, svc *desired.Service, key string) (rec claim.Recorded, recorded bool, err error) {
+	hash := requestHash(c)
+	var exclude []string
+	for try := 1; try <= maxTries; try++ {
+		d, ok := k.entry.fleet.pick(c.request(exclude))
+		if !ok {
+			d = routing.Decision{} // the key may be settled already
+		}
+		c.attemptID = uuid.NewString()
+		st, err := k.acquire(ctx, c, svc, key, hash, d.Backend)
+		if err != nil {
+			return claim.Recorded{}, false, err
+		}
+		if st.Result != claim.Won {
+			return k.settled(ctx, c, st)
+		}
+		event.Log(k.entry.logger, event.RequestRouted, "request", c.id, "service", c.service, "backend", d.Backend.Instance, "reason", d.Reason, "try", try, "claim", st.Row.Claimed.Next)
+		rec, recorded, again, err := k.dispatch(ctx, c, svc, st.Row, d.Backend)
+		if !again {
+			return rec, recorded, err
+		}
+		exclude = append(exclude, d.Backend.Instance)
+	}
+	return claim.Recorded{}, false, errkind.New(errkind.NoBackend, "no backend server of %q took the call", c.service)
+}
+
+// acquire claims the key for one attempt at one sidecar incarnation.
+func (k *claims) acquire(ctx context.Context, c *call, svc *desired.Service, key, hash string, b routing.Backend) (claim.State, error) {
+	if row, ok := k.claimer.Lookup(c.workspace, key); b.Instance == "" && (!ok || row.Phase.Open()) {
+		return claim.State{}, errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service)
+	}
+	st, err := k.claimer.Acquire(ctx, claim.Claim{
+		Workspace:   c.workspace,
+		Key:         key,
+		RequestHash: hash,
+		Attempt:     c.attemptID,
+		Instance:    b.Instance,
+		Incarnation: b.Incarnation,
+		Service:     c.service,
+		At:          time.Now().Unix(),
+		Keep:        int64(retentionOf(svc).Seconds()),
+	})
+	if err != nil {
+		return st, errkind.Wrap(err, errkind.LogUnavailable, "the call could not be claimed in the log and was not sent")
+	}
+	return st, nil
+}
+
+// settled answers a call whose key another attempt holds or has ended.
+func (k *claims) settled(ctx context.Context, c *call, st claim.State) (claim.Recorded, bool, error) {
+	row := st.Row
+	switch st.Result {
+	case claim.KeyReused:
+		return claim.Recorded{}, false, errkind.New(errkind.KeyReused, "the idempotency key was used for another request").WithParam(idempotencyKeyHeader)
+	case claim.HeldByOther:
+		var err error
+		if row, err = k.await(ctx, c, row); err != nil {
+			return claim.Recorded{}, false, err
+		}
+	}
+	switch row.Phase {
+	case claim.Complete:
+		return k.recorded(ctx, row)
+	case claim.Unknown:
+		return claim.Recorded{}, false, unknownOutcome(nil)
+	}
+	return claim.Recorded{}, false, errkind.New(errkind.InProgress, "the call was given back; send it again").WithOutcome(errkind.NotRun)
+}
+
+func (k *claims) recorded(ctx context.Context, row claim.Row) (claim.Recorded, bool, error) {
+	rec, err := k.claimer.Recorded(ctx, row)
+	if err != nil {
+		return rec, false, errkind.Wrap(err, errkind.LogUnavailable, "the recorded answer can't be read now").WithOutcome(errkind.Complete)
+	}
+	return rec, true, nil
+}
+
+// await waits for the attempt that holds the key. It cannot outlast its
+// service's deadline, which began before this call's; after that the claim is
+// settled by veto or as unknown.
+func (k *claims) await(ctx context.Context, c *call, row claim.Row) (claim.Row, error) {
+	key := row.Claim.Key
+	row, err := k.claimer.Wait(ctx, c.workspace, key)
+	if err == nil {
+		return row, nil
+	}
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	row, err = k.claimer.Resolve(sctx, c.workspace, key)
+	if err != nil {
+		return row, errkind.Wrap(err, errkind.InProgress, "another request holds the key and its outcome is not settled")
+	}
+	return row, nil
+}
+
+// dispatch sends a claimed call to the sidecar that the claim names. again
+// says that it was proved not to have run and that its claim is released.
+func (k *claims) dispatch(ctx context.Context, c *call, svc *desired.Service, row claim.Row, b routing.Backend) (rec claim.Recorded, recorded, again bool, err error) {
+	c.claimOffset = uint64(row.Claimed.Next)
+	out := &plainSink{limit: k.entry.settings.Limits.MaxBodyBytes}
+	res := k.entry.attempt(ctx, c, b, out)
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	switch res.ending {
+	case whole:
+		rec, recorded, err = k.complete(sctx, svc, row, out.recorded())
+		return rec, recorded, false, err
+	case notStarted:
+		_, released, relErr := k.claimer.Release(sctx, row, claim.ProofRefused)
+		if relErr != nil || !released {
+			return rec, false, false, res.err
+		}
+		return rec, false, true, nil
+	}
+	row, resErr := k.claimer.Resolve(sctx, c.workspace, row.Claim.Key)
+	switch {
+	case resErr != nil:
+		return rec, false, false, unknownOutcome(res.err)
+	case row.Phase == claim.Released:
+		return rec, false, true, nil
+	case row.Phase == claim.Complete:
+		rec, recorded, err = k.recorded(sctx, row)
+		return rec, recorded, false, err
+	}
+	return rec, false, false, unknownOutcome(res.err)
+}
+
+// complete records a whole answer before it is given.
+func (k *claims) complete(ctx context.Context, svc *desired.Service, row claim.Row, rec claim.Recorded) (claim.Recorded, bool, error) {
+	ended, err := k.claimer.Complete(ctx, row, rec)
+	if err == nil && ended.Phase == claim.Complete {
+		return rec, true, nil
+	}
+	if svc.LogDown == desired.AnswerUnrecorded {
+		return rec, false, nil
+	}
+	return claim.Recorded{}, false, unknownOutcome(err)
+}
+
+func unknownOutcome(cause error) *errkind.Error {
+	return errkind.Wrap(cause, errkind.OutcomeUnknown, "nobody knows whether the call was run; it is never sent again")
+}
+
+// requestHash tells requests under one key apart.
+func requestHash(c *call) string {
+	h := sha256.New()
+	for _, part := range []string{c.service, c.method, c.path} {
+		_, _ = h.Write([]byte(part))
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(c.body)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+func retentionOf(svc *desired.Service) time.Duration {
+	if svc.ResultRetention > 0 {
+		return svc.ResultRetention.Std()
+	}
+	return defaultRetention
+}
+
+// vetoer asks sidecars through the fleet table.
+type vetoer struct{ e *Server }
+
+// Veto implements claim.Vetoer.
+func (v vetoer) Veto(ctx context.Context, instance, incarnation, attempt string) claim.VetoVerdict {
+	addr, ok := v.e.fleet.sidecarAddr(instance)
+	if !ok {
+		return claim.VetoUnreachable
+	}
+	ctx, cancel := context.WithTimeout(ctx, vetoTimeout)
+	defer cancel()
+	req := &peerv1.VetoRequest{AttemptId: attempt, Incarnation: incarnation}
+	resp, err := v.e.clients.Control(addr).Veto(ctx, connect.NewRequest(req))
+	if err != nil {
+		return claim.VetoUnreachable
+	}
+	switch resp.Msg.Verdict {
+	case peerv1.VetoResponse_VERDICT_NEVER_STARTED:
+		return claim.VetoNeverStarted
+	case peerv1.VetoResponse_VERDICT_STARTED:
+		return claim.VetoStarted
+	case peerv1.VetoResponse_VERDICT_OTHER_INCARNATION:
+		return claim.VetoOtherIncarnation
+	}
+	return claim.VetoUnreachable
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -47,6 +47,8 @@
 	Model   string        `json:"model"`
 	Choices []chunkChoice `json:"choices"`
 	Usage   *usage        `json:"usage,omitempty"`
+	// Recorded tells whether the reply is kept, on the last chunk with text.
+	Recorded *bool `json:"catkinrudder_recorded,omitempty"`
 }
 
 type chunkChoice struct {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -4,12 +4,14 @@
 	"bytes"
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/claim"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
@@ -104,6 +106,16 @@
 		e.fail(c, err)
 		return
 	}
+	svc, _ := doc.Service(cl.service)
+	key := string(c.GetHeader(idempotencyKeyHeader))
+	if key != "" && cl.nonIdempotent {
+		e.plainClaimed(ctx, c, cl, svc, key)
+		return
+	}
+	if cl.nonIdempotent {
+		// A caller that goes away does not stop what may not be repeated.
+		ctx = context.WithoutCancel(ctx)
+	}
 	out := &plainSink{limit: e.settings.Limits.MaxBodyBytes}
 	if _, kerr := e.run(ctx, cl, out); kerr != nil {
 		e.fail(c, kerr)
@@ -113,6 +125,38 @@
 	out.write(c)
 }
 
+// plainClaimed answers a keyed call that may not be repeated.
+func (e *Server) plainClaimed(ctx context.Context, c *app.RequestContext, cl *call, svc *desired.Service, key string) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), cl.deadline)
+	defer cancel()
+	rec, recorded, err := e.claims.run(ctx, cl, svc, key)
+	if err != nil {
+		e.fail(c, err)
+		return
+	}
+	event.Log(e.logger, event.RequestDone, "request", cl.id, "key", key)
+	c.Header(recordedHeader, strconv.FormatBool(recorded))
+	newPlainAnswer(rec).write(c)
+}
+
+func newPlainAnswer(r claim.Recorded) *plainSink {
+	p := &plainSink{status: r.Status}
+	for _, h := range r.Headers {
+		p.headers = append(p.headers, &peerv1.Header{Name: h.Name, Value: h.Value})
+	}
+	p.body.Write(r.Body)
+	return p
+}
+
+// recorded is the answer in the form that is kept.
+func (p *plainSink) recorded() claim.Recorded {
+	r := claim.Recorded{Status: p.status, Body: p.body.Bytes()}
+	for _, h := range p.headers {
+		r.Headers = append(r.Headers, claim.Header{Name: h.Name, Value: h.Value})
+	}
+	return r
+}
+
 func (p *plainSink) write(c *app.RequestContext) {
 	for _, h := range p.headers {
 		if !hopHeaders[http.CanonicalHeaderKey(h.Name)] {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -17,6 +17,7 @@
 	h.NoMethod(e.noMethod)
 	ops.Health(h, e.ready)
 	h.POST(chatPath, e.chat)
+	h.GET(chatPath+"/:id", e.storedReply)
 	h.GET("/v1/models", e.models)
 	e.batchRoutes(h)
 	h.Any("/services/:service/*path", e.plain)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -56,6 +56,7 @@
 	configLog   *journal.Stream
 	retries     *rate.Limiter
 	batches     *batches
+	claims      *claims
 
 	inProgress atomic.Int64
 	draining   atomic.Bool
@@ -79,6 +80,7 @@
 	e.configLog = e.stream(desired.Stream, e.config)
 	e.fleet = newFleet(s, e.clients, e.logger, e.config)
 	e.batches = e.newBatches()
+	e.claims = e.newClaims()
 	return e
 }
 
@@ -93,6 +95,7 @@
 	}
 	g.Go(func() error { e.followConfig(run); return nil })
 	g.Go(func() error { e.fleet.run(run); return nil })
+	g.Go(func() error { e.claims.stream.Run(run); return nil })
 	for _, s := range e.batches.streams {
 		g.Go(func() error { s.Run(run); return nil })
 	}
