--- /dev/null
+++ b/journal/faults_test.go
@@ -0,0 +1,210 @@
+package journal_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+)
+
+// switchLog is a log service that one reader can be cut off from, or that
+// pretends to have lost its tail.
+type switchLog struct {
+	*journaltest.MemLog
+	mu     sync.Mutex
+	off    bool
+	shrunk bool
+	reads  int
+}
+
+func (l *switchLog) cut(off bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.off = off
+}
+
+func (l *switchLog) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+	l.mu.Lock()
+	l.reads++
+	off, shrunk := l.off, l.shrunk
+	l.mu.Unlock()
+	if off {
+		return journal.Page{}, journaltest.ErrDown
+	}
+	if shrunk {
+		return journal.Page{}, nil
+	}
+	page, err := l.MemLog.Read(ctx, stream, from, limit, wait)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.off {
+		return journal.Page{}, journaltest.ErrDown
+	}
+	return page, err
+}
+
+func TestLogThatLostItsTailIsDown(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		l := &switchLog{MemLog: b.log}
+		s := journal.NewStream(l, streamName, journal.Options{Writer: "w", Fold: &listFold{}})
+		go s.Run(b.ctx)
+		b.commitAll(s, "1")
+		time.Sleep(10 * time.Second)
+		l.mu.Lock()
+		l.shrunk, l.reads = true, 0
+		l.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Assert(b, s.Down())
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		assert.Assert(b, l.reads < 100, "%d reads in a minute", l.reads)
+	})
+}
+
+// naiveFold reads a whole log and keeps the first record of each sequence
+// number that is above all before it of its writer.
+func naiveFold(t assert.TestingT, l journal.Log) []string {
+	page, err := l.Read(context.Background(), streamName, 0, 1<<20, 0)
+	assert.NilError(t, err)
+	last := map[string]uint64{}
+	var out []string
+	for _, r := range page.Records {
+		var env struct {
+			Writer  string          `cbor:"2,keyasint"`
+			Seq     uint64          `cbor:"3,keyasint"`
+			Entries []journal.Entry `cbor:"4,keyasint"`
+		}
+		assert.NilError(t, cbor.Unmarshal(r.Payload, &env))
+		if env.Seq <= last[env.Writer] {
+			continue
+		}
+		last[env.Writer] = env.Seq
+		for _, e := range env.Entries {
+			var s string
+			assert.NilError(t, e.Decode(&s))
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// runFaults has two writers commit through a log whose appends fail as given
+// and returns what each commit was told, by body.
+func runFaults(b *bubble, faults []journaltest.Fault, patience []time.Duration) (map[string]error, [2][]string) {
+	n := 0
+	b.log.OnAppend(func(string, []byte) journaltest.Fault {
+		n++
+		if n%5 == 0 {
+			go b.log.Flush()
+		}
+		return faults[(n-1)%len(faults)]
+	})
+	var mu sync.Mutex
+	told := map[string]error{}
+	var wg sync.WaitGroup
+	streams, folds := [2]*journal.Stream{}, [2]*listFold{}
+	for w := range streams {
+		streams[w], folds[w] = b.start(journal.Options{Writer: fmt.Sprint("w", w)})
+		for i, p := range patience {
+			body := fmt.Sprintf("%d-%d", w, i)
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 7 * time.Millisecond)
+				ctx, cancel := context.WithTimeout(b.ctx, p)
+				defer cancel()
+				_, err := streams[w].Commit(ctx, entry(b, body))
+				mu.Lock()
+				defer mu.Unlock()
+				told[body] = err
+			})
+		}
+	}
+	wg.Wait()
+	b.log.OnAppend(nil)
+	b.log.Flush()
+	time.Sleep(time.Minute)
+	for _, s := range streams {
+		assert.NilError(b, s.CaughtUp(b.ctx))
+	}
+	return told, [2][]string{folds[0].list(), folds[1].list()}
+}
+
+func TestFoldUnderFaultsAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom([]journaltest.Fault{
+			journaltest.None, journaltest.None, journaltest.Drop, journaltest.LoseAnswer, journaltest.ApplyLate,
+		}), 1, 20).Draw(rt, "faults")
+		patience := rapid.SliceOfN(rapid.SampledFrom([]time.Duration{
+			5 * time.Millisecond, 30 * time.Millisecond, time.Second, time.Hour,
+		}), 1, 12).Draw(rt, "patience")
+		if !slices.ContainsFunc(faults, func(f journaltest.Fault) bool { return f == journaltest.None || f == journaltest.LoseAnswer }) {
+			faults = append(faults, journaltest.LoseAnswer)
+		}
+		var told map[string]error
+		var folds [2][]string
+		var want []string
+		inBubble(t, func(b *bubble) {
+			told, folds = runFaults(b, faults, patience)
+			want = naiveFold(b, b.log)
+		})
+		checkFaults(rt, told, folds, want)
+	})
+}
+
+// checkFaults checks that both folds equal the naive one and that every commit
+// was told the truth.
+func checkFaults(rt *rapid.T, told map[string]error, folds [2][]string, want []string) {
+	for _, got := range folds {
+		if !slices.Equal(got, want) {
+			rt.Fatalf("fold %v, naive %v", got, want)
+		}
+	}
+	count := map[string]int{}
+	for _, body := range want {
+		count[body]++
+	}
+	for body, err := range told {
+		n := count[body]
+		switch {
+		case err == nil && n != 1, errors.Is(err, journal.ErrNotAppended) && n != 0, n > 1:
+			rt.Fatalf("commit %s was told %v and folded %d times", body, err, n)
+		case err != nil && !errors.Is(err, journal.ErrNotAppended) && !errors.Is(err, journal.ErrUnconfirmed):
+			rt.Fatalf("commit %s: %v", body, err)
+		}
+	}
+}
+
+func TestRenewerRestatesWhatIsOld(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		const retention = time.Hour
+		s, f := b.start(journal.Options{})
+		b.commitAll(s, "old")
+		src := &restating{b: b, s: s}
+		go journal.NewRenewer(s, src, retention, 1).Run(b.ctx)
+		time.Sleep(10 * time.Hour)
+		n := len(f.list()) - 1
+		assert.Assert(b, n >= 10 && n <= 21, "%d renewals in ten retentions", n)
+	})
+}
+
+// restating restates the newest record once it is due.
+type restating struct {
+	b *bubble
+	s *journal.Stream
+}
+
+func (r *restating) Renewals(_ context.Context, before journal.Offset, _ int) ([]journal.Entry, error) {
+	if r.s.Folded() > before {
+		return nil, nil
+	}
+	return []journal.Entry{entry(r.b, "again")}, nil
+}
--- /dev/null
+++ b/journal/stream_test.go
@@ -0,0 +1,300 @@
+package journal_test
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+)
+
+// TestMain fixes rapid's seed, so that the verdict is the same each time.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261203")
+	}
+	os.Exit(m.Run())
+}
+
+const streamName = "s"
+
+// listFold keeps the bodies it was given, in order.
+type listFold struct {
+	mu     sync.Mutex
+	bodies []string
+	resets []journal.Offset
+}
+
+func (f *listFold) Apply(_ journal.Position, e journal.Entry) error {
+	var s string
+	if err := e.Decode(&s); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.bodies = append(f.bodies, s)
+	return nil
+}
+
+func (f *listFold) Reset(first journal.Offset) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resets = append(f.resets, first)
+}
+
+// list returns the bodies folded so far.
+func (f *listFold) list() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.bodies)
+}
+
+func (f *listFold) resetsSeen() []journal.Offset {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.resets)
+}
+
+func entry(t assert.TestingT, s string) journal.Entry {
+	e, err := journal.NewEntry(1, s)
+	assert.NilError(t, err)
+	return e
+}
+
+type bubble struct {
+	*testing.T
+	ctx context.Context
+	log *journaltest.MemLog
+}
+
+func inBubble(t *testing.T, f func(b *bubble)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f(&bubble{t, ctx, journaltest.NewMemLog()})
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func (b *bubble) start(opts journal.Options) (*journal.Stream, *listFold) {
+	f := &listFold{}
+	opts.Fold = f
+	if opts.Writer == "" {
+		opts.Writer = "w"
+	}
+	s := journal.NewStream(b.log, streamName, opts)
+	go s.Run(b.ctx)
+	return s, f
+}
+
+func (b *bubble) end() journal.Offset {
+	page, err := b.log.Read(b.ctx, streamName, 0, 1, 0)
+	assert.NilError(b, err)
+	return page.Next
+}
+
+func (b *bubble) commitAll(s *journal.Stream, bodies ...string) {
+	for _, body := range bodies {
+		_, err := s.Commit(b.ctx, entry(b, body))
+		assert.NilError(b, err)
+	}
+}
+
+func TestCommitWithdrawnBeforeSendingIsNeverAppended(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, f := b.start(journal.Options{Interval: time.Second})
+		ctx, cancel := context.WithTimeout(b.ctx, time.Second/2)
+		defer cancel()
+		_, err := s.Commit(ctx, entry(b, "withdrawn"))
+		assert.ErrorIs(b, err, journal.ErrNotAppended)
+		time.Sleep(time.Minute)
+		b.commitAll(s, "kept")
+		assert.DeepEqual(b, f.list(), []string{"kept"})
+	})
+}
+
+func TestCommitInDoubtIsUnconfirmedAndFoldedOnce(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, f := b.start(journal.Options{})
+		b.log.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.ApplyLate })
+		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
+		defer cancel()
+		_, err := s.Commit(ctx, entry(b, "late"))
+		assert.ErrorIs(b, err, journal.ErrUnconfirmed)
+		b.log.OnAppend(nil)
+		b.commitAll(s, "next")
+		b.log.Flush()
+		assert.NilError(b, s.CaughtUp(b.ctx))
+		assert.DeepEqual(b, f.list(), []string{"late", "next"})
+	})
+}
+
+func TestFullBufferRefusesAndFreesItself(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, f := b.start(journal.Options{MaxPending: 3, MaxPendingBytes: 1000})
+		b.log.SetDown(true)
+		big := entry(b, strings.Repeat("x", 600))
+		assert.NilError(b, s.Submit(big))
+		assert.ErrorIs(b, s.Submit(big), journal.ErrFull)
+		assert.NilError(b, s.Submit(entry(b, "2")))
+		assert.NilError(b, s.Submit(entry(b, "3")))
+		assert.ErrorIs(b, s.Submit(entry(b, "4")), journal.ErrFull)
+		b.log.SetDown(false)
+		time.Sleep(time.Minute)
+		assert.Equal(b, len(f.list()), 3)
+		b.commitAll(s, "5")
+	})
+}
+
+func TestTooLargeCommitIsRefusedAndBlocksNothing(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, f := b.start(journal.Options{MaxCommitBytes: 100})
+		_, err := s.Commit(b.ctx, entry(b, strings.Repeat("x", 101)))
+		assert.ErrorIs(b, err, journal.ErrTooLarge)
+		_, err = s.Commit(b.ctx, make([]journal.Entry, 1<<17)...)
+		assert.ErrorIs(b, err, journal.ErrTooLarge)
+		b.commitAll(s, "small")
+		assert.DeepEqual(b, f.list(), []string{"small"})
+	})
+}
+
+func TestAppendsKeepTheIntervalUnderLoad(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, _ := b.start(journal.Options{Interval: 10 * time.Millisecond})
+		for i := range 1000 {
+			assert.NilError(b, s.Submit(entry(b, "x")))
+			if i%10 == 9 {
+				time.Sleep(time.Millisecond)
+			}
+		}
+		time.Sleep(time.Second)
+		assert.Assert(b, b.end() <= 12, "%d appends in 0.1 s", b.end())
+	})
+}
+
+func TestBudgetIsSpentOnlyForRecords(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		budget := journal.NewBudget(1)
+		s, _ := b.start(journal.Options{Budget: budget})
+		begin := time.Now()
+		b.commitAll(s, "1", "2", "3")
+		assert.Assert(b, time.Since(begin) < 2200*time.Millisecond, "%v", time.Since(begin))
+		assert.Equal(b, b.end(), journal.Offset(3))
+	})
+}
+
+func TestNoBurstWhenTheLogReturns(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		s, f := b.start(journal.Options{Budget: journal.NewBudget(10)})
+		b.log.SetDown(true)
+		for range 2000 {
+			assert.NilError(b, s.Submit(entry(b, strings.Repeat("x", 1<<10))))
+		}
+		time.Sleep(10 * time.Minute)
+		b.log.SetDown(false)
+		time.Sleep(10 * time.Second)
+		assert.Assert(b, b.end() <= 101, "%d appends in 10 s", b.end())
+		assert.Equal(b, len(f.list()), 2000)
+	})
+}
+
+// hangingLog takes effect but answers only when its caller gives up.
+type hangingLog struct{ *journaltest.MemLog }
+
+func (l hangingLog) Append(ctx context.Context, stream string, p []byte) (journal.Offset, error) {
+	_, _ = l.MemLog.Append(ctx, stream, p)
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func TestFoldedRecordDoesNotWaitForItsAnswer(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		f := &listFold{}
+		s := journal.NewStream(hangingLog{b.log}, streamName, journal.Options{Writer: "w", Fold: f})
+		go s.Run(b.ctx)
+		begin := time.Now()
+		b.commitAll(s, "1", "2", "3")
+		assert.Assert(b, time.Since(begin) < time.Second, "%v", time.Since(begin))
+		assert.Equal(b, b.end(), journal.Offset(3))
+		assert.DeepEqual(b, f.list(), []string{"1", "2", "3"})
+	})
+}
+
+func TestGapBehindRetentionResetsTheFold(t *testing.T) {
+	for _, before := range []int{0, 2} {
+		inBubble(t, func(b *bubble) {
+			var out bytes.Buffer
+			f := &listFold{}
+			slow := &switchLog{MemLog: b.log}
+			s := journal.NewStream(slow, streamName, journal.Options{Writer: "slow", Fold: f, Logger: log.New(&out)})
+			go s.Run(b.ctx)
+			w, _ := b.start(journal.Options{})
+			for range before {
+				b.commitAll(w, "before")
+			}
+			time.Sleep(3 * time.Second)
+			slow.cut(true)
+			b.commitAll(w, "1", "2", "3", "4")
+			b.log.Expire(streamName, journal.Offset(before+2))
+			slow.cut(false)
+			time.Sleep(10 * time.Second)
+			assert.DeepEqual(b, f.resetsSeen(), []journal.Offset{journal.Offset(before + 2)})
+			assert.DeepEqual(b, f.list()[before:], []string{"3", "4"})
+			assert.Assert(b, strings.Contains(out.String(), "retention_gap"))
+		})
+	}
+}
+
+func TestUnreadableRecordsAreReportedAndSkipped(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		var out bytes.Buffer
+		s, f := b.start(journal.Options{Logger: log.New(&out)})
+		b.commitAll(s, "1")
+		for _, payload := range [][]byte{nil, {0xff}, {0xa1, 0x01}, {0xa2, 0x01, 0x02, 0x02, 0x61, 0x77}} {
+			_, err := b.log.Append(b.ctx, streamName, payload)
+			assert.NilError(b, err)
+		}
+		_, err := s.Commit(b.ctx, journal.Entry{Kind: 1, Body: []byte{0xff}}, entry(b, "2"))
+		assert.NilError(b, err)
+		assert.DeepEqual(b, f.list(), []string{"1", "2"})
+		assert.Equal(b, strings.Count(out.String(), "record_skipped"), 5)
+		assert.Assert(b, strings.Contains(out.String(), "offset=4"))
+	})
+}
+
+func TestStoppedStreamAnswersEveryCommit(t *testing.T) {
+	inBubble(t, func(b *bubble) {
+		ctx, cancel := context.WithCancel(b.ctx)
+		s := journal.NewStream(b.log, streamName, journal.Options{Writer: "w", Fold: &listFold{}})
+		done := make(chan struct{})
+		go func() { s.Run(ctx); close(done) }()
+		b.log.SetDown(true)
+		errs := make(chan error, 2)
+		commit := func() { _, err := s.Commit(b.ctx, entry(b, "x")); errs <- err }
+		go commit()
+		time.Sleep(time.Second)
+		go commit()
+		synctest.Wait()
+		cancel()
+		<-done
+		got := []string{(<-errs).Error(), (<-errs).Error()}
+		b.log.SetDown(false)
+		assert.Assert(b, got[0] != got[1], "%v", got)
+		_, err := s.Commit(b.ctx, entry(b, "x"))
+		assert.ErrorIs(b, err, journal.ErrStopped)
+		assert.NilError(b, s.CaughtUp(b.ctx))
+	})
+}
