--- /dev/null
+++ b/batch/table.go
@@ -0,0 +1,251 @@
+package batch
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// ErrRefused says that an entry contradicts what was folded before it and has
+// no effect.
+var ErrRefused = errors.New("batch: refused")
+
+// Table is the fold of one shard's stream. Its mutex guards every field; Apply
+// is called by one goroutine, the queries by any.
+type Table struct {
+	mu    sync.RWMutex
+	life  *lifecycle
+	files map[string]*fileRow
+	jobs  map[string]*jobRow
+	// open holds the jobs that are not terminal.
+	open map[string]*jobRow
+	keys map[keyID]keyRow
+	// fileOrder and jobOrder list the ids of each workspace as accepted.
+	fileOrder map[string][]string
+	jobOrder  map[string][]string
+	// next is the offset after the newest entry applied.
+	next journal.Offset
+	// floor is the offset below which deletions may have gone unseen: the
+	// first one applied, or the end of a gap.
+	floor   journal.Offset
+	applied bool
+	deleted map[string]tombstone
+	// orphans are facts about jobs whose own record is older than floor and
+	// whose renewal has not been applied yet.
+	orphans map[string][]orphan
+}
+
+// keyID names an idempotency key of a workspace for one type of object.
+type keyID struct {
+	workspace, key string
+	job            bool
+}
+
+type keyRow struct{ id, hash string }
+
+// content is the manifest of a file's content, shared by the file and the
+// jobs that read it.
+type content struct{ manifest blob.Manifest }
+
+// version says which of two renewals of a row is newer, and how old it is.
+type version struct {
+	// accepted is where the row's own record stood.
+	accepted journal.Position
+	// base is the offset up to which the writer of the row's newest record
+	// had folded.
+	base journal.Offset
+	// since is when that record was written, in Unix seconds.
+	since int64
+}
+
+type fileRow struct {
+	file    File // without its manifest
+	content *content
+	version
+}
+
+type jobRow struct {
+	version
+	job     Job
+	input   *content
+	status  Status
+	service string
+	total   uint32
+	blocks  []int64
+	errors  []LineError
+
+	doneBits      bitmap
+	ok, failed    uint32
+	segments      []segmentRow
+	startedAt     int64
+	failedAt      int64
+	cancelledAt   int64
+	endedAt       int64
+	ended         bool
+	expired       bool
+	expires       int64
+	output, errID string
+}
+
+// segmentRow stands for one result segment. Won marks the items of the segment
+// whose first completion it holds; nil if it holds all of them.
+type segmentRow struct {
+	offset      journal.Offset
+	index       uint32
+	first, last uint32
+	won         []byte
+	version
+}
+
+func (r *jobRow) done() uint32 { return r.ok + r.failed }
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		life:      newLifecycle(),
+		files:     make(map[string]*fileRow),
+		jobs:      make(map[string]*jobRow),
+		open:      make(map[string]*jobRow),
+		keys:      make(map[keyID]keyRow),
+		fileOrder: make(map[string][]string),
+		jobOrder:  make(map[string][]string),
+		deleted:   make(map[string]tombstone),
+		orphans:   make(map[string][]orphan),
+	}
+}
+
+// Apply implements journal.Fold.
+func (t *Table) Apply(pos journal.Position, e journal.Entry) error {
+	switch e.Kind {
+	case blob.KindChunk:
+		t.see(pos)
+		return nil
+	case KindFile:
+		return applyAs(t, pos, e, t.applyFile)
+	case KindDeleteFile:
+		return applyAs(t, pos, e, t.applyDeleteFile)
+	case KindJob:
+		return applyAs(t, pos, e, t.applyJob)
+	case KindStarted:
+		return applyAs(t, pos, e, t.applyStarted)
+	case KindFailed:
+		return applyAs(t, pos, e, t.applyFailed)
+	case KindSegment:
+		return applyAs(t, pos, e, t.applySegment)
+	case KindCancel:
+		return applyAs(t, pos, e, t.applyCancel)
+	case KindFinished:
+		return applyAs(t, pos, e, t.applyFinished)
+	case KindRenewFile:
+		return applyAs(t, pos, e, t.applyRenewFile)
+	case KindRenewJob:
+		return applyAs(t, pos, e, t.applyRenewJob)
+	case KindRenewSegment:
+		return applyAs(t, pos, e, t.applyRenewSegment)
+	}
+	return errors.Wrapf(ErrRefused, "unknown entry kind %d", e.Kind)
+}
+
+// applyAs decodes an entry without the lock and applies it under the lock.
+func applyAs[R any](t *Table, pos journal.Position, e journal.Entry, apply func(journal.Position, R) error) error {
+	var r R
+	t.see(pos)
+	if err := e.Decode(&r); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return apply(pos, r)
+}
+
+// see notes how far the stream has been folded.
+func (t *Table) see(pos journal.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.applied {
+		t.applied, t.floor = true, pos.Offset
+	}
+	t.next = pos.Offset + 1
+}
+
+func (t *Table) applyFile(pos journal.Position, f File) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	if _, ok := t.files[f.ID]; ok {
+		return errors.Wrapf(ErrRefused, "file %s exists", f.ID)
+	}
+	if err := t.claimKey(keyID{f.Workspace, f.Key, false}, f.ID, f.KeyHash); err != nil {
+		return err
+	}
+	t.addFile(pos, f)
+	return nil
+}
+
+// addFile adds a file whose id is free; the caller holds mu.
+func (t *Table) addFile(pos journal.Position, f File) {
+	t.putFile(f, version{accepted: pos, base: pos.Offset, since: f.Created})
+}
+
+func (t *Table) putFile(f File, v version) {
+	row := &fileRow{file: f, content: &content{manifest: f.Content}, version: v}
+	row.file.Content = nil
+	t.files[f.ID] = row
+	order := t.fileOrder[f.Workspace]
+	t.fileOrder[f.Workspace] = insert(order, f.ID, func(id string) bool { return before(v.accepted, t.files[id].accepted) })
+}
+
+// insert adds id before the trailing elements that are after it.
+func insert(order []string, id string, after func(string) bool) []string {
+	i := len(order)
+	for i > 0 && after(order[i-1]) {
+		i--
+	}
+	return slices.Insert(order, i, id)
+}
+
+func before(a, b journal.Position) bool {
+	return a.Offset < b.Offset || (a.Offset == b.Offset && a.Index < b.Index)
+}
+
+// claimKey binds an idempotency key to an object; a key that is bound already
+// refuses the second object.
+func (t *Table) claimKey(k keyID, id, hash string) error {
+	if k.key == "" {
+		return nil
+	}
+	if row, ok := t.keys[k]; ok {
+		return errors.Wrapf(ErrRefused, "key belongs to %s", row.id)
+	}
+	t.keys[k] = keyRow{id: id, hash: hash}
+	return nil
+}
+
+func (t *Table) applyDeleteFile(pos journal.Position, d DeleteFile) error {
+	row, ok := t.files[d.ID]
+	if !ok && t.floor > 0 {
+		t.deleted[d.ID] = tombstone{workspace: d.Workspace, at: pos.Offset, since: d.At}
+		return nil
+	}
+	if !ok || row.file.Workspace != d.Workspace {
+		return errors.Wrapf(ErrRefused, "no file %s", d.ID)
+	}
+	t.deleted[d.ID] = tombstone{workspace: d.Workspace, at: pos.Offset, since: d.At}
+	delete(t.files, d.ID)
+	delete(t.keys, keyID{d.Workspace, row.file.Key, false})
+	t.fileOrder[d.Workspace] = without(t.fileOrder[d.Workspace], d.ID)
+	return nil
+}
+
+func without(ids []string, id string) []string {
+	for i, x := range ids {
+		if x == id {
+			return append(ids[:i:i], ids[i+1:]...)
+		}
+	}
+	return ids
+}
