catkinrudderctl: desired state, status, batch, chat and load commands

The desired-state commands use the log service itself; the others an entry. Failed answers keep their kind and outcome and map to documented exit codes, so that scripts tell a conflict, an outage and an unknown outcome apart. Load is open-loop, since a closed loop hides queueing; net/http is used because single stream events are timed.

--- /dev/null
+++ b/cmd/catkinrudderctl/main.go
@@ -0,0 +1,24 @@
+// Command catkinrudderctl is the tool of operators and callers.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/catkinrudder/catkinrudder/internal/ctl"
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	tool := ctl.Tool{
+		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
+		NewLog: func(addr string) journal.Log { return platform.NewLog(addr) },
+	}
+	code := tool.Run(ctx, os.Args)
+	stop()
+	os.Exit(code)
+}
--- a/desired/parse.go
+++ b/desired/parse.go
@@ -1,7 +1,10 @@
 package desired
 
 import (
+	"bytes"
+	"fmt"
 	"os"
+	"regexp"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
@@ -45,3 +48,22 @@
 	b, err := toml.Marshal(d)
 	return b, errors.Wrap(err, "desired state: encode")
 }
+
+var baseValue = regexp.MustCompile(`^(\s*base\s*=\s*)[^\s#]+`)
+
+// WithBase returns the document with its base replaced, or set if it has none.
+// Comments and order stay as they are.
+func WithBase(raw []byte, base uint64) ([]byte, error) {
+	lines := bytes.SplitAfter(raw, []byte("\n"))
+	if at := stricttoml.Line(raw, "base"); at > 0 {
+		lines[at-1] = baseValue.ReplaceAll(lines[at-1], fmt.Appendf(nil, "${1}%d", base))
+	} else {
+		lines = append([][]byte{fmt.Appendf(nil, "base = %d\n", base)}, lines...)
+	}
+	out := bytes.Join(lines, nil)
+	d, err := Parse("document", out)
+	if err == nil && d.Base != base {
+		err = errors.New("desired: can't set the base of the document")
+	}
+	return out, err
+}
--- a/desired/parse_test.go
+++ b/desired/parse_test.go
@@ -64,6 +64,17 @@
 	assert.DeepEqual(t, again, d)
 }
 
+func TestWithBase(t *testing.T) {
+	for raw, want := range map[string]string{
+		"# [x]\n base = 3 # why\n" + validDocument: "# [x]\n base = 12 # why\n" + validDocument,
+		validDocument: "base = 12\n" + validDocument,
+	} {
+		out, err := WithBase([]byte(raw), 12)
+		assert.NilError(t, err)
+		assert.Equal(t, string(out), want)
+	}
+}
+
 func TestDiffNamesElements(t *testing.T) {
 	from, err := Parse("f", []byte(validDocument))
 	assert.NilError(t, err)
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,82 @@
+package ctl
+
+import (
+	"context"
+	"io/fs"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/load"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// Exit codes of the tool.
+const (
+	ExitOK = 0
+	// ExitFailed is every failure without a code of its own.
+	ExitFailed = 1
+	// ExitUsage is a wrong command line or a faulty file; nothing was sent.
+	ExitUsage = 2
+	// ExitConflict is a publication that lost against another one.
+	ExitConflict = 3
+	// ExitUnavailable is a log service or entry that does not answer, or a
+	// refusal that is worth a retry; nothing was run.
+	ExitUnavailable = 4
+	// ExitUnknown is an operation that may or may not have taken effect.
+	ExitUnknown = 5
+	// ExitIncomplete is a batch job that did not complete, or a load run with
+	// cut, wrong, missing or doubled answers.
+	ExitIncomplete = 6
+)
+
+const exitHelp = `Exit codes:
+  0  done
+  1  failed
+  2  wrong command line or faulty file, nothing was sent
+  3  conflict: another publication won
+  4  log service or entry unavailable, nothing was run
+  5  outcome unknown: it may or may not have taken effect
+  6  batch job incomplete, or answers cut, wrong, missing or doubled`
+
+type codedError struct {
+	error
+	code int
+}
+
+func (e codedError) Unwrap() error { return e.error }
+
+func withCode(code int, err error) error { return codedError{err, code} }
+
+func exitCode(err error) int {
+	var coded codedError
+	var faulty *stricttoml.Error
+	var api *load.APIError
+	switch {
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &faulty), errors.Is(err, fs.ErrNotExist):
+		return ExitUsage
+	case errors.Is(err, desired.ErrUnconfirmed), errors.Is(err, desired.ErrUndecided):
+		return ExitUnknown
+	case errors.As(err, &api):
+		return apiCode(api)
+	case errors.Is(err, journal.ErrNotAppended), errors.Is(err, context.DeadlineExceeded):
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
+
+func apiCode(e *load.APIError) int {
+	switch {
+	case e.Kind == errkind.Conflict, e.Kind == errkind.KeyReused:
+		return ExitConflict
+	case e.Outcome == errkind.Unknown:
+		return ExitUnknown
+	case e.RetryAfter > 0:
+		return ExitUnavailable
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/internal/ctl/operator.go
@@ -0,0 +1,183 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/catkinrudder/catkinrudder/internal/load"
+)
+
+// Process is one process of the system as an entry sees it.
+type Process struct {
+	Instance      string `json:"instance"`
+	Role          string `json:"role"`
+	Region        string `json:"region"`
+	Zone          string `json:"availability_zone"`
+	Incarnation   string `json:"incarnation"`
+	ConfigVersion uint64 `json:"config_version"`
+	Draining      bool   `json:"draining"`
+	Error         string `json:"error,omitempty"`
+}
+
+// Backend is one backend server as an entry sees it.
+type Backend struct {
+	Instance      string `json:"instance"`
+	Service       string `json:"service"`
+	Region        string `json:"region"`
+	Zone          string `json:"availability_zone"`
+	Incarnation   string `json:"incarnation"`
+	RunningOnline int    `json:"running_online"`
+	RunningBatch  int    `json:"running_batch"`
+	QueuedOnline  int    `json:"queued_online"`
+	QueuedBatch   int    `json:"queued_batch"`
+	Slots         int    `json:"slots"`
+	BatchRoom     int    `json:"batch_room"`
+	StepUS        int64  `json:"step_us"`
+	Leaving       bool   `json:"leaving"`
+	Ejected       bool   `json:"ejected"`
+}
+
+type processList struct {
+	Processes []Process `json:"processes"`
+}
+
+type backendList struct {
+	Backends []Backend `json:"backends"`
+}
+
+type jobList struct {
+	Jobs []load.Batch `json:"jobs"`
+}
+
+type drainResult struct {
+	Instance   string `json:"instance"`
+	InProgress int    `json:"in_progress"`
+}
+
+func (t Tool) operatorCommands() []*cli.Command {
+	return []*cli.Command{
+		{Name: "status", Usage: "list every process with its role, availability zone and configuration version", Action: bounded(t.status)},
+		{Name: "backends", Usage: "list the backend servers with their load", Action: bounded(t.backends)},
+		{Name: "jobs", Usage: "list the batch jobs of all workspaces", Action: bounded(t.jobs)},
+		{Name: "drain", Usage: "make an instance refuse new work and finish what runs", ArgsUsage: "INSTANCE", Action: bounded(t.drain)},
+	}
+}
+
+// ask gets an operators' page into out.
+func (t Tool) ask(ctx context.Context, c *cli.Command, method, path string, out any) error {
+	client, err := t.operator(c)
+	if err != nil {
+		return err
+	}
+	return reach(client.JSON(ctx, load.Request{Method: method, Path: path}, nil, out))
+}
+
+// reach gives an error that is no answer of an entry its exit code.
+func reach(err error) error {
+	var netErr *url.Error
+	if errors.As(err, &netErr) {
+		return withCode(ExitUnavailable, err)
+	}
+	return err
+}
+
+func (t Tool) status(ctx context.Context, c *cli.Command) error {
+	var list processList
+	if err := t.ask(ctx, c, http.MethodGet, "/operator/status", &list); err != nil {
+		return err
+	}
+	if c.Bool(flagJSON) {
+		return t.writeJSON(list)
+	}
+	return t.table("INSTANCE\tROLE\tREGION\tAVAILABILITY ZONE\tCONFIG\tSTATE", func(w *tabwriter.Writer) {
+		for _, p := range list.Processes {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%s\n", p.Instance, p.Role, p.Region, p.Zone, p.ConfigVersion, p.state())
+		}
+	})
+}
+
+func (p Process) state() string {
+	switch {
+	case p.Error != "":
+		return p.Error
+	case p.Draining:
+		return "draining"
+	}
+	return "serving"
+}
+
+func (t Tool) backends(ctx context.Context, c *cli.Command) error {
+	var list backendList
+	if err := t.ask(ctx, c, http.MethodGet, "/operator/backends", &list); err != nil {
+		return err
+	}
+	if c.Bool(flagJSON) {
+		return t.writeJSON(list)
+	}
+	return t.table("INSTANCE\tSERVICE\tAVAILABILITY ZONE\tONLINE\tBATCH\tSLOTS\tBATCH ROOM\tSTEP\tSTATE", func(w *tabwriter.Writer) {
+		for _, b := range list.Backends {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d+%d\t%d+%d\t%d\t%d\t%s\t%s\n", b.Instance, b.Service, b.Zone,
+				b.RunningOnline, b.QueuedOnline, b.RunningBatch, b.QueuedBatch, b.Slots, b.BatchRoom,
+				time.Duration(b.StepUS)*time.Microsecond, b.state())
+		}
+	})
+}
+
+func (b Backend) state() string {
+	switch {
+	case b.Leaving:
+		return "leaving"
+	case b.Ejected:
+		return "ejected"
+	}
+	return "serving"
+}
+
+func (t Tool) jobs(ctx context.Context, c *cli.Command) error {
+	var list jobList
+	if err := t.ask(ctx, c, http.MethodGet, "/operator/jobs", &list); err != nil {
+		return err
+	}
+	if c.Bool(flagJSON) {
+		return t.writeJSON(list)
+	}
+	return t.table("ID\tWORKSPACE\tSTATUS\tTOTAL\tCOMPLETED\tFAILED\tCREATED", func(w *tabwriter.Writer) {
+		for _, b := range list.Jobs {
+			n := b.RequestCounts
+			created := time.Unix(b.CreatedAt, 0).UTC().Format(time.RFC3339)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%s\n", b.ID, b.Workspace, b.Status, n.Total, n.Completed, n.Failed, created)
+		}
+	})
+}
+
+func (t Tool) drain(ctx context.Context, c *cli.Command) error {
+	instance, err := oneArg(c, "instance")
+	if err != nil {
+		return err
+	}
+	var result drainResult
+	path := "/operator/drain?instance=" + url.QueryEscape(instance)
+	if err := t.ask(ctx, c, http.MethodPost, path, &result); err != nil {
+		return err
+	}
+	if c.Bool(flagJSON) {
+		return t.writeJSON(result)
+	}
+	t.printf("%s drains, %d in progress\n", instance, result.InProgress)
+	return nil
+}
+
+// table writes aligned columns under a header.
+func (t Tool) table(header string, rows func(w *tabwriter.Writer)) error {
+	w := tabwriter.NewWriter(t.Stdout, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, header)
+	rows(w)
+	return errors.Wrap(w.Flush(), "write table")
+}
--- /dev/null
+++ b/internal/load/client.go
@@ -0,0 +1,142 @@
+// Package load generates open-loop load against the entries: requests start at
+// their planned times however slow the answers are, and latency counts from the
+// planned start. It uses net/http, since hertz's client can't be cancelled while
+// it waits for a response header and times of single stream events are needed.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+)
+
+const (
+	maxErrorBody    = 64 << 10
+	maxIdlePerHost  = 1024
+	idleConnTimeout = 90 * time.Second
+)
+
+// APIError is a failed answer of an entry.
+type APIError struct {
+	Status  int             `json:"status"`
+	Message string          `json:"message"`
+	Type    string          `json:"type"`
+	Param   string          `json:"param,omitempty"`
+	Kind    errkind.Kind    `json:"kind"`
+	Outcome errkind.Outcome `json:"outcome"`
+	// RetryAfter is the Retry-After header, zero if there is none.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// Error implements error.
+func (e *APIError) Error() string {
+	text := e.Message
+	if e.Kind != "" {
+		text = string(e.Kind) + ": " + text
+	}
+	if e.Outcome != "" {
+		text += " (outcome " + string(e.Outcome) + ")"
+	}
+	if e.RetryAfter > 0 {
+		text += ", retry after " + e.RetryAfter.String()
+	}
+	return text
+}
+
+// Client calls the OpenAI-shaped interface of one entry or of the balancer in
+// front of them.
+type Client struct {
+	// Base is the URL without a path, like "http://127.0.0.1:8180".
+	Base string
+	// Key is the bearer key, may be empty.
+	Key  string
+	HTTP *http.Client
+}
+
+// NewClient returns a client with connections of its own.
+func NewClient(base, key string) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdlePerHost, IdleConnTimeout: idleConnTimeout}
+	return &Client{Base: base, Key: key, HTTP: &http.Client{Transport: transport}}
+}
+
+// Request is one call; Body may be nil.
+type Request struct {
+	Method, Path string
+	ContentType  string
+	// IdempotencyKey is sent as the Idempotency-Key header if it is set.
+	IdempotencyKey string
+	Body           io.Reader
+}
+
+// Do sends a request and returns the answer, whose body the caller closes. An
+// answer with an error status becomes an *APIError.
+func (c *Client) Do(ctx context.Context, r Request) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.Base+r.Path, r.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	if c.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Key)
+	}
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		defer func() { _ = resp.Body.Close() }()
+		return nil, readError(resp)
+	}
+	return resp, nil
+}
+
+// JSON sends in, if it is not nil, and decodes the answer into out.
+func (c *Client) JSON(ctx context.Context, r Request, in, out any) error {
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "encode request")
+		}
+		r.Body, r.ContentType = bytes.NewReader(b), "application/json"
+	}
+	resp, err := c.Do(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "decode answer")
+}
+
+func readError(resp *http.Response) error {
+	raw, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	e := parseError(raw)
+	e.Status = resp.StatusCode
+	if seconds, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return e
+}
+
+// parseError reads the OpenAI error shape; other text becomes the message.
+func parseError(raw []byte) *APIError {
+	var body struct {
+		Error *APIError `json:"error"`
+	}
+	if err := json.Unmarshal(raw, &body); err != nil || body.Error == nil {
+		return &APIError{Message: string(bytes.TrimSpace(raw))}
+	}
+	return body.Error
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,228 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+)
+
+// The histograms hold microseconds.
+const (
+	maxRecorded       = int64(time.Hour / time.Microsecond)
+	significantDigits = 3
+)
+
+// Labels of what became of a request, beside the kinds of errkind.
+const (
+	labelComplete  = "complete"
+	labelTimeout   = "client_timeout"
+	labelTransport = "transport"
+	labelCut       = "cut"
+	labelWrong     = "wrong_answer"
+	labelMissing   = "missing_result"
+	labelDuplicate = "duplicate_result"
+)
+
+// Quantiles summarise a histogram, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	// TTFT is the time to first token, TBT the time between tokens and Whole
+	// the latency of whole answers; online requests only, from their planned
+	// start.
+	TTFT  Quantiles `json:"time_to_first_token"`
+	TBT   Quantiles `json:"time_between_tokens"`
+	Whole Quantiles `json:"whole_latency"`
+	// Job is the time from submission to results of batch jobs.
+	Job Quantiles `json:"batch_job"`
+	// Online and Batch count requests and items by what became of them:
+	// "complete", a kind of error, or a fault found here.
+	Online map[string]int `json:"online"`
+	Batch  map[string]int `json:"batch"`
+	// Outcomes counts failed online requests by the outcome they were told.
+	Outcomes map[string]int `json:"failed_outcomes"`
+	// BatchPerSecond is the rate of completed batch items.
+	BatchPerSecond float64 `json:"batch_items_per_second"`
+	// Faults holds the first broken or wrong answers.
+	Faults []string `json:"faults,omitempty"`
+}
+
+// Broken counts answers that were cut, wrong, missing or doubled.
+func (r Report) Broken() int {
+	n := 0
+	for _, counts := range []map[string]int{r.Online, r.Batch} {
+		for _, label := range []string{labelCut, labelWrong, labelMissing, labelDuplicate} {
+			n += counts[label]
+		}
+	}
+	return n
+}
+
+// maxFaults bounds the faults that a report lists.
+const maxFaults = 10
+
+type recorder struct {
+	mu                     sync.Mutex
+	ttft, tbt, whole, jobs *hdrhistogram.Histogram
+	counts                 Report
+}
+
+func newRecorder() *recorder {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxRecorded, significantDigits) }
+	return &recorder{ttft: h(), tbt: h(), whole: h(), jobs: h(), counts: Report{
+		Online: make(map[string]int), Batch: make(map[string]int), Outcomes: make(map[string]int),
+	}}
+}
+
+func (r *recorder) online(planned time.Time, a Answer, err error) {
+	end := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Online[r.label(err)]++
+	if err != nil {
+		var api *APIError
+		if errors.As(err, &api) {
+			r.counts.Outcomes[string(api.Outcome)]++
+		}
+		return
+	}
+	record(r.whole, end.Sub(planned))
+	for i, at := range a.Arrivals {
+		if i == 0 {
+			record(r.ttft, at.Sub(planned))
+			continue
+		}
+		record(r.tbt, at.Sub(a.Arrivals[i-1]))
+	}
+}
+
+func (r *recorder) job(took time.Duration, items []error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.jobs, took)
+	for _, err := range items {
+		r.counts.Batch[r.label(err)]++
+	}
+}
+
+func (r *recorder) jobFailed(items int, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.counts.Batch[r.label(err)] += items
+}
+
+// label classifies an answer; the caller holds mu.
+func (r *recorder) label(err error) string {
+	if err == nil {
+		return labelComplete
+	}
+	label := classify(err)
+	if len(r.counts.Faults) < maxFaults {
+		r.counts.Faults = append(r.counts.Faults, label+": "+err.Error())
+	}
+	return label
+}
+
+func classify(err error) string {
+	var api *APIError
+	switch {
+	case errors.As(err, &api) && api.Kind != "":
+		return string(api.Kind)
+	case errors.As(err, &api):
+		return fmt.Sprintf("status_%d", api.Status)
+	case errors.Is(err, ErrCut), errors.Is(err, ErrNoFinish), errors.Is(err, ErrAfterEnd), errors.Is(err, io.ErrUnexpectedEOF):
+		return labelCut
+	case errors.Is(err, ErrNotOwn), errors.Is(err, ErrUsage), errors.Is(err, ErrStranger):
+		return labelWrong
+	case errors.Is(err, ErrMissing):
+		return labelMissing
+	case errors.Is(err, ErrDuplicate):
+		return labelDuplicate
+	case errors.Is(err, context.DeadlineExceeded):
+		return labelTimeout
+	}
+	return labelTransport
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxRecorded)) // in range by construction
+}
+
+func (r *recorder) report(cfg Config, took time.Duration) Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.counts
+	out.Seed, out.Seconds = cfg.Seed, took.Seconds()
+	out.TTFT, out.TBT, out.Whole, out.Job = summarise(r.ttft), summarise(r.tbt), summarise(r.whole), summarise(r.jobs)
+	out.BatchPerSecond = float64(out.Batch[labelComplete]) / took.Seconds()
+	return out
+}
+
+func summarise(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Quantiles{
+		Count: h.TotalCount(), Mean: h.Mean() / 1000,
+		P50: ms(h.ValueAtQuantile(50)), P95: ms(h.ValueAtQuantile(95)),
+		P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+	}
+}
+
+// WriteJSON writes the report as indented JSON.
+func (r Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(r), "write report")
+}
+
+// WriteTable writes the report as tables.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "milliseconds\tcount\tmean\tp50\tp95\tp99\tmax\t")
+	for _, row := range []struct {
+		name string
+		q    Quantiles
+	}{{"time to first token", r.TTFT}, {"time between tokens", r.TBT}, {"whole latency", r.Whole}, {"batch job", r.Job}} {
+		q := row.q
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", row.name, q.Count, q.Mean, q.P50, q.P95, q.P99, q.Max)
+	}
+	if err := t.Flush(); err != nil {
+		return errors.Wrap(err, "write report")
+	}
+	writeCounts(w, "online", r.Online)
+	writeCounts(w, "batch", r.Batch)
+	writeCounts(w, "failed, told", r.Outcomes)
+	_, _ = fmt.Fprintf(w, "batch items per second: %.2f\n", r.BatchPerSecond)
+	for _, fault := range r.Faults {
+		_, _ = fmt.Fprintln(w, "fault:", fault)
+	}
+	return nil
+}
+
+func writeCounts(w io.Writer, name string, counts map[string]int) {
+	labels := make([]string, 0, len(counts))
+	for l := range counts {
+		labels = append(labels, l)
+	}
+	sort.Strings(labels)
+	for _, l := range labels {
+		_, _ = fmt.Fprintf(w, "%s %s: %d\n", name, l, counts[l])
+	}
+}
--- /dev/null
+++ b/internal/load/results.go
@@ -0,0 +1,73 @@
+package load
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// Faults of the results of a batch job.
+var (
+	ErrMissing   = errors.New("item has no result")
+	ErrDuplicate = errors.New("item has more than one result")
+	ErrStranger  = errors.New("result of no item")
+)
+
+func customID(i int) string { return fmt.Sprintf("item-%d", i) }
+
+func inputFile(items []ChatRequest) ([]byte, error) {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	for i, item := range items {
+		line := batchLine{CustomID: customID(i), Method: http.MethodPost, URL: chatEndpoint, Body: item}
+		if err := enc.Encode(line); err != nil {
+			return nil, errors.Wrap(err, "encode batch line")
+		}
+	}
+	return b.Bytes(), nil
+}
+
+// checkResults returns one error, nil for a good result, for each item, and
+// one for each result that belongs to no item.
+func checkResults(cfg Config, items []ChatRequest, lines []resultLine) []error {
+	byID := make(map[string][]resultLine, len(items))
+	for _, l := range lines {
+		byID[l.CustomID] = append(byID[l.CustomID], l)
+	}
+	var out []error
+	for i, item := range items {
+		out = append(out, checkItem(cfg, item, byID[customID(i)]))
+		delete(byID, customID(i))
+	}
+	for id := range byID {
+		out = append(out, errors.Wrapf(ErrStranger, "%q", id))
+	}
+	return out
+}
+
+func checkItem(cfg Config, item ChatRequest, lines []resultLine) error {
+	switch {
+	case len(lines) == 0:
+		return ErrMissing
+	case len(lines) > 1:
+		return ErrDuplicate
+	}
+	l := lines[0]
+	if l.Error != nil {
+		return l.Error
+	}
+	if l.Response == nil || len(l.Response.Body.Choices) == 0 {
+		return errors.Wrap(ErrMissing, "empty response")
+	}
+	choice := l.Response.Body.Choices[0]
+	if choice.FinishReason == "" {
+		return ErrNoFinish
+	}
+	if cfg.Echo {
+		return checkEcho(item, choice.Message.Content)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	pollInterval = 500 * time.Millisecond
+	// pollFailures bounds the polls of one job that fail in a row.
+	pollFailures = 20
+	batchWindow  = "24h"
+	chatEndpoint = "/v1/chat/completions"
+)
+
+// Run sends the load to the clients in turn and reports on it. It returns
+// after the last answer; a cancelled ctx ends it early with what is known.
+func Run(ctx context.Context, cfg Config, clients []*Client) (Report, error) {
+	if err := cfg.Validate(); err != nil {
+		return Report{}, err
+	}
+	if len(clients) == 0 {
+		return Report{}, errors.New("load: an entry is needed")
+	}
+	g := &generator{cfg: cfg, clients: clients, rec: newRecorder(), start: time.Now()}
+	g.run(ctx)
+	return g.rec.report(cfg, time.Since(g.start)), nil
+}
+
+type generator struct {
+	cfg     Config
+	clients []*Client
+	rec     *recorder
+	start   time.Time
+	wg      sync.WaitGroup
+}
+
+func (g *generator) run(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(g.cfg.Seed, 1))
+	batchRNG := rand.New(rand.NewPCG(g.cfg.Seed, 2))
+	online := arrivals(rng, g.cfg.Rate, g.cfg.Duration)
+	jobs := arrivals(batchRNG, g.cfg.BatchRate/float64(g.cfg.BatchItems), g.cfg.Duration)
+	if g.cfg.BatchRate > 0 && len(jobs) == 0 {
+		jobs = []time.Duration{0}
+	}
+	g.wg.Go(func() {
+		g.each(ctx, online, func(i int, planned time.Time) {
+			req := g.cfg.request(rng)
+			g.wg.Go(func() { g.online(ctx, g.client(i), req, planned) })
+		})
+	})
+	g.wg.Go(func() {
+		g.each(ctx, jobs, func(i int, _ time.Time) {
+			items := make([]ChatRequest, g.cfg.BatchItems)
+			for j := range items {
+				items[j] = g.cfg.request(batchRNG)
+			}
+			g.wg.Go(func() { g.job(ctx, g.client(i), items) })
+		})
+	})
+	g.wg.Wait()
+}
+
+// each calls f at each planned start, late ones at once.
+func (g *generator) each(ctx context.Context, starts []time.Duration, f func(i int, planned time.Time)) {
+	for i, s := range starts {
+		planned := g.start.Add(s)
+		select {
+		case <-time.After(time.Until(planned)):
+			f(i, planned)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *generator) client(i int) *Client { return g.clients[i%len(g.clients)] }
+
+func (g *generator) online(ctx context.Context, c *Client, req ChatRequest, planned time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, g.cfg.Timeout)
+	defer cancel()
+	a, err := c.Stream(ctx, req, "", nil)
+	if err == nil {
+		err = g.cfg.checkOnline(req, a)
+	}
+	g.rec.online(planned, a, err)
+}
+
+// job submits one batch job, waits for its end and checks each result.
+func (g *generator) job(ctx context.Context, c *Client, items []ChatRequest) {
+	began := time.Now()
+	b, err := g.submit(ctx, c, items)
+	if err != nil {
+		g.rec.jobFailed(len(items), err)
+		return
+	}
+	b, err = g.await(ctx, c, b)
+	if err != nil {
+		g.rec.jobFailed(len(items), err)
+		return
+	}
+	lines, err := c.results(ctx, b)
+	if err != nil {
+		g.rec.jobFailed(len(items), err)
+		return
+	}
+	g.rec.job(time.Since(began), checkResults(g.cfg, items, lines))
+}
+
+func (g *generator) submit(ctx context.Context, c *Client, items []ChatRequest) (Batch, error) {
+	content, err := inputFile(items)
+	if err != nil {
+		return Batch{}, err
+	}
+	file, err := c.Upload(ctx, "load.jsonl", content)
+	if err != nil {
+		return Batch{}, err
+	}
+	return c.CreateBatch(ctx, file, SubmitOptions{Endpoint: chatEndpoint, Window: batchWindow})
+}
+
+// await polls a job until it is finished.
+func (g *generator) await(ctx context.Context, c *Client, b Batch) (Batch, error) {
+	deadline := g.start.Add(g.cfg.Duration + g.cfg.BatchTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	failures := 0
+	for !b.Finished() {
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return b, errors.Wrapf(ctx.Err(), "job %s is %s", b.ID, b.Status)
+		}
+		next, err := c.GetBatch(ctx, b.ID)
+		if err == nil {
+			b, failures = next, 0
+			continue
+		}
+		failures++
+		if failures == pollFailures {
+			return b, err
+		}
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/load/stream.go
@@ -0,0 +1,166 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxEventBytes bounds one line of an event stream.
+const maxEventBytes = 4 << 20
+
+// Faults of a streamed answer.
+var (
+	// ErrCut says that a stream ended without its end marker.
+	ErrCut = errors.New("stream ended without [DONE]")
+	// ErrNoFinish says that a stream ended without a finish reason.
+	ErrNoFinish = errors.New("stream has no finish reason")
+	// ErrAfterEnd says that a stream went on after its end marker.
+	ErrAfterEnd = errors.New("stream goes on after [DONE]")
+	// ErrNotOwn says that an answer does not repeat its own prompt.
+	ErrNotOwn = errors.New("answer is not that of the prompt")
+	// ErrUsage says that the usage differs from the tokens delivered.
+	ErrUsage = errors.New("usage differs from the answer")
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatRequest is the body of a chat completion.
+type ChatRequest struct {
+	Model         string         `json:"model"`
+	Messages      []Message      `json:"messages"`
+	MaxTokens     int            `json:"max_tokens,omitempty"`
+	Stream        bool           `json:"stream,omitempty"`
+	StreamOptions *StreamOptions `json:"stream_options,omitempty"`
+	Store         *bool          `json:"store,omitempty"`
+}
+
+// StreamOptions ask for the usage at the end of a stream.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Usage counts tokens.
+type Usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// Answer is a whole streamed answer.
+type Answer struct {
+	ID           string `json:"id"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason"`
+	Usage        *Usage `json:"usage,omitempty"`
+	// Arrivals holds the arrival of each piece of text.
+	Arrivals []time.Time `json:"-"`
+}
+
+type chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage    `json:"usage"`
+	Error *APIError `json:"error"`
+}
+
+// Stream sends one streamed chat request and reads its answer to the end. onText
+// is called for each piece of text and may be nil. An answer that is not whole
+// is an error.
+func (c *Client) Stream(ctx context.Context, req ChatRequest, key string, onText func(string)) (Answer, error) {
+	req.Stream = true
+	req.StreamOptions = &StreamOptions{IncludeUsage: true}
+	body, err := json.Marshal(req)
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "encode request")
+	}
+	resp, err := c.Do(ctx, Request{
+		Method: http.MethodPost, Path: "/v1/chat/completions", ContentType: "application/json",
+		IdempotencyKey: key, Body: bytes.NewReader(body),
+	})
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return readStream(resp.Body, onText)
+}
+
+func readStream(r io.Reader, onText func(string)) (Answer, error) {
+	var a Answer
+	done := false
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxEventBytes)
+	for lines.Scan() {
+		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if done {
+			return a, ErrAfterEnd
+		}
+		if string(data) == "[DONE]" {
+			done = true
+			continue
+		}
+		if err := a.add(data, onText); err != nil {
+			return a, err
+		}
+	}
+	return a, a.check(done, lines.Err())
+}
+
+func (a *Answer) add(data []byte, onText func(string)) error {
+	var c chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return errors.Wrap(err, "decode stream")
+	}
+	if c.Error != nil {
+		return c.Error
+	}
+	a.ID = c.ID
+	if c.Usage != nil {
+		a.Usage = c.Usage
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != "" {
+			a.FinishReason = choice.FinishReason
+		}
+		if text := choice.Delta.Content; text != "" {
+			a.Text += text
+			a.Arrivals = append(a.Arrivals, time.Now())
+			if onText != nil {
+				onText(text)
+			}
+		}
+	}
+	return nil
+}
+
+func (a *Answer) check(done bool, readErr error) error {
+	switch {
+	case errors.Is(readErr, context.DeadlineExceeded), errors.Is(readErr, context.Canceled):
+		return errors.Wrap(readErr, "stream")
+	case readErr != nil:
+		return errors.Wrap(ErrCut, readErr.Error())
+	case !done:
+		return ErrCut
+	case a.FinishReason == "":
+		return ErrNoFinish
+	}
+	return nil
+}
