--- a/batch/runner.go
+++ b/batch/runner.go
@@ -300,7 +300,7 @@
 
 func (r *Runner) jobInput(s *shardState, v JobView) JobInput {
 	return JobInput{
-		ID: v.ID, Service: v.Service, Total: v.Total, Deadline: time.Unix(v.Deadline, 0),
+		ID: v.ID, Service: v.Service, Total: v.Total, Left: v.Total - v.OK - v.FailedN, Deadline: time.Unix(v.Deadline, 0),
 		MaxTries: r.opts.Services.MaxTries(v.Service),
 		Done:     func(item uint32) bool { return s.Table.Done(v.ID, item) },
 	}
--- a/batch/sched_types.go
+++ b/batch/sched_types.go
@@ -38,9 +38,11 @@
 
 // JobInput is a job that may run now.
 type JobInput struct {
-	ID       string
-	Service  string
-	Total    uint32
+	ID      string
+	Service string
+	Total   uint32
+	// Left is how many items have no folded result.
+	Left     uint32
 	Deadline time.Time
 	// MaxTries bounds the tries of one item.
 	MaxTries int
--- a/batch/scheduler.go
+++ b/batch/scheduler.go
@@ -290,9 +290,6 @@
 	return defaultTries
 }
 
-// left is how many items are not known to be done, at most.
-func (j *schedJob) left() int { return int(j.in.Total-j.cursor) + len(j.retries) + j.running }
-
 func (sv *schedService) observe(d time.Duration) {
 	sv.window = min(sv.window+1, maxWindow)
 	if sv.mean == 0 {
@@ -311,7 +308,7 @@
 func sortBySlack(now time.Time, jobs []*schedJob, sv *schedService, room int) {
 	width := time.Duration(max(1, room+sv.running))
 	slack := func(j *schedJob) time.Duration {
-		return j.in.Deadline.Sub(now) - time.Duration(j.left())*sv.mean/width
+		return j.in.Deadline.Sub(now) - time.Duration(j.in.Left)*sv.mean/width
 	}
 	sort.Slice(jobs, func(a, b int) bool {
 		x, y := jobs[a], jobs[b]
