Stand-in counted resumed tokens twice; bounded bodies and headers; operator jobs

Cause: under load with three sidecars stopped one after the other, 38 of 250 batch answers were short by what had been delivered before the preemption. The sidecar lowers max_tokens by the resumed tokens, as the engines' protocol counts new tokens only, and the stand-in engine subtracted them again. Ruled out: loss in the sidecar's hand-back (deltas precede the preempted event on one channel).

--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -83,6 +84,47 @@
 	e.metrics.requestSeconds.UpdateDuration(started)
 }
 
+// checkHeader refuses a header over the limit.
+func (e *Server) checkHeader(ctx context.Context, c *app.RequestContext) {
+	if n := len(c.Request.Header.RawHeaders()); n > maxHeaderBytes {
+		c.SetConnectionClose()
+		e.fail(c, errkind.New(errkind.HeaderTooLarge, "header of %d bytes is over the limit of %d", n, maxHeaderBytes))
+		c.Abort()
+		return
+	}
+	c.Next(ctx)
+}
+
+// readBody reads a request's body up to the limit.
+func (e *Server) readBody(c *app.RequestContext) ([]byte, error) {
+	limit := e.settings.Limits.MaxBodyBytes
+	if !c.Request.IsBodyStream() {
+		raw := c.Request.Body()
+		if len(raw) > limit {
+			return nil, tooLarge(limit)
+		}
+		return append([]byte(nil), raw...), nil
+	}
+	if c.Request.Header.ContentLength() > limit {
+		c.SetConnectionClose()
+		return nil, tooLarge(limit)
+	}
+	raw, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(limit)+1))
+	if err != nil {
+		c.SetConnectionClose()
+		return nil, errkind.Wrap(err, errkind.BadRequest, "the body ended early")
+	}
+	if len(raw) > limit {
+		c.SetConnectionClose()
+		return nil, tooLarge(limit)
+	}
+	return raw, nil
+}
+
+func tooLarge(limit int) error {
+	return errkind.New(errkind.TooLarge, "the body is over the limit of %d bytes", limit)
+}
+
 func requestID(c *app.RequestContext) string { return c.GetString(requestIDKey) }
 
 // workspace returns the workspace that the request's bearer key belongs to.
--- a/internal/entry/batchapi/batches.go
+++ b/internal/entry/batchapi/batches.go
@@ -40,9 +40,9 @@
 	Failed    uint32 `json:"failed"`
 }
 
-// batchObject is a batch as callers see it. Times are Unix seconds; null if
+// Batch is a batch as callers see it. Times are Unix seconds; null if
 // the batch has not come so far.
-type batchObject struct {
+type Batch struct {
 	ID               string                 `json:"id"`
 	Object           string                 `json:"object"`
 	Endpoint         string                 `json:"endpoint"`
@@ -65,8 +65,9 @@
 	Metadata         map[string]string      `json:"metadata"`
 }
 
-func newBatchObject(v batch.JobView) batchObject {
-	b := batchObject{
+// NewBatch returns a job as callers see it.
+func NewBatch(v batch.JobView) Batch {
+	b := Batch{
 		ID: v.ID, Object: "batch", Endpoint: v.Endpoint, InputFileID: v.InputFile, CompletionWindow: v.Window,
 		Status: v.Status, OutputFileID: nonEmpty(v.OutputFile), ErrorFileID: nonEmpty(v.ErrorFile),
 		CreatedAt: v.Created, InProgressAt: nonZero(v.StartedAt), ExpiresAt: v.Deadline,
@@ -148,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	return c.reply(newBatchObject(v))
+	return c.reply(NewBatch(v))
 }
 
 // readCreate reads the body of a batch creation and checks its fields.
@@ -253,11 +254,11 @@
 	if err != nil {
 		return err
 	}
-	data := make([]batchObject, len(jobs))
+	data := make([]Batch, len(jobs))
 	for i, v := range jobs {
-		data[i] = newBatchObject(v)
+		data[i] = NewBatch(v)
 	}
-	return c.reply(newList(data, more, func(b batchObject) string { return b.ID }))
+	return c.reply(newList(data, more, func(b Batch) string { return b.ID }))
 }
 
 // cancelBatch asks a batch to stop. Asking again is no error; a batch that has
@@ -279,5 +280,5 @@
 	if v.Status != batch.Cancelling && v.Status != batch.Cancelled {
 		return errkind.New(errkind.Conflict, "batch %s is %s", v.ID, v.Status).WithParam("batch_id")
 	}
-	return c.reply(newBatchObject(v))
+	return c.reply(NewBatch(v))
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -134,11 +134,12 @@
 		e.fail(c, err)
 		return
 	}
-	if err := e.checkBody(c); err != nil {
+	raw, err := e.readBody(c)
+	if err != nil {
 		e.fail(c, err)
 		return
 	}
-	cl, req, err := newChatCall(doc, ws, c.Request.Body())
+	cl, req, err := newChatCall(doc, ws, raw)
 	if err != nil {
 		e.fail(c, err)
 		return
@@ -160,13 +161,6 @@
 	e.chatWhole(ctx, c, cl, req, kept)
 }
 
-func (e *Server) checkBody(c *app.RequestContext) error {
-	if n := len(c.Request.Body()); n > e.settings.Limits.MaxBodyBytes {
-		return errkind.New(errkind.TooLarge, "body of %d bytes is over the limit of %d", n, e.settings.Limits.MaxBodyBytes)
-	}
-	return nil
-}
-
 // textSink gathers an answer's text.
 type textSink struct{ text strings.Builder }
 
--- a/internal/entry/operator.go
+++ b/internal/entry/operator.go
@@ -40,6 +40,7 @@
 	ops.Metrics(h, e.metrics.set)
 	h.GET("/operator/status", e.status)
 	h.GET("/operator/backends", e.backends)
+	h.GET("/operator/jobs", e.jobs)
 	h.POST("/operator/drain", e.drainInstance)
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -65,7 +65,8 @@
 	if !ok || svc.Kind != desired.Plain {
 		return nil, errkind.New(errkind.UnknownService, "no plain service is called %q", name).WithParam("service")
 	}
-	if err := e.checkBody(c); err != nil {
+	raw, err := e.readBody(c)
+	if err != nil {
 		return nil, err
 	}
 	method := string(c.Method())
@@ -78,7 +79,7 @@
 		class:         admission.Online,
 		method:        method,
 		path:          path,
-		body:          append([]byte(nil), c.Request.Body()...),
+		body:          raw,
 		nonIdempotent: svc.NonIdempotent(method, bare),
 		deadline:      time.Now().Add(deadlineOf(svc)),
 	}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -12,7 +12,7 @@
 
 // callerRoutes registers what callers may ask.
 func (e *Server) callerRoutes(h *server.Hertz) {
-	h.Use(e.track)
+	h.Use(e.track, e.checkHeader)
 	h.NoRoute(e.noRoute)
 	h.NoMethod(e.noMethod)
 	ops.Health(h, e.ready)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,8 +34,10 @@
 	// balancer turns away.
 	drainNotice = time.Second
 	idleCheck   = 10 * time.Millisecond
-	// maxHeaderBytes bounds a request's header.
+	// maxHeaderBytes bounds a request's header. Up to hardHeaderBytes the
+	// refusal is an ordinary answer, beyond it the connection is closed.
 	maxHeaderBytes   = 64 << 10
+	hardHeaderBytes  = 1 << 20
 	requestReadLimit = 30 * time.Second
 	keepAliveIdle    = 60 * time.Second
 	exitWait         = time.Second
@@ -152,8 +154,9 @@
 func (e *Server) callerOptions(ln net.Listener) ([]config.Option, error) {
 	opts := []config.Option{
 		server.WithListener(ln),
+		server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(e.settings.Limits.MaxFileBytes),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxHeaderBytes(hardHeaderBytes),
 		server.WithReadTimeout(requestReadLimit),
 		server.WithIdleTimeout(keepAliveIdle),
 		server.WithExitWaitTime(exitWait),
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -82,7 +82,7 @@
 		return
 	}
 	words, given := req.source()
-	n := max(req.budget()-given, 0)
+	n := req.budget(given)
 	s := e.start(string(c.GetHeader("X-Request-Id")), req.promptTokens(), n)
 	defer e.stop(s)
 	w := sse.NewWriter(c)
@@ -140,14 +140,16 @@
 	return n
 }
 
-func (r chatRequest) budget() int {
+// budget is how many tokens to produce beside those already given. A limit in
+// the request counts new tokens only.
+func (r chatRequest) budget(given int) int {
 	if r.MaxCompletionTokens > 0 {
 		return r.MaxCompletionTokens
 	}
 	if r.MaxTokens > 0 {
 		return r.MaxTokens
 	}
-	return defaultMaxTokens
+	return max(defaultMaxTokens-given, 0)
 }
 
 func (m chatMessage) text() string {
