Workspace limits, renewals past the log's retention, honest answers before catching up

Cause: limits in the desired state had no effect; kept records expired with the log; a fresh entry said not_found for replies it had not folded yet. Change: per-workspace rate and concurrency, each entry its share; renewers for configuration, claims and batch streams, chosen by rendezvous; not_found becomes log_unavailable until the log has been folded to its end.

--- a/event/event.go
+++ b/event/event.go
@@ -43,6 +43,7 @@
 	LogUp           ID = 502
 	RecordSkipped   ID = 503
 	RetentionGap    ID = 504
+	RenewalFailed   ID = 505
 	ConfigInForce   ID = 601
 	ConfigRefused   ID = 602
 	BackendSeen     ID = 701
@@ -74,6 +75,7 @@
 	{LogUp, "log_up", log.InfoLevel, "the log service answers again"},
 	{RecordSkipped, "record_skipped", log.ErrorLevel, "a record of the log could not be read and was skipped by rule"},
 	{RetentionGap, "retention_gap", log.ErrorLevel, "a reader fell behind the log's retention"},
+	{RenewalFailed, "renewal_failed", log.WarnLevel, "what must outlive the log's retention could not be appended again; it is tried again"},
 	{ConfigInForce, "config_in_force", log.InfoLevel, "a configuration version is in force in this process"},
 	{ConfigRefused, "config_refused", log.WarnLevel, "a configuration record was refused"},
 	{BackendSeen, "backend_seen", log.InfoLevel, "a backend server joined the table"},
--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -146,6 +146,24 @@
 	return ws, nil
 }
 
+// admit authenticates a live request and takes it in under its workspace's
+// limits. Every admitted request ends with e.limiter.leave.
+func (e *Server) admit(c *app.RequestContext) (*desired.Document, string, error) {
+	doc, err := e.document()
+	if err != nil {
+		return nil, "", err
+	}
+	name, err := workspaceOf(doc, c)
+	if err != nil {
+		return nil, "", err
+	}
+	ws, ok := doc.Workspace(name)
+	if !ok {
+		ws = desired.Workspace{Name: name}
+	}
+	return doc, name, e.limiter.enter(ws, e.fleet.entries())
+}
+
 func (e *Server) noRoute(_ context.Context, c *app.RequestContext) {
 	e.fail(c, errkind.New(errkind.NotFound, "no such path: %s", c.Path()))
 }
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -15,6 +15,7 @@
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
+	"github.com/catkinrudder/catkinrudder/journal"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
@@ -29,13 +30,10 @@
 // batches is an entry's share of the batch work.
 type batches struct {
 	shards  batch.Shards
-	streams []runnable
+	streams []*journal.Stream
 	runner  *batch.Runner
 }
 
-// runnable is a stream that folds while it runs.
-type runnable interface{ Run(ctx context.Context) }
-
 func (e *Server) newBatches() *batches {
 	b := &batches{}
 	for i := range batchShards {
@@ -58,7 +56,7 @@
 func (e *Server) batchRoutes(h *server.Hertz) {
 	batchapi.Register(h, batchapi.Deps{
 		Shards:       e.batches.shards,
-		Fail:         e.fail,
+		Fail:         e.failKept,
 		Workspace:    e.workspace,
 		MaxJobs:      e.maxJobs,
 		MaxFileBytes: int64(e.settings.Limits.MaxFileBytes),
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -124,16 +124,12 @@
 }
 
 func (e *Server) chat(ctx context.Context, c *app.RequestContext) {
-	doc, err := e.document()
-	if err != nil {
-		e.fail(c, err)
-		return
-	}
-	ws, err := workspaceOf(doc, c)
+	doc, ws, err := e.admit(c)
 	if err != nil {
 		e.fail(c, err)
 		return
 	}
+	defer e.limiter.leave(ws)
 	raw, err := e.readBody(c)
 	if err != nil {
 		e.fail(c, err)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -288,11 +288,15 @@
 	return out
 }
 
-// owns reports whether this entry is the one that carries a duty: the first in
-// rendezvous order over the live entries.
-func (f *fleet) owns(duty string) bool {
+// entries is how many entries are live, this one included.
+func (f *fleet) entries() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return len(f.liveEntries())
+}
+
+// liveEntries names this entry and the live others; the caller holds mu.
+func (f *fleet) liveEntries() []string {
 	names := []string{f.settings.Instance}
 	for name, m := range f.members {
 		live := m.instance.Role == string(settings.RoleEntry) && m.missed < missedReports && !m.draining && !m.leaving
@@ -300,7 +304,15 @@
 			names = append(names, name)
 		}
 	}
-	return rendezvous.New(names, xxhash.Sum64String).Lookup(duty) == f.settings.Instance
+	return names
+}
+
+// owns reports whether this entry is the one that carries a duty: the first in
+// rendezvous order over the live entries.
+func (f *fleet) owns(duty string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return rendezvous.New(f.liveEntries(), xxhash.Sum64String).Lookup(duty) == f.settings.Instance
 }
 
 // pick chooses a backend server for one attempt.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -92,16 +92,12 @@
 }
 
 func (e *Server) plain(ctx context.Context, c *app.RequestContext) {
-	doc, err := e.document()
-	if err != nil {
-		e.fail(c, err)
-		return
-	}
-	ws, err := workspaceOf(doc, c)
+	doc, ws, err := e.admit(c)
 	if err != nil {
 		e.fail(c, err)
 		return
 	}
+	defer e.limiter.leave(ws)
 	cl, err := e.newPlainCall(doc, c, ws)
 	if err != nil {
 		e.fail(c, err)
--- a/internal/entry/replies.go
+++ b/internal/entry/replies.go
@@ -154,7 +154,7 @@
 	}
 	id := c.Param("id")
 	if !strings.HasPrefix(id, completionID("")) {
-		e.fail(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
+		e.failKept(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
 		return
 	}
 	reply, err := e.claims.claimer.LoadReply(ctx, ws, id)
@@ -162,7 +162,7 @@
 	case err == nil:
 		c.Data(http.StatusOK, "application/json", reply.Body)
 	case errors.Is(err, claim.ErrNoAnswer):
-		e.fail(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
+		e.failKept(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
 	case errors.Is(err, journal.ErrNotKept):
 		e.fail(c, errkind.Wrap(err, errkind.Expired, "the reply is not kept any more"))
 	default:
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -23,10 +23,12 @@
 	h.Any("/services/:service/*path", e.plain)
 }
 
-// ready is false while draining and before a configuration is in force.
+// ready is false while draining, before a configuration is in force and before
+// what is kept has been folded, unless the log is down: live requests go on.
 func (e *Server) ready() bool {
 	_, ok := e.config.InForce()
-	return ok && !e.draining.Load()
+	folded := e.caughtUp.Load() || e.claims.stream.Down()
+	return ok && folded && !e.draining.Load()
 }
 
 type modelList struct {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,9 +59,12 @@
 	retries     *rate.Limiter
 	batches     *batches
 	claims      *claims
+	limiter     *limiter
 
 	inProgress atomic.Int64
 	draining   atomic.Bool
+	// caughtUp says that everything kept at the start has been folded.
+	caughtUp   atomic.Bool
 	drainOrder chan struct{}
 }
 
@@ -76,6 +79,7 @@
 		log:         platform.NewLog(s.Platform.Log),
 		budget:      rate.NewLimiter(rate.Limit(s.Limits.AppendsPerSecond), appendBurst),
 		retries:     rate.NewLimiter(retriesPerSecond, retryBurst),
+		limiter:     newLimiter(),
 		drainOrder:  make(chan struct{}, 1),
 	}
 	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
@@ -98,6 +102,8 @@
 	g.Go(func() error { e.followConfig(run); return nil })
 	g.Go(func() error { e.fleet.run(run); return nil })
 	g.Go(func() error { e.claims.stream.Run(run); return nil })
+	g.Go(func() error { e.catchUp(run); return nil })
+	g.Go(func() error { e.renew(run); return nil })
 	for _, s := range e.batches.streams {
 		g.Go(func() error { s.Run(run); return nil })
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,9 +4,11 @@
 
 import (
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
 )
 
@@ -43,6 +45,8 @@
 type Platform struct {
 	Log       string `toml:"log"`
 	Instances string `toml:"instances"`
+	// LogRetention is how long the log service keeps a record.
+	LogRetention desired.Duration `toml:"log_retention,omitempty"`
 }
 
 // Backend describes the backend server beside a sidecar.
@@ -71,6 +75,9 @@
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultMaxFileBytes     = 64 << 20
 	DefaultAppendsPerSecond = 50
+	DefaultLogRetention     = 7 * 24 * time.Hour
+	// MinLogRetention is the shortest retention that renewals can keep up with.
+	MinLogRetention = 10 * time.Second
 )
 
 // Load reads and checks a settings file.
@@ -108,4 +115,7 @@
 	if s.Limits.AppendsPerSecond == 0 {
 		s.Limits.AppendsPerSecond = DefaultAppendsPerSecond
 	}
+	if s.Platform.LogRetention == 0 {
+		s.Platform.LogRetention = desired.Duration(DefaultLogRetention)
+	}
 }
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -25,6 +25,7 @@
 	}
 	c.tls(s.TLS)
 	c.limits(s.Limits)
+	c.retention(s.Platform)
 	return c.Err()
 }
 
@@ -98,3 +99,9 @@
 		c.Add("limits.appends_per_second", "", "%v is not a rate", l.AppendsPerSecond)
 	}
 }
+
+func (c *checks) retention(p Platform) {
+	if d := p.LogRetention.Std(); d < MinLogRetention {
+		c.Add("platform.log_retention", "", "%s is below the least of %s", d, MinLogRetention)
+	}
+}
