--- a/internal/ctl/batch.go
+++ b/internal/ctl/batch.go
@@ -21,7 +21,6 @@
 	flagOutput         = "output"
 	flagErrors         = "errors"
 
-	pollInterval = time.Second
 	// submitTries bounds the tries of one submission; all carry one
 	// idempotency key.
 	submitTries = 4
@@ -78,7 +77,7 @@
 	if err != nil {
 		return reach(err)
 	}
-	b, err := create(ctx, client, id, options)
+	b, err := t.create(ctx, client, id, options)
 	if err != nil {
 		return errors.Wrapf(err, "submission with --%s %s", flagIdempotencyKey, options.IdempotencyKey)
 	}
@@ -86,7 +85,7 @@
 }
 
 // create repeats a submission whose outcome is not known.
-func create(ctx context.Context, client *load.Client, file string, o load.SubmitOptions) (load.Batch, error) {
+func (t Tool) create(ctx context.Context, client *load.Client, file string, o load.SubmitOptions) (load.Batch, error) {
 	for try := 1; ; try++ {
 		b, err := client.CreateBatch(ctx, file, o)
 		err = reach(err)
@@ -97,7 +96,7 @@
 		if code != ExitUnavailable && code != ExitUnknown {
 			return b, err
 		}
-		if try == submitTries || !sleep(ctx, pollInterval) {
+		if try == submitTries || !sleep(ctx, t.PollInterval) {
 			return b, withCode(ExitUnknown, err)
 		}
 	}
@@ -142,7 +141,7 @@
 	bar := t.newProgress(b)
 	defer bar.close()
 	for !b.Finished() {
-		if !sleep(ctx, pollInterval) {
+		if !sleep(ctx, t.PollInterval) {
 			return b, errors.Wrapf(ctx.Err(), "job %s goes on", b.ID)
 		}
 		next, err := client.GetBatch(ctx, b.ID)
--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/url"
 	"text/tabwriter"
@@ -79,12 +80,17 @@
 	return reach(client.JSON(ctx, load.Request{Method: method, Path: path}, nil, out))
 }
 
-// reach gives an error that is no answer of an entry its exit code.
+// reach gives an error that is no answer of an entry its exit code: without a
+// connection nothing was run, after that the outcome is not known.
 func reach(err error) error {
-	var netErr *url.Error
-	if errors.As(err, &netErr) {
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
 		return withCode(ExitUnavailable, err)
 	}
+	var transport *url.Error
+	if errors.As(err, &transport) {
+		return withCode(ExitUnknown, err)
+	}
 	return err
 }
 
--- a/internal/ctl/tool.go
+++ b/internal/ctl/tool.go
@@ -23,18 +23,29 @@
 // load.
 const defaultTimeout = 30 * time.Second
 
+// DefaultPollInterval is the time between two looks at a batch job.
+const DefaultPollInterval = time.Second
+
 // Tool is the tool with what it is connected to.
 type Tool struct {
 	Stdin          io.Reader
 	Stdout, Stderr io.Writer
 	// NewLog returns a client of the log service at an IP:port.
 	NewLog func(addr string) journal.Log
+	// PollInterval is the time between two looks at a batch job, by default
+	// DefaultPollInterval.
+	PollInterval time.Duration
 }
 
 // Run runs the command in args, which starts with the program's name, and
 // returns the exit code.
 func (t Tool) Run(ctx context.Context, args []string) int {
-	err := t.command().Run(ctx, args)
+	if t.PollInterval <= 0 {
+		t.PollInterval = DefaultPollInterval
+	}
+	root := t.command()
+	setUsageError(root)
+	err := root.Run(ctx, args)
 	if err == nil {
 		return ExitOK
 	}
@@ -42,6 +53,16 @@
 	return exitCode(err)
 }
 
+// setUsageError gives wrong flags their exit code, in subcommands too.
+func setUsageError(c *cli.Command) {
+	c.OnUsageError = func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+		return withCode(ExitUsage, err)
+	}
+	for _, sub := range c.Commands {
+		setUsageError(sub)
+	}
+}
+
 func (t Tool) command() *cli.Command {
 	return &cli.Command{
 		Name:                  "catkinrudderctl",
@@ -52,9 +73,6 @@
 		Writer:                t.Stdout,
 		ErrWriter:             t.Stderr,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
-			return withCode(ExitUsage, err)
-		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Args().Present() {
 				return withCode(ExitUsage, errors.Errorf("unknown command %q; see --help", c.Args().First()))
