--- a/desired/fold_test.go
+++ b/desired/fold_test.go
@@ -189,6 +189,19 @@
 	}
 }
 
+// Records expire between the look at the oldest offset and the first read.
+func TestExpiryBeforeFirstRead(t *testing.T) {
+	n := &naive{inForce: []uint64{0}}
+	n.publish(t, Publish{Document: document(1)}, true)
+	n.publish(t, Publish{Document: document(2)}, false)
+	table := NewTable(Hooks{})
+	table.Gap(0)
+	apply(t, table, n, 1, nil)
+	assert.Assert(t, !table.Known())
+	_, ok := table.InForce()
+	assert.Assert(t, !ok, "a publication that lost is in force")
+}
+
 func TestAdoptNeverGoesDown(t *testing.T) {
 	var seen []uint64
 	table := NewTable(Hooks{InForce: func(v Version) { seen = append(seen, v.Number) }})
--- a/desired/table.go
+++ b/desired/table.go
@@ -65,7 +65,9 @@
 	folded Version
 	// begun is set by the first record or gap; start is the offset from which
 	// on every record has been folded, next follows the newest of them.
+	// applied is set by the first record after the start or a gap.
 	begun       bool
+	applied     bool
 	start, next journal.Offset
 	// copyAt is the newest record that carries the folded version, staleAt the
 	// newest renewal of an older one.
@@ -142,8 +144,16 @@
 	if t.begun && first <= t.next {
 		return
 	}
-	t.begun = true
+	t.begin(first)
 	t.known = first == 0
+}
+
+// Reset implements journal.Resetter: it is Gap.
+func (t *Table) Reset(first journal.Offset) { t.Gap(first) }
+
+// begin starts over at an offset with nothing known; the caller holds mu.
+func (t *Table) begin(first journal.Offset) {
+	t.begun, t.applied, t.known = true, false, false
 	t.start, t.next = first, first
 	t.undecided = nil
 }
@@ -185,6 +195,11 @@
 	return t.copyAt, t.known && t.staleAt > t.copyAt
 }
 
+var (
+	_ journal.Fold     = (*Table)(nil)
+	_ journal.Resetter = (*Table)(nil)
+)
+
 // Apply implements journal.Fold.
 func (t *Table) Apply(pos journal.Position, e journal.Entry) error {
 	t.mu.Lock()
@@ -199,13 +214,18 @@
 	return errors.Wrapf(ErrMalformed, "unknown kind %d", e.Kind)
 }
 
-// advance notes that the record at an offset is folded; the caller holds mu.
+// advance notes that the record at an offset is folded; the caller holds mu. A
+// first record that is not the one expected means that records expired between
+// the call of Gap and the first read.
 func (t *Table) advance(at journal.Offset) {
-	if !t.begun {
-		t.begun = true
+	switch {
+	case !t.begun:
+		t.begin(at)
 		t.known = at == 0
-		t.start = at
+	case !t.applied && at > t.next:
+		t.begin(at)
 	}
+	t.applied = true
 	t.next = at + 1
 }
 
