--- /dev/null
+++ b/errkind/docs_test.go
@@ -0,0 +1,62 @@
+package errkind
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// row is what docs/errors.md must say of a kind, before its last column.
+func row(k Kind, a Answer) string {
+	retry := "no"
+	if a.RetryAfter > 0 {
+		retry = a.RetryAfter.String()
+	}
+	return fmt.Sprintf("| `%s` | %d | `%s` | `%s` | %s |", k, a.Status, a.Type, a.Outcome, retry)
+}
+
+func TestDocsListEveryKind(t *testing.T) {
+	raw, err := os.ReadFile("../docs/errors.md")
+	assert.NilError(t, err)
+	rows := make(map[string]string)
+	for _, line := range strings.Split(string(raw), "\n") {
+		if cells := strings.Split(line, "|"); strings.HasPrefix(line, "| `") && len(cells) == 8 {
+			kind := strings.Trim(cells[1], " `")
+			assert.Assert(t, rows[kind] == "", "%s is listed twice", kind)
+			rows[kind] = line
+		}
+	}
+	kinds := Kinds()
+	for k, a := range kinds {
+		want := row(k, a)
+		got := rows[string(k)]
+		assert.Assert(t, strings.HasPrefix(got, want), "docs/errors.md, %s:\ngot  %s\nwant %s", k, got, want)
+		assert.Assert(t, strings.Trim(strings.TrimPrefix(got, want), " |") != "", "%s has no advice", k)
+	}
+	for kind := range rows {
+		_, ok := kinds[Kind(kind)]
+		assert.Assert(t, ok, "docs/errors.md lists %s, which is no kind", kind)
+	}
+}
+
+func TestAnswersAreConsistent(t *testing.T) {
+	for k, a := range Kinds() {
+		assert.Assert(t, a.Status >= 400 && a.Status < 600, "%s", k)
+		assert.Assert(t, a.Type != "", "%s", k)
+		assert.Assert(t, a.Outcome == NotRun || a.Outcome == Unknown || a.Outcome == Complete, "%s", k)
+		assert.Assert(t, a.RetryAfter == 0 || a.Outcome != Complete, "%s: a complete request is not retried", k)
+	}
+}
+
+func TestOverridesAndWrapping(t *testing.T) {
+	cause := fmt.Errorf("cause")
+	e := Wrap(cause, Timeout, "after %d s", 3).WithOutcome(NotRun).WithParam("p")
+	assert.Equal(t, e.Answer().Outcome, NotRun)
+	assert.ErrorIs(t, e, cause)
+	assert.Assert(t, Is(fmt.Errorf("outer: %w", e), Timeout))
+	assert.Equal(t, From(cause).Kind, Internal)
+	assert.Equal(t, Lookup("no such kind"), Lookup(Internal))
+}
