--- /dev/null
+++ b/internal/proctest/cluster.go
@@ -0,0 +1,184 @@
+package proctest
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/standin"
+)
+
+const (
+	region = "coast"
+	zone   = "coast-a"
+	// standinWait bounds the start and the stop of the stand-ins.
+	standinWait  = 10 * time.Second
+	publishRetry = 100 * time.Millisecond
+)
+
+// Options describe a deployment.
+type Options struct {
+	// Entries, Engines and Plain count the instances of each kind.
+	Entries, Engines, Plain int
+	// ModelService, Model and PlainService name what the backend servers are.
+	ModelService, Model, PlainService string
+	// Step is the engines' time between tokens, PlainDelay how long a call
+	// takes at a plain service.
+	Step, PlainDelay time.Duration
+	// Document is the desired state to start with; may be empty.
+	Document string
+	// Dir receives settings and logs; a temporary one if empty.
+	Dir string
+}
+
+// Cluster is a running deployment.
+type Cluster struct {
+	// Log and Instances are the platform's stand-ins.
+	Log       *standin.LogService
+	Instances *standin.InstanceList
+	Entries   []*Node
+	Engines   []*Node
+	Plain     []*Node
+
+	opts    Options
+	daemon  string
+	logAddr string
+	listAt  string
+	keepDir bool
+	cancel  context.CancelFunc
+	stands  chan error
+}
+
+// Start runs a deployment. Close must be called even after an error.
+func Start(o Options) (*Cluster, error) {
+	c := &Cluster{opts: o, keepDir: o.Dir != "", stands: make(chan error, 1)}
+	var err error
+	if c.daemon, err = Daemon(); err != nil {
+		return c, err
+	}
+	if !c.keepDir {
+		if c.opts.Dir, err = os.MkdirTemp("", "catkinrudder-proctest-"); err != nil {
+			return c, errors.Wrap(err, "proctest")
+		}
+	}
+	if err := c.startStandins(); err != nil {
+		return c, err
+	}
+	for _, n := range c.Nodes() {
+		if err := n.Start(); err != nil {
+			return c, err
+		}
+	}
+	if o.Document == "" {
+		return c, nil
+	}
+	return c, c.publish([]byte(o.Document))
+}
+
+// Nodes returns every instance.
+func (c *Cluster) Nodes() []*Node {
+	var out []*Node
+	out = append(out, c.Entries...)
+	out = append(out, c.Engines...)
+	return append(out, c.Plain...)
+}
+
+// Backends returns the instances with a backend server.
+func (c *Cluster) Backends() []*Node { return append(append([]*Node(nil), c.Engines...), c.Plain...) }
+
+// Dir holds settings and logs.
+func (c *Cluster) Dir() string { return c.opts.Dir }
+
+// Close kills every process and stops the stand-ins.
+func (c *Cluster) Close() {
+	for _, n := range c.Nodes() {
+		n.close()
+	}
+	if c.cancel != nil {
+		c.cancel()
+		select {
+		case <-c.stands:
+		case <-time.After(standinWait):
+		}
+	}
+	if !c.keepDir && c.opts.Dir != "" {
+		_ = os.RemoveAll(c.opts.Dir)
+	}
+}
+
+func (c *Cluster) startStandins() error {
+	var s standin.Settings
+	var err error
+	addr := func() string {
+		a, ferr := FreeAddr()
+		if ferr != nil {
+			err = ferr
+		}
+		return a
+	}
+	s.Log.Listen, s.Instances.Listen = addr(), addr()
+	for range c.opts.Engines {
+		s.Engines = append(s.Engines, standin.EngineSettings{
+			Listen: addr(), Models: []string{c.opts.Model}, StepBase: desired.Duration(c.opts.Step),
+		})
+	}
+	for range c.opts.Plain {
+		s.Plain = append(s.Plain, standin.PlainSettings{Listen: addr(), Delay: desired.Duration(c.opts.PlainDelay)})
+	}
+	if err != nil {
+		return err
+	}
+	c.logAddr, c.listAt = s.Log.Listen, s.Instances.Listen
+	set := standin.New(s)
+	c.Log, c.Instances = set.Log, set.Instances
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go func() { c.stands <- set.Run(ctx) }()
+	return c.newNodes(set, s)
+}
+
+func (c *Cluster) newNodes(set *standin.Set, s standin.Settings) error {
+	for i := range c.opts.Entries {
+		n := &Node{cluster: c, base: fmt.Sprintf("entry-%d", i+1)}
+		c.Entries = append(c.Entries, n)
+	}
+	for i, e := range set.Engines {
+		n := &Node{cluster: c, base: fmt.Sprintf("engine-%d", i+1), service: c.opts.ModelService, backendAddr: s.Engines[i].Listen, Engine: e}
+		c.Engines = append(c.Engines, n)
+	}
+	for i, p := range set.Plain {
+		n := &Node{cluster: c, base: fmt.Sprintf("plain-%d", i+1), service: c.opts.PlainService, backendAddr: s.Plain[i].Listen, Plain: p}
+		c.Plain = append(c.Plain, n)
+	}
+	for _, n := range c.Nodes() {
+		if err := n.plan(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// publish puts the first desired state on the log.
+func (c *Cluster) publish(document []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), standinWait)
+	defer cancel()
+	p := desired.NewPublisher(c.Log.Log(), nil)
+	for {
+		v, err := p.Publish(ctx, desired.Publication{Document: document, Author: "proctest"})
+		if err == nil && v.Accepted() {
+			return nil
+		}
+		select {
+		case <-time.After(publishRetry):
+		case <-ctx.Done():
+			return errors.Wrapf(err, "proctest: publish: %v", v)
+		}
+	}
+}
+
+func (c *Cluster) file(name string) string { return filepath.Join(c.opts.Dir, name) }
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,6 +15,14 @@
 
 const defaultMaxTokens = 16
 
+// Words in a prompt that no engine can do.
+const (
+	// PoisonRefused makes the engine answer with status 400.
+	PoisonRefused = "poison-refused"
+	// PoisonCrash makes the engine cut the connection.
+	PoisonCrash = "poison-crash"
+)
+
 type chatRequest struct {
 	Model                string        `json:"model"`
 	Messages             []chatMessage `json:"messages"`
@@ -58,6 +67,7 @@
 	h.POST("/v1/chat/completions", e.chat)
 	h.GET("/v1/models", e.models)
 	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, e.Stats()) })
+	h.GET("/generations", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, e.Generations()) })
 }
 
 func (e *Engine) models(_ context.Context, c *app.RequestContext) {
@@ -82,6 +92,15 @@
 		return
 	}
 	words, given := req.source()
+	e.record(Generation{Attempt: string(c.GetHeader("X-Request-Id")), Prompt: strings.Join(words, " "), Given: given})
+	if slices.Contains(words, PoisonRefused) {
+		c.String(http.StatusBadRequest, "the prompt can't be done")
+		return
+	}
+	if slices.Contains(words, PoisonCrash) {
+		_ = c.GetConn().Close()
+		return
+	}
 	n := max(req.budget()-given, 0)
 	s := e.start(string(c.GetHeader("X-Request-Id")), req.promptTokens(), n)
 	defer e.stop(s)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -18,6 +18,17 @@
 	streams map[*stream]struct{}
 	prefill int
 	stats   EngineStats
+	history []Generation
+}
+
+// Generation is one generation that an engine has started.
+type Generation struct {
+	Attempt string `json:"attempt"`
+	// Prompt is the last user message.
+	Prompt string `json:"prompt"`
+	// Given is how many tokens an earlier attempt had delivered.
+	Given int       `json:"given"`
+	At    time.Time `json:"at"`
 }
 
 // EngineStats counts what an engine did.
@@ -118,6 +129,21 @@
 	return s
 }
 
+// record remembers a generation and when it was started.
+func (e *Engine) record(g Generation) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g.At = time.Now()
+	e.history = append(e.history, g)
+}
+
+// Generations returns a copy of every generation started so far, oldest first.
+func (e *Engine) Generations() []Generation {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Generation(nil), e.history...)
+}
+
 // stop removes a stream whose caller has gone.
 func (e *Engine) stop(s *stream) {
 	e.mu.Lock()
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -47,27 +47,36 @@
 		return
 	}
 	row.Name = c.Param("instance")
+	l.Put(row)
+	c.JSON(http.StatusOK, row)
+}
+
+// Put adds an instance or replaces its row.
+func (l *InstanceList) Put(row platform.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range l.rows {
 		if l.rows[i].Name == row.Name {
 			l.rows[i] = row
-			c.JSON(http.StatusOK, row)
 			return
 		}
 	}
 	l.rows = append(l.rows, row)
-	c.JSON(http.StatusOK, row)
 }
 
-func (l *InstanceList) remove(_ context.Context, c *app.RequestContext) {
+// Remove takes an instance off the list.
+func (l *InstanceList) Remove(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range l.rows {
-		if l.rows[i].Name == c.Param("instance") {
+		if l.rows[i].Name == name {
 			l.rows = append(l.rows[:i:i], l.rows[i+1:]...)
-			break
+			return
 		}
 	}
+}
+
+func (l *InstanceList) remove(_ context.Context, c *app.RequestContext) {
+	l.Remove(c.Param("instance"))
 	c.Status(http.StatusNoContent)
 }
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,9 @@
 	Method  string `json:"method"`
 	Path    string `json:"path"`
 	Body    string `json:"body"`
+	// Send is the caller's X-Send header, which tells resent calls apart.
+	Send string    `json:"send,omitempty"`
+	At   time.Time `json:"at"`
 }
 
 // PlainService runs every call and remembers it.
@@ -41,7 +45,7 @@
 
 func (p *PlainService) run(_ context.Context, c *app.RequestContext) {
 	e := p.record(c)
-	time.Sleep(time.Duration(p.settings.Delay))
+	time.Sleep(p.delay(c))
 	if strings.HasPrefix(e.Path, "/fail") {
 		c.JSON(http.StatusInternalServerError, e)
 		return
@@ -49,6 +53,22 @@
 	c.JSON(http.StatusOK, e)
 }
 
+// delay is how long a call takes: the settings' delay or the query's delay_ms.
+func (p *PlainService) delay(c *app.RequestContext) time.Duration {
+	ms, err := strconv.Atoi(c.Query("delay_ms"))
+	if err != nil {
+		return time.Duration(p.settings.Delay)
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Executions returns a copy of every call run so far, oldest first.
+func (p *PlainService) Executions() []Execution {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]Execution(nil), p.executions...)
+}
+
 func (p *PlainService) record(c *app.RequestContext) Execution {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -58,13 +78,13 @@
 		Method:  string(c.Method()),
 		Path:    string(c.Path()),
 		Body:    string(c.Request.Body()),
+		Send:    string(c.GetHeader("X-Send")),
+		At:      time.Now(),
 	}
 	p.executions = append(p.executions, e)
 	return e
 }
 
 func (p *PlainService) list(_ context.Context, c *app.RequestContext) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c.JSON(http.StatusOK, p.executions)
+	c.JSON(http.StatusOK, p.Executions())
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -18,25 +18,53 @@
 	readTimeout = 10 * time.Minute
 )
 
-// Run serves every stand-in of the settings until ctx ends.
-func Run(ctx context.Context, s Settings) error {
-	g, ctx := errgroup.WithContext(ctx)
+// Set is the stand-ins of one settings file.
+type Set struct {
+	// Log and Instances are nil if the settings do not ask for them.
+	Log       *LogService
+	Instances *InstanceList
+	Engines   []*Engine
+	Plain     []*PlainService
+
+	settings Settings
+}
+
+// New returns the stand-ins of the settings, which serve once Run is called.
+func New(s Settings) *Set {
+	set := &Set{settings: s}
 	if s.Log.Listen != "" {
-		l := NewLogService()
-		g.Go(func() error { return serve(ctx, s.Log.Listen, l.Routes) })
+		set.Log = NewLogService()
 	}
 	if s.Instances.Listen != "" {
-		i := NewInstanceList(s.Instances.List)
-		g.Go(func() error { return serve(ctx, s.Instances.Listen, i.Routes) })
+		set.Instances = NewInstanceList(s.Instances.List)
 	}
 	for _, es := range s.Engines {
-		e := NewEngine(es)
-		g.Go(func() error { e.Run(ctx); return nil })
-		g.Go(func() error { return serve(ctx, es.Listen, e.Routes) })
+		set.Engines = append(set.Engines, NewEngine(es))
 	}
 	for _, ps := range s.Plain {
-		p := NewPlainService(ps)
-		g.Go(func() error { return serve(ctx, ps.Listen, p.Routes) })
+		set.Plain = append(set.Plain, NewPlainService(ps))
+	}
+	return set
+}
+
+// Run serves every stand-in of the settings until ctx ends.
+func Run(ctx context.Context, s Settings) error { return New(s).Run(ctx) }
+
+// Run serves the set until ctx ends.
+func (s *Set) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	if s.Log != nil {
+		g.Go(func() error { return serve(ctx, s.settings.Log.Listen, s.Log.Routes) })
+	}
+	if s.Instances != nil {
+		g.Go(func() error { return serve(ctx, s.settings.Instances.Listen, s.Instances.Routes) })
+	}
+	for i, e := range s.Engines {
+		g.Go(func() error { e.Run(ctx); return nil })
+		g.Go(func() error { return serve(ctx, s.settings.Engines[i].Listen, e.Routes) })
+	}
+	for i, p := range s.Plain {
+		g.Go(func() error { return serve(ctx, s.settings.Plain[i].Listen, p.Routes) })
 	}
 	return g.Wait()
 }
