--- a/internal/proctest/node.go
+++ b/internal/proctest/node.go
@@ -235,18 +235,20 @@
 }
 
 // Replace stops the instance gracefully and starts another one in its place
-// under a new name and new addresses.
-func (n *Node) Replace() error {
+// under a new name and new addresses. It returns when the old one was gone.
+func (n *Node) Replace() (time.Time, error) {
 	n.life.Lock()
 	defer n.life.Unlock()
-	if err := n.stop(); err != nil {
-		return err
+	err := n.stop()
+	stopped := time.Now()
+	if err != nil {
+		return stopped, err
 	}
 	n.cluster.Instances.Remove(n.Name())
 	if err := n.plan(); err != nil {
-		return err
+		return stopped, err
 	}
-	return n.start()
+	return stopped, n.start()
 }
 
 // Ready reports whether the instance answers that it is ready.
