--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -101,7 +101,7 @@
 		_ = c.GetConn().Close()
 		return
 	}
-	n := max(req.budget()-given, 0)
+	n := req.budget() // counts new tokens, also when an answer is continued
 	s := e.start(string(c.GetHeader("X-Request-Id")), req.promptTokens(), n)
 	defer e.stop(s)
 	w := sse.NewWriter(c)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -71,7 +71,7 @@
 
 // serve runs one hertz server on addr until ctx ends.
 func serve(ctx context.Context, addr string, routes func(*server.Hertz)) error {
-	hlog.SetLevel(hlog.LevelError)
+	hlog.SetLevel(hlog.LevelFatal)
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "standin: listen %s", addr)
