--- /dev/null
+++ b/cmd/chaos/main.go
@@ -0,0 +1,133 @@
+// Command chaos runs rounds of a workload under faults against real processes
+// and ends with a verdict.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+)
+
+const (
+	defaultParallel = 2
+	// findingsPerBreach and findingBytes bound what one round prints.
+	findingsPerBreach = 4
+	findingBytes      = 300
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := command().Run(ctx, os.Args)
+	stop()
+	proctest.RemoveDaemon()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "chaos:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:  "chaos",
+		Usage: "runs rounds of load under faults and checks what must always hold",
+		Description: "A seed fixes the schedule of operations and faults, not the interleaving:\n" +
+			"real processes on a real machine decide that.",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "`SEED` of the first round; the next rounds count up"},
+			&cli.IntFlag{Name: "rounds", Value: 1, Usage: "`NUMBER` of rounds"},
+			&cli.IntFlag{Name: "parallel", Value: defaultParallel, Usage: "`NUMBER` of rounds at once"},
+			&cli.StringFlag{Name: "keep", Usage: "`DIR` that keeps settings and logs of each round"},
+			&cli.BoolFlag{Name: "plan", Usage: "print the schedules and run nothing"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, c *cli.Command) error {
+	first, rounds := c.Uint64("seed"), uint64(c.Int("rounds"))
+	if c.Bool("plan") {
+		for seed := first; seed < first+rounds; seed++ {
+			chaos.NewPlan(seed).Print(os.Stdout)
+		}
+		return nil
+	}
+	s := &session{total: chaos.NewVerdict(), keep: c.String("keep")}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(c.Int("parallel"))
+	for seed := first; seed < first+rounds; seed++ {
+		g.Go(func() error { return s.round(ctx, seed) })
+	}
+	err := g.Wait()
+	s.total.Print(os.Stdout)
+	if err != nil {
+		return err
+	}
+	if !s.total.OK() || len(s.failed) > 0 {
+		return errors.Errorf("seeds that failed: %v", s.failed)
+	}
+	return nil
+}
+
+// session gathers the verdicts of rounds that run side by side.
+type session struct {
+	keep string
+
+	mu     sync.Mutex
+	total  *chaos.Verdict
+	failed []uint64
+}
+
+func (s *session) round(ctx context.Context, seed uint64) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	dir := ""
+	if s.keep != "" {
+		dir = filepath.Join(s.keep, fmt.Sprintf("seed-%d", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return errors.Wrap(err, "keep")
+		}
+	}
+	started := time.Now()
+	plan := chaos.NewPlan(seed)
+	v, err := chaos.Run(ctx, plan, dir)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.failed = append(s.failed, seed)
+		fmt.Printf("seed %d: could not be run: %v\n", seed, err)
+		return nil
+	}
+	s.total.Add(v)
+	result := "pass"
+	if !v.OK() {
+		result = "FAIL"
+		s.failed = append(s.failed, seed)
+	}
+	fmt.Printf("seed %d: %s  %s  %d requests, %d items, %.1fs  %s\n",
+		seed, result, plan.Profile, v.Requests, v.Items, time.Since(started).Seconds(), plan.Faulted())
+	printFindings(v)
+	return nil
+}
+
+// printFindings prints the first findings of each breach.
+func printFindings(v *chaos.Verdict) {
+	printed := make(map[chaos.Breach]int)
+	for _, f := range v.Findings {
+		if printed[f.Breach]++; printed[f.Breach] <= findingsPerBreach {
+			fmt.Printf("  %s: %.*s\n", f.Breach, findingBytes, f.Text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/chaos/balancer.go
@@ -0,0 +1,110 @@
+package chaos
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+)
+
+const (
+	probeInterval = 50 * time.Millisecond
+	// callTimeout is longer than any service's deadline.
+	callTimeout = 25 * time.Second
+	dialTimeout = time.Second
+	pickRetry   = 50 * time.Millisecond
+	pickTimeout = 5 * time.Second
+)
+
+var errNoEntry = errors.New("chaos: no entry takes connections")
+
+// balancer stands for the platform's: it knows which entries are ready and
+// sends a connection that one refuses to the next.
+type balancer struct {
+	nodes []*proctest.Node
+
+	mu    sync.Mutex
+	ready map[*proctest.Node]bool
+}
+
+func newBalancer(nodes []*proctest.Node) *balancer {
+	return &balancer{nodes: nodes, ready: make(map[*proctest.Node]bool)}
+}
+
+// run probes the entries until ctx ends.
+func (b *balancer) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, n := range b.nodes {
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				ok := n.Ready()
+				b.mu.Lock()
+				b.ready[n] = ok
+				b.mu.Unlock()
+				pause(ctx, probeInterval)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// order returns the ready entries, starting at one that salt chooses.
+func (b *balancer) order(salt int) []*proctest.Node {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []*proctest.Node
+	for i := range b.nodes {
+		if n := b.nodes[(i+salt)%len(b.nodes)]; b.ready[n] {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// dial connects to the first entry that takes the connection.
+func (b *balancer) dial(ctx context.Context, salt int) (net.Conn, *proctest.Node, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	for end := time.Now().Add(pickTimeout); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, pickRetry) {
+		for _, n := range b.order(salt) {
+			if conn, err := d.DialContext(ctx, "tcp", n.CallerAddr()); err == nil {
+				return conn, n, nil
+			}
+		}
+	}
+	return nil, nil, errNoEntry
+}
+
+// client returns an HTTP client for one request: it never sends anything
+// twice. via tells which entry took the connection.
+func (b *balancer) client(salt int) (c *http.Client, via func() *proctest.Node) {
+	var mu sync.Mutex
+	var node *proctest.Node
+	dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		conn, n, err := b.dial(ctx, salt)
+		mu.Lock()
+		node = n
+		mu.Unlock()
+		return conn, err
+	}
+	via = func() *proctest.Node {
+		mu.Lock()
+		defer mu.Unlock()
+		return node
+	}
+	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}, via
+}
+
+// pause sleeps for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/chaos/check_job.go
@@ -0,0 +1,127 @@
+package chaos
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+)
+
+type resultLine struct {
+	CustomID string `json:"custom_id"`
+	Response *struct {
+		StatusCode int             `json:"status_code"`
+		Body       json.RawMessage `json:"body"`
+	} `json:"response"`
+	Error json.RawMessage `json:"error"`
+}
+
+// checkJob judges one batch job.
+func (c *checker) checkJob(j JobRecord) {
+	v := c.verdict
+	if j.Err != "" {
+		v.found(Lost, "job %s %v: %s", j.Op.ID, j.IDs, j.Err)
+	}
+	for _, id := range j.IDs[min(1, len(j.IDs)):] {
+		if id != j.IDs[0] {
+			v.found(Duplicate, "job %s was accepted as %s and as %s", j.Op.ID, j.IDs[0], id)
+		}
+	}
+	c.checkCancel(j)
+	if len(j.Outputs) == 0 {
+		return
+	}
+	for _, o := range j.Outputs[1:] {
+		if o != j.Outputs[0] {
+			v.found(Duplicate, "job %s: two entries give different results", j.Op.ID)
+		}
+	}
+	c.checkItems(j)
+}
+
+// checkItems judges the results: every item once, whole and own, or failed for
+// ever if it is poison.
+func (c *checker) checkItems(j JobRecord) {
+	v := c.verdict
+	seen := make(map[string]int)
+	for i, text := range []string{j.Outputs[0].Results, j.Outputs[0].Errors} {
+		for _, line := range strings.Split(strings.TrimSpace(text), "\n") {
+			if line == "" {
+				continue
+			}
+			var l resultLine
+			if err := json.Unmarshal([]byte(line), &l); err != nil {
+				v.found(Lost, "job %s: unreadable result %q", j.Op.ID, line)
+				continue
+			}
+			seen[l.CustomID]++
+			c.checkItem(j, l, i == 0)
+		}
+	}
+	for i := range j.Op.Items {
+		n := seen[fmt.Sprintf("i%d", i)]
+		if n > 1 {
+			v.found(Duplicate, "job %s: item %d has %d results", j.Op.ID, i, n)
+		}
+		if n == 0 && j.Final.Status == "completed" {
+			v.found(Lost, "job %s: item %d has no result", j.Op.ID, i)
+		}
+	}
+	if s := j.Final.Status; s != "completed" && (s != "cancelled" || j.Op.CancelAfter == 0) {
+		v.found(Lost, "job %s ended %s", j.Op.ID, s)
+	}
+}
+
+func (c *checker) checkItem(j JobRecord, l resultLine, result bool) {
+	var i int
+	if _, err := fmt.Sscanf(l.CustomID, "i%d", &i); err != nil || i >= j.Op.Items {
+		c.verdict.found(WrongAnswer, "job %s: a result for %q, which is no item", j.Op.ID, l.CustomID)
+		return
+	}
+	_, poison := j.Op.Poison[i]
+	if !result {
+		if !poison && j.Final.Status == "completed" {
+			c.verdict.found(Lost, "job %s: item %d failed: %s", j.Op.ID, i, l.why())
+		}
+		return
+	}
+	if poison {
+		c.verdict.found(WrongAnswer, "job %s: poison item %d has a result", j.Op.ID, i)
+		return
+	}
+	want := echo(itemPrompt(j.Op, i), j.Op.Tokens)
+	var a chatCompletion
+	if l.Response == nil || json.Unmarshal(l.Response.Body, &a) != nil || len(a.Choices) != 1 || a.Choices[0].Message.Content != want {
+		c.verdict.found(WrongAnswer, "job %s item %d: want %d tokens; got %s", j.Op.ID, i, j.Op.Tokens, l.why())
+	}
+}
+
+func (l resultLine) why() string {
+	if l.Response != nil {
+		return string(l.Response.Body)
+	}
+	return string(l.Error)
+}
+
+// checkCancel judges whether a cancelled job stopped.
+func (c *checker) checkCancel(j JobRecord) {
+	if j.CancelAcked.IsZero() {
+		return
+	}
+	bound := j.CancelAcked
+	if c.history.Healed.After(bound) && len(c.plan.Faults) > 0 {
+		bound = c.history.Healed
+	}
+	bound = bound.Add(cancelBound)
+	for i := range j.Op.Items {
+		for _, g := range c.generations[itemPrompt(j.Op, i)] {
+			if g.At.After(bound) {
+				c.verdict.found(RanAfterCancel, "job %s: item %d started %s after the cancel", j.Op.ID, i,
+					g.At.Sub(j.CancelAcked).Round(time.Millisecond))
+			}
+		}
+	}
+	if s := j.Final.Status; j.Err == "" && s != "cancelled" && s != "completed" {
+		c.verdict.found(RanAfterCancel, "job %s was cancelled and ended %s", j.Op.ID, s)
+	}
+}
--- /dev/null
+++ b/internal/chaos/fault.go
@@ -0,0 +1,71 @@
+package chaos
+
+import "time"
+
+// FaultKind is what goes wrong.
+type FaultKind string
+
+// The kinds of fault.
+const (
+	KillEntry       FaultKind = "kill_entry"
+	KillBackend     FaultKind = "kill_backend"
+	KillAllEntries  FaultKind = "kill_all_entries"
+	FreezeEntry     FaultKind = "freeze_entry"
+	FreezeBackend   FaultKind = "freeze_backend"
+	ReplaceEntry    FaultKind = "replace_entry"
+	ReplaceBackend  FaultKind = "replace_backend"
+	ReplaceAll      FaultKind = "replace_all"
+	CutPeer         FaultKind = "cut_peer"
+	StallPeer       FaultKind = "stall_peer"
+	SlowPeer        FaultKind = "slow_peer"
+	CutEngine       FaultKind = "cut_engine"
+	StallEngine     FaultKind = "stall_engine"
+	CutLogLink      FaultKind = "cut_log_link"
+	StallLogLink    FaultKind = "stall_log_link"
+	LogDown         FaultKind = "log_down"
+	LogSlow         FaultKind = "log_slow"
+	LogLosesAnswers FaultKind = "log_loses_answers"
+	LogAppliesLate  FaultKind = "log_applies_late"
+)
+
+var mixedFaults = []FaultKind{
+	KillEntry, KillEntry, KillBackend, KillBackend, KillAllEntries, FreezeEntry, FreezeBackend, FreezeBackend,
+	ReplaceEntry, ReplaceBackend, ReplaceAll, CutPeer, CutPeer, StallPeer, SlowPeer, CutEngine, StallEngine,
+	CutLogLink, StallLogLink, LogDown, LogDown, LogSlow, LogLosesAnswers, LogLosesAnswers, LogAppliesLate, LogAppliesLate,
+}
+
+var plannedFaults = []FaultKind{ReplaceEntry, ReplaceBackend, ReplaceAll}
+
+// Fault is one planned fault.
+type Fault struct {
+	At   time.Duration
+	For  time.Duration
+	Kind FaultKind
+	// Target chooses the instance, modulo their number.
+	Target int
+	// N is how many appends a fault of the log meets.
+	N int
+	// Delay is how much a slow link or log adds.
+	Delay time.Duration
+}
+
+// faults draws up to four faults; about half of them come while another one
+// is in force.
+func (g *generator) faults(p Profile) []Fault {
+	if p == Planned {
+		return []Fault{{At: g.within(span / 3), Kind: plannedFaults[g.rng.IntN(len(plannedFaults))], Target: g.rng.IntN(60)}}
+	}
+	var out []Fault
+	for range 1 + g.rng.IntN(4) {
+		f := Fault{
+			At: g.within(span * 3 / 4), For: g.between(100*time.Millisecond, 2500*time.Millisecond),
+			Kind: mixedFaults[g.rng.IntN(len(mixedFaults))], Target: g.rng.IntN(60),
+			N: 1 + g.rng.IntN(12), Delay: g.between(5*time.Millisecond, 200*time.Millisecond),
+		}
+		if len(out) > 0 && g.percent(50) {
+			f.At = out[len(out)-1].At + g.within(50*time.Millisecond)
+		}
+		out = append(out, f)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/chaos/plan.go
@@ -0,0 +1,219 @@
+package chaos
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// OpKind is what a caller or an operator does.
+type OpKind string
+
+// The kinds of operation.
+const (
+	// ChatStream and ChatWhole ask a model engine.
+	ChatStream OpKind = "chat_stream"
+	ChatWhole  OpKind = "chat_whole"
+	// Get is an idempotent call to a plain service.
+	Get OpKind = "get"
+	// Post is a non-idempotent call without a key, sent once.
+	Post OpKind = "post"
+	// KeyedPost is a non-idempotent call with a key, sent several times.
+	KeyedPost OpKind = "keyed_post"
+	// Batch is a batch job from its upload to its results.
+	Batch OpKind = "batch"
+	// ConfigRace is two operators who publish on the same base.
+	ConfigRace OpKind = "config_race"
+)
+
+// Op is one planned operation.
+type Op struct {
+	At        time.Duration
+	Kind      OpKind
+	ID        string
+	Workspace int
+	// Tokens is the length of a chat answer.
+	Tokens int
+	// Delay is how long a call takes at the plain service.
+	Delay time.Duration
+	// Sends are the sends of a keyed call.
+	Sends []Send
+	// Items is the size of a batch job, Poison maps items that can never be
+	// done to their prompt word.
+	Items  int
+	Poison map[int]string
+	// CancelAfter cancels the job that long after its acknowledgement, if set.
+	CancelAfter time.Duration
+	// Strike is a fault at the moment that the operation reaches a point.
+	Strike Strike
+}
+
+// Send is one send of a keyed call.
+type Send struct {
+	// After is when it is sent, relative to the operation.
+	After time.Duration
+	// GiveUp is when the client drops the connection, zero for never.
+	GiveUp time.Duration
+}
+
+// Strike is a fault tied to the progress of an operation.
+type Strike string
+
+// The strikes.
+const (
+	NoStrike Strike = ""
+	// KillEntryOnAck kills the entry that acknowledged a batch job.
+	KillEntryOnAck Strike = "kill_entry_on_ack"
+	// KillBackendMidStream kills a backend server while tokens arrive.
+	KillBackendMidStream Strike = "kill_backend_mid_stream"
+	// FreezeBackendMidStream freezes one instead.
+	FreezeBackendMidStream Strike = "freeze_backend_mid_stream"
+)
+
+// Profile is the family that a round's faults come from.
+type Profile string
+
+// The profiles.
+const (
+	// Mixed takes any faults.
+	Mixed Profile = "mixed"
+	// Planned takes graceful stops only, which must cut off nothing.
+	Planned Profile = "planned"
+)
+
+// Plan is the schedule of one round, a pure function of its seed.
+type Plan struct {
+	Seed    uint64
+	Profile Profile
+	Ops     []Op
+	Faults  []Fault
+}
+
+// Sizes of a round.
+const (
+	entries        = 3
+	engines        = 3
+	plains         = 2
+	span           = 3500 * time.Millisecond
+	liveOps        = 90
+	jobsPerRound   = 3
+	racesPerRound  = 3
+	maxItems       = 40
+	plannedEvery   = 8
+	strikesPercent = 4
+)
+
+// NewPlan returns the plan of a seed.
+func NewPlan(seed uint64) Plan {
+	g := &generator{seed: seed, rng: rand.New(rand.NewPCG(seed, 0))}
+	p := Plan{Seed: seed, Profile: Mixed}
+	if seed%plannedEvery == 0 {
+		p.Profile = Planned
+	}
+	for i := range liveOps {
+		p.Ops = append(p.Ops, g.live(i, p.Profile))
+	}
+	for i := range jobsPerRound {
+		p.Ops = append(p.Ops, g.job(i, p.Profile))
+	}
+	for i := range racesPerRound {
+		p.Ops = append(p.Ops, Op{At: g.within(span), Kind: ConfigRace, ID: g.id("race", i)})
+	}
+	slices.SortStableFunc(p.Ops, func(a, b Op) int { return int(a.At - b.At) })
+	p.Faults = g.faults(p.Profile)
+	return p
+}
+
+// generator draws a plan.
+type generator struct {
+	seed uint64
+	rng  *rand.Rand
+}
+
+func (g *generator) id(kind string, i int) string { return fmt.Sprintf("s%d-%s%d", g.seed, kind, i) }
+
+func (g *generator) within(d time.Duration) time.Duration {
+	return time.Duration(g.rng.Int64N(int64(d))).Truncate(time.Millisecond)
+}
+
+func (g *generator) between(from, to time.Duration) time.Duration { return from + g.within(to-from) }
+
+func (g *generator) percent(n int) bool { return g.rng.IntN(100) < n }
+
+func (g *generator) live(i int, p Profile) Op {
+	kinds := []OpKind{ChatStream, ChatStream, ChatWhole, Get, Post, KeyedPost, KeyedPost}
+	op := Op{
+		At: g.within(span), Kind: kinds[g.rng.IntN(len(kinds))], ID: g.id("r", i),
+		Workspace: g.rng.IntN(len(workspaces)), Tokens: 4 + g.rng.IntN(90), Delay: g.within(300 * time.Millisecond),
+	}
+	switch {
+	case op.Kind == KeyedPost:
+		op.Sends = g.sends(p)
+	case op.Kind == ChatStream && p == Mixed && g.percent(strikesPercent):
+		op.Strike = []Strike{KillBackendMidStream, FreezeBackendMidStream}[g.rng.IntN(2)]
+	}
+	return op
+}
+
+// sends draws the sends of a keyed call: some clients drop the connection, and
+// all send again, now and then while the first send still runs.
+func (g *generator) sends(p Profile) []Send {
+	sends := make([]Send, 1+g.rng.IntN(3))
+	for i := range sends {
+		if i > 0 {
+			sends[i].After = g.within(600 * time.Millisecond)
+		}
+		if p == Mixed && g.percent(30) {
+			sends[i].GiveUp = g.between(5*time.Millisecond, 300*time.Millisecond)
+		}
+	}
+	return sends
+}
+
+func (g *generator) job(i int, p Profile) Op {
+	op := Op{
+		At: g.within(span / 2), Kind: Batch, ID: g.id("b", i), Workspace: i % len(workspaces),
+		Items: 5 + g.rng.IntN(maxItems), Tokens: 4 + g.rng.IntN(40), Poison: map[int]string{},
+	}
+	if p == Planned {
+		return op
+	}
+	for range g.rng.IntN(3) {
+		op.Poison[g.rng.IntN(op.Items)] = poisonWords[g.rng.IntN(len(poisonWords))]
+	}
+	if g.percent(35) {
+		op.CancelAfter = g.within(time.Second) + time.Millisecond
+	}
+	if g.percent(25) {
+		op.Strike = KillEntryOnAck
+	}
+	return op
+}
+
+// Faulted names the plan's faults in short.
+func (p Plan) Faulted() string {
+	var out []string
+	for _, f := range p.Faults {
+		out = append(out, string(f.Kind))
+	}
+	for _, op := range p.Ops {
+		if op.Strike != NoStrike {
+			out = append(out, string(op.Strike))
+		}
+	}
+	return strings.Join(out, " ")
+}
+
+// Print writes the plan, one line for each operation and fault.
+func (p Plan) Print(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "seed %d profile %s\n", p.Seed, p.Profile)
+	for _, op := range p.Ops {
+		_, _ = fmt.Fprintf(w, "  %+v\n", op)
+	}
+	for _, f := range p.Faults {
+		_, _ = fmt.Fprintf(w, "  %+v\n", f)
+	}
+}
