Admission: account of late online gaps, exact step model, idle bound

Cause: a fixed spacing of batch starts fitted neither deployment, the step model mistook prefills for streams, and preempted contexts displaced online prefixes from the engine's cache.

--- a/admission/core.go
+++ b/admission/core.go
@@ -10,21 +10,24 @@
 
 // Core holds the table of attempts. It is not safe for concurrent use.
 type Core struct {
-	policy   Policy
-	now      time.Duration
-	rows     map[string]*row
-	queues   [2]queue
-	running  [2]int
-	prefills [2]int // running attempts without a first token
-	batch    []*row // running batch attempts in order of start
-	draining bool
-	expiry   time.Duration // earliest deadline of a queued attempt
-	steps    stepModel
-	service  [2]mean // time from start to end, in seconds
-	pace     pace
-	machine  *stateless.StateMachine
-	current  *row // the row that machine works on
-	out      []Action
+	policy    Policy
+	now       time.Duration
+	rows      map[string]*row
+	queues    [2]queue
+	running   [2]int
+	prefills  [2]int // running attempts without a first token
+	batch     []*row // running batch attempts in order of start
+	draining  bool
+	expiry    time.Duration // earliest deadline of a queued attempt
+	steps     stepModel
+	harm      harm
+	recent    mean             // time between tokens, in seconds
+	startedAt [2]time.Duration // latest start of each class
+	stoppedAt time.Duration    // latest stop
+	service   [2]mean          // time from start to end, in seconds
+	machine   *stateless.StateMachine
+	current   *row // the row that machine works on
+	out       []Action
 }
 
 const (
@@ -34,7 +37,7 @@
 
 // New returns a core with a policy in force.
 func New(p Policy) *Core {
-	c := &Core{rows: make(map[string]*row), expiry: never}
+	c := &Core{rows: make(map[string]*row), expiry: never, startedAt: [2]time.Duration{before, before}, stoppedAt: before}
 	c.machine = newMachine(c)
 	c.setPolicy(p)
 	return c
@@ -114,14 +117,36 @@
 	if !ok || r.state != running {
 		return
 	}
-	if !r.decoding {
+	if r.decoding {
+		c.observe(r, c.now-r.tokenAt)
+	} else {
 		r.decoding = true
 		c.prefills[r.attempt.Class]--
-	} else {
-		c.steps.observe(c.runningTotal(), c.now-r.tokenAt, c.prefills[Online]+c.prefills[Batch] == 0 && r.clean)
 	}
-	r.clean = c.prefills[Online]+c.prefills[Batch] == 0
-	r.tokenAt = c.now
+	r.tokenAt, r.streams, r.beside = c.now, c.runningTotal(), c.prefills
+}
+
+// observe learns from the time between two tokens of a row.
+func (c *Core) observe(r *row, gap time.Duration) {
+	if c.undisturbed(r) {
+		c.steps.observe(float64(r.streams+c.runningTotal())/2, gap)
+	}
+	c.recent.add(gap.Seconds())
+	if r.attempt.Class == Online {
+		c.observeGap(r, gap)
+	}
+}
+
+// undisturbed says that no attempt was prefilled or stopped since the row's
+// previous token.
+func (c *Core) undisturbed(r *row) bool {
+	return !c.prefilledSince(r, Online) && !c.prefilledSince(r, Batch) && c.stoppedAt < r.tokenAt
+}
+
+// prefilledSince says whether an attempt of a class was prefilled since the
+// row's previous token.
+func (c *Core) prefilledSince(r *row, class Class) bool {
+	return r.beside[class] > 0 || c.startedAt[class] >= r.tokenAt
 }
 
 func (c *Core) finish(id string) {
--- /dev/null
+++ b/admission/gaps.go
@@ -0,0 +1,70 @@
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// gapBins and gapRatio lay out a histogram of times between tokens in bins
+	// that grow by gapRatio from gapMin.
+	gapBins  = 512
+	gapRatio = 1.02
+	gapMin   = 100 * time.Microsecond
+	// gapHalf is how many observations a histogram holds before all its counts
+	// are halved.
+	gapHalf = 200_000
+	// gapRefresh is how many observations pass between two looks at the
+	// quantile.
+	gapRefresh = 64
+	// tailQuantile is the quantile that the target of the time between tokens
+	// is about.
+	tailQuantile = 0.95
+)
+
+var logGapRatio = math.Log(gapRatio)
+
+// gapHistogram estimates the tailQuantile of recent times between tokens.
+type gapHistogram struct {
+	bins  [gapBins]float64
+	total float64
+	since int
+	tail  time.Duration
+}
+
+func (h *gapHistogram) add(d time.Duration) {
+	h.bins[gapBin(d)]++
+	h.total++
+	if h.total >= gapHalf {
+		h.halve()
+	}
+	if h.since++; h.since >= gapRefresh || h.tail == 0 {
+		h.since, h.tail = 0, h.quantile(tailQuantile)
+	}
+}
+
+func (h *gapHistogram) halve() {
+	h.total = 0
+	for i := range h.bins {
+		h.bins[i] /= 2
+		h.total += h.bins[i]
+	}
+}
+
+func (h *gapHistogram) quantile(q float64) time.Duration {
+	left := h.total * (1 - q)
+	for i := gapBins - 1; i > 0; i-- {
+		left -= h.bins[i]
+		if left < 0 {
+			return time.Duration(float64(gapMin) * math.Pow(gapRatio, float64(i)+0.5))
+		}
+	}
+	return gapMin
+}
+
+func gapBin(d time.Duration) int {
+	if d <= gapMin {
+		return 0
+	}
+	return min(int(math.Log(float64(d)/float64(gapMin))/logGapRatio), gapBins-1)
+}
--- a/admission/lifecycle.go
+++ b/admission/lifecycle.go
@@ -9,7 +9,11 @@
 	"github.com/qmuntal/stateless"
 )
 
-const never = time.Duration(math.MaxInt64)
+// never and before lie after and before every time.
+const (
+	never  = time.Duration(math.MaxInt64)
+	before = time.Duration(math.MinInt64)
+)
 
 // state is the state of an attempt's row.
 type state uint8
@@ -38,7 +42,10 @@
 	started  time.Duration
 	tokenAt  time.Duration
 	decoding bool // has produced a token
-	clean    bool // no attempt was being prefilled at tokenAt
+	// streams and beside are how many attempts ran, and how many of each class
+	// had no token yet, at tokenAt.
+	streams int
+	beside  [2]int
 }
 
 // newMachine returns the state machine of all rows of a core. Its storage is
@@ -54,7 +61,7 @@
 	)
 	m.Configure(queued).Permit(start, running).Permit(end, ended).OnExit(c.onDequeue)
 	m.Configure(running).Permit(stop, stopping).Permit(end, ended).OnEntry(c.onStart).OnExit(c.onRelease)
-	m.Configure(stopping).Permit(end, ended)
+	m.Configure(stopping).Permit(end, ended).OnEntry(c.onStop)
 	m.Configure(ended)
 	return m
 }
@@ -75,7 +82,7 @@
 
 func (c *Core) onStart(context.Context, ...any) error {
 	r := c.current
-	r.started = c.now
+	r.started, c.startedAt[r.attempt.Class] = c.now, c.now
 	c.running[r.attempt.Class]++
 	c.prefills[r.attempt.Class]++
 	if r.attempt.Class == Batch {
@@ -84,6 +91,11 @@
 	return nil
 }
 
+func (c *Core) onStop(context.Context, ...any) error {
+	c.stoppedAt = c.now
+	return nil
+}
+
 // onRelease frees the slot of a row that stops or ends.
 func (c *Core) onRelease(context.Context, ...any) error {
 	r := c.current
--- a/admission/slack.go
+++ b/admission/slack.go
@@ -3,12 +3,10 @@
 import "time"
 
 const (
-	// maxSlowdown is how much longer batch may make a decoding step beside
-	// online attempts, as a share of the step without batch.
-	maxSlowdown = 0.05
-	// prefillShare is the share of steps beside online attempts in which a
-	// batch attempt may be prefilled, when batch weighs all.
-	prefillShare = 0.02
+	// idleStreams bounds the batch attempts on a backend server without online
+	// attempts: each one more is preempted by the next online arrival, and the
+	// context it leaves displaces prefixes from the engine's cache.
+	idleStreams = 20
 	// idlePrefills bounds the batch attempts that are prefilled at once on a
 	// backend server without online attempts.
 	idlePrefills = 1
@@ -17,11 +15,6 @@
 	queueAhead = 4
 )
 
-// pace remembers when batch was last started.
-type pace struct{ last time.Duration }
-
-func (p *pace) started(now time.Duration) { p.last = now }
-
 // onlineDemand counts online attempts that run or wait.
 func (c *Core) onlineDemand() int { return c.running[Online] + c.queues[Online].len() }
 
@@ -30,10 +23,10 @@
 	online := c.onlineDemand()
 	free := max(c.policy.Slots-online, 0)
 	if online == 0 {
-		return free
+		return min(free, idleStreams)
 	}
 	alone := c.steps.predict(online)
-	bound := alone + time.Duration(float64(alone)*maxSlowdown)
+	bound := alone + time.Duration(float64(max(alone, c.harm.alone.tail))*maxHarm)
 	if t := c.policy.TBTTarget; t > 0 {
 		bound = min(bound, t)
 	}
@@ -42,19 +35,15 @@
 
 // mayPrefill says whether a batch attempt may be started now: never while an
 // online attempt waits for its first token, and beside online attempts only
-// in a small share of the steps.
+// while the account of late gaps is in credit.
 func (c *Core) mayPrefill() bool {
 	if c.queues[Online].len() > 0 || c.prefills[Online] > 0 {
 		return false
 	}
-	if c.running[Online] == 0 {
-		return c.prefills[Batch] < idlePrefills
-	}
-	if c.prefills[Batch] > 0 {
+	if c.prefills[Batch] >= idlePrefills {
 		return false
 	}
-	gap := float64(c.steps.predict(c.runningTotal())) / (prefillShare * c.batchShare())
-	return c.now-c.pace.last >= time.Duration(gap)
+	return c.running[Online] == 0 || c.harm.credit > 0
 }
 
 // batchShare is the weight of batch as a share of all weight.
@@ -74,7 +63,7 @@
 		QueuedOnline:  c.queues[Online].len(),
 		QueuedBatch:   c.queues[Batch].len(),
 		BatchRoom:     c.batchRoom(),
-		Step:          c.steps.recent(),
+		Step:          time.Duration(c.recent.value * float64(time.Second)),
 	}
 }
 
--- a/admission/stepmodel.go
+++ b/admission/stepmodel.go
@@ -35,23 +35,20 @@
 // side by side: weighted linear least squares with exponential forgetting over
 // steps in which nothing was prefilled.
 type stepModel struct {
-	last              mean // all observations, seconds
 	w, x, y, xx, xy   float64
 	intercept, perOne float64 // seconds
 	fitted            bool
 }
 
-// observe records the time between two tokens of a stream while streams ran.
-// A step is clean if nothing was prefilled in it.
-func (m *stepModel) observe(streams int, d time.Duration, clean bool) {
-	s := d.Seconds()
-	m.last.add(s)
-	if !clean || s <= 0 {
+// observe records the time between two tokens of a stream while streams ran
+// side by side.
+func (m *stepModel) observe(streams float64, d time.Duration) {
+	if d <= 0 {
 		return
 	}
-	x := float64(streams)
-	m.w, m.x, m.y = m.w*forget+1, m.x*forget+x, m.y*forget+s
-	m.xx, m.xy = m.xx*forget+x*x, m.xy*forget+x*s
+	s := d.Seconds()
+	m.w, m.x, m.y = m.w*forget+1, m.x*forget+streams, m.y*forget+s
+	m.xx, m.xy = m.xx*forget+streams*streams, m.xy*forget+streams*s
 	m.fit()
 }
 
@@ -87,10 +84,10 @@
 	return int(min(max((d.Seconds()-intercept)/perOne, 0), maxStreams))
 }
 
+// perStream is what one more stream adds to a step.
+func (m *stepModel) perStream() time.Duration {
+	return time.Duration(m.perOne * float64(time.Second))
+}
+
 // maxStreams bounds the answer of a model without growth.
 const maxStreams = 1 << 16
-
-// recent returns the moving average of the time between tokens.
-func (m *stepModel) recent() time.Duration {
-	return time.Duration(m.last.value * float64(time.Second))
-}
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -82,7 +82,6 @@
 			return
 		}
 		c.fire(r, start)
-		c.pace.started(c.now)
 		c.act(Action{Kind: Start, ID: r.attempt.ID})
 	}
 }
