--- a/routing/pick.go
+++ b/routing/pick.go
@@ -52,9 +52,6 @@
 	if len(t.fits) == 0 {
 		return nil, ""
 	}
-	if r := packed(t.fits); r != nil {
-		return r, LeastLoaded
-	}
 	if r := affine(now, t.fits, q.Prefix); r != nil {
 		return r, Affinity
 	}
