entry: a keyed call that can't be claimed is not told not_run

Cause: an entry cut off from the log answered a call sent again with log_unavailable and not_run, though the first send had run through another entry; the caller was thus told of a booking that it had not been made. The same held for no_backend, judged by a fold that may be behind. Ruled out: the sidecar (it was never asked). Now the outcome is unknown unless everything in the log was folded first; a call whose key was released while it waited claims it again instead of handing the caller a not_run that another send may outrun.

--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
+	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/claim"
 	"github.com/catkinrudder/catkinrudder/desired"
@@ -26,6 +27,10 @@
 	defaultRetention = 30 * 24 * time.Hour
 )
 
+// errReleased says that the attempt that held a key was proved not to have run,
+// so that the key may be claimed again.
+var errReleased = errors.New("entry: claim released")
+
 // claims runs keyed calls that may not be repeated, at most once each.
 type claims struct {
 	entry   *Server
@@ -61,7 +66,11 @@
 			return claim.Recorded{}, false, err
 		}
 		if st.Result != claim.Won {
-			return k.settled(ctx, c, st)
+			rec, recorded, err := k.settled(ctx, c, st)
+			if errors.Is(err, errReleased) {
+				continue
+			}
+			return rec, recorded, err
 		}
 		event.Log(k.entry.logger, event.RequestRouted, "request", c.id, "service", c.service, "backend", d.Backend.Instance, "reason", d.Reason, "try", try, "claim", st.Row.Claimed.Next)
 		rec, recorded, again, err := k.dispatch(ctx, c, svc, st.Row, d.Backend)
@@ -75,8 +84,10 @@
 
 // acquire claims the key for one attempt at one sidecar incarnation.
 func (k *claims) acquire(ctx context.Context, c *call, svc *desired.Service, key, hash string, b routing.Backend) (claim.State, error) {
-	if row, ok := k.claimer.Lookup(c.workspace, key); b.Instance == "" && (!ok || row.Phase.Open()) {
-		return claim.State{}, errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service)
+	if b.Instance == "" {
+		if err := k.checkUnsettled(ctx, c, key); err != nil {
+			return claim.State{}, err
+		}
 	}
 	st, err := k.claimer.Acquire(ctx, claim.Claim{
 		Workspace:   c.workspace,
@@ -90,11 +101,31 @@
 		Keep:        int64(retentionOf(svc).Seconds()),
 	})
 	if err != nil {
-		return st, errkind.Wrap(err, errkind.LogUnavailable, "the call could not be claimed in the log and was not sent")
+		return st, unclaimed(err)
 	}
 	return st, nil
 }
 
+// checkUnsettled refuses a call that has no backend server to go to, unless
+// its key is held or settled. It looks at everything that is in the log by now,
+// because an earlier send of the call may have run through another entry.
+func (k *claims) checkUnsettled(ctx context.Context, c *call, key string) error {
+	if err := k.stream.CaughtUp(ctx); err != nil {
+		return unclaimed(err)
+	}
+	if row, ok := k.claimer.Lookup(c.workspace, key); !ok || row.Phase.Open() {
+		return errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service)
+	}
+	return nil
+}
+
+// unclaimed is the answer to a send that the log knows nothing of. The send
+// itself was not run, but nobody can tell here whether an earlier one was.
+func unclaimed(cause error) *errkind.Error {
+	return errkind.Wrap(cause, errkind.LogUnavailable, "the call could not be claimed in the log; this time it was not sent, earlier sends under its key may have run").
+		WithOutcome(errkind.Unknown)
+}
+
 // settled answers a call whose key another attempt holds or has ended.
 func (k *claims) settled(ctx context.Context, c *call, st claim.State) (claim.Recorded, bool, error) {
 	row := st.Row
@@ -113,7 +144,7 @@
 	case claim.Unknown:
 		return claim.Recorded{}, false, unknownOutcome(nil)
 	}
-	return claim.Recorded{}, false, errkind.New(errkind.InProgress, "the call was given back; send it again").WithOutcome(errkind.NotRun)
+	return claim.Recorded{}, false, errReleased
 }
 
 func (k *claims) recorded(ctx context.Context, row claim.Row) (claim.Recorded, bool, error) {
