entry: a kept reply is looked up behind the fold

Cause: GET of a stored reply answered 404 from an entry whose fold of the claims stream was behind, after a restart or a cut log link, though the reply had been promised as recorded. Ruled out: the reply's record (other entries read it). Now everything in the log is folded before a reply is said not to exist, as files and batches do; while the log is down the answer is 503.

--- a/internal/entry/replies.go
+++ b/internal/entry/replies.go
@@ -19,6 +19,9 @@
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
+// catchUpTimeout bounds how long a read waits for what is in the log by then.
+const catchUpTimeout = 5 * time.Second
+
 // keeping says what is kept of one chat reply.
 type keeping struct {
 	service *desired.Service
@@ -145,6 +148,21 @@
 	_ = out.finish(end, req.StreamOptions.IncludeUsage)
 }
 
+// loadReply reads a stored reply. One that is not known here may have been
+// stored through another entry, so everything in the log is folded first.
+func (e *Server) loadReply(ctx context.Context, workspace, id string) (claim.Reply, error) {
+	reply, err := e.claims.claimer.LoadReply(ctx, workspace, id)
+	if !errors.Is(err, claim.ErrNoAnswer) {
+		return reply, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, catchUpTimeout)
+	defer cancel()
+	if err := e.claims.stream.CaughtUp(ctx); err != nil {
+		return claim.Reply{}, err
+	}
+	return e.claims.claimer.LoadReply(ctx, workspace, id)
+}
+
 // storedReply answers GET /v1/chat/completions/{id}.
 func (e *Server) storedReply(ctx context.Context, c *app.RequestContext) {
 	ws, err := e.workspace(c)
@@ -157,7 +175,7 @@
 		e.failKept(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
 		return
 	}
-	reply, err := e.claims.claimer.LoadReply(ctx, ws, id)
+	reply, err := e.loadReply(ctx, ws, id)
 	switch {
 	case err == nil:
 		c.Data(http.StatusOK, "application/json", reply.Body)
