entry: no batch shard is owned before a configuration is in force

Cause: an entry that had just started validated a job while it knew no configuration yet, found that no service has the model and failed the accepted job for ever. Ruled out: the input (the same job completes elsewhere). An entry now owns shards only while it is ready.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -47,7 +47,7 @@
 		Shards:      b.shards,
 		Dispatcher:  &dispatcher{e},
 		Services:    services{e},
-		Owner:       func(shard int) bool { return !e.draining.Load() && e.fleet.owns("batch/"+strconv.Itoa(shard)) },
+		Owner:       func(shard int) bool { return e.ready() && e.fleet.owns("batch/"+strconv.Itoa(shard)) },
 		Logger:      e.logger,
 	})
 	return b
