chaos: kept replies, keyed chats, calls in batch jobs, failure tests

Stand-ins share one log level, set once: setting it for each server raced with hertz's own reads.

A replaced backend server counts as replaced once the entries know it: with two instances of a service, replacing the second before that leaves none to go to, and requests are refused as not_run.

--- a/internal/chaos/call.go
+++ b/internal/chaos/call.go
@@ -19,9 +19,11 @@
 const (
 	sendHeader = "X-Send"
 	keyHeader  = "Idempotency-Key"
-	entryBase  = "http://entry"
-	dataPrefix = "data:"
-	doneEvent  = "[DONE]"
+	// recordedHeader tells whether an answer is kept.
+	recordedHeader = "X-Catkinrudder-Recorded"
+	entryBase      = "http://entry"
+	dataPrefix     = "data:"
+	doneEvent      = "[DONE]"
 	// strikeAfter is how many events of a stream come before a strike.
 	strikeAfter = 3
 )
@@ -48,8 +50,10 @@
 	kind    errkind.Kind
 	outcome errkind.Outcome
 	err     error
-	dropped bool
-	via     *proctest.Node
+	// recorded is what the answer says of its being kept.
+	recorded bool
+	dropped  bool
+	via      *proctest.Node
 }
 
 type errorAnswer struct {
@@ -81,6 +85,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	a := q.read(resp)
 	a.via = via()
+	a.recorded = a.recorded || resp.Header.Get(recordedHeader) == "true"
 	a.dropped = a.err != nil && q.giveUp > 0 && ctx.Err() != nil
 	return a
 }
@@ -173,7 +178,7 @@
 	a := r.do(ctx, q)
 	rec := Record{
 		Op: op, Send: q.send, Start: started, End: time.Now(), Status: a.status, Kind: a.kind,
-		Outcome: a.outcome, Whole: a.whole, Body: a.body, Dropped: a.dropped,
+		Outcome: a.outcome, Whole: a.whole, Body: a.body, Dropped: a.dropped, Recorded: a.recorded,
 	}
 	if a.err != nil {
 		rec.Err = a.err.Error()
@@ -195,6 +200,11 @@
 	return b.String()
 }
 
+// storedBody asks for a whole answer that is kept.
+func storedBody(text string, tokens int) string {
+	return strings.Replace(chatBody(text, tokens, false), "{", `{"store":true,`, 1)
+}
+
 func chatBody(text string, tokens int, stream bool) string {
 	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, modelName, stream, tokens, text)
 }
--- a/internal/chaos/check.go
+++ b/internal/chaos/check.go
@@ -47,6 +47,11 @@
 	for _, j := range h.Jobs {
 		c.checkJob(j)
 	}
+	for _, r := range h.Rereads {
+		if r.Status != 200 || r.Got != r.Want {
+			c.verdict.found(Lost, "kept reply %s: status %d, got %q, want %q", r.ID, r.Status, r.Got, r.Want)
+		}
+	}
 	for _, f := range h.Foreign {
 		if f.Status == 200 {
 			c.verdict.found(CrossRead, "%s answered %d to another workspace", f.What, f.Status)
@@ -119,7 +124,7 @@
 // ran reports whether a backend server saw the request.
 func (c *checker) ran(r Record) bool {
 	switch r.Op.Kind {
-	case ChatStream, ChatWhole:
+	case ChatStream, ChatWhole, StoredChat:
 		return len(c.generations[prompt(r.Op.ID)]) > 0
 	case Get, Post:
 		return len(c.bySend[r.Send]) > 0
@@ -127,6 +132,11 @@
 	if len(c.bySend[r.Send]) > 0 {
 		return true
 	}
+	for _, g := range c.generations[prompt(r.Op.ID)] {
+		if g.At.Before(r.End) {
+			return true
+		}
+	}
 	// A call under a key is one call however often it is sent.
 	for _, e := range c.byID[r.Op.ID] {
 		if e.At.Before(r.End) {
--- a/internal/chaos/check_call.go
+++ b/internal/chaos/check_call.go
@@ -30,7 +30,7 @@
 		if r.Body != want {
 			return fmt.Sprintf("got %q, want %q", r.Body, want)
 		}
-	case ChatWhole:
+	case ChatWhole, StoredChat, KeyedChat:
 		var a chatCompletion
 		if err := json.Unmarshal([]byte(r.Body), &a); err != nil || len(a.Choices) != 1 || a.Choices[0].Message.Content != want {
 			return fmt.Sprintf("got %q, want %q", r.Body, want)
@@ -49,12 +49,15 @@
 	return ""
 }
 
+// once reports whether a call of the kind may run at most once.
+func (k OpKind) once() bool { return k == Post || k == KeyedPost }
+
 // checkCalls judges the calls that may not be repeated: at most one execution
 // for each, and one result told to all who sent it.
 func (c *checker) checkCalls() {
 	results := make(map[string]map[string]bool)
 	for _, r := range c.history.Records {
-		if r.Op.Kind != Post && r.Op.Kind != KeyedPost || !r.Whole {
+		if !r.Op.Kind.once() || !r.Whole {
 			continue
 		}
 		if results[r.Op.ID] == nil {
@@ -66,7 +69,7 @@
 		}
 	}
 	for _, op := range c.plan.Ops {
-		if op.Kind != Post && op.Kind != KeyedPost {
+		if !op.Kind.once() {
 			continue
 		}
 		if n := len(c.byID[op.ID]); n > 1 {
--- a/internal/chaos/check_job.go
+++ b/internal/chaos/check_job.go
@@ -3,10 +3,21 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
 
+func (c *checker) checkItemStart(j JobRecord, i int, at, bound time.Time) {
+	if at.After(bound) {
+		c.verdict.found(RanAfterCancel, "job %s: item %d started %s after the cancel", j.Op.ID, i,
+			at.Sub(j.CancelAcked).Round(time.Millisecond))
+	}
+}
+
 type resultLine struct {
 	CustomID string `json:"custom_id"`
 	Response *struct {
@@ -28,6 +39,11 @@
 		}
 	}
 	c.checkCancel(j)
+	for i := range j.Op.Items {
+		if n := len(c.byID[strconv.Quote(itemID(j.Op, i))]); n > 1 {
+			v.found(Duplicate, "job %s: item %d, which may not be repeated, ran %d times", j.Op.ID, i, n)
+		}
+	}
 	if len(j.Outputs) == 0 {
 		return
 	}
@@ -78,6 +94,10 @@
 		c.verdict.found(WrongAnswer, "job %s: a result for %q, which is no item", j.Op.ID, l.CustomID)
 		return
 	}
+	if j.Op.Calls {
+		c.checkCallItem(j, l, i, result)
+		return
+	}
 	_, poison := j.Op.Poison[i]
 	if !result {
 		if !poison && j.Final.Status == "completed" {
@@ -96,6 +116,30 @@
 	}
 }
 
+// checkCallItem judges an item that may not be repeated. It may fail for ever
+// if nobody knows whether it ran.
+func (c *checker) checkCallItem(j JobRecord, l resultLine, i int, result bool) {
+	id := itemID(j.Op, i)
+	ran := c.byID[strconv.Quote(id)]
+	if result {
+		var e standin.Execution
+		if l.Response == nil || json.Unmarshal(l.Response.Body, &e) != nil || e.Body != strconv.Quote(id) || len(ran) == 0 {
+			c.verdict.found(WrongAnswer, "job %s item %d: got %s", j.Op.ID, i, l.why())
+		}
+		return
+	}
+	var failed errorAnswer
+	if l.Response != nil {
+		_ = json.Unmarshal(l.Response.Body, &failed)
+	}
+	switch {
+	case failed.Error.Outcome == errkind.NotRun && len(ran) > 0:
+		c.verdict.found(FalseNotRun, "job %s item %d was told not_run, but it ran", j.Op.ID, i)
+	case failed.Error.Outcome != errkind.Unknown && j.Final.Status == "completed", c.plan.Profile == Planned:
+		c.verdict.found(Lost, "job %s item %d failed: %s", j.Op.ID, i, l.why())
+	}
+}
+
 func (l resultLine) why() string {
 	if l.Response != nil {
 		return string(l.Response.Body)
@@ -115,10 +159,10 @@
 	bound = bound.Add(cancelBound)
 	for i := range j.Op.Items {
 		for _, g := range c.generations[itemPrompt(j.Op, i)] {
-			if g.At.After(bound) {
-				c.verdict.found(RanAfterCancel, "job %s: item %d started %s after the cancel", j.Op.ID, i,
-					g.At.Sub(j.CancelAcked).Round(time.Millisecond))
-			}
+			c.checkItemStart(j, i, g.At, bound)
+		}
+		for _, e := range c.byID[strconv.Quote(itemID(j.Op, i))] {
+			c.checkItemStart(j, i, e.At, bound)
 		}
 	}
 	if s := j.Final.Status; j.Err == "" && s != "cancelled" && s != "completed" {
--- a/internal/chaos/check_linear.go
+++ b/internal/chaos/check_linear.go
@@ -53,7 +53,8 @@
 func (c *checker) checkKeys() {
 	var ops []porcupine.Operation
 	for i, r := range c.history.Records {
-		if r.Op.Kind != KeyedPost {
+		// A chat's answer that could not be kept binds no later answer.
+		if r.Op.Kind != KeyedPost && (r.Op.Kind != KeyedChat || !r.Recorded) {
 			continue
 		}
 		ops = append(ops, porcupine.Operation{
--- a/internal/chaos/document.go
+++ b/internal/chaos/document.go
@@ -41,7 +41,7 @@
 name = %q
 kind = "plain"
 slots = 16
-deadline = "6s"
+deadline = "4s"
 
 [[service.call]]
 method = "POST"
--- a/internal/chaos/history.go
+++ b/internal/chaos/history.go
@@ -21,10 +21,18 @@
 	Whole bool
 	Body  string
 	Err   string
+	// Recorded says that the system promised to keep the answer.
+	Recorded bool
 	// Dropped says that the caller itself closed the connection.
 	Dropped bool
 }
 
+// Reread is a kept reply as one entry gave it after the faults.
+type Reread struct {
+	ID, Want, Got string
+	Status        int
+}
+
 // JobRecord is what the submitter of a batch job was told.
 type JobRecord struct {
 	Op Op
@@ -79,6 +87,7 @@
 	Records   []Record
 	Jobs      []JobRecord
 	Publishes []PublishRecord
+	Rereads   []Reread
 	Foreign   []Foreign
 	Stops     []Stopping
 	Reverts   []string
--- a/internal/chaos/job.go
+++ b/internal/chaos/job.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"mime/multipart"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -40,9 +41,19 @@
 	return j.Status == "completed" || j.Status == "cancelled" || j.Status == "failed" || j.Status == "expired"
 }
 
+// endpoint is what every item of a job calls.
+func (op Op) endpoint() string {
+	if op.Calls {
+		return "/services/" + plainService + "/bookings"
+	}
+	return chatPath
+}
+
+func itemID(op Op, i int) string { return fmt.Sprintf("%s-i%d", op.ID, i) }
+
 // itemPrompt is the prompt of one item of a job.
 func itemPrompt(op Op, i int) string {
-	p := prompt(fmt.Sprintf("%s-i%d", op.ID, i))
+	p := prompt(itemID(op, i))
 	if word, ok := op.Poison[i]; ok {
 		return p + " " + word
 	}
@@ -75,8 +86,8 @@
 
 // until repeats a request at one entry after the other until it is answered
 // with one of the statuses.
-func (r *Round) until(ctx context.Context, q request, timeout time.Duration, statuses ...int) (answer, bool) {
-	for end := time.Now().Add(timeout); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, submitRetry) {
+func (r *Round) until(ctx context.Context, q request, statuses ...int) (answer, bool) {
+	for end := time.Now().Add(submitTimeout); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, submitRetry) {
 		a := r.do(ctx, q)
 		for _, s := range statuses {
 			if a.status == s && a.err == nil {
@@ -97,15 +108,18 @@
 		return "", false
 	}
 	for i := range op.Items {
-		_, _ = fmt.Fprintf(part, `{"custom_id":"i%d","method":"POST","url":"/v1/chat/completions","body":%s}`+"\n",
-			i, chatBody(itemPrompt(op, i), op.Tokens, false))
+		body := chatBody(itemPrompt(op, i), op.Tokens, false)
+		if op.Calls {
+			body = strconv.Quote(itemID(op, i))
+		}
+		_, _ = fmt.Fprintf(part, `{"custom_id":"i%d","method":"POST","url":%q,"body":%s}`+"\n", i, op.endpoint(), body)
 	}
 	_ = form.Close()
 	q := request{
 		method: http.MethodPost, path: "/v1/files", body: body.String(), contentType: form.FormDataContentType(),
 		workspace: op.Workspace, key: op.ID, salt: saltOf(op.ID),
 	}
-	a, ok := r.until(ctx, q, submitTimeout, http.StatusOK)
+	a, ok := r.until(ctx, q, http.StatusOK)
 	var f fileObject
 	return f.idOf(a.body), ok
 }
@@ -115,13 +129,18 @@
 	return f.ID
 }
 
+func (r *Round) jobRequest(op Op, file string) request {
+	return request{
+		method: http.MethodPost, path: "/v1/batches", workspace: op.Workspace, key: op.ID, salt: saltOf(op.ID),
+		body: fmt.Sprintf(`{"input_file_id":%q,"endpoint":%q,"completion_window":"1h"}`, file, op.endpoint()),
+	}
+}
+
 // submit creates the job and keeps the id it was given.
 func (r *Round) submit(ctx context.Context, op Op, file string, rec *JobRecord) (string, bool) {
-	q := request{
-		method: http.MethodPost, path: "/v1/batches", workspace: op.Workspace, key: op.ID, salt: saltOf(op.ID) + len(rec.IDs),
-		body: fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"1h"}`, file),
-	}
-	a, ok := r.until(ctx, q, submitTimeout, http.StatusOK)
+	q := r.jobRequest(op, file)
+	q.salt += len(rec.IDs)
+	a, ok := r.until(ctx, q, http.StatusOK)
 	if !ok {
 		return "", false
 	}
@@ -136,7 +155,7 @@
 
 func (r *Round) cancelJob(ctx context.Context, op Op, id string, rec *JobRecord) {
 	q := request{method: http.MethodPost, path: "/v1/batches/" + id + "/cancel", workspace: op.Workspace, salt: saltOf(id)}
-	a, ok := r.until(ctx, q, submitTimeout, http.StatusOK, http.StatusConflict)
+	a, ok := r.until(ctx, q, http.StatusOK, http.StatusConflict)
 	switch {
 	case !ok:
 		rec.Err = "the cancel was not acknowledged"
@@ -150,9 +169,7 @@
 // awaitJob waits for the job's end and reads its results at every entry, once
 // the faults have ended.
 func (r *Round) awaitJob(ctx context.Context, op Op, id string, rec *JobRecord) {
-	select {
-	case <-r.healed:
-	case <-ctx.Done():
+	if !r.awaitHealed(ctx) {
 		return
 	}
 	q := request{method: http.MethodGet, path: "/v1/batches/" + id, workspace: op.Workspace}
@@ -182,7 +199,7 @@
 		return ""
 	}
 	q := request{method: http.MethodGet, path: "/v1/files/" + file + "/content", workspace: op.Workspace, salt: salt}
-	a, ok := r.until(ctx, q, submitTimeout, http.StatusOK)
+	a, ok := r.until(ctx, q, http.StatusOK)
 	if !ok {
 		return "not readable"
 	}
--- a/internal/chaos/operations.go
+++ b/internal/chaos/operations.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+const chatPath = "/v1/chat/completions"
+
 // run carries out one operation.
 func (r *Round) run(ctx context.Context, op Op) {
 	switch op.Kind {
@@ -16,8 +18,12 @@
 		r.chat(ctx, op)
 	case Get, Post:
 		r.record(ctx, op, r.plainRequest(op, op.ID))
+	case StoredChat:
+		r.storedChat(ctx, op)
 	case KeyedPost:
-		r.keyedPost(ctx, op)
+		r.keyed(ctx, op, r.plainRequest)
+	case KeyedChat:
+		r.keyed(ctx, op, r.chatRequest)
 	case Batch:
 		r.batch(ctx, op)
 	case ConfigRace:
@@ -29,10 +35,7 @@
 func saltOf(s string) int { return int(xxhash.Sum64String(s) % entries) }
 
 func (r *Round) chat(ctx context.Context, op Op) {
-	q := request{
-		method: http.MethodPost, path: "/v1/chat/completions", workspace: op.Workspace, salt: saltOf(op.ID), send: op.ID,
-		body: chatBody(prompt(op.ID), op.Tokens, op.Kind == ChatStream),
-	}
+	q := r.chatRequest(op, op.ID)
 	q.onEvent = func(n int) {
 		if n == strikeAfter {
 			r.strike(op, nil)
@@ -41,6 +44,36 @@
 	r.record(ctx, op, q)
 }
 
+func (r *Round) chatRequest(op Op, send string) request {
+	return request{
+		method: http.MethodPost, path: chatPath, workspace: op.Workspace, salt: saltOf(send), send: send,
+		body: chatBody(prompt(op.ID), op.Tokens, op.Kind == ChatStream),
+	}
+}
+
+// storedChat asks for an answer that is kept and reads it again at every entry
+// after the faults, and once from the other workspace.
+func (r *Round) storedChat(ctx context.Context, op Op) {
+	q := r.chatRequest(op, op.ID)
+	q.body = storedBody(prompt(op.ID), op.Tokens)
+	a := r.record(ctx, op, q)
+	if !a.whole || !a.recorded || !r.awaitHealed(ctx) {
+		return
+	}
+	id := fileObject{}.idOf(a.body)
+	again := request{method: http.MethodGet, path: chatPath + "/" + id, workspace: op.Workspace}
+	for salt := range entries {
+		again.salt = salt
+		b, _ := r.until(ctx, again, http.StatusOK, http.StatusNotFound)
+		r.history.add(func(h *History) {
+			h.Rereads = append(h.Rereads, Reread{ID: id, Want: a.body, Got: b.body, Status: b.status})
+		})
+	}
+	again.workspace = (op.Workspace + 1) % len(workspaces)
+	b := r.do(ctx, again)
+	r.history.add(func(h *History) { h.Foreign = append(h.Foreign, Foreign{What: again.path, Status: b.status}) })
+}
+
 func (r *Round) plainRequest(op Op, send string) request {
 	q := request{method: http.MethodGet, workspace: op.Workspace, salt: saltOf(send), send: send}
 	if op.Kind == Get {
@@ -53,13 +86,13 @@
 	return q
 }
 
-// keyedPost sends one call several times under one key.
-func (r *Round) keyedPost(ctx context.Context, op Op) {
+// keyed sends one request several times under one key.
+func (r *Round) keyed(ctx context.Context, op Op, build func(op Op, send string) request) {
 	var wg sync.WaitGroup
 	for i, s := range op.Sends {
 		wg.Go(func() {
 			pause(ctx, s.After)
-			q := r.plainRequest(op, fmt.Sprintf("%s/%d", op.ID, i))
+			q := build(op, fmt.Sprintf("%s/%d", op.ID, i))
 			q.key, q.giveUp = op.ID, s.GiveUp
 			r.record(ctx, op, q)
 		})
--- a/internal/chaos/plan.go
+++ b/internal/chaos/plan.go
@@ -17,6 +17,10 @@
 	// ChatStream and ChatWhole ask a model engine.
 	ChatStream OpKind = "chat_stream"
 	ChatWhole  OpKind = "chat_whole"
+	// StoredChat is a chat whose reply is kept, KeyedChat one that is sent
+	// several times under one key.
+	StoredChat OpKind = "stored_chat"
+	KeyedChat  OpKind = "keyed_chat"
 	// Get is an idempotent call to a plain service.
 	Get OpKind = "get"
 	// Post is a non-idempotent call without a key, sent once.
@@ -39,12 +43,15 @@
 	Tokens int
 	// Delay is how long a call takes at the plain service.
 	Delay time.Duration
-	// Sends are the sends of a keyed call.
+	// Sends are the sends of a keyed call or chat.
 	Sends []Send
 	// Items is the size of a batch job, Poison maps items that can never be
 	// done to their prompt word.
 	Items  int
 	Poison map[int]string
+	// Calls makes the items calls to the plain service that may not be
+	// repeated.
+	Calls bool
 	// CancelAfter cancels the job that long after its acknowledgement, if set.
 	CancelAfter time.Duration
 	// Strike is a fault at the moment that the operation reaches a point.
@@ -144,13 +151,13 @@
 func (g *generator) percent(n int) bool { return g.rng.IntN(100) < n }
 
 func (g *generator) live(i int, p Profile) Op {
-	kinds := []OpKind{ChatStream, ChatStream, ChatWhole, Get, Post, KeyedPost, KeyedPost}
+	kinds := []OpKind{ChatStream, ChatStream, ChatStream, ChatWhole, StoredChat, KeyedChat, Get, Get, Post, KeyedPost, KeyedPost, KeyedPost}
 	op := Op{
 		At: g.within(span), Kind: kinds[g.rng.IntN(len(kinds))], ID: g.id("r", i),
 		Workspace: g.rng.IntN(len(workspaces)), Tokens: 4 + g.rng.IntN(90), Delay: g.within(300 * time.Millisecond),
 	}
 	switch {
-	case op.Kind == KeyedPost:
+	case op.Kind == KeyedPost || op.Kind == KeyedChat:
 		op.Sends = g.sends(p)
 	case op.Kind == ChatStream && p == Mixed && g.percent(strikesPercent):
 		op.Strike = []Strike{KillBackendMidStream, FreezeBackendMidStream}[g.rng.IntN(2)]
@@ -178,11 +185,14 @@
 		At: g.within(span / 2), Kind: Batch, ID: g.id("b", i), Workspace: i % len(workspaces),
 		Items: 5 + g.rng.IntN(maxItems), Tokens: 4 + g.rng.IntN(40), Poison: map[int]string{},
 	}
+	op.Calls = i == jobsPerRound-1
 	if p == Planned {
 		return op
 	}
 	for range g.rng.IntN(3) {
-		op.Poison[g.rng.IntN(op.Items)] = poisonWords[g.rng.IntN(len(poisonWords))]
+		if item, word := g.rng.IntN(op.Items), poisonWords[g.rng.IntN(len(poisonWords))]; !op.Calls {
+			op.Poison[item] = word
+		}
 	}
 	if g.percent(35) {
 		op.CancelAfter = g.within(time.Second) + time.Millisecond
--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -43,15 +43,11 @@
 func Run(ctx context.Context, p Plan, dir string) (*Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	cluster, err := proctest.Start(proctest.Options{
-		Entries: entries, Engines: engines, Plain: plains, Dir: dir,
-		ModelService: modelService, Model: modelName, PlainService: plainService,
-		Step: engineStep, PlainDelay: plainDelay, Document: document(0, 8),
-	})
-	defer cluster.Close()
+	cluster, err := proctest.Start(deployment(dir))
 	if err != nil {
 		return nil, err
 	}
+	defer cluster.Close()
 	r := newRound(ctx, p, cluster)
 	if err := r.play(ctx); err != nil {
 		return nil, err
@@ -59,6 +55,15 @@
 	return check(p, r.history, r.observe()), nil
 }
 
+// deployment is what every round runs on.
+func deployment(dir string) proctest.Options {
+	return proctest.Options{
+		Entries: entries, Engines: engines, Plain: plains, Dir: dir,
+		ModelService: modelService, Model: modelName, PlainService: plainService,
+		Step: engineStep, PlainDelay: plainDelay, Document: document(0, 8),
+	}
+}
+
 func newRound(ctx context.Context, p Plan, c *proctest.Cluster) *Round {
 	return &Round{
 		plan: p, cluster: c, balancer: newBalancer(c.Entries), publisher: desired.NewPublisher(c.Log.Log(), nil),
@@ -125,6 +130,16 @@
 	close(r.healed)
 }
 
+// awaitHealed waits until every fault has ended.
+func (r *Round) awaitHealed(ctx context.Context) bool {
+	select {
+	case <-r.healed:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // fail keeps the first error of the round itself.
 func (r *Round) fail(err error) {
 	r.mu.Lock()
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -13,6 +13,8 @@
 const (
 	// restartAfter is how long the platform takes to replace a lost instance.
 	restartAfter = 300 * time.Millisecond
+	// knownTimeout bounds the wait for the entries to know a replacement.
+	knownTimeout = 5 * time.Second
 	// strikeFreeze is how long a strike freezes a process.
 	strikeFreeze = 1500 * time.Millisecond
 )
@@ -93,7 +95,7 @@
 	stopped, err := n.Replace()
 	s.Done = stopped
 	if err == nil {
-		err = n.WaitReady()
+		err = r.awaitKnown(n)
 	}
 	if err != nil {
 		s.Err = err.Error()
@@ -102,6 +104,31 @@
 	r.history.add(func(h *History) { h.Stops = append(h.Stops, s) })
 }
 
+// awaitKnown waits until an instance is ready and, as far as they answer, the
+// entries know it, as a platform does that replaces one instance at a time.
+func (r *Round) awaitKnown(n *proctest.Node) error {
+	if err := n.WaitReady(); err != nil {
+		return err
+	}
+	for end := time.Now().Add(knownTimeout); time.Now().Before(end); pause(r.ctx, settlePoll) {
+		if r.knownEverywhere(n) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Round) knownEverywhere(n *proctest.Node) bool {
+	for _, e := range r.cluster.Entries {
+		ps, ok := status(r.ctx, e)
+		known := slices.ContainsFunc(ps, func(p processStatus) bool { return p.Instance == n.Name() && p.Incarnation != "" })
+		if ok && !known {
+			return false
+		}
+	}
+	return true
+}
+
 func (r *Round) disturbLog(ctx context.Context, f Fault) {
 	switch f.Kind {
 	case LogDown:
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -54,30 +54,38 @@
 	stands  chan error
 }
 
-// Start runs a deployment. Close must be called even after an error.
+// Start runs a deployment until Close.
 func Start(o Options) (*Cluster, error) {
 	c := &Cluster{opts: o, keepDir: o.Dir != "", stands: make(chan error, 1)}
+	if err := c.start(); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start() error {
 	var err error
 	if c.daemon, err = Daemon(); err != nil {
-		return c, err
+		return err
 	}
 	if !c.keepDir {
 		if c.opts.Dir, err = os.MkdirTemp("", "catkinrudder-proctest-"); err != nil {
-			return c, errors.Wrap(err, "proctest")
+			return errors.Wrap(err, "proctest")
 		}
 	}
 	if err := c.startStandins(); err != nil {
-		return c, err
+		return err
 	}
 	for _, n := range c.Nodes() {
 		if err := n.Start(); err != nil {
-			return c, err
+			return err
 		}
 	}
-	if o.Document == "" {
-		return c, nil
+	if c.opts.Document == "" {
+		return nil
 	}
-	return c, c.publish([]byte(o.Document))
+	return c.publish([]byte(c.opts.Document))
 }
 
 // Nodes returns every instance.
@@ -102,7 +110,10 @@
 	if c.cancel != nil {
 		c.cancel()
 		select {
-		case <-c.stands:
+		case err := <-c.stands:
+			if err != nil {
+				c.log("stand-ins: " + err.Error())
+			}
 		case <-time.After(standinWait):
 		}
 	}
@@ -181,4 +192,9 @@
 	}
 }
 
+// log writes a line of the harness's own beside the logs of the instances.
+func (c *Cluster) log(line string) {
+	_ = os.WriteFile(c.file("proctest.log"), []byte(line+"\n"), 0o600)
+}
+
 func (c *Cluster) file(name string) string { return filepath.Join(c.opts.Dir, name) }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
@@ -69,9 +70,12 @@
 	return g.Wait()
 }
 
+// quiet keeps hertz from logging; its level is global and not guarded.
+var quiet = sync.OnceFunc(func() { hlog.SetLevel(hlog.LevelFatal) })
+
 // serve runs one hertz server on addr until ctx ends.
 func serve(ctx context.Context, addr string, routes func(*server.Hertz)) error {
-	hlog.SetLevel(hlog.LevelFatal)
+	quiet()
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "standin: listen %s", addr)
