Batch: a table that starts late agrees with one that folded everything

Cause: a differential test over histories with paused renewers found that a late table could (1) lose an ended job, whose renewal carries no blocks, (2) keep the refused one of two jobs under one key, (3) take a deletion by another workspace for one, (4) accept an end of a job that had been refused, since it knew fewer results. Now the first accepted holder keeps a key, tombstones belong to a workspace, the winner of an item is its first accepted holder, and an end of a job is judged by what stands between its base and itself, which every table sees. Ruled out: comparing counts of results, which differ while renewals come in.

--- a/batch/doc.go
+++ b/batch/doc.go
@@ -10,4 +10,9 @@
 //
 // A workspace lives in one shard, so that its idempotency keys are decided by
 // one stream.
+//
+// One difference between two tables of a shard is known: if two uploads raced
+// under one idempotency key and the accepted file was deleted before it was
+// renewed, a table whose first record lies between the two uploads shows the
+// refused one. Its id was never told to a caller.
 package batch
--- a/batch/due.go
+++ b/batch/due.go
@@ -29,7 +29,7 @@
 type dueSegment struct {
 	job  string
 	row  segmentRow
-	base journal.Offset
+	base journal.Position
 }
 
 // id names the segment within its shard.
@@ -56,10 +56,10 @@
 	for _, id := range sortedKeys(t.jobs) {
 		r := t.jobs[id]
 		if take(r.since, id) {
-			d.jobs = append(d.jobs, r.renewal(t.next, now))
+			d.jobs = append(d.jobs, r.renewal(t.newest, now))
 		}
 		for _, row := range r.segments {
-			s := dueSegment{job: id, row: row, base: t.next}
+			s := dueSegment{job: id, row: row, base: t.newest}
 			if row.since < old.Unix() && take(row.since, s.id()) {
 				d.segments = append(d.segments, s)
 			}
@@ -77,14 +77,17 @@
 		f.Content = row.content.manifest
 	}
 	return dueFile{
-		record:      RenewFile{File: f, Accepted: row.accepted, Base: t.next, At: now.Unix()},
+		record:      RenewFile{File: f, Accepted: row.accepted, Base: t.newest, At: now.Unix()},
 		copyContent: !over,
 	}
 }
 
 // renewal returns the job's record as it would be appended again.
-func (r *jobRow) renewal(base journal.Offset, now time.Time) RenewJob {
-	n := RenewJob{Job: r.job, Accepted: r.accepted, Base: base, At: now.Unix(), CancelledAt: r.cancelledAt}
+func (r *jobRow) renewal(base journal.Position, now time.Time) RenewJob {
+	n := RenewJob{
+		Job: r.job, Accepted: r.accepted, Base: base, At: now.Unix(), CancelledAt: r.cancelledAt,
+		StartedPos: r.startedPos, LastSegment: r.lastSegment,
+	}
 	if r.startedAt != 0 {
 		n.Started = &Started{Job: r.job.ID, Service: r.service, Total: r.total, Blocks: r.blocks, At: r.startedAt}
 	}
@@ -109,18 +112,12 @@
 	cut := now.Add(-markerRetention).Unix()
 	for id, row := range t.files {
 		if e := row.file.Expires; e != 0 && e < cut {
-			ws := row.file.Workspace
-			delete(t.files, id)
-			delete(t.keys, keyID{ws, row.file.Key, false})
-			t.fileOrder[ws] = without(t.fileOrder[ws], id)
+			t.drop(keyID{row.file.Workspace, row.file.Key, false}, id)
 		}
 	}
 	for id, r := range t.jobs {
 		if r.status.Terminal() && r.expires != 0 && r.expires < cut {
-			ws := r.job.Workspace
-			delete(t.jobs, id)
-			delete(t.keys, keyID{ws, r.job.Key, true})
-			t.jobOrder[ws] = without(t.jobOrder[ws], id)
+			t.drop(keyID{r.job.Workspace, r.job.Key, true}, id)
 		}
 	}
 	for id, d := range t.deleted {
--- a/batch/output.go
+++ b/batch/output.go
@@ -70,8 +70,13 @@
 
 // outputJob is what is needed to write a job's output files.
 type outputJob struct {
-	id       string
-	total    uint32
+	id    string
+	total uint32
+	// base is the newest position that had been folded.
+	base journal.Position
+	// ok and failed say whether there may be items that did.
+	ok, failed bool
+	// segments are in the order in which they were accepted.
 	segments []segmentRow
 	input    blob.Manifest
 	blocks   []int64
--- a/batch/query.go
+++ b/batch/query.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/blob"
@@ -191,8 +192,12 @@
 	if !ok || r.status.Terminal() {
 		return outputJob{}, JobView{}, false
 	}
-	segments := append([]segmentRow(nil), r.segments...)
-	return outputJob{id: job, total: r.total, segments: segments, input: r.input.manifest, blocks: r.blocks}, r.view(), true
+	segments := slices.Clone(r.segments)
+	slices.SortFunc(segments, func(a, b segmentRow) int { return comparePositions(a.accepted, b.accepted) })
+	return outputJob{
+		id: job, total: r.total, base: t.newest, segments: segments, input: r.input.manifest, blocks: r.blocks,
+		ok: r.ok > 0 || r.renewed, failed: r.failed > 0 || r.renewed,
+	}, r.view(), true
 }
 
 // over reports whether a job is no longer readable.
--- a/batch/record.go
+++ b/batch/record.go
@@ -153,11 +153,15 @@
 	Expired bool  `cbor:"3,keyasint,omitempty"`
 	Output  *File `cbor:"4,keyasint,omitempty"`
 	Errors  *File `cbor:"5,keyasint,omitempty"`
-	// Done is how many items the output files cover; the record has no effect
-	// if the job has another number of results by then.
+	// Done is how many items the output files cover.
 	Done uint32 `cbor:"6,keyasint,omitempty"`
 	// Expires is when the job stops being readable.
 	Expires int64 `cbor:"7,keyasint"`
+	// OK is how many of the Done items succeeded.
+	OK uint32 `cbor:"8,keyasint,omitempty"`
+	// Base is the newest position that its writer had folded; the record has
+	// no effect if a segment of the job stands between Base and itself.
+	Base journal.Position `cbor:"9,keyasint"`
 }
 
 // NewSegment encodes results, which must be in ascending order of index.
--- a/batch/renew.go
+++ b/batch/renew.go
@@ -8,7 +8,7 @@
 )
 
 // The log keeps records for a limited time, so whatever must last is appended
-// again. A renewal carries Base, the offset up to which its writer had folded.
+// again. A renewal carries Base, the newest position that its writer had folded.
 // Of two renewals of a row the one with the higher base stands, whatever their
 // order in the log, and a renewal only ever adds facts that the log held below
 // its base. So a renewer that was paused overrides nothing newer.
@@ -17,12 +17,20 @@
 // deleted before. It takes a row from a renewal only if the base is not below
 // the first offset it folded: then any deletion is either below the base, and
 // the renewer knew it, or has been folded here.
+//
+// Every row has to be renewed twice within the log's retention: a job whose
+// input file is not known yet, or a fact whose job is not, is completed by the
+// second renewal.
+//
+// The winner of an item is the holder that was accepted first. A table that
+// starts late may meet a loser before the winner's renewal, so its counts of
+// succeeded and failed items are exact only once the job has ended.
 
 // RenewFile is a file appended again, with its content if that moved.
 type RenewFile struct {
 	File     File             `cbor:"1,keyasint"`
 	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Offset   `cbor:"3,keyasint"`
+	Base     journal.Position `cbor:"3,keyasint"`
 	At       int64            `cbor:"4,keyasint"`
 }
 
@@ -30,13 +38,16 @@
 type RenewJob struct {
 	Job      Job              `cbor:"1,keyasint"`
 	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Offset   `cbor:"3,keyasint"`
+	Base     journal.Position `cbor:"3,keyasint"`
 	At       int64            `cbor:"4,keyasint"`
 	// Input is the manifest of the input; empty once the job has ended.
 	Input       blob.Manifest `cbor:"5,keyasint,omitempty"`
 	Started     *Started      `cbor:"6,keyasint,omitempty"`
 	Failed      *Failed       `cbor:"7,keyasint,omitempty"`
 	CancelledAt int64         `cbor:"8,keyasint,omitempty"`
+	// StartedPos and LastSegment are where those records stood.
+	StartedPos  journal.Position `cbor:"10,keyasint"`
+	LastSegment journal.Position `cbor:"11,keyasint"`
 	// End is set for a job that ended after it had started or been cancelled.
 	End *JobEnd `cbor:"9,keyasint,omitempty"`
 }
@@ -57,14 +68,13 @@
 type RenewSegment struct {
 	Segment  Segment          `cbor:"1,keyasint"`
 	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Offset   `cbor:"3,keyasint"`
+	Base     journal.Position `cbor:"3,keyasint"`
 }
 
 // tombstone stands for a deleted file.
 type tombstone struct {
-	workspace string
-	at        journal.Offset
-	since     int64
+	at    journal.Offset
+	since int64
 }
 
 // orphan is a fact about a job that is not known yet.
@@ -81,21 +91,21 @@
 	}
 	v := version{accepted: n.Accepted, base: n.Base, since: n.At}
 	if row, ok := t.files[n.File.ID]; ok {
-		if n.Base <= row.base || row.file.Workspace != n.File.Workspace {
+		if before(n.Base, row.base) || row.file.Workspace != n.File.Workspace {
 			return errStale
 		}
 		row.version = v
 		row.content.manifest = n.File.Content
 		return nil
 	}
-	if _, gone := t.deleted[n.File.ID]; gone || n.Base < t.floor {
+	if _, gone := t.deleted[fileID{n.File.Workspace, n.File.ID}]; gone || n.Base.Offset < t.floor {
 		return errStale
 	}
 	if t.floor == 0 {
 		return errors.Wrapf(ErrRefused, "no file %s", n.File.ID)
 	}
 	k := keyID{n.File.Workspace, n.File.Key, false}
-	if err := t.claimKey(k, n.File.ID, n.File.KeyHash); err != nil {
+	if err := t.claimKey(k, n.File.ID, n.File.KeyHash, n.Accepted); err != nil {
 		return err
 	}
 	t.putFile(n.File, v)
@@ -106,13 +116,15 @@
 	if err := n.Job.check(); err != nil {
 		return err
 	}
-	if n.Started != nil && n.Started.check() != nil {
-		return n.Started.check()
+	if n.Started != nil && n.End == nil { // an ended job has no blocks
+		if err := n.Started.check(); err != nil {
+			return err
+		}
 	}
 	v := version{accepted: n.Accepted, base: n.Base, since: n.At}
 	row, ok := t.jobs[n.Job.ID]
 	if ok {
-		if n.Base <= row.base || row.job.Workspace != n.Job.Workspace {
+		if before(n.Base, row.base) || row.job.Workspace != n.Job.Workspace {
 			return errStale
 		}
 		row.version = v
@@ -121,21 +133,21 @@
 		}
 		return t.mergeJob(row, n)
 	}
-	if t.floor == 0 || n.Base < t.floor {
+	if t.floor == 0 || n.Base.Offset < t.floor {
 		return errStale
 	}
-	if err := t.claimKey(keyID{n.Job.Workspace, n.Job.Key, true}, n.Job.ID, n.Job.KeyHash); err != nil {
+	if err := t.claimKey(keyID{n.Job.Workspace, n.Job.Key, true}, n.Job.ID, n.Job.KeyHash, n.Accepted); err != nil {
 		return err
 	}
-	row = &jobRow{version: v, job: n.Job, input: &content{manifest: n.Input}}
-	if f, ok := t.files[n.Job.InputFile]; ok && n.End == nil && f.base >= n.Base {
+	row = &jobRow{renewed: true, lastSegment: n.LastSegment, version: v, job: n.Job, input: &content{manifest: n.Input}}
+	if f, ok := t.files[n.Job.InputFile]; ok && n.End == nil && !before(f.base, n.Base) {
 		row.input = f.content
 	}
 	t.putJob(row)
 	if err := t.mergeJob(row, n); err != nil {
 		return err
 	}
-	t.adopt(n.Job.ID)
+	t.adopt(n.Job.ID, n.Base)
 	return nil
 }
 
@@ -144,6 +156,7 @@
 func (t *Table) mergeJob(r *jobRow, n RenewJob) error {
 	if s := n.Started; s != nil && r.startedAt == 0 {
 		r.startedAt, r.service, r.total, r.blocks = max(s.At, 1), s.Service, s.Total, s.Blocks
+		r.startedPos = n.StartedPos
 		if n.End == nil {
 			r.doneBits = newBitmap(s.Total)
 		}
@@ -176,7 +189,7 @@
 		if row.accepted != n.Accepted {
 			continue
 		}
-		if n.Base <= row.base {
+		if before(n.Base, row.base) {
 			return errStale
 		}
 		row.offset, row.index, row.won, row.version = pos.Offset, uint32(pos.Index), nil, v
@@ -189,7 +202,7 @@
 	if last := n.Segment.Items[len(n.Segment.Items)-1]; r.startedAt == 0 || last >= r.total {
 		return errors.Wrapf(ErrRefused, "job %s has no item %d", n.Segment.Job, last)
 	}
-	t.addSegment(r, n.Segment, segmentRow{offset: pos.Offset, index: uint32(pos.Index), version: v})
+	t.addSegment(r, n.Segment, segmentRow{offset: pos.Offset, index: uint32(pos.Index), version: v}, true)
 	return t.settle(r)
 }
 
@@ -211,20 +224,27 @@
 }
 
 // adopt applies what was folded about a job before the job itself; the caller
-// holds mu. Facts that the renewal brought already are refused again.
-func (t *Table) adopt(job string) {
+// holds mu. The renewal holds all up to base but the results.
+func (t *Table) adopt(job string, base journal.Position) {
 	facts := t.orphans[job]
 	delete(t.orphans, job)
 	for _, o := range facts {
 		switch f := o.fact.(type) {
-		case Started:
-			_ = t.applyStarted(o.pos, f)
-		case Failed:
-			_ = t.applyFailed(o.pos, f)
 		case Segment:
 			_ = t.applySegment(o.pos, f)
+			continue
 		case RenewSegment:
 			_ = t.applyRenewSegment(o.pos, f)
+			continue
+		}
+		if !before(base, o.pos) {
+			continue
+		}
+		switch f := o.fact.(type) {
+		case Started:
+			_ = t.applyStarted(o.pos, f)
+		case Failed:
+			_ = t.applyFailed(o.pos, f)
 		case Cancel:
 			_ = t.applyCancel(o.pos, f)
 		case Finished:
--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -49,27 +49,30 @@
 	out := &resultReader{stream: s.Stream, store: s.store, job: job, cache: make(map[int][]Result)}
 	now := time.Now()
 	end := Finished{
-		Job: v.ID, At: now.Unix(), Expired: expired, Done: v.OK + v.FailedN,
+		Job: v.ID, At: now.Unix(), Expired: expired, Done: v.OK + v.FailedN, Base: job.base,
 		Expires: now.Add(r.retention(v.Service)).Unix(),
 	}
-	var err error
-	if v.OK > 0 {
-		if end.Output, err = r.writeOutput(ctx, s, v, out, false); err != nil {
+	if job.ok {
+		f, n, err := r.writeOutput(ctx, s, v, out, false)
+		if err != nil {
 			return err
 		}
+		end.Output, end.OK = f, uint32(n)
 	}
-	if v.FailedN > 0 || job.missing != "" {
-		if end.Errors, err = r.writeOutput(ctx, s, v, out, true); err != nil {
+	if job.failed || job.missing != "" {
+		f, _, err := r.writeOutput(ctx, s, v, out, true)
+		if err != nil {
 			return err
 		}
+		end.Errors = f
 	}
-	event.Log(r.opts.Logger, event.JobFinished, "job", v.ID, "ok", v.OK, "failed", v.FailedN, "total", v.Total, "expired", expired)
+	event.Log(r.opts.Logger, event.JobFinished, "job", v.ID, "ok", end.OK, "failed", end.Done-end.OK, "total", v.Total, "expired", expired)
 	return commit(ctx, s.Stream, KindFinished, end)
 }
 
 // writeOutput writes one output file and returns the record that brings it
-// into being, or nil if it would be empty.
-func (r *Runner) writeOutput(ctx context.Context, s *shardState, v JobView, out *resultReader, failed bool) (*File, error) {
+// into being, or nil if it would be empty, with its number of lines.
+func (r *Runner) writeOutput(ctx context.Context, s *shardState, v JobView, out *resultReader, failed bool) (*File, int, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	pr, pw := io.Pipe()
@@ -83,7 +86,7 @@
 	pr.CloseWithError(err)
 	n := <-lines
 	if err != nil || n == 0 {
-		return nil, err
+		return nil, 0, err
 	}
 	name := v.ID + "_output.jsonl"
 	if failed {
@@ -93,7 +96,7 @@
 	return &File{
 		ID: NewID("file-"), Workspace: v.Workspace, Name: name, Purpose: PurposeOutput, SHA256: w.SHA256,
 		Content: w.Manifest, Created: now.Unix(), Expires: now.Add(r.retention(v.Service)).Unix(),
-	}, nil
+	}, n, nil
 }
 
 func (r *Runner) retention(service string) time.Duration {
--- a/batch/table.go
+++ b/batch/table.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -27,13 +28,13 @@
 	// fileOrder and jobOrder list the ids of each workspace as accepted.
 	fileOrder map[string][]string
 	jobOrder  map[string][]string
-	// next is the offset after the newest entry applied.
-	next journal.Offset
+	// newest is the position of the newest entry applied.
+	newest journal.Position
 	// floor is the offset below which deletions may have gone unseen: the
 	// first one applied, or the end of a gap.
 	floor   journal.Offset
 	applied bool
-	deleted map[string]tombstone
+	deleted map[fileID]tombstone
 	// orphans are facts about jobs whose own record is older than floor and
 	// whose renewal has not been applied yet.
 	orphans map[string][]orphan
@@ -45,6 +46,9 @@
 	job            bool
 }
 
+// fileID names a file that may not be known.
+type fileID struct{ workspace, id string }
+
 type keyRow struct{ id, hash string }
 
 // content is the manifest of a file's content, shared by the file and the
@@ -55,9 +59,9 @@
 type version struct {
 	// accepted is where the row's own record stood.
 	accepted journal.Position
-	// base is the offset up to which the writer of the row's newest record
+	// base is the newest position that the writer of the row's newest record
 	// had folded.
-	base journal.Offset
+	base journal.Position
 	// since is when that record was written, in Unix seconds.
 	since int64
 }
@@ -70,6 +74,8 @@
 
 type jobRow struct {
 	version
+	// renewed says that the row came from a renewal.
+	renewed bool
 	job     Job
 	input   *content
 	status  Status
@@ -78,7 +84,11 @@
 	blocks  []int64
 	errors  []LineError
 
-	doneBits      bitmap
+	doneBits bitmap
+	// startedPos is where the job's Started record stood, lastSegment where
+	// the newest segment did, whatever came of it.
+	startedPos    journal.Position
+	lastSegment   journal.Position
 	ok, failed    uint32
 	segments      []segmentRow
 	startedAt     int64
@@ -113,7 +123,7 @@
 		keys:      make(map[keyID]keyRow),
 		fileOrder: make(map[string][]string),
 		jobOrder:  make(map[string][]string),
-		deleted:   make(map[string]tombstone),
+		deleted:   make(map[fileID]tombstone),
 		orphans:   make(map[string][]orphan),
 	}
 }
@@ -169,7 +179,7 @@
 	if !t.applied {
 		t.applied, t.floor = true, pos.Offset
 	}
-	t.next = pos.Offset + 1
+	t.newest = pos
 }
 
 func (t *Table) applyFile(pos journal.Position, f File) error {
@@ -179,7 +189,7 @@
 	if _, ok := t.files[f.ID]; ok {
 		return errors.Wrapf(ErrRefused, "file %s exists", f.ID)
 	}
-	if err := t.claimKey(keyID{f.Workspace, f.Key, false}, f.ID, f.KeyHash); err != nil {
+	if err := t.claimKey(keyID{f.Workspace, f.Key, false}, f.ID, f.KeyHash, pos); err != nil {
 		return err
 	}
 	t.addFile(pos, f)
@@ -188,7 +198,7 @@
 
 // addFile adds a file whose id is free; the caller holds mu.
 func (t *Table) addFile(pos journal.Position, f File) {
-	t.putFile(f, version{accepted: pos, base: pos.Offset, since: f.Created})
+	t.putFile(f, version{accepted: pos, base: pos, since: f.Created})
 }
 
 func (t *Table) putFile(f File, v version) {
@@ -208,36 +218,70 @@
 	return slices.Insert(order, i, id)
 }
 
-func before(a, b journal.Position) bool {
-	return a.Offset < b.Offset || (a.Offset == b.Offset && a.Index < b.Index)
+// comparePositions orders positions as the log does.
+func comparePositions(a, b journal.Position) int {
+	return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Index, b.Index))
 }
 
-// claimKey binds an idempotency key to an object; a key that is bound already
-// refuses the second object.
-func (t *Table) claimKey(k keyID, id, hash string) error {
+func before(a, b journal.Position) bool { return comparePositions(a, b) < 0 }
+
+// claimKey binds an idempotency key to an object that was accepted at a
+// position. If the key is bound already, the object that was accepted first
+// keeps it and the other one does not exist. The caller holds mu.
+func (t *Table) claimKey(k keyID, id, hash string, accepted journal.Position) error {
 	if k.key == "" {
 		return nil
 	}
 	if row, ok := t.keys[k]; ok {
-		return errors.Wrapf(ErrRefused, "key belongs to %s", row.id)
+		if !before(accepted, t.accepted(k, row.id)) {
+			return errors.Wrapf(ErrRefused, "key belongs to %s", row.id)
+		}
+		t.drop(k, row.id)
 	}
 	t.keys[k] = keyRow{id: id, hash: hash}
 	return nil
 }
 
+// accepted returns where the holder of a key was accepted.
+func (t *Table) accepted(k keyID, id string) journal.Position {
+	if k.job {
+		return t.jobs[id].accepted
+	}
+	return t.files[id].accepted
+}
+
+// drop removes a file, or a job with its output files, and unbinds its key;
+// the caller holds mu.
+func (t *Table) drop(k keyID, id string) {
+	if k.key != "" {
+		delete(t.keys, k)
+	}
+	if k.job {
+		for _, out := range []string{t.jobs[id].output, t.jobs[id].errID} {
+			if _, ok := t.files[out]; ok {
+				t.drop(keyID{workspace: k.workspace}, out)
+			}
+		}
+		delete(t.jobs, id)
+		delete(t.open, id)
+		t.jobOrder[k.workspace] = without(t.jobOrder[k.workspace], id)
+		return
+	}
+	delete(t.files, id)
+	t.fileOrder[k.workspace] = without(t.fileOrder[k.workspace], id)
+}
+
 func (t *Table) applyDeleteFile(pos journal.Position, d DeleteFile) error {
 	row, ok := t.files[d.ID]
-	if !ok && t.floor > 0 {
-		t.deleted[d.ID] = tombstone{workspace: d.Workspace, at: pos.Offset, since: d.At}
-		return nil
-	}
-	if !ok || row.file.Workspace != d.Workspace {
+	switch {
+	case ok && row.file.Workspace == d.Workspace:
+		t.drop(keyID{d.Workspace, row.file.Key, false}, d.ID)
+	case !ok && t.floor > 0:
+		// The file may have been accepted before the first record here.
+	default:
 		return errors.Wrapf(ErrRefused, "no file %s", d.ID)
 	}
-	t.deleted[d.ID] = tombstone{workspace: d.Workspace, at: pos.Offset, since: d.At}
-	delete(t.files, d.ID)
-	delete(t.keys, keyID{d.Workspace, row.file.Key, false})
-	t.fileOrder[d.Workspace] = without(t.fileOrder[d.Workspace], d.ID)
+	t.deleted[fileID{d.Workspace, d.ID}] = tombstone{at: pos.Offset, since: d.At}
 	return nil
 }
 
--- a/batch/table_jobs.go
+++ b/batch/table_jobs.go
@@ -19,10 +19,10 @@
 	if !ok || input.file.Workspace != j.Workspace {
 		return errors.Wrapf(ErrRefused, "no file %s", j.InputFile)
 	}
-	if err := t.claimKey(keyID{j.Workspace, j.Key, true}, j.ID, j.KeyHash); err != nil {
+	if err := t.claimKey(keyID{j.Workspace, j.Key, true}, j.ID, j.KeyHash, pos); err != nil {
 		return err
 	}
-	t.putJob(&jobRow{job: j, input: input.content, version: version{accepted: pos, base: pos.Offset, since: j.Created}})
+	t.putJob(&jobRow{job: j, input: input.content, version: version{accepted: pos, base: pos, since: j.Created}})
 	return nil
 }
 
@@ -60,7 +60,7 @@
 		return errors.Wrapf(ErrRefused, "job %s is validated already", s.Job)
 	}
 	r.startedAt, r.service, r.total, r.blocks = max(s.At, 1), s.Service, s.Total, s.Blocks
-	r.doneBits = newBitmap(s.Total)
+	r.doneBits, r.startedPos = newBitmap(s.Total), pos
 	return t.settle(r)
 }
 
@@ -84,19 +84,26 @@
 	if err != nil {
 		return err
 	}
-	if last := s.Items[len(s.Items)-1]; r.startedAt == 0 || last >= r.total {
+	if before(r.lastSegment, pos) {
+		r.lastSegment = pos
+	}
+	if r.startedAt == 0 || before(pos, r.startedPos) {
+		return errors.Wrapf(ErrRefused, "job %s had not started", s.Job)
+	}
+	if last := s.Items[len(s.Items)-1]; last >= r.total {
 		return errors.Wrapf(ErrRefused, "job %s has no item %d", s.Job, last)
 	}
 	t.addSegment(r, s, segmentRow{
 		offset: pos.Offset, index: uint32(pos.Index),
-		version: version{accepted: pos, base: pos.Offset, since: s.At},
-	})
+		version: version{accepted: pos, base: pos, since: s.At},
+	}, false)
 	return t.settle(r)
 }
 
 // addSegment counts the items that the segment completes first and adds its
-// row if there are any; the caller holds mu.
-func (t *Table) addSegment(r *jobRow, s Segment, row segmentRow) {
+// row if there are any. A renewed segment holds all of its items: it may stand
+// behind segments that were accepted later. The caller holds mu.
+func (t *Table) addSegment(r *jobRow, s Segment, row segmentRow, renewed bool) {
 	row.first, row.last = s.Items[0], s.Items[len(s.Items)-1]
 	var lost []int
 	for i, item := range s.Items {
@@ -111,10 +118,10 @@
 			r.ok++
 		}
 	}
-	if len(lost) == len(s.Items) {
+	if len(lost) == len(s.Items) && !renewed {
 		return
 	}
-	if len(lost) > 0 {
+	if len(lost) > 0 && !renewed {
 		row.won = bytes.Repeat([]byte{0xff}, (len(s.Items)+7)/8)
 		for _, i := range lost {
 			row.won[i/8] &^= 1 << (i % 8)
@@ -142,11 +149,14 @@
 	if err != nil {
 		return err
 	}
-	if f.Done != r.done() {
-		return errors.Wrapf(ErrRefused, "output covers %d items of job %s, which has %d", f.Done, f.Job, r.done())
+	if f.OK > f.Done {
+		return errors.Wrapf(journal.ErrFormat, "%d of %d items succeeded", f.OK, f.Done)
+	}
+	if before(f.Base, r.lastSegment) {
+		return errors.Wrapf(ErrRefused, "output of job %s does not cover its newest segment", f.Job)
 	}
-	if !f.Expired && r.cancelledAt == 0 && (r.total == 0 || r.done() != r.total) {
-		return errors.Wrapf(ErrRefused, "job %s has %d of %d items", f.Job, r.done(), r.total)
+	if !f.Expired && r.cancelledAt == 0 && (r.total == 0 || f.Done != r.total) {
+		return errors.Wrapf(ErrRefused, "output of job %s covers %d of %d items", f.Job, f.Done, r.total)
 	}
 	if err := t.checkOutputs(r, f); err != nil {
 		return err
@@ -159,6 +169,7 @@
 		r.errID = f.Errors.ID
 		t.addFile(pos, *f.Errors)
 	}
+	r.ok, r.failed = f.OK, f.Done-f.OK
 	r.ended, r.expired, r.endedAt, r.expires = true, f.Expired, f.At, f.Expires
 	r.doneBits, r.segments, r.blocks = nil, nil, nil
 	return t.settle(r)
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -46,30 +46,37 @@
 	// winner of each item: the position of its segment, and whether it failed.
 	winner map[uint32]journal.Position
 	bad    int
+	// newest is where the newest segment stands.
+	newest journal.Position
 }
 
-func (n *naiveState) files() map[string]File {
+// uploads returns the files that callers uploaded and did not delete.
+func (n *naiveState) uploads() map[string]File {
 	out := map[string]File{}
-	jobs := n.jobs()
 	for _, l := range n.history {
 		switch b := l.body.(type) {
 		case File:
-			_, exists := out[b.ID]
 			taken := false
 			for _, f := range out {
 				taken = taken || (b.Key != "" && f.Key == b.Key && f.Workspace == b.Workspace)
 			}
-			if !exists && !taken {
+			if !taken {
 				out[b.ID] = b
 			}
 		case DeleteFile:
 			if out[b.ID].Workspace == b.Workspace {
 				delete(out, b.ID)
 			}
-		case Finished:
-			if j := jobs[b.Job]; j != nil && j.end != nil && j.end.Output == b.Output && b.Output != nil {
-				out[b.Output.ID] = *b.Output
-			}
+		}
+	}
+	return out
+}
+
+func (n *naiveState) files() map[string]File {
+	out := n.uploads()
+	for _, j := range n.jobs() {
+		if j.end != nil && j.end.Output != nil {
+			out[j.end.Output.ID] = *j.end.Output
 		}
 	}
 	return out
@@ -77,17 +84,11 @@
 
 func (n *naiveState) jobs() map[string]*naiveJobState {
 	jobs := map[string]*naiveJobState{}
-	live := map[string]string{} // input files to workspaces
-	for _, l := range n.history {
+	for i, l := range n.history {
 		switch b := l.body.(type) {
-		case File:
-			live[b.ID] = b.Workspace
-		case DeleteFile:
-			if live[b.ID] == b.Workspace {
-				delete(live, b.ID)
-			}
 		case Job:
-			ok := jobs[b.ID] == nil && live[b.InputFile] == b.Workspace
+			files := (&naiveState{n.history[:i]}).uploads()
+			ok := jobs[b.ID] == nil && files[b.InputFile].Workspace == b.Workspace
 			for _, j := range jobs {
 				ok = ok && (b.Key == "" || j.job.Key != b.Key || j.job.Workspace != b.Workspace)
 			}
@@ -107,13 +108,18 @@
 				j.cancel = true
 			}
 		case Segment:
-			if j := jobs[b.Job]; j != nil && !j.over() && j.started != nil {
+			j := jobs[b.Job]
+			if j == nil || j.over() {
+				continue
+			}
+			j.newest = l.pos
+			if j.started != nil {
 				j.segment(l.pos, b)
 			}
 		case Finished:
 			if j := jobs[b.Job]; j != nil && !j.over() {
-				all := j.started != nil && len(j.winner) == int(j.started.Total)
-				if int(b.Done) == len(j.winner) && (all || b.Expired || j.cancel) {
+				whole := j.started != nil && b.Done == j.started.Total
+				if b.OK <= b.Done && b.Output.Workspace == j.job.Workspace && !before(b.Base, j.newest) && (whole || b.Expired || j.cancel) {
 					j.end = &b
 				}
 			}
@@ -181,6 +187,11 @@
 			}
 			assert.NilError(t, err)
 			assert.Equal(t, v.Status, j.status())
+			if j.end != nil {
+				assert.Equal(t, v.OK, j.end.OK)
+				assert.Equal(t, v.OK+v.FailedN, j.end.Done)
+				continue
+			}
 			assert.Equal(t, int(v.OK+v.FailedN), len(j.winner))
 			assert.Equal(t, int(v.FailedN), j.bad)
 			if j.status().Terminal() {
@@ -206,22 +217,46 @@
 type history struct {
 	pos   journal.Offset
 	total map[string]uint32
+	files []File
+	jobs  []string
+	// plainFiles leaves idempotency keys off files.
+	plainFiles bool
+	// done returns how many items of a job have results, as its owner knows.
+	done func(job string) uint32
+}
+
+// newHistory returns a history that starts with a job that has started.
+func newHistory(t *rapid.T) (*history, []logEntry) {
+	f := File{ID: "f", Workspace: "a", SHA256: hash64, Created: now.Unix()}
+	h := &history{total: map[string]uint32{}, files: []File{f}, jobs: []string{"j"}, pos: 2}
+	return h, []logEntry{
+		{journal.Position{}, KindFile, f},
+		{journal.Position{Offset: 1}, KindJob, Job{ID: "j", Workspace: "a", InputFile: "f", Created: now.Unix(), Deadline: now.Unix() + 9}},
+		{journal.Position{Offset: 2}, KindStarted, h.started(t, "j")},
+	}
 }
 
 func (h *history) next(t *rapid.T) logEntry {
 	h.pos++
 	l := logEntry{pos: journal.Position{Offset: h.pos}}
-	file := rapid.SampledFrom([]string{"f0", "f1", "f2"}).Draw(t, "file")
-	job := rapid.SampledFrom([]string{"j0", "j1"}).Draw(t, "job")
+	file := rapid.SampledFrom(h.files).Draw(t, "file")
+	job := rapid.SampledFrom(h.jobs).Draw(t, "job")
 	ws := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "workspace")
 	key := rapid.SampledFrom([]string{"", "k"}).Draw(t, "key")
 	switch rapid.IntRange(0, 11).Draw(t, "kind") {
 	case 0:
-		l.kind, l.body = KindFile, File{ID: file + ws, Workspace: ws, SHA256: hash64, Created: now.Unix()}
+		f := File{ID: fmt.Sprint("f", h.pos), Workspace: ws, SHA256: hash64, Created: now.Unix(), Key: key}
+		if h.plainFiles {
+			f.Key = ""
+		}
+		h.files = append(h.files, f)
+		l.kind, l.body = KindFile, f
 	case 1:
-		l.kind, l.body = KindDeleteFile, DeleteFile{ID: file + "a", Workspace: ws, At: now.Unix()}
+		l.kind, l.body = KindDeleteFile, DeleteFile{ID: file.ID, Workspace: ws, At: now.Unix()}
 	case 2, 3:
-		l.kind, l.body = KindJob, Job{ID: job, Workspace: ws, InputFile: file + "a", Key: key, Created: now.Unix(), Deadline: now.Unix() + 86400}
+		j := Job{ID: fmt.Sprint("j", h.pos), Workspace: ws, InputFile: file.ID, Key: key, Created: now.Unix(), Deadline: now.Unix() + 86400}
+		h.jobs = append(h.jobs, j.ID)
+		l.kind, l.body = KindJob, j
 	case 4:
 		l.kind, l.body = KindStarted, h.started(t, job)
 	case 5:
@@ -229,16 +264,28 @@
 	case 6:
 		l.kind, l.body = KindCancel, Cancel{Job: job, Workspace: ws, At: 6}
 	case 7:
-		l.kind, l.body = KindFinished, Finished{
-			Job: job, At: 7, Expired: rapid.Bool().Draw(t, "expired"), Done: rapid.Uint32Range(0, 6).Draw(t, "done"),
-			Output: &File{ID: fmt.Sprint("out", h.pos), Workspace: "a", SHA256: hash64, Created: now.Unix()},
-		}
+		l.kind, l.body = KindFinished, h.finished(t, job)
 	default:
 		l.kind, l.body = KindSegment, h.segment(t, job)
 	}
 	return l
 }
 
+// finished is by an owner that had folded up to a position of its own; what
+// the output covers follows from that.
+func (h *history) finished(t *rapid.T, job string) Finished {
+	f := Finished{
+		Job: job, At: 7, Expired: rapid.Bool().Draw(t, "expired"),
+		Base:   journal.Position{Offset: rapid.SampledFrom([]journal.Offset{h.pos - 1, h.pos - 1, h.pos / 2}).Draw(t, "base")},
+		Output: &File{ID: fmt.Sprint("out", h.pos), Workspace: "a", SHA256: hash64, Created: now.Unix()},
+	}
+	if h.done != nil {
+		f.Done = h.done(job)
+		f.OK = f.Done / 2
+	}
+	return f
+}
+
 // started is the same for every owner of a job.
 func (h *history) started(t *rapid.T, job string) Started {
 	if h.total[job] == 0 {
@@ -265,13 +312,9 @@
 func TestTableMatchesNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table, naive := NewTable(), &naiveState{}
-		// A prefix makes jobs that the random entries can work on.
-		h := &history{total: map[string]uint32{}}
-		for _, l := range []logEntry{
-			{journal.Position{}, KindFile, File{ID: "f0a", Workspace: "a", SHA256: hash64, Created: now.Unix()}},
-			{journal.Position{Index: 1}, KindJob, Job{ID: "j0", Workspace: "a", InputFile: "f0a", Created: now.Unix(), Deadline: now.Unix() + 9}},
-			{journal.Position{Index: 2}, KindStarted, h.started(t, "j0")},
-		} {
+		h, prefix := newHistory(t)
+		h.done = table.done
+		for _, l := range prefix {
 			assert.NilError(t, l.apply(table))
 			naive.history = append(naive.history, l)
 		}
@@ -284,6 +327,14 @@
 	})
 }
 
+// done returns how many items of a job have results.
+func (t *Table) done(job string) uint32 {
+	if r, ok := t.jobs[job]; ok {
+		return r.done()
+	}
+	return 0
+}
+
 func TestIdempotencyKeys(t *testing.T) {
 	table := NewTable()
 	entries := []logEntry{
