--- a/internal/entry/batchapi/api_test.go
+++ b/internal/entry/batchapi/api_test.go
@@ -64,6 +64,13 @@
 	return d.ran[id]
 }
 
+// items returns how many different items were dispatched.
+func (d *fakeDispatcher) items() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.ran)
+}
+
 type fixture struct {
 	url  string
 	log  *journaltest.MemLog
