load: follow batch jobs across entries

A job was tied to the entry that took it, so that a planned stop of that entry read as 20 lost items though the job went on elsewhere. Calls of a job now go to the next entry while they fail, under one idempotency key.

--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -6,13 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
 const (
 	pollInterval = 500 * time.Millisecond
-	// pollFailures bounds the polls of one job that fail in a row.
-	pollFailures = 20
 	batchWindow  = "24h"
 	chatEndpoint = "/v1/chat/completions"
 )
@@ -59,7 +58,7 @@
 			for j := range items {
 				items[j] = g.cfg.request(batchRNG)
 			}
-			g.wg.Go(func() { g.job(ctx, g.client(i), items) })
+			g.wg.Go(func() { g.job(ctx, i, items) })
 		})
 	})
 	g.wg.Wait()
@@ -90,20 +89,14 @@
 	g.rec.online(planned, a, err)
 }
 
-// job submits one batch job, waits for its end and checks each result.
-func (g *generator) job(ctx context.Context, c *Client, items []ChatRequest) {
+// job submits one batch job, waits for its end and checks each result. A call
+// that fails is repeated at the next entry, as behind a balancer.
+func (g *generator) job(ctx context.Context, first int, items []ChatRequest) {
 	began := time.Now()
-	b, err := g.submit(ctx, c, items)
-	if err != nil {
-		g.rec.jobFailed(len(items), err)
-		return
-	}
-	b, err = g.await(ctx, c, b)
-	if err != nil {
-		g.rec.jobFailed(len(items), err)
-		return
-	}
-	lines, err := c.results(ctx, b)
+	ctx, cancel := context.WithDeadline(ctx, g.start.Add(g.cfg.Duration+g.cfg.BatchTimeout))
+	defer cancel()
+	at := &turn{clients: g.clients, next: first}
+	lines, err := g.runJob(ctx, at, items)
 	if err != nil {
 		g.rec.jobFailed(len(items), err)
 		return
@@ -111,39 +104,41 @@
 	g.rec.job(time.Since(began), checkResults(g.cfg, items, lines))
 }
 
-func (g *generator) submit(ctx context.Context, c *Client, items []ChatRequest) (Batch, error) {
+func (g *generator) runJob(ctx context.Context, at *turn, items []ChatRequest) ([]resultLine, error) {
 	content, err := inputFile(items)
 	if err != nil {
-		return Batch{}, err
+		return nil, err
 	}
-	file, err := c.Upload(ctx, "load.jsonl", content)
-	if err != nil {
-		return Batch{}, err
-	}
-	return c.CreateBatch(ctx, file, SubmitOptions{Endpoint: chatEndpoint, Window: batchWindow})
-}
-
-// await polls a job until it is finished.
-func (g *generator) await(ctx context.Context, c *Client, b Batch) (Batch, error) {
-	deadline := g.start.Add(g.cfg.Duration + g.cfg.BatchTimeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	failures := 0
-	for !b.Finished() {
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
-			return b, errors.Wrapf(ctx.Err(), "job %s is %s", b.ID, b.Status)
-		}
-		next, err := c.GetBatch(ctx, b.ID)
-		if err == nil {
-			b, failures = next, 0
-			continue
+	options := SubmitOptions{Endpoint: chatEndpoint, Window: batchWindow, IdempotencyKey: uuid.NewString()}
+	var b Batch
+	err = at.try(ctx, func(c *Client) error {
+		file, err := c.Upload(ctx, "load.jsonl", content)
+		if err != nil {
+			return err
 		}
-		failures++
-		if failures == pollFailures {
-			return b, err
+		b, err = c.CreateBatch(ctx, file, options)
+		return err
+	})
+	for err == nil && !b.Finished() {
+		if !sleep(ctx, pollInterval) {
+			return nil, errors.Wrapf(ctx.Err(), "job %s is %s", b.ID, b.Status)
 		}
+		err = at.try(ctx, func(c *Client) error {
+			next, err := c.GetBatch(ctx, b.ID)
+			if err == nil {
+				b = next
+			}
+			return err
+		})
 	}
-	return b, nil
+	if err != nil {
+		return nil, err
+	}
+	var lines []resultLine
+	err = at.try(ctx, func(c *Client) error {
+		var err error
+		lines, err = c.results(ctx, b)
+		return err
+	})
+	return lines, err
 }
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -76,6 +77,23 @@
 	assert.Equal(t, len(r.Faults), 3)
 }
 
+func TestTurnGoesOnToNextEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clients := []*Client{{Base: "a"}, {Base: "b"}}
+		at := &turn{clients: clients}
+		var asked []string
+		err := at.try(t.Context(), func(c *Client) error {
+			asked = append(asked, c.Base)
+			if len(asked) == 1 {
+				return io.ErrUnexpectedEOF
+			}
+			return &APIError{Status: http.StatusNotFound}
+		})
+		assert.ErrorType(t, err, &APIError{})
+		assert.DeepEqual(t, asked, []string{"a", "b"})
+	})
+}
+
 // Latency counts from the planned start, so that a generator that falls behind
 // hides nothing.
 func TestLatencyCountsFromPlannedStart(t *testing.T) {
