--- a/internal/entry/answer.go
+++ b/internal/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -83,6 +84,47 @@
 	e.metrics.requestSeconds.UpdateDuration(started)
 }
 
+// checkHeader refuses a header over the limit.
+func (e *Server) checkHeader(ctx context.Context, c *app.RequestContext) {
+	if n := len(c.Request.Header.RawHeaders()); n > maxHeaderBytes {
+		c.SetConnectionClose()
+		e.fail(c, errkind.New(errkind.HeaderTooLarge, "header of %d bytes is over the limit of %d", n, maxHeaderBytes))
+		c.Abort()
+		return
+	}
+	c.Next(ctx)
+}
+
+// readBody reads a request's body up to the limit.
+func (e *Server) readBody(c *app.RequestContext) ([]byte, error) {
+	limit := e.settings.Limits.MaxBodyBytes
+	if !c.Request.IsBodyStream() {
+		raw := c.Request.Body()
+		if len(raw) > limit {
+			return nil, tooLarge(limit)
+		}
+		return append([]byte(nil), raw...), nil
+	}
+	if c.Request.Header.ContentLength() > limit {
+		c.SetConnectionClose()
+		return nil, tooLarge(limit)
+	}
+	raw, err := io.ReadAll(io.LimitReader(c.RequestBodyStream(), int64(limit)+1))
+	if err != nil {
+		c.SetConnectionClose()
+		return nil, errkind.Wrap(err, errkind.BadRequest, "the body ended early")
+	}
+	if len(raw) > limit {
+		c.SetConnectionClose()
+		return nil, tooLarge(limit)
+	}
+	return raw, nil
+}
+
+func tooLarge(limit int) error {
+	return errkind.New(errkind.TooLarge, "the body is over the limit of %d bytes", limit)
+}
+
 func requestID(c *app.RequestContext) string { return c.GetString(requestIDKey) }
 
 // workspace returns the workspace that the request's bearer key belongs to.
@@ -104,6 +146,24 @@
 	return ws, nil
 }
 
+// admit authenticates a live request and takes it in under its workspace's
+// limits. Every admitted request ends with e.limiter.leave.
+func (e *Server) admit(c *app.RequestContext) (*desired.Document, string, error) {
+	doc, err := e.document()
+	if err != nil {
+		return nil, "", err
+	}
+	name, err := workspaceOf(doc, c)
+	if err != nil {
+		return nil, "", err
+	}
+	ws, ok := doc.Workspace(name)
+	if !ok {
+		ws = desired.Workspace{Name: name}
+	}
+	return doc, name, e.limiter.enter(ws, e.fleet.entries())
+}
+
 func (e *Server) noRoute(_ context.Context, c *app.RequestContext) {
 	e.fail(c, errkind.New(errkind.NotFound, "no such path: %s", c.Path()))
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,8 +34,10 @@
 	// balancer turns away.
 	drainNotice = time.Second
 	idleCheck   = 10 * time.Millisecond
-	// maxHeaderBytes bounds a request's header.
+	// maxHeaderBytes bounds a request's header. Up to hardHeaderBytes the
+	// refusal is an ordinary answer, beyond it the connection is closed.
 	maxHeaderBytes   = 64 << 10
+	hardHeaderBytes  = 1 << 20
 	requestReadLimit = 30 * time.Second
 	keepAliveIdle    = 60 * time.Second
 	exitWait         = time.Second
@@ -57,9 +59,12 @@
 	retries     *rate.Limiter
 	batches     *batches
 	claims      *claims
+	limiter     *limiter
 
 	inProgress atomic.Int64
 	draining   atomic.Bool
+	// caughtUp says that everything kept at the start has been folded.
+	caughtUp   atomic.Bool
 	drainOrder chan struct{}
 }
 
@@ -74,6 +79,7 @@
 		log:         platform.NewLog(s.Platform.Log),
 		budget:      rate.NewLimiter(rate.Limit(s.Limits.AppendsPerSecond), appendBurst),
 		retries:     rate.NewLimiter(retriesPerSecond, retryBurst),
+		limiter:     newLimiter(),
 		drainOrder:  make(chan struct{}, 1),
 	}
 	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
@@ -96,6 +102,8 @@
 	g.Go(func() error { e.followConfig(run); return nil })
 	g.Go(func() error { e.fleet.run(run); return nil })
 	g.Go(func() error { e.claims.stream.Run(run); return nil })
+	g.Go(func() error { e.catchUp(run); return nil })
+	g.Go(func() error { e.renew(run); return nil })
 	for _, s := range e.batches.streams {
 		g.Go(func() error { s.Run(run); return nil })
 	}
@@ -152,8 +160,9 @@
 func (e *Server) callerOptions(ln net.Listener) ([]config.Option, error) {
 	opts := []config.Option{
 		server.WithListener(ln),
+		server.WithStreamBody(true),
 		server.WithMaxRequestBodySize(e.settings.Limits.MaxFileBytes),
-		server.WithMaxHeaderBytes(maxHeaderBytes),
+		server.WithMaxHeaderBytes(hardHeaderBytes),
 		server.WithReadTimeout(requestReadLimit),
 		server.WithIdleTimeout(keepAliveIdle),
 		server.WithExitWaitTime(exitWait),
