--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 	g.wg.Go(func() {
 		g.each(ctx, online, func(i int, planned time.Time) {
 			req := g.cfg.request(rng)
-			g.wg.Go(func() { g.online(ctx, g.client(i), req, planned) })
+			g.wg.Go(func() { g.online(ctx, i, req, planned) })
 		})
 	})
 	g.wg.Go(func() {
@@ -77,18 +78,31 @@
 	}
 }
 
-func (g *generator) client(i int) *Client { return g.clients[i%len(g.clients)] }
-
-func (g *generator) online(ctx context.Context, c *Client, req ChatRequest, planned time.Time) {
+// online sends one request. An entry that takes no connection is passed over,
+// as a balancer does; once a request was sent it is not repeated.
+func (g *generator) online(ctx context.Context, first int, req ChatRequest, planned time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Timeout)
 	defer cancel()
-	a, err := c.Stream(ctx, req, "", nil)
+	var a Answer
+	var err error
+	for i := range g.clients {
+		a, err = g.clients[(first+i)%len(g.clients)].Stream(ctx, req, "", nil)
+		if !notConnected(err) {
+			break
+		}
+	}
 	if err == nil {
 		err = g.cfg.checkOnline(req, a)
 	}
 	g.rec.online(planned, a, err)
 }
 
+// notConnected reports whether a request failed before a connection was made.
+func notConnected(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
 // job submits one batch job, waits for its end and checks each result. A call
 // that fails is repeated at the next entry, as behind a balancer.
 func (g *generator) job(ctx context.Context, first int, items []ChatRequest) {
