--- a/internal/ctl/operator.go
+++ b/internal/ctl/operator.go
@@ -66,7 +66,7 @@
 	return []*cli.Command{
 		{Name: "status", Usage: "list every process with its role, availability zone and configuration version", Action: bounded(t.status)},
 		{Name: "backends", Usage: "list the backend servers with their load", Action: bounded(t.backends)},
-		{Name: "jobs", Usage: "list the batch jobs of all workspaces", Action: bounded(t.jobs)},
+		{Name: "jobs", Usage: "list the open batch jobs of all workspaces", Action: bounded(t.jobs)},
 		{Name: "drain", Usage: "make an instance refuse new work and finish what runs", ArgsUsage: "INSTANCE", Action: bounded(t.drain)},
 	}
 }
