--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
 const (
 	pollInterval = 500 * time.Millisecond
-	// pollFailures bounds the polls of one job that fail in a row.
-	pollFailures = 20
 	batchWindow  = "24h"
 	chatEndpoint = "/v1/chat/completions"
 )
@@ -50,7 +50,7 @@
 	g.wg.Go(func() {
 		g.each(ctx, online, func(i int, planned time.Time) {
 			req := g.cfg.request(rng)
-			g.wg.Go(func() { g.online(ctx, g.client(i), req, planned) })
+			g.wg.Go(func() { g.online(ctx, i, req, planned) })
 		})
 	})
 	g.wg.Go(func() {
@@ -59,7 +59,7 @@
 			for j := range items {
 				items[j] = g.cfg.request(batchRNG)
 			}
-			g.wg.Go(func() { g.job(ctx, g.client(i), items) })
+			g.wg.Go(func() { g.job(ctx, i, items) })
 		})
 	})
 	g.wg.Wait()
@@ -78,32 +78,39 @@
 	}
 }
 
-func (g *generator) client(i int) *Client { return g.clients[i%len(g.clients)] }
-
-func (g *generator) online(ctx context.Context, c *Client, req ChatRequest, planned time.Time) {
+// online sends one request. An entry that takes no connection is passed over,
+// as a balancer does; once a request was sent it is not repeated.
+func (g *generator) online(ctx context.Context, first int, req ChatRequest, planned time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, g.cfg.Timeout)
 	defer cancel()
-	a, err := c.Stream(ctx, req, "", nil)
+	var a Answer
+	var err error
+	for i := range g.clients {
+		a, err = g.clients[(first+i)%len(g.clients)].Stream(ctx, req, "", nil)
+		if !notConnected(err) {
+			break
+		}
+	}
 	if err == nil {
 		err = g.cfg.checkOnline(req, a)
 	}
 	g.rec.online(planned, a, err)
 }
 
-// job submits one batch job, waits for its end and checks each result.
-func (g *generator) job(ctx context.Context, c *Client, items []ChatRequest) {
+// notConnected reports whether a request failed before a connection was made.
+func notConnected(err error) bool {
+	var dial *net.OpError
+	return errors.As(err, &dial) && dial.Op == "dial"
+}
+
+// job submits one batch job, waits for its end and checks each result. A call
+// that fails is repeated at the next entry, as behind a balancer.
+func (g *generator) job(ctx context.Context, first int, items []ChatRequest) {
 	began := time.Now()
-	b, err := g.submit(ctx, c, items)
-	if err != nil {
-		g.rec.jobFailed(len(items), err)
-		return
-	}
-	b, err = g.await(ctx, c, b)
-	if err != nil {
-		g.rec.jobFailed(len(items), err)
-		return
-	}
-	lines, err := c.results(ctx, b)
+	ctx, cancel := context.WithDeadline(ctx, g.start.Add(g.cfg.Duration+g.cfg.BatchTimeout))
+	defer cancel()
+	at := &turn{clients: g.clients, next: first}
+	lines, err := g.runJob(ctx, at, items)
 	if err != nil {
 		g.rec.jobFailed(len(items), err)
 		return
@@ -111,39 +118,41 @@
 	g.rec.job(time.Since(began), checkResults(g.cfg, items, lines))
 }
 
-func (g *generator) submit(ctx context.Context, c *Client, items []ChatRequest) (Batch, error) {
+func (g *generator) runJob(ctx context.Context, at *turn, items []ChatRequest) ([]resultLine, error) {
 	content, err := inputFile(items)
 	if err != nil {
-		return Batch{}, err
+		return nil, err
 	}
-	file, err := c.Upload(ctx, "load.jsonl", content)
-	if err != nil {
-		return Batch{}, err
-	}
-	return c.CreateBatch(ctx, file, SubmitOptions{Endpoint: chatEndpoint, Window: batchWindow})
-}
-
-// await polls a job until it is finished.
-func (g *generator) await(ctx context.Context, c *Client, b Batch) (Batch, error) {
-	deadline := g.start.Add(g.cfg.Duration + g.cfg.BatchTimeout)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	failures := 0
-	for !b.Finished() {
-		select {
-		case <-time.After(pollInterval):
-		case <-ctx.Done():
-			return b, errors.Wrapf(ctx.Err(), "job %s is %s", b.ID, b.Status)
+	options := SubmitOptions{Endpoint: chatEndpoint, Window: batchWindow, IdempotencyKey: uuid.NewString()}
+	var b Batch
+	err = at.try(ctx, func(c *Client) error {
+		file, err := c.Upload(ctx, "load.jsonl", content)
+		if err != nil {
+			return err
 		}
-		next, err := c.GetBatch(ctx, b.ID)
-		if err == nil {
-			b, failures = next, 0
-			continue
-		}
-		failures++
-		if failures == pollFailures {
-			return b, err
+		b, err = c.CreateBatch(ctx, file, options)
+		return err
+	})
+	for err == nil && !b.Finished() {
+		if !sleep(ctx, pollInterval) {
+			return nil, errors.Wrapf(ctx.Err(), "job %s is %s", b.ID, b.Status)
 		}
+		err = at.try(ctx, func(c *Client) error {
+			next, err := c.GetBatch(ctx, b.ID)
+			if err == nil {
+				b = next
+			}
+			return err
+		})
 	}
-	return b, nil
+	if err != nil {
+		return nil, err
+	}
+	var lines []resultLine
+	err = at.try(ctx, func(c *Client) error {
+		var err error
+		lines, err = c.results(ctx, b)
+		return err
+	})
+	return lines, err
 }
