--- a/admission/gaps.go
+++ b/admission/gaps.go
@@ -8,8 +8,8 @@
 const (
 	// gapBins and gapRatio lay out a histogram of times between tokens in bins
 	// that grow by gapRatio from gapMin.
-	gapBins  = 512
-	gapRatio = 1.02
+	gapBins  = 2048
+	gapRatio = 1.005
 	gapMin   = 100 * time.Microsecond
 	// gapHalf is how many observations a histogram holds before all its counts
 	// are halved.
--- a/admission/harm.go
+++ b/admission/harm.go
@@ -5,7 +5,7 @@
 const (
 	// maxHarm is how much longer batch may make the online tail, as a share of
 	// the tail without batch.
-	maxHarm = 0.05
+	maxHarm = 0.02
 	// harmCredit bounds the late gaps that may be saved up or owed.
 	harmCredit = 5000
 	// weightMargin is the part of the late gaps that is kept back when online
--- a/admission/slack.go
+++ b/admission/slack.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// maxShift is how much longer batch may make each step beside online
+	// attempts, as a share of the online tail.
+	maxShift = 0.05
 	// idleStreams bounds the batch attempts on a backend server without online
 	// attempts: each one more is preempted by the next online arrival, and the
 	// context it leaves displaces prefixes from the engine's cache.
@@ -26,7 +29,7 @@
 		return min(free, idleStreams)
 	}
 	alone := c.steps.predict(online)
-	bound := alone + time.Duration(float64(max(alone, c.harm.alone.tail))*maxHarm)
+	bound := alone + time.Duration(float64(max(alone, c.harm.alone.tail))*maxShift)
 	if t := c.policy.TBTTarget; t > 0 {
 		bound = min(bound, t)
 	}
