--- a/admission/slack.go
+++ b/admission/slack.go
@@ -15,7 +15,7 @@
 	idlePrefills = 1
 	// queueAhead is the length of the batch queue that covers the lag of load
 	// reports.
-	queueAhead = 4
+	queueAhead = 8
 )
 
 // onlineDemand counts online attempts that run or wait.
