--- a/admission/queue.go
+++ b/admission/queue.go
@@ -28,22 +28,3 @@
 	}
 	return nil
 }
-
-// shortest returns the row with the shortest prompt among the first n queued
-// rows, or nil.
-func (q *queue) shortest(n int) *row {
-	best := q.front()
-	for _, r := range q.rows {
-		if n == 0 {
-			break
-		}
-		if r.state != queued {
-			continue
-		}
-		n--
-		if r.attempt.PromptTokens < best.attempt.PromptTokens {
-			best = r
-		}
-	}
-	return best
-}
--- a/admission/slack.go
+++ b/admission/slack.go
@@ -15,7 +15,7 @@
 	idlePrefills = 1
 	// queueAhead is the length of the batch queue that covers the lag of load
 	// reports.
-	queueAhead = 8
+	queueAhead = 4
 )
 
 // onlineDemand counts online attempts that run or wait.
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -77,7 +77,7 @@
 func (c *Core) startBatch() {
 	limit := c.batchLimit()
 	for c.running[Batch] < limit && c.runningTotal() < c.policy.Slots {
-		r := c.nextBatch()
+		r := c.queues[Batch].front()
 		if r == nil || !c.mayPrefill() {
 			return
 		}
@@ -86,15 +86,6 @@
 	}
 }
 
-// nextBatch returns the batch attempt to start next: the first in the queue,
-// but beside online attempts the one whose prefill disturbs them least.
-func (c *Core) nextBatch() *row {
-	if c.running[Online] == 0 {
-		return c.queues[Batch].front()
-	}
-	return c.queues[Batch].shortest(queueAhead)
-}
-
 // predictedWait estimates how long an attempt that arrives now would queue.
 func (c *Core) predictedWait(class Class) time.Duration {
 	ahead := c.queues[class].len()
