--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,246 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/errkind"
+)
+
+var testPolicy = admission.Policy{Slots: 4, OnlineWeight: 1, BatchWeight: 1, MaxQueue: 6}
+
+func arrive(id string, class admission.Class) admission.Arrive {
+	return admission.Arrive{Attempt: admission.Attempt{ID: id, Class: class, PromptTokens: 100, MaxTokens: 100}}
+}
+
+func kinds(out []admission.Action) string {
+	s := ""
+	for _, a := range out {
+		s += fmt.Sprintf("%d:%s ", a.Kind, a.ID)
+	}
+	return s
+}
+
+func TestOnlinePreemptsBatchAtOnce(t *testing.T) {
+	p := testPolicy
+	p.Slots = 1
+	c := admission.New(p)
+	assert.Equal(t, kinds(c.Tick(0, arrive("b", admission.Batch))), "0:b ")
+	assert.Equal(t, kinds(c.Tick(1, arrive("o", admission.Online))), "2:b 0:o ")
+	assert.Equal(t, c.Load().RunningBatch, 0)
+}
+
+func TestNonIdempotentBatchIsNotPreempted(t *testing.T) {
+	p := testPolicy
+	p.Slots = 1
+	c := admission.New(p)
+	a := arrive("b", admission.Batch)
+	a.Attempt.NonIdempotent = true
+	c.Tick(0, a)
+	assert.Equal(t, kinds(c.Tick(1, arrive("o", admission.Online))), "")
+	assert.Equal(t, kinds(c.Tick(2, admission.Finish{ID: "b"})), "0:o ")
+}
+
+func TestRefusesOnArrivalWhenWaitExceedsDeadline(t *testing.T) {
+	p := testPolicy
+	p.Slots = 1
+	c := admission.New(p)
+	c.Tick(0, arrive("a", admission.Online))
+	c.Tick(10*time.Second, admission.Finish{ID: "a"})
+	c.Tick(10*time.Second, arrive("b", admission.Online))
+	late := arrive("c", admission.Online)
+	late.Attempt.Deadline = time.Second
+	out := c.Tick(10*time.Second, late)
+	assert.Equal(t, kinds(out), "1:c ")
+	assert.Equal(t, out[0].Err, errkind.DeadlineTooShort)
+	assert.Equal(t, out[0].RetryAfter, 10*time.Second)
+}
+
+func TestExpiresQueued(t *testing.T) {
+	p := testPolicy
+	p.Slots = 1
+	c := admission.New(p)
+	c.Tick(0, arrive("a", admission.Online))
+	b := arrive("b", admission.Online)
+	b.Attempt.Deadline = time.Second
+	c.Tick(0, b)
+	assert.Equal(t, kinds(c.Tick(time.Second-1)), "")
+	assert.Equal(t, kinds(c.Tick(time.Second)), "1:b ")
+}
+
+func TestDrainRefuses(t *testing.T) {
+	c := admission.New(testPolicy)
+	out := c.Tick(0, admission.Drain{}, arrive("a", admission.Online))
+	assert.Equal(t, out[0].Err, errkind.Draining)
+	assert.Equal(t, c.Load().BatchRoom, 0)
+}
+
+// naive is the obviously right account of what a core was told and did.
+type naive struct {
+	class    map[string]admission.Class
+	pinned   map[string]bool // non-idempotent
+	state    map[string]string
+	answered map[string]int
+}
+
+func newNaive() *naive {
+	return &naive{
+		class: map[string]admission.Class{}, pinned: map[string]bool{},
+		state: map[string]string{}, answered: map[string]int{},
+	}
+}
+
+func (n *naive) count(class admission.Class, state string) int {
+	k := 0
+	for id, s := range n.state {
+		if s == state && n.class[id] == class {
+			k++
+		}
+	}
+	return k
+}
+
+// apply checks each action against the state that the attempt is in.
+func (n *naive) apply(t *rapid.T, out []admission.Action) {
+	for _, a := range out {
+		switch a.Kind {
+		case admission.Start:
+			assert.Equal(t, n.state[a.ID], "queued", "started %s", a.ID)
+			n.state[a.ID] = "running"
+		case admission.Refuse:
+			assert.Equal(t, n.state[a.ID], "queued", "refused %s", a.ID)
+			n.end(t, a.ID)
+		case admission.Preempt:
+			assert.Equal(t, n.state[a.ID], "running", "preempted %s", a.ID)
+			assert.Equal(t, n.class[a.ID], admission.Batch)
+			assert.Assert(t, !n.pinned[a.ID])
+			n.state[a.ID] = "stopping"
+		case admission.Stop:
+			assert.Equal(t, n.state[a.ID], "running", "stopped %s", a.ID)
+			n.state[a.ID] = "stopping"
+		}
+	}
+}
+
+func (n *naive) end(t *rapid.T, id string) {
+	n.state[id] = "ended"
+	n.answered[id]++
+	assert.Equal(t, n.answered[id], 1, "answered %s twice", id)
+}
+
+// check holds the core's counts and its order of priority against the naive
+// account.
+func (n *naive) check(t *rapid.T, c *admission.Core, slots int) {
+	l := c.Load()
+	assert.Equal(t, l.RunningOnline, n.count(admission.Online, "running"))
+	assert.Equal(t, l.RunningBatch, n.count(admission.Batch, "running"))
+	assert.Equal(t, l.QueuedOnline, n.count(admission.Online, "queued"))
+	assert.Equal(t, l.QueuedBatch, n.count(admission.Batch, "queued"))
+	if l.QueuedOnline == 0 {
+		return
+	}
+	assert.Assert(t, l.RunningOnline+l.RunningBatch >= slots, "online waits beside a free slot")
+	for id, s := range n.state {
+		if s == "running" && n.class[id] == admission.Batch {
+			assert.Assert(t, n.pinned[id], "online waits while batch %s runs", id)
+		}
+	}
+}
+
+func TestCoreAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := testPolicy
+		p.Slots = rapid.IntRange(1, 5).Draw(t, "slots")
+		p.TBTTarget = time.Duration(rapid.IntRange(0, 30).Draw(t, "target")) * time.Millisecond
+		c, n := admission.New(p), newNaive()
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond
+			n.apply(t, c.Tick(now, draw(t, n, i)...))
+			n.check(t, c, p.Slots)
+		}
+		drainAll(t, c, n, now)
+	})
+}
+
+// draw draws one input and notes it.
+func draw(t *rapid.T, n *naive, i int) []admission.Input {
+	id := fmt.Sprintf("a%d", rapid.IntRange(0, max(i-1, 0)).Draw(t, "id"))
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0, 1, 2:
+		return []admission.Input{drawArrival(t, n, fmt.Sprintf("a%d", i))}
+	case 3:
+		return []admission.Input{admission.Token{ID: id, N: 1}}
+	case 4:
+		if s := n.state[id]; s == "running" || s == "stopping" {
+			n.end(t, id)
+			return []admission.Input{admission.Finish{ID: id}}
+		}
+	case 5:
+		if n.state[id] == "queued" {
+			n.end(t, id)
+		}
+		return []admission.Input{admission.Cancel{ID: id}}
+	}
+	return nil
+}
+
+func drawArrival(t *rapid.T, n *naive, id string) admission.Arrive {
+	a := arrive(id, admission.Class(rapid.IntRange(0, 1).Draw(t, "class")))
+	a.Attempt.NonIdempotent = rapid.IntRange(0, 4).Draw(t, "pinned") == 0
+	a.Attempt.Deadline = time.Duration(rapid.IntRange(0, 400).Draw(t, "deadline")) * time.Millisecond
+	n.class[id], n.pinned[id], n.state[id] = a.Attempt.Class, a.Attempt.NonIdempotent, "queued"
+	return a
+}
+
+// drainAll finishes what runs until nothing is left: no attempt may be lost.
+func drainAll(t *rapid.T, c *admission.Core, n *naive, now time.Duration) {
+	for range 10 * len(n.state) {
+		now += time.Second
+		var in []admission.Input
+		for id, s := range n.state {
+			if s == "running" || s == "stopping" {
+				n.end(t, id)
+				in = append(in, admission.Finish{ID: id})
+			}
+		}
+		n.apply(t, c.Tick(now, in...))
+	}
+	for id, s := range n.state {
+		assert.Equal(t, s, "ended", "%s is lost", id)
+	}
+}
+
+func BenchmarkTickToken(b *testing.B) {
+	c := admission.New(admission.Policy{Slots: 32, OnlineWeight: 1, BatchWeight: 1})
+	var in []admission.Input
+	for i := range 32 {
+		id := fmt.Sprintf("a%d", i)
+		c.Tick(0, arrive(id, admission.Class(i%2)))
+		in = append(in, admission.Token{ID: id, N: 1})
+	}
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += time.Millisecond
+		c.Tick(now, in[i%len(in):i%len(in)+1]...)
+	}
+}
+
+// BenchmarkLifecycle is an attempt from arrival to end: three transitions.
+func BenchmarkLifecycle(b *testing.B) {
+	c := admission.New(testPolicy)
+	in, end := arrive("a", admission.Online), admission.Finish{ID: "a"}
+	now := time.Duration(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += time.Millisecond
+		c.Tick(now, in)
+		c.Tick(now, end)
+	}
+}
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -7,7 +7,8 @@
 )
 
 // pickBatch chooses the backend server with the most room for batch, in the
-// region if there is any, in another region if that one is idle.
+// region if there is any, in another region if that one is idle. If none has
+// room it chooses the shortest queue.
 func (t *Table) pickBatch(now time.Duration, p *pool, q Request) (*row, Reason) {
 	if r := t.roomiest(now, p.local, q); r != nil {
 		return r, LeastLoaded
@@ -15,7 +16,23 @@
 	if r := t.roomiest(now, p.remote, q); r != nil {
 		return r, Spill
 	}
-	return nil, ""
+	if r := shortestQueue(now, p.near, q); r != nil {
+		return r, LeastLoaded
+	}
+	return shortestQueue(now, p.far, q), Spill
+}
+
+// shortestQueue returns the fit row with the least batch queued, or nil.
+func shortestQueue(now time.Duration, rows []*row, q Request) *row {
+	var best *row
+	least := 0
+	for _, r := range rows {
+		n := r.load.QueuedBatch + r.sent[admission.Batch]
+		if fit(now, r, q) && (best == nil || n < least) {
+			best, least = r, n
+		}
+	}
+	return best
 }
 
 // roomiest returns the fit row with the most room, or nil if none has any. The
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -21,9 +21,6 @@
 	} else {
 		best, why = t.pickOnline(now, p, q)
 	}
-	if best == nil {
-		best, why = t.pickAny(now, p, q)
-	}
 	if best == nil {
 		return Decision{}, false
 	}
@@ -32,19 +29,28 @@
 }
 
 // pickOnline scores the backend servers of the region, and those of the others
-// if that pays.
+// if that pays. It looks beyond the subset only if nothing in it is fit.
 func (t *Table) pickOnline(now time.Duration, p *pool, q Request) (*row, Reason) {
-	best, why := t.pickIn(now, p.local, q)
+	best, why := t.pickFirst(now, q, p.local, p.near)
 	if best != nil && !best.full(now) {
 		return best, why
 	}
-	far, _ := t.pickIn(now, p.remote, q)
+	far, _ := t.pickFirst(now, q, p.remote, p.far)
 	if far == nil || (best != nil && !spillPays(best.online(now), far.online(now))) {
 		return best, why
 	}
 	return far, Spill
 }
 
+// pickFirst chooses from the subset, or else from all rows.
+func (t *Table) pickFirst(now time.Duration, q Request, sub, all []*row) (*row, Reason) {
+	best, why := t.pickIn(now, sub, q)
+	if best == nil && len(all) > len(sub) {
+		return t.pickIn(now, all, q)
+	}
+	return best, why
+}
+
 // pickIn chooses among the fit rows: the prefix's own backend server within
 // the bound on imbalance, else the better of two chosen at random.
 func (t *Table) pickIn(now time.Duration, rows []*row, q Request) (*row, Reason) {
@@ -58,15 +64,6 @@
 	return t.twoChoices(now, t.fits), LeastLoaded
 }
 
-// pickAny looks beyond the subset when nothing in it is fit.
-func (t *Table) pickAny(now time.Duration, p *pool, q Request) (*row, Reason) {
-	best, why := t.pickIn(now, p.all, q)
-	if best != nil && best.backend.Region != t.region {
-		why = Spill
-	}
-	return best, why
-}
-
 // filter appends the rows that may take the request.
 func (t *Table) filter(out []*row, now time.Duration, rows []*row, q Request) []*row {
 	for _, r := range rows {
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -13,7 +13,8 @@
 // this entry uses.
 type pool struct {
 	all           []*row
-	local, remote []*row
+	near, far     []*row // of this region and of the others, by weight
+	local, remote []*row // the leading rows of near and far
 	stale         bool
 }
 
@@ -36,25 +37,27 @@
 		return
 	}
 	p.stale = false
-	p.local, p.remote = p.local[:0], p.remote[:0]
+	p.near, p.far = p.near[:0], p.far[:0]
 	for _, r := range p.all {
 		if r.backend.Region == region {
-			p.local = append(p.local, r)
+			p.near = append(p.near, r)
 		} else {
-			p.remote = append(p.remote, r)
+			p.far = append(p.far, r)
 		}
 	}
-	p.local, p.remote = subset(p.local, seed), subset(p.remote, seed)
+	sortByWeight(p.near, seed)
+	sortByWeight(p.far, seed)
+	p.local = p.near[:min(len(p.near), maxSubset)]
+	p.remote = p.far[:min(len(p.far), maxSubset)]
 }
 
-func subset(rows []*row, seed uint64) []*row {
+func sortByWeight(rows []*row, seed uint64) {
 	slices.SortFunc(rows, func(a, b *row) int {
 		if c := cmp.Compare(weight(b.hash, seed), weight(a.hash, seed)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.backend.Instance, b.backend.Instance)
 	})
-	return rows[:min(len(rows), maxSubset)]
 }
 
 // weight is the random weight of a backend server for a key: the finalizer of
