Preempted attempts resume where their tokens are cached

Cause: beside online attempts a new batch attempt costs late gaps to prefill; a preempted one that returns to the engine that holds its tokens does not.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -38,6 +38,9 @@
 	Deadline time.Duration // from arrival
 	// PromptTokens and MaxTokens estimate the work.
 	PromptTokens, MaxTokens int
+	// CachedTokens estimates how many of PromptTokens the engine holds from an
+	// earlier attempt that it ran and was preempted.
+	CachedTokens int
 	// NonIdempotent attempts are never preempted once started.
 	NonIdempotent bool
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -28,3 +28,21 @@
 	}
 	return nil
 }
+
+// cached returns the first queued row whose prompt is cached, or nil.
+func (q *queue) cached() *row {
+	for _, r := range q.rows {
+		if r != nil && r.state == queued && r.cached() {
+			return r
+		}
+	}
+	return nil
+}
+
+// cachedShare is the share of a prompt that makes its prefill negligible.
+const cachedShare = 0.9
+
+func (r *row) cached() bool {
+	a := r.attempt
+	return a.CachedTokens > 0 && float64(a.CachedTokens) >= cachedShare*float64(a.PromptTokens)
+}
--- a/admission/slack.go
+++ b/admission/slack.go
@@ -38,15 +38,16 @@
 
 // mayPrefill says whether a batch attempt may be started now: never while an
 // online attempt waits for its first token, and beside online attempts only
-// while the account of late gaps is in credit.
-func (c *Core) mayPrefill() bool {
+// while the account of late gaps is in credit or nearly all of its prompt is
+// in the engine's cache.
+func (c *Core) mayPrefill(r *row) bool {
 	if c.queues[Online].len() > 0 || c.prefills[Online] > 0 {
 		return false
 	}
 	if c.prefills[Batch] >= idlePrefills {
 		return false
 	}
-	return c.running[Online] == 0 || c.harm.credit > 0
+	return c.running[Online] == 0 || r.cached() || c.harm.credit > 0
 }
 
 // batchShare is the weight of batch as a share of all weight.
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -77,8 +77,8 @@
 func (c *Core) startBatch() {
 	limit := c.batchLimit()
 	for c.running[Batch] < limit && c.runningTotal() < c.policy.Slots {
-		r := c.queues[Batch].front()
-		if r == nil || !c.mayPrefill() {
+		r := c.nextBatch()
+		if r == nil || !c.mayPrefill(r) {
 			return
 		}
 		c.fire(r, start)
@@ -86,6 +86,17 @@
 	}
 }
 
+// nextBatch returns the batch attempt to start next: the first in the queue,
+// but beside online attempts a cached one goes first.
+func (c *Core) nextBatch() *row {
+	if c.running[Online] > 0 {
+		if r := c.queues[Batch].cached(); r != nil {
+			return r
+		}
+	}
+	return c.queues[Batch].front()
+}
+
 // predictedWait estimates how long an attempt that arrives now would queue.
 func (c *Core) predictedWait(class Class) time.Duration {
 	ahead := c.queues[class].len()
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -57,6 +57,7 @@
 		Service: e.sim.dep.Services[r.service].Name, Class: r.class,
 		Workspace: "default", Prefix: r.prefix,
 		Tokens:  r.prefixTokens + r.promptTokens + r.outputTokens,
+		Prefer:  a.prefer(),
 		Exclude: a.fails,
 	})
 	if !ok {
@@ -101,7 +102,9 @@
 
 func (e *entry) preempted(a *attempt) {
 	e.router(a.req.class).Done(e.sim.now, a.work.name, routing.OK)
-	e.feeders[a.req.service].back(a)
+	if a.held == nil || !e.dispatch(a) {
+		e.feeders[a.req.service].back(a)
+	}
 }
 
 func (e *entry) finished(a *attempt) {
--- a/internal/bench/worker.go
+++ b/internal/bench/worker.go
@@ -46,6 +46,7 @@
 		ID: a.id, Class: r.class, Deadline: r.deadline,
 		PromptTokens:  r.prefixTokens + r.promptTokens + a.kept,
 		MaxTokens:     r.outputTokens - a.kept,
+		CachedTokens:  a.cachedAt(w),
 		NonIdempotent: r.nonIdempotent,
 	}})
 }
@@ -85,6 +86,10 @@
 func (w *worker) preempt(a *attempt) {
 	s := w.running[a.id]
 	w.engine.cancel(s)
+	a.held = nil
+	if s.prefill == 0 {
+		a.held = w
+	}
 	w.sim.stats.preempted++
 	w.forget(a)
 	w.reply(a, messageBytes, func() { a.entry.preempted(a) })
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -35,9 +35,19 @@
 	work  *worker
 	kept  int // tokens kept from earlier attempts
 	tries int
+	// held is the worker that was preempted with this attempt's tokens.
+	held  *worker
 	fails []string
 }
 
+// cachedAt estimates how many tokens of the prompt a worker's engine holds.
+func (a *attempt) cachedAt(w *worker) int {
+	if a.held != w {
+		return 0
+	}
+	return a.req.prefixTokens + a.req.promptTokens + a.kept
+}
+
 // onlineArrivals draws the whole online load of a run, in order of time.
 func onlineArrivals(d Deployment, seed uint64, duration time.Duration) []*request {
 	var out []*request
@@ -106,3 +116,11 @@
 func between(rng *rand.Rand, span [2]int) int {
 	return span[0] + rng.IntN(span[1]-span[0]+1)
 }
+
+// prefer names the worker whose engine holds the attempt's tokens.
+func (a *attempt) prefer() string {
+	if a.held == nil {
+		return ""
+	}
+	return a.held.name
+}
--- a/routing/batch.go
+++ b/routing/batch.go
@@ -10,6 +10,9 @@
 // region if there is any, in another region if that one is idle. If none has
 // room it chooses the shortest queue.
 func (t *Table) pickBatch(now time.Duration, p *pool, q Request) (*row, Reason) {
+	if r, ok := t.rows[q.Prefer]; ok && fit(now, r, q) {
+		return r, Resume
+	}
 	if r := t.roomiest(now, p.local, q); r != nil {
 		return r, LeastLoaded
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -39,6 +39,9 @@
 	Prefix uint64
 	// Tokens estimates the work.
 	Tokens int
+	// Prefer names the instance whose engine holds the kept tokens of a
+	// preempted attempt, empty if there is none. A fit one is chosen.
+	Prefer string
 	// Exclude lists instances that have failed this request.
 	Exclude []string
 }
@@ -51,6 +54,7 @@
 	LeastLoaded Reason = "least_loaded"
 	Affinity    Reason = "prefix_affinity"
 	Spill       Reason = "spill"
+	Resume      Reason = "resume"
 )
 
 // Decision is a choice.
