Routing: batch weighs a little in the cost for online attempts

Cause: at the onset of a burst a backend server full of batch serves its first online attempts a step later.

--- a/routing/score.go
+++ b/routing/score.go
@@ -14,6 +14,8 @@
 	spillMargin = 8
 	// zonePenalty is what another availability zone costs, in attempts.
 	zonePenalty = 0.5
+	// batchPenalty is what one batch attempt costs, in online attempts.
+	batchPenalty = 0.05
 	// returnPenalty is what a backend server that has just returned from
 	// ejection costs, in attempts.
 	returnPenalty = 16
@@ -35,7 +37,7 @@
 // cost scores a backend server for an online attempt; less is better. Batch
 // attempts do not count, they step aside.
 func (t *Table) cost(now time.Duration, r *row) float64 {
-	c := r.online(now) + returnPenalty*r.returning(now)
+	c := r.online(now) + batchPenalty*float64(r.load.RunningBatch) + returnPenalty*r.returning(now)
 	if r.backend.Zone != t.zone {
 		c += zonePenalty
 	}
