--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -34,12 +34,25 @@
 	fail func(it Item) error
 
 	mu        sync.Mutex
+	running   int
 	completed map[uint32]int
 }
 
-func (d *slowDispatcher) Room(string) int { return d.room }
+func (d *slowDispatcher) Room(string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.room - d.running
+}
+
+func (d *slowDispatcher) run(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.running += n
+}
 
 func (d *slowDispatcher) Dispatch(ctx context.Context, it Item) (Answer, error) {
+	d.run(1)
+	defer d.run(-1)
 	sleep(ctx, time.Second)
 	if ctx.Err() != nil {
 		return Answer{}, ctx.Err()
@@ -55,13 +68,19 @@
 	return Answer{Status: 200, Body: []byte(fmt.Sprintf(`{"i":%d}`, it.Index))}, nil
 }
 
+func (d *slowDispatcher) count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.completed)
+}
+
 // process is one owner of the shard, with its own fold of the log.
 type process struct {
 	shard Shard
 	stop  func()
 }
 
-func startProcess(mem *journaltest.MemLog, name string, d Dispatcher) *process {
+func startProcess(t *testing.T, mem *journaltest.MemLog, name string, d Dispatcher) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := log.New(io.Discard)
 	table := NewTable()
@@ -78,6 +97,7 @@
 		cancel()
 		wg.Wait()
 	}
+	t.Cleanup(p.stop)
 	return p
 }
 
@@ -137,19 +157,19 @@
 func TestTwoOwnersAndRestart(t *testing.T) {
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
-			rng := rand.New(rand.NewPCG(seed, 1))
+			faults, rng := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
 			mem := journaltest.NewMemLog()
-			mem.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.Fault(rng.IntN(4)) })
+			mem.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.Fault(faults.IntN(4)) })
 			d := &slowDispatcher{room: 40, completed: map[uint32]int{}}
-			p1 := startProcess(mem, "p1", d)
-			p2 := startProcess(mem, "p2", d)
+			p1 := startProcess(t, mem, "p1", d)
+			p2 := startProcess(t, mem, "p2", d)
 			const n = 400
 			p1.submit(t, n, 24*time.Hour)
 			time.Sleep(time.Duration(rng.IntN(20)) * time.Second)
 			p1.stop() // lost with items in flight
 			mem.Flush()
 			time.Sleep(time.Duration(rng.IntN(5)) * time.Second)
-			p3 := startProcess(mem, "p3", d)
+			p3 := startProcess(t, mem, "p3", d)
 			v := p3.end(t)
 			assert.Equal(t, v.Status, Completed)
 			assert.Equal(t, v.OK, uint32(n))
@@ -160,8 +180,6 @@
 			assert.NilError(t, err)
 			assert.Equal(t, v2.OutputFile, v.OutputFile)
 			assert.Equal(t, v2.Status, Completed)
-			p2.stop()
-			p3.stop()
 		})
 	}
 }
@@ -170,13 +188,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		mem := journaltest.NewMemLog()
 		d1 := &slowDispatcher{room: 8, completed: map[uint32]int{}}
-		p1 := startProcess(mem, "p1", d1)
+		p1 := startProcess(t, mem, "p1", d1)
 		p1.submit(t, 200, 24*time.Hour)
 		time.Sleep(10500 * time.Millisecond)
 		folded := p1.shard.Table.doneCopy("j")
 		p1.stop()
 		d2 := &slowDispatcher{room: 64, completed: map[uint32]int{}}
-		p2 := startProcess(mem, "p2", d2)
+		p2 := startProcess(t, mem, "p2", d2)
 		v := p2.end(t)
 		assert.Equal(t, v.OK, uint32(200))
 		checkOutput(t, p2.content(t, v.OutputFile), 200)
@@ -185,7 +203,6 @@
 				assert.Equal(t, d2.completed[i], 0, "item %d had its result", i)
 			}
 		}
-		p2.stop()
 	})
 }
 
@@ -200,7 +217,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		mem := journaltest.NewMemLog()
 		d := &slowDispatcher{room: 8, completed: map[uint32]int{}}
-		p := startProcess(mem, "p", d)
+		p := startProcess(t, mem, "p", d)
 		p.submit(t, 200, 10*time.Second)
 		v := p.end(t)
 		assert.Equal(t, v.Status, Expired)
@@ -210,10 +227,9 @@
 		assert.Equal(t, strings.Count(missing, `"code":"batch_expired"`), 200-int(v.OK))
 		assert.Assert(t, strings.Contains(missing, `"custom_id":"c199"`))
 		time.Sleep(30 * time.Second)
-		ran := len(d.completed)
+		ran := d.count()
 		time.Sleep(time.Minute)
-		assert.Equal(t, len(d.completed), ran)
-		p.stop()
+		assert.Equal(t, d.count(), ran)
 	})
 }
 
@@ -222,7 +238,7 @@
 		const retention = 10 * time.Minute
 		mem := journaltest.NewMemLog()
 		d := &slowDispatcher{room: 64, completed: map[uint32]int{}}
-		p := startProcess(mem, "p", d)
+		p := startProcess(t, mem, "p", d)
 		p.submit(t, 100, 24*time.Hour)
 		v := p.end(t)
 		want := p.content(t, v.OutputFile)
@@ -242,7 +258,7 @@
 			}
 		}
 		assert.Equal(t, p.content(t, v.OutputFile), want)
-		late := startProcess(mem, "late", d)
+		late := startProcess(t, mem, "late", d)
 		assert.NilError(t, late.shard.Stream.CaughtUp(ctx))
 		assert.Equal(t, late.content(t, v.OutputFile), want)
 		lv, err := late.shard.Table.Job("a", "j", time.Now())
@@ -255,15 +271,13 @@
 		assert.Assert(t, errkind.Is(err, errkind.Expired))
 		cancel()
 		wg.Wait()
-		p.stop()
-		late.stop()
 	})
 }
 
 func TestLargeInputSpansChunks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := journaltest.NewMemLog()
-		p := startProcess(mem, "p", &slowDispatcher{room: 4096, completed: map[uint32]int{}})
+		p := startProcess(t, mem, "p", &slowDispatcher{room: 4096, completed: map[uint32]int{}})
 		const n = 9000 // three chunks
 		p.submit(t, n, 24*time.Hour)
 		f, err := p.shard.Table.File("a", "f", time.Now())
@@ -275,6 +289,5 @@
 		assert.NilError(t, err)
 		whole := p.content(t, "f")
 		assert.Assert(t, bytes.Equal(half, []byte(whole)[300_000:]))
-		p.stop()
 	})
 }
