--- a/admission/slack.go
+++ b/admission/slack.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// maxShift is how much longer batch may make each step beside online
+	// attempts, as a share of the online tail.
+	maxShift = 0.05
 	// idleStreams bounds the batch attempts on a backend server without online
 	// attempts: each one more is preempted by the next online arrival, and the
 	// context it leaves displaces prefixes from the engine's cache.
@@ -26,7 +29,7 @@
 		return min(free, idleStreams)
 	}
 	alone := c.steps.predict(online)
-	bound := alone + time.Duration(float64(max(alone, c.harm.alone.tail))*maxHarm)
+	bound := alone + time.Duration(float64(max(alone, c.harm.alone.tail))*maxShift)
 	if t := c.policy.TBTTarget; t > 0 {
 		bound = min(bound, t)
 	}
@@ -35,15 +38,16 @@
 
 // mayPrefill says whether a batch attempt may be started now: never while an
 // online attempt waits for its first token, and beside online attempts only
-// while the account of late gaps is in credit.
-func (c *Core) mayPrefill() bool {
+// while the account of late gaps is in credit or nearly all of its prompt is
+// in the engine's cache.
+func (c *Core) mayPrefill(r *row) bool {
 	if c.queues[Online].len() > 0 || c.prefills[Online] > 0 {
 		return false
 	}
 	if c.prefills[Batch] >= idlePrefills {
 		return false
 	}
-	return c.running[Online] == 0 || c.harm.credit > 0
+	return c.running[Online] == 0 || r.cached() || c.harm.credit > 0
 }
 
 // batchShare is the weight of batch as a share of all weight.
