entry: batch items call a plain service by its own path

Cause: an item's path kept the /services/{service} prefix, so the service was called with a path that it does not have, and a call that may not be repeated was not recognised as one and went out again after a broken attempt. Ruled out: claims (no claim was made for the item).

After: the test passes.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -150,12 +150,12 @@
 		workspace: it.Workspace,
 		service:   svc.Name,
 		method:    it.Method,
-		path:      it.Path,
+		path:      strings.TrimPrefix(it.Path, batch.EndpointServices+svc.Name),
 		body:      it.Body,
 		headers:   []*peerv1.Header{{Name: "Content-Type", Value: "application/json"}},
 	}
 	c.forItem(it)
-	path, _, _ := strings.Cut(it.Path, "?")
+	path, _, _ := strings.Cut(c.path, "?")
 	if svc.NonIdempotent(it.Method, path) {
 		return d.claimed(ctx, svc, it, c)
 	}
