--- a/internal/chaos/check_call.go
+++ b/internal/chaos/check_call.go
@@ -42,7 +42,7 @@
 		}
 	case Post, KeyedPost:
 		var e standin.Execution
-		if err := json.Unmarshal([]byte(r.Body), &e); err != nil || e.Body != r.Op.ID {
+		if err := json.Unmarshal([]byte(r.Body), &e); err != nil || e.Path != callPath || e.Body != r.Op.ID {
 			return fmt.Sprintf("got %q for %s", r.Body, r.Op.ID)
 		}
 	}
--- a/internal/chaos/check_job.go
+++ b/internal/chaos/check_job.go
@@ -123,7 +123,7 @@
 	ran := c.byID[strconv.Quote(id)]
 	if result {
 		var e standin.Execution
-		if l.Response == nil || json.Unmarshal(l.Response.Body, &e) != nil || e.Body != strconv.Quote(id) || len(ran) == 0 {
+		if l.Response == nil || json.Unmarshal(l.Response.Body, &e) != nil || e.Path != callPath || e.Body != strconv.Quote(id) || len(ran) == 0 {
 			c.verdict.found(WrongAnswer, "job %s item %d: got %s", j.Op.ID, i, l.why())
 		}
 		return
--- a/internal/chaos/job.go
+++ b/internal/chaos/job.go
@@ -44,7 +44,7 @@
 // endpoint is what every item of a job calls.
 func (op Op) endpoint() string {
 	if op.Calls {
-		return "/services/" + plainService + "/bookings"
+		return "/services/" + plainService + callPath
 	}
 	return chatPath
 }
--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -3,10 +3,13 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
 
@@ -99,3 +102,65 @@
 	assert.Equal(t, rec.Final.Status, "cancelled")
 	r.judge(t)
 }
+
+// TestJobWaitsForTheConfiguration starts every entry anew while the
+// configuration can't be read and a job awaits its validation. The job must
+// not be judged by entries that know no service.
+func TestJobWaitsForTheConfiguration(t *testing.T) {
+	t.Parallel()
+	r := newTestRound(t, Plan{})
+	close(r.healed)
+	op := Op{Kind: Batch, ID: "early", Items: 5, Tokens: 5}
+	rec := JobRecord{Op: op}
+	file, ok := r.upload(t.Context(), op)
+	assert.Assert(t, ok)
+	const slow = 1000 * time.Millisecond
+	r.log.change(func(l *standin.LogFaults) { l.DelayMS = int(slow.Milliseconds()) })
+	id, ok := r.submit(t.Context(), op, file, &rec)
+	assert.Assert(t, ok)
+	// Nothing that the entries append from here on takes effect.
+	r.log.change(func(l *standin.LogFaults) { l.Down = true })
+	for _, n := range r.cluster.Entries {
+		n.Kill()
+	}
+	pause(t.Context(), 2*slow)
+	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{DownStream: desired.Stream} })
+	for _, n := range r.cluster.Entries {
+		assert.NilError(t, n.Start())
+	}
+	pause(t.Context(), 2*slow) // time for an entry to judge the job too early
+	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{} })
+	for _, n := range r.cluster.Entries {
+		assert.NilError(t, n.WaitReady())
+	}
+	r.awaitJob(t.Context(), op, id, &rec)
+	r.history.Jobs = append(r.history.Jobs, rec)
+	assert.Equal(t, rec.Final.Status, "completed")
+	r.judge(t)
+}
+
+// TestJobOfCallsThatMayNotBeRepeated replaces the plain service's instances
+// while a job's items call it. Each item runs at most once.
+func TestJobOfCallsThatMayNotBeRepeated(t *testing.T) {
+	r := newTestRound(t, Plan{})
+	op := Op{Kind: Batch, ID: "calls", Items: 60, Calls: true}
+	var job sync.WaitGroup
+	job.Go(func() { r.run(t.Context(), op) })
+	ran := func() int {
+		n := 0
+		for _, list := range r.observe().Executions {
+			n += len(list)
+		}
+		return n
+	}
+	eventually(t, "items run", func() bool { return ran() > 0 })
+	for _, n := range r.cluster.Plain {
+		n.Kill()
+		assert.NilError(t, n.Start())
+		assert.NilError(t, r.awaitKnown(n))
+	}
+	close(r.healed)
+	job.Wait()
+	assert.Equal(t, r.history.Jobs[0].Final.Status, "completed")
+	r.judge(t)
+}
--- a/internal/chaos/live_test.go
+++ b/internal/chaos/live_test.go
@@ -175,6 +175,27 @@
 	r.judge(t)
 }
 
+// TestKeptReplyAtAnEntryThatIsBehind reads a kept reply at an entry that can't
+// have folded it. That entry must not say that there is no such reply.
+func TestKeptReplyAtAnEntryThatIsBehind(t *testing.T) {
+	r := newTestRound(t, Plan{})
+	op := Op{Kind: StoredChat, ID: "kept", Tokens: 5}
+	behind := r.cluster.Entries[0]
+	behind.Links().Log.Cut()
+	q := r.chatRequest(op, op.ID)
+	q.body, q.salt = storedBody(prompt(op.ID), op.Tokens), 1
+	a := r.record(t.Context(), op, q)
+	assert.Assert(t, a.whole && a.recorded, "%+v", a)
+	read := request{method: http.MethodGet, path: chatPath + "/" + fileObject{}.idOf(a.body)}
+	b := r.do(t.Context(), read)
+	assert.Equal(t, b.via, behind)
+	assert.Equal(t, b.status, http.StatusServiceUnavailable, "%+v", b)
+	behind.Links().Log.Restore()
+	b = r.do(t.Context(), read)
+	assert.Equal(t, b.status, http.StatusOK, "%+v", b)
+	assert.Equal(t, b.body, a.body)
+}
+
 func TestEveryInstanceReplacedUnderLoad(t *testing.T) {
 	r := newTestRound(t, Plan{Profile: Planned})
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/chaos/operations.go
+++ b/internal/chaos/operations.go
@@ -9,7 +9,11 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const chatPath = "/v1/chat/completions"
+const (
+	chatPath = "/v1/chat/completions"
+	// callPath is the plain service's call that may not be repeated.
+	callPath = "/bookings"
+)
 
 // run carries out one operation.
 func (r *Round) run(ctx context.Context, op Op) {
@@ -81,7 +85,7 @@
 		return q
 	}
 	q.method = http.MethodPost
-	q.path = fmt.Sprintf("/services/%s/bookings?delay_ms=%d", plainService, op.Delay.Milliseconds())
+	q.path = fmt.Sprintf("/services/%s%s?delay_ms=%d", plainService, callPath, op.Delay.Milliseconds())
 	q.body = op.ID
 	return q
 }
--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -52,6 +52,10 @@
 	if err := r.play(ctx); err != nil {
 		return nil, err
 	}
+	// A round that was broken off is not judged.
+	if ctx.Err() != nil {
+		return nil, errors.Wrap(ctx.Err(), "chaos: round")
+	}
 	return check(p, r.history, r.observe()), nil
 }
 
--- a/internal/standin/logservice.go
+++ b/internal/standin/logservice.go
@@ -30,6 +30,8 @@
 type LogFaults struct {
 	// Down refuses every call.
 	Down bool `json:"down"`
+	// DownStream refuses every call for one stream.
+	DownStream string `json:"down_stream,omitempty"`
 	// DelayMS delays every append.
 	DelayMS int `json:"delay_ms"`
 	// LoseAnswers is how many of the next appends take effect but fail.
@@ -65,6 +67,9 @@
 
 func (l *LogService) append(ctx context.Context, c *app.RequestContext) {
 	time.Sleep(l.delay())
+	if l.refuse(c) {
+		return
+	}
 	at, err := l.log.Append(ctx, c.Param("stream"), c.Request.Body())
 	if err != nil {
 		c.String(http.StatusServiceUnavailable, err.Error())
@@ -89,6 +94,9 @@
 		c.String(http.StatusBadRequest, "wait_ms: not a number")
 		return
 	}
+	if l.refuse(c) {
+		return
+	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxReadWait)
 	page, err := l.log.Read(ctx, c.Param("stream"), journal.Offset(from), limit, wait)
 	if err != nil {
@@ -126,6 +134,17 @@
 	c.JSON(http.StatusOK, LogStats{Appends: l.appends})
 }
 
+// refuse answers a call for a stream that is down; it returns false for others.
+func (l *LogService) refuse(c *app.RequestContext) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	down := l.faults.DownStream != "" && l.faults.DownStream == c.Param("stream")
+	if down {
+		c.String(http.StatusServiceUnavailable, journaltest.ErrDown.Error())
+	}
+	return down
+}
+
 func (l *LogService) delay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
