--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -67,10 +68,7 @@
 // catchUp notes when everything kept at the start has been folded. Until then
 // an id that is not found may still turn up.
 func (e *Server) catchUp(ctx context.Context) {
-	if !waitCaughtUp(ctx, e.claims.stream) {
-		return
-	}
-	for _, s := range e.batches.streams {
+	for _, s := range append(slices.Clone(e.batches.streams), e.configLog, e.claims.stream) {
 		if !waitCaughtUp(ctx, s) {
 			return
 		}
