--- /dev/null
+++ b/internal/entry/api_test.go
@@ -0,0 +1,272 @@
+package entry_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+	"github.com/catkinrudder/catkinrudder/internal/standin"
+)
+
+const (
+	model        = "draft"
+	plainService = "bookings"
+	keyOne       = "key-one"
+	keyTwo       = "key-two"
+	keySlow      = "key-slow"
+	callDeadline = 2 * time.Second
+)
+
+// document is the desired state of the shared deployment: three workspaces, one
+// of them rate limited, and a model that no backend server has.
+func document() string {
+	hash := func(key string) string { return fmt.Sprintf("%x", sha256.Sum256([]byte(key))) }
+	return fmt.Sprintf(`base = 0
+[[workspace]]
+name = "one"
+key_sha256 = [%q]
+[[workspace]]
+name = "two"
+key_sha256 = [%q]
+[[workspace]]
+name = "slow"
+key_sha256 = [%q]
+[workspace.limits]
+requests_per_second = 0.01
+burst = 1
+[[service]]
+name = "assistant"
+kind = "model"
+models = [%q]
+deadline = "2s"
+store = true
+log_down = "refuse"
+[[service]]
+name = "empty"
+kind = "model"
+models = ["nobody"]
+[[service]]
+name = %q
+kind = "plain"
+deadline = "2s"
+[[service.call]]
+method = "POST"
+path = "/bookings"
+non_idempotent = true
+`, hash(keyOne), hash(keyTwo), hash(keySlow), model, plainService)
+}
+
+var shared *proctest.Cluster
+
+func TestMain(m *testing.M) {
+	c, err := proctest.Start(proctest.Options{
+		Entries: 1, Engines: 2, Plain: 1,
+		ModelService: "assistant", Model: model, PlainService: plainService,
+		Step: 2 * time.Millisecond, PlainDelay: time.Millisecond,
+		Document: document(),
+	})
+	shared = c
+	code := 1
+	if err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if c != nil {
+		c.Close()
+	}
+	proctest.RemoveDaemon()
+	os.Exit(code)
+}
+
+// ask is one request of a test.
+type ask struct {
+	method, path, body string
+	key                string
+	header             http.Header
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// failure is the part of an error answer that tests look at.
+type failure struct {
+	Error struct {
+		Message string          `json:"message"`
+		Type    string          `json:"type"`
+		Param   string          `json:"param"`
+		Kind    errkind.Kind    `json:"kind"`
+		Outcome errkind.Outcome `json:"outcome"`
+	} `json:"error"`
+}
+
+func send(t *testing.T, a ask) reply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	url := "http://" + shared.Entries[0].CallerAddr() + a.path
+	req, err := http.NewRequestWithContext(ctx, a.method, url, strings.NewReader(a.body))
+	assert.NilError(t, err)
+	for k, v := range a.header {
+		req.Header[k] = v
+	}
+	if a.key == "" {
+		a.key = keyOne
+	}
+	req.Header.Set("Authorization", "Bearer "+a.key)
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return reply{resp.StatusCode, resp.Header, body}
+}
+
+func chatAsk(prompt string, maxTokens int) ask {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, model, maxTokens, prompt)
+	return ask{method: http.MethodPost, path: "/v1/chat/completions", body: body}
+}
+
+func bookingAsk(key string) ask {
+	a := ask{method: http.MethodPost, path: "/services/" + plainService + "/bookings", body: `{"tuner":7}`}
+	if key != "" {
+		a.header = http.Header{"Idempotency-Key": {key}}
+	}
+	return a
+}
+
+func executions(n *proctest.Node) int { return len(n.Plain.Executions()) }
+
+// checkFailure asserts that an answer is of a kind, as the table of kinds says.
+func checkFailure(t *testing.T, r reply, kind errkind.Kind, outcome errkind.Outcome) {
+	t.Helper()
+	var f failure
+	assert.NilError(t, json.Unmarshal(r.body, &f), "%s", r.body)
+	assert.Equal(t, f.Error.Kind, kind, "%s", r.body)
+	assert.Equal(t, f.Error.Outcome, outcome, "%s", r.body)
+	want := errkind.Lookup(kind)
+	assert.Equal(t, r.status, want.Status)
+	assert.Equal(t, f.Error.Type, want.Type)
+	assert.Equal(t, r.header.Get("Retry-After") != "", want.RetryAfter > 0, "Retry-After %q", r.header.Get("Retry-After"))
+}
+
+// TestRefusals provokes the kinds that one request alone can get.
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name    string
+		ask     ask
+		kind    errkind.Kind
+		outcome errkind.Outcome
+	}{
+		{"malformed JSON", ask{method: "POST", path: "/v1/chat/completions", body: "{"}, errkind.BadRequest, errkind.NotRun},
+		{"no messages", ask{method: "POST", path: "/v1/chat/completions", body: `{"model":"draft"}`}, errkind.BadRequest, errkind.NotRun},
+		{"wrong key", ask{method: "GET", path: "/v1/models", key: "nobody's"}, errkind.Unauthorized, errkind.NotRun},
+		{"no such path", ask{method: "GET", path: "/v2/models"}, errkind.NotFound, errkind.NotRun},
+		{"wrong method", ask{method: "PATCH", path: "/v1/models"}, errkind.MethodNotAllowed, errkind.NotRun},
+		{"unknown model", ask{method: "POST", path: "/v1/chat/completions", body: `{"model":"x","messages":[{"role":"user","content":"a"}]}`}, errkind.UnknownService, errkind.NotRun},
+		{"unknown service", ask{method: "GET", path: "/services/nothing/x"}, errkind.UnknownService, errkind.NotRun},
+		{"oversize body", chatAsk(strings.Repeat("a", 5<<20), 1), errkind.TooLarge, errkind.NotRun},
+		{"oversize header", ask{method: "GET", path: "/v1/models", header: http.Header{"X-Long": {strings.Repeat("a", 70<<10)}}}, errkind.HeaderTooLarge, errkind.NotRun},
+		{"no backend server", ask{method: "POST", path: "/v1/chat/completions", body: `{"model":"nobody","messages":[{"role":"user","content":"a"}]}`}, errkind.NoBackend, errkind.NotRun},
+		{"refused by the engine", chatAsk(standin.PoisonRefused, 4), errkind.BackendRefused, errkind.Complete},
+		{"engine cuts every try", chatAsk(standin.PoisonCrash, 4), errkind.BackendFailed, errkind.Unknown},
+		{"longer than the deadline", chatAsk("a b", 5000), errkind.Timeout, errkind.Unknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			checkFailure(t, send(t, tc.ask), tc.kind, tc.outcome)
+		})
+	}
+	assert.Equal(t, send(t, chatAsk("still served", 2)).status, http.StatusOK)
+}
+
+func TestRateLimitTellsWhenToComeBack(t *testing.T) {
+	a := chatAsk("hello", 2)
+	a.key = keySlow
+	assert.Equal(t, send(t, a).status, http.StatusOK)
+	checkFailure(t, send(t, a), errkind.RateLimited, errkind.NotRun)
+}
+
+// TestKeyedCallRunsOnce sends the same booking again and finds one execution.
+func TestKeyedCallRunsOnce(t *testing.T) {
+	first := send(t, bookingAsk("once"))
+	assert.Equal(t, first.status, http.StatusOK, "%s", first.body)
+	second := send(t, bookingAsk("once"))
+	assert.Equal(t, string(second.body), string(first.body))
+	other := bookingAsk("once")
+	other.body = `{"tuner":8}`
+	checkFailure(t, send(t, other), errkind.KeyReused, errkind.NotRun)
+	competitor := bookingAsk("once")
+	competitor.key = keyTwo
+	third := send(t, competitor)
+	assert.Assert(t, !bytes.Equal(third.body, first.body), "a workspace got another's answer")
+}
+
+// TestStoredReplyBelongsToItsWorkspace reads a reply again, and not from
+// another workspace.
+func TestStoredReplyBelongsToItsWorkspace(t *testing.T) {
+	r := send(t, chatAsk("keep this", 3))
+	assert.Equal(t, r.header.Get("X-Catkinrudder-Recorded"), "true")
+	var c struct {
+		ID string `json:"id"`
+	}
+	assert.NilError(t, json.Unmarshal(r.body, &c))
+	again := ask{method: http.MethodGet, path: "/v1/chat/completions/" + c.ID}
+	assert.Equal(t, string(send(t, again).body), string(r.body))
+	again.key = keyTwo
+	checkFailure(t, send(t, again), errkind.NotFound, errkind.NotRun)
+}
+
+// TestLogOutage refuses what needs the log and answers the rest.
+func TestLogOutage(t *testing.T) {
+	shared.Log.SetFaults(standin.LogFaults{Down: true})
+	defer shared.Log.SetFaults(standin.LogFaults{})
+	before := executions(shared.Plain[0])
+	r := send(t, bookingAsk("while-down"))
+	checkFailure(t, r, errkind.LogUnavailable, errkind.NotRun)
+	assert.Equal(t, executions(shared.Plain[0]), before, "not_run, but it was run")
+	get := ask{method: http.MethodGet, path: "/services/" + plainService + "/tuners"}
+	assert.Equal(t, send(t, get).status, http.StatusOK)
+	unstored := chatAsk("go on", 2)
+	unstored.body = strings.Replace(unstored.body, "{", `{"store":false,`, 1)
+	assert.Equal(t, send(t, unstored).status, http.StatusOK)
+}
+
+// TestCutCallIsUnknown cuts the link to the backend server under a call that
+// may not be repeated.
+func TestCutCallIsUnknown(t *testing.T) {
+	node := shared.Plain[0]
+	slow := bookingAsk("cut")
+	slow.path += "?delay_ms=500"
+	before := executions(node)
+	done := make(chan reply, 1)
+	go func() { done <- send(t, slow) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if executions(node) > before {
+			return poll.Success()
+		}
+		return poll.Continue("the call has not reached the service")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(callDeadline))
+	node.Links().Backend.Cut()
+	r := <-done
+	node.Links().Backend.Restore()
+	checkFailure(t, r, errkind.OutcomeUnknown, errkind.Unknown)
+	checkFailure(t, send(t, slow), errkind.OutcomeUnknown, errkind.Unknown)
+	assert.Equal(t, executions(node), before+1, "a call of unknown outcome was sent again")
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -89,10 +89,11 @@
 	defer cancel()
 	var exclude []string
 	started := false
+	last := errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service)
 	for try := 1; ; try++ {
 		d, ok := e.fleet.pick(c.request(exclude))
 		if !ok {
-			return nil, e.giveUp(c, started, errkind.New(errkind.NoBackend, "no backend server of %q takes work now", c.service))
+			return nil, e.giveUp(c, started, last)
 		}
 		event.Log(e.logger, event.RequestRouted, "request", c.id, "service", c.service, "backend", d.Backend.Instance, "reason", d.Reason, "try", try)
 		res := e.attempt(ctx, c, d.Backend, out)
@@ -101,8 +102,9 @@
 			return end, err
 		}
 		exclude = append(exclude, d.Backend.Instance)
+		last = res.err
 		if try == maxTries || !e.retries.Allow() {
-			return nil, e.giveUp(c, started, res.err)
+			return nil, e.giveUp(c, started, last)
 		}
 		event.Log(e.logger, event.RequestRetried, "request", c.id, "backend", d.Backend.Instance, "err", res.err)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,7 +13,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
@@ -141,7 +140,6 @@
 	mux.Handle(peerv1connect.NewEntryHandler(e))
 	g.Go(func() error { return peer.Serve(ctx, peers, mux) })
 	g.Go(func() error {
-		hlog.SetLevel(hlog.LevelFatal)
 		h := server.New(opts...)
 		e.callerRoutes(h)
 		return ops.Run(ctx, h, exitWait)
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -19,6 +19,9 @@
 
 const exitWait = 200 * time.Millisecond
 
+// hertz logs to one logger of the process; the system has its own log.
+func init() { hlog.SetLevel(hlog.LevelFatal) }
+
 // DrainResult answers a drain order.
 type DrainResult struct {
 	Instance   string `json:"instance"`
@@ -27,7 +30,6 @@
 
 // Serve serves routes on ln until ctx ends.
 func Serve(ctx context.Context, ln net.Listener, routes func(*server.Hertz), opts ...config.Option) error {
-	hlog.SetLevel(hlog.LevelFatal)
 	opts = append([]config.Option{
 		server.WithListener(ln),
 		server.WithTransport(standard.NewTransporter),
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -6,14 +6,13 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrudder/catkinrudder/internal/ops"
 )
 
 const (
-	exitWait    = 100 * time.Millisecond
 	maxBody     = 16 << 20
 	readTimeout = 10 * time.Minute
 )
@@ -71,30 +70,13 @@
 
 // serve runs one hertz server on addr until ctx ends.
 func serve(ctx context.Context, addr string, routes func(*server.Hertz)) error {
-	hlog.SetLevel(hlog.LevelFatal)
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return errors.Wrapf(err, "standin: listen %s", addr)
 	}
-	h := server.New(
-		server.WithListener(ln),
-		server.WithTransport(standard.NewTransporter),
-		server.WithExitWaitTime(exitWait),
+	return ops.Serve(ctx, ln, routes,
 		server.WithMaxRequestBodySize(maxBody),
 		server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(readTimeout),
-		server.WithDisablePrintRoute(true),
 	)
-	routes(h)
-	done := make(chan error, 1)
-	go func() { done <- h.Run() }()
-	select {
-	case err := <-done:
-		return errors.Wrapf(err, "standin: serve %s", addr)
-	case <-ctx.Done():
-	}
-	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exitWait)
-	defer cancel()
-	_ = h.Shutdown(sctx)
-	return nil
 }
