Region link: bytes counted by purpose, batch bytes paced

Cause: batch bytes to another region could fill the narrow, paid link under live ones, and nobody counted them. Change: every byte of attempts and reports that crosses regions is counted as online, batch or control; batch waits on a byte budget (a tenth of 30 Mbit/s per entry unless set otherwise). Result: TestLinkPacesBatchOnly in virtual time: 5 x the budget takes 4 to 5 s for batch, none for online or within the region. Left: bytes of the log service's stream are not counted.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -178,7 +178,12 @@
 	// Leaving the attempt resets its stream, which cancels it at the sidecar.
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := e.clientFor(c, b.Addr).Run(ctx, connect.NewRequest(c.message(b)))
+	msg := c.message(b)
+	if err := e.link.pace(ctx, b, c.class, msg); err != nil {
+		kerr := errkind.Wrap(err, errkind.Timeout, "no room on the link to %s", b.Region)
+		return result{ending: notStarted, err: kerr.WithOutcome(errkind.NotRun)}
+	}
+	stream, err := e.clientFor(c, b.Addr).Run(ctx, connect.NewRequest(msg))
 	if err != nil {
 		return e.noAnswer(ctx, b, err, false)
 	}
@@ -190,6 +195,9 @@
 			return e.noAnswer(ctx, b, errors.Errorf("event %d where %d was due", ev.Seq, next), true)
 		}
 		next++
+		if err := e.link.pace(ctx, b, c.class, ev); err != nil {
+			return e.noAnswer(ctx, b, err, true)
+		}
 		if res, done := e.take(c, b, ev, out); done {
 			return res
 		}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -48,6 +48,7 @@
 	clients  *peer.Clients
 	logger   *log.Logger
 	config   *desired.Table
+	link     *link
 	list     *platform.InstancesClient
 	epoch    time.Time
 	poke     chan struct{}
@@ -57,12 +58,13 @@
 	table   *routing.Table
 }
 
-func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table) *fleet {
+func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table, link *link) *fleet {
 	return &fleet{
 		settings: s,
 		clients:  clients,
 		logger:   logger,
 		config:   config,
+		link:     link,
 		list:     platform.NewInstances(s.Platform.Instances),
 		epoch:    time.Now(),
 		poke:     make(chan struct{}, 1),
@@ -169,6 +171,9 @@
 	defer cancel()
 	req := connect.NewRequest(&peerv1.ReportRequest{Policy: f.policyFor(m)})
 	resp, err := f.clients.Control(m.instance.PeerAddr).Report(ctx, req)
+	if err == nil {
+		f.link.control(m.instance.Region, req.Msg, resp.Msg)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	cur, ok := f.members[m.instance.Name]
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,6 +59,7 @@
 	batches     *batches
 	claims      *claims
 	limiter     *limiter
+	link        *link
 
 	inProgress atomic.Int64
 	draining   atomic.Bool
@@ -81,9 +82,10 @@
 		limiter:     newLimiter(),
 		drainOrder:  make(chan struct{}, 1),
 	}
+	e.link = newLink(s.Region, s.Limits.LinkBatchBytesPerSecond, e.metrics.set)
 	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
 	e.configLog = e.stream(desired.Stream, e.config)
-	e.fleet = newFleet(s, e.clients, e.logger, e.config)
+	e.fleet = newFleet(s, e.clients, e.logger, e.config, e.link)
 	e.batches = e.newBatches()
 	e.claims = e.newClaims()
 	return e
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,9 @@
 	MaxFileBytes int `toml:"max_file_bytes,omitempty"`
 	// AppendsPerSecond is the share of the log's appends this process may use.
 	AppendsPerSecond float64 `toml:"appends_per_second,omitempty"`
+	// LinkBatchBytesPerSecond paces the batch bytes that this process sends to
+	// or gets from other regions.
+	LinkBatchBytesPerSecond int `toml:"link_batch_bytes_per_second,omitempty"`
 }
 
 // Default values of the limits.
@@ -75,7 +78,9 @@
 	DefaultMaxBodyBytes     = 4 << 20
 	DefaultMaxFileBytes     = 64 << 20
 	DefaultAppendsPerSecond = 50
-	DefaultLogRetention     = 7 * 24 * time.Hour
+	// DefaultLinkBatchBytesPerSecond is a tenth of a link of 30 Mbit/s.
+	DefaultLinkBatchBytesPerSecond = 375_000
+	DefaultLogRetention            = 7 * 24 * time.Hour
 	// MinLogRetention is the shortest retention that renewals can keep up with.
 	MinLogRetention = 10 * time.Second
 )
@@ -115,6 +120,9 @@
 	if s.Limits.AppendsPerSecond == 0 {
 		s.Limits.AppendsPerSecond = DefaultAppendsPerSecond
 	}
+	if s.Limits.LinkBatchBytesPerSecond == 0 {
+		s.Limits.LinkBatchBytesPerSecond = DefaultLinkBatchBytesPerSecond
+	}
 	if s.Platform.LogRetention == 0 {
 		s.Platform.LogRetention = desired.Duration(DefaultLogRetention)
 	}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -95,6 +95,9 @@
 	if l.MaxFileBytes < 0 {
 		c.Add("limits.max_file_bytes", "", "%d is negative", l.MaxFileBytes)
 	}
+	if l.LinkBatchBytesPerSecond < 0 {
+		c.Add("limits.link_batch_bytes_per_second", "", "%d is negative", l.LinkBatchBytesPerSecond)
+	}
 	if !(l.AppendsPerSecond > 0) || math.IsInf(l.AppendsPerSecond, 0) {
 		c.Add("limits.appends_per_second", "", "%v is not a rate", l.AppendsPerSecond)
 	}
