--- a/batch/renew.go
+++ b/batch/renew.go
@@ -112,14 +112,27 @@
 	return nil
 }
 
+// check refuses a renewal whose facts do not make up a lifecycle.
+func (n RenewJob) check() error {
+	switch {
+	case n.End == nil && n.Started == nil:
+		return nil
+	case n.End == nil:
+		return n.Started.check()
+	case n.End.Expired, n.CancelledAt != 0:
+		return nil
+	case n.Started == nil, n.End.OK+n.End.Failed != n.Started.Total:
+		return errors.Wrapf(journal.ErrFormat, "end of job %s without all of its items", n.Job.ID)
+	}
+	return nil
+}
+
 func (t *Table) applyRenewJob(_ journal.Position, n RenewJob) error {
 	if err := n.Job.check(); err != nil {
 		return err
 	}
-	if n.Started != nil && n.End == nil { // an ended job has no blocks
-		if err := n.Started.check(); err != nil {
-			return err
-		}
+	if err := n.check(); err != nil {
+		return err
 	}
 	v := version{accepted: n.Accepted, base: n.Base, since: n.At}
 	row, ok := t.jobs[n.Job.ID]
@@ -199,7 +212,7 @@
 	if t.floor == 0 || n.Accepted.Offset >= t.floor {
 		return errors.Wrapf(ErrRefused, "job %s has no such segment", n.Segment.Job)
 	}
-	if last := n.Segment.Items[len(n.Segment.Items)-1]; r.startedAt == 0 || last >= r.total {
+	if last := n.Segment.Items[len(n.Segment.Items)-1]; r.doneBits == nil || last >= r.total {
 		return errors.Wrapf(ErrRefused, "job %s has no item %d", n.Segment.Job, last)
 	}
 	t.addSegment(r, n.Segment, segmentRow{offset: pos.Offset, index: uint32(pos.Index), version: v}, true)
--- a/batch/table_jobs.go
+++ b/batch/table_jobs.go
@@ -87,7 +87,7 @@
 	if before(r.lastSegment, pos) {
 		r.lastSegment = pos
 	}
-	if r.startedAt == 0 || before(pos, r.startedPos) {
+	if r.doneBits == nil || before(pos, r.startedPos) {
 		return errors.Wrapf(ErrRefused, "job %s had not started", s.Job)
 	}
 	if last := s.Items[len(s.Items)-1]; last >= r.total {
