chaos: cancel a job whose items run

The test cancelled before any item had started, so a runner that goes on with a cancelled job passed it. Now it cancels once items run.

--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -47,17 +47,10 @@
 	assert.Assert(t, ok)
 	id, ok := r.submit(t.Context(), op, file, &rec)
 	assert.Assert(t, ok)
-	started := func() int {
-		n := 0
-		for _, list := range r.observe().Generations {
-			n += len(list)
-		}
-		return n
-	}
-	eventually(t, "items run", func() bool { return started() > 3 })
+	eventually(t, "items run", func() bool { return r.generations() > 3 })
 	r.log.change(func(l *standin.LogFaults) { l.Down = true })
-	before := started()
-	eventually(t, "the outage meets items", func() bool { return started() > before })
+	before := r.generations()
+	eventually(t, "the outage meets items", func() bool { return r.generations() > before })
 	r.log.change(func(l *standin.LogFaults) { l.Down = false })
 	r.awaitJob(t.Context(), op, id, &rec)
 	r.history.Jobs = append(r.history.Jobs, rec)
@@ -96,10 +89,18 @@
 	r := newTestRound(t, Plan{})
 	close(r.healed)
 	op := Op{Kind: Batch, ID: "cancel", Items: 400, Tokens: 60, CancelAfter: 1}
-	r.run(t.Context(), op)
-	rec := r.history.Jobs[0]
+	rec := JobRecord{Op: op}
+	file, ok := r.upload(t.Context(), op)
+	assert.Assert(t, ok)
+	id, ok := r.submit(t.Context(), op, file, &rec)
+	assert.Assert(t, ok)
+	eventually(t, "items run", func() bool { return r.generations() > 3 })
+	r.cancelJob(t.Context(), op, id, &rec)
 	assert.Assert(t, !rec.CancelAcked.IsZero(), "%+v", rec)
+	r.awaitJob(t.Context(), op, id, &rec)
+	r.history.Jobs = append(r.history.Jobs, rec)
 	assert.Equal(t, rec.Final.Status, "cancelled")
+	assert.Assert(t, r.generations() < op.Items)
 	r.judge(t)
 }
 
--- a/internal/chaos/main_test.go
+++ b/internal/chaos/main_test.go
@@ -88,3 +88,12 @@
 	}
 	return n
 }
+
+// generations counts what the engines have started.
+func (r *Round) generations() int {
+	n := 0
+	for _, list := range r.observe().Generations {
+		n += len(list)
+	}
+	return n
+}
