chaos: faults that outlast time limits, most entries cut off from the log

One fault in eight lasts 4 to 7 s, longer than missed reports, pings and a plain call's deadline; an append may take effect up to 3 s late; all entries but one may lose the log.

--- a/internal/chaos/check.go
+++ b/internal/chaos/check.go
@@ -88,6 +88,8 @@
 			v.Answered++
 		case r.Outcome == errkind.NotRun:
 			v.NotRun++
+		case r.Dropped:
+			v.Dropped++
 		default:
 			v.Unknown++
 		}
--- a/internal/chaos/fault.go
+++ b/internal/chaos/fault.go
@@ -22,6 +22,7 @@
 	StallEngine     FaultKind = "stall_engine"
 	CutLogLink      FaultKind = "cut_log_link"
 	StallLogLink    FaultKind = "stall_log_link"
+	CutMostLogLinks FaultKind = "cut_most_log_links"
 	LogDown         FaultKind = "log_down"
 	LogSlow         FaultKind = "log_slow"
 	LogLosesAnswers FaultKind = "log_loses_answers"
@@ -31,7 +32,7 @@
 var mixedFaults = []FaultKind{
 	KillEntry, KillEntry, KillBackend, KillBackend, KillAllEntries, FreezeEntry, FreezeBackend, FreezeBackend,
 	ReplaceEntry, ReplaceBackend, ReplaceAll, CutPeer, CutPeer, StallPeer, SlowPeer, CutEngine, StallEngine,
-	CutLogLink, StallLogLink, LogDown, LogDown, LogSlow, LogLosesAnswers, LogLosesAnswers, LogAppliesLate, LogAppliesLate,
+	CutLogLink, StallLogLink, CutMostLogLinks, LogDown, LogDown, LogSlow, LogLosesAnswers, LogLosesAnswers, LogAppliesLate, LogAppliesLate,
 }
 
 var plannedFaults = []FaultKind{ReplaceEntry, ReplaceBackend, ReplaceAll}
@@ -49,6 +50,10 @@
 	Delay time.Duration
 }
 
+// longPercent is the share of faults that outlast the system's own time limits:
+// missed reports, pings and a plain call's deadline.
+const longPercent = 12
+
 // faults draws up to four faults; about half of them come while another one
 // is in force.
 func (g *generator) faults(p Profile) []Fault {
@@ -62,6 +67,12 @@
 			Kind: mixedFaults[g.rng.IntN(len(mixedFaults))], Target: g.rng.IntN(60),
 			N: 1 + g.rng.IntN(12), Delay: g.between(5*time.Millisecond, 200*time.Millisecond),
 		}
+		if g.percent(longPercent) {
+			f.For = g.between(4*time.Second, 7*time.Second)
+		}
+		if f.Kind == LogAppliesLate && g.percent(50) {
+			f.Delay = g.between(200*time.Millisecond, 3*time.Second)
+		}
 		if len(out) > 0 && g.percent(50) {
 			f.At = out[len(out)-1].At + g.within(50*time.Millisecond)
 		}
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -65,6 +65,8 @@
 		for _, n := range r.cluster.Nodes() {
 			r.replace(n)
 		}
+	case CutMostLogLinks:
+		r.cutMostLogLinks(ctx, f.For, entry)
 	case LogDown, LogSlow, LogLosesAnswers, LogAppliesLate:
 		r.disturbLog(ctx, f)
 	default:
@@ -146,6 +148,24 @@
 	}
 }
 
+// cutMostLogLinks leaves one entry that reaches the log, as in a region that is
+// cut off from it.
+func (r *Round) cutMostLogLinks(ctx context.Context, d time.Duration, spared *proctest.Node) {
+	var links []*proctest.Forwarder
+	for _, n := range r.cluster.Entries {
+		if n != spared {
+			links = append(links, n.Links().Log)
+		}
+	}
+	for _, l := range links {
+		l.Cut()
+	}
+	pause(ctx, d)
+	for _, l := range links {
+		l.Restore()
+	}
+}
+
 func (r *Round) disturbLink(ctx context.Context, f Fault, entry, backend *proctest.Node) {
 	var link *proctest.Forwarder
 	switch f.Kind {
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -58,9 +58,9 @@
 
 // Verdict is what the checker says of one or more rounds.
 type Verdict struct {
-	Rounds, Requests, Answered, Unknown, NotRun, Jobs, Items, Publications int
-	Faults                                                                 map[string]int
-	Findings                                                               []Finding
+	Rounds, Requests, Answered, Unknown, NotRun, Dropped, Jobs, Items, Publications int
+	Faults                                                                          map[string]int
+	Findings                                                                        []Finding
 }
 
 // NewVerdict returns a verdict over no rounds.
@@ -73,6 +73,7 @@
 	v.Answered += o.Answered
 	v.Unknown += o.Unknown
 	v.NotRun += o.NotRun
+	v.Dropped += o.Dropped
 	v.Jobs += o.Jobs
 	v.Items += o.Items
 	v.Publications += o.Publications
@@ -102,8 +103,8 @@
 
 // Print writes the verdict in full.
 func (v *Verdict) Print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "rounds %d  requests %d (answered %d, not_run %d, unknown %d)  jobs %d  items %d  publications %d\n",
-		v.Rounds, v.Requests, v.Answered, v.NotRun, v.Unknown, v.Jobs, v.Items, v.Publications)
+	_, _ = fmt.Fprintf(w, "rounds %d  requests %d (answered %d, not_run %d, dropped by the caller %d, unknown %d)  jobs %d  items %d  publications %d\n",
+		v.Rounds, v.Requests, v.Answered, v.NotRun, v.Dropped, v.Unknown, v.Jobs, v.Items, v.Publications)
 	total := 0
 	for _, n := range v.Faults {
 		total += n
