Orders to engines: placement in the log, fenced by offset, no stream cut by a load

Cause: nothing told engines what to load. Change: [[service.deploy]] in the desired state; the pure planner (least replicas, one-by-one upgrades, moves that pay for themselves) decides at the entry that carries the service's duty; a decision is a record whose position is the fencing number; sidecars keep the highest order, pause, let what runs finish, tell the engine and take work again once it reports what was ordered. Engines that check refuse old numbers, others are reconciled from what they report. Ruled out: remembering decisions past the log's retention; engines report what they run and a new decision stands higher. Found by the property test: a plan took one server for another model and upgraded the other at once, so that nothing served (rapid, 2 servers, 2 loads); a server now moves only while another serves.

--- a/desired/defaults.go
+++ b/desired/defaults.go
@@ -12,6 +12,7 @@
 	DefaultSlots           = 8
 	DefaultResultRetention = 7 * 24 * time.Hour
 	DefaultMaxTries        = 4
+	DefaultReplicas        = 1
 )
 
 // SetDefaults fills in what was left out.
@@ -43,6 +44,11 @@
 	if s.MaxTries == 0 {
 		s.MaxTries = DefaultMaxTries
 	}
+	for i := range s.Deploy {
+		if s.Deploy[i].Replicas == 0 {
+			s.Deploy[i].Replicas = DefaultReplicas
+		}
+	}
 	if s.LogDown == "" {
 		s.LogDown = AnswerUnrecorded
 	}
--- a/desired/types.go
+++ b/desired/types.go
@@ -69,6 +69,9 @@
 	Kind ServiceKind `toml:"kind"`
 	// Models are the model names callers may ask for; a model service only.
 	Models []string `toml:"models,omitempty"`
+	// Deploy says what the backend servers are to load, in order of importance.
+	// Without it they are left as they are and serve every model of Models.
+	Deploy []Deploy `toml:"deploy,omitempty"`
 	// OnlineWeight and BatchWeight trade the online tail against batch
 	// throughput; only their ratio matters.
 	OnlineWeight float64 `toml:"online_weight,omitempty"`
@@ -96,6 +99,18 @@
 	Calls []Call `toml:"call,omitempty"`
 }
 
+// Deploy is one model as backend servers are to load it.
+type Deploy struct {
+	Model   string `toml:"model"`
+	Version string `toml:"version"`
+	// Adapters are loaded beside the model.
+	Adapters []string `toml:"adapters,omitempty"`
+	// Role is passed on to the engine, like "prefill"; may be empty.
+	Role string `toml:"role,omitempty"`
+	// Replicas is how many backend servers load it at least.
+	Replicas int `toml:"replicas,omitempty"`
+}
+
 // Call marks one call of a plain service. Path may end in "*".
 type Call struct {
 	Method        string `toml:"method"`
--- a/desired/validate.go
+++ b/desired/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,6 +16,7 @@
 const (
 	maxSlots           = 4096
 	maxTries           = 100
+	maxReplicas        = 1 << 16
 	maxDeadline        = 24 * time.Hour
 	maxResultRetention = 366 * 24 * time.Hour
 	keyHashBytes       = 32
@@ -132,15 +134,44 @@
 		}
 		models[m] = s.Name
 	}
+	s.checkDeploy(c, key)
 	if len(s.Calls) > 0 {
 		c.Add(key+".call[0]", "set kind = \"plain\" or remove the call", "a model service has no calls to mark")
 	}
 }
 
+// checkDeploy checks that every deployed model is one of the service's, and
+// that every model of the service is deployed if any is.
+func (s *Service) checkDeploy(c *stricttoml.Checks, key string) {
+	seen := make(map[string]bool)
+	for i, d := range s.Deploy {
+		dk := fmt.Sprintf("%s.deploy[%d]", key, i)
+		if !slices.Contains(s.Models, d.Model) {
+			c.Add(dk+".model", stricttoml.Suggest(d.Model, s.Models), "%q is not among the service's models", d.Model)
+		}
+		if seen[d.Model] {
+			c.Add(dk+".model", "remove one of them", "model %q is deployed twice", d.Model)
+		}
+		seen[d.Model] = true
+		if d.Version == "" {
+			c.Add(dk+".version", "", "the version must be set")
+		}
+		checkRange(c, dk+".replicas", d.Replicas, maxReplicas)
+	}
+	for _, m := range s.Models {
+		if len(s.Deploy) > 0 && !seen[m] {
+			c.Add(key+".deploy", "add a deploy for it or remove it from models", "model %q is not deployed", m)
+		}
+	}
+}
+
 func (s *Service) checkPlain(c *stricttoml.Checks, key string) {
 	if len(s.Models) > 0 {
 		c.Add(key+".models", "set kind = \"model\" or remove models", "a plain service has no models")
 	}
+	if len(s.Deploy) > 0 {
+		c.Add(key+".deploy[0]", "set kind = \"model\" or remove the deploy", "a plain service has no models")
+	}
 	seen := make(map[Call]bool)
 	for i, call := range s.Calls {
 		callKey := fmt.Sprintf("%s.call[%d]", key, i)
--- a/event/event.go
+++ b/event/event.go
@@ -35,6 +35,8 @@
 	JobFinished     ID = 304
 	JobCancelled    ID = 305
 	ItemRequeued    ID = 306
+	ModelAssigned   ID = 307
+	OrderSent       ID = 308
 	AttemptAdmitted ID = 401
 	AttemptRefused  ID = 402
 	BatchPreempted  ID = 403
@@ -67,6 +69,8 @@
 	{JobFinished, "job_finished", log.InfoLevel, "every item of a batch job has its result"},
 	{JobCancelled, "job_cancelled", log.InfoLevel, "a cancel record was folded"},
 	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item goes back to its job's queue"},
+	{ModelAssigned, "model_assigned", log.InfoLevel, "an entry decided what a backend server is to load"},
+	{OrderSent, "order_sent", log.InfoLevel, "a sidecar told its backend server what to load"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an online arrival"},
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -179,6 +179,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	msg := c.message(b)
+	e.placements.demand.add(c.modelName, c.promptTokens+c.maxTokens)
 	if err := e.link.pace(ctx, b, c.class, msg); err != nil {
 		kerr := errkind.Wrap(err, errkind.Timeout, "no room on the link to %s", b.Region)
 		return result{ending: notStarted, err: kerr.WithOutcome(errkind.NotRun)}
@@ -307,6 +308,7 @@
 		Headers:       c.headers,
 		Body:          c.body,
 		Model:         c.model,
+		ModelName:     c.modelName,
 		PromptTokens:  uint32(c.promptTokens),
 		MaxTokens:     uint32(c.maxTokens),
 		Prefix:        c.prefix,
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/catkinrudder/catkinrudder/internal/peer"
 	"github.com/catkinrudder/catkinrudder/internal/platform"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/routing"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
@@ -40,6 +41,11 @@
 	missed      int
 	leaving     bool
 	draining    bool
+	// running is what the backend server runs, nil if it takes no orders;
+	// fence is the newest order that its sidecar knows.
+	running *peerv1.Spec
+	fence   uint64
+	loading bool
 }
 
 // fleet keeps the tables of instances. mu guards members and table.
@@ -49,6 +55,7 @@
 	logger   *log.Logger
 	config   *desired.Table
 	link     *link
+	orders   *placement.Table
 	list     *platform.InstancesClient
 	epoch    time.Time
 	poke     chan struct{}
@@ -58,13 +65,14 @@
 	table   *routing.Table
 }
 
-func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table, link *link) *fleet {
+func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table, orders *placement.Table, link *link) *fleet {
 	return &fleet{
 		settings: s,
 		clients:  clients,
 		logger:   logger,
 		config:   config,
 		link:     link,
+		orders:   orders,
 		list:     platform.NewInstances(s.Platform.Instances),
 		epoch:    time.Now(),
 		poke:     make(chan struct{}, 1),
@@ -169,7 +177,7 @@
 func (f *fleet) pollSidecar(ctx context.Context, m member) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	req := connect.NewRequest(&peerv1.ReportRequest{Policy: f.policyFor(m)})
+	req := connect.NewRequest(&peerv1.ReportRequest{Policy: f.policyFor(m), Order: f.orderFor(m)})
 	resp, err := f.clients.Control(m.instance.PeerAddr).Report(ctx, req)
 	if err == nil {
 		f.link.control(m.instance.Region, req.Msg, resp.Msg)
@@ -210,9 +218,14 @@
 	if r.Load.Leaving {
 		f.markLeaving(m)
 	}
+	m.running, m.fence, m.loading = r.Running, r.Fence, r.Loading
 	if m.leaving {
 		return
 	}
+	if m.loading {
+		f.table.Remove(m.instance.Name)
+		return
+	}
 	f.table.Upsert(routing.Backend{
 		Instance:    m.instance.Name,
 		Addr:        m.instance.PeerAddr,
@@ -220,6 +233,7 @@
 		Service:     r.Service,
 		Region:      r.Region,
 		Zone:        r.Zone,
+		Models:      modelsOf(r),
 	})
 	f.table.Observe(f.now(), m.instance.Name, toLoad(r.Load))
 }
--- /dev/null
+++ b/internal/entry/placement.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/journal"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/placement"
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+const (
+	placementInterval = time.Second
+	placementTimeout  = 5 * time.Second
+	// maxLoads is how many backend servers of a service load at once.
+	maxLoads = 1
+	// loadTime is how long a load is taken to last until one was seen.
+	loadTime = time.Minute
+	// demandHorizon is the time over which demand is averaged.
+	demandHorizon = 10 * time.Minute
+)
+
+// placements decides for the services whose duty this entry carries.
+type placements struct {
+	entry  *Server
+	table  *placement.Table
+	stream *journal.Stream
+	demand demand
+}
+
+func (e *Server) newPlacements() *placements {
+	table := placement.NewTable()
+	return &placements{entry: e, table: table, stream: e.stream(placement.StreamName, table), demand: demand{work: make(map[string]float64)}}
+}
+
+// run plans until ctx ends. It decides only upon everything that the log held
+// at the beginning.
+func (p *placements) run(ctx context.Context) {
+	if !waitCaughtUp(ctx, p.stream) {
+		return
+	}
+	t := time.NewTicker(placementInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			p.plan(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *placements) plan(ctx context.Context) {
+	p.demand.age(placementInterval)
+	doc, err := p.entry.document()
+	if err != nil || p.entry.draining.Load() {
+		return
+	}
+	for i := range doc.Services {
+		svc := &doc.Services[i]
+		if len(svc.Deploy) > 0 && p.entry.fleet.owns("placement/"+svc.Name) {
+			p.planService(ctx, svc)
+		}
+	}
+}
+
+func (p *placements) planService(ctx context.Context, svc *desired.Service) {
+	in := placement.Input{
+		Service:  svc.Name,
+		Servers:  p.entry.fleet.servers(svc.Name, p.table),
+		MaxLoads: maxLoads,
+		LoadTime: loadTime,
+		Horizon:  demandHorizon,
+	}
+	for _, d := range svc.Deploy {
+		in.Targets = append(in.Targets, placement.Target{
+			Spec:     placement.Spec{Model: d.Model, Version: d.Version, Adapters: d.Adapters, Role: d.Role},
+			Replicas: d.Replicas,
+			Demand:   p.demand.of(d.Model),
+		})
+	}
+	for _, a := range placement.Plan(in) {
+		p.assign(ctx, a)
+	}
+}
+
+func (p *placements) assign(ctx context.Context, a placement.Assign) {
+	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
+	defer cancel()
+	entry, err := journal.NewEntry(placement.KindAssign, a)
+	if err == nil {
+		_, err = p.stream.Commit(ctx, entry)
+	}
+	event.Log(p.entry.logger, event.ModelAssigned, "backend", a.Instance, "service", a.Service, "model", a.Spec.Model, "version", a.Spec.Version, "err", err)
+}
+
+// servers returns the live backend servers of a service that take orders.
+func (f *fleet) servers(service string, table *placement.Table) []placement.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []placement.Server
+	for name, m := range f.members {
+		live := m.instance.Role == string(settings.RoleSidecar) && m.incarnation != "" && !m.leaving
+		if !live || m.instance.Service != service || m.running == nil {
+			continue
+		}
+		order, _ := table.Order(name)
+		out = append(out, placement.Server{Instance: name, Running: toSpec(m.running), Ordered: order.Spec, Loading: m.loading})
+	}
+	return out
+}
+
+// orderFor returns the order to hand to a sidecar that knows only older ones.
+func (f *fleet) orderFor(m member) *peerv1.Order {
+	o, ok := f.orders.Order(m.instance.Name)
+	if !ok || o.Fence <= m.fence {
+		return nil
+	}
+	return &peerv1.Order{Fence: o.Fence, Spec: &peerv1.Spec{
+		Model: o.Spec.Model, Version: o.Spec.Version, Adapters: o.Spec.Adapters, Role: o.Spec.Role,
+	}}
+}
+
+func toSpec(s *peerv1.Spec) placement.Spec {
+	return placement.Spec{Model: s.Model, Version: s.Version, Adapters: s.Adapters, Role: s.Role}
+}
+
+// modelsOf returns the models that a sidecar's backend server serves; none
+// stands for all of its service's.
+func modelsOf(r *peerv1.ReportResponse) []string {
+	if r.Running == nil {
+		return nil
+	}
+	return []string{r.Running.Model}
+}
+
+// demand is the recent work for each model, as it passed through this entry.
+type demand struct {
+	mu   sync.Mutex
+	work map[string]float64
+}
+
+func (d *demand) add(model string, tokens int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.work[model] += float64(tokens)
+}
+
+func (d *demand) of(model string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.work[model]
+}
+
+// age forgets a share of the work, so that it is an average over the horizon.
+func (d *demand) age(by time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for m := range d.work {
+		d.work[m] *= 1 - by.Seconds()/demandHorizon.Seconds()
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -58,6 +58,7 @@
 	retries     *rate.Limiter
 	batches     *batches
 	claims      *claims
+	placements  *placements
 	limiter     *limiter
 	link        *link
 
@@ -85,7 +86,8 @@
 	e.link = newLink(s.Region, s.Limits.LinkBatchBytesPerSecond, e.metrics.set)
 	e.config = desired.NewTable(desired.Hooks{InForce: e.configInForce, Refused: e.configRefused})
 	e.configLog = e.stream(desired.Stream, e.config)
-	e.fleet = newFleet(s, e.clients, e.logger, e.config, e.link)
+	e.placements = e.newPlacements()
+	e.fleet = newFleet(s, e.clients, e.logger, e.config, e.placements.table, e.link)
 	e.batches = e.newBatches()
 	e.claims = e.newClaims()
 	return e
@@ -105,6 +107,8 @@
 	g.Go(func() error { e.claims.stream.Run(run); return nil })
 	g.Go(func() error { e.catchUp(run); return nil })
 	g.Go(func() error { e.renew(run); return nil })
+	g.Go(func() error { e.placements.stream.Run(run); return nil })
+	g.Go(func() error { e.placements.run(run); return nil })
 	for _, s := range e.batches.streams {
 		g.Go(func() error { s.Run(run); return nil })
 	}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -95,6 +95,10 @@
 		a.refuse(errkind.NoBackend, 0)
 		return false
 	}
+	if !s.orders.serves(a.req.ModelName) {
+		a.refuse(errkind.NoBackend, orderInterval)
+		return false
+	}
 	if s.ledger.vetoed(id) {
 		a.refuse(errkind.NoBackend, 0)
 		return false
--- a/internal/sidecar/control.go
+++ b/internal/sidecar/control.go
@@ -84,6 +84,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.orders.take(req.Msg.Order)
+	s.reportOrders(out)
 	for id, a := range s.attempts {
 		if a.req.Job != "" {
 			out.Held = append(out.Held, &peerv1.Held{AttemptId: id, Job: a.req.Job})
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -48,6 +48,7 @@
 	attempts map[string]*attempt
 	ledger   *ledger
 	policy   policy
+	orders   orders
 	draining bool
 }
 
@@ -64,6 +65,7 @@
 		core:        admission.New(admission.Policy{}),
 		attempts:    make(map[string]*attempt),
 		ledger:      newLedger(ledgerSize),
+		orders:      orders{since: time.Now()},
 	}
 }
 
@@ -87,6 +89,7 @@
 		g.Go(func() error { return s.serveOperator(srvCtx) })
 	}
 	g.Go(func() error { s.tickLoop(srvCtx); return nil })
+	g.Go(func() error { s.orderLoop(srvCtx); return nil })
 	event.Log(s.logger, event.Started, "role", "sidecar", "incarnation", s.incarnation, "peer", s.settings.PeerListen)
 	select {
 	case <-ctx.Done():
@@ -116,15 +119,16 @@
 }
 
 // handBack gives batch attempts that may be repeated back to their owners with
-// what they have produced; the caller holds mu.
+// what they have produced, and before a load every attempt that has not
+// started; the caller holds mu.
 func (s *Server) handBack() {
 	for id, a := range s.attempts {
+		batch := a.req.Class == peerv1.Class_CLASS_BATCH
 		switch {
-		case a.req.Class != peerv1.Class_CLASS_BATCH:
-		case !a.started:
+		case !a.started && (batch || s.orders.paused):
 			s.tick(admission.Cancel{ID: id})
 			a.refuse(errkind.Draining, 0)
-		case !a.req.NonIdempotent:
+		case a.started && batch && !a.req.NonIdempotent:
 			a.cancel(errPreempted)
 		}
 	}
--- a/internal/standin/chat.go
+++ b/internal/standin/chat.go
@@ -66,6 +66,8 @@
 func (e *Engine) Routes(h *server.Hertz) {
 	h.POST("/v1/chat/completions", e.chat)
 	h.GET("/v1/models", e.models)
+	h.GET("/v1/engine", e.state)
+	h.POST("/v1/engine", e.order)
 	h.GET("/stats", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, e.Stats()) })
 	h.GET("/generations", func(_ context.Context, c *app.RequestContext) { c.JSON(http.StatusOK, e.Generations()) })
 }
@@ -91,6 +93,10 @@
 		c.String(http.StatusBadRequest, err.Error())
 		return
 	}
+	if !e.serves(req.Model) {
+		c.String(http.StatusNotFound, "model %q is not loaded", req.Model)
+		return
+	}
 	words, given := req.source()
 	e.record(Generation{Attempt: string(c.GetHeader("X-Request-Id")), Prompt: strings.Join(words, " "), Given: given})
 	if slices.Contains(words, PoisonRefused) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -19,6 +19,7 @@
 	prefill int
 	stats   EngineStats
 	history []Generation
+	loaded  EngineState
 }
 
 // Generation is one generation that an engine has started.
@@ -55,6 +56,7 @@
 		wake:     make(chan struct{}, 1),
 		streams:  make(map[*stream]struct{}),
 		stats:    EngineStats{Attempts: make(map[string]int)},
+		loaded:   initialState(s),
 	}
 }
 
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -20,6 +20,15 @@
 	Instances InstancesSettings `toml:"instances,omitempty"`
 	Engines   []EngineSettings  `toml:"engine,omitempty"`
 	Plain     []PlainSettings   `toml:"plain,omitempty"`
+	Weights   WeightSettings    `toml:"weights,omitempty"`
+}
+
+// WeightSettings configure the weight store.
+type WeightSettings struct {
+	Listen string `toml:"listen,omitempty"`
+	// LoadTime is how long the store takes to give one model to one engine;
+	// engines that load at once share its rate.
+	LoadTime desired.Duration `toml:"load_time,omitempty"`
 }
 
 // LogSettings configure the log service.
@@ -47,6 +56,12 @@
 type EngineSettings struct {
 	Listen string   `toml:"listen"`
 	Models []string `toml:"models"`
+	// Version is the version that is loaded at the start.
+	Version string `toml:"version,omitempty"`
+	// Weights is the weight store's address; without it loads take no time.
+	Weights string `toml:"weights,omitempty"`
+	// ChecksFencing makes the engine refuse an order with an old number.
+	ChecksFencing bool `toml:"checks_fencing,omitempty"`
 	// StepBase is the time of one step with a single stream, StepPerStream
 	// what each further stream adds.
 	StepBase      desired.Duration `toml:"step_base,omitempty"`
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -58,6 +58,10 @@
 	if s.Instances != nil {
 		g.Go(func() error { return serve(ctx, s.settings.Instances.Listen, s.Instances.Routes) })
 	}
+	if s.settings.Weights.Listen != "" {
+		w := NewWeightStore(s.settings.Weights)
+		g.Go(func() error { return serve(ctx, s.settings.Weights.Listen, w.Routes) })
+	}
 	for i, e := range s.Engines {
 		g.Go(func() error { e.Run(ctx); return nil })
 		g.Go(func() error { return serve(ctx, s.settings.Engines[i].Listen, e.Routes) })
--- a/routing/pick.go
+++ b/routing/pick.go
@@ -78,6 +78,9 @@
 	if r.backend.Service != q.Service || r.backend.Incarnation == "" || r.load.Leaving || now < r.ejected {
 		return false
 	}
+	if q.Model != "" && len(r.backend.Models) > 0 && !slices.Contains(r.backend.Models, q.Model) {
+		return false
+	}
 	return !slices.Contains(q.Exclude, r.backend.Instance)
 }
 
