--- a/claim/doc.go
+++ b/claim/doc.go
@@ -22,10 +22,12 @@
 //
 // # Proofs
 //
-// A release needs one of three proofs: the sidecar refused the attempt without
-// starting it (ProofRefused), the named incarnation promised never to start it
+// A release needs one of three proofs: the named incarnation refused the
+// attempt without starting it (ProofRefused), it promised never to start it
 // (ProofVetoed), or the entry that made the claim has not sent it and never
-// will (ProofNeverSent).
+// will (ProofNeverSent). A refusal by the successor of the named incarnation
+// proves nothing: another copy of the same message may have been started by
+// the predecessor.
 //
 // A vanished incarnation allows no release. Its successor refuses attempts
 // addressed to it, so the attempt can't start any more, but nobody is left who
--- /dev/null
+++ b/claim/fuzz_test.go
@@ -0,0 +1,58 @@
+package claim
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// FuzzApply folds one arbitrary entry after a claim; it must not crash, and a
+// row that is ended must stay ended.
+func FuzzApply(f *testing.F) {
+	c := Claim{Workspace: "w", Key: "k", Attempt: "1", Base: Version{Next: 1}}
+	for _, rec := range []any{c, Release{Claim: c, Proof: ProofVetoed}, Outcome{Claim: c, Verdict: VerdictComplete},
+		Renewal{Claim: c, Phase: Held, Version: Version{Next: 1}, Seen: 9}, Retire{Workspace: "w", Key: "k", Seen: 9}} {
+		e, err := journal.NewEntry(kindOf(rec), rec)
+		assert.NilError(f, err)
+		f.Add(uint16(e.Kind), e.Body)
+	}
+	f.Add(uint16(KindAnswer), []byte{0xa1, 0x01})
+	f.Add(uint16(KindReply), []byte{0xff})
+	f.Fuzz(func(t *testing.T, kind uint16, body []byte) {
+		fold := NewFold()
+		first := c
+		first.Base = Version{}
+		feed(t, fold, 0, first)
+		feed(t, fold, 1, Outcome{Claim: c, Verdict: VerdictUnknown})
+		_ = fold.Apply(journal.Position{Offset: 2}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		row, ok := fold.Lookup("w", "k")
+		renewed := journal.EntryKind(kind) == KindRenewal || journal.EntryKind(kind) == KindRetire
+		assert.Assert(t, renewed || ok && row.Phase.Ended())
+	})
+}
+
+func BenchmarkClaimTransition(b *testing.B) {
+	m := newMachine()
+	row := Row{}
+	b.ReportAllocs()
+	for b.Loop() {
+		m.fire(&row, trigClaim)
+		m.fire(&row, trigRelease)
+	}
+}
+
+func BenchmarkFoldClaimAndOutcome(b *testing.B) {
+	c := Claim{Workspace: "w", Key: "k", Attempt: "1", Service: "s", Instance: "i", Incarnation: "i.1"}
+	claimed, _ := journal.NewEntry(KindClaim, c)
+	c.Base = Version{Next: 1}
+	ended, _ := journal.NewEntry(KindOutcome, Outcome{Claim: c, Verdict: VerdictComplete})
+	f := NewFold()
+	b.ReportAllocs()
+	for b.Loop() {
+		clear(f.rows)
+		_ = f.Apply(journal.Position{}, claimed)
+		_ = f.Apply(journal.Position{Offset: 1}, ended)
+	}
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -62,7 +62,8 @@
 
 // The proofs.
 const (
-	// ProofRefused says that the sidecar refused the attempt unstarted.
+	// ProofRefused says that the named incarnation refused the attempt
+	// unstarted; the refusal of its successor is no proof.
 	ProofRefused Proof = 1
 	// ProofVetoed says that the incarnation promised never to start it.
 	ProofVetoed Proof = 2
