--- /dev/null
+++ b/spec/proofs_test.go
@@ -0,0 +1,52 @@
+package spec_test
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+var (
+	testName   = regexp.MustCompile("`((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)`")
+	testFunc   = regexp.MustCompile(`(?m)^func ((?:Test|Fuzz|Benchmark)[A-Za-z0-9_]+)\(`)
+	mutantName = regexp.MustCompile("`([a-z]+-[A-Z_]+)`")
+)
+
+// TestProofsNameExistingTests checks that docs/proofs.md and the README name
+// only tests that are in the tree and mutants that the Makefile runs.
+func TestProofsNameExistingTests(t *testing.T) {
+	have := testsInTree(t)
+	makefile, err := os.ReadFile("Makefile")
+	assert.NilError(t, err)
+	for _, page := range []string{"../docs/proofs.md", "README.md"} {
+		text, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, m := range testName.FindAllStringSubmatch(string(text), -1) {
+			assert.Check(t, have[m[1]], "%s names %s, which does not exist", page, m[1])
+		}
+		for _, m := range mutantName.FindAllStringSubmatch(string(text), -1) {
+			assert.Check(t, strings.Contains(string(makefile), m[1]), "%s names mutant %s", page, m[1])
+		}
+	}
+}
+
+func testsInTree(t *testing.T) map[string]bool {
+	have := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range testFunc.FindAllStringSubmatch(string(text), -1) {
+			have[m[1]] = true
+		}
+		return err
+	})
+	assert.NilError(t, err)
+	return have
+}
