--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -15,6 +15,8 @@
 	Seed uint64
 	// Duration is the virtual time of each run.
 	Duration time.Duration
+	// RatiosOnly leaves out the policies that no ratio is about.
+	RatiosOnly bool
 	// Deployment names one deployment; empty runs all.
 	Deployment string
 }
@@ -81,15 +83,22 @@
 	res := Result{Deployment: d.Name, Idle: idle}
 	res.add(noBatch, none, o)
 	res.add(ours, mine, o)
-	for _, p := range []policy{previousPolicy(), staticPolicy(), naivePolicy(naive, maxNaiveItems(d))} {
-		res.add(p.name, runPolicy(d, p, o), o)
+	if !o.RatiosOnly {
+		res.addBaselines(d, mine, o)
 	}
-	res.add(naiveCap, naiveAt(d, o, mine.batchTokens), o)
 	res.add(naiveLots, runPolicy(d, naiveLotsPolicy(lotSize(d, mine, o)), o), o)
 	res.Ratios = res.ratios()
 	return res
 }
 
+// addBaselines runs the policies that no ratio is about.
+func (r *Result) addBaselines(d Deployment, mine *stats, o Options) {
+	for _, p := range []policy{previousPolicy(), staticPolicy(), naivePolicy(naive, maxNaiveItems(d))} {
+		r.add(p.name, runPolicy(d, p, o), o)
+	}
+	r.add(naiveCap, naiveAt(d, o, mine.batchTokens), o)
+}
+
 // naiveAt runs naive mixing with the fewest batch items at each worker that
 // produce at least the given batch tokens, or with the most there are.
 func naiveAt(d Deployment, o Options, tokens int64) *stats {
--- /dev/null
+++ b/internal/bench/targets_test.go
@@ -0,0 +1,59 @@
+package bench_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/internal/bench"
+)
+
+// The targets of the policy.
+const (
+	maxOnlineP99TTFT = 1.05
+	maxOnlineP95TBT  = 1.05
+	minIdleUsed      = 0.95
+	minNaiveP99TTFT  = 5
+)
+
+var targetRun = sync.OnceValues(func() ([]bench.Result, error) {
+	var all []bench.Result
+	for _, seed := range []uint64{1, 2} {
+		results, err := bench.Run(bench.Options{Seed: seed, Duration: 5 * time.Minute, RatiosOnly: true})
+		if err != nil {
+			return nil, err
+		}
+		all = slices.Concat(all, results)
+	}
+	return all, nil
+})
+
+func worst(t *testing.T) bench.Ratios {
+	t.Helper()
+	results, err := targetRun()
+	assert.NilError(t, err)
+	return bench.Worst(results)
+}
+
+func TestTargetOnlineP99TTFT(t *testing.T) {
+	got := worst(t).OnlineP99TTFT
+	assert.Assert(t, got <= maxOnlineP99TTFT, "ratio %.3f", got)
+}
+
+func TestTargetOnlineP95TBT(t *testing.T) {
+	got := worst(t).OnlineP95TBT
+	assert.Assert(t, got <= maxOnlineP95TBT, "ratio %.3f", got)
+}
+
+func TestTargetIdleUsed(t *testing.T) {
+	got := worst(t).IdleUsed
+	assert.Assert(t, got >= minIdleUsed, "ratio %.3f", got)
+}
+
+func TestTargetNaiveP99TTFT(t *testing.T) {
+	got := worst(t).NaiveP99TTFT
+	assert.Assert(t, got >= minNaiveP99TTFT, "ratio %.3f", got)
+}
