Admission: a batch prefill makes way for an online arrival

Cause: engines prefill in order of arrival, so a batch attempt without a token stood before an online one even within the limit.

--- a/admission/systems.go
+++ b/admission/systems.go
@@ -36,7 +36,7 @@
 // queued, leave to them.
 func (c *Core) preempt() {
 	limit := c.batchLimit()
-	for c.running[Batch] > limit {
+	for c.running[Batch] > limit || c.prefillInTheWay() {
 		r := c.victim()
 		if r == nil {
 			return
@@ -46,6 +46,16 @@
 	}
 }
 
+// prefillInTheWay says that a batch attempt without a token stands before a
+// queued online attempt in the engine, which prefills in order of arrival.
+func (c *Core) prefillInTheWay() bool {
+	if c.queues[Online].len() == 0 || c.prefills[Batch] == 0 {
+		return false
+	}
+	r := c.victim()
+	return r != nil && !r.decoding
+}
+
 // victim returns the batch attempt that loses least: one that has no token
 // yet, else the one started last. Non-idempotent attempts are exempt.
 func (c *Core) victim() *row {
