--- a/routing/score.go
+++ b/routing/score.go
@@ -15,7 +15,7 @@
 	// zonePenalty is what another availability zone costs, in attempts.
 	zonePenalty = 0.5
 	// batchPenalty is what one batch attempt costs, in online attempts.
-	batchPenalty = 0.05
+	batchPenalty = 0.15
 	// returnPenalty is what a backend server that has just returned from
 	// ejection costs, in attempts.
 	returnPenalty = 16
