Admission: calls without a prompt are not prefilled; queues shed holes

Cause: a call to a plain service never has a first token, so one of them kept all other batch from starting; cancelled attempts behind a blocked front stayed in the queue.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -36,7 +36,8 @@
 	ID       string
 	Class    Class
 	Deadline time.Duration // from arrival
-	// PromptTokens and MaxTokens estimate the work.
+	// PromptTokens and MaxTokens estimate the work. PromptTokens is zero for a
+	// call to a plain service, which has no prompt to prefill.
 	PromptTokens, MaxTokens int
 	// CachedTokens estimates how many of PromptTokens the engine holds from an
 	// earlier attempt that it ran and was preempted.
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -73,6 +73,31 @@
 	assert.Equal(t, kinds(c.Tick(time.Second)), "1:b ")
 }
 
+func TestPlainBatchFillsIdleSlots(t *testing.T) {
+	c := admission.New(testPolicy)
+	for i := range 5 {
+		a := arrive(fmt.Sprint(i), admission.Batch)
+		a.Attempt.PromptTokens, a.Attempt.MaxTokens = 0, 0
+		c.Tick(0, a)
+	}
+	assert.Equal(t, c.Load().RunningBatch, 4)
+}
+
+func TestCancelledBatchLeavesNoHoles(t *testing.T) {
+	p := testPolicy
+	p.Slots = 1
+	c := admission.New(p)
+	c.Tick(0, arrive("o", admission.Online))
+	c.Tick(0, arrive("front", admission.Batch))
+	for i := range 1000 {
+		id := fmt.Sprint(i)
+		c.Tick(0, arrive(id, admission.Batch))
+		c.Tick(0, admission.Cancel{ID: id})
+	}
+	assert.Equal(t, c.Load().QueuedBatch, 1)
+	assert.Equal(t, kinds(c.Tick(1, admission.Finish{ID: "o"})), "0:front ")
+}
+
 func TestDrainRefuses(t *testing.T) {
 	c := admission.New(testPolicy)
 	out := c.Tick(0, admission.Drain{}, arrive("a", admission.Online))
@@ -192,6 +217,7 @@
 
 func drawArrival(t *rapid.T, n *naive, id string) admission.Arrive {
 	a := arrive(id, admission.Class(rapid.IntRange(0, 1).Draw(t, "class")))
+	a.Attempt.PromptTokens = 100 * rapid.IntRange(0, 1).Draw(t, "prompt")
 	a.Attempt.NonIdempotent = rapid.IntRange(0, 4).Draw(t, "pinned") == 0
 	a.Attempt.Deadline = time.Duration(rapid.IntRange(0, 400).Draw(t, "deadline")) * time.Millisecond
 	n.class[id], n.pinned[id], n.state[id] = a.Attempt.Class, a.Attempt.NonIdempotent, "queued"
--- a/admission/core.go
+++ b/admission/core.go
@@ -15,7 +15,7 @@
 	rows      map[string]*row
 	queues    [2]queue
 	running   [2]int
-	prefills  [2]int // running attempts without a first token
+	prefills  [2]int // running attempts whose prompt is being prefilled
 	batch     []*row // running batch attempts in order of start
 	draining  bool
 	expiry    time.Duration // earliest deadline of a queued attempt
@@ -121,7 +121,7 @@
 		c.observe(r, c.now-r.tokenAt)
 	} else {
 		r.decoding = true
-		c.prefills[r.attempt.Class]--
+		c.endPrefill(r)
 	}
 	r.tokenAt, r.streams, r.beside = c.now, c.runningTotal(), c.prefills
 }
--- a/admission/lifecycle.go
+++ b/admission/lifecycle.go
@@ -42,6 +42,9 @@
 	started  time.Duration
 	tokenAt  time.Duration
 	decoding bool // has produced a token
+	// prefilling attempts have a prompt and no token yet; an attempt without a
+	// prompt, such as a call to a plain service, is never prefilled.
+	prefilling bool
 	// streams and beside are how many attempts ran, and how many of each class
 	// had no token yet, at tokenAt.
 	streams int
@@ -84,13 +87,23 @@
 	r := c.current
 	r.started, c.startedAt[r.attempt.Class] = c.now, c.now
 	c.running[r.attempt.Class]++
-	c.prefills[r.attempt.Class]++
+	if r.prefilling = r.attempt.PromptTokens > 0; r.prefilling {
+		c.prefills[r.attempt.Class]++
+	}
 	if r.attempt.Class == Batch {
 		c.batch = append(c.batch, r)
 	}
 	return nil
 }
 
+// endPrefill notes that a row has its first token, or needs none any more.
+func (c *Core) endPrefill(r *row) {
+	if r.prefilling {
+		r.prefilling = false
+		c.prefills[r.attempt.Class]--
+	}
+}
+
 func (c *Core) onStop(context.Context, ...any) error {
 	c.stoppedAt = c.now
 	return nil
@@ -100,9 +113,7 @@
 func (c *Core) onRelease(context.Context, ...any) error {
 	r := c.current
 	c.running[r.attempt.Class]--
-	if !r.decoding {
-		c.prefills[r.attempt.Class]--
-	}
+	c.endPrefill(r)
 	if r.attempt.Class == Batch {
 		i := slices.Index(c.batch, r)
 		c.batch = slices.Delete(c.batch, i, i+1)
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -1,5 +1,10 @@
 package admission
 
+import "slices"
+
+// queueSlack is how many holes a queue may hold beside as many as it has rows.
+const queueSlack = 16
+
 // queue holds the queued rows of one class in order of arrival. Rows that left
 // the queue stay in it as holes until they come to the front.
 type queue struct {
@@ -10,6 +15,9 @@
 func (q *queue) len() int { return q.live }
 
 func (q *queue) push(r *row) {
+	if len(q.rows) > 2*q.live+queueSlack {
+		q.rows = slices.DeleteFunc(q.rows, func(r *row) bool { return r.state != queued })
+	}
 	q.rows = append(q.rows, r)
 	q.live++
 }
--- a/admission/systems.go
+++ b/admission/systems.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	r := c.victim()
-	return r != nil && !r.decoding
+	return r != nil && r.prefilling
 }
 
 // victim returns the batch attempt that loses least: one that has no token
@@ -64,7 +64,7 @@
 		if r.attempt.NonIdempotent {
 			continue
 		}
-		if last == nil || !r.decoding || last.decoding {
+		if last == nil || r.prefilling || !last.prefilling {
 			last = r
 		}
 	}
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -196,6 +196,7 @@
 		q := routing.Request{
 			Service: "s", Class: admission.Class(rapid.IntRange(0, 1).Draw(t, "class")),
 			Prefix:  uint64(rapid.IntRange(0, 3).Draw(t, "prefix")),
+			Prefer:  fmt.Sprintf("w%d", rapid.IntRange(0, 9).Draw(t, "prefer")),
 			Exclude: []string{fmt.Sprintf("w%d", rapid.IntRange(0, 9).Draw(t, "exclude"))},
 		}
 		d, ok := tb.Pick(now, q)
