Batch: one result an item in a segment; a slow fold before handing out

Cause: a job that leaves and comes back can run an item twice here; both results in one segment broke its order, so that the fold refused the whole segment and the job never ended. Found by reading; the collector now keeps the first.

--- a/batch/collector.go
+++ b/batch/collector.go
@@ -1,7 +1,8 @@
 package batch
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -35,12 +36,14 @@
 	return c.bytes >= segmentBytes || len(c.results) >= segmentItems || now.Sub(c.since) >= segmentAge
 }
 
-// take returns the results in order of index and empties the collector.
+// take returns the results in order of index and empties the collector. An
+// item that was run again here after its job had been away has two results, of
+// which the first stays.
 func (c *collector) take() ([]Result, int) {
 	rs, n := c.results, c.bytes
 	c.results, c.bytes = nil, 0
-	sort.Slice(rs, func(a, b int) bool { return rs[a].Index < rs[b].Index })
-	return rs, n
+	slices.SortStableFunc(rs, func(a, b Result) int { return cmp.Compare(a.Index, b.Index) })
+	return slices.CompactFunc(rs, func(a, b Result) bool { return a.Index == b.Index }), n
 }
 
 func (r Result) size() int {
--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -66,7 +66,11 @@
 		}
 		end.Errors = f
 	}
-	event.Log(r.opts.Logger, event.JobFinished, "job", v.ID, "ok", end.OK, "failed", end.Done-end.OK, "total", v.Total, "expired", expired)
+	id := event.JobFinished
+	if v.Status == Cancelling {
+		id = event.JobCancelled
+	}
+	event.Log(r.opts.Logger, id, "job", v.ID, "ok", end.OK, "failed", end.Done-end.OK, "total", v.Total, "expired", expired)
 	return commit(ctx, s.Stream, KindFinished, end)
 }
 
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/journal"
 )
 
@@ -353,6 +354,8 @@
 			err := commitSegment(ctx, js.shard.Stream, id, results)
 			if err != nil {
 				r.opts.Logger.Error("batch results", "job", id, "items", len(results), "err", err)
+			} else {
+				r.logDone(id, results)
 			}
 			return func() {
 				js.committing--
@@ -362,6 +365,12 @@
 	}
 }
 
+func (r *Runner) logDone(job string, results []Result) {
+	for _, res := range results {
+		event.Log(r.opts.Logger, event.ItemDone, "job", job, "item", res.Index, "status", res.Status, "error", res.ErrorCode)
+	}
+}
+
 // commitSegment appends results until they are folded. A segment that is
 // appended twice is harmless: the first completion of an item wins.
 func commitSegment(ctx context.Context, stream Stream, job string, results []Result) error {
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -80,7 +80,7 @@
 	stop  func()
 }
 
-func startProcess(t *testing.T, mem *journaltest.MemLog, name string, d Dispatcher) *process {
+func startProcess(t *testing.T, mem journal.Log, name string, d Dispatcher) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := log.New(io.Discard)
 	table := NewTable()
@@ -101,6 +101,14 @@
 	return p
 }
 
+// slowLog reads one record a virtual second.
+type slowLog struct{ *journaltest.MemLog }
+
+func (l slowLog) Read(ctx context.Context, stream string, from journal.Offset, _ int, wait time.Duration) (journal.Page, error) {
+	sleep(ctx, time.Second)
+	return l.MemLog.Read(ctx, stream, from, 1, wait)
+}
+
 // submit stores an input of n items and a job over it.
 func (p *process) submit(t *testing.T, n int, window time.Duration) {
 	t.Helper()
@@ -194,7 +202,7 @@
 		folded := p1.shard.Table.doneCopy("j")
 		p1.stop()
 		d2 := &slowDispatcher{room: 64, completed: map[uint32]int{}}
-		p2 := startProcess(t, mem, "p2", d2)
+		p2 := startProcess(t, slowLog{mem}, "p2", d2)
 		v := p2.end(t)
 		assert.Equal(t, v.OK, uint32(200))
 		checkOutput(t, p2.content(t, v.OutputFile), 200)
@@ -213,6 +221,18 @@
 	return append(bitmap(nil), t.jobs[job].doneBits...)
 }
 
+func TestCollectorKeepsTheFirstResultOfAnItem(t *testing.T) {
+	var c collector
+	for _, r := range []Result{{Index: 2, Status: 200}, {Index: 1, Status: 201}, {Index: 2, Status: 202}} {
+		c.add(time.Unix(1, 0), r)
+	}
+	rs, _ := c.take()
+	s, err := NewSegment("j", rs, 1)
+	assert.NilError(t, err)
+	assert.NilError(t, s.check())
+	assert.DeepEqual(t, rs, []Result{{Index: 1, Status: 201}, {Index: 2, Status: 200}})
+}
+
 func TestDeadlineExpiresTheJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := journaltest.NewMemLog()
