Batch: ownership that comes and goes, uploads cut short

Cause: a shard that was lost and won again while its first catch-up ran became ready on the older one; terms now tell them apart. Content whose reader ended with io.ErrUnexpectedEOF was taken for whole by the blob store, though the multipart reader caught it one level up; the store now tells the two apart. Both found by reading; the second has a test that fails before, the first is run by a test that passed before as well. A new owner can ask sidecars what former owners left running (Settle).

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -16,6 +16,7 @@
 const (
 	tickInterval  = 25 * time.Millisecond
 	commitRetry   = 200 * time.Millisecond
+	jobRetry      = time.Second
 	maxBuffered   = 8 << 20
 	maxBackground = 2
 	// inputCache is how many input chunks of each shard are held.
@@ -57,7 +58,11 @@
 	Services    Services
 	// Owner reports whether this process runs the jobs of a shard now. Two
 	// owners at once cost work but never a second result.
-	Owner  func(shard int) bool
+	Owner func(shard int) bool
+	// Settle is called by a new owner once it has folded what was in the log,
+	// and nothing is handed out before it returns nil; may be nil. It is the
+	// place to ask sidecars what former owners left running.
+	Settle func(ctx context.Context, shard int) error
 	Logger *log.Logger
 }
 
@@ -78,14 +83,6 @@
 	background int
 }
 
-type shardState struct {
-	Shard
-	store *blob.Store
-	owned bool
-	// ready says that the completions of former owners have been folded.
-	ready bool
-}
-
 // jobState is what the owner of a job keeps beside its row.
 type jobState struct {
 	shard      *shardState
@@ -208,34 +205,6 @@
 	r.flush(ctx, now)
 }
 
-// syncShards notices which shards are owned; a new owner folds everything that
-// former owners completed before it starts anything.
-func (r *Runner) syncShards(ctx context.Context) {
-	for _, s := range r.shards {
-		owned := r.opts.Owner(s.ID)
-		if owned == s.owned {
-			continue
-		}
-		s.owned, s.ready = owned, false
-		if owned {
-			r.catchUp(ctx, s)
-		}
-	}
-}
-
-func (r *Runner) catchUp(ctx context.Context, s *shardState) {
-	r.spawn(ctx, func() func() {
-		err := s.Stream.CaughtUp(ctx)
-		return func() {
-			if err != nil {
-				s.owned = false
-				return
-			}
-			s.ready = s.owned
-		}
-	})
-}
-
 // spawn runs work on a goroutine and what it returns on Run's.
 func (r *Runner) spawn(ctx context.Context, work func() func()) {
 	r.wg.Add(1)
@@ -332,7 +301,7 @@
 		err := work(ctx, js.shard, v, expired)
 		if err != nil {
 			r.opts.Logger.Error("batch job", "job", v.ID, "status", v.Status, "err", err)
-			sleep(ctx, commitRetry)
+			sleep(ctx, jobRetry)
 		}
 		return func() {
 			js.busy = false
--- /dev/null
+++ b/batch/runner_shard.go
@@ -0,0 +1,52 @@
+package batch
+
+import (
+	"context"
+
+	"github.com/catkinrudder/catkinrudder/blob"
+)
+
+type shardState struct {
+	Shard
+	store *blob.Store
+	owned bool
+	// ready says that the completions of former owners have been folded.
+	ready bool
+	// term counts the changes of ownership.
+	term int
+}
+
+// syncShards notices which shards are owned; a new owner folds everything that
+// former owners completed before it starts anything.
+func (r *Runner) syncShards(ctx context.Context) {
+	for _, s := range r.shards {
+		owned := r.opts.Owner(s.ID)
+		if owned == s.owned {
+			continue
+		}
+		s.owned, s.ready = owned, false
+		s.term++
+		if owned {
+			r.catchUp(ctx, s, s.term)
+		}
+	}
+}
+
+// catchUp makes a shard ready if its ownership has not changed meanwhile.
+func (r *Runner) catchUp(ctx context.Context, s *shardState, term int) {
+	r.spawn(ctx, func() func() {
+		err := s.Stream.CaughtUp(ctx)
+		if err == nil && r.opts.Settle != nil {
+			err = r.opts.Settle(ctx, s.ID)
+		}
+		if err != nil {
+			sleep(ctx, jobRetry)
+		}
+		return func() {
+			if s.term != term {
+				return
+			}
+			s.owned, s.ready = err == nil, err == nil
+		}
+	})
+}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -81,6 +81,10 @@
 }
 
 func startProcess(t *testing.T, mem journal.Log, name string, d Dispatcher) *process {
+	return startOwner(t, mem, name, d, func(int) bool { return true })
+}
+
+func startOwner(t *testing.T, mem journal.Log, name string, d Dispatcher, owner func(int) bool) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := log.New(io.Discard)
 	table := NewTable()
@@ -88,7 +92,7 @@
 	p := &process{shard: Shard{Stream: stream, Table: table}}
 	runner := NewRunner(RunnerOptions{
 		Incarnation: name, Shards: []Shard{p.shard}, Dispatcher: d, Services: testServices{},
-		Owner: func(int) bool { return true }, Logger: logger,
+		Owner: owner, Logger: logger,
 	})
 	var wg sync.WaitGroup
 	wg.Go(func() { stream.Run(ctx) })
@@ -221,6 +225,25 @@
 	return append(bitmap(nil), t.jobs[job].doneBits...)
 }
 
+// TestOwnershipComesAndGoes changes the owner of the shard every few seconds,
+// with both processes and sometimes neither of them owning it.
+func TestOwnershipComesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := journaltest.NewMemLog()
+		d := &slowDispatcher{room: 16, completed: map[uint32]int{}}
+		start := time.Now()
+		turn := func(self, of int) func(int) bool {
+			return func(int) bool { return int(time.Since(start)/(3*time.Second))%of != self }
+		}
+		p1 := startOwner(t, mem, "p1", d, turn(0, 2))
+		p2 := startOwner(t, mem, "p2", d, turn(1, 3))
+		p1.submit(t, 300, 24*time.Hour)
+		v := p1.end(t)
+		assert.Equal(t, v.Status, Completed)
+		checkOutput(t, p2.content(t, v.OutputFile), 300)
+	})
+}
+
 func TestCollectorKeepsTheFirstResultOfAnItem(t *testing.T) {
 	var c collector
 	for _, r := range []Result{{Index: 2, Status: 200}, {Index: 1, Status: 201}, {Index: 2, Status: 202}} {
--- a/batch/shards.go
+++ b/batch/shards.go
@@ -6,6 +6,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
+// DefaultShards is how many shards a deployment has.
+const DefaultShards = 16
+
 // Shards are all shards of a deployment. Their number is part of the stored
 // format: it decides where a workspace lives.
 type Shards []Shard
--- a/blob/blob.go
+++ b/blob/blob.go
@@ -94,7 +94,7 @@
 	hash := sha256.New()
 	buf := make([]byte, MaxChunkBytes)
 	for {
-		n, err := io.ReadFull(r, buf)
+		n, err := fill(r, buf)
 		if n > 0 {
 			if w.Size+int64(n) > limit {
 				return Written{}, errkind.New(errkind.TooLarge, "content is larger than %d bytes", limit)
@@ -107,7 +107,7 @@
 			w.Size += int64(n)
 			w.Manifest = append(w.Manifest, ref)
 		}
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		if errors.Is(err, io.EOF) {
 			w.SHA256 = hex.EncodeToString(hash.Sum(nil))
 			return w, nil
 		}
@@ -117,6 +117,20 @@
 	}
 }
 
+// fill reads until buf is full. Unlike io.ReadFull it tells the end of r from
+// an io.ErrUnexpectedEOF that r returned itself.
+func fill(r io.Reader, buf []byte) (int, error) {
+	n := 0
+	for n < len(buf) {
+		k, err := r.Read(buf[n:])
+		n += k
+		if err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 func (s *Store) writeChunk(ctx context.Context, data []byte) (Ref, error) {
 	e, err := journal.NewEntry(KindChunk, Chunk{Data: data})
 	if err != nil {
--- a/blob/blob_test.go
+++ b/blob/blob_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"testing"
+	"testing/iotest"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -60,6 +61,9 @@
 	s := NewStore(f)
 	_, err := s.Write(ctx, bytes.NewReader(make([]byte, 11)), 10)
 	assert.Assert(t, errkind.Is(err, errkind.TooLarge))
+	cut := io.MultiReader(bytes.NewReader(make([]byte, 5)), iotest.ErrReader(io.ErrUnexpectedEOF))
+	_, err = s.Write(ctx, cut, 10)
+	assert.ErrorIs(t, err, io.ErrUnexpectedEOF, "content that was cut short is no whole content")
 	w, err := s.Write(ctx, bytes.NewReader(make([]byte, MaxChunkBytes+1)), 1<<20)
 	assert.NilError(t, err)
 	short := append(Manifest(nil), w.Manifest...)
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -262,3 +264,42 @@
 	_, o := f.json(t, "a", "GET", "/v1/files/"+id, "")
 	return int64(o["bytes"].(float64))
 }
+
+func TestPlainService(t *testing.T) {
+	f := newFixture(t, func(_ context.Context, it batch.Item) (batch.Answer, error) {
+		body := fmt.Sprintf("%s %s %s %s", it.Service, it.Method, it.Path, it.Body)
+		return batch.Answer{Status: 201, Body: []byte(body)}, nil
+	})
+	_, file := f.upload(t, "a", "batch", `{"custom_id":"x","method":"PUT","url":"/services/book/slots/7?day=2","body":{"at":9}}`+"\n"+
+		`{"custom_id":"y","method":"GET","url":"/services/book/slots"}`)
+	body := strings.Replace(createBody(file.str("id")), "/v1/chat/completions", "/services/book/slots", 1)
+	_, job := f.json(t, "a", "POST", "/v1/batches", body)
+	job = f.wait(t, "a", job.str("id"))
+	assert.Equal(t, job.str("status"), "completed", "%v", job)
+	out := f.content(t, "a", job.str("output_file_id"))
+	assert.Equal(t, out[0].str("response", "body"), `book PUT /services/book/slots/7?day=2 {"at":9}`)
+	assert.Equal(t, out[1].str("response", "body"), "book GET /services/book/slots ")
+
+	body = strings.Replace(createBody(file.str("id")), "/v1/chat/completions", "/services/ghost/slots", 1)
+	_, job = f.json(t, "a", "POST", "/v1/batches", body)
+	job = f.wait(t, "a", job.str("id"))
+	assert.Equal(t, job.str("status"), "failed")
+}
+
+// TestCutUpload closes the sending side in the middle of a file.
+func TestCutUpload(t *testing.T) {
+	f := newFixture(t, nil)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	part := "--b\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n" +
+		"--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"x\"\r\n\r\n" + lines(3)
+	_, err = fmt.Fprintf(conn, "POST /v1/files HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer a\r\n"+
+		"Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 100000\r\n\r\n%s", part)
+	assert.NilError(t, err)
+	assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+	answer, _ := io.ReadAll(conn)
+	assert.Assert(t, !strings.Contains(string(answer), " 200 "), "%s", answer)
+	_, files := f.json(t, "a", "GET", "/v1/files", "")
+	assert.Equal(t, len(files["data"].([]any)), 0)
+}
