Batch: urls and endpoints that climb out of their service are refused

Cause: a line's url with an encoded dot segment passed as one of the batch's service; found by reading. Also refused now: absolute urls, methods that are no HTTP tokens, custom ids over 512 bytes. Tests name each.

--- a/batch/line.go
+++ b/batch/line.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"net/url"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -11,6 +13,11 @@
 // MaxLineBytes bounds one line of a batch input.
 const MaxLineBytes = 1 << 20
 
+const (
+	maxCustomID = 512
+	maxMethod   = 16
+)
+
 // Line is one request of a batch input.
 type Line struct {
 	CustomID string          `json:"custom_id"`
@@ -30,9 +37,8 @@
 	if e == EndpointChat {
 		return true
 	}
-	rest, ok := strings.CutPrefix(e, EndpointServices)
-	service, _, _ := strings.Cut(rest, "/")
-	return ok && service != ""
+	u, err := url.Parse(e)
+	return err == nil && u.EscapedPath() == e && !dotted(u.Path) && ServiceOf(e) != ""
 }
 
 // ServiceOf returns the service that a /services/ path names, or "".
@@ -41,6 +47,7 @@
 	if !ok {
 		return ""
 	}
+	rest, _, _ = strings.Cut(rest, "?")
 	service, _, _ := strings.Cut(rest, "/")
 	return service
 }
@@ -80,6 +87,10 @@
 		return missing("method")
 	case l.URL == "":
 		return missing("url")
+	case len(l.CustomID) > maxCustomID:
+		return &LineError{Code: "invalid_value", Message: fmt.Sprintf("custom_id is longer than %d bytes", maxCustomID), Param: "custom_id"}
+	case !validMethod(l.Method):
+		return &LineError{Code: "invalid_method", Message: "the method must be an HTTP method in capitals", Param: "method"}
 	case !matches(endpoint, l.URL):
 		return &LineError{Code: "invalid_url", Message: "the url does not belong to the batch's endpoint " + endpoint, Param: "url"}
 	}
@@ -95,17 +106,34 @@
 	return nil
 }
 
+func validMethod(m string) bool {
+	return strings.Trim(m, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == "" && len(m) <= maxMethod
+}
+
+// dotted reports whether a path has a segment that names another directory.
+func dotted(path string) bool {
+	for _, part := range strings.Split(path, "/") {
+		if part == "." || part == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // matches reports whether a line's url belongs to a job's endpoint: the same
 // path, or a path of the same service below it.
-func matches(endpoint, url string) bool {
-	path, _, _ := strings.Cut(url, "?")
-	if path == endpoint {
+func matches(endpoint, raw string) bool {
+	u, err := url.Parse(raw)
+	if err != nil || u.Host != "" || u.Scheme != "" {
+		return false
+	}
+	if u.EscapedPath() == endpoint {
 		return true
 	}
 	if endpoint == EndpointChat {
 		return false
 	}
-	return strings.HasPrefix(path, strings.TrimSuffix(endpoint, "/")+"/") && !strings.Contains(path, "/../")
+	return !dotted(u.Path) && strings.HasPrefix(u.Path, strings.TrimSuffix(endpoint, "/")+"/")
 }
 
 // Model returns the model that the line's body asks for, or "".
--- /dev/null
+++ b/batch/naive_scheduler_test.go
@@ -0,0 +1,248 @@
+package batch
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// naiveItem is an item of the naive scheduler, which keeps every item of every
+// job and looks at all of them each time.
+type naiveItem struct {
+	state           string // fresh, running, waiting, settled
+	tries, refusals int
+	alone           bool
+	avoid, text     string
+	tokens          int
+	notBefore       time.Time
+	queued          int
+	attempt         AttemptID
+	started         time.Time
+}
+
+type naiveJob struct {
+	in      JobInput
+	items   []naiveItem
+	expired bool
+}
+
+type naiveScheduler struct {
+	jobs    map[string]*naiveJob
+	window  map[string]int
+	mean    map[string]time.Duration
+	next    AttemptID
+	counter int
+}
+
+// naiveStart is one started item.
+type naiveStart struct {
+	job     string
+	item    uint32
+	attempt AttemptID
+	try     int
+	alone   bool
+	avoid   string
+	text    string
+	tokens  int
+}
+
+type naiveActions struct {
+	start  []naiveStart
+	stop   []AttemptID
+	giveUp []GiveUp
+	expire []string
+}
+
+func newNaive() *naiveScheduler {
+	return &naiveScheduler{jobs: map[string]*naiveJob{}, window: map[string]int{}, mean: map[string]time.Duration{}}
+}
+
+func (n *naiveScheduler) win(service string) int {
+	if n.window[service] == 0 {
+		return rampStart
+	}
+	return n.window[service]
+}
+
+func (n *naiveScheduler) tick(now time.Time, in Inputs) naiveActions {
+	var out naiveActions
+	for _, e := range in.Ended {
+		for _, j := range n.jobs {
+			for i := range j.items {
+				if it := &j.items[i]; it.state == "running" && it.attempt == e.Attempt {
+					n.end(now, j, uint32(i), it, e, &out)
+				}
+			}
+		}
+	}
+	present := map[string]bool{}
+	for _, in := range in.Jobs {
+		present[in.ID] = true
+		if n.jobs[in.ID] == nil {
+			n.jobs[in.ID] = &naiveJob{items: make([]naiveItem, in.Total)}
+			for i := range n.jobs[in.ID].items {
+				n.jobs[in.ID].items[i].state = "fresh"
+			}
+		}
+		n.jobs[in.ID].in = in
+	}
+	for id, j := range n.jobs {
+		late := !now.Before(j.in.Deadline) && !j.expired
+		if present[id] && !late {
+			continue
+		}
+		for i := range j.items {
+			if j.items[i].state == "running" {
+				out.stop = append(out.stop, j.items[i].attempt)
+				j.items[i].state = "settled"
+			}
+		}
+		if present[id] {
+			j.expired = true
+			out.expire = append(out.expire, id)
+		} else {
+			delete(n.jobs, id)
+		}
+	}
+	slices.Sort(out.stop)
+	sort.Strings(out.expire)
+	if in.Hold {
+		for s := range n.window {
+			n.window[s] = rampStart
+		}
+		return out
+	}
+	n.start(now, in.Room, &out)
+	return out
+}
+
+func (n *naiveScheduler) end(now time.Time, j *naiveJob, index uint32, it *naiveItem, e Ended, out *naiveActions) {
+	n.counter++
+	it.queued, it.state = n.counter, "waiting"
+	service := j.in.Service
+	wait := time.Duration(0)
+	switch e.Outcome {
+	case OutcomeDone:
+		it.state = "settled"
+		n.window[service] = min(n.win(service)+1, maxWindow)
+		d := now.Sub(it.started)
+		if n.mean[service] != 0 {
+			d = n.mean[service] + time.Duration(durationWeight*float64(d-n.mean[service]))
+		}
+		n.mean[service] = d
+		return
+	case OutcomePreempted:
+		it.text, it.tokens = e.ResumeText, e.ResumeTokens
+	case OutcomeRefused:
+		it.refusals++
+		wait = max(e.RetryAfter, backoffFor(it.refusals, minRefusal, maxRefusal))
+		n.window[service] = max(rampStart, n.win(service)-1)
+	case OutcomeWorkerDied:
+		if it.alone {
+			it.tries++
+		}
+		it.alone, it.avoid = true, e.Worker
+		wait = backoffFor(it.tries, retryBase, retryMax)
+	case OutcomeFailed:
+		it.tries++
+		it.avoid = e.Worker
+		wait = backoffFor(it.tries, retryBase, retryMax)
+	}
+	it.notBefore = now.Add(wait)
+	if it.tries >= j.in.MaxTries {
+		it.state = "settled"
+		out.giveUp = append(out.giveUp, GiveUp{Job: j.in.ID, Item: index, Attempt: e.Attempt, Tries: it.tries})
+	}
+}
+
+func (n *naiveScheduler) count(service, state string, alone bool) int {
+	c := 0
+	for _, j := range n.jobs {
+		for _, it := range j.items {
+			if j.in.Service == service && it.state == state && (!alone || it.alone) {
+				c++
+			}
+		}
+	}
+	return c
+}
+
+func (n *naiveScheduler) start(now time.Time, room map[string]int, out *naiveActions) {
+	for _, service := range []string{"s0", "s1"} {
+		var jobs []*naiveJob
+		for _, j := range n.jobs {
+			if j.in.Service == service && !j.expired {
+				jobs = append(jobs, j)
+			}
+		}
+		n.order(now, service, room[service], jobs)
+		free := min(room[service], n.win(service)-n.count(service, "running", false))
+		for _, j := range jobs {
+			for free > 0 && n.startOne(now, j, out) {
+				free--
+			}
+		}
+	}
+}
+
+func (n *naiveScheduler) order(now time.Time, service string, room int, jobs []*naiveJob) {
+	width := time.Duration(max(1, room+n.count(service, "running", false)))
+	slack := map[*naiveJob]time.Duration{}
+	for _, j := range jobs {
+		slack[j] = j.in.Deadline.Sub(now) - time.Duration(j.in.Left)*n.mean[service]/width
+	}
+	sort.Slice(jobs, func(a, b int) bool {
+		x, y := jobs[a], jobs[b]
+		if slack[x] != slack[y] {
+			return slack[x] < slack[y]
+		}
+		if !x.in.Deadline.Equal(y.in.Deadline) {
+			return x.in.Deadline.Before(y.in.Deadline)
+		}
+		return x.in.ID < y.in.ID
+	})
+}
+
+// startOne starts the longest waiting item that may start, or else the lowest
+// fresh one.
+func (n *naiveScheduler) startOne(now time.Time, j *naiveJob, out *naiveActions) bool {
+	best := -1
+	for i := range j.items {
+		it := &j.items[i]
+		switch {
+		case it.state != "waiting" || j.in.Done(uint32(i)) || now.Before(it.notBefore):
+		case it.alone && n.count(j.in.Service, "running", true) > 0:
+		case best < 0 || it.queued < j.items[best].queued:
+			best = i
+		}
+	}
+	for i := 0; best < 0 && i < len(j.items); i++ {
+		if j.items[i].state == "fresh" && !j.in.Done(uint32(i)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	it := &j.items[best]
+	n.next++
+	it.state, it.attempt, it.started = "running", n.next, now
+	out.start = append(out.start, naiveStart{
+		job: j.in.ID, item: uint32(best), attempt: n.next, try: it.tries + 1,
+		alone: it.alone, avoid: it.avoid, text: it.text, tokens: it.tokens,
+	})
+	return true
+}
+
+func flatten(starts []Start) []naiveStart {
+	var out []naiveStart
+	for _, s := range starts {
+		for i := range s.Count {
+			out = append(out, naiveStart{
+				job: s.Job, item: s.First + i, attempt: s.Attempt + AttemptID(i), try: s.Try,
+				alone: s.Alone, avoid: s.Avoid, text: s.ResumeText, tokens: s.ResumeTokens,
+			})
+		}
+	}
+	return out
+}
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -357,3 +357,21 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, table.OpenJobs("a"), 1)
 }
+
+func TestLineURLs(t *testing.T) {
+	for url, ok := range map[string]bool{
+		"/services/book/slots": true, "/services/book/slots?x=1": true, "/services/book/slots/7": true,
+		"/services/book/slotsx": false, "/services/book/slots/../x": false, "/services/book/slots/%2e%2e/x": false,
+		"/services/book/slots/..": false, "//host/services/book/slots": false, "http://h/services/book/slots": false,
+		"/services/other/slots": false, "": false,
+	} {
+		assert.Equal(t, matches("/services/book/slots", url), ok, url)
+	}
+	assert.Assert(t, !matches(EndpointChat, EndpointChat+"/x"))
+	for endpoint, ok := range map[string]bool{
+		EndpointChat: true, "/services/book": true, "/services/book/slots": true, "/services/": false,
+		"/services/book/../x": false, "/services/book?x": false, "/services/book/%2e%2e/x": false, "/v1/embeddings": false,
+	} {
+		assert.Equal(t, ValidEndpoint(endpoint), ok, endpoint)
+	}
+}
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -30,6 +30,8 @@
 		{"no body", strings.Replace(good, `,"body":{"model":"m"}`, ``, 1), "missing_required_parameter", "body", "1"},
 		{"url", strings.Replace(good, `/v1/chat`, `/v2/chat`, 1), "invalid_url", "url", "1"},
 		{"method", strings.Replace(good, `POST`, `GET`, 1), "invalid_method", "method", "1"},
+		{"method token", strings.Replace(good, `POST`, `PO ST`, 1), "invalid_method", "method", "1"},
+		{"long id", strings.Replace(good, `"a"`, `"`+strings.Repeat("a", 513)+`"`, 1), "invalid_value", "custom_id", "1"},
 		{"type", strings.Replace(good, `"a"`, `7`, 1), "invalid_type", "custom_id", "1"},
 		{"blank", "\n \n", "empty_file", "input_file_id", ""},
 		{"long", good + "\n" + strings.Repeat("x", batch.MaxLineBytes+1), "line_too_large", "", "2"},
