--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -80,7 +80,11 @@
 	stop  func()
 }
 
-func startProcess(t *testing.T, mem *journaltest.MemLog, name string, d Dispatcher) *process {
+func startProcess(t *testing.T, mem journal.Log, name string, d Dispatcher) *process {
+	return startOwner(t, mem, name, d, func(int) bool { return true })
+}
+
+func startOwner(t *testing.T, mem journal.Log, name string, d Dispatcher, owner func(int) bool) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := log.New(io.Discard)
 	table := NewTable()
@@ -88,7 +92,7 @@
 	p := &process{shard: Shard{Stream: stream, Table: table}}
 	runner := NewRunner(RunnerOptions{
 		Incarnation: name, Shards: []Shard{p.shard}, Dispatcher: d, Services: testServices{},
-		Owner: func(int) bool { return true }, Logger: logger,
+		Owner: owner, Logger: logger,
 	})
 	var wg sync.WaitGroup
 	wg.Go(func() { stream.Run(ctx) })
@@ -101,6 +105,14 @@
 	return p
 }
 
+// slowLog reads one record a virtual second.
+type slowLog struct{ *journaltest.MemLog }
+
+func (l slowLog) Read(ctx context.Context, stream string, from journal.Offset, _ int, wait time.Duration) (journal.Page, error) {
+	sleep(ctx, time.Second)
+	return l.MemLog.Read(ctx, stream, from, 1, wait)
+}
+
 // submit stores an input of n items and a job over it.
 func (p *process) submit(t *testing.T, n int, window time.Duration) {
 	t.Helper()
@@ -194,7 +206,7 @@
 		folded := p1.shard.Table.doneCopy("j")
 		p1.stop()
 		d2 := &slowDispatcher{room: 64, completed: map[uint32]int{}}
-		p2 := startProcess(t, mem, "p2", d2)
+		p2 := startProcess(t, slowLog{mem}, "p2", d2)
 		v := p2.end(t)
 		assert.Equal(t, v.OK, uint32(200))
 		checkOutput(t, p2.content(t, v.OutputFile), 200)
@@ -213,6 +225,37 @@
 	return append(bitmap(nil), t.jobs[job].doneBits...)
 }
 
+// TestOwnershipComesAndGoes changes the owner of the shard every few seconds,
+// with both processes and sometimes neither of them owning it.
+func TestOwnershipComesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mem := journaltest.NewMemLog()
+		d := &slowDispatcher{room: 16, completed: map[uint32]int{}}
+		start := time.Now()
+		turn := func(self, of int) func(int) bool {
+			return func(int) bool { return int(time.Since(start)/(3*time.Second))%of != self }
+		}
+		p1 := startOwner(t, mem, "p1", d, turn(0, 2))
+		p2 := startOwner(t, mem, "p2", d, turn(1, 3))
+		p1.submit(t, 300, 24*time.Hour)
+		v := p1.end(t)
+		assert.Equal(t, v.Status, Completed)
+		checkOutput(t, p2.content(t, v.OutputFile), 300)
+	})
+}
+
+func TestCollectorKeepsTheFirstResultOfAnItem(t *testing.T) {
+	var c collector
+	for _, r := range []Result{{Index: 2, Status: 200}, {Index: 1, Status: 201}, {Index: 2, Status: 202}} {
+		c.add(time.Unix(1, 0), r)
+	}
+	rs, _ := c.take()
+	s, err := NewSegment("j", rs, 1)
+	assert.NilError(t, err)
+	assert.NilError(t, s.check())
+	assert.DeepEqual(t, rs, []Result{{Index: 1, Status: 201}, {Index: 2, Status: 200}})
+}
+
 func TestDeadlineExpiresTheJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		mem := journaltest.NewMemLog()
