--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,98 @@
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/charmbracelet/log"
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/batch"
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/sidecar"
+	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+)
+
+func TestLoopbackCountsBothDirections(t *testing.T) {
+	path, h := peerv1connect.NewSidecarHandler(sidecar.New(sidecarSettings(unusedAddr), log.New(io.Discard)))
+	l, err := newLoopback(t.Context(), path, h)
+	assert.NilError(t, err)
+	defer l.stop()
+	assert.NilError(t, report(t.Context(), l))
+	sent, _, err := l.cost(func() error { return report(t.Context(), l) })
+	assert.NilError(t, err)
+	assert.Assert(t, sent > float64(proto.Size(heldReport(0))), "%v bytes", sent)
+	before := l.bytes.Load()
+	assert.NilError(t, report(t.Context(), l))
+	assert.Assert(t, l.bytes.Load() > before)
+}
+
+func TestStreamsAreWhole(t *testing.T) {
+	engine, stop, err := newEngine()
+	assert.NilError(t, err)
+	defer stop()
+	s := sidecar.New(sidecarSettings(engine), log.New(io.Discard))
+	path, h := peerv1connect.NewSidecarHandler(s)
+	l, err := newLoopback(t.Context(), path, h)
+	assert.NilError(t, err)
+	defer l.stop()
+	assert.NilError(t, runAll(t.Context(), l, s, 30, 3, "a"))
+	other := runRequest(s, "b", 30)
+	other.Incarnation = incarnation(1)
+	assert.ErrorContains(t, runOne(t.Context(), l, other, 30), "refused")
+}
+
+func TestShardFoldsWhole(t *testing.T) {
+	const items = 2*segmentItems + 1
+	table, err := foldShard(func() ([]fact, error) { return shardOfResults(items) })
+	assert.NilError(t, err)
+	for i := range uint32(items) {
+		assert.Assert(t, table.Done(jobID(0), i), "item %d", i)
+	}
+	table, err = foldShard(func() ([]fact, error) { return shardOfJobs(7) })
+	assert.NilError(t, err)
+	open := table.Open()
+	assert.Equal(t, len(open), 7)
+	assert.Equal(t, open[0].Status, batch.InProgress)
+}
+
+func TestDocumentComesIntoForce(t *testing.T) {
+	e, err := publication(12)
+	assert.NilError(t, err)
+	table := desired.NewTable(desired.Hooks{})
+	assert.NilError(t, publish(table, e))
+	v, ok := table.InForce()
+	assert.Assert(t, ok)
+	assert.Equal(t, len(v.Document.Workspaces), 12)
+	assert.Equal(t, len(v.Document.Services), models)
+}
+
+func TestRecordHoldsEveryEntry(t *testing.T) {
+	one, err := recordBytes(t.Context(), 1)
+	assert.NilError(t, err)
+	ten, err := recordBytes(t.Context(), 10)
+	assert.NilError(t, err)
+	assert.Assert(t, ten-one > 9*bodyBytes)
+	n, err := writerMemory(t.Context(), 3)
+	assert.NilError(t, err)
+	assert.Assert(t, n > 0)
+	rate, err := appendRate(t.Context(), journal.Options{Budget: journal.NewBudget(appendsPerSecond)}, 200)
+	assert.NilError(t, err)
+	assert.Assert(t, rate > 0)
+}
+
+func TestWrite(t *testing.T) {
+	qs := []Quantity{{ID: "a.b", Unit: Bytes, Per: "row", Points: []Point{{1, 3}, {2, 5}}, Line: Line{Slope: 2, Intercept: 1}}}
+	var table, out bytes.Buffer
+	assert.NilError(t, WriteTable(&table, qs))
+	assert.Assert(t, strings.Contains(table.String(), "a.b       row  B     1 2    3 5     2      1"), table.String())
+	assert.NilError(t, WriteJSON(&out, qs))
+	var got []Quantity
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &got))
+	assert.DeepEqual(t, got, qs)
+}
--- /dev/null
+++ b/internal/capacity/configuration.go
@@ -0,0 +1,122 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// models is how many model services a document has.
+const models = 4
+
+func newService(i int) desired.Service {
+	return desired.Service{
+		Name: fmt.Sprintf("%s-%d", modelService, i), Kind: desired.Model, Models: []string{fmt.Sprintf("model-%d", i)},
+		OnlineWeight: 16, BatchWeight: 1, Slots: 8, Store: true,
+	}
+}
+
+// document returns a desired state with a number of workspaces as TOML.
+func document(workspaceCount int) ([]byte, error) {
+	var d desired.Document
+	for i := range workspaceCount {
+		d.Workspaces = append(d.Workspaces, desired.Workspace{
+			Name: workspaceName(i), KeySHA256: []string{fmt.Sprintf("%064x", i+1)},
+			Limits: desired.Limits{RequestsPerSecond: 40, Burst: 80, MaxOnline: 400, MaxJobs: 16},
+		})
+	}
+	for i := range models {
+		d.Services = append(d.Services, newService(i))
+	}
+	return toml.Marshal(d)
+}
+
+// plainService is a service with a number of calls that need care.
+func plainService(calls int) desired.Service {
+	s := desired.Service{Name: "records", Kind: desired.Plain, Slots: 16}
+	for i := range calls {
+		s.Calls = append(s.Calls, desired.Call{Method: "POST", Path: fmt.Sprintf("/records/%03d/*", i), NonIdempotent: true})
+	}
+	return s
+}
+
+func measureConfiguration(context.Context) ([]Quantity, error) {
+	sizes := []int{12, 120, 1200}
+	calls := []int{0, 8, 32}
+	return all(
+		spec{Quantity{ID: "config.bytes", Help: "document of 4 services", Unit: Bytes, Per: "workspace"},
+			sizes, func(n int) (float64, error) {
+				b, err := document(n)
+				return float64(len(b)), err
+			}},
+		spec{Quantity{ID: "config.parse", Help: "parse and validate", Unit: Nanoseconds, Per: "workspace"}, sizes, parseTime},
+		spec{Quantity{ID: "config.fold", Help: "fold one publication", Unit: Nanoseconds, Per: "workspace"}, sizes, publishTime},
+		spec{Quantity{ID: "config.row", Help: "memory of the table", Unit: Bytes, Per: "workspace"}, sizes, configMemory},
+		spec{Quantity{ID: "policy.bytes", Help: "policy of one service", Unit: Bytes, Per: "call with care"},
+			calls, func(n int) (float64, error) {
+				b, err := toml.Marshal(plainService(n))
+				return float64(len(b)), err
+			}},
+		spec{Quantity{ID: "policy.encode", Help: "encode the policy for one report", Unit: Nanoseconds, Per: "call with care"},
+			calls, func(n int) (float64, error) {
+				svc := plainService(n)
+				return perOperation(func() { _, _ = toml.Marshal(svc) }), nil
+			}},
+		spec{Quantity{ID: "policy.decode", Help: "decode the policy at a sidecar", Unit: Nanoseconds, Per: "call with care"},
+			calls, func(n int) (float64, error) {
+				b, err := toml.Marshal(plainService(n))
+				if err != nil {
+					return 0, err
+				}
+				return perOperation(func() { var s desired.Service; _ = toml.Unmarshal(b, &s) }), nil
+			}},
+	)
+}
+
+func parseTime(n int) (float64, error) {
+	b, err := document(n)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := desired.Parse("document", b); err != nil {
+		return 0, err
+	}
+	return perOperation(func() { _, _ = desired.Parse("document", b) }), nil
+}
+
+func publication(n int) (journal.Entry, error) {
+	b, err := document(n)
+	if err != nil {
+		return journal.Entry{}, err
+	}
+	return journal.NewEntry(desired.KindPublish, desired.Publish{ID: incarnation(n), Document: b})
+}
+
+func publish(t *desired.Table, e journal.Entry) error {
+	t.Gap(0)
+	return t.Apply(journal.Position{}, e)
+}
+
+func publishTime(n int) (float64, error) {
+	e, err := publication(n)
+	if err != nil {
+		return 0, err
+	}
+	setup := func() (*desired.Table, error) { return desired.NewTable(desired.Hooks{}), nil }
+	return shortest(setup, func(t *desired.Table) error { return publish(t, e) })
+}
+
+func configMemory(n int) (float64, error) {
+	return heapOf(func() (*desired.Table, error) {
+		e, err := publication(n)
+		if err != nil {
+			return nil, err
+		}
+		t := desired.NewTable(desired.Hooks{})
+		return t, publish(t, e)
+	})
+}
--- /dev/null
+++ b/internal/capacity/connections.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"context"
+	"io"
+	"runtime"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/catkinrudder/catkinrudder/internal/peer"
+	"github.com/catkinrudder/catkinrudder/internal/sidecar"
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+)
+
+// idleFor is how long idle connections are watched, several times the interval
+// of the health checks of internal/peer.
+const idleFor = 9 * time.Second
+
+// connections are open connections of entries to one sidecar.
+type connections struct {
+	*loopback
+	open []*peer.Clients
+}
+
+func openConnections(ctx context.Context, n int) (*connections, error) {
+	path, h := peerv1connect.NewSidecarHandler(sidecar.New(sidecarSettings(unusedAddr), log.New(io.Discard)))
+	l, err := newLoopback(ctx, path, h)
+	if err != nil {
+		return nil, err
+	}
+	c := &connections{loopback: l}
+	for range n {
+		clients := peer.NewClients()
+		c.open = append(c.open, clients)
+		if err := report(ctx, &loopback{addr: l.addr, clients: clients}); err != nil {
+			c.close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func (c *connections) close() {
+	for _, clients := range c.open {
+		clients.Close()
+	}
+	c.stop()
+}
+
+func measureConnections(ctx context.Context) ([]Quantity, error) {
+	memory, err := over(Quantity{ID: "connection.memory", Help: "heap and stacks of both sides", Unit: Bytes, Per: "connection"},
+		[]int{25, 50, 200}, func(n int) (float64, error) { return connectionMemory(ctx, n) })
+	if err != nil {
+		return nil, err
+	}
+	idle, err := idleTraffic(ctx, []int{10, 20, 80})
+	return []Quantity{memory, idle}, err
+}
+
+func connectionMemory(ctx context.Context, n int) (float64, error) {
+	before := liveMemory()
+	c, err := openConnections(ctx, n)
+	if err != nil {
+		return 0, err
+	}
+	defer c.close()
+	return float64(liveMemory()) - float64(before), nil
+}
+
+func liveMemory() uint64 {
+	heap := liveHeap()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return heap + m.StackInuse
+}
+
+// idleTraffic measures the bytes a second on idle connections, all sizes at
+// the same time.
+func idleTraffic(ctx context.Context, sizes []int) (Quantity, error) {
+	q := Quantity{
+		ID: "connection.idle", Help: "health checks, both directions", Unit: BytesPerSecond, Per: "connection",
+		Points: make([]Point, len(sizes)),
+	}
+	var g errgroup.Group
+	for i, n := range sizes {
+		g.Go(func() error {
+			c, err := openConnections(ctx, n)
+			if err != nil {
+				return err
+			}
+			defer c.close()
+			before := c.bytes.Load()
+			time.Sleep(idleFor)
+			q.Points[i] = Point{float64(n), float64(c.bytes.Load()-before) / idleFor.Seconds()}
+			return nil
+		})
+	}
+	err := g.Wait()
+	q.Line = Fit(q.Points)
+	return q, err
+}
--- /dev/null
+++ b/internal/capacity/journal.go
@@ -0,0 +1,173 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/standin"
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+const (
+	streamName = "capacity"
+	// offerFor is how long commits are offered to a stream.
+	offerFor = 500 * time.Millisecond
+	// offerStep is how often a share of the commits is offered.
+	offerStep = 2 * time.Millisecond
+	// bodyBytes is the size of the entries that are committed.
+	bodyBytes = 200
+	// appendsPerSecond is the budget of the measurement with a budget.
+	appendsPerSecond = 20
+)
+
+// countingLog counts what is appended to a log service.
+type countingLog struct {
+	journal.Log
+	appends, bytes atomic.Int64
+}
+
+// Append implements journal.Log.
+func (l *countingLog) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+	l.appends.Add(1)
+	l.bytes.Add(int64(len(payload)))
+	return l.Log.Append(ctx, stream, payload)
+}
+
+// noFold is a fold without state.
+type noFold struct{}
+
+// Apply implements journal.Fold.
+func (noFold) Apply(journal.Position, journal.Entry) error { return nil }
+
+// withStream runs f with a stream over a new log service.
+func withStream(ctx context.Context, opts journal.Options, f func(ctx context.Context, s *journal.Stream, l *countingLog) error) error {
+	l := &countingLog{Log: standin.NewLogService().Log()}
+	opts.Writer, opts.Fold = incarnation(0), noFold{}
+	s := journal.NewStream(l, streamName, opts)
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Run(ctx) })
+	defer wg.Wait()
+	defer cancel()
+	return f(ctx, s, l)
+}
+
+// appendRate offers a number of commits a second and returns the appends a
+// second that they took.
+func appendRate(ctx context.Context, opts journal.Options, perSecond int) (float64, error) {
+	var rate float64
+	err := withStream(ctx, opts, func(ctx context.Context, s *journal.Stream, l *countingLog) error {
+		start := time.Now()
+		offer(ctx, s, perSecond)
+		rate = float64(l.appends.Load()) / time.Since(start).Seconds()
+		return nil
+	})
+	return rate, err
+}
+
+// offer commits at an even rate for a while, each commit on its own.
+func offer(ctx context.Context, s *journal.Stream, perSecond int) {
+	e := journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
+	ticker := time.NewTicker(offerStep)
+	defer ticker.Stop()
+	start, sent := time.Now(), 0
+	for now := start; now.Sub(start) < offerFor; now = <-ticker.C {
+		for due := int(now.Sub(start).Seconds() * float64(perSecond)); sent < due; sent++ {
+			go func() { _, _ = s.Commit(ctx, e) }()
+		}
+	}
+}
+
+// recordBytes returns the payload of a record of n entries.
+func recordBytes(ctx context.Context, n int) (float64, error) {
+	var bytes float64
+	err := withStream(ctx, journal.Options{}, func(ctx context.Context, s *journal.Stream, l *countingLog) error {
+		entries := make([]journal.Entry, n)
+		for i := range entries {
+			entries[i] = journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
+		}
+		_, err := s.Commit(ctx, entries...)
+		bytes = float64(l.bytes.Load())
+		return err
+	})
+	return bytes, err
+}
+
+func measureJournal(ctx context.Context) ([]Quantity, error) {
+	offered := []int{100, 1000, 4000}
+	return all(
+		spec{Quantity{ID: "journal.appends", Help: "appends of one stream", Unit: PerSecond, Per: "commit/s offered"},
+			offered, func(n int) (float64, error) { return appendRate(ctx, journal.Options{}, n) }},
+		spec{Quantity{ID: "journal.appends.budget", Help: "appends with a budget of 20/s", Unit: PerSecond, Per: "commit/s offered"},
+			offered, func(n int) (float64, error) {
+				return appendRate(ctx, journal.Options{Budget: journal.NewBudget(appendsPerSecond)}, n)
+			}},
+		spec{Quantity{ID: "journal.record", Help: "record of entries of 200 B", Unit: Bytes, Per: "entry"},
+			[]int{1, 16, 256}, func(n int) (float64, error) { return recordBytes(ctx, n) }},
+		spec{Quantity{ID: "journal.writer", Help: "memory of a stream that folded records", Unit: Bytes, Per: "writer seen"},
+			[]int{100, 400, 1600}, func(n int) (float64, error) { return writerMemory(ctx, n) }},
+	)
+}
+
+// writerMemory returns the memory of a follower of records of n writers.
+func writerMemory(ctx context.Context, n int) (float64, error) {
+	l := standin.NewLogService().Log()
+	if err := appendWriters(ctx, l, n); err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	return heapOf(func() (*journal.Stream, error) {
+		s := journal.NewStream(l, streamName, journal.Options{Writer: incarnation(n), Fold: noFold{}})
+		wg.Go(func() { s.Run(ctx) })
+		return s, s.CaughtUp(ctx)
+	})
+}
+
+// appendWriters has n writers append one record each.
+func appendWriters(ctx context.Context, l journal.Log, n int) error {
+	for i := range n {
+		s := journal.NewStream(l, streamName, journal.Options{Writer: incarnation(i), Fold: noFold{}, Interval: time.Nanosecond})
+		run, cancel := context.WithCancel(ctx)
+		var wg sync.WaitGroup
+		wg.Go(func() { s.Run(run) })
+		_, err := s.Commit(ctx, journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)})
+		cancel()
+		wg.Wait()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readResponse(bytes int) platform.ReadResponse {
+	return platform.ReadResponse{Next: 1, Records: []platform.ReadRecord{{Payload: make([]byte, bytes)}}}
+}
+
+// measureReads measures what a follower receives for each byte of a record.
+func measureReads(context.Context) ([]Quantity, error) {
+	sizes := []int{1 << 10, 16 << 10, 256 << 10}
+	return all(
+		spec{Quantity{ID: "log.read.bytes", Help: "answer to a read", Unit: Bytes, Per: "byte of record"},
+			sizes, func(n int) (float64, error) {
+				b, err := json.Marshal(readResponse(n))
+				return float64(len(b)), err
+			}},
+		spec{Quantity{ID: "log.read.decode", Help: "decode the answer", Unit: Nanoseconds, Per: "byte of record"},
+			sizes, func(n int) (float64, error) {
+				b, err := json.Marshal(readResponse(n))
+				if err != nil {
+					return 0, err
+				}
+				var out platform.ReadResponse
+				return perOperation(func() { out = platform.ReadResponse{}; err = json.Unmarshal(b, &out) }), err
+			}},
+	)
+}
--- /dev/null
+++ b/internal/capacity/requests.go
@@ -0,0 +1,178 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/internal/sidecar"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
+)
+
+const (
+	// tokenText is one token's text.
+	tokenText = "word "
+	// requestsAtOnce is how many streams one measurement sums up.
+	requestsAtOnce = 20
+	engineHeader   = 5 * time.Second
+)
+
+// runningCore returns a core with n running online attempts.
+func runningCore(n int) *admission.Core {
+	c := admission.New(admission.Policy{Slots: n + 1, TTFTTarget: time.Second, TBTTarget: 60 * time.Millisecond})
+	for i := range n {
+		c.Tick(0, admission.Arrive{Attempt: admission.Attempt{
+			ID: incarnation(i), Deadline: time.Hour, PromptTokens: 500, MaxTokens: 400,
+		}})
+	}
+	return c
+}
+
+func measureAdmission(context.Context) ([]Quantity, error) {
+	sizes := []int{8, 32, 128}
+	return all(
+		spec{Quantity{ID: "admission.token", Help: "tick for one token", Unit: Nanoseconds, Per: "running attempt"},
+			sizes, func(n int) (float64, error) {
+				c, now := runningCore(n), time.Duration(0)
+				return perOperation(func() {
+					now += time.Millisecond
+					c.Tick(now, admission.Token{ID: incarnation(0), N: 1})
+				}), nil
+			}},
+		spec{Quantity{ID: "admission.attempt", Help: "arrival and end of one attempt", Unit: Nanoseconds, Per: "running attempt"},
+			sizes, func(n int) (float64, error) {
+				c, i := runningCore(n), n
+				return perOperation(func() {
+					i++
+					id := strconv.Itoa(i)
+					c.Tick(time.Second, admission.Arrive{Attempt: admission.Attempt{ID: id, Deadline: time.Hour, PromptTokens: 500, MaxTokens: 400}})
+					c.Tick(time.Second, admission.Finish{ID: id})
+				}), nil
+			}},
+		spec{Quantity{ID: "admission.idle", Help: "tick of the timer, 100 a second", Unit: Nanoseconds, Per: "running attempt"},
+			sizes, func(n int) (float64, error) {
+				c, now := runningCore(n), time.Duration(0)
+				return perOperation(func() { now += time.Microsecond; c.Tick(now) }), nil
+			}},
+	)
+}
+
+// newEngine serves a model engine that streams as many tokens as it is asked
+// for, at once.
+func newEngine() (addr string, stop func(), err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "capacity: listen")
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(generate), ReadHeaderTimeout: engineHeader}
+	go func() { _ = srv.Serve(ln) }()
+	return ln.Addr().String(), func() { _ = srv.Close() }, nil
+}
+
+// generate streams a chat completion; the number of tokens is a header.
+func generate(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	tokens, _ := strconv.Atoi(r.Header.Get("X-Tokens"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for range tokens {
+		_, _ = fmt.Fprintf(w, "data: {\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", tokenText)
+		_ = flush.Flush()
+	}
+	_, _ = io.WriteString(w, "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
+}
+
+func runRequest(s *sidecar.Server, attempt string, tokens int) *peerv1.RunRequest {
+	return &peerv1.RunRequest{
+		AttemptId: attempt, Incarnation: s.Incarnation(), Class: peerv1.Class_CLASS_ONLINE, Service: modelService,
+		Workspace: workspaceName(0), DeadlineMs: 30_000, Method: http.MethodPost, Path: "/v1/chat/completions",
+		Headers: []*peerv1.Header{{Name: "X-Tokens", Value: strconv.Itoa(tokens)}},
+		Body:    []byte(`{"model":"m","messages":[]}`), Model: true, PromptTokens: 500, MaxTokens: 400, Prefix: 1 << 60,
+	}
+}
+
+// measureStreams runs attempts through a sidecar and its engine and counts
+// what the connection between entry and sidecar carries.
+func measureStreams(ctx context.Context) ([]Quantity, error) {
+	engine, stop, err := newEngine()
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	s := sidecar.New(sidecarSettings(engine), log.New(io.Discard))
+	path, h := peerv1connect.NewSidecarHandler(s)
+	l, err := newLoopback(ctx, path, h)
+	if err != nil {
+		return nil, err
+	}
+	defer l.stop()
+	onWire := Quantity{ID: "stream.bytes", Help: "answer between entry and sidecar", Unit: Bytes, Per: "token"}
+	processor := Quantity{ID: "stream.cpu", Help: "entry side, sidecar and engine stand-in", Unit: Nanoseconds, Per: "token"}
+	if err := runAll(ctx, l, s, 1, requestsAtOnce, "warm"); err != nil {
+		return nil, err
+	}
+	for _, tokens := range []int{1, 50, 200, 400} {
+		bytes, ns, err := l.cost(func() error { return runAll(ctx, l, s, tokens, requestsAtOnce, strconv.Itoa(tokens)) })
+		if err != nil {
+			return nil, err
+		}
+		onWire.Points = append(onWire.Points, Point{float64(tokens), bytes / requestsAtOnce})
+		processor.Points = append(processor.Points, Point{float64(tokens), ns / requestsAtOnce})
+	}
+	onWire.Line, processor.Line = Fit(onWire.Points), Fit(processor.Points)
+	encoded, err := over(Quantity{ID: "stream.event", Help: "encoded event without framing", Unit: Bytes, Per: "token"},
+		[]int{1, 2, 4}, func(n int) (float64, error) { return float64(n * proto.Size(tokenEvent())), nil })
+	return []Quantity{onWire, processor, encoded}, err
+}
+
+func tokenEvent() *peerv1.RunEvent {
+	return &peerv1.RunEvent{
+		Seq: 200, Event: &peerv1.RunEvent_Delta{Delta: &peerv1.Delta{Data: []byte(tokenText), Tokens: 1}},
+		Load: &peerv1.Load{RunningOnline: 7, RunningBatch: 3, Slots: 32, BatchRoom: 2, StepUs: 30_000, ConfigVersion: 1 << 20},
+	}
+}
+
+// runAll runs n attempts, one after the other.
+func runAll(ctx context.Context, l *loopback, s *sidecar.Server, tokens, n int, id string) error {
+	for i := range n {
+		req := runRequest(s, fmt.Sprintf("%s-%d", id, i), tokens)
+		if err := runOne(ctx, l, req, tokens); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func runOne(ctx context.Context, l *loopback, req *peerv1.RunRequest, tokens int) error {
+	stream, err := l.clients.Online(l.addr).Run(ctx, connect.NewRequest(req))
+	if err != nil {
+		return errors.Wrap(err, "capacity: run")
+	}
+	defer func() { _ = stream.Close() }()
+	got, ended := 0, false
+	for stream.Receive() {
+		switch ev := stream.Msg().Event.(type) {
+		case *peerv1.RunEvent_Delta:
+			got++
+		case *peerv1.RunEvent_End:
+			ended = true
+		case *peerv1.RunEvent_Refused:
+			return errors.Errorf("capacity: attempt refused: %s", ev.Refused.Message)
+		}
+	}
+	if !ended || got != tokens {
+		return errors.Errorf("capacity: %d of %d tokens, end %t", got, tokens, ended)
+	}
+	return errors.Wrap(stream.Err(), "capacity: run")
+}
--- /dev/null
+++ b/internal/capacity/routing.go
@@ -0,0 +1,68 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/routing"
+)
+
+const (
+	modelService = "assistant"
+	region       = "region-1"
+	zone         = "zone-1"
+	reportedAt   = time.Second
+)
+
+func backendName(i int) string { return fmt.Sprintf("backend-%05d", i) }
+
+func newRoutingTable(n int) *routing.Table {
+	t := routing.New(region, zone, 1)
+	for i := range n {
+		name := backendName(i)
+		t.Upsert(routing.Backend{
+			Instance: name, Addr: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), Incarnation: incarnation(i),
+			Service: modelService, Region: region, Zone: zone,
+		})
+		t.Observe(reportedAt, name, routing.Load{RunningOnline: i % 8, Slots: 32, BatchRoom: 4, Step: 30 * time.Millisecond})
+	}
+	return t
+}
+
+// incarnation has the length of the identifiers that processes choose.
+func incarnation(i int) string { return fmt.Sprintf("%08d-0000-4000-8000-000000000000", i) }
+
+func measureRouting(context.Context) ([]Quantity, error) {
+	sizes := []int{40, 200, 1000, 2500}
+	pick := func(class admission.Class) func(int) (float64, error) {
+		return func(n int) (float64, error) {
+			t := newRoutingTable(n)
+			prefix := uint64(0)
+			return perOperation(func() {
+				prefix++
+				t.Pick(reportedAt, routing.Request{Service: modelService, Class: class, Prefix: prefix})
+			}), nil
+		}
+	}
+	return all(
+		spec{Quantity{ID: "routing.pick.online", Help: "choose a backend server", Unit: Nanoseconds, Per: "backend server"},
+			sizes, pick(admission.Online)},
+		spec{Quantity{ID: "routing.pick.batch", Help: "choose a backend server", Unit: Nanoseconds, Per: "backend server"},
+			sizes, pick(admission.Batch)},
+		spec{Quantity{ID: "routing.observe", Help: "take one load report in", Unit: Nanoseconds, Per: "backend server"},
+			sizes, func(n int) (float64, error) {
+				t := newRoutingTable(n)
+				i := 0
+				return perOperation(func() {
+					i = (i + 1) % n
+					t.Observe(reportedAt, backendName(i), routing.Load{Slots: 32, Step: time.Millisecond})
+				}), nil
+			}},
+		spec{Quantity{ID: "routing.row", Help: "memory of the table", Unit: Bytes, Per: "backend server"},
+			sizes, func(n int) (float64, error) {
+				return heapOf(func() (*routing.Table, error) { return newRoutingTable(n), nil })
+			}},
+	)
+}
