entry: items that may not be repeated have the service's deadline and survive a stop

Two causes, both seen in chaos. Each attempt now has the service's deadline, after which the key is settled by veto or as unknown. A cancelled wait settles nothing. Ruled out: the scheduler (other items went on) and the sidecars (the calls had run).

What is not settled uses up no try: with the log down, four refused claims would have failed an accepted item for ever.

Before: TestJobOfCallsThatMayNotBeRepeated/entries_lost failed, in_progress after 60 s. After: passes, 9.8 s for both cases.

--- a/internal/chaos/job.go
+++ b/internal/chaos/job.go
@@ -49,6 +49,13 @@
 	return chatPath
 }
 
+func (op Op) itemURL() string {
+	if op.Calls && op.Delay > 0 {
+		return fmt.Sprintf("%s?delay_ms=%d", op.endpoint(), op.Delay.Milliseconds())
+	}
+	return op.endpoint()
+}
+
 func itemID(op Op, i int) string { return fmt.Sprintf("%s-i%d", op.ID, i) }
 
 // itemPrompt is the prompt of one item of a job.
@@ -112,7 +119,7 @@
 		if op.Calls {
 			body = strconv.Quote(itemID(op, i))
 		}
-		_, _ = fmt.Fprintf(part, `{"custom_id":"i%d","method":"POST","url":%q,"body":%s}`+"\n", i, op.endpoint(), body)
+		_, _ = fmt.Fprintf(part, `{"custom_id":"i%d","method":"POST","url":%q,"body":%s}`+"\n", i, op.itemURL(), body)
 	}
 	_ = form.Close()
 	q := request{
--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
 
@@ -140,28 +141,34 @@
 	r.judge(t)
 }
 
-// TestJobOfCallsThatMayNotBeRepeated replaces the plain service's instances
-// while a job's items call it. Each item runs at most once.
+// TestJobOfCallsThatMayNotBeRepeated loses the plain service's instances, or
+// all entries, while a job's items call the service. Each item runs at most
+// once, and the job ends though lost entries held the items' keys.
 func TestJobOfCallsThatMayNotBeRepeated(t *testing.T) {
-	r := newTestRound(t, Plan{})
-	op := Op{Kind: Batch, ID: "calls", Items: 60, Calls: true}
-	var job sync.WaitGroup
-	job.Go(func() { r.run(t.Context(), op) })
-	ran := func() int {
-		n := 0
-		for _, list := range r.observe().Executions {
-			n += len(list)
-		}
-		return n
-	}
-	eventually(t, "items run", func() bool { return ran() > 0 })
-	for _, n := range r.cluster.Plain {
-		n.Kill()
-		assert.NilError(t, n.Start())
-		assert.NilError(t, r.awaitKnown(n))
+	for name, nodes := range map[string]func(*Round) []*proctest.Node{
+		"service lost": func(r *Round) []*proctest.Node { return r.cluster.Plain },
+		"entries lost": func(r *Round) []*proctest.Node { return r.cluster.Entries },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestRound(t, Plan{})
+			op := Op{Kind: Batch, ID: "calls", Items: 40, Calls: true, Delay: 300 * time.Millisecond}
+			var job sync.WaitGroup
+			job.Go(func() { r.run(t.Context(), op) })
+			eventually(t, "items run", func() bool {
+				return len(r.observe().Executions[0])+len(r.observe().Executions[1]) > 4
+			})
+			for _, n := range nodes(r) {
+				n.Kill()
+			}
+			for _, n := range nodes(r) {
+				assert.NilError(t, n.Start())
+				assert.NilError(t, r.awaitKnown(n))
+			}
+			close(r.healed)
+			job.Wait()
+			assert.Equal(t, r.history.Jobs[0].Final.Status, "completed")
+			r.judge(t)
+		})
 	}
-	close(r.healed)
-	job.Wait()
-	assert.Equal(t, r.history.Jobs[0].Final.Status, "completed")
-	r.judge(t)
 }
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -168,17 +168,29 @@
 }
 
 // claimed runs an item that may not be repeated, under the item's own key. An
-// unknown outcome is the item's final result.
+// unknown outcome is the item's final result. Each attempt has the service's
+// deadline, so that a key that a lost entry holds is settled in time, and a
+// planned stop waits for it as for a caller's request.
 func (d *dispatcher) claimed(ctx context.Context, svc *desired.Service, it batch.Item, c *call) (batch.Answer, error) {
 	c.nonIdempotent = true
+	if own := time.Now().Add(deadlineOf(svc)); own.Before(c.deadline) {
+		c.deadline = own
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	d.e.inProgress.Add(1)
+	defer d.e.inProgress.Add(-1)
 	rec, _, err := d.e.claims.run(ctx, c, svc, itemKeyPrefix+it.Key)
 	if err == nil {
 		return batch.Answer{Status: rec.Status, RequestID: c.id, Body: rec.Body}, nil
 	}
-	if kerr := errkind.From(err); kerr.Kind == errkind.OutcomeUnknown {
+	kerr := errkind.From(err)
+	if kerr.Kind == errkind.OutcomeUnknown {
 		return badItem(it, kerr), nil
 	}
-	return batch.Answer{}, err
+	// The key makes another attempt safe, and this one used up no try.
+	retry := errkind.Wrap(err, kerr.Kind, "the item was not settled").WithRetryAfter(kerr.Answer().RetryAfter)
+	return batch.Answer{}, retry.WithOutcome(errkind.NotRun)
 }
 
 // forItem makes a call one attempt at a batch item.
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -164,6 +164,9 @@
 	if err == nil {
 		return row, nil
 	}
+	if errors.Is(err, context.Canceled) {
+		return row, errkind.Wrap(err, errkind.InProgress, "cancelled while another request holds the key")
+	}
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
 	defer cancel()
 	row, err = k.claimer.Resolve(sctx, c.workspace, key)
@@ -176,9 +179,15 @@
 // dispatch sends a claimed call to the sidecar that the claim names. again
 // says that it was proved not to have run and that its claim is released.
 func (k *claims) dispatch(ctx context.Context, c *call, svc *desired.Service, row claim.Row, b routing.Backend) (rec claim.Recorded, recorded, again bool, err error) {
+	if ctx.Err() != nil {
+		return rec, false, false, k.withdraw(ctx, row)
+	}
 	c.claimOffset = uint64(row.Claimed.Next)
 	out := &plainSink{limit: k.entry.settings.Limits.MaxBodyBytes}
-	res := k.entry.attempt(ctx, c, b, out)
+	// Whoever goes away from here on does not stop what may not be repeated.
+	actx, stop := context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	defer stop()
+	res := k.entry.attempt(actx, c, b, out)
 	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
 	defer cancel()
 	switch res.ending {
@@ -205,6 +214,14 @@
 	return rec, false, false, unknownOutcome(res.err)
 }
 
+// withdraw releases the claim of a call that is not sent any more.
+func (k *claims) withdraw(ctx context.Context, row claim.Row) error {
+	sctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTime)
+	defer cancel()
+	_, _, err := k.claimer.Release(sctx, row, claim.ProofNeverSent)
+	return errkind.Wrap(err, errkind.Cancelled, "cancelled before it was sent").WithOutcome(errkind.NotRun)
+}
+
 // complete records a whole answer before it is given.
 func (k *claims) complete(ctx context.Context, svc *desired.Service, row claim.Row, rec claim.Recorded) (claim.Recorded, bool, error) {
 	ended, err := k.claimer.Complete(ctx, row, rec)
