--- a/internal/chaos/live_test.go
+++ b/internal/chaos/live_test.go
@@ -197,6 +197,7 @@
 }
 
 func TestEveryInstanceReplacedUnderLoad(t *testing.T) {
+	t.Parallel()
 	r := newTestRound(t, Plan{Profile: Planned})
 	ctx, stop := context.WithCancel(t.Context())
 	var load, stops sync.WaitGroup
@@ -241,4 +242,13 @@
 	for _, f := range r.history.Foreign {
 		assert.Equal(t, f.Status, http.StatusNotFound, f.What)
 	}
+	// One key in two workspaces is two keys.
+	for ws := range workspaces {
+		call := Op{Kind: KeyedPost, ID: fmt.Sprintf("of-%d", ws), Workspace: ws}
+		q := r.plainRequest(call, call.ID)
+		q.key = "same"
+		a := r.record(t.Context(), call, q)
+		assert.Assert(t, a.whole, "%+v", a)
+		assert.Equal(t, r.executions(call.ID), 1)
+	}
 }
