chaos: rounds on a log that forgets, broken rounds fail the verdict

One round in twenty has a log that keeps records for 10 s, waits until every record of the round has expired, replaces an entry and only then reads results and kept replies and sends keyed calls again.

A round that could not be run counted for nothing in the verdict (seen: a port taken by another process); now the verdict is FAIL, and the forwarder tries another port.

--- a/cmd/chaos/main.go
+++ b/cmd/chaos/main.go
@@ -106,6 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
+		s.total.NotRounds++
 		s.failed = append(s.failed, seed)
 		fmt.Printf("seed %d: could not be run: %v\n", seed, err)
 		return nil
--- a/internal/chaos/fault.go
+++ b/internal/chaos/fault.go
@@ -67,7 +67,7 @@
 			Kind: mixedFaults[g.rng.IntN(len(mixedFaults))], Target: g.rng.IntN(60),
 			N: 1 + g.rng.IntN(12), Delay: g.between(5*time.Millisecond, 200*time.Millisecond),
 		}
-		if g.percent(longPercent) {
+		if g.percent(longPercent) && p != Expiring {
 			f.For = g.between(4*time.Second, 7*time.Second)
 		}
 		if f.Kind == LogAppliesLate && g.percent(50) {
--- a/internal/chaos/job.go
+++ b/internal/chaos/job.go
@@ -176,7 +176,7 @@
 // awaitJob waits for the job's end and reads its results at every entry, once
 // the faults have ended.
 func (r *Round) awaitJob(ctx context.Context, op Op, id string, rec *JobRecord) {
-	if !r.awaitHealed(ctx) {
+	if !await(ctx, r.healed) {
 		return
 	}
 	q := request{method: http.MethodGet, path: "/v1/batches/" + id, workspace: op.Workspace}
@@ -193,6 +193,9 @@
 		rec.Err = fmt.Sprintf("the job is %q after %s", rec.Final.Status, jobTimeout)
 		return
 	}
+	if !await(ctx, r.aged) {
+		return
+	}
 	for salt := range entries {
 		rec.Outputs = append(rec.Outputs, Output{
 			Results: r.content(ctx, op, rec.Final.OutputFileID, salt),
--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -17,6 +17,7 @@
 func TestJobSurvivesTheEntryThatAcknowledgedIt(t *testing.T) {
 	r := newTestRound(t, Plan{})
 	close(r.healed)
+	close(r.aged)
 	op := Op{Kind: Batch, ID: "ack", Items: 30, Tokens: 20, Strike: NoStrike}
 	file, ok := r.upload(t.Context(), op)
 	assert.Assert(t, ok)
@@ -42,6 +43,7 @@
 func TestJobGoesOnAfterALogOutage(t *testing.T) {
 	r := newTestRound(t, Plan{})
 	close(r.healed)
+	close(r.aged)
 	op := Op{Kind: Batch, ID: "outage", Items: 40, Tokens: 40, Poison: map[int]string{7: standin.PoisonCrash, 9: standin.PoisonRefused}}
 	rec := JobRecord{Op: op}
 	file, ok := r.upload(t.Context(), op)
@@ -69,6 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			r := newTestRound(t, Plan{})
 			close(r.healed)
+			close(r.aged)
 			op := Op{Kind: Batch, ID: "unanswered", Items: 5, Tokens: 5}
 			file, ok := r.upload(t.Context(), op)
 			assert.Assert(t, ok)
@@ -89,6 +92,7 @@
 func TestCancelledJobStops(t *testing.T) {
 	r := newTestRound(t, Plan{})
 	close(r.healed)
+	close(r.aged)
 	op := Op{Kind: Batch, ID: "cancel", Items: 400, Tokens: 60, CancelAfter: 1}
 	rec := JobRecord{Op: op}
 	file, ok := r.upload(t.Context(), op)
@@ -112,6 +116,7 @@
 	t.Parallel()
 	r := newTestRound(t, Plan{})
 	close(r.healed)
+	close(r.aged)
 	op := Op{Kind: Batch, ID: "early", Items: 5, Tokens: 5}
 	rec := JobRecord{Op: op}
 	file, ok := r.upload(t.Context(), op)
@@ -166,6 +171,7 @@
 				assert.NilError(t, r.awaitKnown(n))
 			}
 			close(r.healed)
+			close(r.aged)
 			job.Wait()
 			assert.Equal(t, r.history.Jobs[0].Final.Status, "completed")
 			r.judge(t)
--- a/internal/chaos/operations.go
+++ b/internal/chaos/operations.go
@@ -61,7 +61,7 @@
 	q := r.chatRequest(op, op.ID)
 	q.body = storedBody(prompt(op.ID), op.Tokens)
 	a := r.record(ctx, op, q)
-	if !a.whole || !a.recorded || !r.awaitHealed(ctx) {
+	if !a.whole || !a.recorded || !await(ctx, r.aged) {
 		return
 	}
 	id := fileObject{}.idOf(a.body)
@@ -102,4 +102,9 @@
 		})
 	}
 	wg.Wait()
+	if r.plan.Profile == Expiring && await(ctx, r.aged) {
+		q := build(op, op.ID+"/late")
+		q.key = op.ID
+		r.record(ctx, op, q)
+	}
 }
--- a/internal/chaos/plan.go
+++ b/internal/chaos/plan.go
@@ -89,6 +89,9 @@
 	Mixed Profile = "mixed"
 	// Planned takes graceful stops only, which must cut off nothing.
 	Planned Profile = "planned"
+	// Expiring takes any faults on a log with a short retention and looks at
+	// what must stay readable after every first record of it has expired.
+	Expiring Profile = "expiring"
 )
 
 // Plan is the schedule of one round, a pure function of its seed.
@@ -110,6 +113,9 @@
 	racesPerRound  = 3
 	maxItems       = 40
 	plannedEvery   = 8
+	expiringEvery  = 20
+	logRetention   = 10 * time.Second
+	ageing         = 2 * logRetention
 	strikesPercent = 4
 )
 
@@ -117,8 +123,11 @@
 func NewPlan(seed uint64) Plan {
 	g := &generator{seed: seed, rng: rand.New(rand.NewPCG(seed, 0))}
 	p := Plan{Seed: seed, Profile: Mixed}
-	if seed%plannedEvery == 0 {
+	switch {
+	case seed%plannedEvery == 0:
 		p.Profile = Planned
+	case seed%expiringEvery == 1:
+		p.Profile = Expiring
 	}
 	for i := range liveOps {
 		p.Ops = append(p.Ops, g.live(i, p.Profile))
@@ -159,7 +168,7 @@
 	switch {
 	case op.Kind == KeyedPost || op.Kind == KeyedChat:
 		op.Sends = g.sends(p)
-	case op.Kind == ChatStream && p == Mixed && g.percent(strikesPercent):
+	case op.Kind == ChatStream && p != Planned && g.percent(strikesPercent):
 		op.Strike = []Strike{KillBackendMidStream, FreezeBackendMidStream}[g.rng.IntN(2)]
 	}
 	return op
@@ -173,7 +182,7 @@
 		if i > 0 {
 			sends[i].After = g.within(600 * time.Millisecond)
 		}
-		if p == Mixed && g.percent(30) {
+		if p != Planned && g.percent(30) {
 			sends[i].GiveUp = g.between(5*time.Millisecond, 300*time.Millisecond)
 		}
 	}
--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -29,8 +29,10 @@
 	publisher *desired.Publisher
 	log       *logFaults
 	history   *History
-	// healed is closed once every fault has ended.
+	// healed is closed once every fault has ended, aged once what must stay
+	// readable may be looked at.
 	healed  chan struct{}
+	aged    chan struct{}
 	strikes sync.WaitGroup
 	ctx     context.Context
 
@@ -43,7 +45,11 @@
 func Run(ctx context.Context, p Plan, dir string) (*Verdict, error) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
-	cluster, err := proctest.Start(deployment(dir))
+	o := deployment(dir)
+	if p.Profile == Expiring {
+		o.LogRetention = logRetention
+	}
+	cluster, err := proctest.Start(o)
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +77,7 @@
 func newRound(ctx context.Context, p Plan, c *proctest.Cluster) *Round {
 	return &Round{
 		plan: p, cluster: c, balancer: newBalancer(c.Entries), publisher: desired.NewPublisher(c.Log.Log(), nil),
-		log: &logFaults{log: c.Log}, history: newHistory(), healed: make(chan struct{}), ctx: ctx,
+		log: &logFaults{log: c.Log}, history: newHistory(), healed: make(chan struct{}), aged: make(chan struct{}), ctx: ctx,
 	}
 }
 
@@ -102,6 +108,7 @@
 	r.heal()
 	inForce := r.awaitInForce(ctx)
 	r.history.add(func(h *History) { h.InForce = inForce })
+	r.age(ctx)
 	ops.Wait()
 	r.strikes.Wait()
 	return r.failure()
@@ -134,10 +141,20 @@
 	close(r.healed)
 }
 
-// awaitHealed waits until every fault has ended.
-func (r *Round) awaitHealed(ctx context.Context) bool {
+// age lets every record of the round expire and replaces an entry, which then
+// knows only what was renewed.
+func (r *Round) age(ctx context.Context) {
+	if r.plan.Profile == Expiring {
+		pause(ctx, ageing)
+		r.replace(r.cluster.Entries[0])
+	}
+	close(r.aged)
+}
+
+// await waits for a phase of the round; it returns false if ctx ended first.
+func await(ctx context.Context, phase <-chan struct{}) bool {
 	select {
-	case <-r.healed:
+	case <-phase:
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -59,8 +59,10 @@
 // Verdict is what the checker says of one or more rounds.
 type Verdict struct {
 	Rounds, Requests, Answered, Unknown, NotRun, Dropped, Jobs, Items, Publications int
-	Faults                                                                          map[string]int
-	Findings                                                                        []Finding
+	// NotRounds counts the rounds that could not be run to their end.
+	NotRounds int
+	Faults    map[string]int
+	Findings  []Finding
 }
 
 // NewVerdict returns a verdict over no rounds.
@@ -69,6 +71,7 @@
 // Add takes another verdict in.
 func (v *Verdict) Add(o *Verdict) {
 	v.Rounds += o.Rounds
+	v.NotRounds += o.NotRounds
 	v.Requests += o.Requests
 	v.Answered += o.Answered
 	v.Unknown += o.Unknown
@@ -83,8 +86,8 @@
 	v.Findings = append(v.Findings, o.Findings...)
 }
 
-// OK reports whether nothing was broken.
-func (v *Verdict) OK() bool { return len(v.Findings) == 0 }
+// OK reports whether every round was run to its end and nothing was broken.
+func (v *Verdict) OK() bool { return len(v.Findings) == 0 && v.NotRounds == 0 }
 
 // Count returns how often a promise was broken.
 func (v *Verdict) Count(b Breach) int {
@@ -103,8 +106,8 @@
 
 // Print writes the verdict in full.
 func (v *Verdict) Print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "rounds %d  requests %d (answered %d, not_run %d, dropped by the caller %d, unknown %d)  jobs %d  items %d  publications %d\n",
-		v.Rounds, v.Requests, v.Answered, v.NotRun, v.Dropped, v.Unknown, v.Jobs, v.Items, v.Publications)
+	_, _ = fmt.Fprintf(w, "rounds %d (and %d that could not be run)  requests %d (answered %d, not_run %d, dropped by the caller %d, unknown %d)  jobs %d  items %d  publications %d\n",
+		v.Rounds, v.NotRounds, v.Requests, v.Answered, v.NotRun, v.Dropped, v.Unknown, v.Jobs, v.Items, v.Publications)
 	total := 0
 	for _, n := range v.Faults {
 		total += n
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -30,6 +30,8 @@
 	// Step is the engines' time between tokens, PlainDelay how long a call
 	// takes at a plain service.
 	Step, PlainDelay time.Duration
+	// LogRetention is how long the log keeps a record; zero for ever.
+	LogRetention time.Duration
 	// Document is the desired state to start with; may be empty.
 	Document string
 	// Dir receives settings and logs; a temporary one if empty.
@@ -132,6 +134,7 @@
 		}
 		return a
 	}
+	s.Log.Retention = desired.Duration(c.opts.LogRetention)
 	s.Log.Listen, s.Instances.Listen = addr(), addr()
 	for range c.opts.Engines {
 		s.Engines = append(s.Engines, standin.EngineSettings{
--- a/internal/proctest/forwarder.go
+++ b/internal/proctest/forwarder.go
@@ -8,7 +8,10 @@
 	"github.com/pkg/errors"
 )
 
-const forwardBuffer = 32 << 10
+const (
+	forwardBuffer = 32 << 10
+	listenTries   = 20
+)
 
 // Forwarder passes TCP connections on to a target, and can cut, stall or delay
 // them. A new one passes everything.
@@ -29,20 +32,30 @@
 
 // NewForwarder listens on a free loopback address for connections to target.
 func NewForwarder(target string) (*Forwarder, error) {
-	addr, err := FreeAddr()
+	ln, err := listenFree()
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "proctest: forwarder")
-	}
-	f := &Forwarder{Addr: addr, target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
+	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
 	close(f.resume)
 	f.wg.Go(f.accept)
 	return f, nil
 }
 
+// listenFree listens on a free address; another process may take one first.
+func listenFree() (net.Listener, error) {
+	for try := 1; ; try++ {
+		addr, err := FreeAddr()
+		if err != nil {
+			return nil, err
+		}
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || try == listenTries {
+			return ln, errors.Wrap(err, "proctest: forwarder")
+		}
+	}
+}
+
 // Cut closes every connection and refuses new ones until Restore.
 func (f *Forwarder) Cut() {
 	f.mu.Lock()
--- a/internal/proctest/node.go
+++ b/internal/proctest/node.go
@@ -13,6 +13,7 @@
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/platform"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 	"github.com/catkinrudder/catkinrudder/settings"
@@ -92,7 +93,9 @@
 	n.lives++
 	s := settings.Settings{
 		Instance: fmt.Sprintf("%s-%d", n.base, n.lives), Role: settings.RoleEntry, Region: region, Zone: zone,
-		Platform: settings.Platform{Instances: n.cluster.listAt, Log: n.cluster.logAddr},
+		Platform: settings.Platform{
+			Instances: n.cluster.listAt, Log: n.cluster.logAddr, LogRetention: desired.Duration(n.cluster.opts.LogRetention),
+		},
 	}
 	addrs := []*string{&s.PeerListen, &s.OperatorListen}
 	if n.Entry() {
--- a/internal/standin/logservice.go
+++ b/internal/standin/logservice.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	faults  LogFaults
 	appends uint64
+	streams map[string]bool
 }
 
 // LogFaults are the faults in force at a log service.
@@ -49,7 +50,7 @@
 
 // NewLogService returns an empty log service.
 func NewLogService() *LogService {
-	l := &LogService{log: journaltest.NewMemLog()}
+	l := &LogService{log: journaltest.NewMemLog(), streams: make(map[string]bool)}
 	l.log.OnAppend(l.fault)
 	return l
 }
@@ -152,9 +153,10 @@
 }
 
 // fault chooses what happens to one append.
-func (l *LogService) fault(string, []byte) journaltest.Fault {
+func (l *LogService) fault(stream string, _ []byte) journaltest.Fault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.streams[stream] = true
 	l.appends++
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -34,6 +34,8 @@
 // LogSettings configure the log service.
 type LogSettings struct {
 	Listen string `toml:"listen,omitempty"`
+	// Retention is how long records are kept, zero for ever.
+	Retention desired.Duration `toml:"retention,omitempty"`
 }
 
 // InstancesSettings configure the instance list.
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -52,6 +52,9 @@
 // Run serves the set until ctx ends.
 func (s *Set) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
+	if retention := s.settings.Log.Retention.Std(); s.Log != nil && retention > 0 {
+		g.Go(func() error { s.Log.expire(ctx, retention); return nil })
+	}
 	if s.Log != nil {
 		g.Go(func() error { return serve(ctx, s.settings.Log.Listen, s.Log.Routes) })
 	}
