claim: an attempt that was vetoed at once is not claimed again

Cause: Acquire took a row that was released between its commit and the lookup for a lost race and claimed it again for the same attempt, which the sidecar had promised never to start. Safe, but four appends for nothing, and an attempt id would name two claims.

Before: TestVetoedAttemptIsNotClaimedAgain saw 4 appends.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -15,8 +15,9 @@
 
 // Errors of a Claimer.
 var (
-	// ErrContended says that others claimed and released the row each time;
-	// the attempt does not hold it and was not sent.
+	// ErrContended says that others claimed and released the row each time, or
+	// that the claim was vetoed at once; the attempt does not hold the row and
+	// was not sent.
 	ErrContended = errors.New("claim: row contended")
 	// ErrNoAnswer says that the row or reply has no recorded answer.
 	ErrNoAnswer = errors.New("claim: no recorded answer")
@@ -77,9 +78,16 @@
 			return State{}, err
 		}
 		row, _ = c.fold.Lookup(claim.Workspace, claim.Key)
-		if row.Phase == Held && row.Claimed == versionOf(pos) {
+		if row.Claimed != versionOf(pos) {
+			continue
+		}
+		if row.Phase == Held {
 			return State{Result: Won, Row: row}, nil
 		}
+		if row.Phase.Ended() {
+			return stateOf(row, claim), nil
+		}
+		break // vetoed already, and so is the attempt
 	}
 	return State{}, ErrContended
 }
--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/journal"
@@ -206,3 +208,39 @@
 	_, err = p.stream.Commit(t.Context(), entries...)
 	assert.NilError(t, err)
 }
+
+// vetoingLog has another writer release each claim right behind it.
+type vetoingLog struct {
+	*journaltest.MemLog
+	t       *testing.T
+	claim   Claim
+	appends int
+}
+
+func (l *vetoingLog) Append(ctx context.Context, stream string, p []byte) (journal.Offset, error) {
+	l.appends++
+	at, err := l.MemLog.Append(ctx, stream, p)
+	c := l.claim
+	c.Base = Version{Next: at + 1}
+	e, err2 := journal.NewEntry(KindRelease, Release{Claim: c, Proof: ProofVetoed})
+	assert.Check(l.t, err2)
+	record, err2 := cbor.Marshal(map[int]any{1: 1, 2: "vetoer", 3: l.appends, 4: []journal.Entry{e}})
+	assert.Check(l.t, err2)
+	_, err2 = l.MemLog.Append(ctx, stream, record)
+	assert.Check(l.t, err2)
+	return at, err
+}
+
+func TestVetoedAttemptIsNotClaimedAgain(t *testing.T) {
+	inBubble(t, func(t *testing.T, ctx context.Context, m *journaltest.MemLog) {
+		l := &vetoingLog{MemLog: m, t: t, claim: newClaim("1")}
+		a := start(ctx, l, "a", nil)
+		_, err := a.Acquire(ctx, newClaim("1"))
+		// The read-back may see the claim before its release: then it was won.
+		assert.Assert(t, err == nil || errors.Is(err, ErrContended), "%v", err)
+		time.Sleep(time.Second)
+		row, _ := a.Lookup("treater-a", "serial-1")
+		assert.Equal(t, row.Phase, Released)
+		assert.Equal(t, l.appends, 1)
+	})
+}
