claim: forget a disowned claim that loses

Cause: an attempt whose claim was in doubt stayed in the fold's memory for ever if its claim lost the race. TestDisownedClaimThatLosesIsForgotten saw one entry left before, none after.

--- a/claim/fold.go
+++ b/claim/fold.go
@@ -138,6 +138,8 @@
 	if err := c.check(); err != nil {
 		return err
 	}
+	_, disowned := f.disowned[c.Attempt]
+	delete(f.disowned, c.Attempt)
 	row := f.touch(c, pos)
 	if row.Version != c.Base || !f.machine.fire(&row, trigClaim) {
 		return nil
@@ -145,8 +147,7 @@
 	row.Claim = c
 	row.Claimed = versionOf(pos)
 	f.put(row, pos)
-	if _, ok := f.disowned[c.Attempt]; ok {
-		delete(f.disowned, c.Attempt)
+	if disowned {
 		f.onDisowned(row)
 	}
 	return nil
--- a/claim/fold_test.go
+++ b/claim/fold_test.go
@@ -237,3 +237,12 @@
 	rows, replies := f.Len()
 	assert.Equal(t, rows+replies, 0)
 }
+
+func TestDisownedClaimThatLosesIsForgotten(t *testing.T) {
+	f := NewFold()
+	lost := Claim{Workspace: "w", Key: "a", Attempt: "2"}
+	f.disown(lost, func(Row) { t.Error("a claim that lost was released") })
+	feed(t, f, 0, Claim{Workspace: "w", Key: "a", Attempt: "1"})
+	feed(t, f, 1, lost)
+	assert.Equal(t, len(f.disowned), 0)
+}
