--- a/admission/stepmodel.go
+++ b/admission/stepmodel.go
@@ -5,8 +5,7 @@
 const (
 	// forget is the weight that one more observation leaves to older ones.
 	forget = 0.9995
-	// priorWeight is the weight, in observations, of the assumption that full
-	// batches take priorSlowdown times as long as one stream.
+	// priorWeight is the weight, in observations, of priorPerStream.
 	priorWeight = 20
 	// meanGain is the gain of exponential moving averages.
 	meanGain = 0.05
