Batch: the end of an adopted job stands though its output was renewed first

Cause: a table that starts late may fold the renewal of an output file before its job; it then refused the job's end, since the file existed, and took a later cancel instead. Before: the new test ends in cancelling.

--- a/batch/renew_test.go
+++ b/batch/renew_test.go
@@ -183,3 +183,38 @@
 	_, err = table.File("a", "f", now)
 	assert.NilError(t, err)
 }
+
+// TestEndOfAnAdoptedJob folds the renewal of the output file, and a cancel that
+// came too late, before the job itself.
+func TestEndOfAnAdoptedJob(t *testing.T) {
+	at := func(o int) journal.Position { return journal.Position{Offset: journal.Offset(o)} }
+	out := File{ID: "out", Workspace: "a", SHA256: hash64}
+	job := Job{ID: "j", Workspace: "a", InputFile: "f"}
+	seg, err := NewSegment("j", []Result{{Status: 200}}, 1)
+	assert.NilError(t, err)
+	table := NewTable()
+	for _, l := range []logEntry{
+		{at(5), KindSegment, seg},
+		{at(6), KindFinished, Finished{Job: "j", At: 1, Output: &out, Done: 1, OK: 1, Base: at(5)}},
+		{at(8), KindRenewFile, RenewFile{File: out, Accepted: at(6), Base: at(7)}},
+		{at(9), KindCancel, Cancel{Job: "j", Workspace: "a"}},
+		{at(10), KindRenewJob, RenewJob{
+			Job: job, Accepted: at(1), Base: at(5), StartedPos: at(2), LastSegment: at(5),
+			Started: &Started{Job: "j", Total: 1, Blocks: []int64{0}, At: 1},
+		}},
+	} {
+		assert.NilError(t, l.applyOrOrphan(table))
+	}
+	v, err := table.Job("a", "j", now)
+	assert.NilError(t, err)
+	assert.Equal(t, v.Status, Completed)
+	assert.Equal(t, v.OutputFile, "out")
+}
+
+// applyOrOrphan applies an entry whose job may not be known yet.
+func (l logEntry) applyOrOrphan(t *Table) error {
+	if err := l.apply(t); err != nil && len(t.orphans) == 0 {
+		return err
+	}
+	return nil
+}
--- a/batch/table_jobs.go
+++ b/batch/table_jobs.go
@@ -163,11 +163,11 @@
 	}
 	if f.Output != nil {
 		r.output = f.Output.ID
-		t.addFile(pos, *f.Output)
+		t.addOutput(pos, *f.Output)
 	}
 	if f.Errors != nil {
 		r.errID = f.Errors.ID
-		t.addFile(pos, *f.Errors)
+		t.addOutput(pos, *f.Errors)
 	}
 	r.ok, r.failed = f.OK, f.Done-f.OK
 	r.ended, r.expired, r.endedAt, r.expires = true, f.Expired, f.At, f.Expires
@@ -175,7 +175,18 @@
 	return t.settle(r)
 }
 
-// checkOutputs checks both output files before either has an effect.
+// addOutput adds an output file, unless its renewal or its deletion was folded
+// before the job was adopted; the caller holds mu.
+func (t *Table) addOutput(pos journal.Position, f File) {
+	_, known := t.files[f.ID]
+	_, gone := t.deleted[fileID{f.Workspace, f.ID}]
+	if !known && !gone {
+		t.addFile(pos, f)
+	}
+}
+
+// checkOutputs checks both output files before either has an effect. A file
+// that exists already was renewed if the job was, and is refused otherwise.
 func (t *Table) checkOutputs(r *jobRow, f Finished) error {
 	for _, out := range []*File{f.Output, f.Errors} {
 		if out == nil {
@@ -184,7 +195,7 @@
 		if err := out.check(); err != nil {
 			return err
 		}
-		if _, ok := t.files[out.ID]; ok || out.Workspace != r.job.Workspace {
+		if _, ok := t.files[out.ID]; (ok && !r.renewed) || out.Workspace != r.job.Workspace {
 			return errors.Wrapf(ErrRefused, "output file %s", out.ID)
 		}
 	}
