Batch: a table that fell behind retention starts again

The table drops what it knew and takes the rest from renewals, as one that starts late does, and the runner folds to the end again before it hands anything out. Replaces Gap, which nothing called.

--- a/batch/renew.go
+++ b/batch/renew.go
@@ -266,11 +266,23 @@
 	}
 }
 
-// Gap says that the reader fell behind retention and goes on at first: what
-// was deleted in between is unknown.
-func (t *Table) Gap(first journal.Offset) {
+// Reset says that the reader fell behind retention and goes on at first. What
+// was deleted in between is unknown, so the table starts again from what the
+// log still keeps, as one that starts late does.
+func (t *Table) Reset(first journal.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.applied = true
-	t.floor = max(t.floor, first)
+	empty := NewTable()
+	t.files, t.jobs, t.open, t.keys = empty.files, empty.jobs, empty.open, empty.keys
+	t.fileOrder, t.jobOrder = empty.fileOrder, empty.jobOrder
+	t.deleted, t.orphans = empty.deleted, empty.orphans
+	t.applied, t.floor = true, first
+	t.resets++
+}
+
+// resetCount returns how often the table has started again.
+func (t *Table) resetCount() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.resets
 }
--- a/batch/renew_test.go
+++ b/batch/renew_test.go
@@ -155,6 +155,17 @@
 		for _, l := range m.entries[first:] {
 			_ = l.apply(late)
 		}
+		behind := NewTable() // fell behind retention on its way
+		for _, l := range m.entries[:first/2] {
+			_ = l.apply(behind)
+		}
+		behind.Reset(journal.Offset(first))
+		for _, l := range m.entries[first:] {
+			_ = l.apply(behind)
+		}
+		if got, want := look(t, m, behind), look(t, m, late); got != want {
+			t.Fatalf("after a gap up to %d:\n%sfrom there on:\n%s", first, got, want)
+		}
 		if got, want := look(t, m, late), look(t, m, m.table); got != want {
 			t.Fatalf("from offset %d of %d, renewed from %d on:\n%swhole log:\n%s", first, len(m.entries), base, got, want)
 		}
--- a/batch/runner_shard.go
+++ b/batch/runner_shard.go
@@ -14,17 +14,20 @@
 	ready bool
 	// term counts the changes of ownership.
 	term int
+	// resets is how often the table had started again when the term began.
+	resets int
 }
 
 // syncShards notices which shards are owned; a new owner folds everything that
-// former owners completed before it starts anything.
+// former owners completed before it starts anything, and so does one whose
+// table had to start again.
 func (r *Runner) syncShards(ctx context.Context) {
 	for _, s := range r.shards {
-		owned := r.opts.Owner(s.ID)
-		if owned == s.owned {
+		owned, resets := r.opts.Owner(s.ID), s.Table.resetCount()
+		if owned == s.owned && resets == s.resets {
 			continue
 		}
-		s.owned, s.ready = owned, false
+		s.owned, s.ready, s.resets = owned, false, resets
 		s.term++
 		if owned {
 			r.catchUp(ctx, s, s.term)
--- a/batch/table.go
+++ b/batch/table.go
@@ -34,6 +34,7 @@
 	// first one applied, or the end of a gap.
 	floor   journal.Offset
 	applied bool
+	resets  int
 	deleted map[fileID]tombstone
 	// orphans are facts about jobs whose own record is older than floor and
 	// whose renewal has not been applied yet.
