Poll a bounded subset of sidecars and entries

Each entry polled every sidecar and every other entry each 500 ms and read the platform's whole list as often. At 1,200 entries and 10,000 sidecars that is 22,400 calls and 3.6 MB of list a second for each entry. It also found the owner of a duty by walking all members: 640 times a second (16 shards at 25 ms).

Beyond that an entry polls 32 near sidecars of each service (16 in its availability zone, the rest in its region) and 8 far ones by highest random weight, and any sidecar that counts it among its 4 nearest entries, so that every sidecar has 4 pollers whatever the others choose. The live entries and their ring are kept until they may have changed.

Ruled out: a random subset (no bound on uncovered sidecars), zone only (loses a zone's callers with the zone), polls of 16 an interval beyond 16 targets (over 9 KB/s once each report carries a policy), and go-rendezvous's Remove, which indexes behind its slices.

Beyond 64 sidecars an entry's status shows only what it polls.

internal/entry tests green with -race, all packages green without.

--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -47,7 +46,7 @@
 		Shards:      b.shards,
 		Dispatcher:  &dispatcher{e},
 		Services:    services{e},
-		Owner:       func(shard int) bool { return e.ready() && e.fleet.owns("batch/"+strconv.Itoa(shard)) },
+		Owner:       func(shard int) bool { return e.ready() && e.fleet.owns(batchDuty(shard)) },
 		Logger:      e.logger,
 	})
 	return b
--- /dev/null
+++ b/internal/entry/duties.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+// The duties that one entry carries for all.
+const (
+	renewConfiguration = "renew/configuration"
+	renewClaims        = "renew/claims"
+)
+
+// batchDuty is the duty of the owner of a batch shard.
+func batchDuty(shard int) string { return "batch/" + strconv.Itoa(shard) }
+
+// duties lists every duty.
+func duties() []string {
+	out := []string{renewConfiguration, renewClaims}
+	for i := range batchShards {
+		out = append(out, batchDuty(i))
+	}
+	return out
+}
+
+// peerEntries returns the addresses of up to most other live entries.
+func (f *fleet) peerEntries(most int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, m := range f.members {
+		if len(out) == most {
+			break
+		}
+		if m.instance.Role == string(settings.RoleEntry) && m.instance.Name != f.settings.Instance && m.missed < missedReports {
+			out = append(out, m.instance.PeerAddr)
+		}
+	}
+	return out
+}
+
+// entries is how many entries are live, this one included.
+func (f *fleet) entries() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.liveEntries())
+}
+
+// entriesChanged makes the live entries be found again; the caller holds mu.
+func (f *fleet) entriesChanged() { f.live, f.ring = nil, nil }
+
+// liveEntries names this entry and the live others; the caller holds mu.
+func (f *fleet) liveEntries() []string {
+	if f.live != nil {
+		return f.live
+	}
+	names := []string{f.settings.Instance}
+	for name, m := range f.members {
+		live := m.instance.Role == string(settings.RoleEntry) && m.missed < missedReports && !m.draining && !m.leaving
+		if live && name != f.settings.Instance {
+			names = append(names, name)
+		}
+	}
+	f.live = names
+	return names
+}
+
+// owns reports whether this entry is the one that carries a duty: the first in
+// rendezvous order over the live entries.
+func (f *fleet) owns(duty string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ring == nil {
+		f.ring = rendezvous.New(f.liveEntries(), xxhash.Sum64String)
+	}
+	return f.ring.Lookup(duty) == f.settings.Instance
+}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,7 +43,7 @@
 	draining    bool
 }
 
-// fleet keeps the tables of instances. mu guards members and table.
+// fleet keeps the tables of instances. mu guards what follows it.
 type fleet struct {
 	settings settings.Settings
 	clients  *peer.Clients
@@ -56,6 +57,12 @@
 	mu      sync.Mutex
 	members map[string]*member
 	table   *routing.Table
+	// targets are the instances that are polled, a slice of them in each round.
+	targets []string
+	round   int
+	// ring and live are the live entries, nil once they may have changed.
+	ring *rendezvous.Rendezvous
+	live []string
 }
 
 func newFleet(s settings.Settings, clients *peer.Clients, logger *log.Logger, config *desired.Table, link *link) *fleet {
@@ -90,8 +97,15 @@
 	}
 }
 
-// configChanged makes the next poll happen at once.
+// configChanged makes the next poll happen at once, unless one poll reaches
+// only a slice of the instances anyway.
 func (f *fleet) configChanged() {
+	f.mu.Lock()
+	rounds := pollRounds(len(f.targets))
+	f.mu.Unlock()
+	if rounds > 1 {
+		return
+	}
 	select {
 	case f.poke <- struct{}{}:
 	default:
@@ -99,12 +113,14 @@
 }
 
 func (f *fleet) poll(ctx context.Context) {
-	if rows, err := f.list.List(ctx); err == nil {
-		f.sync(rows)
+	if f.listDue() {
+		if rows, err := f.list.List(ctx); err == nil {
+			f.sync(rows)
+		}
 	}
 	var g errgroup.Group
 	g.SetLimit(reportsAtOnce)
-	for _, m := range f.snapshot() {
+	for _, m := range f.nextTargets() {
 		switch settings.Role(m.instance.Role) {
 		case settings.RoleSidecar:
 			g.Go(func() error { f.pollSidecar(ctx, m); return nil })
@@ -115,6 +131,28 @@
 	_ = g.Wait()
 }
 
+// listDue reports whether the platform's list is read in this round. The first
+// round reads it.
+func (f *fleet) listDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.round%listRounds(len(f.members)) == 0
+}
+
+// nextTargets returns the instances to poll in this round and begins the next.
+func (f *fleet) nextTargets() []member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []member
+	for _, name := range slice(f.targets, f.round) {
+		if m, ok := f.members[name]; ok {
+			out = append(out, *m)
+		}
+	}
+	f.round++
+	return out
+}
+
 // sync takes over the platform's list.
 func (f *fleet) sync(rows []platform.Instance) {
 	f.mu.Lock()
@@ -137,6 +175,48 @@
 			f.forget(name)
 		}
 	}
+	f.entriesChanged()
+	f.setTargets(f.choose(rows))
+}
+
+// choose returns the instances that this entry polls.
+func (f *fleet) choose(rows []platform.Instance) []string {
+	self := platform.Instance{Name: f.settings.Instance, Region: f.settings.Region, Zone: f.settings.Zone}
+	live := []platform.Instance{self}
+	var others, sidecars []platform.Instance
+	for _, row := range rows {
+		switch {
+		case row.Role == string(settings.RoleSidecar):
+			sidecars = append(sidecars, row)
+		case row.Role != string(settings.RoleEntry) || row.Name == self.Name:
+		default:
+			others = append(others, row)
+			if row.State != platform.Leaving {
+				live = append(live, row)
+			}
+		}
+	}
+	watched := names(others)
+	if len(others) > allEntries {
+		watched = watchSet(self.Name, names(live), duties())
+	}
+	return append(pollSet(self, live, sidecars), watched...)
+}
+
+// setTargets begins to poll other instances and forgets what it was told by
+// those that it no longer polls; the caller holds mu.
+func (f *fleet) setTargets(targets []string) {
+	slices.Sort(targets)
+	for _, name := range f.targets {
+		if _, ok := slices.BinarySearch(targets, name); ok {
+			continue
+		}
+		if m, ok := f.members[name]; ok {
+			m.incarnation, m.missed, m.draining = "", 0, false
+			f.table.Remove(name)
+		}
+	}
+	f.targets = targets
 }
 
 // forget drops an instance; the caller holds mu.
@@ -152,6 +232,7 @@
 		event.Log(f.logger, event.BackendLeaving, "backend", m.instance.Name)
 	}
 	m.leaving = true
+	f.entriesChanged()
 	f.table.Remove(m.instance.Name)
 }
 
@@ -269,57 +350,18 @@
 	}
 	if err != nil {
 		cur.missed++
+		f.entriesChanged()
 		return
 	}
+	if cur.missed > 0 || cur.draining != resp.Msg.Draining {
+		f.entriesChanged()
+	}
 	cur.missed = 0
 	cur.incarnation = resp.Msg.Incarnation
 	cur.version = resp.Msg.ConfigVersion
 	cur.draining = resp.Msg.Draining
 }
 
-// peerEntries returns the addresses of up to most other live entries.
-func (f *fleet) peerEntries(most int) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for _, m := range f.members {
-		if len(out) == most {
-			break
-		}
-		if m.instance.Role == string(settings.RoleEntry) && m.instance.Name != f.settings.Instance && m.missed < missedReports {
-			out = append(out, m.instance.PeerAddr)
-		}
-	}
-	return out
-}
-
-// entries is how many entries are live, this one included.
-func (f *fleet) entries() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.liveEntries())
-}
-
-// liveEntries names this entry and the live others; the caller holds mu.
-func (f *fleet) liveEntries() []string {
-	names := []string{f.settings.Instance}
-	for name, m := range f.members {
-		live := m.instance.Role == string(settings.RoleEntry) && m.missed < missedReports && !m.draining && !m.leaving
-		if live && name != f.settings.Instance {
-			names = append(names, name)
-		}
-	}
-	return names
-}
-
-// owns reports whether this entry is the one that carries a duty: the first in
-// rendezvous order over the live entries.
-func (f *fleet) owns(duty string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return rendezvous.New(f.liveEntries(), xxhash.Sum64String).Lookup(duty) == f.settings.Instance
-}
-
 // pick chooses a backend server for one attempt.
 func (f *fleet) pick(q routing.Request) (routing.Decision, bool) {
 	f.mu.Lock()
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -36,7 +35,7 @@
 			Table:    e.config,
 			Stream:   e.configLog,
 			Interval: retention / configRenewals,
-			Chosen:   func() bool { return e.fleet.owns("renew/configuration") },
+			Chosen:   func() bool { return e.fleet.owns(renewConfiguration) },
 			Failed:   func(err error) { event.Log(e.logger, event.RenewalFailed, "stream", desired.Stream, "err", err) },
 		}
 		r.Run(ctx)
@@ -48,7 +47,7 @@
 		}
 		source := chosenSource{
 			source: claim.NewRenewals(e.claims.stream, e.claims.fold),
-			chosen: func() bool { return e.fleet.owns("renew/claims") },
+			chosen: func() bool { return e.fleet.owns(renewClaims) },
 		}
 		journal.NewRenewer(e.claims.stream, source, retention, claimRenewalsPerSecond).Run(ctx)
 		return nil
@@ -56,7 +55,7 @@
 	g.Go(func() error {
 		batch.NewRenewer(batch.RenewerOptions{
 			Shards:       e.batches.shards,
-			Owner:        func(shard int) bool { return e.fleet.owns("batch/" + strconv.Itoa(shard)) },
+			Owner:        func(shard int) bool { return e.fleet.owns(batchDuty(shard)) },
 			LogRetention: retention,
 			Logger:       e.logger,
 		}).Run(ctx)
