--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -66,11 +66,7 @@
 		}
 		end.Errors = f
 	}
-	id := event.JobFinished
-	if v.Status == Cancelling {
-		id = event.JobCancelled
-	}
-	event.Log(r.opts.Logger, id, "job", v.ID, "ok", end.OK, "failed", end.Done-end.OK, "total", v.Total, "expired", expired)
+	event.Log(r.opts.Logger, event.JobFinished, "job", v.ID, "status", v.Status, "ok", end.OK, "failed", end.Done-end.OK, "total", v.Total, "expired", expired)
 	return commit(ctx, s.Stream, KindFinished, end)
 }
 
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -22,6 +22,9 @@
 // stored format.
 const batchShards = 16
 
+// settleShardTime bounds the wait of a new owner for a former one's attempts.
+const settleShardTime = 5 * time.Second
+
 // itemKeyPrefix keeps the keys of batch items apart from those of callers,
 // whose header values can't hold it.
 const itemKeyPrefix = "\x00item/"
@@ -46,12 +49,34 @@
 		Shards:      b.shards,
 		Dispatcher:  &dispatcher{e},
 		Services:    services{e},
+		Settle:      e.settleShard,
 		Owner:       func(shard int) bool { return e.ready() && e.fleet.owns(batchDuty(shard)) },
 		Logger:      e.logger,
 	})
 	return b
 }
 
+// settleShard waits until the sidecars hold no attempt of the shard's jobs.
+// Attempts of an owner that is lost end by themselves as their streams break;
+// those of one that only believes to be the owner are waited for a while, as a
+// second run costs work and harms nothing.
+func (e *Server) settleShard(ctx context.Context, shard int) error {
+	ctx, cancel := context.WithTimeout(ctx, settleShardTime)
+	defer cancel()
+	t := time.NewTicker(pollInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+		if !e.fleet.holdsAny(e.batches.shards[shard].Table.Open()) {
+			return nil
+		}
+	}
+}
+
 func (e *Server) batchRoutes(h *server.Hertz) {
 	batchapi.Register(h, batchapi.Deps{
 		Shards:       e.batches.shards,
@@ -131,8 +156,12 @@
 		return badItem(it, errkind.From(err)), nil
 	}
 	c.forItem(it)
+	c.prefer = d.e.keptAt.take(it.Key)
 	out := &textSink{}
 	res, worker := d.e.runOnce(ctx, c, avoid(it), out)
+	if res.ending == preempted {
+		d.e.keptAt.put(it.Key, worker)
+	}
 	if res.ending != whole {
 		return d.failed(it, c, res, worker)
 	}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -19,10 +19,8 @@
 
 const (
 	// maxTries bounds the backend servers that one request sees.
-	maxTries         = 4
-	retriesPerSecond = 20
-	retryBurst       = 40
-	defaultDeadline  = 60 * time.Second
+	maxTries        = 4
+	defaultDeadline = 60 * time.Second
 )
 
 // call is one request towards the backend servers of a service.
@@ -48,6 +46,9 @@
 	deadline      time.Time
 	resumeText    []byte
 	resumeTokens  int
+	// prefer is the backend server that holds the kept tokens of a preempted
+	// attempt, empty if none does.
+	prefer string
 }
 
 // sink takes an answer as it arrives. An error means that nobody listens.
@@ -103,13 +104,20 @@
 		}
 		exclude = append(exclude, d.Backend.Instance)
 		last = res.err
-		if try == maxTries || !e.retries.Allow() {
+		if try == maxTries || !e.mayRetry(res) {
 			return nil, e.giveUp(c, started, last)
 		}
 		event.Log(e.logger, event.RequestRetried, "request", c.id, "backend", d.Backend.Instance, "err", res.err)
 	}
 }
 
+// mayRetry takes from the retry budget, but for a refusal by an instance that
+// leaves or loads: that costs the fleet nothing.
+func (e *Server) mayRetry(res result) bool {
+	free := res.ending == notStarted && (res.err.Kind == errkind.Draining || res.err.Kind == errkind.NoBackend)
+	return free || e.limiter.retry()
+}
+
 // runOnce makes a single attempt, for callers that schedule tries themselves.
 // It returns the backend server that was chosen, if any.
 func (e *Server) runOnce(ctx context.Context, c *call, exclude []string, out sink) (result, string) {
@@ -169,6 +177,7 @@
 		Prefix:    c.prefix,
 		Tokens:    c.promptTokens + c.maxTokens,
 		Exclude:   exclude,
+		Prefer:    c.prefer,
 	}
 }
 
@@ -314,12 +323,22 @@
 		Prefix:        c.prefix,
 		ResumeText:    string(c.resumeText),
 		ResumeTokens:  uint32(c.resumeTokens),
+		CachedTokens:  uint32(c.cachedAt(b)),
 		Job:           c.job,
 		NonIdempotent: c.nonIdempotent,
 		ClaimOffset:   c.claimOffset,
 	}
 }
 
+// cachedAt estimates how many tokens of the call a backend server's cache
+// holds from a preempted attempt.
+func (c *call) cachedAt(b routing.Backend) int {
+	if c.prefer == "" || c.prefer != b.Instance {
+		return 0
+	}
+	return c.promptTokens + c.resumeTokens
+}
+
 func (c *call) nextAttempt() string {
 	if c.attemptID != "" {
 		return c.attemptID
--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
+	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
 
@@ -43,6 +44,20 @@
 	return out
 }
 
+// holdsAny reports whether some sidecar held an attempt of one of the jobs.
+func (f *fleet) holdsAny(jobs []batch.JobView) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		for _, j := range jobs {
+			if m.jobs[j.ID] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // entries is how many entries are live, this one included.
 func (f *fleet) entries() int {
 	f.mu.Lock()
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -47,6 +47,9 @@
 	running *peerv1.Spec
 	fence   uint64
 	loading bool
+	// jobs are the batch jobs whose attempts the sidecar held at its last
+	// report.
+	jobs map[string]bool
 }
 
 // fleet keeps the tables of instances. mu guards what follows it.
@@ -300,6 +303,10 @@
 		f.markLeaving(m)
 	}
 	m.running, m.fence, m.loading = r.Running, r.Fence, r.Loading
+	m.jobs = make(map[string]bool, len(r.Held))
+	for _, h := range r.Held {
+		m.jobs[h.Job] = true
+	}
 	if m.leaving {
 		return
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -55,7 +55,7 @@
 	budget      *rate.Limiter
 	config      *desired.Table
 	configLog   *journal.Stream
-	retries     *rate.Limiter
+	keptAt      *keptAt
 	batches     *batches
 	claims      *claims
 	placements  *placements
@@ -79,7 +79,7 @@
 		clients:     peer.NewClients(),
 		log:         platform.NewLog(s.Platform.Log),
 		budget:      rate.NewLimiter(rate.Limit(s.Limits.AppendsPerSecond), appendBurst),
-		retries:     rate.NewLimiter(retriesPerSecond, retryBurst),
+		keptAt:      newKeptAt(),
 		limiter:     newLimiter(),
 		drainOrder:  make(chan struct{}, 1),
 	}
--- a/internal/proctest/ports.go
+++ b/internal/proctest/ports.go
@@ -17,9 +17,26 @@
 	portBlock = 500
 )
 
+// ports is the block of ports that this process has reserved by listening on
+// the first of them for as long as it runs.
 var ports struct {
 	sync.Mutex
-	next int
+	reserved    net.Listener
+	first, next int
+}
+
+// reserve takes a block that no other process has; the caller holds ports.
+func reserve() error {
+	blocks := (lastPort - firstPort) / portBlock
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*portBlock
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first))
+		if err == nil {
+			ports.reserved, ports.first, ports.next = ln, first, first+1
+			return nil
+		}
+	}
+	return errors.New("proctest: no free block of ports")
 }
 
 // FreeAddr returns a loopback address that no earlier call returned and that
@@ -27,15 +44,16 @@
 func FreeAddr() (string, error) {
 	ports.Lock()
 	defer ports.Unlock()
-	if ports.next == 0 {
-		blocks := (lastPort - firstPort) / portBlock
-		ports.next = firstPort + os.Getpid()%blocks*portBlock
+	if ports.reserved == nil {
+		if err := reserve(); err != nil {
+			return "", err
+		}
 	}
-	for range lastPort - firstPort {
+	for range portBlock {
 		addr := fmt.Sprintf("127.0.0.1:%d", ports.next)
 		ports.next++
-		if ports.next == lastPort {
-			ports.next = firstPort
+		if ports.next == ports.first+portBlock {
+			ports.next = ports.first + 1
 		}
 		ln, err := net.Listen("tcp", addr)
 		if err == nil {
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -92,7 +92,9 @@
 	defer s.mu.Unlock()
 	id := a.req.AttemptId
 	if a.req.Incarnation != s.incarnation {
-		a.refuse(errkind.NoBackend, 0)
+		// Of an attempt that may not be repeated, the incarnation it was meant
+		// for may have started an earlier copy: this is no proof.
+		a.events <- refused(errkind.NoBackend, "meant for another incarnation", a.req.NonIdempotent, 0)
 		return false
 	}
 	if !s.orders.serves(a.req.ModelName) {
@@ -136,6 +138,7 @@
 		Deadline:      time.Duration(req.DeadlineMs) * time.Millisecond,
 		PromptTokens:  int(req.PromptTokens),
 		MaxTokens:     int(req.MaxTokens),
+		CachedTokens:  int(req.CachedTokens),
 		NonIdempotent: req.NonIdempotent,
 	}
 }
