Polls and health checks within 9 KB/s at full size

Now an entry polls 24 near and 8 far sidecars of each service, at most 137 in all, 7 an interval, and control connections are pinged after 15 s in place of 2 s: a poll is a ping, and control calls have timeouts of 1 s and less. Online and batch connections are pinged as before, since a frozen peer has to be found while a stream is open.

Worked out from the slopes: 14 polls/s x 411 B + 137 x 15 B/s of online pings + 0.4 KB/s of configuration peers = 8.3 KB/s. One round takes 10 s, within the 11 s for configuration; the test bounds both. Ruled out: 6 an interval (11.5 s), and a policy only from a sidecar's nearest pollers (slower, saves 3 KB/s).

--- a/internal/capacity/connections.go
+++ b/internal/capacity/connections.go
@@ -6,11 +6,14 @@
 	"runtime"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrudder/catkinrudder/internal/peer"
 	"github.com/catkinrudder/catkinrudder/internal/sidecar"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
 )
 
@@ -18,7 +21,7 @@
 // of the health checks of internal/peer.
 const idleFor = 9 * time.Second
 
-// connections are open connections of entries to one sidecar.
+// connections are open online connections of entries to one sidecar.
 type connections struct {
 	*loopback
 	open []*peer.Clients
@@ -34,7 +37,7 @@
 	for range n {
 		clients := peer.NewClients()
 		c.open = append(c.open, clients)
-		if err := report(ctx, &loopback{addr: l.addr, clients: clients}); err != nil {
+		if err := reportOnline(ctx, clients, l.addr); err != nil {
 			c.close()
 			return nil, err
 		}
@@ -42,6 +45,12 @@
 	return c, nil
 }
 
+// reportOnline opens a connection of the online class.
+func reportOnline(ctx context.Context, clients *peer.Clients, addr string) error {
+	_, err := clients.Online(addr).Report(ctx, connect.NewRequest(&peerv1.ReportRequest{}))
+	return errors.Wrap(err, "capacity: report")
+}
+
 func (c *connections) close() {
 	for _, clients := range c.open {
 		clients.Close()
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -134,6 +134,17 @@
 				b, err := json.Marshal(instanceList(n))
 				return float64(len(b)), err
 			}},
+		spec{Quantity{ID: "list.row", Help: "memory of the decoded list", Unit: Bytes, Per: "instance"},
+			sizes, func(n int) (float64, error) {
+				return heapOf(func() (platform.InstanceList, error) {
+					var out platform.InstanceList
+					b, err := json.Marshal(instanceList(n))
+					if err != nil {
+						return out, err
+					}
+					return out, json.Unmarshal(b, &out)
+				})
+			}},
 		spec{Quantity{ID: "list.decode", Help: "decode the list", Unit: Nanoseconds, Per: "instance"},
 			sizes, func(n int) (float64, error) {
 				b, err := json.Marshal(instanceList(n))
--- a/internal/entry/rounds.go
+++ b/internal/entry/rounds.go
@@ -4,7 +4,7 @@
 	// pollsAtOnce is how many instances are polled in one interval where all
 	// are; a larger set is polled in slices of pollSlice.
 	pollsAtOnce = 16
-	pollSlice   = 8
+	pollSlice   = 7
 	// listSlice is how many instances of the platform's list one interval
 	// pays for.
 	listSlice = 256
--- a/internal/entry/subset.go
+++ b/internal/entry/subset.go
@@ -17,8 +17,8 @@
 	allEntries  = 16
 	// zoneSidecars of each service are in the entry's availability zone if
 	// there are as many, nearSidecars in its region, farSidecars elsewhere.
-	zoneSidecars = 16
-	nearSidecars = 32
+	zoneSidecars = 12
+	nearSidecars = 24
 	farSidecars  = 8
 	// sidecarPollers is how many entries poll a sidecar at the least.
 	sidecarPollers = 4
--- a/internal/entry/subset_test.go
+++ b/internal/entry/subset_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -13,6 +14,9 @@
 	"github.com/catkinrudder/catkinrudder/settings"
 )
 
+// configurationInForce is how long a change may take to reach every sidecar.
+const configurationInForce = 11 * time.Second
+
 // shape is a deployment of so many instances, spread evenly over services and
 // availability zones.
 type shape struct {
@@ -118,7 +122,9 @@
 	for i := 0; i < len(entries); i += 40 {
 		most = max(most, len(pollSet(entries[i], entries, sidecars)))
 	}
-	t.Logf("at most %d sidecars, polled once in %d rounds", most, pollRounds(most))
+	round := time.Duration(pollRounds(most)) * pollInterval
+	t.Logf("at most %d sidecars, polled once in %s", most, round)
+	assert.Assert(t, round < configurationInForce, "polled once in %s", round)
 	assert.Assert(t, most <= 2*s.services*(nearSidecars+farSidecars), "%d sidecars", most)
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -18,11 +18,14 @@
 	dialTimeout = time.Second
 	// pingAfter and pingTimeout find a peer that is frozen or cut off while a
 	// stream is open.
-	pingAfter       = 2 * time.Second
-	pingTimeout     = 2 * time.Second
-	idleTimeout     = 90 * time.Second
-	headerTimeout   = 5 * time.Second
-	shutdownTimeout = 5 * time.Second
+	pingAfter = 2 * time.Second
+	// controlPingAfter is longer than the time between two polls of a peer:
+	// control calls have short timeouts of their own, and a poll is a ping.
+	controlPingAfter = 15 * time.Second
+	pingTimeout      = 2 * time.Second
+	idleTimeout      = 90 * time.Second
+	headerTimeout    = 5 * time.Second
+	shutdownTimeout  = 5 * time.Second
 )
 
 // Clients opens clients of peers. Each class has connections of its own.
@@ -32,7 +35,11 @@
 
 // NewClients returns clients without any connection yet.
 func NewClients() *Clients {
-	return &Clients{online: newHTTPClient(), batch: newHTTPClient(), control: newHTTPClient()}
+	return &Clients{
+		online:  newHTTPClient(pingAfter),
+		batch:   newHTTPClient(pingAfter),
+		control: newHTTPClient(controlPingAfter),
+	}
 }
 
 // Online returns a client for online attempts.
@@ -62,7 +69,7 @@
 	}
 }
 
-func newHTTPClient() *http.Client {
+func newHTTPClient(pingAfter time.Duration) *http.Client {
 	var p http.Protocols
 	p.SetUnencryptedHTTP2(true)
 	dialer := &net.Dialer{Timeout: dialTimeout}
