--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -3,10 +3,14 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
 
@@ -44,17 +48,10 @@
 	assert.Assert(t, ok)
 	id, ok := r.submit(t.Context(), op, file, &rec)
 	assert.Assert(t, ok)
-	started := func() int {
-		n := 0
-		for _, list := range r.observe().Generations {
-			n += len(list)
-		}
-		return n
-	}
-	eventually(t, "items run", func() bool { return started() > 3 })
+	eventually(t, "items run", func() bool { return r.generations() > 3 })
 	r.log.change(func(l *standin.LogFaults) { l.Down = true })
-	before := started()
-	eventually(t, "the outage meets items", func() bool { return started() > before })
+	before := r.generations()
+	eventually(t, "the outage meets items", func() bool { return r.generations() > before })
 	r.log.change(func(l *standin.LogFaults) { l.Down = false })
 	r.awaitJob(t.Context(), op, id, &rec)
 	r.history.Jobs = append(r.history.Jobs, rec)
@@ -93,9 +90,85 @@
 	r := newTestRound(t, Plan{})
 	close(r.healed)
 	op := Op{Kind: Batch, ID: "cancel", Items: 400, Tokens: 60, CancelAfter: 1}
-	r.run(t.Context(), op)
-	rec := r.history.Jobs[0]
+	rec := JobRecord{Op: op}
+	file, ok := r.upload(t.Context(), op)
+	assert.Assert(t, ok)
+	id, ok := r.submit(t.Context(), op, file, &rec)
+	assert.Assert(t, ok)
+	eventually(t, "items run", func() bool { return r.generations() > 3 })
+	r.cancelJob(t.Context(), op, id, &rec)
 	assert.Assert(t, !rec.CancelAcked.IsZero(), "%+v", rec)
+	r.awaitJob(t.Context(), op, id, &rec)
+	r.history.Jobs = append(r.history.Jobs, rec)
 	assert.Equal(t, rec.Final.Status, "cancelled")
+	assert.Assert(t, r.generations() < op.Items)
+	r.judge(t)
+}
+
+// TestJobWaitsForTheConfiguration starts every entry anew while the
+// configuration can't be read and a job awaits its validation. The job must
+// not be judged by entries that know no service.
+func TestJobWaitsForTheConfiguration(t *testing.T) {
+	t.Parallel()
+	r := newTestRound(t, Plan{})
+	close(r.healed)
+	op := Op{Kind: Batch, ID: "early", Items: 5, Tokens: 5}
+	rec := JobRecord{Op: op}
+	file, ok := r.upload(t.Context(), op)
+	assert.Assert(t, ok)
+	const slow = 1000 * time.Millisecond
+	r.log.change(func(l *standin.LogFaults) { l.DelayMS = int(slow.Milliseconds()) })
+	id, ok := r.submit(t.Context(), op, file, &rec)
+	assert.Assert(t, ok)
+	// Nothing that the entries append from here on takes effect.
+	r.log.change(func(l *standin.LogFaults) { l.Down = true })
+	for _, n := range r.cluster.Entries {
+		n.Kill()
+	}
+	pause(t.Context(), 2*slow)
+	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{DownStream: desired.Stream} })
+	for _, n := range r.cluster.Entries {
+		assert.NilError(t, n.Start())
+	}
+	pause(t.Context(), 2*slow) // time for an entry to judge the job too early
+	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{} })
+	for _, n := range r.cluster.Entries {
+		assert.NilError(t, n.WaitReady())
+	}
+	r.awaitJob(t.Context(), op, id, &rec)
+	r.history.Jobs = append(r.history.Jobs, rec)
+	assert.Equal(t, rec.Final.Status, "completed")
 	r.judge(t)
 }
+
+// TestJobOfCallsThatMayNotBeRepeated loses the plain service's instances, or
+// all entries, while a job's items call the service. Each item runs at most
+// once, and the job ends though lost entries held the items' keys.
+func TestJobOfCallsThatMayNotBeRepeated(t *testing.T) {
+	for name, nodes := range map[string]func(*Round) []*proctest.Node{
+		"service lost": func(r *Round) []*proctest.Node { return r.cluster.Plain },
+		"entries lost": func(r *Round) []*proctest.Node { return r.cluster.Entries },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newTestRound(t, Plan{})
+			op := Op{Kind: Batch, ID: "calls", Items: 40, Calls: true, Delay: 300 * time.Millisecond}
+			var job sync.WaitGroup
+			job.Go(func() { r.run(t.Context(), op) })
+			eventually(t, "items run", func() bool {
+				return len(r.observe().Executions[0])+len(r.observe().Executions[1]) > 4
+			})
+			for _, n := range nodes(r) {
+				n.Kill()
+			}
+			for _, n := range nodes(r) {
+				assert.NilError(t, n.Start())
+				assert.NilError(t, r.awaitKnown(n))
+			}
+			close(r.healed)
+			job.Wait()
+			assert.Equal(t, r.history.Jobs[0].Final.Status, "completed")
+			r.judge(t)
+		})
+	}
+}
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -149,12 +149,12 @@
 		workspace: it.Workspace,
 		service:   svc.Name,
 		method:    it.Method,
-		path:      it.Path,
+		path:      strings.TrimPrefix(it.Path, batch.EndpointServices+svc.Name),
 		body:      it.Body,
 		headers:   []*peerv1.Header{{Name: "Content-Type", Value: "application/json"}},
 	}
 	c.forItem(it)
-	path, _, _ := strings.Cut(it.Path, "?")
+	path, _, _ := strings.Cut(c.path, "?")
 	if svc.NonIdempotent(it.Method, path) {
 		return d.claimed(ctx, svc, it, c)
 	}
@@ -167,17 +167,29 @@
 }
 
 // claimed runs an item that may not be repeated, under the item's own key. An
-// unknown outcome is the item's final result.
+// unknown outcome is the item's final result. Each attempt has the service's
+// deadline, so that a key that a lost entry holds is settled in time, and a
+// planned stop waits for it as for a caller's request.
 func (d *dispatcher) claimed(ctx context.Context, svc *desired.Service, it batch.Item, c *call) (batch.Answer, error) {
 	c.nonIdempotent = true
+	if own := time.Now().Add(deadlineOf(svc)); own.Before(c.deadline) {
+		c.deadline = own
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	d.e.inProgress.Add(1)
+	defer d.e.inProgress.Add(-1)
 	rec, _, err := d.e.claims.run(ctx, c, svc, itemKeyPrefix+it.Key)
 	if err == nil {
 		return batch.Answer{Status: rec.Status, RequestID: c.id, Body: rec.Body}, nil
 	}
-	if kerr := errkind.From(err); kerr.Kind == errkind.OutcomeUnknown {
+	kerr := errkind.From(err)
+	if kerr.Kind == errkind.OutcomeUnknown {
 		return badItem(it, kerr), nil
 	}
-	return batch.Answer{}, err
+	// The key makes another attempt safe, and this one used up no try.
+	retry := errkind.Wrap(err, kerr.Kind, "the item was not settled").WithRetryAfter(kerr.Answer().RetryAfter)
+	return batch.Answer{}, retry.WithOutcome(errkind.NotRun)
 }
 
 // forItem makes a call one attempt at a batch item.
