proctest: a forwarder keeps the listener that found its port

Cause: internal/chaos failed now and then with 'address already in use' on a port that had just been found free: between fork and exec a starting process holds a copy of the closed listener. Ruled out: two test processes in one block (blocks are reserved by a listener), wrap-around (a block of 2,000 fails as well), the ephemeral range (begins above). Change: the forwarder keeps its listener.

--- a/internal/proctest/forwarder.go
+++ b/internal/proctest/forwarder.go
@@ -29,15 +29,11 @@
 
 // NewForwarder listens on a free loopback address for connections to target.
 func NewForwarder(target string) (*Forwarder, error) {
-	addr, err := FreeAddr()
-	if err != nil {
-		return nil, err
-	}
-	ln, err := net.Listen("tcp", addr)
+	ln, err := listenFree()
 	if err != nil {
 		return nil, errors.Wrap(err, "proctest: forwarder")
 	}
-	f := &Forwarder{Addr: addr, target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
+	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
 	close(f.resume)
 	f.wg.Go(f.accept)
 	return f, nil
--- a/internal/proctest/ports.go
+++ b/internal/proctest/ports.go
@@ -14,7 +14,7 @@
 const (
 	firstPort = 12000
 	lastPort  = 32000
-	portBlock = 500
+	portBlock = 2000
 )
 
 // ports is the block of ports that this process has reserved by listening on
@@ -42,11 +42,23 @@
 // FreeAddr returns a loopback address that no earlier call returned and that
 // is free at the moment.
 func FreeAddr() (string, error) {
+	ln, err := listenFree()
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String(), nil
+}
+
+// listenFree listens on a loopback address that no earlier call used. Whoever
+// listens in this process keeps the listener rather than open it again: between
+// fork and exec a new process holds a copy of it, and the port stays in use.
+func listenFree() (net.Listener, error) {
 	ports.Lock()
 	defer ports.Unlock()
 	if ports.reserved == nil {
 		if err := reserve(); err != nil {
-			return "", err
+			return nil, err
 		}
 	}
 	for range portBlock {
@@ -55,11 +67,9 @@
 		if ports.next == ports.first+portBlock {
 			ports.next = ports.first + 1
 		}
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = ln.Close()
-			return addr, nil
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			return ln, nil
 		}
 	}
-	return "", errors.New("proctest: no free port")
+	return nil, errors.New("proctest: no free port")
 }
