Placement knows every sidecar of its service

With a bounded subset its owner would count only its own part as replicas and would order more loads than the document asks for. The owner of a service's placement now polls the whole service (at most 60 intervals a round), and decides nothing while a listed sidecar has neither reported nor missed four reports; so does an entry that has just started, which planned upon whatever had reported by then.

Ruled out: leaving placed services out of the subset, which would bring back 1,200 x 2,500 polls.

--- a/internal/entry/duties.go
+++ b/internal/entry/duties.go
@@ -18,12 +18,32 @@
 // batchDuty is the duty of the owner of a batch shard.
 func batchDuty(shard int) string { return "batch/" + strconv.Itoa(shard) }
 
-// duties lists every duty.
-func duties() []string {
+// placementDuty is the duty of the entry that decides what a service's backend
+// servers load.
+func placementDuty(service string) string { return "placement/" + service }
+
+// duties lists every duty, given the services whose models are placed.
+func duties(placed []string) []string {
 	out := []string{renewConfiguration, renewClaims}
 	for i := range batchShards {
 		out = append(out, batchDuty(i))
 	}
+	for _, service := range placed {
+		out = append(out, placementDuty(service))
+	}
+	return out
+}
+
+// placed lists the services whose models are placed.
+func (f *fleet) placed() []string {
+	var out []string
+	if v, ok := f.config.InForce(); ok {
+		for i := range v.Document.Services {
+			if svc := &v.Document.Services[i]; len(svc.Deploy) > 0 {
+				out = append(out, svc.Name)
+			}
+		}
+	}
 	return out
 }
 
@@ -74,6 +94,11 @@
 func (f *fleet) owns(duty string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	return f.ownsLocked(duty)
+}
+
+// ownsLocked is owns for a caller that holds mu.
+func (f *fleet) ownsLocked(duty string) bool {
 	if f.ring == nil {
 		f.ring = rendezvous.New(f.liveEntries(), xxhash.Sum64String)
 	}
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -139,28 +138,6 @@
 	_ = g.Wait()
 }
 
-// listDue reports whether the platform's list is read in this round. The first
-// round reads it.
-func (f *fleet) listDue() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.round%listRounds(len(f.members)) == 0
-}
-
-// nextTargets returns the instances to poll in this round and begins the next.
-func (f *fleet) nextTargets() []member {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []member
-	for _, name := range slice(f.targets, f.round) {
-		if m, ok := f.members[name]; ok {
-			out = append(out, *m)
-		}
-	}
-	f.round++
-	return out
-}
-
 // sync takes over the platform's list.
 func (f *fleet) sync(rows []platform.Instance) {
 	f.mu.Lock()
@@ -187,46 +164,6 @@
 	f.setTargets(f.choose(rows))
 }
 
-// choose returns the instances that this entry polls.
-func (f *fleet) choose(rows []platform.Instance) []string {
-	self := platform.Instance{Name: f.settings.Instance, Region: f.settings.Region, Zone: f.settings.Zone}
-	live := []platform.Instance{self}
-	var others, sidecars []platform.Instance
-	for _, row := range rows {
-		switch {
-		case row.Role == string(settings.RoleSidecar):
-			sidecars = append(sidecars, row)
-		case row.Role != string(settings.RoleEntry) || row.Name == self.Name:
-		default:
-			others = append(others, row)
-			if row.State != platform.Leaving {
-				live = append(live, row)
-			}
-		}
-	}
-	watched := names(others)
-	if len(others) > allEntries {
-		watched = watchSet(self.Name, names(live), duties())
-	}
-	return append(pollSet(self, live, sidecars), watched...)
-}
-
-// setTargets begins to poll other instances and forgets what it was told by
-// those that it no longer polls; the caller holds mu.
-func (f *fleet) setTargets(targets []string) {
-	slices.Sort(targets)
-	for _, name := range f.targets {
-		if _, ok := slices.BinarySearch(targets, name); ok {
-			continue
-		}
-		if m, ok := f.members[name]; ok {
-			m.incarnation, m.missed, m.draining = "", 0, false
-			f.table.Remove(name)
-		}
-	}
-	f.targets = targets
-}
-
 // forget drops an instance; the caller holds mu.
 func (f *fleet) forget(name string) {
 	delete(f.members, name)
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -63,16 +63,20 @@
 	}
 	for i := range doc.Services {
 		svc := &doc.Services[i]
-		if len(svc.Deploy) > 0 && p.entry.fleet.owns("placement/"+svc.Name) {
+		if len(svc.Deploy) > 0 && p.entry.fleet.owns(placementDuty(svc.Name)) {
 			p.planService(ctx, svc)
 		}
 	}
 }
 
 func (p *placements) planService(ctx context.Context, svc *desired.Service) {
+	servers, complete := p.entry.fleet.servers(svc.Name, p.table)
+	if !complete {
+		return
+	}
 	in := placement.Input{
 		Service:  svc.Name,
-		Servers:  p.entry.fleet.servers(svc.Name, p.table),
+		Servers:  servers,
 		MaxLoads: maxLoads,
 		LoadTime: loadTime,
 		Horizon:  demandHorizon,
@@ -100,19 +104,25 @@
 }
 
 // servers returns the live backend servers of a service that take orders.
-func (f *fleet) servers(service string, table *placement.Table) []placement.Server {
+// complete is false while one that is listed has neither reported nor missed
+// enough reports to count as gone: replicas may be running there.
+func (f *fleet) servers(service string, table *placement.Table) (out []placement.Server, complete bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var out []placement.Server
 	for name, m := range f.members {
-		live := m.instance.Role == string(settings.RoleSidecar) && m.incarnation != "" && !m.leaving
-		if !live || m.instance.Service != service || m.running == nil {
+		if m.instance.Role != string(settings.RoleSidecar) || m.instance.Service != service || m.leaving {
+			continue
+		}
+		if m.incarnation == "" && m.missed < missedReports {
+			return nil, false
+		}
+		if m.incarnation == "" || m.running == nil {
 			continue
 		}
 		order, _ := table.Order(name)
 		out = append(out, placement.Server{Instance: name, Running: toSpec(m.running), Ordered: order.Spec, Loading: m.loading})
 	}
-	return out
+	return out, true
 }
 
 // orderFor returns the order to hand to a sidecar that knows only older ones.
