--- a/internal/proctest/binaries.go
+++ b/internal/proctest/binaries.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -30,13 +31,26 @@
 		return "", errors.Wrap(err, "proctest: build")
 	}
 	path := filepath.Join(dir, "catkinrudderd")
-	out, err := exec.Command("go", "build", "-o", path, daemonPackage).CombinedOutput()
+	cmd := exec.Command("go", "build", "-o", path, daemonPackage)
+	cmd.Dir = sourceDir()
+	out, err := cmd.CombinedOutput()
 	if err != nil {
 		return "", errors.Wrapf(err, "proctest: build: %s", out)
 	}
 	return path, nil
 }
 
+// sourceDir is where this package's source lies, so that the daemon is built
+// from the same tree whatever the working directory is; empty if that is not
+// known.
+func sourceDir() string {
+	_, file, _, ok := runtime.Caller(0)
+	if dir := filepath.Dir(file); ok && filepath.IsAbs(dir) {
+		return dir
+	}
+	return ""
+}
+
 // RemoveDaemon deletes the binary that Daemon built.
 func RemoveDaemon() {
 	if daemonPath != "" {
--- a/internal/proctest/forwarder.go
+++ b/internal/proctest/forwarder.go
@@ -8,10 +8,7 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	forwardBuffer = 32 << 10
-	listenTries   = 20
-)
+const forwardBuffer = 32 << 10
 
 // Forwarder passes TCP connections on to a target, and can cut, stall or delay
 // them. A new one passes everything.
@@ -34,7 +31,7 @@
 func NewForwarder(target string) (*Forwarder, error) {
 	ln, err := listenFree()
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(err, "proctest: forwarder")
 	}
 	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
 	close(f.resume)
@@ -42,20 +39,6 @@
 	return f, nil
 }
 
-// listenFree listens on a free address; another process may take one first.
-func listenFree() (net.Listener, error) {
-	for try := 1; ; try++ {
-		addr, err := FreeAddr()
-		if err != nil {
-			return nil, err
-		}
-		ln, err := net.Listen("tcp", addr)
-		if err == nil || try == listenTries {
-			return ln, errors.Wrap(err, "proctest: forwarder")
-		}
-	}
-}
-
 // Cut closes every connection and refuses new ones until Restore.
 func (f *Forwarder) Cut() {
 	f.mu.Lock()
