--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -105,6 +105,11 @@
 	}
 	faults.Wait()
 	pause(ctx, span-time.Since(started))
+	if ctx.Err() != nil {
+		ops.Wait()
+		r.strikes.Wait()
+		return errors.Wrap(ctx.Err(), "chaos: round")
+	}
 	r.heal()
 	inForce := r.awaitInForce(ctx)
 	r.history.add(func(h *History) { h.InForce = inForce })
--- a/internal/proctest/node.go
+++ b/internal/proctest/node.go
@@ -45,6 +45,7 @@
 	lives    int
 	settings settings.Settings
 	proc     *Process
+	closed   bool
 	links    Links
 }
 
@@ -164,7 +165,7 @@
 func (n *Node) start() error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.proc != nil && n.proc.Running() {
+	if n.closed || n.proc != nil && n.proc.Running() {
 		return nil
 	}
 	raw, err := toml.Marshal(n.settings)
@@ -287,7 +288,11 @@
 	return string(b)
 }
 
+// close ends the instance for good.
 func (n *Node) close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
 	n.Kill()
 	n.mu.Lock()
 	defer n.mu.Unlock()
