--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/peer"
 	"github.com/catkinrudder/catkinrudder/internal/platform"
@@ -35,7 +36,11 @@
 	f.reported(f.members[name], &peerv1.ReportResponse{Incarnation: "i", Instance: name, Load: &peerv1.Load{}})
 	_, known := f.table.LoadOf(name)
 	assert.Assert(t, known)
+	jobs := []batch.JobView{{Job: batch.Job{ID: "j"}}}
+	f.members[name].jobs = map[string]bool{"j": true}
+	assert.Assert(t, f.holdsAny(jobs))
 	f.setTargets(nil)
+	assert.Assert(t, !f.holdsAny(jobs), "a report that is no longer renewed still counts")
 	_, known = f.table.LoadOf(name)
 	assert.Assert(t, !known, "a backend server that is no longer polled is still in the table")
 	assert.Equal(t, f.members[name].incarnation, "")
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -116,6 +116,7 @@
 		}
 		if m, ok := f.members[name]; ok {
 			m.incarnation, m.missed, m.draining = "", 0, false
+			m.running, m.jobs = nil, nil
 			f.table.Remove(name)
 		}
 	}
