Batch renewal keeps up with any number of rows

Cause: a step renewed at most 32 rows of a shard, 64 steps a renewal age, so a shard with over 2,048 rows let results expire (docs/CAPACITY.md: ten times too slow at full size; today one open job of 320,000 items has 2,667 segments). Ruled out: shorter steps, as the log's appends are the scarce thing. Change: a step takes the share that renews every row in a quarter of the age.

--- a/batch/due.go
+++ b/batch/due.go
@@ -19,6 +19,17 @@
 	segments []dueSegment
 }
 
+// kept returns how many rows the table holds that renewals restate.
+func (t *Table) kept() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n := len(t.files) + len(t.jobs)
+	for _, j := range t.jobs {
+		n += len(j.segments)
+	}
+	return n
+}
+
 // dueFile is a file to append again; copyContent says that its chunks are old
 // too. A file that has expired is kept as a marker without content.
 type dueFile struct {
--- a/batch/renewer.go
+++ b/batch/renewer.go
@@ -19,9 +19,12 @@
 	// renewSteps is how many times per renewal age a renewer looks for rows
 	// that are due.
 	renewSteps = 64
-	// renewBatch bounds the rows that one step appends again, so that a
-	// renewal after an outage is no burst.
-	renewBatch = 32
+	// renewBatch is how many rows one step may always append again. With more
+	// rows than steps of that size can renew, a step takes the share that
+	// renews every row in a renewSpread-th of the renewal age, so that a
+	// renewal after an outage is no burst and none comes too late.
+	renewBatch  = 32
+	renewSpread = 4
 	// renewRetries is how many times per renewal age a failed renewal is tried
 	// again.
 	renewRetries = 16
@@ -70,7 +73,7 @@
 	}
 }
 
-// Step appends again up to renewBatch rows that are due in each owned shard
+// Step appends again a bounded number of rows that are due in each owned shard
 // and returns the first failure. It is not safe for concurrent use.
 func (r *Renewer) Step(ctx context.Context, now time.Time) error {
 	for id, until := range r.failed {
@@ -95,7 +98,7 @@
 		_, ok := r.failed[id]
 		return ok
 	}
-	d := s.Table.due(now, now.Add(-r.age), renewBatch, skip)
+	d := s.Table.due(now, now.Add(-r.age), renewLimit(s.Table.kept()), skip)
 	store := blob.NewStore(s.Stream)
 	var first error
 	try := func(id string, err error) {
@@ -119,6 +122,9 @@
 	return first
 }
 
+// renewLimit is how many of a number of rows one step may append again.
+func renewLimit(rows int) int { return max(renewBatch, (rows*renewSpread+renewSteps-1)/renewSteps) }
+
 func renewFile(ctx context.Context, stream Stream, store *blob.Store, f dueFile) error {
 	if f.copyContent {
 		w, err := store.Write(ctx, store.Open(ctx, f.record.File.Content, 0), math.MaxInt64)
