Admission: pause batch, and start its prompts in slices

Change, for shells that can (WithPause): a Start with PrefillTokens sends a leading slice, so that no step exceeds a bound; while an online attempt waits for its first token all batch is paused beside the engine and resumes from the prefix cache, a part of a block each. WithMemory bounds the contexts that batch holds. Gaps without batch are estimated by the step in which an online prompt is prefilled. Cores without options decide as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -64,6 +64,10 @@
 // Cancel says that an attempt's caller no longer wants it.
 type Cancel struct{ ID string }
 
+// Sliced says that the engine has prefilled the slice of an attempt that was
+// started with PrefillTokens; the call of the slice has ended.
+type Sliced struct{ ID string }
+
 // SetPolicy puts a policy in force.
 type SetPolicy struct{ Policy Policy }
 
@@ -74,6 +78,7 @@
 func (Token) isInput()     {}
 func (Finish) isInput()    {}
 func (Cancel) isInput()    {}
+func (Sliced) isInput()    {}
 func (SetPolicy) isInput() {}
 func (Drain) isInput()     {}
 
@@ -91,12 +96,20 @@
 	Preempt
 	// Stop cancels a running attempt at the backend server.
 	Stop
+	// Pause cancels a running batch attempt at the backend server but keeps
+	// the attempt and its tokens beside it; a later Start continues it. Only
+	// cores made WithPause ask for it.
+	Pause
 )
 
 // Action is one decision.
 type Action struct {
 	Kind ActionKind
 	ID   string
+	// PrefillTokens, if positive, makes a Start send only that many leading
+	// tokens of the prompt, with an output of one token that is dropped, so
+	// that the engine caches them. The shell then reports Sliced.
+	PrefillTokens int
 	// Err and RetryAfter say why an attempt is refused and when to come back.
 	Err        errkind.Kind
 	RetryAfter time.Duration
--- a/admission/core.go
+++ b/admission/core.go
@@ -18,6 +18,13 @@
 	prefills  [2]int // running attempts whose prompt is being prefilled
 	batch     []*row // running batch attempts in order of start
 	draining  bool
+	memory    int // tokens of context that the engine holds, zero if unknown
+	context   [2]contextCount
+	pausing   bool   // the shell can pause
+	paused    []*row // in order of resumption
+	pending   int    // prompt tokens of batch attempts without a token
+	done      int    // prompt tokens of batch attempts whose prefill has ended
+	prefill   prefillModel
 	expiry    time.Duration // earliest deadline of a queued attempt
 	steps     stepModel
 	harm      harm
@@ -36,10 +43,13 @@
 )
 
 // New returns a core with a policy in force.
-func New(p Policy) *Core {
+func New(p Policy, opts ...Option) *Core {
 	c := &Core{rows: make(map[string]*row), expiry: never, startedAt: [2]time.Duration{before, before}, stoppedAt: before}
 	c.machine = newMachine(c)
 	c.setPolicy(p)
+	for _, o := range opts {
+		o(c)
+	}
 	return c
 }
 
@@ -51,12 +61,23 @@
 		c.apply(i)
 	}
 	c.expire()
+	if c.pausing {
+		c.tickPausing()
+		return c.out
+	}
 	c.preempt()
 	c.startOnline()
 	c.startBatch()
 	return c.out
 }
 
+func (c *Core) tickPausing() {
+	c.pauseBatch()
+	c.expirePaused()
+	c.startOnline()
+	c.resumeBatch()
+}
+
 func (c *Core) setPolicy(p Policy) {
 	if p.Slots <= 0 {
 		p.Slots = defaultSlots
@@ -77,6 +98,8 @@
 		c.finish(in.ID)
 	case Cancel:
 		c.cancel(in.ID)
+	case Sliced:
+		c.sliced(in.ID)
 	case SetPolicy:
 		c.setPolicy(in.Policy)
 	case Drain:
@@ -117,6 +140,8 @@
 	if !ok || r.state != running {
 		return
 	}
+	r.produced++
+	c.hold(r, 1)
 	if r.decoding {
 		c.observe(r, c.now-r.tokenAt)
 	} else {
@@ -124,6 +149,7 @@
 		c.endPrefill(r)
 	}
 	r.tokenAt, r.streams, r.beside = c.now, c.runningTotal(), c.prefills
+	r.batchAt, r.doneAt = c.running[Batch], c.done
 }
 
 // observe learns from the time between two tokens of a row.
@@ -131,6 +157,9 @@
 	if c.undisturbed(r) {
 		c.steps.observe(float64(r.streams+c.runningTotal())/2, gap)
 	}
+	if c.stoppedAt < r.tokenAt && !c.prefilledSince(r, Online) {
+		c.prefill.observe(c.done-r.doneAt, gap-c.steps.predict(c.runningTotal()))
+	}
 	c.recent.add(gap.Seconds())
 	if r.attempt.Class == Online {
 		c.observeGap(r, gap)
@@ -157,6 +186,7 @@
 	if r.state == running {
 		c.service[r.attempt.Class].add((c.now - r.started).Seconds())
 	}
+	c.hold(r, -r.held)
 	c.fire(r, end)
 	delete(c.rows, id)
 }
@@ -170,7 +200,7 @@
 	case queued:
 		c.fire(r, end)
 		delete(c.rows, id)
-	case running:
+	case running, paused:
 		c.fire(r, stop)
 		c.act(Action{Kind: Stop, ID: id})
 	}
--- a/admission/harm.go
+++ b/admission/harm.go
@@ -40,11 +40,21 @@
 	h.credit = min(max(h.credit, -harmCredit), harmCredit)
 }
 
+// onlinePrefilled says whether the step that gave a row its token prefilled an
+// online attempt. One that arrived during the step waits for the next.
+func (c *Core) onlinePrefilled(r *row) bool {
+	return r.beside[Online] > 0 || c.startedAt[Online] == r.tokenAt
+}
+
 // observeGap feeds the account with a gap of an online attempt.
 func (c *Core) observeGap(r *row, gap time.Duration) {
-	batch := time.Duration(c.running[Batch]) * c.steps.perStream()
-	alone := max(gap-batch, 0)
-	if c.prefilledSince(r, Batch) && !c.prefilledSince(r, Online) {
+	n := c.running[Batch]
+	if c.stoppedAt > r.tokenAt {
+		n = r.batchAt
+	}
+	batch := time.Duration(n) * c.steps.perStream()
+	alone := max(gap-batch-c.prefill.cost(c.done-r.doneAt), 0)
+	if !c.onlinePrefilled(r) {
 		alone = min(alone, c.steps.predict(c.running[Online]))
 	}
 	c.harm.observe(gap, alone, c.policy.TBTTarget, 1-c.batchShare())
--- a/admission/lifecycle.go
+++ b/admission/lifecycle.go
@@ -21,6 +21,7 @@
 const (
 	queued state = iota
 	running
+	paused   // cancelled at the backend server, to be continued
 	stopping // cancelled at the backend server, Finish is still to come
 	ended
 )
@@ -31,6 +32,7 @@
 const (
 	start trigger = iota
 	stop
+	pause
 	end
 )
 
@@ -49,6 +51,15 @@
 	// had no token yet, at tokenAt.
 	streams int
 	beside  [2]int
+	batchAt int // running batch attempts at tokenAt
+	doneAt  int // Core.done at tokenAt
+	// produced counts tokens; built and slice are how many leading tokens of
+	// the prompt earlier slices and the present one leave in the cache, cost
+	// is the prefill charged for the present start.
+	produced, built, slice, cost int
+	holds                        bool // its context counts
+	held                         int  // tokens of context
+	pausedAt                     time.Duration
 }
 
 // newMachine returns the state machine of all rows of a core. Its storage is
@@ -63,7 +74,8 @@
 		stateless.FiringImmediate,
 	)
 	m.Configure(queued).Permit(start, running).Permit(end, ended).OnExit(c.onDequeue)
-	m.Configure(running).Permit(stop, stopping).Permit(end, ended).OnEntry(c.onStart).OnExit(c.onRelease)
+	m.Configure(running).Permit(stop, stopping).Permit(pause, paused).Permit(end, ended).OnEntry(c.onStart).OnExit(c.onRelease)
+	m.Configure(paused).Permit(start, running).Permit(stop, stopping).Permit(end, ended).OnEntry(c.onStop).OnExit(c.onResume)
 	m.Configure(stopping).Permit(end, ended).OnEntry(c.onStop)
 	m.Configure(ended)
 	return m
@@ -87,8 +99,14 @@
 	r := c.current
 	r.started, c.startedAt[r.attempt.Class] = c.now, c.now
 	c.running[r.attempt.Class]++
+	r.decoding = false
+	if !r.holds {
+		r.holds = true
+		c.hold(r, r.attempt.PromptTokens)
+	}
 	if r.prefilling = r.attempt.PromptTokens > 0; r.prefilling {
 		c.prefills[r.attempt.Class]++
+		c.pending += r.cost
 	}
 	if r.attempt.Class == Batch {
 		c.batch = append(c.batch, r)
@@ -96,14 +114,29 @@
 	return nil
 }
 
+// hold counts tokens of a row's context.
+func (c *Core) hold(r *row, n int) {
+	r.held += n
+	c.context[r.attempt.Class].add(n)
+}
+
 // endPrefill notes that a row has its first token, or needs none any more.
 func (c *Core) endPrefill(r *row) {
 	if r.prefilling {
 		r.prefilling = false
 		c.prefills[r.attempt.Class]--
+		c.pending -= r.cost
+		c.done += r.cost
 	}
 }
 
+// onResume takes a row off the list of paused rows.
+func (c *Core) onResume(context.Context, ...any) error {
+	i := slices.Index(c.paused, c.current)
+	c.paused = slices.Delete(c.paused, i, i+1)
+	return nil
+}
+
 func (c *Core) onStop(context.Context, ...any) error {
 	c.stoppedAt = c.now
 	return nil
--- a/admission/slack.go
+++ b/admission/slack.go
@@ -63,7 +63,7 @@
 func (c *Core) Load() Load {
 	return Load{
 		RunningOnline: c.running[Online],
-		RunningBatch:  c.running[Batch],
+		RunningBatch:  c.running[Batch] + len(c.paused),
 		QueuedOnline:  c.queues[Online].len(),
 		QueuedBatch:   c.queues[Batch].len(),
 		BatchRoom:     c.batchRoom(),
@@ -76,5 +76,8 @@
 		return 0
 	}
 	room := c.batchLimit() - c.running[Batch]
+	if c.pausing {
+		room = c.pausableLimit() - c.running[Batch] - len(c.paused)
+	}
 	return max(min(room, queueAhead)-c.queues[Batch].len(), 0)
 }
