Bench: account of idle capacity; sidecars that pause and slice

The project's row now has a sidecar that pauses and slices, which the real sidecar does not carry out yet; row no-pause is the sidecar of today. A cut step's tokens are lost. Calls between sidecar and engine take no time.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -29,6 +29,8 @@
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the workload and the policies"},
 			&cli.DurationFlag{Name: "duration", Value: defaultDuration, Usage: "virtual time of each run"},
 			&cli.StringFlag{Name: "deployment", Usage: "run only this deployment"},
+			&cli.BoolFlag{Name: "ratios", Usage: "leave out the policies that no ratio is about"},
+			&cli.BoolFlag{Name: "account", Usage: "print where the idle capacity goes"},
 			&cli.StringFlag{Name: "json", Usage: "write the figures to `FILE`"},
 			&cli.StringFlag{Name: "plot", Usage: "draw the figures to `FILE` (svg or png)"},
 		},
@@ -39,6 +41,7 @@
 func run(_ context.Context, c *cli.Command) error {
 	results, err := bench.Run(bench.Options{
 		Seed: c.Uint64("seed"), Duration: c.Duration("duration"), Deployment: c.String("deployment"),
+		RatiosOnly: c.Bool("ratios"),
 	})
 	if err != nil {
 		return err
@@ -53,5 +56,10 @@
 			return err
 		}
 	}
+	if c.Bool("account") {
+		if err := bench.WriteAccount(os.Stdout, results); err != nil {
+			return err
+		}
+	}
 	return bench.WriteTable(os.Stdout, results)
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -19,6 +19,8 @@
 	RatiosOnly bool
 	// Deployment names one deployment; empty runs all.
 	Deployment string
+
+	tbtTarget time.Duration
 }
 
 // Figures are what one policy reached on one deployment. Times are in
@@ -45,6 +47,8 @@
 	Idle       float64   `json:"idle_capacity_tokens_per_second"`
 	Figures    []Figures `json:"figures"`
 	Ratios     Ratios    `json:"ratios"`
+	// Account is that of the project's policy.
+	Account Account `json:"account"`
 }
 
 // Ratios compare the project's policy with the run without batch, with the
@@ -79,8 +83,10 @@
 func runDeployment(d Deployment, o Options) Result {
 	none := runPolicy(d, oursPolicy(noBatch, false), o)
 	idle := idleCapacity(d, none, o.Duration)
+	o.tbtTarget = tbtTarget(none)
 	mine := runPolicy(d, oursPolicy(ours, true), o)
 	res := Result{Deployment: d.Name, Idle: idle}
+	res.Account = mine.account
 	res.add(noBatch, none, o)
 	res.add(ours, mine, o)
 	if !o.RatiosOnly {
@@ -93,7 +99,7 @@
 
 // addBaselines runs the policies that no ratio is about.
 func (r *Result) addBaselines(d Deployment, mine *stats, o Options) {
-	for _, p := range []policy{previousPolicy(), staticPolicy(), naivePolicy(naive, maxNaiveItems(d))} {
+	for _, p := range []policy{noPausePolicy(), previousPolicy(), staticPolicy(), naivePolicy(naive, maxNaiveItems(d))} {
 		r.add(p.name, runPolicy(d, p, o), o)
 	}
 	r.add(naiveCap, naiveAt(d, o, mine.batchTokens), o)
@@ -141,6 +147,7 @@
 
 func runPolicy(d Deployment, p policy, o Options) *stats {
 	s := newSim(d, p, o.Seed, o.Duration)
+	s.tbtTarget = o.tbtTarget
 	if !p.batch {
 		s.stats.sampleOnline, s.stats.workerSteps = true, make(map[string][]stepSample)
 	}
--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -33,3 +33,16 @@
 	_, err := bench.Run(bench.Options{Deployment: "nowhere", Duration: time.Second})
 	assert.ErrorContains(t, err, "nowhere")
 }
+
+func TestAccountCoversTheWholeTime(t *testing.T) {
+	o := short(7)
+	o.RatiosOnly, o.Deployment = true, "magnolia-keys"
+	results, err := bench.Run(o)
+	assert.NilError(t, err)
+	total := time.Duration(0)
+	for _, d := range results[0].Account.Time {
+		total += d
+	}
+	const workers = 9
+	assert.Assert(t, (workers*o.Duration-total).Abs() <= workers*100*time.Millisecond, "%v", total)
+}
--- a/internal/bench/cache.go
+++ b/internal/bench/cache.go
@@ -44,6 +44,20 @@
 	c.evict()
 }
 
+// take removes a context whose stream runs again: the stream holds its tokens.
+func (c *prefixCache) take(key uint64) {
+	if el, ok := c.entries[key]; ok {
+		c.remove(el)
+	}
+}
+
+func (c *prefixCache) remove(el *list.Element) {
+	ent := el.Value.(*cacheEntry)
+	c.used -= ent.tokens
+	delete(c.entries, ent.key)
+	c.order.Remove(el)
+}
+
 // reserve changes the tokens that running streams hold.
 func (c *prefixCache) reserve(tokens int) {
 	c.reserved += tokens
@@ -52,10 +66,6 @@
 
 func (c *prefixCache) evict() {
 	for c.used+c.reserved > c.capacity && c.order.Len() > 0 {
-		el := c.order.Back()
-		ent := el.Value.(*cacheEntry)
-		c.used -= ent.tokens
-		delete(c.entries, ent.key)
-		c.order.Remove(el)
+		c.remove(c.order.Back())
 	}
 }
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -23,6 +23,7 @@
 	emitted   bool
 	lastToken time.Duration
 	cancelled bool
+	slice     int // leading prompt tokens that are sent, zero if all are
 }
 
 // engine batches continuously and knows no priorities.
@@ -39,6 +40,8 @@
 	decode  []*stream
 	first   []*stream // streams whose prefill ends with this step
 	prefill int
+	// prefillOf splits prefill by class.
+	prefillOf [2]int
 }
 
 func newEngine(m EngineModel) *engine {
@@ -47,15 +50,17 @@
 
 // admit puts an attempt into the running batch. Tokens found in the prefix
 // cache, in whole blocks, need no prefill.
-func (e *engine) admit(a *attempt) *stream {
+// A positive slice sends only so many leading tokens.
+func (e *engine) admit(a *attempt, slice int) *stream {
 	prompt := a.req.prefixTokens + a.req.promptTokens + a.kept
-	hit := e.cache.lookup(a.req.prefix)
-	if a.kept > 0 {
-		hit = max(hit, e.cache.lookup(a.req.key))
+	if slice > 0 {
+		prompt = min(prompt, slice)
 	}
+	hit := max(e.cache.lookup(a.req.prefix), e.cache.lookup(a.req.key))
 	hit = min(hit, prompt-1) / e.model.BlockTokens * e.model.BlockTokens
-	s := &stream{att: a, prefill: max(prompt-hit, 1), context: prompt}
+	s := &stream{att: a, prefill: max(prompt-hit, 1), context: prompt, slice: slice}
 	e.streams = append(e.streams, s)
+	e.cache.take(a.req.key)
 	e.cache.use(a.req.prefix, a.req.prefixTokens)
 	e.cache.reserve(prompt)
 	return s
@@ -79,6 +84,7 @@
 		}
 		n := min(left, s.prefill)
 		s.prefill -= n
+		p.prefillOf[s.att.req.class] += n
 		left -= n
 		if n > 0 && s.prefill == 0 {
 			p.first = append(p.first, s)
--- a/internal/bench/oracle.go
+++ b/internal/bench/oracle.go
@@ -15,7 +15,7 @@
 // own prompt, spread evenly over its output.
 func idleCapacity(d Deployment, none *stats, duration time.Duration) float64 {
 	tokens := 0.0
-	target := time.Duration(float64(none.tbt.ValueAtQuantile(95))*harmBound) * time.Microsecond
+	target := tbtTarget(none)
 	for _, svc := range d.Services {
 		if svc.Batch == nil {
 			continue
@@ -27,6 +27,11 @@
 	return tokens / duration.Seconds()
 }
 
+// tbtTarget is harmBound times the p95 time between tokens of a run.
+func tbtTarget(none *stats) time.Duration {
+	return time.Duration(float64(none.tbt.ValueAtQuantile(95))*harmBound) * time.Microsecond
+}
+
 // idleTokens is what the oracle produces on one worker.
 func (s Service) idleTokens(steps []stepSample, target, duration time.Duration) float64 {
 	cost := s.perBatchStream()
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -25,6 +25,7 @@
 const (
 	noBatch   = "no-batch"
 	ours      = "catkinrudder"
+	noPause   = "no-pause"
 	previous  = "previous"
 	static    = "static"
 	naive     = "naive"
@@ -32,9 +33,20 @@
 	naiveLots = "naive-lots"
 )
 
+// oursPolicy is the project's policy with a sidecar that pauses and slices.
 func oursPolicy(name string, batch bool) policy {
+	p := noPausePolicy()
+	p.name, p.batch = name, batch
+	p.admitter = func(s Service) admitter {
+		return admission.New(s.Policy, admission.WithPause(), admission.WithMemory(s.Model.MemoryTokens))
+	}
+	return p
+}
+
+// noPausePolicy is the project's policy with a sidecar that can only preempt.
+func noPausePolicy() policy {
 	return policy{
-		name: name, batch: batch,
+		name: noPause, batch: true,
 		admitter: func(s Service) admitter { return admission.New(s.Policy) },
 		routers: func(z Zone, seed uint64) (router, router) {
 			t := routing.New(z.Region, z.Name, seed)
--- a/internal/bench/sim.go
+++ b/internal/bench/sim.go
@@ -35,6 +35,8 @@
 	entries []*entry
 	link    link
 	stats   *stats
+	// tbtTarget is the time between online tokens beyond which one is late.
+	tbtTarget time.Duration
 }
 
 func newSim(d Deployment, p policy, seed uint64, duration time.Duration) *sim {
--- a/internal/bench/stats.go
+++ b/internal/bench/stats.go
@@ -24,6 +24,7 @@
 	batchTokens  int64
 	batchItems   int
 	preempted    int
+	account      Account
 	linkBytes    map[purpose]int64
 	workerSteps  map[string][]stepSample
 	sampleOnline bool
@@ -44,6 +45,9 @@
 
 // step records a step for the oracle.
 func (st *stats) step(w *worker, p stepPlan) {
+	if w.sim.dep.Services[w.service].Batch != nil {
+		st.account.noteStep(w, p)
+	}
 	if st.sampleOnline && w.sim.dep.Services[w.service].Batch != nil {
 		st.workerSteps[w.name] = append(st.workerSteps[w.name], stepSample{p.dur, len(w.engine.streams)})
 	}
@@ -62,6 +66,7 @@
 	}
 	if x.emitted {
 		record(st.tbt, s.now-x.lastToken)
+		st.account.noteGap(s.now-x.lastToken, s.tbtTarget, x.att.work.plan)
 		return
 	}
 	record(st.ttft, s.now+s.path(x.att)-r.at)
--- a/internal/bench/targets_test.go
+++ b/internal/bench/targets_test.go
@@ -1,6 +1,7 @@
 package bench_test
 
 import (
+	"errors"
 	"slices"
 	"sync"
 	"testing"
@@ -20,15 +21,16 @@
 )
 
 var targetRun = sync.OnceValues(func() ([]bench.Result, error) {
-	var all []bench.Result
-	for _, seed := range []uint64{1, 2, 4} {
-		results, err := bench.Run(bench.Options{Seed: seed, Duration: 5 * time.Minute, RatiosOnly: true})
-		if err != nil {
-			return nil, err
-		}
-		all = slices.Concat(all, results)
+	seeds := []uint64{1, 2, 4}
+	results, errs := make([][]bench.Result, len(seeds)), make([]error, len(seeds))
+	var wg sync.WaitGroup
+	for i, seed := range seeds {
+		wg.Go(func() {
+			results[i], errs[i] = bench.Run(bench.Options{Seed: seed, Duration: 5 * time.Minute, RatiosOnly: true})
+		})
 	}
-	return all, nil
+	wg.Wait()
+	return slices.Concat(results...), errors.Join(errs...)
 })
 
 func worst(t *testing.T) bench.Ratios {
--- a/internal/bench/worker.go
+++ b/internal/bench/worker.go
@@ -8,7 +8,12 @@
 	"github.com/catkinrudder/catkinrudder/routing"
 )
 
-const timerEvery = 20 * time.Millisecond
+const (
+	timerEvery = 20 * time.Millisecond
+	// prefixMemory is how long a sidecar takes a prefix that it sent for
+	// cached.
+	prefixMemory = 3 * time.Second
+)
 
 // worker is one backend server with its sidecar.
 type worker struct {
@@ -24,17 +29,22 @@
 	plan    stepPlan
 	inputs  []admission.Input
 	ticking bool
+	// idleSince is when the last step ended or idle time was last accounted.
+	idleSince time.Duration
+	// prefixes holds when each prefix was last sent to the engine.
+	prefixes map[uint64]time.Duration
 }
 
 func newWorker(s *sim, service, k int) *worker {
 	svc := s.dep.Services[service]
 	return &worker{
 		sim: s, name: instanceName(svc.Name, k), index: k, service: service,
-		zone:    k % len(s.dep.Zones),
-		core:    s.policy.admitter(svc),
-		engine:  newEngine(svc.Model),
-		known:   make(map[string]*attempt),
-		running: make(map[string]*stream),
+		zone:     k % len(s.dep.Zones),
+		core:     s.policy.admitter(svc),
+		engine:   newEngine(svc.Model),
+		known:    make(map[string]*attempt),
+		running:  make(map[string]*stream),
+		prefixes: make(map[uint64]time.Duration),
 	}
 }
 
@@ -46,11 +56,21 @@
 		ID: a.id, Class: r.class, Deadline: r.deadline,
 		PromptTokens:  r.prefixTokens + r.promptTokens + a.kept,
 		MaxTokens:     r.outputTokens - a.kept,
-		CachedTokens:  a.cachedAt(w),
+		CachedTokens:  w.cachedTokens(a),
 		NonIdempotent: r.nonIdempotent,
 	}})
 }
 
+// cachedTokens estimates how many tokens of a prompt the engine holds, from
+// what the sidecar has sent to it.
+func (w *worker) cachedTokens(a *attempt) int {
+	n := a.cachedAt(w)
+	if at, ok := w.prefixes[a.req.prefix]; ok && w.sim.now-at < prefixMemory {
+		n = max(n, a.req.prefixTokens)
+	}
+	return n
+}
+
 // tick feeds the core until it asks for nothing more.
 func (w *worker) tick(in ...admission.Input) {
 	w.inputs = append(w.inputs, in...)
@@ -73,7 +93,9 @@
 	a := w.known[act.ID]
 	switch act.Kind {
 	case admission.Start:
-		w.running[act.ID] = w.engine.admit(a)
+		w.start(a, act.PrefillTokens)
+	case admission.Pause:
+		w.pause(a)
 	case admission.Refuse:
 		delete(w.known, act.ID)
 		w.reply(a, messageBytes, func() { a.entry.refused(a, act) })
@@ -82,15 +104,33 @@
 	}
 }
 
+// start sends an attempt, or the leading tokens of its prompt, to the engine.
+func (w *worker) start(a *attempt, prefillTokens int) {
+	s := w.engine.admit(a, prefillTokens)
+	w.running[a.id] = s
+	w.prefixes[a.req.prefix] = w.sim.now
+}
+
+// pause cancels a stream and keeps its attempt and tokens.
+func (w *worker) pause(a *attempt) {
+	w.engine.cancel(w.running[a.id])
+	delete(w.running, a.id)
+	w.sim.stats.account.Paused++
+}
+
 // preempt cancels a stream and answers with the tokens it produced.
 func (w *worker) preempt(a *attempt) {
-	s := w.running[a.id]
-	w.engine.cancel(s)
 	a.held = nil
-	if s.prefill == 0 {
+	if s, ok := w.running[a.id]; ok {
+		w.engine.cancel(s)
+		if s.prefill == 0 {
+			a.held = w
+		}
+	} else if a.kept > 0 {
 		a.held = w
 	}
 	w.sim.stats.preempted++
+	w.sim.stats.account.Preempted++
 	w.forget(a)
 	w.reply(a, messageBytes, func() { a.entry.preempted(a) })
 }
@@ -107,6 +147,7 @@
 	if w.engine.busy {
 		return
 	}
+	w.noteIdle()
 	w.engine.sweep()
 	p, ok := w.engine.plan()
 	if !ok {
@@ -117,9 +158,17 @@
 	w.sim.after(p.dur, w.stepDone)
 }
 
+// noteIdle accounts for the time without a step.
+func (w *worker) noteIdle() {
+	if w.sim.dep.Services[w.service].Batch != nil {
+		w.sim.stats.account.add(engineIdle, w, w.sim.now-w.idleSince, 0, 0)
+	}
+	w.idleSince = w.sim.now
+}
+
 // stepDone delivers the tokens of a step.
 func (w *worker) stepDone() {
-	w.engine.busy = false
+	w.engine.busy, w.idleSince = false, w.sim.now
 	w.ticking = true // one call for the whole step
 	for _, s := range w.plan.first {
 		w.emit(s)
@@ -133,9 +182,16 @@
 
 func (w *worker) emit(s *stream) {
 	if s.cancelled {
+		w.sim.stats.account.Discarded++
 		return
 	}
 	a := s.att
+	if s.slice > 0 {
+		w.engine.cancel(s)
+		delete(w.running, a.id)
+		w.inputs = append(w.inputs, admission.Sliced{ID: a.id})
+		return
+	}
 	a.kept++
 	s.context++
 	w.engine.cache.reserve(1)
