Admission: cores without pause estimate gaps as before

Cause: the estimate of gaps by the step of an online prefill, meant for cores with pause, also changed those without. Conclusion: today's sidecar keeps its behaviour until it can pause.

--- a/admission/harm.go
+++ b/admission/harm.go
@@ -43,13 +43,16 @@
 // onlinePrefilled says whether the step that gave a row its token prefilled an
 // online attempt. One that arrived during the step waits for the next.
 func (c *Core) onlinePrefilled(r *row) bool {
+	if !c.pausing {
+		return c.prefilledSince(r, Online) || !c.prefilledSince(r, Batch)
+	}
 	return r.beside[Online] > 0 || c.startedAt[Online] == r.tokenAt
 }
 
 // observeGap feeds the account with a gap of an online attempt.
 func (c *Core) observeGap(r *row, gap time.Duration) {
 	n := c.running[Batch]
-	if c.stoppedAt > r.tokenAt {
+	if c.pausing && c.stoppedAt > r.tokenAt {
 		n = r.batchAt
 	}
 	batch := time.Duration(n) * c.steps.perStream()
