A cut connection to the log is no end of a job's input

Cause: net/http reports a cut connection as io.EOF; the error kept that identity up to the reader of a job's input, which took it for the end: an accepted job failed with empty_file, and a cut later in the input would have dropped items silently. Ruled out: a stale configuration at the new owner (the line logged now as event 309 says empty_file), a missing manifest. Change: blob and platform turn io.EOF of a call into io.ErrUnexpectedEOF; a job whose input is refused is logged with its first fault.

--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -22,6 +22,7 @@
 	}
 	now := time.Now()
 	if len(c.errors) > 0 {
+		event.Log(r.opts.Logger, event.JobFailed, "job", v.ID, "errors", len(c.errors), "line", c.errors[0].Line, "code", c.errors[0].Code, "message", c.errors[0].Message)
 		return commit(ctx, s.Stream, KindFailed, Failed{Job: v.ID, Errors: c.errors, At: now.Unix(), Expires: now.Add(DefaultRetention).Unix()})
 	}
 	event.Log(r.opts.Logger, event.JobAccepted, "job", v.ID, "service", c.service, "items", c.total)
--- a/blob/blob.go
+++ b/blob/blob.go
@@ -157,6 +157,10 @@
 
 func (s *Store) load(ctx context.Context, ref Ref) ([]byte, error) {
 	entries, err := s.stream.Load(ctx, ref.Offset)
+	if errors.Is(err, io.EOF) {
+		// A connection that was cut is not the end of the content.
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.LogUnavailable, "stored content could not be read")
 	}
--- a/blob/blob_test.go
+++ b/blob/blob_test.go
@@ -106,3 +106,21 @@
 		}
 	})
 }
+
+// cutStream answers every load as a connection that was cut does.
+type cutStream struct{ fakeStream }
+
+func (*cutStream) Load(context.Context, journal.Offset) ([]journal.Entry, error) {
+	return nil, errors.Wrap(io.EOF, "connection")
+}
+
+// A connection that was cut while content was read looked like the end of the
+// content, and an accepted job failed as if its input were empty (chaos seed 93).
+func TestCutConnectionIsNotTheEnd(t *testing.T) {
+	ctx := context.Background()
+	s := NewStore(&cutStream{})
+	w, err := s.Write(ctx, bytes.NewReader([]byte("content")), 100)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(s.Open(ctx, w.Manifest, 0))
+	assert.Assert(t, errkind.Is(err, errkind.LogUnavailable), "%v", err)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -37,6 +37,7 @@
 	ItemRequeued    ID = 306
 	ModelAssigned   ID = 307
 	OrderSent       ID = 308
+	JobFailed       ID = 309
 	AttemptAdmitted ID = 401
 	AttemptRefused  ID = 402
 	BatchPreempted  ID = 403
@@ -71,6 +72,7 @@
 	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item goes back to its job's queue"},
 	{ModelAssigned, "model_assigned", log.InfoLevel, "an entry decided what a backend server is to load"},
 	{OrderSent, "order_sent", log.InfoLevel, "a sidecar told its backend server what to load"},
+	{JobFailed, "job_failed", log.WarnLevel, "the input of a batch job is invalid and none of it is run"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an online arrival"},
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -132,6 +132,9 @@
 		return errors.Wrap(err, "platform")
 	}
 	resp, err := c.http.Do(req)
+	if errors.Is(err, io.EOF) {
+		return errors.Wrapf(io.ErrUnexpectedEOF, "platform: %s %s", method, path)
+	}
 	if err != nil {
 		return errors.Wrap(err, "platform")
 	}
@@ -140,5 +143,8 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		return errors.Errorf("platform: %s %s: status %d: %s", method, path, resp.StatusCode, text)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "platform: decode answer")
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		return errors.Errorf("platform: decode answer: %v", err)
+	}
+	return nil
 }
