A renewed result segment can be read

Cause: a renewed segment is an entry of another kind, and the reader decoded it as a first one. A job that was still open when a third of the log's retention had passed never got its output: its results were lost to the caller. Ruled out: the renewer being late (it ran at the right age and could not read).

--- a/batch/output.go
+++ b/batch/output.go
@@ -214,9 +214,22 @@
 	if int(row.index) >= len(entries) {
 		return Segment{}, errors.Wrapf(journal.ErrFormat, "no entry %d/%d", row.offset, row.index)
 	}
-	var s Segment
-	err = entries[row.index].Decode(&s)
-	return s, err
+	return decodeSegment(entries[row.index])
+}
+
+// decodeSegment reads a segment as it was first appended or as it was renewed.
+func decodeSegment(e journal.Entry) (Segment, error) {
+	switch e.Kind {
+	case KindSegment:
+		var s Segment
+		err := e.Decode(&s)
+		return s, err
+	case KindRenewSegment:
+		var n RenewSegment
+		err := e.Decode(&n)
+		return n.Segment, err
+	}
+	return Segment{}, errors.Wrapf(journal.ErrFormat, "entry of kind %d is no segment", e.Kind)
 }
 
 // holds reports whether the row has the first completion of its k-th item.
--- /dev/null
+++ b/batch/output_test.go
@@ -0,0 +1,31 @@
+package batch
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// A segment is read the same before and after its renewal. Renewed ones could
+// not be read at all, and a job that outlived a renewal never ended (chaos
+// seed 41).
+func TestRenewedSegmentIsReadLikeTheFirst(t *testing.T) {
+	first, err := NewSegment("j", []Result{{Index: 3, CustomID: "c3", Status: 200, Body: []byte("{}")}}, 1)
+	assert.NilError(t, err)
+	for kind, body := range map[journal.EntryKind]any{
+		KindSegment:      first,
+		KindRenewSegment: RenewSegment{Segment: first},
+	} {
+		e, err := journal.NewEntry(kind, body)
+		assert.NilError(t, err)
+		got, err := decodeSegment(e)
+		assert.NilError(t, err, "kind %d", kind)
+		assert.DeepEqual(t, got, first)
+	}
+	other, err := journal.NewEntry(KindCancel, Cancel{Job: "j"})
+	assert.NilError(t, err)
+	_, err = decodeSegment(other)
+	assert.ErrorIs(t, err, journal.ErrFormat)
+}
