--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -81,6 +81,9 @@
 	})
 	shared = c
 	code := 1
+	if err == nil {
+		err = c.Entries[0].WaitReady()
+	}
 	if err == nil {
 		code = m.Run()
 	} else {
