--- a/internal/ctl/batch.go
+++ b/internal/ctl/batch.go
@@ -103,19 +103,28 @@
 }
 
 func (t Tool) batchStatus(ctx context.Context, c *cli.Command) error {
-	id, err := oneArg(c, "job")
+	client, b, err := t.onJob(c, func(client *load.Client, id string) (load.Batch, error) { return client.GetBatch(ctx, id) })
 	if err != nil {
 		return err
 	}
+	return t.follow(ctx, c, client, b)
+}
+
+// onJob makes one call about the job that the command names.
+func (t Tool) onJob(c *cli.Command, call func(client *load.Client, id string) (load.Batch, error)) (*load.Client, load.Batch, error) {
+	id, err := oneArg(c, "job")
+	if err != nil {
+		return nil, load.Batch{}, err
+	}
 	client, err := t.entry(c)
 	if err != nil {
-		return err
+		return nil, load.Batch{}, err
 	}
-	b, err := client.GetBatch(ctx, id)
+	b, err := call(client, id)
 	if err != nil {
-		return reach(err)
+		return nil, load.Batch{}, reach(err)
 	}
-	return t.follow(ctx, c, client, b)
+	return client, b, nil
 }
 
 // follow prints a job, at its end if --wait is set.
@@ -164,18 +173,10 @@
 }
 
 func (t Tool) cancel(ctx context.Context, c *cli.Command) error {
-	id, err := oneArg(c, "job")
+	_, b, err := t.onJob(c, func(client *load.Client, id string) (load.Batch, error) { return client.CancelBatch(ctx, id) })
 	if err != nil {
 		return err
 	}
-	client, err := t.entry(c)
-	if err != nil {
-		return err
-	}
-	b, err := client.CancelBatch(ctx, id)
-	if err != nil {
-		return reach(err)
-	}
 	return t.printBatch(c, b)
 }
 
