Tests for the kinds that none had provoked

Cause: in_progress, overloaded, cancelled, conflict and bad_batch_line had no test. Result: each is provoked, at the sidecar, the batch runner or through the official client; also that another incarnation's refusal is no proof for a call that may not be repeated, and that a vetoed attempt is never started. go test passes.

--- a/batch/output_test.go
+++ b/batch/output_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/journal"
 )
 
@@ -29,3 +30,12 @@
 	_, err = decodeSegment(other)
 	assert.ErrorIs(t, err, journal.ErrFormat)
 }
+
+// A line that can no longer be read ends as that item's own failure.
+func TestUnreadableLineFailsAlone(t *testing.T) {
+	r := &Runner{}
+	out := r.runItem(t.Context(), JobView{}, Start{}, 4, 1, []byte("{"))
+	assert.Equal(t, out.result.ErrorCode, string(errkind.BadBatchLine))
+	assert.Equal(t, out.result.Index, uint32(4))
+	assert.Assert(t, out.result.Failed())
+}
--- a/internal/entry/openai_test.go
+++ b/internal/entry/openai_test.go
@@ -11,8 +11,11 @@
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 const (
@@ -89,6 +92,11 @@
 		return poll.Continue("%s", job.Status)
 	}, poll.WithTimeout(openaiWait))
 	assert.Equal(t, job.RequestCounts.Completed, int64(openaiItems))
+	_, err = client.Batches.Cancel(ctx, job.ID)
+	var refusal *openai.Error
+	assert.Assert(t, errors.As(err, &refusal), "a completed job was cancelled: %v", err)
+	assert.Equal(t, refusal.StatusCode, errkind.Lookup(errkind.Conflict).Status)
+	assert.Equal(t, refusal.Code, string(errkind.Conflict))
 	resp, err := client.Files.Content(ctx, job.OutputFileID)
 	assert.NilError(t, err)
 	defer func() { _ = resp.Body.Close() }()
--- /dev/null
+++ b/internal/sidecar/attempt_test.go
@@ -0,0 +1,104 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/admission"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/settings"
+)
+
+// newTestServer returns a sidecar whose backend server can't be reached and
+// whose only slot is taken by a non-idempotent batch attempt.
+func newTestServer(t *testing.T, queue int) *Server {
+	t.Helper()
+	s := New(settings.Settings{Instance: "s", Backend: settings.Backend{Address: "127.0.0.1:1"}}, log.New(io.Discard))
+	s.core = admission.New(admission.Policy{Slots: 1, MaxQueue: queue})
+	s.core.Tick(0, admission.Arrive{Attempt: admission.Attempt{ID: "busy", Class: admission.Batch, NonIdempotent: true}})
+	return s
+}
+
+func (s *Server) newTestAttempt(t *testing.T, id string) *attempt {
+	return newAttempt(t.Context(), &peerv1.RunRequest{
+		AttemptId: id, Incarnation: s.incarnation, Class: peerv1.Class_CLASS_BATCH, NonIdempotent: true,
+	})
+}
+
+// lastRefusal returns the refusal among the events that wait for the peer.
+func lastRefusal(t *testing.T, a *attempt) *peerv1.Refused {
+	t.Helper()
+	for range len(a.events) {
+		if r := (<-a.events).GetRefused(); r != nil {
+			return r
+		}
+	}
+	t.Fatal("the attempt was not refused")
+	return nil
+}
+
+func TestAttemptIsTakenOnce(t *testing.T) {
+	s := newTestServer(t, 4)
+	assert.Assert(t, s.enter(s.newTestAttempt(t, "a")))
+	again := s.newTestAttempt(t, "a")
+	assert.Assert(t, !s.enter(again))
+	r := lastRefusal(t, again)
+	assert.Equal(t, r.Kind, string(errkind.InProgress))
+	assert.Assert(t, r.Started, "a second copy proves nothing about the first")
+}
+
+func TestFullQueueRefusesAtOnce(t *testing.T) {
+	s := newTestServer(t, 2)
+	for i := range 2 {
+		assert.Assert(t, s.enter(s.newTestAttempt(t, fmt.Sprint(i))))
+	}
+	over := s.newTestAttempt(t, "over")
+	s.enter(over)
+	r := lastRefusal(t, over)
+	assert.Equal(t, r.Kind, string(errkind.Overloaded))
+	assert.Assert(t, !r.Started)
+}
+
+func TestStopRefusesWhatIsQueued(t *testing.T) {
+	s := newTestServer(t, 4)
+	a := s.newTestAttempt(t, "a")
+	assert.Assert(t, s.enter(a))
+	resp, err := s.Stop(context.Background(), connect.NewRequest(&peerv1.StopRequest{AttemptId: "a"}))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Msg.Stopped, uint32(1))
+	r := lastRefusal(t, a)
+	assert.Equal(t, r.Kind, string(errkind.Cancelled))
+	assert.Assert(t, !r.Started)
+}
+
+// An attempt for another incarnation proves something only if it may be
+// repeated anyway: an earlier copy may have been started there.
+func TestOtherIncarnationIsNoProof(t *testing.T) {
+	s := newTestServer(t, 4)
+	for _, nonIdempotent := range []bool{true, false} {
+		a := s.newTestAttempt(t, fmt.Sprint(nonIdempotent))
+		a.req.Incarnation, a.req.NonIdempotent = "predecessor", nonIdempotent
+		assert.Assert(t, !s.enter(a))
+		assert.Equal(t, lastRefusal(t, a).Started, nonIdempotent)
+	}
+}
+
+// A vetoed attempt that arrives late is refused and never started.
+func TestVetoedAttemptIsNeverStarted(t *testing.T) {
+	s := newTestServer(t, 4)
+	req := &peerv1.VetoRequest{AttemptId: "a", Incarnation: s.incarnation, ClaimOffset: 7}
+	resp, err := s.Veto(context.Background(), connect.NewRequest(req))
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Msg.Verdict, peerv1.VetoResponse_VERDICT_NEVER_STARTED)
+	late := s.newTestAttempt(t, "a")
+	late.req.ClaimOffset = 7
+	assert.Assert(t, !s.enter(late))
+	assert.Assert(t, !lastRefusal(t, late).Started)
+}
