--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -73,6 +74,10 @@
 var shared *proctest.Cluster
 
 func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("test.fuzzworker"); f != nil && f.Value.String() == "true" {
+		os.Exit(m.Run()) // a fuzzing worker needs no deployment
+	}
 	c, err := proctest.Start(proctest.Options{
 		Entries: 1, Engines: 2, Plain: 1,
 		ModelService: "assistant", Model: model, PlainService: plainService,
--- /dev/null
+++ b/placement/fuzz_test.go
@@ -0,0 +1,26 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/catkinrudder/catkinrudder/journal"
+)
+
+// FuzzApply folds records of any content: they are taken or refused, and never
+// a crash.
+func FuzzApply(f *testing.F) {
+	e, err := journal.NewEntry(KindAssign, Assign{Service: "svc", Instance: "s", Spec: Spec{Model: "m", Version: "v"}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(uint16(KindAssign), e.Body)
+	f.Add(uint16(KindAssign), []byte{0xa0})
+	f.Add(uint16(99), []byte{})
+	f.Fuzz(func(t *testing.T, kind uint16, body []byte) {
+		table := NewTable()
+		err := table.Apply(journal.Position{Offset: 1}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		if _, ok := table.Order("s"); ok && err != nil {
+			t.Fatal("a refused record took effect")
+		}
+	})
+}
