A call past its deadline is not_run only if no earlier attempt may have started

Cause, found by reading the whole change: when the deadline passed at an attempt that was refused unstarted, the answer was not_run even if an earlier attempt of the same call had started and been cut before its first token. Ruled out: the same in giveUp, which knew of earlier attempts already; both now share that rule. Also two catalogue events that nothing logged (305, 705) are gone.

--- a/event/event.go
+++ b/event/event.go
@@ -33,7 +33,6 @@
 	ItemDone        ID = 302
 	JobAccepted     ID = 303
 	JobFinished     ID = 304
-	JobCancelled    ID = 305
 	ItemRequeued    ID = 306
 	ModelAssigned   ID = 307
 	OrderSent       ID = 308
@@ -54,7 +53,6 @@
 	BackendLeaving  ID = 702
 	BackendGone     ID = 703
 	BackendEjected  ID = 704
-	BackendReturned ID = 705
 )
 
 var catalogue = []Spec{
@@ -69,7 +67,6 @@
 	{ItemDone, "item_done", log.DebugLevel, "a batch item has its committed result"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was folded from the log"},
 	{JobFinished, "job_finished", log.InfoLevel, "every item of a batch job has its result"},
-	{JobCancelled, "job_cancelled", log.InfoLevel, "a cancel record was folded"},
 	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item goes back to its job's queue"},
 	{ModelAssigned, "model_assigned", log.InfoLevel, "an entry decided what a backend server is to load"},
 	{OrderSent, "order_sent", log.InfoLevel, "a sidecar told its backend server what to load"},
@@ -90,7 +87,6 @@
 	{BackendLeaving, "backend_leaving", log.InfoLevel, "a backend server leaves and gets no new work"},
 	{BackendGone, "backend_gone", log.InfoLevel, "a backend server left the table"},
 	{BackendEjected, "backend_ejected", log.WarnLevel, "a backend server failed too often and gets no work for a while"},
-	{BackendReturned, "backend_returned", log.InfoLevel, "an ejected backend server gets work again"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -99,7 +99,7 @@
 		event.Log(e.logger, event.RequestRouted, "request", c.id, "service", c.service, "backend", d.Backend.Instance, "reason", d.Reason, "try", try)
 		res := e.attempt(ctx, c, d.Backend, out)
 		started = started || res.ending == broken
-		if done, end, err := e.conclude(ctx, c, res); done {
+		if done, end, err := e.conclude(ctx, c, started, res); done {
 			return end, err
 		}
 		exclude = append(exclude, d.Backend.Instance)
@@ -132,8 +132,9 @@
 	return e.attempt(ctx, c, d.Backend, out), d.Backend.Instance
 }
 
-// conclude decides whether an attempt's end is the call's end.
-func (e *Server) conclude(ctx context.Context, c *call, res result) (bool, *peerv1.End, *errkind.Error) {
+// conclude decides whether an attempt's end is the call's end. started says
+// that this attempt or an earlier one may have started.
+func (e *Server) conclude(ctx context.Context, c *call, started bool, res result) (bool, *peerv1.End, *errkind.Error) {
 	switch res.ending {
 	case whole:
 		return true, res.end, nil
@@ -141,7 +142,7 @@
 		return true, nil, res.err
 	}
 	if ctx.Err() != nil || res.err.Kind == errkind.Timeout {
-		return true, nil, e.deadline(c, res)
+		return true, nil, e.deadline(c, started, res)
 	}
 	if res.ending == broken && c.nonIdempotent {
 		err := errkind.Wrap(res.err, errkind.OutcomeUnknown, "the call may have run; it is not sent again")
@@ -151,12 +152,8 @@
 }
 
 // deadline is the answer to a call whose time is up or whose caller has gone.
-func (e *Server) deadline(c *call, res result) *errkind.Error {
-	err := errkind.Wrap(res.err, errkind.Timeout, "deadline passed")
-	if res.ending == notStarted && c.resumeTokens == 0 {
-		return err.WithOutcome(errkind.NotRun)
-	}
-	return err
+func (e *Server) deadline(c *call, started bool, res result) *errkind.Error {
+	return e.giveUp(c, started, errkind.Wrap(res.err, errkind.Timeout, "deadline passed"))
 }
 
 // giveUp is the final answer to a call that finds no backend server. It says
