--- a/batch/bench_test.go
+++ b/batch/bench_test.go
@@ -5,15 +5,15 @@
 	"testing"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const benchItems = 320_000
 
 // benchSegments are the results of one job in segments of 256 items.
-func benchSegments(b *testing.B) []journal.Entry {
+func benchSegments(b *testing.B) []commitlog.Entry {
 	b.Helper()
-	var out []journal.Entry
+	var out []commitlog.Entry
 	body := make([]byte, 512)
 	for first := uint32(0); first < benchItems; first += 256 {
 		rs := make([]Result, 256)
@@ -24,7 +24,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		e, err := journal.NewEntry(KindSegment, s)
+		e, err := commitlog.NewEntry(KindSegment, s)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -41,7 +41,7 @@
 		{kind: KindJob, body: Job{ID: "j", Workspace: "a", InputFile: "f", Created: 1, Deadline: 1 << 40}},
 		{kind: KindStarted, body: Started{Job: "j", Service: "s", Total: benchItems, Blocks: make([]int64, benchItems/BlockItems), At: 1}},
 	} {
-		l.pos = journal.Position{Offset: journal.Offset(i)}
+		l.pos = commitlog.Position{Offset: commitlog.Offset(i)}
 		if err := l.apply(t); err != nil {
 			b.Fatal(err)
 		}
@@ -56,7 +56,7 @@
 	for b.Loop() {
 		t := benchTable(b)
 		for i, e := range entries {
-			if err := t.Apply(journal.Position{Offset: journal.Offset(i + 3)}, e); err != nil {
+			if err := t.Apply(commitlog.Position{Offset: commitlog.Offset(i + 3)}, e); err != nil {
 				b.Fatal(err)
 			}
 		}
@@ -73,7 +73,7 @@
 		before := heap()
 		t := benchTable(b)
 		for i, e := range entries {
-			if err := t.Apply(journal.Position{Offset: journal.Offset(i + 3)}, e); err != nil {
+			if err := t.Apply(commitlog.Position{Offset: commitlog.Offset(i + 3)}, e); err != nil {
 				b.Fatal(err)
 			}
 		}
--- a/batch/due.go
+++ b/batch/due.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // markerRetention is how long a file or job that has expired is still said to
@@ -40,7 +40,7 @@
 type dueSegment struct {
 	job  string
 	row  segmentRow
-	base journal.Position
+	base commitlog.Position
 }
 
 // id names the segment within its shard.
@@ -94,7 +94,7 @@
 }
 
 // renewal returns the job's record as it would be appended again.
-func (r *jobRow) renewal(base journal.Position, now time.Time) RenewJob {
+func (r *jobRow) renewal(base commitlog.Position, now time.Time) RenewJob {
 	n := RenewJob{
 		Job: r.job, Accepted: r.accepted, Base: base, At: now.Unix(), CancelledAt: r.cancelledAt,
 		StartedPos: r.startedPos, LastSegment: r.lastSegment,
--- a/batch/fold_bench_test.go
+++ b/batch/fold_bench_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // BenchmarkFoldSegment folds one result segment of a number of items.
@@ -16,9 +16,9 @@
 	for _, items := range []int{1, 16, 128} {
 		b.Run(fmt.Sprint(items), func(b *testing.B) {
 			t := NewTable()
-			var at journal.Position
-			fold := func(kind journal.EntryKind, body any) {
-				e, err := journal.NewEntry(kind, body)
+			var at commitlog.Position
+			fold := func(kind commitlog.EntryKind, body any) {
+				e, err := commitlog.NewEntry(kind, body)
 				assert.NilError(b, err)
 				assert.NilError(b, t.Apply(at, e))
 				at.Offset++
@@ -39,7 +39,7 @@
 	}
 }
 
-func segmentEntry(b *testing.B, first uint32, items int) journal.Entry {
+func segmentEntry(b *testing.B, first uint32, items int) commitlog.Entry {
 	b.Helper()
 	results := make([]Result, items)
 	for i := range results {
@@ -47,7 +47,7 @@
 	}
 	s, err := NewSegment("j", results, 1)
 	assert.NilError(b, err)
-	e, err := journal.NewEntry(KindSegment, s)
+	e, err := commitlog.NewEntry(KindSegment, s)
 	assert.NilError(b, err)
 	return e
 }
--- a/batch/fuzz_test.go
+++ b/batch/fuzz_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // anyCatalog knows every service.
@@ -55,23 +55,23 @@
 		f.Fatal(err)
 	}
 	file := File{ID: "g", Workspace: "a", SHA256: hash64}
-	bodies := map[journal.EntryKind]any{
+	bodies := map[commitlog.EntryKind]any{
 		KindFile: file, KindDeleteFile: DeleteFile{ID: "f", Workspace: "a"},
 		KindJob:     Job{ID: "k", Workspace: "a", InputFile: "f"},
 		KindStarted: Started{Job: "j", Total: 1, Blocks: []int64{0}}, KindFailed: Failed{Job: "j"},
 		KindSegment: seg, KindCancel: Cancel{Job: "j", Workspace: "a"},
 		KindFinished:     Finished{Job: "j", Done: 2, OK: 1, Output: &file},
-		KindRenewFile:    RenewFile{File: file, Base: journal.Position{Offset: 9}},
-		KindRenewJob:     RenewJob{Job: Job{ID: "k", Workspace: "a", InputFile: "f"}, Base: journal.Position{Offset: 9}, End: &JobEnd{At: 1}},
-		KindRenewSegment: RenewSegment{Segment: seg, Base: journal.Position{Offset: 9}},
+		KindRenewFile:    RenewFile{File: file, Base: commitlog.Position{Offset: 9}},
+		KindRenewJob:     RenewJob{Job: Job{ID: "k", Workspace: "a", InputFile: "f"}, Base: commitlog.Position{Offset: 9}, End: &JobEnd{At: 1}},
+		KindRenewSegment: RenewSegment{Segment: seg, Base: commitlog.Position{Offset: 9}},
 		KindRenewJob + 1000: RenewJob{
-			Job: Job{ID: "k", Workspace: "a", InputFile: "f"}, Base: journal.Position{Offset: 9},
+			Job: Job{ID: "k", Workspace: "a", InputFile: "f"}, Base: commitlog.Position{Offset: 9},
 			Started: &Started{Total: 2, Blocks: []int64{0}, At: 1}, End: &JobEnd{At: 1, OK: 1},
 		},
 		blob.KindChunk: blob.Chunk{Data: []byte("x")},
 	}
 	for kind, body := range bodies {
-		e, err := journal.NewEntry(kind, body)
+		e, err := commitlog.NewEntry(kind, body)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -83,7 +83,7 @@
 	}
 	f.Fuzz(func(t *testing.T, kind uint16, body []byte, late bool) {
 		table := NewTable()
-		at := journal.Offset(0)
+		at := commitlog.Offset(0)
 		if late {
 			at = 5
 		}
@@ -93,15 +93,15 @@
 			{kind: KindJob, body: Job{ID: "j", Workspace: "a", InputFile: "f"}},
 			{kind: KindStarted, body: Started{Job: "j", Total: 2, Blocks: []int64{0}}},
 		} {
-			l.pos = journal.Position{Offset: at}
+			l.pos = commitlog.Position{Offset: at}
 			at++
 			if err := l.apply(table); err != nil {
 				t.Fatal(err)
 			}
 		}
-		_ = table.Apply(journal.Position{Offset: at}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		_ = table.Apply(commitlog.Position{Offset: at}, commitlog.Entry{Kind: commitlog.EntryKind(kind), Body: body})
 		for i, id := range []string{"j", "k"} {
-			more := logEntry{journal.Position{Offset: at + 1 + journal.Offset(i)}, KindSegment, Segment{Job: id, Items: []uint32{0, 1}}}
+			more := logEntry{commitlog.Position{Offset: at + 1 + commitlog.Offset(i)}, KindSegment, Segment{Job: id, Items: []uint32{0, 1}}}
 			_ = more.apply(table)
 		}
 		table.due(time.Unix(1<<33, 0), time.Unix(1<<33, 0), 100, func(string) bool { return false })
--- a/batch/output.go
+++ b/batch/output.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -73,7 +73,7 @@
 	id    string
 	total uint32
 	// base is the newest position that had been folded.
-	base journal.Position
+	base commitlog.Position
 	// ok and failed say whether there may be items that did.
 	ok, failed bool
 	// segments are in the order in which they were accepted.
@@ -212,13 +212,13 @@
 		return Segment{}, err
 	}
 	if int(row.index) >= len(entries) {
-		return Segment{}, errors.Wrapf(journal.ErrFormat, "no entry %d/%d", row.offset, row.index)
+		return Segment{}, errors.Wrapf(commitlog.ErrFormat, "no entry %d/%d", row.offset, row.index)
 	}
 	return decodeSegment(entries[row.index])
 }
 
 // decodeSegment reads a segment as it was first appended or as it was renewed.
-func decodeSegment(e journal.Entry) (Segment, error) {
+func decodeSegment(e commitlog.Entry) (Segment, error) {
 	switch e.Kind {
 	case KindSegment:
 		var s Segment
@@ -229,7 +229,7 @@
 		err := e.Decode(&n)
 		return n.Segment, err
 	}
-	return Segment{}, errors.Wrapf(journal.ErrFormat, "entry of kind %d is no segment", e.Kind)
+	return Segment{}, errors.Wrapf(commitlog.ErrFormat, "entry of kind %d is no segment", e.Kind)
 }
 
 // holds reports whether the row has the first completion of its k-th item.
--- a/batch/output_test.go
+++ b/batch/output_test.go
@@ -6,7 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // A segment is read the same before and after its renewal. Renewed ones could
@@ -15,20 +15,20 @@
 func TestRenewedSegmentIsReadLikeTheFirst(t *testing.T) {
 	first, err := NewSegment("j", []Result{{Index: 3, CustomID: "c3", Status: 200, Body: []byte("{}")}}, 1)
 	assert.NilError(t, err)
-	for kind, body := range map[journal.EntryKind]any{
+	for kind, body := range map[commitlog.EntryKind]any{
 		KindSegment:      first,
 		KindRenewSegment: RenewSegment{Segment: first},
 	} {
-		e, err := journal.NewEntry(kind, body)
+		e, err := commitlog.NewEntry(kind, body)
 		assert.NilError(t, err)
 		got, err := decodeSegment(e)
 		assert.NilError(t, err, "kind %d", kind)
 		assert.DeepEqual(t, got, first)
 	}
-	other, err := journal.NewEntry(KindCancel, Cancel{Job: "j"})
+	other, err := commitlog.NewEntry(KindCancel, Cancel{Job: "j"})
 	assert.NilError(t, err)
 	_, err = decodeSegment(other)
-	assert.ErrorIs(t, err, journal.ErrFormat)
+	assert.ErrorIs(t, err, commitlog.ErrFormat)
 }
 
 // A line that can no longer be read ends as that item's own failure.
--- a/batch/query.go
+++ b/batch/query.go
@@ -6,7 +6,7 @@
 
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // JobView is a copy of a job's state, without its items.
@@ -211,7 +211,7 @@
 	}
 }
 
-var _ journal.Fold = (*Table)(nil)
+var _ commitlog.Fold = (*Table)(nil)
 
 // OpenJobs returns how many jobs of a workspace are not terminal.
 func (t *Table) OpenJobs(workspace string) int {
--- a/batch/record.go
+++ b/batch/record.go
@@ -7,22 +7,22 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // The entry kinds of a shard's stream, beside blob.KindChunk.
 const (
-	KindFile         journal.EntryKind = 301
-	KindDeleteFile   journal.EntryKind = 302
-	KindJob          journal.EntryKind = 303
-	KindStarted      journal.EntryKind = 304
-	KindFailed       journal.EntryKind = 305
-	KindSegment      journal.EntryKind = 306
-	KindCancel       journal.EntryKind = 307
-	KindFinished     journal.EntryKind = 308
-	KindRenewFile    journal.EntryKind = 309
-	KindRenewJob     journal.EntryKind = 310
-	KindRenewSegment journal.EntryKind = 311
+	KindFile         commitlog.EntryKind = 301
+	KindDeleteFile   commitlog.EntryKind = 302
+	KindJob          commitlog.EntryKind = 303
+	KindStarted      commitlog.EntryKind = 304
+	KindFailed       commitlog.EntryKind = 305
+	KindSegment      commitlog.EntryKind = 306
+	KindCancel       commitlog.EntryKind = 307
+	KindFinished     commitlog.EntryKind = 308
+	KindRenewFile    commitlog.EntryKind = 309
+	KindRenewJob     commitlog.EntryKind = 310
+	KindRenewSegment commitlog.EntryKind = 311
 )
 
 // Limits of records.
@@ -161,7 +161,7 @@
 	OK uint32 `cbor:"8,keyasint,omitempty"`
 	// Base is the newest position that its writer had folded; the record has
 	// no effect if a segment of the job stands between Base and itself.
-	Base journal.Position `cbor:"9,keyasint"`
+	Base commitlog.Position `cbor:"9,keyasint"`
 }
 
 // NewSegment encodes results, which must be in ascending order of index.
@@ -183,14 +183,14 @@
 func (s Segment) Results() ([]Result, error) {
 	var rs []Result
 	if err := cbor.Unmarshal(s.Data, &rs); err != nil {
-		return nil, errors.Wrap(journal.ErrFormat, err.Error())
+		return nil, errors.Wrap(commitlog.ErrFormat, err.Error())
 	}
 	if len(rs) != len(s.Items) {
-		return nil, errors.Wrapf(journal.ErrFormat, "segment has %d results for %d items", len(rs), len(s.Items))
+		return nil, errors.Wrapf(commitlog.ErrFormat, "segment has %d results for %d items", len(rs), len(s.Items))
 	}
 	for i, r := range rs {
 		if r.Index != s.Items[i] {
-			return nil, errors.Wrapf(journal.ErrFormat, "segment has item %d in place of %d", r.Index, s.Items[i])
+			return nil, errors.Wrapf(commitlog.ErrFormat, "segment has item %d in place of %d", r.Index, s.Items[i])
 		}
 	}
 	return rs, nil
@@ -203,11 +203,11 @@
 
 func (s Segment) check() error {
 	if len(s.Items) == 0 {
-		return errors.Wrap(journal.ErrFormat, "empty segment")
+		return errors.Wrap(commitlog.ErrFormat, "empty segment")
 	}
 	for i := 1; i < len(s.Items); i++ {
 		if s.Items[i] <= s.Items[i-1] {
-			return errors.Wrap(journal.ErrFormat, "segment items out of order")
+			return errors.Wrap(commitlog.ErrFormat, "segment items out of order")
 		}
 	}
 	return nil
@@ -215,27 +215,27 @@
 
 func (s Started) check() error {
 	if s.Total == 0 || s.Total > MaxItems {
-		return errors.Wrapf(journal.ErrFormat, "job of %d items", s.Total)
+		return errors.Wrapf(commitlog.ErrFormat, "job of %d items", s.Total)
 	}
 	if want := (int(s.Total) + BlockItems - 1) / BlockItems; len(s.Blocks) != want {
-		return errors.Wrapf(journal.ErrFormat, "%d blocks in place of %d", len(s.Blocks), want)
+		return errors.Wrapf(commitlog.ErrFormat, "%d blocks in place of %d", len(s.Blocks), want)
 	}
 	return nil
 }
 
 func (f File) check() error {
 	if f.ID == "" || len(f.ID) > maxIDBytes || f.Workspace == "" {
-		return errors.Wrap(journal.ErrFormat, "file without id or workspace")
+		return errors.Wrap(commitlog.ErrFormat, "file without id or workspace")
 	}
 	if b, err := hex.DecodeString(f.SHA256); err != nil || len(b)*8 != 256 {
-		return errors.Wrap(journal.ErrFormat, "file hash")
+		return errors.Wrap(commitlog.ErrFormat, "file hash")
 	}
 	return nil
 }
 
 func (j Job) check() error {
 	if j.ID == "" || len(j.ID) > maxIDBytes || j.Workspace == "" || j.InputFile == "" {
-		return errors.Wrap(journal.ErrFormat, "job without id, workspace or input file")
+		return errors.Wrap(commitlog.ErrFormat, "job without id, workspace or input file")
 	}
 	return nil
 }
--- a/batch/renew.go
+++ b/batch/renew.go
@@ -4,7 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // The log keeps records for a limited time, so whatever must last is appended
@@ -29,16 +29,16 @@
 // RenewFile is a file appended again, with its content if that moved.
 type RenewFile struct {
 	File     File             `cbor:"1,keyasint"`
-	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Position `cbor:"3,keyasint"`
+	Accepted commitlog.Position `cbor:"2,keyasint"`
+	Base     commitlog.Position `cbor:"3,keyasint"`
 	At       int64            `cbor:"4,keyasint"`
 }
 
 // RenewJob is a job appended again, without its segments.
 type RenewJob struct {
 	Job      Job              `cbor:"1,keyasint"`
-	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Position `cbor:"3,keyasint"`
+	Accepted commitlog.Position `cbor:"2,keyasint"`
+	Base     commitlog.Position `cbor:"3,keyasint"`
 	At       int64            `cbor:"4,keyasint"`
 	// Input is the manifest of the input; empty once the job has ended.
 	Input       blob.Manifest `cbor:"5,keyasint,omitempty"`
@@ -46,8 +46,8 @@
 	Failed      *Failed       `cbor:"7,keyasint,omitempty"`
 	CancelledAt int64         `cbor:"8,keyasint,omitempty"`
 	// StartedPos and LastSegment are where those records stood.
-	StartedPos  journal.Position `cbor:"10,keyasint"`
-	LastSegment journal.Position `cbor:"11,keyasint"`
+	StartedPos  commitlog.Position `cbor:"10,keyasint"`
+	LastSegment commitlog.Position `cbor:"11,keyasint"`
 	// End is set for a job that ended after it had started or been cancelled.
 	End *JobEnd `cbor:"9,keyasint,omitempty"`
 }
@@ -67,25 +67,25 @@
 // first completion it holds. Accepted names the segment.
 type RenewSegment struct {
 	Segment  Segment          `cbor:"1,keyasint"`
-	Accepted journal.Position `cbor:"2,keyasint"`
-	Base     journal.Position `cbor:"3,keyasint"`
+	Accepted commitlog.Position `cbor:"2,keyasint"`
+	Base     commitlog.Position `cbor:"3,keyasint"`
 }
 
 // tombstone stands for a deleted file.
 type tombstone struct {
-	at    journal.Offset
+	at    commitlog.Offset
 	since int64
 }
 
 // orphan is a fact about a job that is not known yet.
 type orphan struct {
-	pos  journal.Position
+	pos  commitlog.Position
 	fact any
 }
 
 var errStale = errors.Wrap(ErrRefused, "renewal is older than what is known")
 
-func (t *Table) applyRenewFile(_ journal.Position, n RenewFile) error {
+func (t *Table) applyRenewFile(_ commitlog.Position, n RenewFile) error {
 	if err := n.File.check(); err != nil {
 		return err
 	}
@@ -122,12 +122,12 @@
 	case n.End.Expired, n.CancelledAt != 0:
 		return nil
 	case n.Started == nil, n.End.OK+n.End.Failed != n.Started.Total:
-		return errors.Wrapf(journal.ErrFormat, "end of job %s without all of its items", n.Job.ID)
+		return errors.Wrapf(commitlog.ErrFormat, "end of job %s without all of its items", n.Job.ID)
 	}
 	return nil
 }
 
-func (t *Table) applyRenewJob(_ journal.Position, n RenewJob) error {
+func (t *Table) applyRenewJob(_ commitlog.Position, n RenewJob) error {
 	if err := n.Job.check(); err != nil {
 		return err
 	}
@@ -188,7 +188,7 @@
 	return t.settle(r)
 }
 
-func (t *Table) applyRenewSegment(pos journal.Position, n RenewSegment) error {
+func (t *Table) applyRenewSegment(pos commitlog.Position, n RenewSegment) error {
 	if err := n.Segment.check(); err != nil {
 		return err
 	}
@@ -221,7 +221,7 @@
 
 // keepOrphan keeps a fact about a job that may be renewed later; the caller
 // holds mu. The bodies of results are not kept.
-func (t *Table) keepOrphan(pos journal.Position, job string, fact any) {
+func (t *Table) keepOrphan(pos commitlog.Position, job string, fact any) {
 	if t.floor == 0 {
 		return
 	}
@@ -238,7 +238,7 @@
 
 // adopt applies what was folded about a job before the job itself; the caller
 // holds mu. The renewal holds all up to base but the results.
-func (t *Table) adopt(job string, base journal.Position) {
+func (t *Table) adopt(job string, base commitlog.Position) {
 	facts := t.orphans[job]
 	delete(t.orphans, job)
 	for _, o := range facts {
@@ -269,7 +269,7 @@
 // Reset says that the reader fell behind retention and goes on at first. What
 // was deleted in between is unknown, so the table starts again from what the
 // log still keeps, as one that starts late does.
-func (t *Table) Reset(first journal.Offset) {
+func (t *Table) Reset(first commitlog.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	empty := NewTable()
--- a/batch/renew_test.go
+++ b/batch/renew_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // memStream is a log in memory that one table folds at once.
@@ -18,8 +18,8 @@
 	table   *Table
 }
 
-func (m *memStream) append(kind journal.EntryKind, body any) {
-	l := logEntry{journal.Position{Offset: journal.Offset(len(m.entries))}, kind, body}
+func (m *memStream) append(kind commitlog.EntryKind, body any) {
+	l := logEntry{commitlog.Position{Offset: commitlog.Offset(len(m.entries))}, kind, body}
 	m.entries = append(m.entries, l)
 	_ = l.apply(m.table) // a refused entry has no effect
 }
@@ -130,7 +130,7 @@
 					m.append(paused[i].kind, paused[i].body)
 				}
 			default:
-				h.pos = journal.Offset(len(m.entries)) - 1
+				h.pos = commitlog.Offset(len(m.entries)) - 1
 				l := h.next(t)
 				m.append(l.kind, l.body)
 			}
@@ -159,7 +159,7 @@
 		for _, l := range m.entries[:first/2] {
 			_ = l.apply(behind)
 		}
-		behind.Reset(journal.Offset(first))
+		behind.Reset(commitlog.Offset(first))
 		for _, l := range m.entries[first:] {
 			_ = l.apply(behind)
 		}
@@ -173,9 +173,9 @@
 }
 
 func TestStaleRenewalDoesNotBringBackADeletedFile(t *testing.T) {
-	old := RenewFile{File: File{ID: "f", Workspace: "a", SHA256: hash64, Content: blob.Manifest{{Offset: 1, Len: 3}}}, Base: journal.Position{Offset: 5}}
-	at := func(o journal.Offset, k journal.EntryKind, b any) logEntry {
-		return logEntry{journal.Position{Offset: o}, k, b}
+	old := RenewFile{File: File{ID: "f", Workspace: "a", SHA256: hash64, Content: blob.Manifest{{Offset: 1, Len: 3}}}, Base: commitlog.Position{Offset: 5}}
+	at := func(o commitlog.Offset, k commitlog.EntryKind, b any) logEntry {
+		return logEntry{commitlog.Position{Offset: o}, k, b}
 	}
 	// The deletion at 6 has expired; the renewal that did not know it has not.
 	table := NewTable()
@@ -198,7 +198,7 @@
 // TestEndOfAnAdoptedJob folds the renewal of the output file, and a cancel that
 // came too late, before the job itself.
 func TestEndOfAnAdoptedJob(t *testing.T) {
-	at := func(o int) journal.Position { return journal.Position{Offset: journal.Offset(o)} }
+	at := func(o int) commitlog.Position { return commitlog.Position{Offset: commitlog.Offset(o)} }
 	out := File{ID: "out", Workspace: "a", SHA256: hash64}
 	job := Job{ID: "j", Workspace: "a", InputFile: "f"}
 	seg, err := NewSegment("j", []Result{{Status: 200}}, 1)
--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -10,7 +10,7 @@
 
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // validate reads a job's whole input and appends what came of it.
@@ -29,8 +29,8 @@
 	return commit(ctx, s.Stream, KindStarted, Started{Job: v.ID, Service: c.service, Total: c.total, Blocks: c.blocks, At: now.Unix()})
 }
 
-func commit(ctx context.Context, stream Stream, kind journal.EntryKind, body any) error {
-	e, err := journal.NewEntry(kind, body)
+func commit(ctx context.Context, stream Stream, kind commitlog.EntryKind, body any) error {
+	e, err := commitlog.NewEntry(kind, body)
 	if err != nil {
 		return err
 	}
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -9,7 +9,7 @@
 
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Times and limits of the runner.
@@ -26,7 +26,7 @@
 	DefaultRetention = 30 * 24 * time.Hour
 )
 
-// Stream is the part of journal.Stream that the runner needs.
+// Stream is the part of commitlog.Stream that the runner needs.
 type Stream interface {
 	blob.Stream
 	// CaughtUp returns once everything that is in the log now is folded.
@@ -347,7 +347,7 @@
 	if err != nil {
 		return err
 	}
-	e, err := journal.NewEntry(KindSegment, s)
+	e, err := commitlog.NewEntry(KindSegment, s)
 	if err != nil {
 		return err
 	}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 type testServices struct{}
@@ -80,15 +80,15 @@
 	stop  func()
 }
 
-func startProcess(t *testing.T, mem journal.Log, name string, d Dispatcher) *process {
+func startProcess(t *testing.T, mem commitlog.Log, name string, d Dispatcher) *process {
 	return startOwner(t, mem, name, d, func(int) bool { return true })
 }
 
-func startOwner(t *testing.T, mem journal.Log, name string, d Dispatcher, owner func(int) bool) *process {
+func startOwner(t *testing.T, mem commitlog.Log, name string, d Dispatcher, owner func(int) bool) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	logger := log.New(io.Discard)
 	table := NewTable()
-	stream := journal.NewStream(mem, StreamName(0), journal.Options{Writer: name, Fold: table, Logger: logger})
+	stream := commitlog.NewStream(mem, StreamName(0), commitlog.Options{Writer: name, Fold: table, Logger: logger})
 	p := &process{shard: Shard{Stream: stream, Table: table}}
 	runner := NewRunner(RunnerOptions{
 		Incarnation: name, Shards: []Shard{p.shard}, Dispatcher: d, Services: testServices{},
@@ -106,9 +106,9 @@
 }
 
 // slowLog reads one record a virtual second.
-type slowLog struct{ *journaltest.MemLog }
+type slowLog struct{ *commitlogtest.MemLog }
 
-func (l slowLog) Read(ctx context.Context, stream string, from journal.Offset, _ int, wait time.Duration) (journal.Page, error) {
+func (l slowLog) Read(ctx context.Context, stream string, from commitlog.Offset, _ int, wait time.Duration) (commitlog.Page, error) {
 	sleep(ctx, time.Second)
 	return l.MemLog.Read(ctx, stream, from, 1, wait)
 }
@@ -173,8 +173,8 @@
 	for seed := range uint64(8) {
 		synctest.Test(t, func(t *testing.T) {
 			faults, rng := rand.New(rand.NewPCG(seed, 1)), rand.New(rand.NewPCG(seed, 2))
-			mem := journaltest.NewMemLog()
-			mem.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.Fault(faults.IntN(4)) })
+			mem := commitlogtest.NewMemLog()
+			mem.OnAppend(func(string, []byte) commitlogtest.Fault { return commitlogtest.Fault(faults.IntN(4)) })
 			d := &slowDispatcher{room: 40, completed: map[uint32]int{}}
 			p1 := startProcess(t, mem, "p1", d)
 			p2 := startProcess(t, mem, "p2", d)
@@ -201,7 +201,7 @@
 
 func TestNewOwnerRunsOnlyWhatIsLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mem := journaltest.NewMemLog()
+		mem := commitlogtest.NewMemLog()
 		d1 := &slowDispatcher{room: 8, completed: map[uint32]int{}}
 		p1 := startProcess(t, mem, "p1", d1)
 		p1.submit(t, 200, 24*time.Hour)
@@ -232,7 +232,7 @@
 // with both processes and sometimes neither of them owning it.
 func TestOwnershipComesAndGoes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mem := journaltest.NewMemLog()
+		mem := commitlogtest.NewMemLog()
 		d := &slowDispatcher{room: 16, completed: map[uint32]int{}}
 		start := time.Now()
 		turn := func(self, of int) func(int) bool {
@@ -261,7 +261,7 @@
 
 func TestDeadlineExpiresTheJob(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mem := journaltest.NewMemLog()
+		mem := commitlogtest.NewMemLog()
 		d := &slowDispatcher{room: 8, completed: map[uint32]int{}}
 		p := startProcess(t, mem, "p", d)
 		p.submit(t, 200, 10*time.Second)
@@ -282,7 +282,7 @@
 func TestResultsOutliveTheLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const retention = 10 * time.Minute
-		mem := journaltest.NewMemLog()
+		mem := commitlogtest.NewMemLog()
 		d := &slowDispatcher{room: 64, completed: map[uint32]int{}}
 		p := startProcess(t, mem, "p", d)
 		p.submit(t, 100, 24*time.Hour)
@@ -294,10 +294,10 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		var wg sync.WaitGroup
 		wg.Go(func() { renewer.Run(ctx) })
-		var ends []journal.Offset // of the log, a minute apart
+		var ends []commitlog.Offset // of the log, a minute apart
 		for range 50 {
 			time.Sleep(time.Minute)
-			page, err := mem.Read(ctx, StreamName(0), ^journal.Offset(0), 1, 0)
+			page, err := mem.Read(ctx, StreamName(0), ^commitlog.Offset(0), 1, 0)
 			assert.NilError(t, err)
 			if ends = append(ends, page.Next); len(ends) > 10 {
 				mem.Expire(StreamName(0), ends[len(ends)-11])
@@ -322,7 +322,7 @@
 
 func TestLargeInputSpansChunks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		mem := journaltest.NewMemLog()
+		mem := commitlogtest.NewMemLog()
 		p := startProcess(t, mem, "p", &slowDispatcher{room: 4096, completed: map[uint32]int{}})
 		const n = 9000 // three chunks
 		p.submit(t, n, 24*time.Hour)
--- a/batch/table.go
+++ b/batch/table.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // ErrRefused says that an entry contradicts what was folded before it and has
@@ -29,10 +29,10 @@
 	fileOrder map[string][]string
 	jobOrder  map[string][]string
 	// newest is the position of the newest entry applied.
-	newest journal.Position
+	newest commitlog.Position
 	// floor is the offset below which deletions may have gone unseen: the
 	// first one applied, or the end of a gap.
-	floor   journal.Offset
+	floor   commitlog.Offset
 	applied bool
 	resets  int
 	deleted map[fileID]tombstone
@@ -59,10 +59,10 @@
 // version says which of two renewals of a row is newer, and how old it is.
 type version struct {
 	// accepted is where the row's own record stood.
-	accepted journal.Position
+	accepted commitlog.Position
 	// base is the newest position that the writer of the row's newest record
 	// had folded.
-	base journal.Position
+	base commitlog.Position
 	// since is when that record was written, in Unix seconds.
 	since int64
 }
@@ -88,8 +88,8 @@
 	doneBits bitmap
 	// startedPos is where the job's Started record stood, lastSegment where
 	// the newest segment did, whatever came of it.
-	startedPos    journal.Position
-	lastSegment   journal.Position
+	startedPos    commitlog.Position
+	lastSegment   commitlog.Position
 	ok, failed    uint32
 	segments      []segmentRow
 	startedAt     int64
@@ -105,7 +105,7 @@
 // segmentRow stands for one result segment. Won marks the items of the segment
 // whose first completion it holds; nil if it holds all of them.
 type segmentRow struct {
-	offset      journal.Offset
+	offset      commitlog.Offset
 	index       uint32
 	first, last uint32
 	won         []byte
@@ -129,8 +129,8 @@
 	}
 }
 
-// Apply implements journal.Fold.
-func (t *Table) Apply(pos journal.Position, e journal.Entry) error {
+// Apply implements commitlog.Fold.
+func (t *Table) Apply(pos commitlog.Position, e commitlog.Entry) error {
 	switch e.Kind {
 	case blob.KindChunk:
 		t.see(pos)
@@ -162,7 +162,7 @@
 }
 
 // applyAs decodes an entry without the lock and applies it under the lock.
-func applyAs[R any](t *Table, pos journal.Position, e journal.Entry, apply func(journal.Position, R) error) error {
+func applyAs[R any](t *Table, pos commitlog.Position, e commitlog.Entry, apply func(commitlog.Position, R) error) error {
 	var r R
 	t.see(pos)
 	if err := e.Decode(&r); err != nil {
@@ -174,7 +174,7 @@
 }
 
 // see notes how far the stream has been folded.
-func (t *Table) see(pos journal.Position) {
+func (t *Table) see(pos commitlog.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.applied {
@@ -183,7 +183,7 @@
 	t.newest = pos
 }
 
-func (t *Table) applyFile(pos journal.Position, f File) error {
+func (t *Table) applyFile(pos commitlog.Position, f File) error {
 	if err := f.check(); err != nil {
 		return err
 	}
@@ -198,7 +198,7 @@
 }
 
 // addFile adds a file whose id is free; the caller holds mu.
-func (t *Table) addFile(pos journal.Position, f File) {
+func (t *Table) addFile(pos commitlog.Position, f File) {
 	t.putFile(f, version{accepted: pos, base: pos, since: f.Created})
 }
 
@@ -220,16 +220,16 @@
 }
 
 // comparePositions orders positions as the log does.
-func comparePositions(a, b journal.Position) int {
+func comparePositions(a, b commitlog.Position) int {
 	return cmp.Or(cmp.Compare(a.Offset, b.Offset), cmp.Compare(a.Index, b.Index))
 }
 
-func before(a, b journal.Position) bool { return comparePositions(a, b) < 0 }
+func before(a, b commitlog.Position) bool { return comparePositions(a, b) < 0 }
 
 // claimKey binds an idempotency key to an object that was accepted at a
 // position. If the key is bound already, the object that was accepted first
 // keeps it and the other one does not exist. The caller holds mu.
-func (t *Table) claimKey(k keyID, id, hash string, accepted journal.Position) error {
+func (t *Table) claimKey(k keyID, id, hash string, accepted commitlog.Position) error {
 	if k.key == "" {
 		return nil
 	}
@@ -244,7 +244,7 @@
 }
 
 // accepted returns where the holder of a key was accepted.
-func (t *Table) accepted(k keyID, id string) journal.Position {
+func (t *Table) accepted(k keyID, id string) commitlog.Position {
 	if k.job {
 		return t.jobs[id].accepted
 	}
@@ -272,7 +272,7 @@
 	t.fileOrder[k.workspace] = without(t.fileOrder[k.workspace], id)
 }
 
-func (t *Table) applyDeleteFile(pos journal.Position, d DeleteFile) error {
+func (t *Table) applyDeleteFile(pos commitlog.Position, d DeleteFile) error {
 	row, ok := t.files[d.ID]
 	switch {
 	case ok && row.file.Workspace == d.Workspace:
--- a/batch/table_jobs.go
+++ b/batch/table_jobs.go
@@ -5,10 +5,10 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
-func (t *Table) applyJob(pos journal.Position, j Job) error {
+func (t *Table) applyJob(pos commitlog.Position, j Job) error {
 	if err := j.check(); err != nil {
 		return err
 	}
@@ -36,7 +36,7 @@
 
 // job returns a job that may still change. If its own record may be older than
 // what this table has folded, the fact is kept until the job is renewed.
-func (t *Table) job(pos journal.Position, id string, fact any) (*jobRow, error) {
+func (t *Table) job(pos commitlog.Position, id string, fact any) (*jobRow, error) {
 	r, ok := t.jobs[id]
 	if !ok {
 		t.keepOrphan(pos, id, fact)
@@ -48,7 +48,7 @@
 	return r, nil
 }
 
-func (t *Table) applyStarted(pos journal.Position, s Started) error {
+func (t *Table) applyStarted(pos commitlog.Position, s Started) error {
 	if err := s.check(); err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	return t.settle(r)
 }
 
-func (t *Table) applyFailed(pos journal.Position, f Failed) error {
+func (t *Table) applyFailed(pos commitlog.Position, f Failed) error {
 	r, err := t.job(pos, f.Job, f)
 	if err != nil {
 		return err
@@ -76,7 +76,7 @@
 	return t.settle(r)
 }
 
-func (t *Table) applySegment(pos journal.Position, s Segment) error {
+func (t *Table) applySegment(pos commitlog.Position, s Segment) error {
 	if err := s.check(); err != nil {
 		return err
 	}
@@ -130,7 +130,7 @@
 	r.segments = append(r.segments, row)
 }
 
-func (t *Table) applyCancel(pos journal.Position, c Cancel) error {
+func (t *Table) applyCancel(pos commitlog.Position, c Cancel) error {
 	r, err := t.job(pos, c.Job, c)
 	if err != nil {
 		return err
@@ -144,13 +144,13 @@
 	return t.settle(r)
 }
 
-func (t *Table) applyFinished(pos journal.Position, f Finished) error {
+func (t *Table) applyFinished(pos commitlog.Position, f Finished) error {
 	r, err := t.job(pos, f.Job, f)
 	if err != nil {
 		return err
 	}
 	if f.OK > f.Done {
-		return errors.Wrapf(journal.ErrFormat, "%d of %d items succeeded", f.OK, f.Done)
+		return errors.Wrapf(commitlog.ErrFormat, "%d of %d items succeeded", f.OK, f.Done)
 	}
 	if before(f.Base, r.lastSegment) {
 		return errors.Wrapf(ErrRefused, "output of job %s does not cover its newest segment", f.Job)
@@ -177,7 +177,7 @@
 
 // addOutput adds an output file, unless its renewal or its deletion was folded
 // before the job was adopted; the caller holds mu.
-func (t *Table) addOutput(pos journal.Position, f File) {
+func (t *Table) addOutput(pos commitlog.Position, f File) {
 	_, known := t.files[f.ID]
 	_, gone := t.deleted[fileID{f.Workspace, f.ID}]
 	if !known && !gone {
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 var hash64 = strings.Repeat("ab", 32)
@@ -21,13 +21,13 @@
 var now = time.Unix(1_000_000, 0)
 
 type logEntry struct {
-	pos  journal.Position
-	kind journal.EntryKind
+	pos  commitlog.Position
+	kind commitlog.EntryKind
 	body any
 }
 
 func (l logEntry) apply(t *Table) error {
-	e, err := journal.NewEntry(l.kind, l.body)
+	e, err := commitlog.NewEntry(l.kind, l.body)
 	if err != nil {
 		return err
 	}
@@ -44,10 +44,10 @@
 	cancel  bool
 	end     *Finished
 	// winner of each item: the position of its segment, and whether it failed.
-	winner map[uint32]journal.Position
+	winner map[uint32]commitlog.Position
 	bad    int
 	// newest is where the newest segment stands.
-	newest journal.Position
+	newest commitlog.Position
 }
 
 // uploads returns the files that callers uploaded and did not delete.
@@ -93,7 +93,7 @@
 				ok = ok && (b.Key == "" || j.job.Key != b.Key || j.job.Workspace != b.Workspace)
 			}
 			if ok {
-				jobs[b.ID] = &naiveJobState{job: b, winner: map[uint32]journal.Position{}}
+				jobs[b.ID] = &naiveJobState{job: b, winner: map[uint32]commitlog.Position{}}
 			}
 		case Started:
 			if j := jobs[b.Job]; j != nil && !j.over() && j.started == nil {
@@ -130,7 +130,7 @@
 
 func (j *naiveJobState) over() bool { return j.end != nil || j.failed != nil }
 
-func (j *naiveJobState) segment(pos journal.Position, s Segment) {
+func (j *naiveJobState) segment(pos commitlog.Position, s Segment) {
 	for i, item := range s.Items {
 		if _, ok := j.winner[item]; !ok {
 			j.winner[item] = pos
@@ -215,7 +215,7 @@
 // history makes entries that two owners, resending callers and operators could
 // have appended, in any order.
 type history struct {
-	pos   journal.Offset
+	pos   commitlog.Offset
 	total map[string]uint32
 	files []File
 	jobs  []string
@@ -230,15 +230,15 @@
 	f := File{ID: "f", Workspace: "a", SHA256: hash64, Created: now.Unix()}
 	h := &history{total: map[string]uint32{}, files: []File{f}, jobs: []string{"j"}, pos: 2}
 	return h, []logEntry{
-		{journal.Position{}, KindFile, f},
-		{journal.Position{Offset: 1}, KindJob, Job{ID: "j", Workspace: "a", InputFile: "f", Created: now.Unix(), Deadline: now.Unix() + 9}},
-		{journal.Position{Offset: 2}, KindStarted, h.started(t, "j")},
+		{commitlog.Position{}, KindFile, f},
+		{commitlog.Position{Offset: 1}, KindJob, Job{ID: "j", Workspace: "a", InputFile: "f", Created: now.Unix(), Deadline: now.Unix() + 9}},
+		{commitlog.Position{Offset: 2}, KindStarted, h.started(t, "j")},
 	}
 }
 
 func (h *history) next(t *rapid.T) logEntry {
 	h.pos++
-	l := logEntry{pos: journal.Position{Offset: h.pos}}
+	l := logEntry{pos: commitlog.Position{Offset: h.pos}}
 	file := rapid.SampledFrom(h.files).Draw(t, "file")
 	job := rapid.SampledFrom(h.jobs).Draw(t, "job")
 	ws := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "workspace")
@@ -276,7 +276,7 @@
 func (h *history) finished(t *rapid.T, job string) Finished {
 	f := Finished{
 		Job: job, At: 7, Expired: rapid.Bool().Draw(t, "expired"),
-		Base:   journal.Position{Offset: rapid.SampledFrom([]journal.Offset{h.pos - 1, h.pos - 1, h.pos / 2}).Draw(t, "base")},
+		Base:   commitlog.Position{Offset: rapid.SampledFrom([]commitlog.Offset{h.pos - 1, h.pos - 1, h.pos / 2}).Draw(t, "base")},
 		Output: &File{ID: fmt.Sprint("out", h.pos), Workspace: "a", SHA256: hash64, Created: now.Unix()},
 	}
 	if h.done != nil {
@@ -338,13 +338,13 @@
 func TestIdempotencyKeys(t *testing.T) {
 	table := NewTable()
 	entries := []logEntry{
-		{journal.Position{Offset: 0}, KindFile, File{ID: "f", Workspace: "a", SHA256: hash64, Content: blob.Manifest{}}},
-		{journal.Position{Offset: 1}, KindJob, Job{ID: "j1", Workspace: "a", InputFile: "f", Key: "k", KeyHash: "h"}},
+		{commitlog.Position{Offset: 0}, KindFile, File{ID: "f", Workspace: "a", SHA256: hash64, Content: blob.Manifest{}}},
+		{commitlog.Position{Offset: 1}, KindJob, Job{ID: "j1", Workspace: "a", InputFile: "f", Key: "k", KeyHash: "h"}},
 	}
 	for _, l := range entries {
 		assert.NilError(t, l.apply(table))
 	}
-	again := logEntry{journal.Position{Offset: 2}, KindJob, Job{ID: "j2", Workspace: "a", InputFile: "f", Key: "k", KeyHash: "h"}}
+	again := logEntry{commitlog.Position{Offset: 2}, KindJob, Job{ID: "j2", Workspace: "a", InputFile: "f", Key: "k", KeyHash: "h"}}
 	assert.ErrorIs(t, again.apply(table), ErrRefused)
 	v, ok, err := table.JobByKey("a", "k", "h")
 	assert.NilError(t, err)
--- a/blob/blob.go
+++ b/blob/blob.go
@@ -1,5 +1,5 @@
 // Package blob keeps content in a log stream as a sequence of chunks. A chunk
-// is one journal entry; a Manifest lists where the chunks stand. Memory holds
+// is one commit log entry; a Manifest lists where the chunks stand. Memory holds
 // the manifest alone: bodies are read back from the log when they are needed.
 //
 // A chunk has no meaning for the fold of its stream. Content comes into being
@@ -16,14 +16,14 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // MaxChunkBytes bounds the content of one chunk.
 const MaxChunkBytes = 256 << 10
 
 // KindChunk is the entry kind of a chunk.
-const KindChunk journal.EntryKind = 300
+const KindChunk commitlog.EntryKind = 300
 
 // Chunk is the body of a chunk entry.
 type Chunk struct {
@@ -32,7 +32,7 @@
 
 // Ref says where one chunk stands and how many bytes it holds.
 type Ref struct {
-	Offset journal.Offset `cbor:"1,keyasint"`
+	Offset commitlog.Offset `cbor:"1,keyasint"`
 	Index  uint32         `cbor:"2,keyasint"`
 	Len    uint32         `cbor:"3,keyasint"`
 }
@@ -50,18 +50,18 @@
 }
 
 // Oldest returns the lowest offset that the manifest depends on.
-func (m Manifest) Oldest() journal.Offset {
-	oldest := ^journal.Offset(0)
+func (m Manifest) Oldest() commitlog.Offset {
+	oldest := ^commitlog.Offset(0)
 	for _, r := range m {
 		oldest = min(oldest, r.Offset)
 	}
 	return oldest
 }
 
-// Stream is the part of journal.Stream that blobs need.
+// Stream is the part of commitlog.Stream that blobs need.
 type Stream interface {
-	Commit(ctx context.Context, entries ...journal.Entry) (journal.Position, error)
-	Load(ctx context.Context, at journal.Offset) ([]journal.Entry, error)
+	Commit(ctx context.Context, entries ...commitlog.Entry) (commitlog.Position, error)
+	Load(ctx context.Context, at commitlog.Offset) ([]commitlog.Entry, error)
 }
 
 // Written describes content that was written.
@@ -132,7 +132,7 @@
 }
 
 func (s *Store) writeChunk(ctx context.Context, data []byte) (Ref, error) {
-	e, err := journal.NewEntry(KindChunk, Chunk{Data: data})
+	e, err := commitlog.NewEntry(KindChunk, Chunk{Data: data})
 	if err != nil {
 		return Ref{}, err
 	}
@@ -178,13 +178,13 @@
 }
 
 // DecodeChunk reads a chunk entry.
-func DecodeChunk(e journal.Entry) (Chunk, error) {
+func DecodeChunk(e commitlog.Entry) (Chunk, error) {
 	var c Chunk
 	if err := e.Decode(&c); err != nil {
 		return Chunk{}, err
 	}
 	if len(c.Data) == 0 || len(c.Data) > MaxChunkBytes {
-		return Chunk{}, errors.Wrapf(journal.ErrFormat, "chunk of %d bytes", len(c.Data))
+		return Chunk{}, errors.Wrapf(commitlog.ErrFormat, "chunk of %d bytes", len(c.Data))
 	}
 	return c, nil
 }
--- a/blob/blob_test.go
+++ b/blob/blob_test.go
@@ -13,23 +13,23 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // fakeStream keeps every commit as a record of its own.
 type fakeStream struct {
-	records [][]journal.Entry
+	records [][]commitlog.Entry
 	loads   int
 }
 
 var errGone = errors.New("gone")
 
-func (f *fakeStream) Commit(_ context.Context, es ...journal.Entry) (journal.Position, error) {
+func (f *fakeStream) Commit(_ context.Context, es ...commitlog.Entry) (commitlog.Position, error) {
 	f.records = append(f.records, es)
-	return journal.Position{Offset: journal.Offset(len(f.records) - 1)}, nil
+	return commitlog.Position{Offset: commitlog.Offset(len(f.records) - 1)}, nil
 }
 
-func (f *fakeStream) Load(_ context.Context, at journal.Offset) ([]journal.Entry, error) {
+func (f *fakeStream) Load(_ context.Context, at commitlog.Offset) ([]commitlog.Entry, error) {
 	f.loads++
 	if int(at) >= len(f.records) || f.records[at] == nil {
 		return nil, errGone
@@ -93,14 +93,14 @@
 }
 
 func FuzzDecodeChunk(f *testing.F) {
-	e, err := journal.NewEntry(KindChunk, Chunk{Data: []byte("x")})
+	e, err := commitlog.NewEntry(KindChunk, Chunk{Data: []byte("x")})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Add(e.Body)
 	f.Add([]byte{0xa0})
 	f.Fuzz(func(t *testing.T, body []byte) {
-		c, err := DecodeChunk(journal.Entry{Kind: KindChunk, Body: body})
+		c, err := DecodeChunk(commitlog.Entry{Kind: KindChunk, Body: body})
 		if err == nil && (len(c.Data) == 0 || len(c.Data) > MaxChunkBytes) {
 			t.Fatalf("chunk of %d bytes", len(c.Data))
 		}
@@ -110,7 +110,7 @@
 // cutStream answers every load as a connection that was cut does.
 type cutStream struct{ fakeStream }
 
-func (*cutStream) Load(context.Context, journal.Offset) ([]journal.Entry, error) {
+func (*cutStream) Load(context.Context, commitlog.Offset) ([]commitlog.Entry, error) {
 	return nil, errors.Wrap(io.EOF, "connection")
 }
 
--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // maxAcquireTries bounds the claims of one Acquire on a row that others claim
@@ -49,14 +49,14 @@
 // Claimer claims rows through a stream whose fold is Fold. It is safe for
 // concurrent use.
 type Claimer struct {
-	stream *journal.Stream
+	stream *commitlog.Stream
 	fold   *Fold
 	vetoer Vetoer
 	now    func() time.Time
 }
 
 // NewClaimer returns a claimer. vetoer may be nil if Resolve is not used.
-func NewClaimer(stream *journal.Stream, fold *Fold, vetoer Vetoer) *Claimer {
+func NewClaimer(stream *commitlog.Stream, fold *Fold, vetoer Vetoer) *Claimer {
 	return &Claimer{stream: stream, fold: fold, vetoer: vetoer, now: time.Now}
 }
 
@@ -94,7 +94,7 @@
 
 // disown has a claim released that may still take effect.
 func (c *Claimer) disown(claim Claim, err error) {
-	if errors.Is(err, journal.ErrUnconfirmed) {
+	if errors.Is(err, commitlog.ErrUnconfirmed) {
 		c.fold.disown(claim, c.releaseUnsent)
 	}
 }
@@ -102,7 +102,7 @@
 // releaseUnsent releases the row of an attempt that was never sent. It does not
 // wait, because the goroutine that folds calls it.
 func (c *Claimer) releaseUnsent(row Row) {
-	e, err := journal.NewEntry(KindRelease, Release{Claim: c.ending(row), Proof: ProofNeverSent})
+	e, err := commitlog.NewEntry(KindRelease, Release{Claim: c.ending(row), Proof: ProofNeverSent})
 	if err == nil {
 		_ = c.stream.Submit(e)
 	}
@@ -192,7 +192,7 @@
 }
 
 // Recorded reads the answer of a complete row from the log. An answer whose
-// record was lost is ErrNoAnswer or journal.ErrNotKept; its status is never 0.
+// record was lost is ErrNoAnswer or commitlog.ErrNotKept; its status is never 0.
 func (c *Claimer) Recorded(ctx context.Context, row Row) (Recorded, error) {
 	if row.Phase != Complete {
 		return Recorded{}, ErrNoAnswer
@@ -226,10 +226,10 @@
 	return row
 }
 
-func (c *Claimer) commit(ctx context.Context, kind journal.EntryKind, body any) (journal.Position, error) {
-	e, err := journal.NewEntry(kind, body)
+func (c *Claimer) commit(ctx context.Context, kind commitlog.EntryKind, body any) (commitlog.Position, error) {
+	e, err := commitlog.NewEntry(kind, body)
 	if err != nil {
-		return journal.Position{}, err
+		return commitlog.Position{}, err
 	}
 	return c.stream.Commit(ctx, e)
 }
--- a/claim/claimer_test.go
+++ b/claim/claimer_test.go
@@ -12,8 +12,8 @@
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // TestMain fixes rapid's seed, so that the verdict is the same each time.
@@ -33,20 +33,20 @@
 type process struct {
 	*Claimer
 	fold   *Fold
-	stream *journal.Stream
+	stream *commitlog.Stream
 }
 
-func start(ctx context.Context, l journal.Log, writer string, v Vetoer) *process {
+func start(ctx context.Context, l commitlog.Log, writer string, v Vetoer) *process {
 	f := NewFold()
-	s := journal.NewStream(l, StreamName, journal.Options{Writer: writer, Fold: f})
+	s := commitlog.NewStream(l, StreamName, commitlog.Options{Writer: writer, Fold: f})
 	go s.Run(ctx)
 	return &process{Claimer: NewClaimer(s, f, v), fold: f, stream: s}
 }
 
-func inBubble(t *testing.T, f func(t *testing.T, ctx context.Context, l *journaltest.MemLog)) {
+func inBubble(t *testing.T, f func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f(t, ctx, journaltest.NewMemLog())
+		f(t, ctx, commitlogtest.NewMemLog())
 		cancel()
 		synctest.Wait()
 	})
@@ -66,7 +66,7 @@
 }
 
 func TestConcurrentClaimsHaveOneWinner(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 		results := make(chan Result, 8)
 		for i := range cap(results) {
 			p := start(ctx, l, string(rune('a'+i)), nil)
@@ -85,7 +85,7 @@
 }
 
 func TestWaiterReadsTheRecordedAnswer(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 		a, b := start(ctx, l, "a", nil), start(ctx, l, "b", nil)
 		won := mustAcquire(t, a, newClaim("1"), Won)
 		assert.NilError(t, b.stream.CaughtUp(ctx))
@@ -110,7 +110,7 @@
 }
 
 func TestVetoedClaimIsClaimedAgainAndItsHolderChangesNothing(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 		a, b := start(ctx, l, "a", nil), start(ctx, l, "b", fixedVeto(VetoNeverStarted))
 		frozen := mustAcquire(t, a, newClaim("1"), Won)
 		assert.NilError(t, b.stream.CaughtUp(ctx))
@@ -131,7 +131,7 @@
 
 func TestWithoutProofTheOutcomeIsUnknown(t *testing.T) {
 	for _, v := range []VetoVerdict{VetoStarted, VetoOtherIncarnation, VetoUnreachable} {
-		inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+		inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 			a, b := start(ctx, l, "a", nil), start(ctx, l, "b", fixedVeto(v))
 			won := mustAcquire(t, a, newClaim("1"), Won)
 			assert.NilError(t, b.stream.CaughtUp(ctx))
@@ -152,13 +152,13 @@
 }
 
 func TestUnconfirmedClaimIsReleasedWhenItTakesEffect(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 		a := start(ctx, l, "a", nil)
-		l.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.ApplyLate })
+		l.OnAppend(func(string, []byte) commitlogtest.Fault { return commitlogtest.ApplyLate })
 		short, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
 		_, err := a.Acquire(short, newClaim("1"))
-		assert.ErrorIs(t, err, journal.ErrUnconfirmed)
+		assert.ErrorIs(t, err, commitlog.ErrUnconfirmed)
 		l.OnAppend(nil)
 		l.Flush()
 		time.Sleep(10 * time.Second)
@@ -169,7 +169,7 @@
 }
 
 func TestRecordedAnswersAndRepliesOutliveRetention(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, l *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, l *commitlogtest.MemLog) {
 		a := start(ctx, l, "a", nil)
 		won := mustAcquire(t, a, newClaim("1"), Won)
 		_, err := a.Complete(ctx, won.Row, Recorded{Status: 200, Body: []byte("whole")})
@@ -211,20 +211,20 @@
 
 // vetoingLog has another writer release each claim right behind it.
 type vetoingLog struct {
-	*journaltest.MemLog
+	*commitlogtest.MemLog
 	t       *testing.T
 	claim   Claim
 	appends int
 }
 
-func (l *vetoingLog) Append(ctx context.Context, stream string, p []byte) (journal.Offset, error) {
+func (l *vetoingLog) Append(ctx context.Context, stream string, p []byte) (commitlog.Offset, error) {
 	l.appends++
 	at, err := l.MemLog.Append(ctx, stream, p)
 	c := l.claim
 	c.Base = Version{Next: at + 1}
-	e, err2 := journal.NewEntry(KindRelease, Release{Claim: c, Proof: ProofVetoed})
+	e, err2 := commitlog.NewEntry(KindRelease, Release{Claim: c, Proof: ProofVetoed})
 	assert.Check(l.t, err2)
-	record, err2 := cbor.Marshal(map[int]any{1: 1, 2: "vetoer", 3: l.appends, 4: []journal.Entry{e}})
+	record, err2 := cbor.Marshal(map[int]any{1: 1, 2: "vetoer", 3: l.appends, 4: []commitlog.Entry{e}})
 	assert.Check(l.t, err2)
 	_, err2 = l.MemLog.Append(ctx, stream, record)
 	assert.Check(l.t, err2)
@@ -232,7 +232,7 @@
 }
 
 func TestVetoedAttemptIsNotClaimedAgain(t *testing.T) {
-	inBubble(t, func(t *testing.T, ctx context.Context, m *journaltest.MemLog) {
+	inBubble(t, func(t *testing.T, ctx context.Context, m *commitlogtest.MemLog) {
 		l := &vetoingLog{MemLog: m, t: t, claim: newClaim("1")}
 		a := start(ctx, l, "a", nil)
 		_, err := a.Acquire(ctx, newClaim("1"))
--- a/claim/doc.go
+++ b/claim/doc.go
@@ -42,7 +42,7 @@
 // transition. A claim names the version of the row that it is based on, and a
 // release or an outcome the version of its claim; it changes nothing unless
 // the row still has that version. A record that was sent twice or that takes
-// effect late therefore changes nothing either, even where the journal no
+// effect late therefore changes nothing either, even where the commit log no
 // longer recognises it as a duplicate.
 //
 // # Retention
--- a/claim/fold.go
+++ b/claim/fold.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 type rowID struct{ workspace, name string }
@@ -16,7 +16,7 @@
 	At, Keep int64
 	Version  Version
 	// Body is the newest record that holds the reply.
-	Body journal.Position
+	Body commitlog.Position
 }
 
 // Fold is the state of the claims stream. Apply is called by one goroutine;
@@ -28,7 +28,7 @@
 	watch   map[rowID]chan struct{}
 	machine *machine
 	// retired holds the offset after the Retire record of removed rows.
-	retired map[retiredID]journal.Offset
+	retired map[retiredID]commitlog.Offset
 	// disowned holds the attempts whose claims are released when folded.
 	disowned   map[string]struct{}
 	onDisowned func(Row)
@@ -44,9 +44,9 @@
 func replyKey(id rowID) retiredID { return retiredID{rowID: id, reply: true} }
 
 var (
-	_ journal.Fold     = (*Fold)(nil)
-	_ journal.Resetter = (*Fold)(nil)
-	_ journal.Pruner   = (*Fold)(nil)
+	_ commitlog.Fold     = (*Fold)(nil)
+	_ commitlog.Resetter = (*Fold)(nil)
+	_ commitlog.Pruner   = (*Fold)(nil)
 )
 
 // NewFold returns an empty fold.
@@ -56,14 +56,14 @@
 		replies:  make(map[rowID]*StoredReply),
 		watch:    make(map[rowID]chan struct{}),
 		machine:  newMachine(),
-		retired:  make(map[retiredID]journal.Offset),
+		retired:  make(map[retiredID]commitlog.Offset),
 		disowned: make(map[string]struct{}),
 	}
 }
 
-// Reset implements journal.Resetter. Nothing is known of what was missed, so
+// Reset implements commitlog.Resetter. Nothing is known of what was missed, so
 // the fold starts over; every live row is restated by what follows.
-func (f *Fold) Reset(journal.Offset) {
+func (f *Fold) Reset(commitlog.Offset) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	clear(f.rows)
@@ -103,8 +103,8 @@
 	return len(f.rows), len(f.replies)
 }
 
-// Apply implements journal.Fold. Losing a race is not an error.
-func (f *Fold) Apply(pos journal.Position, e journal.Entry) error {
+// Apply implements commitlog.Fold. Losing a race is not an error.
+func (f *Fold) Apply(pos commitlog.Position, e commitlog.Entry) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch e.Kind {
@@ -126,7 +126,7 @@
 	return errors.Wrapf(ErrRecord, "kind %d", e.Kind)
 }
 
-func decode[T any](e journal.Entry, apply func(T) error) error {
+func decode[T any](e commitlog.Entry, apply func(T) error) error {
 	var v T
 	if err := e.Decode(&v); err != nil {
 		return err
@@ -134,7 +134,7 @@
 	return apply(v)
 }
 
-func (f *Fold) claim(pos journal.Position, c Claim) error {
+func (f *Fold) claim(pos commitlog.Position, c Claim) error {
 	if err := c.check(); err != nil {
 		return err
 	}
@@ -153,14 +153,14 @@
 	return nil
 }
 
-func (f *Fold) release(pos journal.Position, r Release) error {
+func (f *Fold) release(pos commitlog.Position, r Release) error {
 	if r.Proof < ProofRefused || r.Proof > ProofNeverSent {
 		return errors.Wrapf(ErrRecord, "proof %d", r.Proof)
 	}
 	return f.end(pos, r.Claim, trigRelease)
 }
 
-func (f *Fold) outcome(pos journal.Position, o Outcome) error {
+func (f *Fold) outcome(pos commitlog.Position, o Outcome) error {
 	switch o.Verdict {
 	case VerdictComplete:
 		return f.end(pos, o.Claim, trigComplete)
@@ -171,7 +171,7 @@
 }
 
 // end applies a transition of the attempt that holds or held the row.
-func (f *Fold) end(pos journal.Position, c Claim, t trigger) error {
+func (f *Fold) end(pos commitlog.Position, c Claim, t trigger) error {
 	if err := c.check(); err != nil {
 		return err
 	}
@@ -187,7 +187,7 @@
 	return nil
 }
 
-func (f *Fold) answer(pos journal.Position, a Answer) error {
+func (f *Fold) answer(pos commitlog.Position, a Answer) error {
 	if err := a.Claim.check(); err != nil {
 		return err
 	}
@@ -202,7 +202,7 @@
 	return nil
 }
 
-func (f *Fold) reply(pos journal.Position, r Reply) error {
+func (f *Fold) reply(pos commitlog.Position, r Reply) error {
 	if r.ID == "" {
 		return errors.Wrap(ErrRecord, "reply without id")
 	}
@@ -221,7 +221,7 @@
 	return nil
 }
 
-func (f *Fold) renew(pos journal.Position, r Renewal) error {
+func (f *Fold) renew(pos commitlog.Position, r Renewal) error {
 	if err := r.Claim.check(); err != nil {
 		return err
 	}
@@ -244,7 +244,7 @@
 	return nil
 }
 
-func (f *Fold) retire(pos journal.Position, r Retire) error {
+func (f *Fold) retire(pos commitlog.Position, r Retire) error {
 	if r.ID != "" {
 		id := rowID{r.Workspace, r.ID}
 		if old, ok := f.replies[id]; !ok || old.Version == r.Version {
@@ -264,9 +264,9 @@
 	return nil
 }
 
-// Prune implements journal.Pruner: it forgets the retired rows whose Retire
+// Prune implements commitlog.Pruner: it forgets the retired rows whose Retire
 // record is no longer kept.
-func (f *Fold) Prune(first journal.Offset) {
+func (f *Fold) Prune(first commitlog.Offset) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, at := range f.retired {
@@ -285,7 +285,7 @@
 }
 
 // touch returns a copy of the row that a record names and notes its position.
-func (f *Fold) touch(c Claim, pos journal.Position) Row {
+func (f *Fold) touch(c Claim, pos commitlog.Position) Row {
 	r, ok := f.rows[rowID{c.Workspace, c.Key}]
 	if !ok {
 		return Row{}
@@ -295,7 +295,7 @@
 }
 
 // put stores a row that made a transition at pos.
-func (f *Fold) put(row Row, pos journal.Position) {
+func (f *Fold) put(row Row, pos commitlog.Position) {
 	id := rowID{row.Claim.Workspace, row.Claim.Key}
 	row.Version = versionOf(pos)
 	row.touched = pos.Offset + 1
--- a/claim/fold_bench_test.go
+++ b/claim/fold_bench_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // BenchmarkFoldClaim folds one claim and its outcome into a fold that holds a
@@ -36,16 +36,16 @@
 		Workspace: "w", Key: fmt.Sprint("key-", i), RequestHash: "h", Attempt: fmt.Sprint("attempt-", i),
 		Instance: "backend-1", Incarnation: "incarnation-1", Service: "s", At: 1, Keep: 3600,
 	}
-	at := journal.Position{Offset: journal.Offset(2 * i)}
+	at := commitlog.Position{Offset: commitlog.Offset(2 * i)}
 	apply(b, f, at, KindClaim, c)
 	c.Base = versionOf(at)
 	at.Offset++
 	apply(b, f, at, KindOutcome, Outcome{Claim: c, Verdict: VerdictComplete, Recorded: Recorded{Status: 200, Body: make([]byte, 200)}})
 }
 
-func apply(b *testing.B, f *Fold, at journal.Position, kind journal.EntryKind, body any) {
+func apply(b *testing.B, f *Fold, at commitlog.Position, kind commitlog.EntryKind, body any) {
 	b.Helper()
-	e, err := journal.NewEntry(kind, body)
+	e, err := commitlog.NewEntry(kind, body)
 	assert.NilError(b, err)
 	assert.NilError(b, f.Apply(at, e))
 }
--- a/claim/fold_test.go
+++ b/claim/fold_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // naive is the meaning of one key, told as plainly as possible.
@@ -64,7 +64,7 @@
 	return n
 }
 
-func kindOf(rec any) journal.EntryKind {
+func kindOf(rec any) commitlog.EntryKind {
 	switch rec.(type) {
 	case Claim:
 		return KindClaim
@@ -79,9 +79,9 @@
 }
 
 func feed(t assert.TestingT, f *Fold, at int, rec any) {
-	e, err := journal.NewEntry(kindOf(rec), rec)
+	e, err := commitlog.NewEntry(kindOf(rec), rec)
 	assert.NilError(t, err)
-	assert.NilError(t, f.Apply(journal.Position{Offset: journal.Offset(at)}, e))
+	assert.NilError(t, f.Apply(commitlog.Position{Offset: commitlog.Offset(at)}, e))
 }
 
 // history generates records of a few keys by writers that may be frozen: each
@@ -95,7 +95,7 @@
 
 var historyKeys = []string{"a", "b"}
 
-func (h *history) view() (Row, journal.Offset) {
+func (h *history) view() (Row, commitlog.Offset) {
 	k := rapid.IntRange(0, len(historyKeys)-1).Draw(h.t, "key")
 	var rows []Row
 	for _, key := range historyKeys {
@@ -108,7 +108,7 @@
 	if rapid.IntRange(0, 3).Draw(h.t, "frozen") == 0 {
 		at = rapid.IntRange(0, at).Draw(h.t, "view")
 	}
-	return h.views[at][k], journal.Offset(at)
+	return h.views[at][k], commitlog.Offset(at)
 }
 
 func (h *history) step() {
@@ -220,19 +220,19 @@
 
 func TestBadRecordsAreRefused(t *testing.T) {
 	f := NewFold()
-	bad := []journal.Entry{{Kind: 99}, {Kind: KindClaim}, {Kind: KindClaim, Body: []byte{0xff}}}
+	bad := []commitlog.Entry{{Kind: 99}, {Kind: KindClaim}, {Kind: KindClaim, Body: []byte{0xff}}}
 	for _, body := range []any{
 		Claim{Key: "k"},
 		Release{Claim: Claim{Key: "k", Attempt: "1"}, Proof: 9},
 		Outcome{Claim: Claim{Key: "k", Attempt: "1"}, Verdict: 7},
 		Renewal{Claim: Claim{Key: "k", Attempt: "1"}, Phase: 9, Version: Version{Next: 1}},
 	} {
-		e, err := journal.NewEntry(kindOf(body), body)
+		e, err := commitlog.NewEntry(kindOf(body), body)
 		assert.NilError(t, err)
 		bad = append(bad, e)
 	}
 	for i, e := range bad {
-		assert.Assert(t, f.Apply(journal.Position{Offset: journal.Offset(i)}, e) != nil, "entry %d", i)
+		assert.Assert(t, f.Apply(commitlog.Position{Offset: commitlog.Offset(i)}, e) != nil, "entry %d", i)
 	}
 	rows, replies := f.Len()
 	assert.Equal(t, rows+replies, 0)
--- a/claim/fuzz_test.go
+++ b/claim/fuzz_test.go
@@ -5,7 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // FuzzApply folds one arbitrary entry after a claim; it must not crash, and a
@@ -14,7 +14,7 @@
 	c := Claim{Workspace: "w", Key: "k", Attempt: "1", Base: Version{Next: 1}}
 	for _, rec := range []any{c, Release{Claim: c, Proof: ProofVetoed}, Outcome{Claim: c, Verdict: VerdictComplete},
 		Renewal{Claim: c, Phase: Held, Version: Version{Next: 1}, Seen: 9}, Retire{Workspace: "w", Key: "k", Seen: 9}} {
-		e, err := journal.NewEntry(kindOf(rec), rec)
+		e, err := commitlog.NewEntry(kindOf(rec), rec)
 		assert.NilError(f, err)
 		f.Add(uint16(e.Kind), e.Body)
 	}
@@ -26,9 +26,9 @@
 		first.Base = Version{}
 		feed(t, fold, 0, first)
 		feed(t, fold, 1, Outcome{Claim: c, Verdict: VerdictUnknown})
-		_ = fold.Apply(journal.Position{Offset: 2}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		_ = fold.Apply(commitlog.Position{Offset: 2}, commitlog.Entry{Kind: commitlog.EntryKind(kind), Body: body})
 		row, ok := fold.Lookup("w", "k")
-		renewed := journal.EntryKind(kind) == KindRenewal || journal.EntryKind(kind) == KindRetire
+		renewed := commitlog.EntryKind(kind) == KindRenewal || commitlog.EntryKind(kind) == KindRetire
 		assert.Assert(t, renewed || ok && row.Phase.Ended())
 	})
 }
@@ -45,14 +45,14 @@
 
 func BenchmarkFoldClaimAndOutcome(b *testing.B) {
 	c := Claim{Workspace: "w", Key: "k", Attempt: "1", Service: "s", Instance: "i", Incarnation: "i.1"}
-	claimed, _ := journal.NewEntry(KindClaim, c)
+	claimed, _ := commitlog.NewEntry(KindClaim, c)
 	c.Base = Version{Next: 1}
-	ended, _ := journal.NewEntry(KindOutcome, Outcome{Claim: c, Verdict: VerdictComplete})
+	ended, _ := commitlog.NewEntry(KindOutcome, Outcome{Claim: c, Verdict: VerdictComplete})
 	f := NewFold()
 	b.ReportAllocs()
 	for b.Loop() {
 		clear(f.rows)
-		_ = f.Apply(journal.Position{}, claimed)
-		_ = f.Apply(journal.Position{Offset: 1}, ended)
+		_ = f.Apply(commitlog.Position{}, claimed)
+		_ = f.Apply(commitlog.Position{Offset: 1}, ended)
 	}
 }
--- a/claim/record.go
+++ b/claim/record.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // StreamName is the log stream that claims are kept in.
@@ -11,13 +11,13 @@
 
 // The entry kinds of the claims stream.
 const (
-	KindClaim   journal.EntryKind = 1
-	KindRelease journal.EntryKind = 2
-	KindOutcome journal.EntryKind = 3
-	KindAnswer  journal.EntryKind = 4
-	KindReply   journal.EntryKind = 5
-	KindRenewal journal.EntryKind = 6
-	KindRetire  journal.EntryKind = 7
+	KindClaim   commitlog.EntryKind = 1
+	KindRelease commitlog.EntryKind = 2
+	KindOutcome commitlog.EntryKind = 3
+	KindAnswer  commitlog.EntryKind = 4
+	KindReply   commitlog.EntryKind = 5
+	KindRenewal commitlog.EntryKind = 6
+	KindRetire  commitlog.EntryKind = 7
 )
 
 // ErrRecord says that an entry is refused by rule: its kind is unknown or a
@@ -28,12 +28,12 @@
 // is the version of a row that does not exist.
 type Version struct {
 	// Next is the offset after the record's.
-	Next journal.Offset `cbor:"1,keyasint,omitempty"`
+	Next commitlog.Offset `cbor:"1,keyasint,omitempty"`
 	// Index is the entry's index within the record.
 	Index int `cbor:"2,keyasint,omitempty"`
 }
 
-func versionOf(p journal.Position) Version {
+func versionOf(p commitlog.Position) Version {
 	return Version{Next: p.Offset + 1, Index: p.Index}
 }
 
@@ -135,7 +135,7 @@
 	Claimed  Version  `cbor:"4,keyasint"`
 	Recorded Recorded `cbor:"5,keyasint"`
 	// Seen is the offset up to which the writer had folded the stream.
-	Seen journal.Offset `cbor:"6,keyasint"`
+	Seen commitlog.Offset `cbor:"6,keyasint"`
 }
 
 // Retire removes a row, or a stored reply if ID is set, whose retention has
@@ -147,7 +147,7 @@
 	// Version is the version of the stored reply that is retired.
 	Version Version `cbor:"4,keyasint"`
 	// Seen is as in Renewal.
-	Seen journal.Offset `cbor:"5,keyasint"`
+	Seen commitlog.Offset `cbor:"5,keyasint"`
 }
 
 func (c Claim) check() error {
--- a/claim/renew.go
+++ b/claim/renew.go
@@ -6,29 +6,29 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
-// Renewals restates rows and replies for a journal.Renewer, and retires those
+// Renewals restates rows and replies for a commitlog.Renewer, and retires those
 // whose declared result retention has ended.
 type Renewals struct {
-	stream *journal.Stream
+	stream *commitlog.Stream
 	fold   *Fold
 	now    func() time.Time
 }
 
-var _ journal.RenewalSource = (*Renewals)(nil)
+var _ commitlog.RenewalSource = (*Renewals)(nil)
 
 // NewRenewals returns the renewal source of a fold and its stream.
-func NewRenewals(stream *journal.Stream, fold *Fold) *Renewals {
+func NewRenewals(stream *commitlog.Stream, fold *Fold) *Renewals {
 	return &Renewals{stream: stream, fold: fold, now: time.Now}
 }
 
-// Renewals implements journal.RenewalSource.
-func (r *Renewals) Renewals(ctx context.Context, before journal.Offset, limit int) ([]journal.Entry, error) {
+// Renewals implements commitlog.RenewalSource.
+func (r *Renewals) Renewals(ctx context.Context, before commitlog.Offset, limit int) ([]commitlog.Entry, error) {
 	seen := r.stream.Folded()
 	rows, replies := r.fold.due(before, limit)
-	var out []journal.Entry
+	var out []commitlog.Entry
 	for _, row := range rows {
 		e, err := r.restateRow(ctx, row, seen)
 		if err != nil {
@@ -48,35 +48,35 @@
 
 // restateRow restates a row. A row whose answer is lost stays complete without
 // one, because its request must not be dispatched again.
-func (r *Renewals) restateRow(ctx context.Context, row Row, seen journal.Offset) (journal.Entry, error) {
+func (r *Renewals) restateRow(ctx context.Context, row Row, seen commitlog.Offset) (commitlog.Entry, error) {
 	if row.Phase != Held && row.Expired(r.now()) {
-		return journal.NewEntry(KindRetire, Retire{Workspace: row.Claim.Workspace, Key: row.Claim.Key, Seen: seen})
+		return commitlog.NewEntry(KindRetire, Retire{Workspace: row.Claim.Workspace, Key: row.Claim.Key, Seen: seen})
 	}
 	renewal := Renewal{Claim: row.Claim, Phase: row.Phase, Version: row.Version, Claimed: row.Claimed, Seen: seen}
 	if row.Phase == Complete {
 		answer, err := recorded(ctx, r.stream, row.Body)
-		if err != nil && !errors.Is(err, journal.ErrNotKept) {
-			return journal.Entry{}, err
+		if err != nil && !errors.Is(err, commitlog.ErrNotKept) {
+			return commitlog.Entry{}, err
 		}
 		renewal.Recorded = answer
 	}
-	return journal.NewEntry(KindRenewal, renewal)
+	return commitlog.NewEntry(KindRenewal, renewal)
 }
 
-func (r *Renewals) restateReply(ctx context.Context, d dueReply) (journal.Entry, error) {
+func (r *Renewals) restateReply(ctx context.Context, d dueReply) (commitlog.Entry, error) {
 	retire := Retire{Workspace: d.id.workspace, ID: d.id.name, Version: d.reply.Version}
 	if expired(d.reply.At, d.reply.Keep, r.now()) {
-		return journal.NewEntry(KindRetire, retire)
+		return commitlog.NewEntry(KindRetire, retire)
 	}
 	reply, err := loadReply(ctx, r.stream, d.reply.Body)
-	if errors.Is(err, journal.ErrNotKept) {
-		return journal.NewEntry(KindRetire, retire)
+	if errors.Is(err, commitlog.ErrNotKept) {
+		return commitlog.NewEntry(KindRetire, retire)
 	}
 	if err != nil {
-		return journal.Entry{}, err
+		return commitlog.Entry{}, err
 	}
 	reply.Version = d.reply.Version
-	return journal.NewEntry(KindReply, reply)
+	return commitlog.NewEntry(KindReply, reply)
 }
 
 type dueReply struct {
@@ -85,7 +85,7 @@
 }
 
 // due returns up to limit rows and replies kept only by records below before.
-func (f *Fold) due(before journal.Offset, limit int) ([]Row, []dueReply) {
+func (f *Fold) due(before commitlog.Offset, limit int) ([]Row, []dueReply) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var rows []Row
@@ -110,18 +110,18 @@
 }
 
 // loadEntry reads one entry of a stream again.
-func loadEntry(ctx context.Context, s *journal.Stream, pos journal.Position) (journal.Entry, error) {
+func loadEntry(ctx context.Context, s *commitlog.Stream, pos commitlog.Position) (commitlog.Entry, error) {
 	entries, err := s.Load(ctx, pos.Offset)
 	if err != nil {
-		return journal.Entry{}, err
+		return commitlog.Entry{}, err
 	}
 	if pos.Index >= len(entries) {
-		return journal.Entry{}, errors.Wrapf(ErrNoAnswer, "offset %d has no entry %d", pos.Offset, pos.Index)
+		return commitlog.Entry{}, errors.Wrapf(ErrNoAnswer, "offset %d has no entry %d", pos.Offset, pos.Index)
 	}
 	return entries[pos.Index], nil
 }
 
-func recorded(ctx context.Context, s *journal.Stream, pos journal.Position) (Recorded, error) {
+func recorded(ctx context.Context, s *commitlog.Stream, pos commitlog.Position) (Recorded, error) {
 	e, err := loadEntry(ctx, s, pos)
 	if err != nil {
 		return Recorded{}, err
@@ -143,7 +143,7 @@
 	return Recorded{}, ErrNoAnswer
 }
 
-func loadReply(ctx context.Context, s *journal.Stream, pos journal.Position) (Reply, error) {
+func loadReply(ctx context.Context, s *commitlog.Stream, pos commitlog.Position) (Reply, error) {
 	e, err := loadEntry(ctx, s, pos)
 	if err != nil {
 		return Reply{}, err
--- a/claim/row.go
+++ b/claim/row.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/qmuntal/stateless"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Phase is the place of a row in its lifecycle.
@@ -49,13 +49,13 @@
 	Version Version
 	Claimed Version
 	// Body is the newest record that holds the answer of a complete row.
-	Body journal.Position
+	Body commitlog.Position
 	// Kept is the record that a reader must start at or before to know the
 	// row: the one that created it or its newest accepted renewal.
-	Kept journal.Offset
+	Kept commitlog.Offset
 	// touched is the offset after the newest record, other than a renewal,
 	// that names the row.
-	touched journal.Offset
+	touched commitlog.Offset
 }
 
 // Expired reports whether the declared result retention has ended at now.
--- a/cmd/catkinrudderctl/main.go
+++ b/cmd/catkinrudderctl/main.go
@@ -8,15 +8,15 @@
 	"syscall"
 
 	"github.com/catkinrudder/catkinrudder/internal/ctl"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	tool := ctl.Tool{
 		Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr,
-		NewLog: func(addr string) journal.Log { return platform.NewLog(addr) },
+		NewLog: func(addr string) commitlog.Log { return logservice.NewLog(addr) },
 	}
 	code := tool.Run(ctx, os.Args)
 	stop()
--- a/journal/journaltest/memlog.go
+++ b/commitlog/commitlogtest/memlog.go
@@ -1,5 +1,5 @@
-// Package journaltest holds an in-memory log service for tests, with faults.
-package journaltest
+// Package commitlogtest holds an in-memory log service for tests, with faults.
+package commitlogtest
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // ErrDown is what a MemLog that is down answers.
@@ -37,8 +37,8 @@
 )
 
 type memStream struct {
-	first   journal.Offset
-	records []journal.Record
+	first   commitlog.Offset
+	records []commitlog.Record
 	late    [][]byte
 	grown   chan struct{}
 }
@@ -62,8 +62,8 @@
 	m.onAppend = f
 }
 
-// Append implements journal.Log.
-func (m *MemLog) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+// Append implements commitlog.Log.
+func (m *MemLog) Append(ctx context.Context, stream string, payload []byte) (commitlog.Offset, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
@@ -101,7 +101,7 @@
 }
 
 // Expire drops the records of a stream below an offset.
-func (m *MemLog) Expire(stream string, below journal.Offset) {
+func (m *MemLog) Expire(stream string, below commitlog.Offset) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.stream(stream)
@@ -111,15 +111,15 @@
 	}
 }
 
-// Read implements journal.Log.
-func (m *MemLog) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+// Read implements commitlog.Log.
+func (m *MemLog) Read(ctx context.Context, stream string, from commitlog.Offset, limit int, wait time.Duration) (commitlog.Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		if m.down {
 			m.mu.Unlock()
-			return journal.Page{}, ErrDown
+			return commitlog.Page{}, ErrDown
 		}
 		s := m.stream(stream)
 		page, grown := s.page(from, limit), s.grown
@@ -132,7 +132,7 @@
 		case <-timer.C:
 			return page, nil
 		case <-ctx.Done():
-			return journal.Page{}, ctx.Err()
+			return commitlog.Page{}, ctx.Err()
 		}
 	}
 }
@@ -147,17 +147,17 @@
 	return s
 }
 
-func (s *memStream) append(payload []byte) journal.Offset {
-	at := s.first + journal.Offset(len(s.records))
-	s.records = append(s.records, journal.Record{Offset: at, Payload: append([]byte(nil), payload...)})
+func (s *memStream) append(payload []byte) commitlog.Offset {
+	at := s.first + commitlog.Offset(len(s.records))
+	s.records = append(s.records, commitlog.Record{Offset: at, Payload: append([]byte(nil), payload...)})
 	close(s.grown)
 	s.grown = make(chan struct{})
 	return at
 }
 
-func (s *memStream) page(from journal.Offset, limit int) journal.Page {
-	next := s.first + journal.Offset(len(s.records))
-	page := journal.Page{First: s.first, Next: next}
+func (s *memStream) page(from commitlog.Offset, limit int) commitlog.Page {
+	next := s.first + commitlog.Offset(len(s.records))
+	page := commitlog.Page{First: s.first, Next: next}
 	from = max(from, s.first)
 	if from >= next {
 		return page
--- a/journal/envelope.go
+++ b/commitlog/envelope.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"github.com/fxamacker/cbor/v2"
@@ -19,11 +19,11 @@
 
 // ErrFormat says that a record could not be read: truncated, damaged or of a
 // newer format.
-var ErrFormat = errors.New("journal: unreadable record")
+var ErrFormat = errors.New("commitlog: unreadable record")
 
 func (e envelope) marshal() ([]byte, error) {
 	b, err := cbor.Marshal(e)
-	return b, errors.Wrap(err, "journal: encode record")
+	return b, errors.Wrap(err, "commitlog: encode record")
 }
 
 func unmarshalEnvelope(b []byte) (envelope, error) {
@@ -44,7 +44,7 @@
 func NewEntry(kind EntryKind, body any) (Entry, error) {
 	b, err := cbor.Marshal(body)
 	if err != nil {
-		return Entry{}, errors.Wrap(err, "journal: encode entry")
+		return Entry{}, errors.Wrap(err, "commitlog: encode entry")
 	}
 	return Entry{Kind: kind, Body: b}, nil
 }
--- a/journal/envelope_test.go
+++ b/commitlog/envelope_test.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"testing"
--- a/journal/faults_test.go
+++ b/commitlog/faults_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package commitlog_test
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // switchLog is a log service that one reader can be cut off from, or that
 // pretends to have lost its tail.
 type switchLog struct {
-	*journaltest.MemLog
+	*commitlogtest.MemLog
 	mu     sync.Mutex
 	off    bool
 	shrunk bool
@@ -33,22 +33,22 @@
 	l.off = off
 }
 
-func (l *switchLog) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+func (l *switchLog) Read(ctx context.Context, stream string, from commitlog.Offset, limit int, wait time.Duration) (commitlog.Page, error) {
 	l.mu.Lock()
 	l.reads++
 	off, shrunk := l.off, l.shrunk
 	l.mu.Unlock()
 	if off {
-		return journal.Page{}, journaltest.ErrDown
+		return commitlog.Page{}, commitlogtest.ErrDown
 	}
 	if shrunk {
-		return journal.Page{}, nil
+		return commitlog.Page{}, nil
 	}
 	page, err := l.MemLog.Read(ctx, stream, from, limit, wait)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.off {
-		return journal.Page{}, journaltest.ErrDown
+		return commitlog.Page{}, commitlogtest.ErrDown
 	}
 	return page, err
 }
@@ -56,7 +56,7 @@
 func TestLogThatLostItsTailIsDown(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		l := &switchLog{MemLog: b.log}
-		s := journal.NewStream(l, streamName, journal.Options{Writer: "w", Fold: &listFold{}})
+		s := commitlog.NewStream(l, streamName, commitlog.Options{Writer: "w", Fold: &listFold{}})
 		go s.Run(b.ctx)
 		b.commitAll(s, "1")
 		time.Sleep(10 * time.Second)
@@ -73,7 +73,7 @@
 
 // naiveFold reads a whole log and keeps the first record of each sequence
 // number that is above all before it of its writer.
-func naiveFold(t assert.TestingT, l journal.Log) []string {
+func naiveFold(t assert.TestingT, l commitlog.Log) []string {
 	page, err := l.Read(context.Background(), streamName, 0, 1<<20, 0)
 	assert.NilError(t, err)
 	last := map[string]uint64{}
@@ -82,7 +82,7 @@
 		var env struct {
 			Writer  string          `cbor:"2,keyasint"`
 			Seq     uint64          `cbor:"3,keyasint"`
-			Entries []journal.Entry `cbor:"4,keyasint"`
+			Entries []commitlog.Entry `cbor:"4,keyasint"`
 		}
 		assert.NilError(t, cbor.Unmarshal(r.Payload, &env))
 		if env.Seq <= last[env.Writer] {
@@ -100,9 +100,9 @@
 
 // runFaults has two writers commit through a log whose appends fail as given
 // and returns what each commit was told, by body.
-func runFaults(b *bubble, faults []journaltest.Fault, patience []time.Duration) (map[string]error, [2][]string) {
+func runFaults(b *bubble, faults []commitlogtest.Fault, patience []time.Duration) (map[string]error, [2][]string) {
 	n := 0
-	b.log.OnAppend(func(string, []byte) journaltest.Fault {
+	b.log.OnAppend(func(string, []byte) commitlogtest.Fault {
 		n++
 		if n%5 == 0 {
 			go b.log.Flush()
@@ -112,9 +112,9 @@
 	var mu sync.Mutex
 	told := map[string]error{}
 	var wg sync.WaitGroup
-	streams, folds := [2]*journal.Stream{}, [2]*listFold{}
+	streams, folds := [2]*commitlog.Stream{}, [2]*listFold{}
 	for w := range streams {
-		streams[w], folds[w] = b.start(journal.Options{Writer: fmt.Sprint("w", w)})
+		streams[w], folds[w] = b.start(commitlog.Options{Writer: fmt.Sprint("w", w)})
 		for i, p := range patience {
 			body := fmt.Sprintf("%d-%d", w, i)
 			wg.Go(func() {
@@ -140,14 +140,14 @@
 
 func TestFoldUnderFaultsAgreesWithNaive(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		faults := rapid.SliceOfN(rapid.SampledFrom([]journaltest.Fault{
-			journaltest.None, journaltest.None, journaltest.Drop, journaltest.LoseAnswer, journaltest.ApplyLate,
+		faults := rapid.SliceOfN(rapid.SampledFrom([]commitlogtest.Fault{
+			commitlogtest.None, commitlogtest.None, commitlogtest.Drop, commitlogtest.LoseAnswer, commitlogtest.ApplyLate,
 		}), 1, 20).Draw(rt, "faults")
 		patience := rapid.SliceOfN(rapid.SampledFrom([]time.Duration{
 			5 * time.Millisecond, 30 * time.Millisecond, time.Second, time.Hour,
 		}), 1, 12).Draw(rt, "patience")
-		if !slices.ContainsFunc(faults, func(f journaltest.Fault) bool { return f == journaltest.None || f == journaltest.LoseAnswer }) {
-			faults = append(faults, journaltest.LoseAnswer)
+		if !slices.ContainsFunc(faults, func(f commitlogtest.Fault) bool { return f == commitlogtest.None || f == commitlogtest.LoseAnswer }) {
+			faults = append(faults, commitlogtest.LoseAnswer)
 		}
 		var told map[string]error
 		var folds [2][]string
@@ -175,9 +175,9 @@
 	for body, err := range told {
 		n := count[body]
 		switch {
-		case err == nil && n != 1, errors.Is(err, journal.ErrNotAppended) && n != 0, n > 1:
+		case err == nil && n != 1, errors.Is(err, commitlog.ErrNotAppended) && n != 0, n > 1:
 			rt.Fatalf("commit %s was told %v and folded %d times", body, err, n)
-		case err != nil && !errors.Is(err, journal.ErrNotAppended) && !errors.Is(err, journal.ErrUnconfirmed):
+		case err != nil && !errors.Is(err, commitlog.ErrNotAppended) && !errors.Is(err, commitlog.ErrUnconfirmed):
 			rt.Fatalf("commit %s: %v", body, err)
 		}
 	}
@@ -186,10 +186,10 @@
 func TestRenewerRestatesWhatIsOld(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		const retention = time.Hour
-		s, f := b.start(journal.Options{})
+		s, f := b.start(commitlog.Options{})
 		b.commitAll(s, "old")
 		src := &restating{b: b, s: s}
-		go journal.NewRenewer(s, src, retention, 1).Run(b.ctx)
+		go commitlog.NewRenewer(s, src, retention, 1).Run(b.ctx)
 		time.Sleep(10 * time.Hour)
 		n := len(f.list()) - 1
 		assert.Assert(b, n >= 10 && n <= 21, "%d renewals in ten retentions", n)
@@ -199,12 +199,12 @@
 // restating restates the newest record once it is due.
 type restating struct {
 	b *bubble
-	s *journal.Stream
+	s *commitlog.Stream
 }
 
-func (r *restating) Renewals(_ context.Context, before journal.Offset, _ int) ([]journal.Entry, error) {
+func (r *restating) Renewals(_ context.Context, before commitlog.Offset, _ int) ([]commitlog.Entry, error) {
 	if r.s.Folded() > before {
 		return nil, nil
 	}
-	return []journal.Entry{entry(r.b, "again")}, nil
+	return []commitlog.Entry{entry(r.b, "again")}, nil
 }
--- a/journal/fold_bench_test.go
+++ b/commitlog/fold_bench_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package commitlog_test
 
 import (
 	"context"
@@ -8,26 +8,26 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // countFold counts entries.
 type countFold struct{ n int }
 
-// Apply implements journal.Fold.
-func (f *countFold) Apply(journal.Position, journal.Entry) error { f.n++; return nil }
+// Apply implements commitlog.Fold.
+func (f *countFold) Apply(commitlog.Position, commitlog.Entry) error { f.n++; return nil }
 
 // BenchmarkFollow folds records of a number of entries of 200 bytes; an
 // operation is one record.
 func BenchmarkFollow(b *testing.B) {
 	for _, entries := range []int{1, 16, 256} {
 		b.Run(fmt.Sprint(entries), func(b *testing.B) {
-			log := journaltest.NewMemLog()
+			log := commitlogtest.NewMemLog()
 			fillLog(b, log, b.N, entries)
 			b.ReportAllocs()
 			b.ResetTimer()
-			withStream(b, log, "reader", func(s *journal.Stream) { assert.NilError(b, s.CaughtUp(b.Context())) })
+			withStream(b, log, "reader", func(s *commitlog.Stream) { assert.NilError(b, s.CaughtUp(b.Context())) })
 		})
 	}
 }
@@ -35,13 +35,13 @@
 // BenchmarkCommit commits from many callers at once, as group commit does; an
 // operation is one commit.
 func BenchmarkCommit(b *testing.B) {
-	log := journaltest.NewMemLog()
-	withStream(b, log, "writer", func(s *journal.Stream) {
+	log := commitlogtest.NewMemLog()
+	withStream(b, log, "writer", func(s *commitlog.Stream) {
 		b.ReportAllocs()
 		b.SetParallelism(256)
 		b.RunParallel(func(pb *testing.PB) {
 			for pb.Next() {
-				if _, err := s.Commit(b.Context(), journal.Entry{Kind: 1, Body: make([]byte, 200)}); err != nil {
+				if _, err := s.Commit(b.Context(), commitlog.Entry{Kind: 1, Body: make([]byte, 200)}); err != nil {
 					b.Error(err)
 				}
 			}
@@ -49,13 +49,13 @@
 	})
 }
 
-func fillLog(b *testing.B, log journal.Log, records, entries int) {
+func fillLog(b *testing.B, log commitlog.Log, records, entries int) {
 	b.Helper()
-	body := make([]journal.Entry, entries)
+	body := make([]commitlog.Entry, entries)
 	for i := range body {
-		body[i] = journal.Entry{Kind: 1, Body: make([]byte, 200)}
+		body[i] = commitlog.Entry{Kind: 1, Body: make([]byte, 200)}
 	}
-	withStream(b, log, "writer", func(s *journal.Stream) {
+	withStream(b, log, "writer", func(s *commitlog.Stream) {
 		for range records {
 			_, err := s.Commit(b.Context(), body...)
 			assert.NilError(b, err)
@@ -64,9 +64,9 @@
 }
 
 // withStream runs f with a stream that commits without delay.
-func withStream(b *testing.B, log journal.Log, writer string, f func(*journal.Stream)) {
+func withStream(b *testing.B, log commitlog.Log, writer string, f func(*commitlog.Stream)) {
 	b.Helper()
-	s := journal.NewStream(log, "bench", journal.Options{Writer: writer, Fold: &countFold{}, Interval: 1})
+	s := commitlog.NewStream(log, "bench", commitlog.Options{Writer: writer, Fold: &countFold{}, Interval: 1})
 	ctx, cancel := context.WithCancel(b.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { s.Run(ctx) })
--- a/journal/follow.go
+++ b/commitlog/follow.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 )
 
 // errLogShrank says that the log ends below what has been folded.
-var errLogShrank = errors.New("journal: log ends below the folded offset")
+var errLogShrank = errors.New("commitlog: log ends below the folded offset")
 
 // Resetter is a Fold that wants to know when records were lost behind the
 // retention: the fold has not seen the records below first and must rebuild
--- a/journal/log.go
+++ b/commitlog/log.go
@@ -1,7 +1,7 @@
-// Package journal keeps state in an append-only log service: a writer with
+// Package commitlog keeps state in an append-only log service: a writer with
 // group commit, a follower that folds a stream in offset order, and the rules
 // that make the fold indifferent to duplicated, late and lost-answer appends.
-package journal
+package commitlog
 
 import (
 	"context"
--- a/journal/renew.go
+++ b/commitlog/renew.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"context"
@@ -85,7 +85,7 @@
 
 func (r *Renewer) commit(ctx context.Context, entries []Entry) error {
 	if err := r.limit.Wait(ctx); err != nil {
-		return errors.Wrap(err, "journal: renewal rate")
+		return errors.Wrap(err, "commitlog: renewal rate")
 	}
 	_, err := r.stream.commit(ctx, entries, r.stream.opts.MaxCommitBytes+renewalSlack)
 	return err
--- a/journal/stream.go
+++ b/commitlog/stream.go
@@ -1,4 +1,4 @@
-package journal
+package commitlog
 
 import (
 	"context"
@@ -14,20 +14,20 @@
 // Errors of Commit.
 var (
 	// ErrFull says that the buffer is full; the entries were not appended.
-	ErrFull = errors.New("journal: commit buffer full")
+	ErrFull = errors.New("commitlog: commit buffer full")
 	// ErrTooLarge says that the entries can't be one record; they were not
 	// appended.
-	ErrTooLarge = errors.New("journal: commit too large")
+	ErrTooLarge = errors.New("commitlog: commit too large")
 	// ErrNotAppended says that the caller's context ended before the entries
 	// were sent; they never will be.
-	ErrNotAppended = errors.New("journal: not appended")
+	ErrNotAppended = errors.New("commitlog: not appended")
 	// ErrUnconfirmed says that the entries may or may not be in the log.
-	ErrUnconfirmed = errors.New("journal: append unconfirmed")
+	ErrUnconfirmed = errors.New("commitlog: append unconfirmed")
 	// ErrStopped says that the stream no longer runs; the entries were not
 	// appended.
-	ErrStopped = errors.New("journal: stream stopped")
+	ErrStopped = errors.New("commitlog: stream stopped")
 	// ErrNotKept says that the log no longer keeps, or never had, a record.
-	ErrNotKept = errors.New("journal: record not kept")
+	ErrNotKept = errors.New("commitlog: record not kept")
 )
 
 const (
@@ -194,7 +194,7 @@
 func (s *Stream) CaughtUp(ctx context.Context) error {
 	page, err := s.log.Read(ctx, s.name, ^Offset(0), 1, 0)
 	if err != nil {
-		return errors.Wrap(err, "journal: read end")
+		return errors.Wrap(err, "commitlog: read end")
 	}
 	for {
 		s.mu.Lock()
@@ -232,7 +232,7 @@
 func (s *Stream) Load(ctx context.Context, at Offset) ([]Entry, error) {
 	page, err := s.log.Read(ctx, s.name, at, 1, 0)
 	if err != nil {
-		return nil, errors.Wrap(err, "journal: load")
+		return nil, errors.Wrap(err, "commitlog: load")
 	}
 	if len(page.Records) == 0 || page.Records[0].Offset != at {
 		return nil, errors.Wrapf(ErrNotKept, "offset %d", at)
--- a/journal/stream_test.go
+++ b/commitlog/stream_test.go
@@ -1,4 +1,4 @@
-package journal_test
+package commitlog_test
 
 import (
 	"bytes"
@@ -15,8 +15,8 @@
 	"github.com/charmbracelet/log"
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // TestMain fixes rapid's seed, so that the verdict is the same each time.
@@ -34,10 +34,10 @@
 type listFold struct {
 	mu     sync.Mutex
 	bodies []string
-	resets []journal.Offset
+	resets []commitlog.Offset
 }
 
-func (f *listFold) Apply(_ journal.Position, e journal.Entry) error {
+func (f *listFold) Apply(_ commitlog.Position, e commitlog.Entry) error {
 	var s string
 	if err := e.Decode(&s); err != nil {
 		return err
@@ -48,7 +48,7 @@
 	return nil
 }
 
-func (f *listFold) Reset(first journal.Offset) {
+func (f *listFold) Reset(first commitlog.Offset) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.resets = append(f.resets, first)
@@ -61,14 +61,14 @@
 	return slices.Clone(f.bodies)
 }
 
-func (f *listFold) resetsSeen() []journal.Offset {
+func (f *listFold) resetsSeen() []commitlog.Offset {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return slices.Clone(f.resets)
 }
 
-func entry(t assert.TestingT, s string) journal.Entry {
-	e, err := journal.NewEntry(1, s)
+func entry(t assert.TestingT, s string) commitlog.Entry {
+	e, err := commitlog.NewEntry(1, s)
 	assert.NilError(t, err)
 	return e
 }
@@ -76,37 +76,37 @@
 type bubble struct {
 	*testing.T
 	ctx context.Context
-	log *journaltest.MemLog
+	log *commitlogtest.MemLog
 }
 
 func inBubble(t *testing.T, f func(b *bubble)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		f(&bubble{t, ctx, journaltest.NewMemLog()})
+		f(&bubble{t, ctx, commitlogtest.NewMemLog()})
 		cancel()
 		synctest.Wait()
 	})
 }
 
-func (b *bubble) start(opts journal.Options) (*journal.Stream, *listFold) {
+func (b *bubble) start(opts commitlog.Options) (*commitlog.Stream, *listFold) {
 	f := &listFold{}
 	opts.Fold = f
 	if opts.Writer == "" {
 		opts.Writer = "w"
 	}
-	s := journal.NewStream(b.log, streamName, opts)
+	s := commitlog.NewStream(b.log, streamName, opts)
 	go s.Run(b.ctx)
 	return s, f
 }
 
-func (b *bubble) end() journal.Offset {
+func (b *bubble) end() commitlog.Offset {
 	page, err := b.log.Read(b.ctx, streamName, 0, 1, 0)
 	assert.NilError(b, err)
 	return page.Next
 }
 
-func (b *bubble) commitAll(s *journal.Stream, bodies ...string) {
+func (b *bubble) commitAll(s *commitlog.Stream, bodies ...string) {
 	for _, body := range bodies {
 		_, err := s.Commit(b.ctx, entry(b, body))
 		assert.NilError(b, err)
@@ -115,11 +115,11 @@
 
 func TestCommitWithdrawnBeforeSendingIsNeverAppended(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, f := b.start(journal.Options{Interval: time.Second})
+		s, f := b.start(commitlog.Options{Interval: time.Second})
 		ctx, cancel := context.WithTimeout(b.ctx, time.Second/2)
 		defer cancel()
 		_, err := s.Commit(ctx, entry(b, "withdrawn"))
-		assert.ErrorIs(b, err, journal.ErrNotAppended)
+		assert.ErrorIs(b, err, commitlog.ErrNotAppended)
 		time.Sleep(time.Minute)
 		b.commitAll(s, "kept")
 		assert.DeepEqual(b, f.list(), []string{"kept"})
@@ -128,12 +128,12 @@
 
 func TestCommitInDoubtIsUnconfirmedAndFoldedOnce(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, f := b.start(journal.Options{})
-		b.log.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.ApplyLate })
+		s, f := b.start(commitlog.Options{})
+		b.log.OnAppend(func(string, []byte) commitlogtest.Fault { return commitlogtest.ApplyLate })
 		ctx, cancel := context.WithTimeout(b.ctx, time.Second)
 		defer cancel()
 		_, err := s.Commit(ctx, entry(b, "late"))
-		assert.ErrorIs(b, err, journal.ErrUnconfirmed)
+		assert.ErrorIs(b, err, commitlog.ErrUnconfirmed)
 		b.log.OnAppend(nil)
 		b.commitAll(s, "next")
 		b.log.Flush()
@@ -144,14 +144,14 @@
 
 func TestFullBufferRefusesAndFreesItself(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, f := b.start(journal.Options{MaxPending: 3, MaxPendingBytes: 1000})
+		s, f := b.start(commitlog.Options{MaxPending: 3, MaxPendingBytes: 1000})
 		b.log.SetDown(true)
 		big := entry(b, strings.Repeat("x", 600))
 		assert.NilError(b, s.Submit(big))
-		assert.ErrorIs(b, s.Submit(big), journal.ErrFull)
+		assert.ErrorIs(b, s.Submit(big), commitlog.ErrFull)
 		assert.NilError(b, s.Submit(entry(b, "2")))
 		assert.NilError(b, s.Submit(entry(b, "3")))
-		assert.ErrorIs(b, s.Submit(entry(b, "4")), journal.ErrFull)
+		assert.ErrorIs(b, s.Submit(entry(b, "4")), commitlog.ErrFull)
 		b.log.SetDown(false)
 		time.Sleep(time.Minute)
 		assert.Equal(b, len(f.list()), 3)
@@ -161,11 +161,11 @@
 
 func TestTooLargeCommitIsRefusedAndBlocksNothing(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, f := b.start(journal.Options{MaxCommitBytes: 100})
+		s, f := b.start(commitlog.Options{MaxCommitBytes: 100})
 		_, err := s.Commit(b.ctx, entry(b, strings.Repeat("x", 101)))
-		assert.ErrorIs(b, err, journal.ErrTooLarge)
-		_, err = s.Commit(b.ctx, make([]journal.Entry, 1<<17)...)
-		assert.ErrorIs(b, err, journal.ErrTooLarge)
+		assert.ErrorIs(b, err, commitlog.ErrTooLarge)
+		_, err = s.Commit(b.ctx, make([]commitlog.Entry, 1<<17)...)
+		assert.ErrorIs(b, err, commitlog.ErrTooLarge)
 		b.commitAll(s, "small")
 		assert.DeepEqual(b, f.list(), []string{"small"})
 	})
@@ -173,7 +173,7 @@
 
 func TestAppendsKeepTheIntervalUnderLoad(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, _ := b.start(journal.Options{Interval: 10 * time.Millisecond})
+		s, _ := b.start(commitlog.Options{Interval: 10 * time.Millisecond})
 		for i := range 1000 {
 			assert.NilError(b, s.Submit(entry(b, "x")))
 			if i%10 == 9 {
@@ -187,18 +187,18 @@
 
 func TestBudgetIsSpentOnlyForRecords(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		budget := journal.NewBudget(1)
-		s, _ := b.start(journal.Options{Budget: budget})
+		budget := commitlog.NewBudget(1)
+		s, _ := b.start(commitlog.Options{Budget: budget})
 		begin := time.Now()
 		b.commitAll(s, "1", "2", "3")
 		assert.Assert(b, time.Since(begin) < 2200*time.Millisecond, "%v", time.Since(begin))
-		assert.Equal(b, b.end(), journal.Offset(3))
+		assert.Equal(b, b.end(), commitlog.Offset(3))
 	})
 }
 
 func TestNoBurstWhenTheLogReturns(t *testing.T) {
 	inBubble(t, func(b *bubble) {
-		s, f := b.start(journal.Options{Budget: journal.NewBudget(10)})
+		s, f := b.start(commitlog.Options{Budget: commitlog.NewBudget(10)})
 		b.log.SetDown(true)
 		for range 2000 {
 			assert.NilError(b, s.Submit(entry(b, strings.Repeat("x", 1<<10))))
@@ -212,9 +212,9 @@
 }
 
 // hangingLog takes effect but answers only when its caller gives up.
-type hangingLog struct{ *journaltest.MemLog }
+type hangingLog struct{ *commitlogtest.MemLog }
 
-func (l hangingLog) Append(ctx context.Context, stream string, p []byte) (journal.Offset, error) {
+func (l hangingLog) Append(ctx context.Context, stream string, p []byte) (commitlog.Offset, error) {
 	_, _ = l.MemLog.Append(ctx, stream, p)
 	<-ctx.Done()
 	return 0, ctx.Err()
@@ -223,12 +223,12 @@
 func TestFoldedRecordDoesNotWaitForItsAnswer(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		f := &listFold{}
-		s := journal.NewStream(hangingLog{b.log}, streamName, journal.Options{Writer: "w", Fold: f})
+		s := commitlog.NewStream(hangingLog{b.log}, streamName, commitlog.Options{Writer: "w", Fold: f})
 		go s.Run(b.ctx)
 		begin := time.Now()
 		b.commitAll(s, "1", "2", "3")
 		assert.Assert(b, time.Since(begin) < time.Second, "%v", time.Since(begin))
-		assert.Equal(b, b.end(), journal.Offset(3))
+		assert.Equal(b, b.end(), commitlog.Offset(3))
 		assert.DeepEqual(b, f.list(), []string{"1", "2", "3"})
 	})
 }
@@ -239,19 +239,19 @@
 			var out bytes.Buffer
 			f := &listFold{}
 			slow := &switchLog{MemLog: b.log}
-			s := journal.NewStream(slow, streamName, journal.Options{Writer: "slow", Fold: f, Logger: log.New(&out)})
+			s := commitlog.NewStream(slow, streamName, commitlog.Options{Writer: "slow", Fold: f, Logger: log.New(&out)})
 			go s.Run(b.ctx)
-			w, _ := b.start(journal.Options{})
+			w, _ := b.start(commitlog.Options{})
 			for range before {
 				b.commitAll(w, "before")
 			}
 			time.Sleep(3 * time.Second)
 			slow.cut(true)
 			b.commitAll(w, "1", "2", "3", "4")
-			b.log.Expire(streamName, journal.Offset(before+2))
+			b.log.Expire(streamName, commitlog.Offset(before+2))
 			slow.cut(false)
 			time.Sleep(10 * time.Second)
-			assert.DeepEqual(b, f.resetsSeen(), []journal.Offset{journal.Offset(before + 2)})
+			assert.DeepEqual(b, f.resetsSeen(), []commitlog.Offset{commitlog.Offset(before + 2)})
 			assert.DeepEqual(b, f.list()[before:], []string{"3", "4"})
 			assert.Assert(b, strings.Contains(out.String(), "retention_gap"))
 		})
@@ -261,13 +261,13 @@
 func TestUnreadableRecordsAreReportedAndSkipped(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		var out bytes.Buffer
-		s, f := b.start(journal.Options{Logger: log.New(&out)})
+		s, f := b.start(commitlog.Options{Logger: log.New(&out)})
 		b.commitAll(s, "1")
 		for _, payload := range [][]byte{nil, {0xff}, {0xa1, 0x01}, {0xa2, 0x01, 0x02, 0x02, 0x61, 0x77}} {
 			_, err := b.log.Append(b.ctx, streamName, payload)
 			assert.NilError(b, err)
 		}
-		_, err := s.Commit(b.ctx, journal.Entry{Kind: 1, Body: []byte{0xff}}, entry(b, "2"))
+		_, err := s.Commit(b.ctx, commitlog.Entry{Kind: 1, Body: []byte{0xff}}, entry(b, "2"))
 		assert.NilError(b, err)
 		assert.DeepEqual(b, f.list(), []string{"1", "2"})
 		assert.Equal(b, strings.Count(out.String(), "record_skipped"), 5)
@@ -278,7 +278,7 @@
 func TestStoppedStreamAnswersEveryCommit(t *testing.T) {
 	inBubble(t, func(b *bubble) {
 		ctx, cancel := context.WithCancel(b.ctx)
-		s := journal.NewStream(b.log, streamName, journal.Options{Writer: "w", Fold: &listFold{}})
+		s := commitlog.NewStream(b.log, streamName, commitlog.Options{Writer: "w", Fold: &listFold{}})
 		done := make(chan struct{})
 		go func() { s.Run(ctx); close(done) }()
 		b.log.SetDown(true)
@@ -294,7 +294,7 @@
 		b.log.SetDown(false)
 		assert.Assert(b, got[0] != got[1], "%v", got)
 		_, err := s.Commit(b.ctx, entry(b, "x"))
-		assert.ErrorIs(b, err, journal.ErrStopped)
+		assert.ErrorIs(b, err, commitlog.ErrStopped)
 		assert.NilError(b, s.CaughtUp(b.ctx))
 	})
 }
--- a/desired/fold.go
+++ b/desired/fold.go
@@ -5,11 +5,11 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // applyPublish folds a publication; the caller holds mu.
-func (t *Table) applyPublish(pos journal.Position, e journal.Entry) error {
+func (t *Table) applyPublish(pos commitlog.Position, e commitlog.Entry) error {
 	var p Publish
 	if err := e.Decode(&p); err != nil {
 		return err
@@ -123,7 +123,7 @@
 }
 
 // applyRenewal folds a renewal; the caller holds mu.
-func (t *Table) applyRenewal(at journal.Offset, e journal.Entry) error {
+func (t *Table) applyRenewal(at commitlog.Offset, e commitlog.Entry) error {
 	var r Renewal
 	if err := e.Decode(&r); err != nil {
 		return err
@@ -147,7 +147,7 @@
 
 // resolve makes the folded version known from a certified renewal and decides
 // the publications that it has not seen.
-func (t *Table) resolve(at journal.Offset, r Renewal) error {
+func (t *Table) resolve(at commitlog.Offset, r Renewal) error {
 	if r.Seen < t.start {
 		return errors.Wrapf(ErrUncertified, "version %d seen to %d, oldest record %d", r.Version, r.Seen, t.start)
 	}
--- a/desired/fold_bench_test.go
+++ b/desired/fold_bench_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 func benchDocument(workspaces int) []byte {
@@ -43,9 +43,9 @@
 			t.Gap(0)
 			b.ReportAllocs()
 			for i := uint64(0); b.Loop(); i++ {
-				e, err := journal.NewEntry(KindPublish, Publish{ID: fmt.Sprint(i), Base: i, Document: raw})
+				e, err := commitlog.NewEntry(KindPublish, Publish{ID: fmt.Sprint(i), Base: i, Document: raw})
 				assert.NilError(b, err)
-				assert.NilError(b, t.Apply(journal.Position{Offset: journal.Offset(i)}, e))
+				assert.NilError(b, t.Apply(commitlog.Position{Offset: commitlog.Offset(i)}, e))
 			}
 		})
 	}
--- a/desired/fold_test.go
+++ b/desired/fold_test.go
@@ -9,24 +9,24 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // naive is the meaning of a stream that nothing has expired from: a plain loop
 // over every record.
 type naive struct {
-	entries  []journal.Entry
+	entries  []commitlog.Entry
 	verdicts []State
 	// inForce[i] is the version in force before record i.
 	inForce []uint64
 }
 
-func (n *naive) next() journal.Offset { return journal.Offset(len(n.entries)) }
+func (n *naive) next() commitlog.Offset { return commitlog.Offset(len(n.entries)) }
 
 func (n *naive) now() uint64 { return n.inForce[len(n.inForce)-1] }
 
 func (n *naive) publish(t assert.TestingT, p Publish, valid bool) {
-	e, err := journal.NewEntry(KindPublish, p)
+	e, err := commitlog.NewEntry(KindPublish, p)
 	assert.NilError(t, err)
 	state, now := Accepted, n.now()
 	switch {
@@ -41,12 +41,12 @@
 }
 
 func (n *naive) renew(t assert.TestingT, r Renewal) {
-	e, err := journal.NewEntry(KindRenewal, r)
+	e, err := commitlog.NewEntry(KindRenewal, r)
 	assert.NilError(t, err)
 	n.add(e, "", n.now())
 }
 
-func (n *naive) add(e journal.Entry, s State, now uint64) {
+func (n *naive) add(e commitlog.Entry, s State, now uint64) {
 	n.entries = append(n.entries, e)
 	n.verdicts = append(n.verdicts, s)
 	n.inForce = append(n.inForce, now)
@@ -89,7 +89,7 @@
 			n.renew(t, r)
 		case 6:
 			seen := rapid.Uint64Range(0, uint64(n.next())).Draw(t, "seen")
-			n.publish(t, Publish{Recover: true, Seen: journal.Offset(seen), Document: document(i)}, true)
+			n.publish(t, Publish{Recover: true, Seen: commitlog.Offset(seen), Document: document(i)}, true)
 		}
 	}
 	return n
@@ -97,10 +97,10 @@
 
 // fold feeds records [from, to) to a table and compares it with the naive
 // version after each.
-func fold(t *rapid.T, table *Table, n *naive, from, to journal.Offset) {
+func fold(t *rapid.T, table *Table, n *naive, from, to commitlog.Offset) {
 	for at := from; at < to; at++ {
 		before, _ := table.InForce()
-		err := table.Apply(journal.Position{Offset: at}, n.entries[at])
+		err := table.Apply(commitlog.Position{Offset: at}, n.entries[at])
 		assert.Assert(t, err == nil || errors.Is(err, ErrUncertified), "%v", err)
 		now, _ := table.InForce()
 		assert.Assert(t, now.Number >= before.Number, "version went down")
@@ -131,9 +131,9 @@
 		last := rapid.Uint64Range(0, uint64(n.next())).Draw(t, "last")
 		first := rapid.Uint64Range(last, uint64(n.next())).Draw(t, "first")
 		late := NewTable(Hooks{})
-		fold(t, late, n, 0, journal.Offset(last))
-		late.Gap(journal.Offset(first))
-		fold(t, late, n, journal.Offset(first), n.next())
+		fold(t, late, n, 0, commitlog.Offset(last))
+		late.Gap(commitlog.Offset(first))
+		fold(t, late, n, commitlog.Offset(first), n.next())
 
 		// A fresh renewal settles it.
 		r, ok := whole.Renewal()
@@ -182,10 +182,10 @@
 }
 
 // apply folds the records from an offset on.
-func apply(t *testing.T, table *Table, n *naive, from journal.Offset, want error) {
+func apply(t *testing.T, table *Table, n *naive, from commitlog.Offset, want error) {
 	t.Helper()
 	for at := from; at < n.next(); at++ {
-		assert.ErrorIs(t, table.Apply(journal.Position{Offset: at}, n.entries[at]), want)
+		assert.ErrorIs(t, table.Apply(commitlog.Position{Offset: at}, n.entries[at]), want)
 	}
 }
 
@@ -224,15 +224,15 @@
 }
 
 func FuzzApply(f *testing.F) {
-	publish, _ := journal.NewEntry(KindPublish, Publish{Document: document(1)})
-	renewal, _ := journal.NewEntry(KindRenewal, Renewal{Version: 1, Seen: 1, Document: document(1)})
+	publish, _ := commitlog.NewEntry(KindPublish, Publish{Document: document(1)})
+	renewal, _ := commitlog.NewEntry(KindRenewal, Renewal{Version: 1, Seen: 1, Document: document(1)})
 	f.Add(uint16(KindPublish), publish.Body, uint64(0))
 	f.Add(uint16(KindRenewal), renewal.Body, uint64(5))
 	f.Add(uint16(9), []byte{0xff}, uint64(1))
 	f.Fuzz(func(t *testing.T, kind uint16, body []byte, at uint64) {
 		table := NewTable(Hooks{})
-		table.Gap(journal.Offset(at))
-		_ = table.Apply(journal.Position{Offset: journal.Offset(at)}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		table.Gap(commitlog.Offset(at))
+		_ = table.Apply(commitlog.Position{Offset: commitlog.Offset(at)}, commitlog.Entry{Kind: commitlog.EntryKind(kind), Body: body})
 		if v, ok := table.InForce(); ok {
 			assert.Assert(t, v.Number <= at+1)
 			assert.NilError(t, v.Document.Validate())
--- a/desired/publisher.go
+++ b/desired/publisher.go
@@ -7,7 +7,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Errors of a Publisher.
@@ -38,13 +38,13 @@
 // Publisher reads and publishes configuration on the log service directly, so
 // that it works while every process of the system is down.
 type Publisher struct {
-	log    journal.Log
+	log    commitlog.Log
 	logger *log.Logger
 }
 
-// NewPublisher returns a publisher; logger gets the events of the journal and
+// NewPublisher returns a publisher; logger gets the events of the commit log and
 // may be nil.
-func NewPublisher(l journal.Log, logger *log.Logger) *Publisher {
+func NewPublisher(l commitlog.Log, logger *log.Logger) *Publisher {
 	if logger == nil {
 		logger = log.New(io.Discard)
 	}
@@ -84,8 +84,8 @@
 	if version == 0 {
 		return nil, errors.New("desired: version 0 has no document")
 	}
-	stream := journal.NewStream(p.log, Stream, journal.Options{Writer: newID(), Logger: p.logger})
-	entries, err := stream.Load(ctx, journal.Offset(version-1))
+	stream := commitlog.NewStream(p.log, Stream, commitlog.Options{Writer: newID(), Logger: p.logger})
+	entries, err := stream.Load(ctx, commitlog.Offset(version-1))
 	if err != nil {
 		return nil, err
 	}
@@ -141,12 +141,12 @@
 }
 
 func (r *reader) publish(ctx context.Context, p Publish) (Verdict, error) {
-	entry, err := journal.NewEntry(KindPublish, p)
+	entry, err := commitlog.NewEntry(KindPublish, p)
 	if err != nil {
 		return Verdict{}, err
 	}
 	pos, err := r.stream.Commit(ctx, entry)
-	if errors.Is(err, journal.ErrUnconfirmed) {
+	if errors.Is(err, commitlog.ErrUnconfirmed) {
 		return Verdict{}, errors.Wrapf(ErrUnconfirmed, "publication %s", p.ID)
 	}
 	if err != nil {
@@ -156,7 +156,7 @@
 }
 
 // await returns the verdict of the publication at an offset once it is decided.
-func (r *reader) await(ctx context.Context, at journal.Offset) (Verdict, error) {
+func (r *reader) await(ctx context.Context, at commitlog.Offset) (Verdict, error) {
 	for {
 		changed := r.table.Changed()
 		v, ok := r.table.Verdict(at)
--- a/desired/publisher_test.go
+++ b/desired/publisher_test.go
@@ -11,27 +11,27 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
-func publish(t *testing.T, l journal.Log, base uint64, i int) (Verdict, error) {
+func publish(t *testing.T, l commitlog.Log, base uint64, i int) (Verdict, error) {
 	t.Helper()
 	return NewPublisher(l, nil).Publish(t.Context(), Publication{Base: base, Document: document(i), Author: "ada"})
 }
 
 func TestPublishThroughFaults(t *testing.T) {
-	for name, fault := range map[string]journaltest.Fault{
-		"none": journaltest.None, "drop": journaltest.Drop,
-		"lost answer": journaltest.LoseAnswer, "late": journaltest.ApplyLate,
+	for name, fault := range map[string]commitlogtest.Fault{
+		"none": commitlogtest.None, "drop": commitlogtest.Drop,
+		"lost answer": commitlogtest.LoseAnswer, "late": commitlogtest.ApplyLate,
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := journaltest.NewMemLog()
+				l := commitlogtest.NewMemLog()
 				first := true
-				l.OnAppend(func(string, []byte) journaltest.Fault {
+				l.OnAppend(func(string, []byte) commitlogtest.Fault {
 					if !first {
-						return journaltest.None
+						return commitlogtest.None
 					}
 					first = false
 					return fault
@@ -51,7 +51,7 @@
 
 func TestRacingPublishersHaveOneWinner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := journaltest.NewMemLog()
+		l := commitlogtest.NewMemLog()
 		const racers = 8
 		var wg sync.WaitGroup
 		verdicts := make([]Verdict, racers)
@@ -75,9 +75,9 @@
 
 func TestPublishRefusesBeforeAppending(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := journaltest.NewMemLog()
+		l := commitlogtest.NewMemLog()
 		appends := 0
-		l.OnAppend(func(string, []byte) journaltest.Fault { appends++; return journaltest.None })
+		l.OnAppend(func(string, []byte) commitlogtest.Fault { appends++; return commitlogtest.None })
 		p := NewPublisher(l, nil)
 		_, err := p.Publish(t.Context(), Publication{Document: []byte("bases = 1")})
 		assert.ErrorContains(t, err, `did you mean "base"?`)
@@ -87,14 +87,14 @@
 		assert.Equal(t, appends, 0)
 		l.SetDown(true)
 		_, err = p.Publish(t.Context(), Publication{Document: document(1)})
-		assert.ErrorIs(t, err, journaltest.ErrDown)
+		assert.ErrorIs(t, err, commitlogtest.ErrDown)
 	})
 }
 
 func TestPublishUnconfirmedWhenLogGoesDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := journaltest.NewMemLog()
-		l.OnAppend(func(string, []byte) journaltest.Fault { return journaltest.ApplyLate })
+		l := commitlogtest.NewMemLog()
+		l.OnAppend(func(string, []byte) commitlogtest.Fault { return commitlogtest.ApplyLate })
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		_, err := NewPublisher(l, nil).Publish(ctx, Publication{Document: document(1)})
@@ -113,7 +113,7 @@
 
 func TestRecoverAfterEveryCopyExpired(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := journaltest.NewMemLog()
+		l := commitlogtest.NewMemLog()
 		_, err := publish(t, l, 0, 1)
 		assert.NilError(t, err)
 		p := NewPublisher(l, nil)
@@ -133,16 +133,16 @@
 
 func TestRenewerKeepsVersionPastRetention(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := journaltest.NewMemLog()
+		l := commitlogtest.NewMemLog()
 		v, err := publish(t, l, 0, 1)
 		assert.NilError(t, err)
 		table := NewTable(Hooks{})
 		assert.NilError(t, BeginTable(t.Context(), l, table))
-		stream := journal.NewStream(l, Stream, journal.Options{Writer: "w", Fold: table})
+		stream := commitlog.NewStream(l, Stream, commitlog.Options{Writer: "w", Fold: table})
 		ctx, cancel := context.WithCancel(t.Context())
 		go stream.Run(ctx)
 		renewer := Renewer{Table: table, Stream: stream, Interval: time.Minute, Failed: func(err error) {
-			assert.Assert(t, errors.Is(err, journal.ErrStopped) || ctx.Err() != nil, "%v", err)
+			assert.Assert(t, errors.Is(err, commitlog.ErrStopped) || ctx.Err() != nil, "%v", err)
 		}}
 		go renewer.Run(ctx)
 		for range 5 {
--- a/desired/reader.go
+++ b/desired/reader.go
@@ -8,24 +8,24 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // reader folds the configuration stream for the length of one command.
 type reader struct {
 	table  *Table
-	stream *journal.Stream
+	stream *commitlog.Stream
 	stop   context.CancelFunc
 	done   chan struct{}
 }
 
 // openReader returns a reader that has folded everything in the log.
-func openReader(ctx context.Context, l journal.Log, logger *log.Logger, id string) (*reader, error) {
+func openReader(ctx context.Context, l commitlog.Log, logger *log.Logger, id string) (*reader, error) {
 	r := &reader{table: NewTable(Hooks{}), done: make(chan struct{})}
 	if err := BeginTable(ctx, l, r.table); err != nil {
 		return nil, err
 	}
-	r.stream = journal.NewStream(l, Stream, journal.Options{
+	r.stream = commitlog.NewStream(l, Stream, commitlog.Options{
 		Writer: id, Fold: r.table, Interval: time.Nanosecond, Logger: logger,
 	})
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -48,7 +48,7 @@
 
 // BeginTable tells an empty table which record is the oldest that the log
 // keeps. Call it before the table's stream runs.
-func BeginTable(ctx context.Context, l journal.Log, t *Table) error {
+func BeginTable(ctx context.Context, l commitlog.Log, t *Table) error {
 	page, err := l.Read(ctx, Stream, 0, 1, 0)
 	if err != nil {
 		return errors.Wrap(err, "desired: read the log")
--- a/desired/record.go
+++ b/desired/record.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Stream is the name of the configuration stream at the log service.
@@ -11,11 +11,11 @@
 
 // The kinds of entry of the configuration stream.
 const (
-	KindPublish journal.EntryKind = 1
-	KindRenewal journal.EntryKind = 2
+	KindPublish commitlog.EntryKind = 1
+	KindRenewal commitlog.EntryKind = 2
 )
 
-// Errors of the fold; journal logs them with the position.
+// Errors of the fold; commitlog logs them with the position.
 var (
 	// ErrMalformed says that an entry contradicts itself or the log.
 	ErrMalformed = errors.New("desired: malformed entry")
@@ -39,7 +39,7 @@
 	// force has expired: the publication is accepted if no version was
 	// accepted at or after the offset Seen.
 	Recover bool           `cbor:"6,keyasint,omitempty"`
-	Seen    journal.Offset `cbor:"7,keyasint,omitempty"`
+	Seen    commitlog.Offset `cbor:"7,keyasint,omitempty"`
 }
 
 // Renewal repeats the version in force before its newest copy expires. It
@@ -52,19 +52,19 @@
 	Document []byte         `cbor:"3,keyasint"`
 	Author   string         `cbor:"4,keyasint,omitempty"`
 	Note     string         `cbor:"5,keyasint,omitempty"`
-	Seen     journal.Offset `cbor:"6,keyasint"`
+	Seen     commitlog.Offset `cbor:"6,keyasint"`
 	ID       string         `cbor:"7,keyasint,omitempty"`
 }
 
 // check refuses a renewal that no process can have prepared.
-func (r Renewal) check(at journal.Offset) error {
+func (r Renewal) check(at commitlog.Offset) error {
 	if r.Seen > at || r.Version > uint64(r.Seen) {
 		return errors.Wrapf(ErrMalformed, "renewal of version %d seen to %d at offset %d", r.Version, r.Seen, at)
 	}
 	return nil
 }
 
-func (p Publish) check(pos journal.Position) error {
+func (p Publish) check(pos commitlog.Position) error {
 	if pos.Index > 0 {
 		return errors.Wrap(ErrMalformed, "a publication must be the first entry of its record")
 	}
--- a/desired/renewer.go
+++ b/desired/renewer.go
@@ -6,12 +6,12 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
-// Committer appends entries as journal.Stream does.
+// Committer appends entries as commitlog.Stream does.
 type Committer interface {
-	Commit(ctx context.Context, entries ...journal.Entry) (journal.Position, error)
+	Commit(ctx context.Context, entries ...commitlog.Entry) (commitlog.Position, error)
 }
 
 // Renewer keeps a copy of the version in force in the log. Several processes
@@ -66,7 +66,7 @@
 	if !ok {
 		return
 	}
-	entry, err := journal.NewEntry(KindRenewal, record)
+	entry, err := commitlog.NewEntry(KindRenewal, record)
 	if err != nil {
 		r.fail(err)
 		return
--- a/desired/table.go
+++ b/desired/table.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Bounds of what a table keeps.
@@ -68,17 +68,17 @@
 	// applied is set by the first record after the start or a gap.
 	begun       bool
 	applied     bool
-	start, next journal.Offset
+	start, next commitlog.Offset
 	// copyAt is the newest record that carries the folded version, staleAt the
 	// newest renewal of an older one.
-	copyAt, staleAt journal.Offset
+	copyAt, staleAt commitlog.Offset
 	undecided       []undecided
 	history         []*Verdict
 	pendingHooks    []func()
 }
 
 type undecided struct {
-	at      journal.Offset
+	at      commitlog.Offset
 	publish Publish
 	verdict *Verdict
 }
@@ -124,7 +124,7 @@
 }
 
 // Verdict returns what became of the publication at an offset.
-func (t *Table) Verdict(at journal.Offset) (Verdict, bool) {
+func (t *Table) Verdict(at commitlog.Offset) (Verdict, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for i := len(t.history) - 1; i >= 0; i-- {
@@ -138,7 +138,7 @@
 // Gap tells the table that no record below first can be read and that those it
 // has not folded are lost. Call it before the first record with the oldest
 // offset kept, and when a reader fell behind retention.
-func (t *Table) Gap(first journal.Offset) {
+func (t *Table) Gap(first commitlog.Offset) {
 	t.mu.Lock()
 	defer t.unlock()
 	if t.begun && first <= t.next {
@@ -148,11 +148,11 @@
 	t.known = first == 0
 }
 
-// Reset implements journal.Resetter: it is Gap.
-func (t *Table) Reset(first journal.Offset) { t.Gap(first) }
+// Reset implements commitlog.Resetter: it is Gap.
+func (t *Table) Reset(first commitlog.Offset) { t.Gap(first) }
 
 // begin starts over at an offset with nothing known; the caller holds mu.
-func (t *Table) begin(first journal.Offset) {
+func (t *Table) begin(first commitlog.Offset) {
 	t.begun, t.applied, t.known = true, false, false
 	t.start, t.next = first, first
 	t.undecided = nil
@@ -189,19 +189,19 @@
 // Copy returns the offset of the newest copy of the folded version, and whether
 // a renewal of an older version stands after it, which makes a renewal due at
 // once.
-func (t *Table) Copy() (at journal.Offset, overtaken bool) {
+func (t *Table) Copy() (at commitlog.Offset, overtaken bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.copyAt, t.known && t.staleAt > t.copyAt
 }
 
 var (
-	_ journal.Fold     = (*Table)(nil)
-	_ journal.Resetter = (*Table)(nil)
+	_ commitlog.Fold     = (*Table)(nil)
+	_ commitlog.Resetter = (*Table)(nil)
 )
 
-// Apply implements journal.Fold.
-func (t *Table) Apply(pos journal.Position, e journal.Entry) error {
+// Apply implements commitlog.Fold.
+func (t *Table) Apply(pos commitlog.Position, e commitlog.Entry) error {
 	t.mu.Lock()
 	defer t.unlock()
 	t.advance(pos.Offset)
@@ -217,7 +217,7 @@
 // advance notes that the record at an offset is folded; the caller holds mu. A
 // first record that is not the one expected means that records expired between
 // the call of Gap and the first read.
-func (t *Table) advance(at journal.Offset) {
+func (t *Table) advance(at commitlog.Offset) {
 	switch {
 	case !t.begun:
 		t.begin(at)
--- a/desired/verdict.go
+++ b/desired/verdict.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/qmuntal/stateless"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // State is where a publication stands.
@@ -40,7 +40,7 @@
 // Verdict is what became of one publication.
 type Verdict struct {
 	// Offset is that of the publication's record.
-	Offset journal.Offset `json:"offset"`
+	Offset commitlog.Offset `json:"offset"`
 	State  State          `json:"state"`
 	// Version is the number the publication has if it was accepted.
 	Version uint64 `json:"version"`
--- a/event/event.go
+++ b/event/event.go
@@ -20,7 +20,7 @@
 }
 
 // The events: 1xx lifecycle, 2xx routing, 3xx placement and batch,
-// 4xx admission, 5xx journal, 6xx configuration, 7xx membership.
+// 4xx admission, 5xx commit log, 6xx configuration, 7xx membership.
 const (
 	Started         ID = 101
 	Draining        ID = 102
--- a/internal/capacity/batch.go
+++ b/internal/capacity/batch.go
@@ -8,7 +8,7 @@
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -30,12 +30,12 @@
 	err   error
 }
 
-func (s *shard) add(kind journal.EntryKind, body any) {
-	e, err := journal.NewEntry(kind, body)
+func (s *shard) add(kind commitlog.EntryKind, body any) {
+	e, err := commitlog.NewEntry(kind, body)
 	if err != nil && s.err == nil {
 		s.err = err
 	}
-	s.facts = append(s.facts, fact{journal.Position{Offset: journal.Offset(len(s.facts))}, e})
+	s.facts = append(s.facts, fact{commitlog.Position{Offset: commitlog.Offset(len(s.facts))}, e})
 }
 
 // addJob adds a started job of a number of items with its input file.
@@ -59,7 +59,7 @@
 func manifest(items int) blob.Manifest {
 	m := make(blob.Manifest, items*resultBytes/blob.MaxChunkBytes+1)
 	for i := range m {
-		m[i] = blob.Ref{Offset: journal.Offset(i), Len: blob.MaxChunkBytes}
+		m[i] = blob.Ref{Offset: commitlog.Offset(i), Len: blob.MaxChunkBytes}
 	}
 	return m
 }
@@ -140,7 +140,7 @@
 				if err != nil {
 					return 0, err
 				}
-				e, err := journal.NewEntry(batch.KindSegment, seg)
+				e, err := commitlog.NewEntry(batch.KindSegment, seg)
 				return float64(len(e.Body)), err
 			}},
 	)
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -14,7 +14,7 @@
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/sidecar"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
 )
 
@@ -81,7 +81,7 @@
 	n, err := writerMemory(t.Context(), 3)
 	assert.NilError(t, err)
 	assert.Assert(t, n > 0)
-	rate, err := appendRate(t.Context(), journal.Options{Budget: journal.NewBudget(appendsPerSecond)}, 200)
+	rate, err := appendRate(t.Context(), commitlog.Options{Budget: commitlog.NewBudget(appendsPerSecond)}, 200)
 	assert.NilError(t, err)
 	assert.Assert(t, rate > 0)
 }
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/catkinrudder/catkinrudder/claim"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -19,12 +19,12 @@
 
 // fact is one entry at its offset, as a follower folds it.
 type fact struct {
-	at    journal.Position
-	entry journal.Entry
+	at    commitlog.Position
+	entry commitlog.Entry
 }
 
 // foldAll folds facts in order.
-func foldAll(f journal.Fold, facts []fact) error {
+func foldAll(f commitlog.Fold, facts []fact) error {
 	for _, x := range facts {
 		if err := f.Apply(x.at, x.entry); err != nil {
 			return err
@@ -34,14 +34,14 @@
 }
 
 // facts encodes n bodies as the records of one stream.
-func facts(kind journal.EntryKind, n int, body func(i int) any) ([]fact, error) {
+func facts(kind commitlog.EntryKind, n int, body func(i int) any) ([]fact, error) {
 	out := make([]fact, n)
 	for i := range out {
-		e, err := journal.NewEntry(kind, body(i))
+		e, err := commitlog.NewEntry(kind, body(i))
 		if err != nil {
 			return nil, err
 		}
-		out[i] = fact{journal.Position{Offset: journal.Offset(i)}, e}
+		out[i] = fact{commitlog.Position{Offset: commitlog.Offset(i)}, e}
 	}
 	return out, nil
 }
@@ -73,7 +73,7 @@
 }
 
 // foldCosts measures folding facts of one kind into a new claims fold.
-func foldCosts(id, per string, kind journal.EntryKind, body func(int) any) ([]Quantity, error) {
+func foldCosts(id, per string, kind commitlog.EntryKind, body func(int) any) ([]Quantity, error) {
 	sizes := []int{2000, 4000, 16_000}
 	return all(
 		spec{Quantity{ID: id + ".fold", Help: "fold", Unit: Nanoseconds, Per: per}, sizes, func(n int) (float64, error) {
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -7,7 +7,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/catkinrudder/catkinrudder/desired"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // models is how many model services a document has.
@@ -88,17 +88,17 @@
 	return perOperation(func() { _, _ = desired.Parse("document", b) }), nil
 }
 
-func publication(n int) (journal.Entry, error) {
+func publication(n int) (commitlog.Entry, error) {
 	b, err := document(n)
 	if err != nil {
-		return journal.Entry{}, err
+		return commitlog.Entry{}, err
 	}
-	return journal.NewEntry(desired.KindPublish, desired.Publish{ID: incarnation(n), Document: b})
+	return commitlog.NewEntry(desired.KindPublish, desired.Publish{ID: incarnation(n), Document: b})
 }
 
-func publish(t *desired.Table, e journal.Entry) error {
+func publish(t *desired.Table, e commitlog.Entry) error {
 	t.Gap(0)
-	return t.Apply(journal.Position{}, e)
+	return t.Apply(commitlog.Position{}, e)
 }
 
 func publishTime(n int) (float64, error) {
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -11,7 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/catkinrudder/catkinrudder/internal/entry"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/sidecar"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
@@ -115,15 +115,15 @@
 	return r
 }
 
-func instanceList(n int) platform.InstanceList {
-	rows := make([]platform.Instance, n)
+func instanceList(n int) logservice.InstanceList {
+	rows := make([]logservice.Instance, n)
 	for i := range rows {
-		rows[i] = platform.Instance{
+		rows[i] = logservice.Instance{
 			Name: backendName(i), Role: string(settings.RoleSidecar), Service: modelService, Region: region, Zone: zone,
-			PeerAddr: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), State: platform.Live,
+			PeerAddr: fmt.Sprintf("10.0.%d.%d:9000", i/256, i%256), State: logservice.Live,
 		}
 	}
-	return platform.InstanceList{Instances: rows}
+	return logservice.InstanceList{Instances: rows}
 }
 
 func measureInstanceList(context.Context) ([]Quantity, error) {
@@ -136,8 +136,8 @@
 			}},
 		spec{Quantity{ID: "list.row", Help: "memory of the decoded list", Unit: Bytes, Per: "instance"},
 			sizes, func(n int) (float64, error) {
-				return heapOf(func() (platform.InstanceList, error) {
-					var out platform.InstanceList
+				return heapOf(func() (logservice.InstanceList, error) {
+					var out logservice.InstanceList
 					b, err := json.Marshal(instanceList(n))
 					if err != nil {
 						return out, err
@@ -151,8 +151,8 @@
 				if err != nil {
 					return 0, err
 				}
-				var out platform.InstanceList
-				return perOperation(func() { out = platform.InstanceList{}; err = json.Unmarshal(b, &out) }), err
+				var out logservice.InstanceList
+				return perOperation(func() { out = logservice.InstanceList{}; err = json.Unmarshal(b, &out) }), err
 			}},
 	)
 }
--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -26,12 +26,12 @@
 
 // countingLog counts what is appended to a log service.
 type countingLog struct {
-	journal.Log
+	commitlog.Log
 	appends, bytes atomic.Int64
 }
 
-// Append implements journal.Log.
-func (l *countingLog) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+// Append implements commitlog.Log.
+func (l *countingLog) Append(ctx context.Context, stream string, payload []byte) (commitlog.Offset, error) {
 	l.appends.Add(1)
 	l.bytes.Add(int64(len(payload)))
 	return l.Log.Append(ctx, stream, payload)
@@ -40,14 +40,14 @@
 // noFold is a fold without state.
 type noFold struct{}
 
-// Apply implements journal.Fold.
-func (noFold) Apply(journal.Position, journal.Entry) error { return nil }
+// Apply implements commitlog.Fold.
+func (noFold) Apply(commitlog.Position, commitlog.Entry) error { return nil }
 
 // withStream runs f with a stream over a new log service.
-func withStream(ctx context.Context, opts journal.Options, f func(ctx context.Context, s *journal.Stream, l *countingLog) error) error {
+func withStream(ctx context.Context, opts commitlog.Options, f func(ctx context.Context, s *commitlog.Stream, l *countingLog) error) error {
 	l := &countingLog{Log: standin.NewLogService().Log()}
 	opts.Writer, opts.Fold = incarnation(0), noFold{}
-	s := journal.NewStream(l, streamName, opts)
+	s := commitlog.NewStream(l, streamName, opts)
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { s.Run(ctx) })
@@ -58,9 +58,9 @@
 
 // appendRate offers a number of commits a second and returns the appends a
 // second that they took.
-func appendRate(ctx context.Context, opts journal.Options, perSecond int) (float64, error) {
+func appendRate(ctx context.Context, opts commitlog.Options, perSecond int) (float64, error) {
 	var rate float64
-	err := withStream(ctx, opts, func(ctx context.Context, s *journal.Stream, l *countingLog) error {
+	err := withStream(ctx, opts, func(ctx context.Context, s *commitlog.Stream, l *countingLog) error {
 		start := time.Now()
 		offer(ctx, s, perSecond)
 		rate = float64(l.appends.Load()) / time.Since(start).Seconds()
@@ -70,8 +70,8 @@
 }
 
 // offer commits at an even rate for a while, each commit on its own.
-func offer(ctx context.Context, s *journal.Stream, perSecond int) {
-	e := journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
+func offer(ctx context.Context, s *commitlog.Stream, perSecond int) {
+	e := commitlog.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
 	ticker := time.NewTicker(offerStep)
 	defer ticker.Stop()
 	start, sent := time.Now(), 0
@@ -85,10 +85,10 @@
 // recordBytes returns the payload of a record of n entries.
 func recordBytes(ctx context.Context, n int) (float64, error) {
 	var bytes float64
-	err := withStream(ctx, journal.Options{}, func(ctx context.Context, s *journal.Stream, l *countingLog) error {
-		entries := make([]journal.Entry, n)
+	err := withStream(ctx, commitlog.Options{}, func(ctx context.Context, s *commitlog.Stream, l *countingLog) error {
+		entries := make([]commitlog.Entry, n)
 		for i := range entries {
-			entries[i] = journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
+			entries[i] = commitlog.Entry{Kind: 1, Body: make([]byte, bodyBytes)}
 		}
 		_, err := s.Commit(ctx, entries...)
 		bytes = float64(l.bytes.Load())
@@ -100,15 +100,15 @@
 func measureJournal(ctx context.Context) ([]Quantity, error) {
 	offered := []int{100, 1000, 4000}
 	return all(
-		spec{Quantity{ID: "journal.appends", Help: "appends of one stream", Unit: PerSecond, Per: "commit/s offered"},
-			offered, func(n int) (float64, error) { return appendRate(ctx, journal.Options{}, n) }},
-		spec{Quantity{ID: "journal.appends.budget", Help: "appends with a budget of 20/s", Unit: PerSecond, Per: "commit/s offered"},
+		spec{Quantity{ID: "commitlog.appends", Help: "appends of one stream", Unit: PerSecond, Per: "commit/s offered"},
+			offered, func(n int) (float64, error) { return appendRate(ctx, commitlog.Options{}, n) }},
+		spec{Quantity{ID: "commitlog.appends.budget", Help: "appends with a budget of 20/s", Unit: PerSecond, Per: "commit/s offered"},
 			offered, func(n int) (float64, error) {
-				return appendRate(ctx, journal.Options{Budget: journal.NewBudget(appendsPerSecond)}, n)
+				return appendRate(ctx, commitlog.Options{Budget: commitlog.NewBudget(appendsPerSecond)}, n)
 			}},
-		spec{Quantity{ID: "journal.record", Help: "record of entries of 200 B", Unit: Bytes, Per: "entry"},
+		spec{Quantity{ID: "commitlog.record", Help: "record of entries of 200 B", Unit: Bytes, Per: "entry"},
 			[]int{1, 16, 256}, func(n int) (float64, error) { return recordBytes(ctx, n) }},
-		spec{Quantity{ID: "journal.writer", Help: "memory of a stream that folded records", Unit: Bytes, Per: "writer seen"},
+		spec{Quantity{ID: "commitlog.writer", Help: "memory of a stream that folded records", Unit: Bytes, Per: "writer seen"},
 			[]int{100, 400, 1600}, func(n int) (float64, error) { return writerMemory(ctx, n) }},
 	)
 }
@@ -123,21 +123,21 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	defer cancel()
-	return heapOf(func() (*journal.Stream, error) {
-		s := journal.NewStream(l, streamName, journal.Options{Writer: incarnation(n), Fold: noFold{}})
+	return heapOf(func() (*commitlog.Stream, error) {
+		s := commitlog.NewStream(l, streamName, commitlog.Options{Writer: incarnation(n), Fold: noFold{}})
 		wg.Go(func() { s.Run(ctx) })
 		return s, s.CaughtUp(ctx)
 	})
 }
 
 // appendWriters has n writers append one record each.
-func appendWriters(ctx context.Context, l journal.Log, n int) error {
+func appendWriters(ctx context.Context, l commitlog.Log, n int) error {
 	for i := range n {
-		s := journal.NewStream(l, streamName, journal.Options{Writer: incarnation(i), Fold: noFold{}, Interval: time.Nanosecond})
+		s := commitlog.NewStream(l, streamName, commitlog.Options{Writer: incarnation(i), Fold: noFold{}, Interval: time.Nanosecond})
 		run, cancel := context.WithCancel(ctx)
 		var wg sync.WaitGroup
 		wg.Go(func() { s.Run(run) })
-		_, err := s.Commit(ctx, journal.Entry{Kind: 1, Body: make([]byte, bodyBytes)})
+		_, err := s.Commit(ctx, commitlog.Entry{Kind: 1, Body: make([]byte, bodyBytes)})
 		cancel()
 		wg.Wait()
 		if err != nil {
@@ -147,8 +147,8 @@
 	return nil
 }
 
-func readResponse(bytes int) platform.ReadResponse {
-	return platform.ReadResponse{Next: 1, Records: []platform.ReadRecord{{Payload: make([]byte, bytes)}}}
+func readResponse(bytes int) logservice.ReadResponse {
+	return logservice.ReadResponse{Next: 1, Records: []logservice.ReadRecord{{Payload: make([]byte, bytes)}}}
 }
 
 // measureReads measures what a follower receives for each byte of a record.
@@ -166,8 +166,8 @@
 				if err != nil {
 					return 0, err
 				}
-				var out platform.ReadResponse
-				return perOperation(func() { out = platform.ReadResponse{}; err = json.Unmarshal(b, &out) }), err
+				var out logservice.ReadResponse
+				return perOperation(func() { out = logservice.ReadResponse{}; err = json.Unmarshal(b, &out) }), err
 			}},
 	)
 }
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -10,7 +10,7 @@
 	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/load"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Exit codes of the tool.
@@ -63,7 +63,7 @@
 		return ExitUnknown
 	case errors.As(err, &api):
 		return apiCode(api)
-	case errors.Is(err, journal.ErrNotAppended), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, commitlog.ErrNotAppended), errors.Is(err, context.DeadlineExceeded):
 		return ExitUnavailable
 	}
 	return ExitFailed
--- a/internal/ctl/tool.go
+++ b/internal/ctl/tool.go
@@ -16,7 +16,7 @@
 
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/load"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // defaultTimeout bounds one command, except those that wait for a job or send
@@ -31,7 +31,7 @@
 	Stdin          io.Reader
 	Stdout, Stderr io.Writer
 	// NewLog returns a client of the log service at an IP:port.
-	NewLog func(addr string) journal.Log
+	NewLog func(addr string) commitlog.Log
 	// PollInterval is the time between two looks at a batch job, by default
 	// DefaultPollInterval.
 	PollInterval time.Duration
--- a/internal/ctl/tool_test.go
+++ b/internal/ctl/tool_test.go
@@ -16,19 +16,19 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/desired"
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // bench is a tool whose log service is in memory.
 type bench struct {
 	t   *testing.T
-	log *journaltest.MemLog
+	log *commitlogtest.MemLog
 	dir string
 }
 
 func newBench(t *testing.T) *bench {
-	return &bench{t: t, log: journaltest.NewMemLog(), dir: t.TempDir()}
+	return &bench{t: t, log: commitlogtest.NewMemLog(), dir: t.TempDir()}
 }
 
 func (b *bench) run(args ...string) (code int, stdout, stderr string) {
@@ -36,7 +36,7 @@
 	var out, errOut bytes.Buffer
 	tool := Tool{
 		Stdin: strings.NewReader(""), Stdout: &out, Stderr: &errOut,
-		NewLog: func(string) journal.Log { return b.log }, PollInterval: time.Millisecond,
+		NewLog: func(string) commitlog.Log { return b.log }, PollInterval: time.Millisecond,
 	}
 	code = tool.Run(b.t.Context(), append([]string{"catkinrudderctl", "--log", "127.0.0.1:1"}, args...))
 	return code, out.String(), errOut.String()
@@ -101,7 +101,7 @@
 	assert.Equal(t, checks[0].Problems[0].Line, 3)
 	page, err := b.log.Read(t.Context(), desired.Stream, 0, 1, 0)
 	assert.NilError(t, err)
-	assert.Equal(t, page.Next, journal.Offset(0))
+	assert.Equal(t, page.Next, commitlog.Offset(0))
 }
 
 func TestExitCodes(t *testing.T) {
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -15,7 +15,7 @@
 
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/entry"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/sidecar"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 	"github.com/catkinrudder/catkinrudder/settings"
@@ -145,7 +145,7 @@
 
 // publish puts the demo's desired state on the log.
 func (d *Deployment) publish(ctx context.Context) error {
-	p := desired.NewPublisher(platform.NewLog(d.Log), d.logger)
+	p := desired.NewPublisher(logservice.NewLog(d.Log), d.logger)
 	var err error
 	for range publishTries {
 		_, err = p.Publish(ctx, desired.Publication{Document: []byte(document), Author: "dev"})
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -14,7 +14,7 @@
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
@@ -32,7 +32,7 @@
 // batches is an entry's share of the batch work.
 type batches struct {
 	shards  batch.Shards
-	streams []*journal.Stream
+	streams []*commitlog.Stream
 	runner  *batch.Runner
 }
 
--- a/internal/entry/batchapi/api.go
+++ b/internal/entry/batchapi/api.go
@@ -27,7 +27,7 @@
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Defaults and limits.
@@ -126,22 +126,22 @@
 }
 
 // Commit implements blob.Stream.
-func (s timedStream) Commit(ctx context.Context, entries ...journal.Entry) (journal.Position, error) {
+func (s timedStream) Commit(ctx context.Context, entries ...commitlog.Entry) (commitlog.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	return s.Stream.Commit(ctx, entries...)
 }
 
 // commit appends one entry and returns once it is folded.
-func (a *api) commit(ctx context.Context, c call, kind journal.EntryKind, body any) error {
-	e, err := journal.NewEntry(kind, body)
+func (a *api) commit(ctx context.Context, c call, kind commitlog.EntryKind, body any) error {
+	e, err := commitlog.NewEntry(kind, body)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, a.CommitTimeout)
 	defer cancel()
 	_, err = c.shard.Stream.Commit(ctx, e)
-	if errors.Is(err, journal.ErrUnconfirmed) {
+	if errors.Is(err, commitlog.ErrUnconfirmed) {
 		return errkind.Wrap(err, errkind.LogUnavailable, "the log service did not confirm").WithOutcome(errkind.Unknown)
 	}
 	if err != nil {
--- a/internal/entry/batchapi/api_test.go
+++ b/internal/entry/batchapi/api_test.go
@@ -23,8 +23,8 @@
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 // services is a fixed desired state: model "m" and plain service "book".
@@ -73,7 +73,7 @@
 
 type fixture struct {
 	url  string
-	log  *journaltest.MemLog
+	log  *commitlogtest.MemLog
 	disp *fakeDispatcher
 }
 
@@ -81,14 +81,14 @@
 // key is the workspace's name.
 func newFixture(t *testing.T, answer func(context.Context, batch.Item) (batch.Answer, error)) *fixture {
 	t.Helper()
-	f := &fixture{log: journaltest.NewMemLog(), disp: &fakeDispatcher{ran: make(map[string]int), answer: answer}}
+	f := &fixture{log: commitlogtest.NewMemLog(), disp: &fakeDispatcher{ran: make(map[string]int), answer: answer}}
 	logger := log.New(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	var shards batch.Shards
 	for i := range 2 {
 		table := batch.NewTable()
-		stream := journal.NewStream(f.log, batch.StreamName(i), journal.Options{
+		stream := commitlog.NewStream(f.log, batch.StreamName(i), commitlog.Options{
 			Writer: "w1", Fold: table, Logger: logger, Interval: time.Millisecond,
 		})
 		shards = append(shards, batch.Shard{ID: i, Stream: stream, Table: table})
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 func TestBadInputNamesThePlace(t *testing.T) {
@@ -203,9 +203,9 @@
 	f.log.SetDown(false)
 	// Answers that are lost after the effect and appends that come late.
 	n := 0
-	f.log.OnAppend(func(string, []byte) journaltest.Fault {
+	f.log.OnAppend(func(string, []byte) commitlogtest.Fault {
 		n++
-		return []journaltest.Fault{journaltest.None, journaltest.LoseAnswer, journaltest.Drop, journaltest.ApplyLate}[n%4]
+		return []commitlogtest.Fault{commitlogtest.None, commitlogtest.LoseAnswer, commitlogtest.Drop, commitlogtest.ApplyLate}[n%4]
 	})
 	job := f.submit(t, "a", lines(200))
 	job = f.wait(t, "a", job.str("id"))
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -14,7 +14,7 @@
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/routing"
 )
@@ -38,7 +38,7 @@
 type claims struct {
 	entry   *Server
 	fold    *claim.Fold
-	stream  *journal.Stream
+	stream  *commitlog.Stream
 	claimer *claim.Claimer
 }
 
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -15,7 +15,7 @@
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/peer"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/routing"
@@ -34,7 +34,7 @@
 
 // member is what an entry knows of one instance.
 type member struct {
-	instance platform.Instance
+	instance logservice.Instance
 	// incarnation is empty until the first report.
 	incarnation string
 	version     uint64
@@ -59,7 +59,7 @@
 	config   *desired.Table
 	link     *link
 	orders   *placement.Table
-	list     *platform.InstancesClient
+	list     *logservice.InstancesClient
 	epoch    time.Time
 	poke     chan struct{}
 
@@ -82,7 +82,7 @@
 		config:   config,
 		link:     link,
 		orders:   orders,
-		list:     platform.NewInstances(s.Platform.Instances),
+		list:     logservice.NewInstances(s.Platform.Instances),
 		epoch:    time.Now(),
 		poke:     make(chan struct{}, 1),
 		members:  make(map[string]*member),
@@ -142,7 +142,7 @@
 }
 
 // sync takes over the platform's list.
-func (f *fleet) sync(rows []platform.Instance) {
+func (f *fleet) sync(rows []logservice.Instance) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := make(map[string]bool, len(rows))
@@ -154,7 +154,7 @@
 			f.members[row.Name] = m
 		}
 		m.instance = row
-		if row.State == platform.Leaving {
+		if row.State == logservice.Leaving {
 			f.markLeaving(m)
 		}
 	}
@@ -233,7 +233,7 @@
 	m.version = r.Load.ConfigVersion
 	if m.incarnation != r.Incarnation {
 		m.incarnation = r.Incarnation
-		m.leaving = m.instance.State == platform.Leaving
+		m.leaving = m.instance.State == logservice.Leaving
 		event.Log(f.logger, event.BackendSeen, "backend", r.Instance, "incarnation", r.Incarnation, "service", r.Service)
 	}
 	if r.Load.Leaving {
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -11,16 +11,16 @@
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/peer"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
 
-func newTestFleet(s shape) (*fleet, []platform.Instance) { return newTestFleetOf(s, 0) }
+func newTestFleet(s shape) (*fleet, []logservice.Instance) { return newTestFleetOf(s, 0) }
 
 // newTestFleetOf returns the fleet of the i-th entry.
-func newTestFleetOf(s shape, i int) (*fleet, []platform.Instance) {
+func newTestFleetOf(s shape, i int) (*fleet, []logservice.Instance) {
 	entries, sidecars := s.rows()
 	self := entries[i]
 	set := settings.Settings{Instance: self.Name, Region: self.Region, Zone: self.Zone}
@@ -92,7 +92,7 @@
 	f.sync(rows)
 	assert.Equal(t, f.entries(), 3)
 	for i := 1; i < 3; i++ {
-		rows[i].State = platform.Leaving
+		rows[i].State = logservice.Leaving
 	}
 	f.sync(rows)
 	assert.Equal(t, f.entries(), 1)
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -7,7 +7,7 @@
 
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/settings"
@@ -28,7 +28,7 @@
 type placements struct {
 	entry  *Server
 	table  *placement.Table
-	stream *journal.Stream
+	stream *commitlog.Stream
 	demand demand
 }
 
@@ -96,7 +96,7 @@
 func (p *placements) assign(ctx context.Context, a placement.Assign) {
 	ctx, cancel := context.WithTimeout(ctx, placementTimeout)
 	defer cancel()
-	entry, err := journal.NewEntry(placement.KindAssign, a)
+	entry, err := commitlog.NewEntry(placement.KindAssign, a)
 	if err == nil {
 		_, err = p.stream.Commit(ctx, entry)
 	}
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -13,7 +13,7 @@
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -49,7 +49,7 @@
 			source: claim.NewRenewals(e.claims.stream, e.claims.fold),
 			chosen: func() bool { return e.fleet.owns(renewClaims) },
 		}
-		journal.NewRenewer(e.claims.stream, source, retention, claimRenewalsPerSecond).Run(ctx)
+		commitlog.NewRenewer(e.claims.stream, source, retention, claimRenewalsPerSecond).Run(ctx)
 		return nil
 	})
 	g.Go(func() error {
@@ -85,7 +85,7 @@
 }
 
 // waitCaughtUp returns false if ctx ended first.
-func waitCaughtUp(ctx context.Context, s *journal.Stream) bool {
+func waitCaughtUp(ctx context.Context, s *commitlog.Stream) bool {
 	for s.CaughtUp(ctx) != nil {
 		select {
 		case <-time.After(caughtUpRetry):
@@ -98,12 +98,12 @@
 
 // chosenSource renews only while this entry is chosen.
 type chosenSource struct {
-	source journal.RenewalSource
+	source commitlog.RenewalSource
 	chosen func() bool
 }
 
-// Renewals implements journal.RenewalSource.
-func (s chosenSource) Renewals(ctx context.Context, before journal.Offset, limit int) ([]journal.Entry, error) {
+// Renewals implements commitlog.RenewalSource.
+func (s chosenSource) Renewals(ctx context.Context, before commitlog.Offset, limit int) ([]commitlog.Entry, error) {
 	if !s.chosen() {
 		return nil, nil
 	}
--- a/internal/entry/replies.go
+++ b/internal/entry/replies.go
@@ -15,7 +15,7 @@
 	"github.com/catkinrudder/catkinrudder/claim"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
@@ -181,7 +181,7 @@
 		c.Data(http.StatusOK, "application/json", reply.Body)
 	case errors.Is(err, claim.ErrNoAnswer):
 		e.failKept(c, errkind.New(errkind.NotFound, "no stored reply %q", id).WithParam("id"))
-	case errors.Is(err, journal.ErrNotKept):
+	case errors.Is(err, commitlog.ErrNotKept):
 		e.fail(c, errkind.Wrap(err, errkind.Expired, "the reply is not kept any more"))
 	default:
 		e.fail(c, errkind.Wrap(err, errkind.LogUnavailable, "the reply can't be read now").WithOutcome(errkind.Complete))
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,8 +22,8 @@
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/ops"
 	"github.com/catkinrudder/catkinrudder/internal/peer"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
@@ -51,10 +51,10 @@
 	metrics     *metricSet
 	clients     *peer.Clients
 	fleet       *fleet
-	log         journal.Log
+	log         commitlog.Log
 	budget      *rate.Limiter
 	config      *desired.Table
-	configLog   *journal.Stream
+	configLog   *commitlog.Stream
 	keptAt      *keptAt
 	batches     *batches
 	claims      *claims
@@ -77,7 +77,7 @@
 		logger:      logger.With("instance", s.Instance),
 		metrics:     newMetricSet(),
 		clients:     peer.NewClients(),
-		log:         platform.NewLog(s.Platform.Log),
+		log:         logservice.NewLog(s.Platform.Log),
 		budget:      rate.NewLimiter(rate.Limit(s.Limits.AppendsPerSecond), appendBurst),
 		keptAt:      newKeptAt(),
 		limiter:     newLimiter(),
@@ -201,9 +201,9 @@
 	}
 }
 
-// stream returns a journal stream of this process.
-func (e *Server) stream(name string, fold journal.Fold) *journal.Stream {
-	return journal.NewStream(e.log, name, journal.Options{
+// stream returns a commit log stream of this process.
+func (e *Server) stream(name string, fold commitlog.Fold) *commitlog.Stream {
+	return commitlog.NewStream(e.log, name, commitlog.Options{
 		Writer: e.incarnation,
 		Fold:   fold,
 		Budget: e.budget,
--- a/internal/entry/subset.go
+++ b/internal/entry/subset.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/dgryski/go-rendezvous"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 )
 
 // Bounds of what one entry polls. Up to allSidecars sidecars and allEntries
@@ -36,7 +36,7 @@
 	otherRegion
 )
 
-func distanceOf(a, b platform.Instance) distance {
+func distanceOf(a, b logservice.Instance) distance {
 	switch {
 	case a.Region != b.Region:
 		return otherRegion
@@ -56,11 +56,11 @@
 // ones first, and those that too few other entries would poll. Every entry
 // finds the others' sets by the same rule, so that together they poll every
 // sidecar. entries are all live ones, self included.
-func pollSet(self platform.Instance, entries, sidecars []platform.Instance) []string {
+func pollSet(self logservice.Instance, entries, sidecars []logservice.Instance) []string {
 	if len(sidecars) <= allSidecars {
 		return names(sidecars)
 	}
-	byService := make(map[string][]platform.Instance)
+	byService := make(map[string][]logservice.Instance)
 	for _, s := range sidecars {
 		byService[s.Service] = append(byService[s.Service], s)
 	}
@@ -78,12 +78,12 @@
 }
 
 // chooseOfService adds the sidecars of one service that suit the entry.
-func chooseOfService(self platform.Instance, rows []platform.Instance, set map[string]bool) {
+func chooseOfService(self logservice.Instance, rows []logservice.Instance, set map[string]bool) {
 	weights := make(map[string]uint64, len(rows))
 	for _, r := range rows {
 		weights[r.Name] = pairWeight(self.Name, r.Name)
 	}
-	slices.SortFunc(rows, func(a, b platform.Instance) int { return cmp.Compare(weights[b.Name], weights[a.Name]) })
+	slices.SortFunc(rows, func(a, b logservice.Instance) int { return cmp.Compare(weights[b.Name], weights[a.Name]) })
 	n := 0
 	take := func(most int, fit func(distance) bool) {
 		for _, r := range rows {
@@ -104,11 +104,11 @@
 // pollers finds the entries that a sidecar is polled by whatever else they
 // choose: the sidecarPollers nearest, by weight where the distance is equal.
 type pollers struct {
-	entries []platform.Instance
+	entries []logservice.Instance
 	count   map[place]int
 }
 
-func newPollers(entries []platform.Instance) *pollers {
+func newPollers(entries []logservice.Instance) *pollers {
 	p := &pollers{entries: entries, count: make(map[place]int)}
 	for _, e := range entries {
 		p.count[place{e.Region, e.Zone}]++
@@ -118,7 +118,7 @@
 }
 
 // nearer is how many entries are nearer to a sidecar than a distance.
-func (p *pollers) nearer(s platform.Instance, d distance) int {
+func (p *pollers) nearer(s logservice.Instance, d distance) int {
 	switch d {
 	case sameRegion:
 		return p.count[place{s.Region, s.Zone}]
@@ -128,7 +128,7 @@
 	return 0
 }
 
-func (p *pollers) includes(self, s platform.Instance) bool {
+func (p *pollers) includes(self, s logservice.Instance) bool {
 	d := distanceOf(self, s)
 	rank := p.nearer(s, d)
 	if rank >= sidecarPollers {
@@ -172,7 +172,7 @@
 	return out
 }
 
-func names(rows []platform.Instance) []string {
+func names(rows []logservice.Instance) []string {
 	set := make(map[string]bool, len(rows))
 	for _, r := range rows {
 		set[r.Name] = true
--- a/internal/entry/subset_test.go
+++ b/internal/entry/subset_test.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
 
@@ -24,15 +24,15 @@
 	regions, zones, entries, sidecars, services int
 }
 
-func (s shape) row(role settings.Role, i, n int) platform.Instance {
+func (s shape) row(role settings.Role, i, n int) logservice.Instance {
 	z := i * s.zones / n
-	return platform.Instance{
-		Name: fmt.Sprintf("%s-%05d", role, i), Role: string(role), State: platform.Live,
+	return logservice.Instance{
+		Name: fmt.Sprintf("%s-%05d", role, i), Role: string(role), State: logservice.Live,
 		Region: strconv.Itoa(z * s.regions / s.zones), Zone: strconv.Itoa(z), PeerAddr: "x",
 	}
 }
 
-func (s shape) rows() (entries, sidecars []platform.Instance) {
+func (s shape) rows() (entries, sidecars []logservice.Instance) {
 	for i := range s.entries {
 		entries = append(entries, s.row(settings.RoleEntry, i, s.entries))
 	}
@@ -49,7 +49,7 @@
 	return setsOf(entries, sidecars)
 }
 
-func setsOf(entries, sidecars []platform.Instance) map[string][]string {
+func setsOf(entries, sidecars []logservice.Instance) map[string][]string {
 	out := make(map[string][]string)
 	for _, e := range entries {
 		out[e.Name] = pollSet(e, entries, sidecars)
--- a/internal/entry/targets.go
+++ b/internal/entry/targets.go
@@ -3,7 +3,7 @@
 import (
 	"slices"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
 
@@ -65,10 +65,10 @@
 }
 
 // choose returns the instances that this entry polls; the caller holds mu.
-func (f *fleet) choose(rows []platform.Instance) []string {
-	self := platform.Instance{Name: f.settings.Instance, Region: f.settings.Region, Zone: f.settings.Zone}
-	live := []platform.Instance{self}
-	var others, sidecars []platform.Instance
+func (f *fleet) choose(rows []logservice.Instance) []string {
+	self := logservice.Instance{Name: f.settings.Instance, Region: f.settings.Region, Zone: f.settings.Zone}
+	live := []logservice.Instance{self}
+	var others, sidecars []logservice.Instance
 	for _, row := range rows {
 		switch {
 		case row.Role == string(settings.RoleSidecar):
@@ -76,7 +76,7 @@
 		case row.Role != string(settings.RoleEntry) || row.Name == self.Name:
 		default:
 			others = append(others, row)
-			if row.State != platform.Leaving {
+			if row.State != logservice.Leaving {
 				live = append(live, row)
 			}
 		}
@@ -91,7 +91,7 @@
 
 // placedHere names the sidecars of the services whose placement this entry
 // decides: it has to know all of them. The caller holds mu.
-func (f *fleet) placedHere(sidecars []platform.Instance) []string {
+func (f *fleet) placedHere(sidecars []logservice.Instance) []string {
 	owned := make(map[string]bool)
 	for _, service := range f.placed() {
 		owned[service] = f.ownsLocked(placementDuty(service))
--- a/internal/platform/platform.go
+++ b/internal/logservice/logservice.go
@@ -1,7 +1,7 @@
-// Package platform is the client of the platform's services: the append-only
+// Package logservice is the client of the platform's services: the append-only
 // log and the list of instances. It uses net/http since hertz's client can't be
 // cancelled while it waits for a response header.
-package platform
+package logservice
 
 import (
 	"bytes"
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
@@ -74,27 +74,27 @@
 // NewLog returns a client of the log service at addr, an IP:port.
 func NewLog(addr string) *LogClient { return &LogClient{newClient(addr)} }
 
-// Append implements journal.Log.
-func (l *LogClient) Append(ctx context.Context, stream string, payload []byte) (journal.Offset, error) {
+// Append implements commitlog.Log.
+func (l *LogClient) Append(ctx context.Context, stream string, payload []byte) (commitlog.Offset, error) {
 	var out AppendResponse
 	path := "/v1/streams/" + url.PathEscape(stream) + "/records"
 	err := l.c.do(ctx, http.MethodPost, path, payload, &out)
-	return journal.Offset(out.Offset), err
+	return commitlog.Offset(out.Offset), err
 }
 
-// Read implements journal.Log.
-func (l *LogClient) Read(ctx context.Context, stream string, from journal.Offset, limit int, wait time.Duration) (journal.Page, error) {
+// Read implements commitlog.Log.
+func (l *LogClient) Read(ctx context.Context, stream string, from commitlog.Offset, limit int, wait time.Duration) (commitlog.Page, error) {
 	var out ReadResponse
 	path := fmt.Sprintf("/v1/streams/%s/records?from=%d&max=%d&wait_ms=%d",
 		url.PathEscape(stream), uint64(from), limit, wait.Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
 	if err := l.c.do(ctx, http.MethodGet, path, nil, &out); err != nil {
-		return journal.Page{}, err
+		return commitlog.Page{}, err
 	}
-	page := journal.Page{First: journal.Offset(out.First), Next: journal.Offset(out.Next)}
+	page := commitlog.Page{First: commitlog.Offset(out.First), Next: commitlog.Offset(out.Next)}
 	for _, r := range out.Records {
-		page.Records = append(page.Records, journal.Record{Offset: journal.Offset(r.Offset), Payload: r.Payload})
+		page.Records = append(page.Records, commitlog.Record{Offset: commitlog.Offset(r.Offset), Payload: r.Payload})
 	}
 	return page, nil
 }
--- a/internal/proctest/node.go
+++ b/internal/proctest/node.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/desired"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
@@ -178,14 +178,14 @@
 	}
 	n.proc, err = StartProcess(n.cluster.file(n.settings.Instance+".log"), n.cluster.daemon, "serve", "--settings", file)
 	if err == nil {
-		n.list(platform.Live)
+		n.list(logservice.Live)
 	}
 	return err
 }
 
 // list sets the instance's row at the platform; the caller holds mu.
-func (n *Node) list(state platform.State) {
-	n.cluster.Instances.Put(platform.Instance{
+func (n *Node) list(state logservice.State) {
+	n.cluster.Instances.Put(logservice.Instance{
 		Name: n.settings.Instance, Role: string(n.settings.Role), Service: n.service,
 		Region: region, Zone: zone, PeerAddr: n.links.Peer.Addr, State: state,
 	})
@@ -231,7 +231,7 @@
 	}
 	p.Signal(syscall.SIGTERM)
 	n.mu.Lock()
-	n.list(platform.Leaving)
+	n.list(logservice.Leaving)
 	n.mu.Unlock()
 	err := p.Stop(StopTimeout)
 	n.cluster.Instances.Remove(n.Name())
--- a/internal/standin/instances.go
+++ b/internal/standin/instances.go
@@ -8,13 +8,13 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 )
 
 // InstanceList is the platform's list of live and leaving instances.
 type InstanceList struct {
 	mu   sync.Mutex
-	rows []platform.Instance
+	rows []logservice.Instance
 }
 
 // NewInstanceList returns a list with every row live.
@@ -36,12 +36,12 @@
 func (l *InstanceList) list(_ context.Context, c *app.RequestContext) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c.JSON(http.StatusOK, platform.InstanceList{Instances: l.rows})
+	c.JSON(http.StatusOK, logservice.InstanceList{Instances: l.rows})
 }
 
 // put adds an instance or replaces its row.
 func (l *InstanceList) put(_ context.Context, c *app.RequestContext) {
-	var row platform.Instance
+	var row logservice.Instance
 	if err := c.BindJSON(&row); err != nil {
 		c.String(http.StatusBadRequest, err.Error())
 		return
@@ -52,7 +52,7 @@
 }
 
 // Put adds an instance or replaces its row.
-func (l *InstanceList) Put(row platform.Instance) {
+func (l *InstanceList) Put(row logservice.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := range l.rows {
--- a/internal/standin/logservice.go
+++ b/internal/standin/logservice.go
@@ -10,16 +10,16 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/catkinrudder/catkinrudder/internal/platform"
-	"github.com/catkinrudder/catkinrudder/journal"
-	"github.com/catkinrudder/catkinrudder/journal/journaltest"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
+	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 )
 
 const maxReadWait = 30 * time.Second
 
 // LogService is the platform's append-only log in memory, with faults.
 type LogService struct {
-	log *journaltest.MemLog
+	log *commitlogtest.MemLog
 
 	mu      sync.Mutex
 	faults  LogFaults
@@ -50,13 +50,13 @@
 
 // NewLogService returns an empty log service.
 func NewLogService() *LogService {
-	l := &LogService{log: journaltest.NewMemLog(), streams: make(map[string]bool)}
+	l := &LogService{log: commitlogtest.NewMemLog(), streams: make(map[string]bool)}
 	l.log.OnAppend(l.fault)
 	return l
 }
 
 // Log returns the log itself, for use within the process.
-func (l *LogService) Log() journal.Log { return l.log }
+func (l *LogService) Log() commitlog.Log { return l.log }
 
 // Routes registers the service's calls.
 func (l *LogService) Routes(h *server.Hertz) {
@@ -76,7 +76,7 @@
 		c.String(http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	c.JSON(http.StatusOK, platform.AppendResponse{Offset: uint64(at)})
+	c.JSON(http.StatusOK, logservice.AppendResponse{Offset: uint64(at)})
 }
 
 func (l *LogService) read(ctx context.Context, c *app.RequestContext) {
@@ -99,14 +99,14 @@
 		return
 	}
 	wait := min(time.Duration(waitMS)*time.Millisecond, maxReadWait)
-	page, err := l.log.Read(ctx, c.Param("stream"), journal.Offset(from), limit, wait)
+	page, err := l.log.Read(ctx, c.Param("stream"), commitlog.Offset(from), limit, wait)
 	if err != nil {
 		c.String(http.StatusServiceUnavailable, err.Error())
 		return
 	}
-	out := platform.ReadResponse{First: uint64(page.First), Next: uint64(page.Next)}
+	out := logservice.ReadResponse{First: uint64(page.First), Next: uint64(page.Next)}
 	for _, r := range page.Records {
-		out.Records = append(out.Records, platform.ReadRecord{Offset: uint64(r.Offset), Payload: r.Payload})
+		out.Records = append(out.Records, logservice.ReadRecord{Offset: uint64(r.Offset), Payload: r.Payload})
 	}
 	c.JSON(http.StatusOK, out)
 }
@@ -141,7 +141,7 @@
 	defer l.mu.Unlock()
 	down := l.faults.DownStream != "" && l.faults.DownStream == c.Param("stream")
 	if down {
-		c.String(http.StatusServiceUnavailable, journaltest.ErrDown.Error())
+		c.String(http.StatusServiceUnavailable, commitlogtest.ErrDown.Error())
 	}
 	return down
 }
@@ -153,19 +153,19 @@
 }
 
 // fault chooses what happens to one append.
-func (l *LogService) fault(stream string, _ []byte) journaltest.Fault {
+func (l *LogService) fault(stream string, _ []byte) commitlogtest.Fault {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.streams[stream] = true
 	l.appends++
 	if l.faults.LoseAnswers > 0 {
 		l.faults.LoseAnswers--
-		return journaltest.LoseAnswer
+		return commitlogtest.LoseAnswer
 	}
 	if l.faults.ApplyLate > 0 {
 		l.faults.ApplyLate--
 		time.AfterFunc(time.Duration(l.faults.LateMS)*time.Millisecond, l.log.Flush)
-		return journaltest.ApplyLate
+		return commitlogtest.ApplyLate
 	}
-	return journaltest.None
+	return commitlogtest.None
 }
--- a/internal/standin/retention.go
+++ b/internal/standin/retention.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const expireInterval = 100 * time.Millisecond
@@ -12,7 +12,7 @@
 // streamEnd is where a stream ended at some time.
 type streamEnd struct {
 	stream string
-	next   journal.Offset
+	next   commitlog.Offset
 	at     time.Time
 }
 
@@ -45,7 +45,7 @@
 	l.mu.Unlock()
 	var out []streamEnd
 	for _, name := range names {
-		if page, err := l.log.Read(ctx, name, ^journal.Offset(0), 1, 0); err == nil {
+		if page, err := l.log.Read(ctx, name, ^commitlog.Offset(0), 1, 0); err == nil {
 			out = append(out, streamEnd{name, page.Next, now})
 		}
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/desired"
-	"github.com/catkinrudder/catkinrudder/internal/platform"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 )
 
 // Settings say which stand-ins one process serves. Addresses are IP:port.
@@ -110,10 +110,10 @@
 	}
 }
 
-func (r InstanceRow) instance() platform.Instance {
-	return platform.Instance{
+func (r InstanceRow) instance() logservice.Instance {
+	return logservice.Instance{
 		Name: r.Name, Role: r.Role, Service: r.Service,
 		Region: r.Region, Zone: r.Zone, PeerAddr: r.PeerAddr,
-		State: platform.Live,
+		State: logservice.Live,
 	}
 }
--- a/placement/fuzz_test.go
+++ b/placement/fuzz_test.go
@@ -3,13 +3,13 @@
 import (
 	"testing"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // FuzzApply folds records of any content: they are taken or refused, and never
 // a crash.
 func FuzzApply(f *testing.F) {
-	e, err := journal.NewEntry(KindAssign, Assign{Service: "svc", Instance: "s", Spec: Spec{Model: "m", Version: "v"}})
+	e, err := commitlog.NewEntry(KindAssign, Assign{Service: "svc", Instance: "s", Spec: Spec{Model: "m", Version: "v"}})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -18,7 +18,7 @@
 	f.Add(uint16(99), []byte{})
 	f.Fuzz(func(t *testing.T, kind uint16, body []byte) {
 		table := NewTable()
-		err := table.Apply(journal.Position{Offset: 1}, journal.Entry{Kind: journal.EntryKind(kind), Body: body})
+		err := table.Apply(commitlog.Position{Offset: 1}, commitlog.Entry{Kind: commitlog.EntryKind(kind), Body: body})
 		if _, ok := table.Order("s"); ok && err != nil {
 			t.Fatal("a refused record took effect")
 		}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 func spec(model, version string) Spec { return Spec{Model: model, Version: version} }
@@ -125,16 +125,16 @@
 
 func TestLaterOrderHasHigherFence(t *testing.T) {
 	table := NewTable()
-	apply := func(pos journal.Position, version string) {
-		e, err := journal.NewEntry(KindAssign, Assign{Service: "svc", Instance: "s", Spec: spec("a", version)})
+	apply := func(pos commitlog.Position, version string) {
+		e, err := commitlog.NewEntry(KindAssign, Assign{Service: "svc", Instance: "s", Spec: spec("a", version)})
 		assert.NilError(t, err)
 		assert.NilError(t, table.Apply(pos, e))
 	}
-	apply(journal.Position{Offset: 0, Index: 3}, "v1")
+	apply(commitlog.Position{Offset: 0, Index: 3}, "v1")
 	first, _ := table.Order("s")
-	apply(journal.Position{Offset: 1}, "v2")
+	apply(commitlog.Position{Offset: 1}, "v2")
 	second, _ := table.Order("s")
 	assert.Assert(t, second.Fence > first.Fence && first.Fence > 0)
 	assert.Equal(t, second.Spec.Version, "v2")
-	assert.ErrorIs(t, table.Apply(journal.Position{Offset: 2}, journal.Entry{Kind: 99}), ErrRecord)
+	assert.ErrorIs(t, table.Apply(commitlog.Position{Offset: 2}, commitlog.Entry{Kind: 99}), ErrRecord)
 }
--- a/placement/record.go
+++ b/placement/record.go
@@ -13,14 +13,14 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // StreamName is the log stream that decisions are kept in.
 const StreamName = "placement"
 
 // KindAssign is the entry kind of an Assign.
-const KindAssign journal.EntryKind = 1
+const KindAssign commitlog.EntryKind = 1
 
 // fenceIndexBits is how many bits of a fencing number hold the entry's index
 // within its record.
@@ -66,8 +66,8 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{orders: make(map[string]Order)} }
 
-// Apply implements journal.Fold.
-func (t *Table) Apply(pos journal.Position, e journal.Entry) error {
+// Apply implements commitlog.Fold.
+func (t *Table) Apply(pos commitlog.Position, e commitlog.Entry) error {
 	if e.Kind != KindAssign {
 		return errors.Wrapf(ErrRecord, "kind %d", e.Kind)
 	}
@@ -85,7 +85,7 @@
 }
 
 // fence turns a position into a fencing number above zero.
-func fence(pos journal.Position) uint64 {
+func fence(pos commitlog.Position) uint64 {
 	return (uint64(pos.Offset)+1)<<fenceIndexBits | uint64(pos.Index)
 }
 
@@ -104,8 +104,8 @@
 	delete(t.orders, instance)
 }
 
-// Reset implements journal.Resetter: orders that expired are made anew.
-func (t *Table) Reset(journal.Offset) {
+// Reset implements commitlog.Resetter: orders that expired are made anew.
+func (t *Table) Reset(commitlog.Offset) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.orders = make(map[string]Order)
--- a/spec/claim_test.go
+++ b/spec/claim_test.go
@@ -6,16 +6,16 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/claim"
-	"github.com/catkinrudder/catkinrudder/journal"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // step is one record of claim.pml: its kind, its attempt and the version that
 // it is based on, and the row's phase after it was folded.
 type step struct {
-	kind    journal.EntryKind
+	kind    commitlog.EntryKind
 	verdict claim.Verdict
 	attempt string
-	base    journal.Offset
+	base    commitlog.Offset
 	want    claim.Phase
 }
 
@@ -56,7 +56,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := claim.NewFold()
 			for i, s := range steps {
-				assert.NilError(t, f.Apply(journal.Position{Offset: journal.Offset(i)}, s.entry(t)))
+				assert.NilError(t, f.Apply(commitlog.Position{Offset: commitlog.Offset(i)}, s.entry(t)))
 				row, _ := f.Lookup("w", "k")
 				assert.Equal(t, row.Phase, s.want, "step %d", i)
 			}
@@ -64,7 +64,7 @@
 	}
 }
 
-func (s step) entry(t *testing.T) journal.Entry {
+func (s step) entry(t *testing.T) commitlog.Entry {
 	c := claim.Claim{Workspace: "w", Key: "k", Attempt: s.attempt, Base: claim.Version{Next: s.base}}
 	var body any = c
 	switch s.kind {
@@ -73,7 +73,7 @@
 	case kOutcome:
 		body = claim.Outcome{Claim: c, Verdict: s.verdict}
 	}
-	e, err := journal.NewEntry(s.kind, body)
+	e, err := commitlog.NewEntry(s.kind, body)
 	assert.NilError(t, err)
 	return e
 }
