--- /dev/null
+++ b/balance/pick.go
@@ -0,0 +1,125 @@
+package balance
+
+import (
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+)
+
+// The parts of a candidate's cost, in slots: a candidate of cost 1 is as good
+// as one of cost 0 with one more of its slots taken.
+const (
+	// otherRegionCost weighs the way to another region.
+	otherRegionCost = 6.0
+	// prefixGain weighs prompt parts that the backend server has read before.
+	prefixGain = 1.0
+	// jitter spreads the choices of entries that know the same.
+	jitter = 0.9
+	// suspectCost sets back a backend server that has just failed.
+	suspectCost = 100.0
+	// onlineQueue is how many online requests may wait at an engine.
+	onlineQueue = 2
+)
+
+// Need is what a request asks of a backend server.
+type Need struct {
+	Class Class
+	// Part is the id of the last prompt part that other requests share.
+	Part string
+	// Exclude lists backend servers that were tried before.
+	Exclude map[string]bool
+	// Insist takes the least loaded backend server though none has room.
+	Insist bool
+}
+
+// Reason says why a backend server was chosen.
+type Reason string
+
+// The reasons.
+const (
+	FreeSlot  Reason = "free_slot"
+	PreemptIt Reason = "preempts_batch"
+	Queued    Reason = "queued_at_engine"
+	Insisted  Reason = "no_other"
+)
+
+// Choice is a chosen backend server, with the load that decided.
+type Choice struct {
+	Backend catalog.Backend
+	Load    Counts
+	Reason  Reason
+}
+
+// Pick chooses among candidates and counts the attempt. It returns false if
+// none has room.
+func (t *Table) Pick(candidates []catalog.Backend, need Need, now time.Time) (Choice, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best, found := Choice{}, false
+	bestRank, bestCost := 0, 0.0
+	for _, b := range candidates {
+		if b.State != catalog.Ready || need.Exclude[b.ID] {
+			continue
+		}
+		load := t.load(b.ID, now)
+		rank, reason, ok := rankOf(b, load, need)
+		if !ok {
+			continue
+		}
+		suspect := t.suspect(b.ID, now)
+		if suspect && need.Class == Batch {
+			continue
+		}
+		cost := t.cost(b, load, need, now)
+		if suspect {
+			rank, cost = rankQueue, cost+suspectCost
+		}
+		if !found || rank < bestRank || rank == bestRank && cost < bestCost {
+			best, bestRank, bestCost, found = Choice{b, load, reason}, rank, cost, true
+		}
+	}
+	if found {
+		t.begin(best.Backend.ID, need.Class)
+		t.prefix.note(need.Part, best.Backend.ID, now)
+	}
+	return best, found
+}
+
+// The ranks of candidates, best first.
+const (
+	rankFree = iota
+	rankPreempt
+	rankQueue
+	rankInsist
+)
+
+// rankOf says how a request would be taken in.
+func rankOf(b catalog.Backend, load Counts, need Need) (int, Reason, bool) {
+	switch {
+	case load.total() < b.Slots:
+		return rankFree, FreeSlot, true
+	case need.Class == Batch:
+		return 0, "", false
+	case load.Online < b.Slots:
+		return rankPreempt, PreemptIt, true
+	case load.Online < b.Slots+onlineQueue:
+		return rankQueue, Queued, true
+	case need.Insist:
+		return rankInsist, Insisted, true
+	}
+	return 0, "", false
+}
+
+func (t *Table) cost(b catalog.Backend, load Counts, need Need, now time.Time) float64 {
+	cost := float64(load.total()) + t.rng.Float64()*jitter
+	if load.total() >= b.Slots {
+		cost = float64(load.Online) + t.rng.Float64()*jitter
+	}
+	if b.Zone != t.opts.Zone && t.opts.RegionOf[b.Zone] != t.opts.RegionOf[t.opts.Zone] {
+		cost += otherRegionCost
+	}
+	if t.prefix.has(need.Part, b.ID, now) {
+		cost -= prefixGain
+	}
+	return cost
+}
--- /dev/null
+++ b/balance/table.go
@@ -0,0 +1,236 @@
+// Package balance chooses backend servers for requests of entries that share
+// them. Each entry counts its own attempts exactly and hears the counts of its
+// peers; the sum is the load that decides. Online attempts go first: they may
+// take the slot of a batch attempt, which its owner then stops.
+//
+// Table is safe for concurrent use. Decisions are made under its lock, over
+// what it knows at that moment, and without I/O.
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+)
+
+// Class is the urgency of an attempt.
+type Class uint8
+
+// The classes.
+const (
+	Online Class = iota
+	Batch
+	classes
+)
+
+// Counts are the attempts in progress at one backend server.
+type Counts struct {
+	Online int
+	Batch  int
+}
+
+func (c Counts) total() int { return c.Online + c.Batch }
+
+// Options are the settings of a Table.
+type Options struct {
+	Zone     string
+	RegionOf map[string]string
+	// PeerTTL is how long a peer's counts hold after it was last heard.
+	PeerTTL time.Duration
+	Seed    uint64
+}
+
+// Table is the load of all backend servers as one entry knows it.
+type Table struct {
+	opts Options
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	own     map[string]*ownCounts
+	peers   map[string]*peerCounts
+	health  map[string]*health
+	prefix  prefixTable
+	changed chan struct{}
+}
+
+type ownCounts struct{ n [classes]int }
+
+type peerCounts struct {
+	at     time.Time
+	counts map[string]Counts
+}
+
+// New returns an empty table.
+func New(opts Options) *Table {
+	return &Table{
+		opts:    opts,
+		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		own:     make(map[string]*ownCounts),
+		peers:   make(map[string]*peerCounts),
+		health:  make(map[string]*health),
+		prefix:  newPrefixTable(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that is closed at the next change that may make
+// room for a request.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// Wake tells all who wait for room to look again.
+func (t *Table) Wake() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wake()
+}
+
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+func (t *Table) begin(id string, c Class) {
+	o := t.own[id]
+	if o == nil {
+		o = &ownCounts{}
+		t.own[id] = o
+	}
+	o.n[c]++
+}
+
+// End takes back an attempt that Pick has counted.
+func (t *Table) End(id string, c Class) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.own[id]
+	if o == nil {
+		return
+	}
+	o.n[c]--
+	if o.n == [classes]int{} {
+		delete(t.own, id)
+	}
+	t.wake()
+}
+
+// Own returns this entry's attempts by backend server.
+func (t *Table) Own() map[string]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string]Counts, len(t.own))
+	for id, o := range t.own {
+		out[id] = Counts{Online: o.n[Online], Batch: o.n[Batch]}
+	}
+	return out
+}
+
+// SetPeer replaces what is known of a peer.
+func (t *Table) SetPeer(name string, counts map[string]Counts, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[name] = &peerCounts{at: now, counts: counts}
+	t.wake()
+}
+
+// ForgetPeer drops a peer that has left.
+func (t *Table) ForgetPeer(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, name)
+}
+
+// Peers returns the number of peers heard of within PeerTTL.
+func (t *Table) Peers(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, p := range t.peers {
+		if now.Sub(p.at) <= t.opts.PeerTTL {
+			n++
+		}
+	}
+	return n
+}
+
+// load sums the counts of a backend server over all entries.
+func (t *Table) load(id string, now time.Time) Counts {
+	var sum Counts
+	if o := t.own[id]; o != nil {
+		sum.Online += o.n[Online]
+		sum.Batch += o.n[Batch]
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.at) > t.opts.PeerTTL {
+			continue
+		}
+		c := p.counts[id]
+		sum.Online += c.Online
+		sum.Batch += c.Batch
+	}
+	return sum
+}
+
+// Excess returns how many of its own batch attempts at b this entry has to stop
+// so that the online attempts there find slots. Entries that hold batch attempts
+// there share what is too much in the order of their counts, so that each
+// reaches the same division from the same counts.
+func (t *Table) Excess(name string, b catalog.Backend, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sum := t.load(b.ID, now)
+	excess := min(sum.total()-b.Slots, sum.Batch)
+	if excess <= 0 || sum.Online == 0 {
+		return 0
+	}
+	holders := []holder{{name, t.ownBatch(b.ID)}}
+	for peer, p := range t.peers {
+		if now.Sub(p.at) <= t.opts.PeerTTL && p.counts[b.ID].Batch > 0 {
+			holders = append(holders, holder{peer, p.counts[b.ID].Batch})
+		}
+	}
+	return shareOf(name, holders, excess)
+}
+
+func (t *Table) ownBatch(id string) int {
+	if o := t.own[id]; o != nil {
+		return o.n[Batch]
+	}
+	return 0
+}
+
+type holder struct {
+	name  string
+	batch int
+}
+
+// shareOf takes excess one at a time from the holder with the most left and
+// returns the part of name.
+func shareOf(name string, holders []holder, excess int) int {
+	slices.SortFunc(holders, func(a, b holder) int {
+		if a.name < b.name {
+			return -1
+		}
+		return 1
+	})
+	share := 0
+	for range excess {
+		most := 0
+		for i := range holders {
+			if holders[i].batch > holders[most].batch {
+				most = i
+			}
+		}
+		holders[most].batch--
+		if holders[most].name == name {
+			share++
+		}
+	}
+	return share
+}
--- /dev/null
+++ b/cmd/catkinrudder-gateway/main.go
@@ -0,0 +1,42 @@
+// Command catkinrudder-gateway is the daemon on a platform whose backend
+// servers are reached directly. It reads the platform's settings file.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/catkinrudder/catkinrudder/internal/gatewayd"
+	"github.com/catkinrudder/catkinrudder/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	err := run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "catkinrudder-gateway:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return err
+	}
+	logger := log.NewWithOptions(os.Stdout, log.Options{
+		Level: log.InfoLevel, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter,
+	})
+	daemon, err := gatewayd.New(settings, logger)
+	if err != nil {
+		return err
+	}
+	return daemon.Run(ctx)
+}
--- /dev/null
+++ b/discovery/configs.go
@@ -0,0 +1,57 @@
+// Package discovery keeps what a process believes of the configuration and of
+// the backend servers, from two keyed logs that it follows.
+package discovery
+
+import (
+	"sync/atomic"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// Configs holds the newest configuration seen. Its version never goes back.
+// It implements keyedlog.View.
+type Configs struct {
+	key     string
+	decode  func([]byte) (*catalog.Config, error)
+	changed func(old, current *catalog.Config)
+	refused func(offset int64, err error)
+	current atomic.Pointer[catalog.Config]
+}
+
+// NewConfigs returns a view of the configuration under key. changed and refused
+// are called from the follower's goroutine.
+func NewConfigs(key string, decode func([]byte) (*catalog.Config, error),
+	changed func(old, current *catalog.Config), refused func(offset int64, err error),
+) *Configs {
+	return &Configs{key: key, decode: decode, changed: changed, refused: refused}
+}
+
+// Current returns the configuration in force, or nil if none is known yet.
+func (c *Configs) Current() *catalog.Config { return c.current.Load() }
+
+// Rebuild implements keyedlog.View.
+func (c *Configs) Rebuild(records []keyedlog.Record) { c.Apply(records) }
+
+// Apply implements keyedlog.View.
+func (c *Configs) Apply(records []keyedlog.Record) {
+	for _, r := range records {
+		if r.Key == c.key && r.Value != nil {
+			c.take(r)
+		}
+	}
+}
+
+func (c *Configs) take(r keyedlog.Record) {
+	config, err := c.decode(r.Value)
+	if err != nil {
+		c.refused(r.Offset, err)
+		return
+	}
+	old := c.current.Load()
+	if old != nil && config.Version <= old.Version {
+		return
+	}
+	c.current.Store(config)
+	c.changed(old, config)
+}
--- a/event/event.go
+++ b/event/event.go
@@ -38,6 +38,9 @@
 	OrderSent       ID = 308
 	JobFailed       ID = 309
 	JobStepFailed   ID = 310
+	ShardAssigned   ID = 311
+	ShardOwned      ID = 312
+	ShardReleased   ID = 313
 	AttemptAdmitted ID = 401
 	AttemptRefused  ID = 402
 	BatchPreempted  ID = 403
@@ -53,6 +56,9 @@
 	BackendLeaving  ID = 702
 	BackendGone     ID = 703
 	BackendEjected  ID = 704
+	BackendLapsed   ID = 705
+	PeerSeen        ID = 706
+	PeerGone        ID = 707
 )
 
 var catalogue = []Spec{
@@ -72,6 +78,9 @@
 	{OrderSent, "order_sent", log.InfoLevel, "a sidecar told its backend server what to load"},
 	{JobFailed, "job_failed", log.WarnLevel, "the input of a batch job is invalid and none of it is run"},
 	{JobStepFailed, "job_step_failed", log.WarnLevel, "a step of a batch job failed and is tried again"},
+	{ShardAssigned, "shard_assigned", log.InfoLevel, "the group names this process as the owner of a shard of batch jobs"},
+	{ShardOwned, "shard_owned", log.InfoLevel, "this process alone can write a shard's results and has read all that was written"},
+	{ShardReleased, "shard_released", log.InfoLevel, "this process does not own a shard any more"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an online arrival"},
@@ -87,6 +96,9 @@
 	{BackendLeaving, "backend_leaving", log.InfoLevel, "a backend server leaves and gets no new work"},
 	{BackendGone, "backend_gone", log.InfoLevel, "a backend server left the table"},
 	{BackendEjected, "backend_ejected", log.WarnLevel, "a backend server failed too often and gets no work for a while"},
+	{BackendLapsed, "backend_lapsed", log.InfoLevel, "a backend server's registration has vanished; it is used for a short while more"},
+	{PeerSeen, "peer_seen", log.InfoLevel, "another gateway is heard"},
+	{PeerGone, "peer_gone", log.InfoLevel, "another gateway is not heard any more"},
 }
 
 var byID = func() map[ID]Spec {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,52 @@
+// Package gateway serves the requests of a platform whose backend servers are
+// reached directly: it routes online requests, takes batch jobs and runs their
+// items in what online requests leave free. All gateways are equal.
+package gateway
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/discovery"
+	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+// Gateway answers requests. Its fields are set once.
+type Gateway struct {
+	Configs  *discovery.Configs
+	Backends *discovery.Backends
+	Table    *balance.Table
+	Pool     *upstream.Pool
+	Jobs     *jobs.Service
+	Log      *log.Logger
+	Metrics  *Metrics
+	// Draining, when closed, tells that the process is about to stop.
+	Draining <-chan struct{}
+	// StoreAge returns how long ago the store last confirmed what is known of
+	// the backend servers.
+	StoreAge func() time.Duration
+}
+
+// Ready reports whether the gateway can serve: it knows a configuration and
+// backend servers and does not stop. It stays ready while the store is away.
+func (g *Gateway) Ready() bool {
+	select {
+	case <-g.Draining:
+		return false
+	default:
+	}
+	return g.Configs.Current() != nil && g.Backends.Len() > 0 && g.Jobs.Ready()
+}
+
+// Stopping reports whether the process is about to stop.
+func (g *Gateway) Stopping() bool {
+	select {
+	case <-g.Draining:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/gateway/jobs.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+const (
+	// acceptTimeout bounds a submission whose caller names no deadline.
+	acceptTimeout = 3500 * time.Millisecond
+	// confirmTimeout bounds the question to the store whether a job exists.
+	confirmTimeout = 700 * time.Millisecond
+)
+
+// SubmitJob accepts a batch job of a route.
+func (g *Gateway) SubmitJob(ctx context.Context, job *jobs.Job, route *catalog.Route, r *serving.Request) error {
+	deadline := r.Arrived.Add(acceptTimeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(deadline) {
+		deadline = r.Deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	err := g.Jobs.Submit(ctx, job, route.JobTokens)
+	if err != nil {
+		e := errkind.From(err)
+		g.Metrics.failed(e.Kind)
+		event.Log(g.Log, event.RequestRefused, "request", job.ID, "route", route.Name, "kind", e.Kind, "cause", e,
+			"after", time.Since(r.Arrived), "retry_after", e.Answer().RetryAfter)
+		return err
+	}
+	g.Metrics.answered(route.Kind.String(), time.Since(r.Arrived).Seconds())
+	return nil
+}
+
+// ListJob returns the results of a job from a position on.
+func (g *Gateway) ListJob(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error) {
+	if err := g.knownJob(ctx, id); err != nil {
+		return jobs.Listing{}, err
+	}
+	listing, known := g.Jobs.Table().List(ctx, id, after, wait)
+	if !known {
+		return jobs.Listing{}, errkind.New(errkind.NotFound, "no batch job %s", id)
+	}
+	return listing, nil
+}
+
+// EndJob ends a job.
+func (g *Gateway) EndJob(ctx context.Context, id string) error {
+	if err := g.knownJob(ctx, id); err != nil {
+		return err
+	}
+	return g.Jobs.End(ctx, id)
+}
+
+// ItemBody returns the body of an item that has no result yet.
+func (g *Gateway) ItemBody(ctx context.Context, id, itemID string) ([]byte, error) {
+	if err := g.knownJob(ctx, id); err != nil {
+		return nil, err
+	}
+	body, found, _ := g.Jobs.Table().Body(id, itemID)
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "no open item %s in batch job %s", itemID, id)
+	}
+	return body, nil
+}
+
+// knownJob returns nil if the job is known, not_found if the store confirms
+// that there is none, and log_unavailable if that can't be told.
+func (g *Gateway) knownJob(ctx context.Context, id string) error {
+	if g.Jobs.Table().Known(id) {
+		return nil
+	}
+	if !g.Jobs.Ready() {
+		return errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(time.Second)
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	known, err := g.Jobs.Confirm(ctx, id)
+	switch {
+	case known:
+		return nil
+	case err != nil:
+		return errkind.Wrap(err, errkind.LogUnavailable, "batch job %s is not known here", id).WithRetryAfter(time.Second)
+	}
+	return errkind.New(errkind.NotFound, "no batch job %s", id)
+}
--- /dev/null
+++ b/internal/gatewayd/daemon.go
@@ -0,0 +1,215 @@
+// Package gatewayd assembles a gateway process on the platform: it reads the
+// settings, follows the store, serves callers and stops gracefully.
+package gatewayd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/discovery"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/peering"
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+const (
+	// memoryPart is the part of the process's memory limit at which the
+	// garbage collector works harder.
+	memoryPart = 0.6
+	// dialTimeout bounds the time to connect to a backend server.
+	dialTimeout = 400 * time.Millisecond
+	// expireInterval is the time between looks for lapsed registrations and
+	// idle connections.
+	expireInterval = 200 * time.Millisecond
+	// The paces of the followers: the configuration and the backend servers
+	// are wanted soon, the directory of gateways changes rarely.
+	followWait    = 1200 * time.Millisecond
+	configGap     = 20 * time.Millisecond
+	backendGap    = 200 * time.Millisecond
+	directoryWait = 3 * time.Second
+	directoryGap  = 100 * time.Millisecond
+	followRetry   = 150 * time.Millisecond
+
+	jobTopic       = "jobs"
+	resultTopic    = "results"
+	directoryTopic = "gateways"
+)
+
+// Daemon is one gateway process.
+type Daemon struct {
+	settings platform.Settings
+	log      *log.Logger
+	metrics  *metrics.Set
+
+	store     *platform.Store
+	gateway   *gateway.Gateway
+	backends  *discovery.Backends
+	pool      *upstream.Pool
+	jobs      *jobs.Service
+	peering   *peering.Peering
+	followers []*keyedlog.Follower
+	draining  chan struct{}
+}
+
+// New returns a daemon that is not running yet.
+func New(s platform.Settings, logger *log.Logger) (*Daemon, error) {
+	d := &Daemon{settings: s, log: logger, metrics: metrics.NewSet(), draining: make(chan struct{})}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryPart))
+	}
+	conn, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", s.IP, s.FirstPort))
+	if err != nil {
+		return nil, errors.Wrap(err, "peer address")
+	}
+	d.store = platform.NewStore(s.Store.Address)
+	gatewayMetrics := gateway.NewMetrics(d.metrics)
+	d.pool = upstream.NewPool(upstream.Options{
+		Codec: platform.Codec{}, DialTimeout: dialTimeout, Opened: gatewayMetrics.ConnectionOpened,
+	})
+	table := balance.New(balance.Options{
+		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.TTL, Seed: uint64(time.Now().UnixNano()),
+	})
+	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
+	configs := discovery.NewConfigs(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
+	d.jobs = jobs.New(d.jobOptions(configs, table))
+	d.peering = peering.New(peering.Options{
+		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Changed: func() {},
+	})
+	backendFollower := d.follow(platform.BackendTopic, d.backends, keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry})
+	d.followers = []*keyedlog.Follower{
+		backendFollower,
+		d.follow(platform.ConfigTopic, configs, keyedlog.Pace{Wait: followWait, Gap: configGap, Retry: followRetry}),
+		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.Pace{Wait: directoryWait, Gap: directoryGap, Retry: followRetry}),
+	}
+	d.gateway = &gateway.Gateway{
+		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
+		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
+		StoreAge: func() time.Duration {
+			age, _ := backendFollower.Age(time.Now())
+			return age
+		},
+	}
+	return d, nil
+}
+
+func (d *Daemon) jobOptions(configs *discovery.Configs, table *balance.Table) jobs.Options {
+	s := d.settings
+	return jobs.Options{
+		Log: d.store, Groups: d.store,
+		Member:   fmt.Sprintf("%s-%d", s.Instance, time.Now().UnixNano()),
+		Instance: s.Instance,
+		JobTopic: platform.KeyedTopic(jobTopic), ResultTopic: platform.KeyedTopic(resultTopic),
+		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
+		MinTTL: s.Store.MinTTL, Stay: s.JobStay,
+		Configs: configs.Current, Backends: d.backends.Of, AllBackends: d.backends.All,
+		Table: table, Pool: d.pool, Logger: d.log, Observe: d.storeChanged,
+	}
+}
+
+func (d *Daemon) follow(topic string, view keyedlog.View, pace keyedlog.Pace) *keyedlog.Follower {
+	return keyedlog.NewFollower(d.store, keyedlog.Partition{Topic: topic}, view, pace, d.storeChanged)
+}
+
+// Run serves until ctx ends and then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	var wg sync.WaitGroup
+	for _, f := range d.followers {
+		wg.Go(func() { f.Run(work) })
+	}
+	wg.Go(func() { d.jobs.Run(work) })
+	wg.Go(func() { d.peering.Run(work) })
+	wg.Go(func() { d.expire(work) })
+	wg.Go(func() { d.enroll(work) })
+	err := d.serve(ctx)
+	stopWork()
+	wg.Wait()
+	event.Log(d.log, event.Stopped, "instance", d.settings.Instance)
+	return err
+}
+
+// enroll enters this gateway into the directory of gateways.
+func (d *Daemon) enroll(ctx context.Context) {
+	value, err := peering.EncodePeer(peering.Peer{
+		Address: fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort), Region: d.settings.Region,
+	})
+	for err == nil && ctx.Err() == nil {
+		if err := d.writeDirectory(ctx, value); err == nil {
+			return
+		}
+		time.Sleep(followRetry)
+	}
+}
+
+func (d *Daemon) writeDirectory(ctx context.Context, value []byte) error {
+	part := keyedlog.Partition{Topic: platform.KeyedTopic(directoryTopic)}
+	record := keyedlog.Record{Key: d.settings.Instance, Value: value}
+	_, err := d.store.Append(ctx, part, []keyedlog.Record{record}, keyedlog.Condition{})
+	return err
+}
+
+func (d *Daemon) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			d.backends.Expire()
+			d.pool.Sweep(now)
+		}
+	}
+}
+
+func (d *Daemon) backendChanged(c discovery.Change) {
+	b := c.Backend
+	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots}
+	switch c.What {
+	case discovery.Leaving:
+		event.Log(d.log, event.BackendLeaving, kv...)
+	case discovery.Lapsed:
+		event.Log(d.log, event.BackendLapsed, kv...)
+	case discovery.Gone:
+		event.Log(d.log, event.BackendGone, kv...)
+		d.pool.Forget(b.Address)
+	default:
+		event.Log(d.log, event.BackendSeen, kv...)
+	}
+	d.gateway.Table.Wake()
+}
+
+func (d *Daemon) configChanged(old, current *catalog.Config) {
+	before := int64(0)
+	if old != nil {
+		before = old.Version
+	}
+	event.Log(d.log, event.ConfigInForce, "version", current.Version, "before", before, "routes", len(current.Routes))
+}
+
+func (d *Daemon) configRefused(offset int64, err error) {
+	event.Log(d.log, event.ConfigRefused, "offset", offset, "cause", err)
+}
+
+func (d *Daemon) storeChanged(p keyedlog.Partition, err error) {
+	if err != nil {
+		event.Log(d.log, event.LogDown, "topic", p.Topic, "part", p.Index, "cause", err)
+		return
+	}
+	event.Log(d.log, event.LogUp, "topic", p.Topic, "part", p.Index)
+}
--- /dev/null
+++ b/internal/gatewayd/serve.go
@@ -0,0 +1,111 @@
+package gatewayd
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	// idleTimeout is longer than callers keep an idle connection.
+	idleTimeout = 60 * time.Second
+	// outOfRotation is how long new requests may still come after the process
+	// has said that it is not ready.
+	outOfRotation = 2800 * time.Millisecond
+	// exitMargin is the part of the grace that is left for the exit itself.
+	exitMargin  = 700 * time.Millisecond
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// serve answers callers, readiness probes and metrics until ctx ends, then
+// finishes what runs.
+func (d *Daemon) serve(ctx context.Context) error {
+	callers := d.server(&platform.Front{Gateway: d.gateway})
+	ready := d.server(http.HandlerFunc(d.ready))
+	status := d.server(http.HandlerFunc(d.serveMetrics))
+	failed := make(chan error, 3)
+	statusAddress := net.JoinHostPort(d.settings.IP, metricsPort)
+	for address, server := range map[string]*http.Server{
+		d.settings.CallersAddress: callers, d.settings.ReadyAddress: ready, statusAddress: status,
+	} {
+		ln, err := listen(ctx, address)
+		if err != nil {
+			return err
+		}
+		go func() { failed <- server.Serve(ln) }()
+	}
+	event.Log(d.log, event.Started, "instance", d.settings.Instance, "zone", d.settings.Zone, "callers", d.settings.CallersAddress,
+		"store", d.settings.Store.Address, "pid", os.Getpid())
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	d.drain(callers)
+	_ = ready.Close()
+	_ = status.Close()
+	return nil
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: upstream.KeepAlive}
+	ln, err := config.Listen(ctx, "tcp", address)
+	return ln, errors.Wrap(err, "listen")
+}
+
+func (d *Daemon) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+		ErrorLog: d.log.StandardLog(),
+	}
+}
+
+// drain stops taking connections once callers have been sent elsewhere, and
+// waits for requests in progress.
+func (d *Daemon) drain(callers *http.Server) {
+	begin := time.Now()
+	event.Log(d.log, event.Draining, "instance", d.settings.Instance, "grace", d.settings.Grace)
+	close(d.draining)
+	d.jobs.Stop(context.Background())
+	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(d.settings.Grace-exitMargin))
+	defer cancel()
+	if err := d.writeDirectory(ctx, nil); err != nil {
+		event.Log(d.log, event.LogDown, "call", "leave the directory", "cause", err)
+	}
+	time.Sleep(time.Until(begin.Add(outOfRotation)))
+	if err := callers.Shutdown(ctx); err != nil {
+		_ = callers.Close()
+	}
+}
+
+func (d *Daemon) ready(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if !d.gateway.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n") // the prober asks again
+}
+
+func (d *Daemon) serveMetrics(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != metricsPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	d.metrics.WritePrometheus(w)
+}
--- /dev/null
+++ b/jobs/runner.go
@@ -0,0 +1,390 @@
+package jobs
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+const (
+	// runnerTick is the longest time between two looks at what can be started
+	// or has to stop.
+	runnerTick = 100 * time.Millisecond
+	// runnerGap is the least time between two looks.
+	runnerGap = 8 * time.Millisecond
+	// itemPause is how long an item waits after a run that failed.
+	itemPause = 150 * time.Millisecond
+	// maxRuns bounds the items that one process runs at once.
+	maxRuns = 256
+)
+
+// itemRef names an item.
+type itemRef struct {
+	job  string
+	item int
+}
+
+// run is an item that this process works on or has worked on.
+type run struct {
+	ref      itemRef
+	progress Progress
+	// backend is where it runs, empty if it does not.
+	backend string
+	cancel  context.CancelFunc
+	// due orders runs; the latest due is stopped first.
+	due time.Time
+	// notBefore is when the item may be tried again.
+	notBefore time.Time
+	// result is set once the item is done. It was handed to the shard's writer
+	// under epoch, and is again under a later one if it was lost in between.
+	result *Result
+	epoch  int64
+}
+
+// runner starts items of owned shards and stops them when online requests need
+// their slots.
+type runner struct {
+	s       *Service
+	wakeups chan struct{}
+
+	mu   sync.Mutex
+	runs map[itemRef]*run
+	// active counts the runs in progress.
+	active sync.WaitGroup
+	halted bool
+}
+
+func newRunner(s *Service) *runner {
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run)}
+}
+
+func (r *runner) wake() {
+	select {
+	case r.wakeups <- struct{}{}:
+	default:
+	}
+}
+
+func (r *runner) run(ctx context.Context) {
+	ticker := time.NewTicker(runnerTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-r.wakeups:
+		case <-r.s.opts.Table.Changed():
+		}
+		r.cycle(ctx, time.Now())
+		time.Sleep(runnerGap)
+	}
+}
+
+// cycle looks at everything once: it stops what must not go on, then starts
+// what finds a slot, the item that is due first at first.
+func (r *runner) cycle(ctx context.Context, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.halted {
+		return
+	}
+	r.stopForeign()
+	r.yield(now)
+	config := r.s.opts.Configs()
+	if config == nil {
+		return
+	}
+	for _, j := range r.openJobs(config, now) {
+		r.startItems(ctx, config, j, now)
+	}
+}
+
+// stopForeign stops runs of jobs that have ended or whose shard is not owned.
+func (r *runner) stopForeign() {
+	for ref, u := range r.runs {
+		if r.s.shards[shardOf(ref.job, len(r.s.shards))].owned() && r.s.table.isOpen(ref) {
+			continue
+		}
+		if u.backend != "" {
+			u.cancel()
+			continue
+		}
+		delete(r.runs, ref)
+	}
+}
+
+// isOpen reports whether an item still needs a result.
+func (t *Table) isOpen(ref itemRef) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.byID[ref.job]
+	return e != nil && e.open() && !e.listed[ref.item]
+}
+
+// yield stops batch runs where online requests have taken more than the slots
+// that are left.
+func (r *runner) yield(now time.Time) {
+	byBackend := make(map[string][]*run)
+	for _, u := range r.runs {
+		if u.backend != "" {
+			byBackend[u.backend] = append(byBackend[u.backend], u)
+		}
+	}
+	if len(byBackend) == 0 {
+		return
+	}
+	r.s.opts.AllBackends(func(b catalog.Backend) {
+		held := byBackend[b.ID]
+		if len(held) == 0 {
+			return
+		}
+		excess := r.s.opts.Table.Excess(r.s.opts.Instance, b, now)
+		slices.SortFunc(held, func(x, y *run) int { return y.due.Compare(x.due) })
+		for _, u := range held[:min(excess, len(held))] {
+			event.Log(r.s.opts.Logger, event.BatchPreempted, "job", u.ref.job, "item", u.ref.item, "backend", b.ID, "excess", excess)
+			u.cancel()
+		}
+	})
+}
+
+// openJob is a job of an owned shard with items to run.
+type openJob struct {
+	job   *Job
+	route *catalog.Route
+	due   time.Time
+	late  bool
+	// items are the indices of the items without a result.
+	items    []int
+	progress map[int]Progress
+}
+
+// openJobs lists the jobs to run, the most urgent first: jobs that can still be
+// on time in the order of their due times, then those that are late.
+func (r *runner) openJobs(config *catalog.Config, now time.Time) []openJob {
+	var open []openJob
+	for _, j := range r.s.table.openJobs(r.ownedJob) {
+		route := routeOf(config, j.job)
+		if route == nil {
+			continue
+		}
+		j.route = route
+		j.due = j.job.Submitted().Add(route.JobDue)
+		j.late = now.After(j.due)
+		open = append(open, j)
+	}
+	slices.SortFunc(open, func(a, b openJob) int {
+		if a.late != b.late {
+			if b.late {
+				return -1
+			}
+			return 1
+		}
+		return a.due.Compare(b.due)
+	})
+	return open
+}
+
+func (r *runner) ownedJob(id string) bool {
+	return r.s.shards[shardOf(id, len(r.s.shards))].owned()
+}
+
+// routeOf returns the route that a job's items belong to.
+func routeOf(config *catalog.Config, j *Job) *catalog.Route {
+	if len(j.Items) == 0 {
+		return nil
+	}
+	route := config.Match(j.Host, j.Items[0].Target)
+	if route == nil || route.Kind != catalog.Batch {
+		return nil
+	}
+	return route
+}
+
+// openJobs returns the jobs that mine accepts and that have items left.
+func (t *Table) openJobs(mine func(id string) bool) []openJob {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var open []openJob
+	for id, e := range t.byID {
+		if !e.open() || !mine(id) {
+			continue
+		}
+		j := openJob{job: e.job, progress: maps.Clone(e.progress)}
+		for i := range e.job.Items {
+			if !e.listed[i] {
+				j.items = append(j.items, i)
+			}
+		}
+		open = append(open, j)
+	}
+	return open
+}
+
+// startItems starts the items of a job that find a slot.
+func (r *runner) startItems(ctx context.Context, config *catalog.Config, j openJob, now time.Time) {
+	retained := j.route.JobRetention <= 0 || now.Before(j.job.Submitted().Add(j.route.JobRetention))
+	for _, item := range j.items {
+		ref := itemRef{j.job.ID, item}
+		u := r.runs[ref]
+		if u == nil {
+			u = &run{ref: ref, progress: j.progress[item], due: j.due}
+			r.runs[ref] = u
+		}
+		if u.result != nil {
+			r.handOver(u)
+			continue
+		}
+		if u.backend != "" || now.Before(u.notBefore) {
+			continue
+		}
+		if !retained {
+			r.deliver(u, Result{Item: item, Text: u.progress.Text}, "retention is over")
+			continue
+		}
+		if len(r.runs) > 0 && r.running() >= maxRuns {
+			return
+		}
+		if !r.start(ctx, j, u, now) {
+			return
+		}
+	}
+}
+
+func (r *runner) running() int {
+	n := 0
+	for _, u := range r.runs {
+		if u.backend != "" {
+			n++
+		}
+	}
+	return n
+}
+
+// start starts an item; it returns false if no backend server has a free slot.
+func (r *runner) start(ctx context.Context, j openJob, u *run, now time.Time) bool {
+	service := j.route.Service(float64(u.ref.item%10) / 10)
+	item := &j.job.Items[u.ref.item]
+	need := balance.Need{Class: balance.Batch}
+	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), need, now)
+	if !ok {
+		return false
+	}
+	runCtx, cancel := context.WithCancel(ctx)
+	u.backend, u.cancel = choice.Backend.ID, cancel
+	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", item.ID, "backend", u.backend,
+		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
+		"resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
+	r.active.Add(1)
+	go r.work(runCtx, j, u, choice.Backend, u.progress)
+	return true
+}
+
+// work runs an item once and settles it.
+func (r *runner) work(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
+	defer r.active.Done()
+	out := r.s.runItem(ctx, itemRequest(j.job, u.ref.item), b, p)
+	r.s.opts.Table.End(b.ID, balance.Batch)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u.cancel()
+	u.backend = ""
+	u.progress = out.progress
+	r.settle(j, u, out)
+	r.wake()
+}
+
+// settle decides what follows a run.
+func (r *runner) settle(j openJob, u *run, out outcome) {
+	switch out.end {
+	case endComplete:
+		r.deliver(u, Result{Item: u.ref.item, Completed: true, Text: out.progress.Text}, "complete")
+	case endImpossible:
+		r.deliver(u, Result{Item: u.ref.item}, "the backend server can't ever do it")
+	case endFailed:
+		u.progress.Failures++
+		if u.progress.Failures >= j.route.MaxAttempts {
+			r.deliver(u, Result{Item: u.ref.item}, "every run failed")
+			return
+		}
+		r.requeue(u, out)
+	default:
+		r.requeue(u, out)
+	}
+}
+
+func (r *runner) requeue(u *run, out outcome) {
+	if out.end != endStopped {
+		u.notBefore = time.Now().Add(itemPause)
+	}
+	event.Log(r.s.opts.Logger, event.ItemRequeued, "job", u.ref.job, "item", u.ref.item, "cause", out.cause,
+		"failures", u.progress.Failures, "last_event", u.progress.LastEvent)
+}
+
+func (r *runner) deliver(u *run, result Result, cause string) {
+	u.result = &result
+	r.handOver(u)
+	event.Log(r.s.opts.Logger, event.ItemDone, "job", u.ref.job, "item", u.ref.item, "completed", result.Completed,
+		"cause", cause, "events", u.progress.Events, "epoch", u.epoch)
+}
+
+// handOver gives a result to the writer of its shard, once in each epoch.
+func (r *runner) handOver(u *run) {
+	sh := r.s.shards[shardOf(u.ref.job, len(r.s.shards))]
+	u.epoch = sh.add(u.ref.job, *u.result, u.epoch)
+}
+
+// stop ends all runs and waits until they are settled.
+func (r *runner) stop(ctx context.Context) {
+	r.mu.Lock()
+	r.halted = true
+	for _, u := range r.runs {
+		if u.backend != "" {
+			u.cancel()
+		}
+	}
+	r.mu.Unlock()
+	done := make(chan struct{})
+	go func() { r.active.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
+// progressOf returns the records' keys and values of unfinished items of a
+// shard that have produced something.
+func (r *runner) progressOf(shardIndex int) map[string]Progress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[string]Progress)
+	for ref, u := range r.runs {
+		if u.result != nil || shardOf(ref.job, len(r.s.shards)) != shardIndex {
+			continue
+		}
+		if u.progress.Events > 0 || u.progress.Failures > 0 {
+			out[progressKey(ref.job, ref.item)] = u.progress
+		}
+	}
+	return out
+}
+
+// itemRequest returns the request of an item.
+func itemRequest(j *Job, index int) *serving.Request {
+	item := &j.Items[index]
+	r := &serving.Request{
+		ID: item.ID, Method: "POST", Host: j.Host, Target: item.Target, Path: item.Target,
+		Header: make(map[string][]string, len(item.Header)), Body: item.Body, Arrived: time.Now(),
+	}
+	for name, value := range item.Header {
+		r.Header.Set(name, value)
+	}
+	return r
+}
--- /dev/null
+++ b/jobs/shard.go
@@ -0,0 +1,291 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// phase is how far this process is with a shard.
+type phase uint8
+
+const (
+	foreign  phase = iota // another process owns the shard
+	claiming              // the group has named this process; the epoch is not set yet
+	owning                // this process alone can write, and has folded all that was written
+)
+
+const (
+	producerName = "owner"
+	shardRetry   = 100 * time.Millisecond
+	foldPoll     = 5 * time.Millisecond
+)
+
+// shard is one partition of the results.
+type shard struct {
+	s      *Service
+	part   keyedlog.Partition
+	follow *keyedlog.Follower
+
+	mu       sync.Mutex
+	phase    phase
+	epoch    int64
+	sequence int64
+	// next is the next free position of each job with results that are not
+	// folded yet.
+	next map[string]int
+	// finished waits to be appended.
+	finished []finished
+	wakeup   chan struct{}
+}
+
+// finished is a result on its way to the log.
+type finished struct {
+	job    string
+	result Result
+}
+
+func newShard(s *Service, part keyedlog.Partition, follow *keyedlog.Follower) *shard {
+	return &shard{s: s, part: part, follow: follow, wakeup: make(chan struct{}, 1)}
+}
+
+// claim starts to take the shard on; it returns false if that was done before.
+func (sh *shard) claim() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase != foreign {
+		return false
+	}
+	sh.phase = claiming
+	return true
+}
+
+// release gives the shard up; it returns false if it was foreign.
+func (sh *shard) release() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	was := sh.phase
+	sh.phase = foreign
+	sh.finished = nil
+	sh.next = nil
+	return was != foreign
+}
+
+func (sh *shard) owned() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.phase == owning
+}
+
+func (sh *shard) claimed() bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.phase == claiming
+}
+
+// takeOver sets a new epoch, which fences all former owners, and then waits
+// until everything that they wrote is folded.
+func (sh *shard) takeOver(ctx context.Context) {
+	epoch := time.Now().UnixMilli()
+	for raise := int64(1); ctx.Err() == nil && sh.claimed(); {
+		end, err := sh.fence(ctx, epoch)
+		switch {
+		case err == nil:
+			sh.own(ctx, epoch, end)
+			return
+		case errors.Is(err, keyedlog.ErrFenced):
+			epoch += raise // another clock is ahead of this one
+			raise *= 2
+		default:
+			time.Sleep(shardRetry)
+		}
+	}
+}
+
+// fence sets the epoch and returns the end of the partition after it.
+func (sh *shard) fence(ctx context.Context, epoch int64) (int64, error) {
+	_, err := sh.s.opts.Log.Append(ctx, sh.part, nil, keyedlog.Condition{Producer: producerName, Epoch: epoch})
+	if err != nil {
+		return 0, err
+	}
+	h, err := sh.s.opts.Log.Read(ctx, sh.part, sh.follow.Next(), 0)
+	if errors.Is(err, keyedlog.ErrForgotten) {
+		page, err := sh.s.opts.Log.Newest(ctx, sh.part, "")
+		return page.End, err
+	}
+	return h.End, err
+}
+
+func (sh *shard) own(ctx context.Context, epoch, end int64) {
+	for sh.follow.Next() < end && ctx.Err() == nil && sh.claimed() {
+		time.Sleep(foldPoll)
+	}
+	sh.mu.Lock()
+	if sh.phase == claiming && ctx.Err() == nil {
+		sh.phase, sh.epoch, sh.sequence = owning, epoch, 1
+		sh.next = make(map[string]int)
+	}
+	sh.mu.Unlock()
+	event.Log(sh.s.opts.Logger, event.ShardOwned, "shard", sh.part.Index, "epoch", epoch, "end", end)
+	sh.s.runner.wake()
+}
+
+// add hands a result to the writer unless that was done in the present epoch,
+// and returns the epoch; 0 if the shard is not owned.
+func (sh *shard) add(job string, r Result, before int64) int64 {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase != owning {
+		return 0
+	}
+	if before == sh.epoch {
+		return before
+	}
+	sh.finished = append(sh.finished, finished{job, r})
+	select {
+	case sh.wakeup <- struct{}{}:
+	default:
+	}
+	return sh.epoch
+}
+
+// write appends results in groups, one append at a time. An append without an
+// answer is repeated under its sequence number until its outcome is known.
+func (sh *shard) write(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sh.wakeup:
+		}
+		for ctx.Err() == nil {
+			records, cond, ok := sh.nextGroup()
+			if !ok || !sh.appendUntilKnown(ctx, records, cond) {
+				break
+			}
+		}
+	}
+}
+
+// nextGroup gives positions to the results that wait and returns their records.
+func (sh *shard) nextGroup() ([]keyedlog.Record, keyedlog.Condition, bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase != owning || len(sh.finished) == 0 {
+		return nil, keyedlog.Condition{}, false
+	}
+	var records []keyedlog.Record
+	size, taken := 0, 0
+	for _, f := range sh.finished {
+		value, err := encode(f.result)
+		if err != nil {
+			sh.s.logUnreadable(sh.part, keyedlog.Record{Key: f.job}, err)
+			taken++
+			continue
+		}
+		if size += len(value) + recordOverhead; size > sh.s.opts.CallBytes && len(records) > 0 {
+			break
+		}
+		records = append(records, split(resultKey(f.job, sh.position(f.job)), value, sh.s.opts.RecordBytes)...)
+		taken++
+	}
+	sh.finished = sh.finished[taken:]
+	cond := keyedlog.Condition{Producer: producerName, Epoch: sh.epoch, Sequence: sh.sequence}
+	sh.sequence++
+	return records, cond, len(records) > 0
+}
+
+// position returns the next position of a job.
+func (sh *shard) position(job string) int {
+	p, begun := sh.next[job]
+	if !begun {
+		p = sh.s.table.positions(job)
+	}
+	sh.next[job] = p + 1
+	return p
+}
+
+// positions returns how many positions of a job hold results.
+func (t *Table) positions(id string) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	if e := t.byID[id]; e != nil {
+		return len(e.results)
+	}
+	return 0
+}
+
+func (sh *shard) appendUntilKnown(ctx context.Context, records []keyedlog.Record, cond keyedlog.Condition) bool {
+	for ctx.Err() == nil {
+		at, err := sh.s.opts.Log.Append(ctx, sh.part, records, cond)
+		if err == nil {
+			sh.s.applyOwn(sh.part, records, at.First)
+			return true
+		}
+		if errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence) {
+			sh.release()
+			event.Log(sh.s.opts.Logger, event.ShardReleased, "shard", sh.part.Index, "generation", 0, "cause", err)
+			return false
+		}
+		if cond.Epoch != sh.currentEpoch() {
+			return false
+		}
+		time.Sleep(shardRetry)
+	}
+	return false
+}
+
+func (sh *shard) currentEpoch() int64 {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase != owning {
+		return 0
+	}
+	return sh.epoch
+}
+
+// saveProgress keeps what stopped items have produced, for the next owner.
+func (sh *shard) saveProgress(ctx context.Context) {
+	if !sh.owned() {
+		return
+	}
+	var records []keyedlog.Record
+	for key, p := range sh.s.runner.progressOf(sh.part.Index) {
+		value, err := encode(p)
+		if err != nil {
+			sh.s.logUnreadable(sh.part, keyedlog.Record{Key: key}, err)
+			continue
+		}
+		records = append(records, split(key, value, sh.s.opts.RecordBytes)...)
+	}
+	if len(records) == 0 {
+		return
+	}
+	sh.mu.Lock()
+	cond := keyedlog.Condition{Producer: producerName, Epoch: sh.epoch, Sequence: sh.sequence}
+	sh.sequence++
+	sh.mu.Unlock()
+	for _, g := range group(records, sh.s.opts.CallBytes) {
+		if _, err := sh.s.opts.Log.Append(ctx, sh.part, g, cond); err != nil {
+			event.Log(sh.s.opts.Logger, event.LogDown, "call", "save progress", "cause", err)
+			return
+		}
+		cond.Sequence++
+	}
+}
+
+// ownedShards returns the shards among the partitions of a membership.
+func ownedShards(parts []keyedlog.Partition, topic string, shards int) map[int]bool {
+	owned := make(map[int]bool, len(parts))
+	for _, p := range parts {
+		if p.Topic == topic && p.Index < shards {
+			owned[p.Index] = true
+		}
+	}
+	return owned
+}
--- /dev/null
+++ b/jobs/table.go
@@ -0,0 +1,232 @@
+package jobs
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// The keys of records: a job, its end, a result by its position, the progress
+// of an item by its index.
+const (
+	jobPrefix      = "job/"
+	endPrefix      = "end/"
+	resultPrefix   = "result/"
+	progressPrefix = "progress/"
+)
+
+func jobKey(id string) string { return jobPrefix + id }
+
+func endKey(id string) string { return endPrefix + id }
+
+func resultKey(id string, position int) string {
+	return resultPrefix + id + "/" + strconv.Itoa(position)
+}
+
+func progressKey(id string, item int) string { return progressPrefix + id + "/" + strconv.Itoa(item) }
+
+// entry is what is known of one job. Results may be seen before the job.
+type entry struct {
+	job     *Job
+	ended   bool
+	results []*Result // by position; nil for a gap that is not folded yet
+	// listed tells for each item whether it has a result.
+	listed   map[int]bool
+	progress map[int]Progress
+	// changed is closed at the next result or at the end of the job.
+	changed chan struct{}
+}
+
+func newEntry() *entry {
+	return &entry{listed: make(map[int]bool), progress: make(map[int]Progress), changed: make(chan struct{})}
+}
+
+// ready returns the results without a gap before them.
+func (e *entry) ready() []*Result {
+	for i, r := range e.results {
+		if r == nil {
+			return e.results[:i]
+		}
+	}
+	return e.results
+}
+
+// open reports whether items of the job may still get results.
+func (e *entry) open() bool { return e.job != nil && !e.ended && len(e.listed) < len(e.job.Items) }
+
+// Table is the folded state of all jobs. It is safe for concurrent use.
+type Table struct {
+	unreadable func(p keyedlog.Partition, r keyedlog.Record, err error)
+	accepted   func(*Job)
+
+	mu     sync.RWMutex
+	byID   map[string]*entry
+	pieces assembler
+}
+
+// NewTable returns an empty table. accepted is told of each job that joins, and
+// unreadable of records that are skipped.
+func NewTable(accepted func(*Job), unreadable func(keyedlog.Partition, keyedlog.Record, error)) *Table {
+	return &Table{accepted: accepted, unreadable: unreadable, byID: make(map[string]*entry), pieces: newAssembler()}
+}
+
+// view feeds one partition into the table. It implements keyedlog.View.
+type view struct {
+	table *Table
+	part  keyedlog.Partition
+}
+
+// Rebuild implements keyedlog.View. Records of jobs are immutable, so what the
+// table holds already stays; what was dropped in the gap is dropped when its
+// time to stay is over.
+func (v view) Rebuild(records []keyedlog.Record) { v.Apply(records) }
+
+// Apply implements keyedlog.View.
+func (v view) Apply(records []keyedlog.Record) {
+	var joined []*Job
+	v.table.mu.Lock()
+	for _, r := range records {
+		job, err := v.table.apply(r)
+		if err != nil {
+			v.table.unreadable(v.part, r, err)
+		}
+		if job != nil {
+			joined = append(joined, job)
+		}
+	}
+	v.table.mu.Unlock()
+	for _, job := range joined {
+		v.table.accepted(job)
+	}
+}
+
+func (t *Table) apply(r keyedlog.Record) (*Job, error) {
+	key, i, err := pieceName(r.Key)
+	if err != nil {
+		return nil, err
+	}
+	if r.Value == nil {
+		t.drop(key)
+		return nil, nil
+	}
+	value, whole, err := t.pieces.add(key, i, r.Value)
+	if err != nil || !whole {
+		return nil, err
+	}
+	kind, name, _ := strings.Cut(key, "/")
+	switch kind + "/" {
+	case jobPrefix:
+		return t.applyJob(name, value)
+	case endPrefix:
+		t.applyEnd(name)
+		return nil, nil
+	case resultPrefix:
+		return nil, t.applyResult(name, value)
+	case progressPrefix:
+		return nil, t.applyProgress(name, value)
+	}
+	return nil, errors.Errorf("jobs: key %q: unknown kind", r.Key)
+}
+
+func (t *Table) entry(id string) *entry {
+	e := t.byID[id]
+	if e == nil {
+		e = newEntry()
+		t.byID[id] = e
+	}
+	return e
+}
+
+// applyJob keeps the first record of a job: a later one is a resend of it.
+func (t *Table) applyJob(id string, value []byte) (*Job, error) {
+	e := t.entry(id)
+	if e.job != nil {
+		return nil, nil
+	}
+	job := &Job{}
+	if err := decode(value, job); err != nil {
+		return nil, err
+	}
+	e.job = job
+	return job, nil
+}
+
+func (t *Table) applyEnd(id string) {
+	e := t.entry(id)
+	if !e.ended {
+		e.ended = true
+		e.notify()
+	}
+}
+
+func (t *Table) applyResult(name string, value []byte) error {
+	id, position, err := cutNumber(name)
+	if err != nil {
+		return err
+	}
+	result := &Result{}
+	if err := decode(value, result); err != nil {
+		return err
+	}
+	t.entry(id).put(position, result)
+	return nil
+}
+
+func (t *Table) applyProgress(name string, value []byte) error {
+	id, item, err := cutNumber(name)
+	if err != nil {
+		return err
+	}
+	var p Progress
+	if err := decode(value, &p); err != nil {
+		return err
+	}
+	e := t.entry(id)
+	if !e.listed[item] {
+		e.progress[item] = p
+	}
+	return nil
+}
+
+// put stores the result at a position, whose content never changes.
+func (e *entry) put(position int, r *Result) {
+	if position < 0 || position >= MaxItems {
+		return
+	}
+	for len(e.results) <= position {
+		e.results = append(e.results, nil)
+	}
+	if e.results[position] != nil {
+		return
+	}
+	e.results[position] = r
+	e.listed[r.Item] = true
+	delete(e.progress, r.Item)
+	e.notify()
+}
+
+func (e *entry) notify() {
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// drop forgets a job when the record of the job itself is dropped. The drops of
+// its other records need nothing more.
+func (t *Table) drop(key string) {
+	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
+		delete(t.byID, id)
+	}
+}
+
+func cutNumber(name string) (string, int, error) {
+	i := strings.LastIndexByte(name, '/')
+	if i < 0 {
+		return "", 0, errors.Errorf("jobs: name %q has no number", name)
+	}
+	n, err := strconv.Atoi(name[i+1:])
+	return name[:i], n, errors.Wrapf(err, "jobs: name %q", name)
+}
--- /dev/null
+++ b/peering/peering.go
@@ -0,0 +1,248 @@
+// Package peering tells the load that each gateway puts on the backend servers
+// to all others, in datagrams. A lost datagram is made good by the next one:
+// each holds the whole of the sender's counts.
+package peering
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+const (
+	// minInterval and perPeer give the least time between two reports of the
+	// same gateway; it grows with the number of peers.
+	minInterval = 20 * time.Millisecond
+	perPeer     = 3 * time.Millisecond
+	// farFactor spaces the reports to other regions.
+	farFactor = 3
+	// quietInterval is the time between reports without a change.
+	quietInterval = 250 * time.Millisecond
+	maxDatagram   = 8 << 10
+	// TTL is how long a peer's report holds.
+	TTL = 900 * time.Millisecond
+)
+
+// report is a datagram: what one gateway has in progress.
+type report struct {
+	From  string            `cbor:"1,keyasint"`
+	Boot  int64             `cbor:"2,keyasint"`
+	Seq   uint64            `cbor:"3,keyasint"`
+	Loads map[string][2]int `cbor:"4,keyasint"`
+}
+
+// Peer is the record of a gateway in the directory.
+type Peer struct {
+	Address string `cbor:"1,keyasint"`
+	Region  string `cbor:"2,keyasint"`
+}
+
+// Options are the settings of Peering.
+type Options struct {
+	Name   string
+	Region string
+	Table  *balance.Table
+	Logger *log.Logger
+	Conn   net.PacketConn
+	// Changed is called when a peer's report has changed the table.
+	Changed func()
+}
+
+// Peering sends and receives reports. It implements keyedlog.View over the
+// directory of gateways.
+type Peering struct {
+	opts Options
+	boot int64
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+type peer struct {
+	addr netip.AddrPort
+	far  bool
+	// boot and seq order the reports; heard is when the last one came.
+	boot  int64
+	seq   uint64
+	heard time.Time
+	alive bool
+}
+
+// New returns a Peering that uses opts.Conn.
+func New(opts Options) *Peering {
+	return &Peering{opts: opts, boot: time.Now().UnixNano(), peers: make(map[string]*peer)}
+}
+
+// EncodePeer returns the directory record of a gateway.
+func EncodePeer(p Peer) ([]byte, error) {
+	raw, err := cbor.Marshal(p)
+	return raw, errors.Wrap(err, "peering: encode")
+}
+
+// Rebuild implements keyedlog.View.
+func (p *Peering) Rebuild(records []keyedlog.Record) { p.Apply(records) }
+
+// Apply implements keyedlog.View.
+func (p *Peering) Apply(records []keyedlog.Record) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, r := range records {
+		if r.Key == p.opts.Name {
+			continue
+		}
+		if r.Value == nil {
+			delete(p.peers, r.Key)
+			p.opts.Table.ForgetPeer(r.Key)
+			continue
+		}
+		p.put(r)
+	}
+}
+
+func (p *Peering) put(r keyedlog.Record) {
+	var rec Peer
+	addr := netip.AddrPort{}
+	err := cbor.Unmarshal(r.Value, &rec)
+	if err == nil {
+		addr, err = netip.ParseAddrPort(rec.Address)
+	}
+	if err != nil {
+		event.Log(p.opts.Logger, event.RecordSkipped, "topic", "peers", "offset", r.Offset, "cause", err)
+		return
+	}
+	known := p.peers[r.Key]
+	if known == nil {
+		known = &peer{}
+		p.peers[r.Key] = known
+	}
+	known.addr, known.far = addr, rec.Region != p.opts.Region
+}
+
+// Run sends and receives until ctx ends.
+func (p *Peering) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { _ = p.opts.Conn.Close() })
+	defer stop()
+	go p.receive()
+	var seq uint64
+	var sent string
+	last := time.Time{}
+	for ctx.Err() == nil {
+		loads := p.loads()
+		state := fingerprint(loads)
+		if state == sent && time.Since(last) < quietInterval {
+			p.pause(ctx)
+			continue
+		}
+		seq++
+		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: loads}, seq%farFactor == 0 || state == sent)
+		sent, last = state, time.Now()
+		p.pause(ctx)
+	}
+}
+
+func (p *Peering) pause(ctx context.Context) {
+	p.mu.Lock()
+	n := len(p.peers)
+	p.mu.Unlock()
+	t := time.NewTimer(max(minInterval, time.Duration(n)*perPeer))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+func (p *Peering) loads() map[string][2]int {
+	own := p.opts.Table.Own()
+	loads := make(map[string][2]int, len(own))
+	for id, c := range own {
+		loads[id] = [2]int{c.Online, c.Batch}
+	}
+	return loads
+}
+
+// fingerprint is equal for equal loads.
+func fingerprint(loads map[string][2]int) string {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return ""
+	}
+	raw, err := mode.Marshal(loads)
+	if err != nil {
+		return ""
+	}
+	return string(raw)
+}
+
+func (p *Peering) send(r report, far bool) {
+	raw, err := cbor.Marshal(r)
+	if err != nil {
+		return
+	}
+	now := time.Now()
+	p.mu.Lock()
+	var to []netip.AddrPort
+	for name, known := range p.peers {
+		if known.alive && now.Sub(known.heard) > TTL {
+			known.alive = false
+			event.Log(p.opts.Logger, event.PeerGone, "peer", name, "silent_for", now.Sub(known.heard))
+		}
+		if !known.far || far {
+			to = append(to, known.addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, addr := range to {
+		// A datagram that is not sent is like one that is lost.
+		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
+	}
+}
+
+func (p *Peering) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.opts.Conn.ReadFrom(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		var r report
+		if err := cbor.Unmarshal(buf[:n], &r); err != nil {
+			continue // not a report of a gateway
+		}
+		p.take(r, time.Now())
+	}
+}
+
+// take applies a report unless a newer one of the same gateway was seen.
+func (p *Peering) take(r report, now time.Time) {
+	p.mu.Lock()
+	known := p.peers[r.From]
+	if known == nil || r.Boot < known.boot || r.Boot == known.boot && r.Seq <= known.seq {
+		p.mu.Unlock()
+		return
+	}
+	if !known.alive {
+		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", known.addr)
+	}
+	known.boot, known.seq, known.heard, known.alive = r.Boot, r.Seq, now, true
+	p.mu.Unlock()
+	counts := make(map[string]balance.Counts, len(r.Loads))
+	for id, n := range r.Loads {
+		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
+	}
+	p.opts.Table.SetPeer(r.From, counts, now)
+	p.opts.Changed()
+}
--- /dev/null
+++ b/upstream/conn.go
@@ -0,0 +1,122 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+const (
+	readBuffer  = 4 << 10
+	writeBuffer = 2 << 10
+	// inlineBody is the largest body that is written before the answer is
+	// read. Longer ones are written beside it, as the backend server may
+	// answer early.
+	inlineBody = 8 << 10
+	// strayAnswers bounds the answers to other requests that are skipped.
+	strayAnswers = 2
+)
+
+// conn is one connection to a backend server. It carries one request at a time.
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+	w *bufio.Writer
+	// idleUntil is when the connection is too old to be used again.
+	idleUntil time.Time
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer), w: bufio.NewWriterSize(c, writeBuffer)}
+}
+
+// usable reports whether the idle connection may carry another request.
+func (c *conn) usable(now time.Time) bool {
+	return now.Before(c.idleUntil) && c.r.Buffered() == 0 && quiet(c.Conn)
+}
+
+// exchange is one request and its answer on a connection.
+type exchange struct {
+	conn *conn
+	// written is closed when the request has been written or has failed to.
+	written  chan struct{}
+	writeErr error
+}
+
+// start writes the request.
+func (c *conn) start(out serving.Outgoing) *exchange {
+	e := &exchange{conn: c, written: make(chan struct{})}
+	if len(out.Body) <= inlineBody {
+		e.write(out)
+		return e
+	}
+	go e.write(out)
+	return e
+}
+
+func (e *exchange) write(out serving.Outgoing) {
+	defer close(e.written)
+	e.writeErr = writeRequest(e.conn.w, out)
+}
+
+// writeRequest writes a request with a body of known length.
+func writeRequest(w *bufio.Writer, out serving.Outgoing) error {
+	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", out.Method, out.Target, out.Host)
+	header := out.Header
+	header.Del("Content-Length")
+	if len(out.Body) > 0 || out.Method == http.MethodPost || out.Method == http.MethodPut {
+		header.Set("Content-Length", strconv.Itoa(len(out.Body)))
+	}
+	if err := header.Write(w); err != nil {
+		return errors.Wrap(err, "write request")
+	}
+	_, _ = w.WriteString("\r\n")
+	_, _ = w.Write(out.Body)
+	return errors.Wrap(w.Flush(), "write request")
+}
+
+// finishedWriting reports whether the whole request was sent.
+func (e *exchange) finishedWriting() bool {
+	select {
+	case <-e.written:
+		return e.writeErr == nil
+	default:
+		return false
+	}
+}
+
+// head reads the head of the answer. Answers that belong to other requests are
+// skipped.
+func (e *exchange) head(id, method string, codec serving.Codec) (*http.Response, serving.Verdict, error) {
+	for range strayAnswers + 1 {
+		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: method})
+		if err != nil {
+			return nil, serving.Verdict{}, errors.Wrap(err, "read answer")
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		v := codec.Decode(resp)
+		if v.RequestID == id || (v.RequestID == "" && v.NotRun) {
+			return resp, v, nil
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return nil, serving.Verdict{}, errors.Wrap(err, "read stray answer")
+		}
+	}
+	return nil, serving.Verdict{}, ErrStray
+}
+
+// closeOnDone closes the connection when ctx ends; stop ends the watch.
+func closeOnDone(ctx context.Context, c net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = c.Close() })
+}
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,211 @@
+// Package upstream carries requests to backend servers over kept connections.
+// It tells apart what was never sent from what may have run, and gives an
+// answer only to the request that it names.
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+// Errors of an exchange. Any other error leaves it open whether the request
+// ran.
+var (
+	// ErrNotSent says that no byte of the request reached the backend server.
+	ErrNotSent = errors.New("upstream: not sent")
+	// ErrStray says that the backend server answered other requests only.
+	ErrStray = errors.New("upstream: answers belong to other requests")
+)
+
+const (
+	// idleDefault is how long a connection is kept if the backend server does
+	// not say; idleMargin is taken off what it says, for the way there.
+	idleDefault = 4 * time.Second
+	idleMargin  = 500 * time.Millisecond
+	// maxIdle bounds the kept connections to one backend server.
+	maxIdle = 32
+)
+
+// Options are the settings of a Pool.
+type Options struct {
+	Codec       serving.Codec
+	DialTimeout time.Duration
+	// Opened, if set, is called for each new connection.
+	Opened func(address string)
+}
+
+// Pool keeps connections to backend servers by address.
+type Pool struct {
+	opts   Options
+	dialer net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+// NewPool returns an empty pool.
+func NewPool(opts Options) *Pool {
+	return &Pool{
+		opts:   opts,
+		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout},
+		idle:   make(map[string][]*conn),
+	}
+}
+
+// Answer is a backend server's answer. Close must be called.
+type Answer struct {
+	Status  int
+	Header  http.Header
+	Length  int64
+	Verdict serving.Verdict
+
+	body     io.Reader
+	pool     *Pool
+	address  string
+	exchange *exchange
+	resp     *http.Response
+	unwatch  func() bool
+	complete bool
+	broken   bool
+}
+
+// Do sends r to the backend server of a and returns the head of its answer.
+// The connection is closed when ctx ends, also while the body is read.
+func (p *Pool) Do(ctx context.Context, r *serving.Request, a serving.Attempt) (*Answer, error) {
+	c, err := p.get(ctx, a.Address)
+	if err != nil {
+		return nil, err
+	}
+	unwatch := closeOnDone(ctx, c)
+	e := c.start(p.opts.Codec.Encode(r, a))
+	resp, verdict, err := e.head(r.ID, r.Method, p.opts.Codec)
+	if err != nil {
+		unwatch()
+		_ = c.Close()
+		return nil, err
+	}
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Verdict: verdict,
+		body: resp.Body, pool: p, address: a.Address, exchange: e, resp: resp, unwatch: unwatch,
+	}, nil
+}
+
+// Read reads the body. It returns io.EOF only after a complete body.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		a.complete = true
+		return n, io.EOF
+	}
+	if err != nil {
+		a.broken = true
+		return n, errors.Wrap(err, "read answer")
+	}
+	return n, nil
+}
+
+// Close ends the exchange. The connection is kept if the answer was read whole
+// and nothing follows it.
+func (a *Answer) Close() {
+	watching := a.unwatch()
+	c := a.exchange.conn
+	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
+	keep := watching && a.complete && !a.broken && framed && !a.resp.Close &&
+		a.exchange.finishedWriting() && c.r.Buffered() == 0
+	if !keep {
+		_ = c.Close()
+		return
+	}
+	idle := idleDefault
+	if told := a.Verdict.KeepAlive; told > 0 {
+		idle = min(idle, told-idleMargin)
+	}
+	c.idleUntil = time.Now().Add(idle)
+	a.pool.put(a.address, c)
+}
+
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop(address)
+		if c == nil {
+			break
+		}
+		if c.usable(now) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(ErrNotSent, err.Error())
+	}
+	if p.opts.Opened != nil {
+		p.opts.Opened(address)
+	}
+	return newConn(raw), nil
+}
+
+// pop takes the connection that was used last, which is the least likely to
+// have been closed.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Forget closes the idle connections to address.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Sweep closes connections that are too old to be used again.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.idleUntil) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+}
