--- a/batch/output_test.go
+++ b/batch/output_test.go
@@ -5,8 +5,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 // A segment is read the same before and after its renewal. Renewed ones could
--- a/batch/query.go
+++ b/batch/query.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 // JobView is a copy of a job's state, without its items.
--- a/batch/renew.go
+++ b/batch/renew.go
@@ -28,18 +28,18 @@
 
 // RenewFile is a file appended again, with its content if that moved.
 type RenewFile struct {
-	File     File             `cbor:"1,keyasint"`
+	File     File               `cbor:"1,keyasint"`
 	Accepted commitlog.Position `cbor:"2,keyasint"`
 	Base     commitlog.Position `cbor:"3,keyasint"`
-	At       int64            `cbor:"4,keyasint"`
+	At       int64              `cbor:"4,keyasint"`
 }
 
 // RenewJob is a job appended again, without its segments.
 type RenewJob struct {
-	Job      Job              `cbor:"1,keyasint"`
+	Job      Job                `cbor:"1,keyasint"`
 	Accepted commitlog.Position `cbor:"2,keyasint"`
 	Base     commitlog.Position `cbor:"3,keyasint"`
-	At       int64            `cbor:"4,keyasint"`
+	At       int64              `cbor:"4,keyasint"`
 	// Input is the manifest of the input; empty once the job has ended.
 	Input       blob.Manifest `cbor:"5,keyasint,omitempty"`
 	Started     *Started      `cbor:"6,keyasint,omitempty"`
@@ -66,7 +66,7 @@
 // RenewSegment is a result segment appended again with only those items whose
 // first completion it holds. Accepted names the segment.
 type RenewSegment struct {
-	Segment  Segment          `cbor:"1,keyasint"`
+	Segment  Segment            `cbor:"1,keyasint"`
 	Accepted commitlog.Position `cbor:"2,keyasint"`
 	Base     commitlog.Position `cbor:"3,keyasint"`
 }
--- a/batch/run_job.go
+++ b/batch/run_job.go
@@ -8,9 +8,9 @@
 	"math"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // validate reads a job's whole input and appends what came of it.
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -8,8 +8,8 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/event"
 )
 
 // Times and limits of the runner.
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -16,9 +16,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 type testServices struct{}
--- a/batch/table_test.go
+++ b/batch/table_test.go
@@ -11,8 +11,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 var hash64 = strings.Repeat("ab", 32)
--- a/blob/blob.go
+++ b/blob/blob.go
@@ -15,8 +15,8 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 // MaxChunkBytes bounds the content of one chunk.
@@ -33,8 +33,8 @@
 // Ref says where one chunk stands and how many bytes it holds.
 type Ref struct {
 	Offset commitlog.Offset `cbor:"1,keyasint"`
-	Index  uint32         `cbor:"2,keyasint"`
-	Len    uint32         `cbor:"3,keyasint"`
+	Index  uint32           `cbor:"2,keyasint"`
+	Len    uint32           `cbor:"3,keyasint"`
 }
 
 // Manifest lists the chunks of one content in order.
--- a/blob/blob_test.go
+++ b/blob/blob_test.go
@@ -12,8 +12,8 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 // fakeStream keeps every commit as a record of its own.
--- a/cmd/catkinrudderctl/main.go
+++ b/cmd/catkinrudderctl/main.go
@@ -7,9 +7,9 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/internal/ctl"
 	"github.com/catkinrudder/catkinrudder/internal/logservice"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 func main() {
--- a/commitlog/faults_test.go
+++ b/commitlog/faults_test.go
@@ -80,8 +80,8 @@
 	var out []string
 	for _, r := range page.Records {
 		var env struct {
-			Writer  string          `cbor:"2,keyasint"`
-			Seq     uint64          `cbor:"3,keyasint"`
+			Writer  string            `cbor:"2,keyasint"`
+			Seq     uint64            `cbor:"3,keyasint"`
 			Entries []commitlog.Entry `cbor:"4,keyasint"`
 		}
 		assert.NilError(t, cbor.Unmarshal(r.Payload, &env))
--- a/desired/record.go
+++ b/desired/record.go
@@ -38,7 +38,7 @@
 	// Recover replaces the check of Base after every copy of the version in
 	// force has expired: the publication is accepted if no version was
 	// accepted at or after the offset Seen.
-	Recover bool           `cbor:"6,keyasint,omitempty"`
+	Recover bool             `cbor:"6,keyasint,omitempty"`
 	Seen    commitlog.Offset `cbor:"7,keyasint,omitempty"`
 }
 
@@ -49,11 +49,11 @@
 	Version uint64 `cbor:"1,keyasint"`
 	Base    uint64 `cbor:"2,keyasint"`
 	// Document is empty if Version is zero.
-	Document []byte         `cbor:"3,keyasint"`
-	Author   string         `cbor:"4,keyasint,omitempty"`
-	Note     string         `cbor:"5,keyasint,omitempty"`
+	Document []byte           `cbor:"3,keyasint"`
+	Author   string           `cbor:"4,keyasint,omitempty"`
+	Note     string           `cbor:"5,keyasint,omitempty"`
 	Seen     commitlog.Offset `cbor:"6,keyasint"`
-	ID       string         `cbor:"7,keyasint,omitempty"`
+	ID       string           `cbor:"7,keyasint,omitempty"`
 }
 
 // check refuses a renewal that no process can have prepared.
--- a/desired/verdict.go
+++ b/desired/verdict.go
@@ -41,7 +41,7 @@
 type Verdict struct {
 	// Offset is that of the publication's record.
 	Offset commitlog.Offset `json:"offset"`
-	State  State          `json:"state"`
+	State  State            `json:"state"`
 	// Version is the number the publication has if it was accepted.
 	Version uint64 `json:"version"`
 	ID      string `json:"id,omitempty"`
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -12,9 +12,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/batch"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/sidecar"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
 )
 
--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -6,8 +6,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/desired"
 )
 
 // models is how many model services a document has.
--- a/internal/capacity/journal.go
+++ b/internal/capacity/journal.go
@@ -7,9 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -6,11 +6,11 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/desired/stricttoml"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/load"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // Exit codes of the tool.
--- a/internal/ctl/tool.go
+++ b/internal/ctl/tool.go
@@ -14,9 +14,9 @@
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/internal/load"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 // defaultTimeout bounds one command, except those that wait for a job or send
--- a/internal/ctl/tool_test.go
+++ b/internal/ctl/tool_test.go
@@ -15,9 +15,9 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
+	"github.com/catkinrudder/catkinrudder/desired"
 )
 
 // bench is a tool whose log service is in memory.
--- a/internal/entry/batch.go
+++ b/internal/entry/batch.go
@@ -11,10 +11,10 @@
 
 	"github.com/catkinrudder/catkinrudder/admission"
 	"github.com/catkinrudder/catkinrudder/batch"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
--- a/internal/entry/batchapi/api.go
+++ b/internal/entry/batchapi/api.go
@@ -26,8 +26,8 @@
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/blob"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 // Defaults and limits.
--- a/internal/entry/batchapi/api_test.go
+++ b/internal/entry/batchapi/api_test.go
@@ -21,10 +21,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/batch"
-	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/entry/batchapi"
 )
 
 // services is a fixed desired state: model "m" and plain service "book".
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -14,8 +14,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/batch"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
+	"github.com/catkinrudder/catkinrudder/errkind"
 )
 
 func TestBadInputNamesThePlace(t *testing.T) {
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -11,10 +11,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/claim"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/routing"
 )
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/desired"
-	"github.com/catkinrudder/catkinrudder/internal/peer"
 	"github.com/catkinrudder/catkinrudder/internal/logservice"
+	"github.com/catkinrudder/catkinrudder/internal/peer"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/settings"
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 	"github.com/catkinrudder/catkinrudder/placement"
 	"github.com/catkinrudder/catkinrudder/settings"
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -10,10 +10,10 @@
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/claim"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 )
 
 const (
--- a/internal/entry/replies.go
+++ b/internal/entry/replies.go
@@ -13,9 +13,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrudder/catkinrudder/claim"
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/errkind"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
 )
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -18,12 +18,12 @@
 	"golang.org/x/sync/errgroup"
 	"golang.org/x/time/rate"
 
+	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/desired"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/internal/ops"
 	"github.com/catkinrudder/catkinrudder/internal/peer"
-	"github.com/catkinrudder/catkinrudder/internal/logservice"
-	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
 	"github.com/catkinrudder/catkinrudder/settings"
 )
--- a/internal/standin/logservice.go
+++ b/internal/standin/logservice.go
@@ -10,9 +10,9 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 
-	"github.com/catkinrudder/catkinrudder/internal/logservice"
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
+	"github.com/catkinrudder/catkinrudder/internal/logservice"
 )
 
 const maxReadWait = 30 * time.Second
