--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -85,7 +85,8 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return o.endOfEvents(ctx, b, answer)
+			o.endOfEvents(b, answer)
+			return false, nil
 		}
 		if err != nil {
 			return o.broken(ctx, b, err)
@@ -126,13 +127,12 @@
 	return http.NewResponseController(o.w).Flush()
 }
 
-// endOfEvents decides at the end of a stream that the backend server has ended.
-func (o *online) endOfEvents(ctx context.Context, b catalog.Backend, answer *upstream.Answer) (again bool, err error) {
+// endOfEvents ends an answer whose backend server has sent all of it.
+func (o *online) endOfEvents(b catalog.Backend, answer *upstream.Answer) {
 	if !o.headSent {
 		o.sendHead(answer, true, 0)
 	}
 	o.succeeded(b, answer.Status)
-	return false, nil
 }
 
 // broken decides after an answer that broke off.
--- /dev/null
+++ b/jobs/expire.go
@@ -0,0 +1,91 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+const (
+	// expireInterval is the time between two looks for jobs to drop.
+	expireInterval = 5 * time.Second
+	// stayMargin is added to the time that a job stays readable, for clocks
+	// that differ.
+	stayMargin = 10 * time.Second
+)
+
+// expire drops closed jobs of owned shards once their time to stay is over.
+func (s *Service) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			s.dropOld(ctx, now)
+		}
+	}
+}
+
+// dropOld drops the results of a job first and the job last, so that a job that
+// is known has all its results.
+func (s *Service) dropOld(ctx context.Context, now time.Time) {
+	if s.opts.Stay <= 0 {
+		return
+	}
+	for _, old := range s.table.closedBefore(now.Add(-s.opts.Stay-stayMargin), s.runner.ownedJob) {
+		sh := s.shards[shardOf(old.id, len(s.shards))]
+		if !sh.drop(ctx, old.results) {
+			return
+		}
+		part := keyedlog.Partition{Topic: s.opts.JobTopic}
+		records := append(tombstones(jobKey(old.id), old.pieces), tombstones(endKey(old.id), 1)...)
+		if _, err := s.opts.Log.Append(ctx, part, records, keyedlog.Condition{}); err != nil {
+			event.Log(s.opts.Logger, event.LogDown, "call", "drop job", "job", old.id, "cause", err)
+			return
+		}
+	}
+}
+
+// oldJob is a job to drop.
+type oldJob struct {
+	id      string
+	pieces  int
+	results []keyedlog.Record
+}
+
+// closedBefore lists the jobs that mine accepts, that were submitted before t
+// and that get no more results.
+func (t *Table) closedBefore(at time.Time, mine func(id string) bool) []oldJob {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var old []oldJob
+	for id, e := range t.byID {
+		if e.job == nil || e.open() || !e.job.Submitted().Before(at) || !mine(id) {
+			continue
+		}
+		o := oldJob{id: id, pieces: e.pieces}
+		for position := range e.results {
+			o.results = append(o.results, tombstones(resultKey(id, position), e.resultPieces[position])...)
+		}
+		for item := range e.progressed {
+			o.results = append(o.results, tombstones(progressKey(id, item), e.progressed[item])...)
+		}
+		old = append(old, o)
+	}
+	return old
+}
+
+// drop appends tombstones to the shard; it returns false if that failed.
+func (sh *shard) drop(ctx context.Context, records []keyedlog.Record) bool {
+	for _, g := range group(records, sh.s.opts.CallBytes) {
+		if _, err := sh.s.opts.Log.Append(ctx, sh.part, g, keyedlog.Condition{}); err != nil {
+			event.Log(sh.s.opts.Logger, event.LogDown, "call", "drop results", "shard", sh.part.Index, "cause", err)
+			return false
+		}
+	}
+	return true
+}
--- a/jobs/pieces.go
+++ b/jobs/pieces.go
@@ -59,18 +59,19 @@
 
 func newAssembler() assembler { return assembler{open: make(map[string][][]byte)} }
 
-// add takes a piece and returns the value once it is whole.
-func (a assembler) add(key string, i int, raw []byte) (value []byte, whole bool, err error) {
+// add takes a piece and returns the value, and the number of its pieces, once it
+// is whole.
+func (a assembler) add(key string, i int, raw []byte) (value []byte, count int, whole bool, err error) {
 	if len(raw) < pieceHeader {
-		return nil, false, errors.Errorf("jobs: piece %d of %s: %d bytes", i, key, len(raw))
+		return nil, 0, false, errors.Errorf("jobs: piece %d of %s: %d bytes", i, key, len(raw))
 	}
-	count := int(binary.BigEndian.Uint16(raw))
+	count = int(binary.BigEndian.Uint16(raw))
 	part := raw[pieceHeader:]
 	if i < 0 || i >= count {
-		return nil, false, errors.Errorf("jobs: piece %d of %s: of %d", i, key, count)
+		return nil, 0, false, errors.Errorf("jobs: piece %d of %s: of %d", i, key, count)
 	}
 	if count == 1 {
-		return part, true, nil
+		return part, count, true, nil
 	}
 	parts := a.open[key]
 	if len(parts) != count {
@@ -80,10 +81,10 @@
 	parts[i] = part
 	for _, p := range parts {
 		if p == nil {
-			return nil, false, nil
+			return nil, count, false, nil
 		}
 		value = append(value, p...)
 	}
 	delete(a.open, key)
-	return value, true, nil
+	return value, count, true, nil
 }
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -3,10 +3,18 @@
 import (
 	"context"
 	"time"
+
+	"github.com/catkinrudder/catkinrudder/event"
 )
 
-// maxListing bounds the bytes of text in one listing.
-const maxListing = 900 << 10
+const (
+	// maxListing bounds the bytes of text in one listing.
+	maxListing = 900 << 10
+	// listingAge is how old the knowledge may be that a job has no more
+	// results; refreshTimeout bounds the read that renews it.
+	listingAge     = 600 * time.Millisecond
+	refreshTimeout = 300 * time.Millisecond
+)
 
 // ListedResult is one result of a listing.
 type ListedResult struct {
@@ -23,8 +31,38 @@
 }
 
 // List returns the results from a position on. If there is none yet it waits up
-// to wait for one. It returns false if the job is not known.
-func (t *Table) List(ctx context.Context, id string, after int, wait time.Duration) (Listing, bool) {
+// to wait for one, and then makes sure that what is known of the job's shard is
+// not old. It returns false if the job is not known.
+func (s *Service) List(ctx context.Context, id string, after int, wait time.Duration) (Listing, bool) {
+	listing, known := s.table.await(ctx, id, after, wait)
+	if !known || len(listing.Results) > 0 || listing.Next >= listing.Total {
+		return listing, known
+	}
+	sh := s.shards[shardOf(id, len(s.shards))]
+	if age, confirmed := sh.follow.Age(time.Now()); confirmed && age < listingAge {
+		return listing, known
+	}
+	if err := sh.refresh(ctx); err != nil {
+		event.Log(s.opts.Logger, event.LogDown, "call", "refresh", "shard", sh.part.Index, "cause", err)
+	}
+	listing, _, known = s.table.list(id, after)
+	return listing, known
+}
+
+// refresh folds what the log holds beyond the follower.
+func (sh *shard) refresh(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	h, err := sh.s.opts.Log.Read(ctx, sh.part, sh.follow.Next(), 0)
+	if err != nil {
+		return err
+	}
+	view{sh.s.table, sh.part}.Apply(h.Records)
+	return nil
+}
+
+// await returns the results from a position on, or waits for one.
+func (t *Table) await(ctx context.Context, id string, after int, wait time.Duration) (Listing, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -103,7 +103,7 @@
 		return
 	}
 	for _, j := range r.openJobs(config, now) {
-		r.startItems(ctx, config, j, now)
+		r.startItems(ctx, j, now)
 	}
 }
 
@@ -229,7 +229,7 @@
 }
 
 // startItems starts the items of a job that find a slot.
-func (r *runner) startItems(ctx context.Context, config *catalog.Config, j openJob, now time.Time) {
+func (r *runner) startItems(ctx context.Context, j openJob, now time.Time) {
 	retained := j.route.JobRetention <= 0 || now.Before(j.job.Submitted().Add(j.route.JobRetention))
 	for _, item := range j.items {
 		ref := itemRef{j.job.ID, item}
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -102,6 +102,7 @@
 		wg.Go(func() { sh.write(ctx) })
 	}
 	wg.Go(func() { s.membership(ctx) })
+	wg.Go(func() { s.expire(ctx) })
 	wg.Go(func() { s.runner.run(ctx) })
 	wg.Wait()
 }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -37,12 +37,20 @@
 	// listed tells for each item whether it has a result.
 	listed   map[int]bool
 	progress map[int]Progress
+	// pieces, resultPieces and progressed count the records that hold the job,
+	// each result by position and each progress by item, for dropping them.
+	pieces       int
+	resultPieces map[int]int
+	progressed   map[int]int
 	// changed is closed at the next result or at the end of the job.
 	changed chan struct{}
 }
 
 func newEntry() *entry {
-	return &entry{listed: make(map[int]bool), progress: make(map[int]Progress), changed: make(chan struct{})}
+	return &entry{
+		listed: make(map[int]bool), progress: make(map[int]Progress),
+		resultPieces: make(map[int]int), progressed: make(map[int]int), changed: make(chan struct{}),
+	}
 }
 
 // ready returns the results without a gap before them.
@@ -113,21 +121,21 @@
 		t.drop(key)
 		return nil, nil
 	}
-	value, whole, err := t.pieces.add(key, i, r.Value)
+	value, count, whole, err := t.pieces.add(key, i, r.Value)
 	if err != nil || !whole {
 		return nil, err
 	}
 	kind, name, _ := strings.Cut(key, "/")
 	switch kind + "/" {
 	case jobPrefix:
-		return t.applyJob(name, value)
+		return t.applyJob(name, value, count)
 	case endPrefix:
 		t.applyEnd(name)
 		return nil, nil
 	case resultPrefix:
-		return nil, t.applyResult(name, value)
+		return nil, t.applyResult(name, value, count)
 	case progressPrefix:
-		return nil, t.applyProgress(name, value)
+		return nil, t.applyProgress(name, value, count)
 	}
 	return nil, errors.Errorf("jobs: key %q: unknown kind", r.Key)
 }
@@ -142,7 +150,7 @@
 }
 
 // applyJob keeps the first record of a job: a later one is a resend of it.
-func (t *Table) applyJob(id string, value []byte) (*Job, error) {
+func (t *Table) applyJob(id string, value []byte, pieces int) (*Job, error) {
 	e := t.entry(id)
 	if e.job != nil {
 		return nil, nil
@@ -151,7 +159,7 @@
 	if err := decode(value, job); err != nil {
 		return nil, err
 	}
-	e.job = job
+	e.job, e.pieces = job, pieces
 	return job, nil
 }
 
@@ -163,7 +171,7 @@
 	}
 }
 
-func (t *Table) applyResult(name string, value []byte) error {
+func (t *Table) applyResult(name string, value []byte, pieces int) error {
 	id, position, err := cutNumber(name)
 	if err != nil {
 		return err
@@ -172,11 +180,13 @@
 	if err := decode(value, result); err != nil {
 		return err
 	}
-	t.entry(id).put(position, result)
+	e := t.entry(id)
+	e.resultPieces[position] = pieces
+	e.put(position, result)
 	return nil
 }
 
-func (t *Table) applyProgress(name string, value []byte) error {
+func (t *Table) applyProgress(name string, value []byte, pieces int) error {
 	id, item, err := cutNumber(name)
 	if err != nil {
 		return err
@@ -186,6 +196,7 @@
 		return err
 	}
 	e := t.entry(id)
+	e.progressed[item] = pieces
 	if !e.listed[item] {
 		e.progress[item] = p
 	}
--- /dev/null
+++ b/keyedlog/follower_test.go
@@ -0,0 +1,160 @@
+package keyedlog_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
+)
+
+var part = keyedlog.Partition{Topic: "t"}
+
+// mapView is the plainest view: the newest value of each key.
+type mapView struct {
+	mu       sync.Mutex
+	values   map[string]string
+	rebuilds int
+}
+
+func newMapView() *mapView { return &mapView{values: make(map[string]string)} }
+
+func (v *mapView) Rebuild(records []keyedlog.Record) {
+	v.mu.Lock()
+	v.values = make(map[string]string)
+	v.rebuilds++
+	v.mu.Unlock()
+	v.Apply(records)
+}
+
+func (v *mapView) Apply(records []keyedlog.Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range records {
+		if r.Value == nil {
+			delete(v.values, r.Key)
+			continue
+		}
+		v.values[r.Key] = string(r.Value)
+	}
+}
+
+func (v *mapView) holds(want map[string]string) poll.Result {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if maps.Equal(v.values, want) {
+		return poll.Success()
+	}
+	return poll.Continue("view holds %v, want %v", v.values, want)
+}
+
+func put(t *testing.T, l *keyedlogtest.Log, kv ...string) {
+	t.Helper()
+	for i := 0; i < len(kv); i += 2 {
+		r := keyedlog.Record{Key: kv[i]}
+		if kv[i+1] != "" {
+			r.Value = []byte(kv[i+1])
+		}
+		_, err := l.Append(t.Context(), part, []keyedlog.Record{r}, keyedlog.Condition{})
+		assert.NilError(t, err)
+	}
+}
+
+func follow(t *testing.T, l keyedlog.Log, v keyedlog.View, observe keyedlog.Observer) *keyedlog.Follower {
+	t.Helper()
+	f := keyedlog.NewFollower(l, part, v, keyedlog.Pace{Wait: 20 * time.Millisecond, Retry: time.Millisecond}, observe)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return f
+}
+
+func TestFollowerStartsColdAndFollows(t *testing.T) {
+	l, v := keyedlogtest.New(), newMapView()
+	want := make(map[string]string)
+	for i := range 8 {
+		put(t, l, fmt.Sprint("k", i), "1")
+		want[fmt.Sprint("k", i)] = "1"
+	}
+	follow(t, l, v, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(want) })
+	put(t, l, "k0", "2", "k1", "")
+	want["k0"] = "2"
+	delete(want, "k1")
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(want) })
+}
+
+func TestFollowerRebuildsWhenHistoryIsForgotten(t *testing.T) {
+	l, v := keyedlogtest.New(), newMapView()
+	put(t, l, "a", "1", "b", "1")
+	f := follow(t, l, v, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "1", "b": "1"}) })
+	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.Refuse })
+	time.Sleep(30 * time.Millisecond) // the read that waits ends
+	l.SetFault(func(call string, _ keyedlog.Partition) keyedlogtest.Fault {
+		if call == "append" {
+			return keyedlogtest.None
+		}
+		return keyedlogtest.Refuse
+	})
+	put(t, l, "a", "", "c", "1")
+	l.Forget()
+	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"b": "1", "c": "1"}) })
+	assert.Equal(t, f.Next(), int64(4))
+}
+
+// movingLog changes a key of an earlier page while a rebuild reads the pages.
+type movingLog struct {
+	*keyedlogtest.Log
+	t     *testing.T
+	moved bool
+}
+
+func (l *movingLog) Newest(ctx context.Context, p keyedlog.Partition, after string) (keyedlog.Page, error) {
+	if after != "" && !l.moved {
+		l.moved = true
+		put(l.t, l.Log, "k0", "", "k7", "2", "k7", "3")
+	}
+	return l.Log.Newest(ctx, p, after)
+}
+
+func TestPagesAreNoSnapshot(t *testing.T) {
+	l, v := &movingLog{Log: keyedlogtest.New(), t: t}, newMapView()
+	want := make(map[string]string)
+	for i := range 8 {
+		put(t, l.Log, fmt.Sprint("k", i), "1")
+		want[fmt.Sprint("k", i)] = "1"
+	}
+	delete(want, "k0")
+	want["k7"] = "3"
+	follow(t, l, v, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(want) })
+}
+
+func TestFollowerTellsOfLossAndReturn(t *testing.T) {
+	l, v := keyedlogtest.New(), newMapView()
+	told := make(chan error, 16)
+	put(t, l, "a", "1")
+	f := follow(t, l, v, func(_ keyedlog.Partition, err error) { told <- err })
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "1"}) })
+	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.Refuse })
+	assert.ErrorIs(t, <-told, keyedlog.ErrRefused)
+	lost := time.Now()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if age, known := f.Age(lost.Add(time.Second)); known && age >= time.Second {
+			return poll.Success()
+		}
+		return poll.Continue("the age does not grow")
+	})
+	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
+	assert.NilError(t, <-told)
+}
--- /dev/null
+++ b/keyedlog/keyedlogtest/log.go
@@ -0,0 +1,265 @@
+// Package keyedlogtest is a log in memory for tests, with the faults of a real
+// one: refused calls, answers that are lost, calls that take effect late,
+// history that is forgotten, and members that are turned away.
+package keyedlogtest
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// ErrNoAnswer is what a caller gets whose answer was lost.
+var ErrNoAnswer = errors.New("keyedlogtest: no answer")
+
+// Fault is what happens to one call.
+type Fault uint8
+
+// The faults.
+const (
+	// None lets the call pass.
+	None Fault = iota
+	// Refuse does nothing and says so.
+	Refuse
+	// LoseAnswer does the call and gives no answer.
+	LoseAnswer
+	// LoseCall does nothing and gives no answer.
+	LoseCall
+	// Late gives no answer and does the call when Log.RunLate is called.
+	Late
+)
+
+// Log implements keyedlog.Log and keyedlog.Groups. It is safe for concurrent
+// use.
+type Log struct {
+	mu      sync.Mutex
+	parts   map[keyedlog.Partition]*partition
+	fault   func(call string, p keyedlog.Partition) Fault
+	late    []func()
+	changed chan struct{}
+	group   group
+	calls   map[string]int
+}
+
+type partition struct {
+	records   []keyedlog.Record
+	first     int64 // the first offset that is not forgotten
+	newest    map[string]keyedlog.Record
+	producers map[string]*producer
+}
+
+type producer struct {
+	epoch int64
+	next  int64
+	last  []past
+}
+
+// past is one of the last appends of a producer, whose repeat gets its answer
+// again.
+type past struct {
+	sequence int64
+	at       keyedlog.Appended
+}
+
+const rememberedAppends = 5
+
+// New returns an empty log.
+func New() *Log {
+	return &Log{
+		parts: make(map[keyedlog.Partition]*partition), changed: make(chan struct{}), calls: make(map[string]int),
+		fault: func(string, keyedlog.Partition) Fault { return None },
+		group: group{members: make(map[string]time.Time)},
+	}
+}
+
+// SetFault chooses the fault of each following call, named append, read,
+// newest, join or leave.
+func (l *Log) SetFault(f func(call string, p keyedlog.Partition) Fault) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fault = f
+}
+
+// Calls returns how often a call was made.
+func (l *Log) Calls(call string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calls[call]
+}
+
+// RunLate runs the calls that were held back, if their conditions still hold.
+func (l *Log) RunLate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, f := range l.late {
+		f()
+	}
+	l.late = nil
+}
+
+// Forget drops the history of all partitions; the newest records stay.
+func (l *Log) Forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.parts {
+		p.first += int64(len(p.records))
+		p.records = nil
+	}
+}
+
+func (l *Log) part(id keyedlog.Partition) *partition {
+	p := l.parts[id]
+	if p == nil {
+		p = &partition{newest: make(map[string]keyedlog.Record), producers: make(map[string]*producer)}
+		l.parts[id] = p
+	}
+	return p
+}
+
+func (p *partition) end() int64 { return p.first + int64(len(p.records)) }
+
+// enter counts a call and returns its fault.
+func (l *Log) enter(call string, p keyedlog.Partition) Fault {
+	l.calls[call]++
+	return l.fault(call, p)
+}
+
+// Append implements keyedlog.Log.
+func (l *Log) Append(_ context.Context, id keyedlog.Partition, records []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	records = slices.Clone(records)
+	switch l.enter("append", id) {
+	case Refuse:
+		return keyedlog.Appended{}, keyedlog.ErrRefused
+	case LoseCall:
+		return keyedlog.Appended{}, ErrNoAnswer
+	case Late:
+		l.late = append(l.late, func() { _, _ = l.append(id, records, c) }) // nobody waits for the answer
+		return keyedlog.Appended{}, ErrNoAnswer
+	case LoseAnswer:
+		_, _ = l.append(id, records, c) // the caller does not learn of it
+		return keyedlog.Appended{}, ErrNoAnswer
+	}
+	return l.append(id, records, c)
+}
+
+func (l *Log) append(id keyedlog.Partition, records []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
+	p := l.part(id)
+	if c.Conditional && c.AtEnd != p.end() {
+		return keyedlog.Appended{}, keyedlog.ErrConflict
+	}
+	if c.Producer == "" {
+		return l.write(p, records), nil
+	}
+	w := p.producers[c.Producer]
+	if w == nil {
+		w = &producer{epoch: c.Epoch, next: c.Sequence}
+		p.producers[c.Producer] = w
+	}
+	switch {
+	case c.Epoch < w.epoch:
+		return keyedlog.Appended{}, keyedlog.ErrFenced
+	case c.Epoch > w.epoch:
+		*w = producer{epoch: c.Epoch, next: c.Sequence}
+	}
+	if len(records) == 0 {
+		return keyedlog.Appended{First: p.end(), End: p.end()}, nil
+	}
+	for _, old := range w.last {
+		if old.sequence == c.Sequence {
+			return old.at, nil
+		}
+	}
+	if len(w.last) > 0 && c.Sequence != w.next {
+		return keyedlog.Appended{}, keyedlog.ErrSequence
+	}
+	at := l.write(p, records)
+	w.next = c.Sequence + 1
+	w.last = append(w.last, past{c.Sequence, at})
+	if len(w.last) > rememberedAppends {
+		w.last = w.last[1:]
+	}
+	return at, nil
+}
+
+func (l *Log) write(p *partition, records []keyedlog.Record) keyedlog.Appended {
+	at := keyedlog.Appended{First: p.end()}
+	for _, r := range records {
+		r.Offset = p.end()
+		p.records = append(p.records, r)
+		if r.Value == nil {
+			delete(p.newest, r.Key)
+			continue
+		}
+		p.newest[r.Key] = r
+	}
+	at.End = p.end()
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return at
+}
+
+// Read implements keyedlog.Log.
+func (l *Log) Read(ctx context.Context, id keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for first := true; ; first = false {
+		l.mu.Lock()
+		if first {
+			if l.enter("read", id) != None {
+				l.mu.Unlock()
+				return keyedlog.History{}, keyedlog.ErrRefused
+			}
+		}
+		p := l.part(id)
+		if from < p.first {
+			l.mu.Unlock()
+			return keyedlog.History{}, keyedlog.ErrForgotten
+		}
+		h := keyedlog.History{Next: p.end(), End: p.end(), Records: slices.Clone(p.records[from-p.first:])}
+		changed := l.changed
+		l.mu.Unlock()
+		if len(h.Records) > 0 || wait <= 0 {
+			return h, nil
+		}
+		select {
+		case <-ctx.Done():
+			return keyedlog.History{}, ctx.Err()
+		case <-timer.C:
+			return h, nil
+		case <-changed:
+		}
+	}
+}
+
+// pageSize is small so that tests meet several pages.
+const pageSize = 3
+
+// Newest implements keyedlog.Log.
+func (l *Log) Newest(_ context.Context, id keyedlog.Partition, after string) (keyedlog.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.enter("newest", id) != None {
+		return keyedlog.Page{}, keyedlog.ErrRefused
+	}
+	p := l.part(id)
+	keys := make([]string, 0, len(p.newest))
+	for k := range p.newest {
+		if k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	page := keyedlog.Page{End: p.end(), More: len(keys) > pageSize}
+	for _, k := range keys[:min(pageSize, len(keys))] {
+		page.Records = append(page.Records, p.newest[k])
+	}
+	return page, nil
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -86,7 +86,7 @@
 	}
 	unwatch := closeOnDone(ctx, c)
 	e := c.start(p.opts.Codec.Encode(r, a))
-	resp, verdict, err := e.head(r.ID, r.Method, p.opts.Codec)
+	resp, verdict, err := e.head(r.ID, r.Method, p.opts.Codec) //nolint:bodyclose // Answer.Close ends the connection
 	if err != nil {
 		unwatch()
 		_ = c.Close()
--- /dev/null
+++ b/upstream/pool_test.go
@@ -0,0 +1,124 @@
+package upstream_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/serving"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+func newPool() *upstream.Pool {
+	return upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second})
+}
+
+func request(id, path string) *serving.Request {
+	return &serving.Request{ID: id, Method: http.MethodPost, Host: "h", Target: path, Path: path, Header: make(http.Header), Body: []byte("body")}
+}
+
+func to(b *platformtest.Backend) serving.Attempt {
+	return serving.Attempt{BackendID: b.ID, Address: b.Address}
+}
+
+func fetch(t *testing.T, p *upstream.Pool, r *serving.Request, a serving.Attempt) string {
+	t.Helper()
+	answer, err := p.Do(t.Context(), r, a)
+	assert.NilError(t, err)
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	assert.NilError(t, err)
+	return string(body)
+}
+
+func TestConnectionIsKeptAfterAWholeAnswer(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	for _, id := range []string{"1", "2", "3"} {
+		assert.Equal(t, fetch(t, p, request(id, "/call"), to(b)), "answer "+id)
+	}
+	assert.Equal(t, b.Connections(), 1)
+	assert.Equal(t, b.Arrivals()[2].Body, "body")
+}
+
+func TestStrayAnswerIsSkipped(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Stray })
+	assert.Equal(t, fetch(t, p, request("1", "/call"), to(b)), "answer 1")
+}
+
+func TestConnectionWithBytesLeftIsNotUsedAgain(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(a platformtest.Arrival) platformtest.Fault {
+		if a.ID == "1" {
+			return platformtest.Extra
+		}
+		return platformtest.None
+	})
+	assert.Assert(t, strings.Contains(fetch(t, p, request("1", "/stream"), to(b)), "1-5"))
+	time.Sleep(20 * time.Millisecond) // the extra answer arrives on the idle connection
+	assert.Equal(t, fetch(t, p, request("2", "/call"), to(b)), "answer 2")
+	assert.Equal(t, b.Connections(), 2)
+}
+
+func TestUnframedAnswerIsWholeAtItsEnd(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Unframed })
+	assert.Assert(t, strings.Contains(fetch(t, p, request("1", "/stream"), to(b)), "1-5"))
+	fetch(t, p, request("2", "/stream"), to(b))
+	assert.Equal(t, b.Connections(), 2)
+}
+
+func TestRefusalToConnectIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := ln.Addr().String()
+	assert.NilError(t, ln.Close())
+	_, err = newPool().Do(t.Context(), request("1", "/call"), serving.Attempt{Address: address})
+	assert.ErrorIs(t, err, upstream.ErrNotSent)
+}
+
+func TestLostAnswerIsInDoubt(t *testing.T) {
+	b := platformtest.NewBackend(t, "b")
+	b.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.LoseAnswer })
+	_, err := newPool().Do(t.Context(), request("1", "/call"), to(b))
+	assert.Assert(t, err != nil)
+	assert.Assert(t, !strings.Contains(err.Error(), upstream.ErrNotSent.Error()))
+	assert.Equal(t, b.Runs("1"), 1)
+}
+
+func TestEndOfContextStopsTheBackendServer(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.Events, b.Gap = 1000, 5*time.Millisecond
+	ctx, cancel := context.WithCancel(t.Context())
+	answer, err := p.Do(ctx, request("1", "/stream"), to(b))
+	assert.NilError(t, err)
+	defer answer.Close()
+	cancel()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if b.Stopped("1") {
+			return poll.Success()
+		}
+		return poll.Continue("still at work")
+	})
+	_, err = io.ReadAll(answer)
+	assert.Assert(t, err != nil, "a broken answer looks whole")
+}
+
+func TestCutAnswerIsNotWhole(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Cut })
+	answer, err := p.Do(t.Context(), request("1", "/stream"), to(b))
+	assert.NilError(t, err)
+	defer answer.Close()
+	_, err = io.ReadAll(answer)
+	assert.ErrorContains(t, err, "EOF")
+}
