Load reports at once; batch starts spread over cycles

Cause: eight gateways saw a free slot at the same moment and all started batch items there (a worker with 8 slots held 14 attempts), which online requests then waited behind. Reports go out 2 ms after a change instead of each 20 ms; a process starts one item at a backend server in each cycle, and cycles are 8 to 16 ms apart at random.

--- a/balance/table.go
+++ b/balance/table.go
@@ -54,6 +54,8 @@
 	health  map[string]*health
 	prefix  prefixTable
 	changed chan struct{}
+	// begun has a token after this entry has begun or ended an attempt.
+	begun chan struct{}
 }
 
 type ownCounts struct{ n [classes]int }
@@ -73,6 +75,17 @@
 		health:  make(map[string]*health),
 		prefix:  newPrefixTable(),
 		changed: make(chan struct{}),
+		begun:   make(chan struct{}, 1),
+	}
+}
+
+// OwnChanged returns a channel that gets a token when Own has changed.
+func (t *Table) OwnChanged() <-chan struct{} { return t.begun }
+
+func (t *Table) noteOwn() {
+	select {
+	case t.begun <- struct{}{}:
+	default:
 	}
 }
 
@@ -103,6 +116,7 @@
 		t.own[id] = o
 	}
 	o.n[c]++
+	t.noteOwn()
 }
 
 // End takes back an attempt that Pick has counted.
@@ -117,6 +131,7 @@
 	if o.n == [classes]int{} {
 		delete(t.own, id)
 	}
+	t.noteOwn()
 	t.wake()
 }
 
--- a/event/event.go
+++ b/event/event.go
@@ -68,7 +68,7 @@
 	{RequestRouted, "request_routed", log.InfoLevel, "an entry chose a backend server for an online request"},
 	{RequestRefused, "request_refused", log.InfoLevel, "an entry gave a request its final, failed answer"},
 	{RequestRetried, "request_retried", log.InfoLevel, "an entry tries a request again elsewhere"},
-	{RequestDone, "request_done", log.DebugLevel, "an online request got its whole answer"},
+	{RequestDone, "request_done", log.InfoLevel, "an online request got its whole answer"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.DebugLevel, "a batch item has its committed result"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was folded from the log"},
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -50,6 +50,8 @@
 	excluded map[string]bool
 	// attempts counts the backend servers that may have run the request.
 	attempts int
+	// firstByte is when the first byte of the answer went to the caller.
+	firstByte time.Time
 	// headSent says that a part of the answer has gone to the caller.
 	headSent bool
 	// lastEvent is the id of the last event that has gone to the caller.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -74,7 +74,8 @@
 	}
 	o.w.WriteHeader(answer.Status)
 	o.headSent = true
-	o.g.Metrics.answered(o.route.Kind.String(), time.Since(o.r.Arrived).Seconds())
+	o.firstByte = time.Now()
+	o.g.Metrics.answered(o.route.Kind.String(), o.firstByte.Sub(o.r.Arrived).Seconds())
 }
 
 // relayEvents sends whole events on as they arrive. The head goes with the
@@ -152,7 +153,7 @@
 func (o *online) succeeded(b catalog.Backend, status int) {
 	o.g.Table.Succeeded(b.ID)
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
-		"attempts", o.attempts, "after", time.Since(o.r.Arrived))
+		"attempts", o.attempts, "first_byte", o.firstByte.Sub(o.r.Arrived), "after", time.Since(o.r.Arrived))
 }
 
 // drain reads a short body so that its connection can be kept.
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,9 @@
 	runnerTick = 100 * time.Millisecond
 	// runnerGap is the least time between two looks.
 	runnerGap = 8 * time.Millisecond
+	// runnerSpread is added at random to runnerGap, so that processes that see
+	// the same free slot do not start at the same moment.
+	runnerSpread = 8 * time.Millisecond
 	// itemPause is how long an item waits after a run that failed.
 	itemPause = 150 * time.Millisecond
 	// maxRuns bounds the items that one process runs at once.
@@ -84,7 +88,7 @@
 		case <-r.s.opts.Table.Changed():
 		}
 		r.cycle(ctx, time.Now())
-		time.Sleep(runnerGap)
+		time.Sleep(runnerGap + rand.N(runnerSpread))
 	}
 }
 
@@ -102,8 +106,9 @@
 	if config == nil {
 		return
 	}
+	begun := make(map[string]bool)
 	for _, j := range r.openJobs(config, now) {
-		r.startItems(ctx, j, now)
+		r.startItems(ctx, j, begun, now)
 	}
 }
 
@@ -228,8 +233,9 @@
 	return open
 }
 
-// startItems starts the items of a job that find a slot.
-func (r *runner) startItems(ctx context.Context, j openJob, now time.Time) {
+// startItems starts the items of a job that find a slot, one at a backend server
+// in each cycle: begun lists those that have got one.
+func (r *runner) startItems(ctx context.Context, j openJob, begun map[string]bool, now time.Time) {
 	retained := j.route.JobRetention <= 0 || now.Before(j.job.Submitted().Add(j.route.JobRetention))
 	for _, item := range j.items {
 		ref := itemRef{j.job.ID, item}
@@ -252,7 +258,7 @@
 		if len(r.runs) > 0 && r.running() >= maxRuns {
 			return
 		}
-		if !r.start(ctx, j, u, now) {
+		if !r.start(ctx, j, u, begun, now) {
 			return
 		}
 	}
@@ -269,16 +275,17 @@
 }
 
 // start starts an item; it returns false if no backend server has a free slot.
-func (r *runner) start(ctx context.Context, j openJob, u *run, now time.Time) bool {
+func (r *runner) start(ctx context.Context, j openJob, u *run, begun map[string]bool, now time.Time) bool {
 	service := j.route.Service(float64(u.ref.item%10) / 10)
 	item := &j.job.Items[u.ref.item]
-	need := balance.Need{Class: balance.Batch}
+	need := balance.Need{Class: balance.Batch, Exclude: begun}
 	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), need, now)
 	if !ok {
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel = choice.Backend.ID, cancel
+	begun[u.backend] = true
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -22,10 +22,10 @@
 const (
 	// minInterval and perPeer give the least time between two reports of the
 	// same gateway; it grows with the number of peers.
-	minInterval = 20 * time.Millisecond
-	perPeer     = 3 * time.Millisecond
-	// farFactor spaces the reports to other regions.
-	farFactor = 3
+	minInterval = 2 * time.Millisecond
+	perPeer     = 300 * time.Microsecond
+	// farInterval is the least time between two reports to other regions.
+	farInterval = 20 * time.Millisecond
 	// quietInterval is the time between reports without a change.
 	quietInterval = 250 * time.Millisecond
 	maxDatagram   = 8 << 10
@@ -133,28 +133,36 @@
 	stop := context.AfterFunc(ctx, func() { _ = p.opts.Conn.Close() })
 	defer stop()
 	go p.receive()
-	var seq uint64
-	var sent string
-	last := time.Time{}
-	for ctx.Err() == nil {
-		loads := p.loads()
-		state := fingerprint(loads)
-		if state == sent && time.Since(last) < quietInterval {
-			p.pause(ctx)
-			continue
+	quiet := time.NewTicker(quietInterval)
+	defer quiet.Stop()
+	var seq, unsentFar uint64
+	lastFar := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.opts.Table.OwnChanged():
+			unsentFar++
+		case <-quiet.C:
+			unsentFar++
 		}
 		seq++
-		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: loads}, seq%farFactor == 0 || state == sent)
-		sent, last = state, time.Now()
+		far := unsentFar > 0 && time.Since(lastFar) >= farInterval
+		if far {
+			unsentFar, lastFar = 0, time.Now()
+		}
+		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: p.loads()}, far)
 		p.pause(ctx)
 	}
 }
 
+// pause waits for the least time between two reports, which grows with the
+// number of peers.
 func (p *Peering) pause(ctx context.Context) {
 	p.mu.Lock()
 	n := len(p.peers)
 	p.mu.Unlock()
-	t := time.NewTimer(max(minInterval, time.Duration(n)*perPeer))
+	t := time.NewTimer(minInterval + time.Duration(n)*perPeer)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
@@ -171,19 +179,6 @@
 	return loads
 }
 
-// fingerprint is equal for equal loads.
-func fingerprint(loads map[string][2]int) string {
-	mode, err := cbor.CanonicalEncOptions().EncMode()
-	if err != nil {
-		return ""
-	}
-	raw, err := mode.Marshal(loads)
-	if err != nil {
-		return ""
-	}
-	return string(raw)
-}
-
 func (p *Peering) send(r report, far bool) {
 	raw, err := cbor.Marshal(r)
 	if err != nil {
