Only a shard's owner reads its results; other gateways ask it

Cause: every gateway followed all results. After a restart of everything the three gateways of the far region read 6 MB each over the 30 Mbit/s between the regions, timed out after 1.5 s, read again, and kept the link full for 12 s. Ruled out: dial timeout too short (connections inside a region never timed out). The owner writes all results itself and needs no follower: it fences, reads the shard once, and serves listings; reports between gateways name the owners and carry the waiting tokens that quotas need. Readiness no longer waits for jobs.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,7 +38,7 @@
 		return false
 	default:
 	}
-	return g.Configs.Current() != nil && g.Backends.Len() > 0 && g.Jobs.Ready()
+	return g.Configs.Current() != nil && g.Backends.Len() > 0
 }
 
 // Stopping reports whether the process is about to stop.
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -43,11 +43,7 @@
 	if err := g.knownJob(ctx, id); err != nil {
 		return jobs.Listing{}, err
 	}
-	listing, known := g.Jobs.List(ctx, id, after, wait)
-	if !known {
-		return jobs.Listing{}, errkind.New(errkind.NotFound, "no batch job %s", id)
-	}
-	return listing, nil
+	return g.Jobs.List(ctx, id, after, wait)
 }
 
 // EndJob ends a job.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -85,10 +85,11 @@
 	})
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigs(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
-	d.jobs = jobs.New(d.jobOptions(configs, table))
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Changed: func() {},
+		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
+		Shards: func() []jobs.Report { return d.jobs.Reports() },
 	})
+	d.jobs = jobs.New(d.jobOptions(configs, table))
 	backendFollower := d.follow(platform.BackendTopic, d.backends, keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry})
 	d.followers = []*keyedlog.Follower{
 		backendFollower,
@@ -116,7 +117,7 @@
 		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
 		MinTTL: s.Store.MinTTL, Stay: s.JobStay,
 		Configs: configs.Current, Backends: d.backends.Of, AllBackends: d.backends.All,
-		Table: table, Pool: d.pool, Logger: d.log, Observe: d.storeChanged,
+		Table: table, Pool: d.pool, Logger: d.log, Peers: d.peering, Observe: d.storeChanged,
 	}
 }
 
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -35,10 +37,12 @@
 	callers := d.server(&platform.Front{Gateway: d.gateway})
 	ready := d.server(http.HandlerFunc(d.ready))
 	status := d.server(http.HandlerFunc(d.serveMetrics))
-	failed := make(chan error, 3)
+	peers := d.server(peering.Handler(d.jobs))
+	failed := make(chan error, 4)
 	statusAddress := net.JoinHostPort(d.settings.IP, metricsPort)
 	for address, server := range map[string]*http.Server{
 		d.settings.CallersAddress: callers, d.settings.ReadyAddress: ready, statusAddress: status,
+		fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort): peers,
 	} {
 		ln, err := listen(ctx, address)
 		if err != nil {
@@ -55,6 +59,7 @@
 	}
 	d.drain(callers)
 	_ = ready.Close()
+	_ = peers.Close()
 	_ = status.Close()
 	return nil
 }
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -28,6 +28,7 @@
 		if !s.stopping.Load() {
 			m, err := s.opts.Groups.Join(ctx, groupName, s.opts.Member, s.opts.ResultTopic, ttl, generation)
 			if err == nil && !s.stopping.Load() {
+				s.joinedAt.Store(time.Now().UnixNano())
 				generation = m.Generation
 				s.assign(ctx, m.Generation, ownedShards(m.Owned, s.opts.ResultTopic, len(s.shards)))
 			}
@@ -40,6 +41,9 @@
 	}
 }
 
+// joined returns when the group last confirmed the membership.
+func (s *Service) joined() time.Time { return time.Unix(0, s.joinedAt.Load()) }
+
 // assign takes on and gives up shards.
 func (s *Service) assign(ctx context.Context, generation int64, owned map[int]bool) {
 	for i, sh := range s.shards {
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -4,61 +4,77 @@
 	"context"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 )
 
 const (
 	// maxListing bounds the bytes of text in one listing.
 	maxListing = 900 << 10
-	// listingAge is how old the knowledge may be that a job has no more
-	// results; refreshTimeout bounds the read that renews it.
-	listingAge     = 600 * time.Millisecond
-	refreshTimeout = 300 * time.Millisecond
+	// ownerTimeout bounds the owner's answer beyond the time that it may wait,
+	// verifyTimeout the question to the log whether another owner has written.
+	ownerTimeout  = 400 * time.Millisecond
+	verifyTimeout = 300 * time.Millisecond
+	// retryOwner is when a caller should come back that met no owner.
+	retryOwner = 300 * time.Millisecond
 )
 
 // ListedResult is one result of a listing.
 type ListedResult struct {
-	ItemID    string
-	Completed bool
-	Text      []byte
+	ItemID    string `cbor:"1,keyasint"`
+	Completed bool   `cbor:"2,keyasint,omitempty"`
+	Text      []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Listing is a part of a job's results.
 type Listing struct {
-	Total   int
-	Next    int
-	Results []ListedResult
+	Total   int            `cbor:"1,keyasint"`
+	Next    int            `cbor:"2,keyasint"`
+	Results []ListedResult `cbor:"3,keyasint,omitempty"`
 }
 
 // List returns the results from a position on. If there is none yet it waits up
-// to wait for one, and then makes sure that what is known of the job's shard is
-// not old. It returns false if the job is not known.
-func (s *Service) List(ctx context.Context, id string, after int, wait time.Duration) (Listing, bool) {
-	listing, known := s.table.await(ctx, id, after, wait)
-	if !known || len(listing.Results) > 0 || listing.Next >= listing.Total {
-		return listing, known
+// to wait for one. Only the owner of a job's shard knows its results; others ask
+// it. The job has to be known.
+func (s *Service) List(ctx context.Context, id string, after int, wait time.Duration) (Listing, error) {
+	index := shardOf(id, len(s.shards))
+	if s.shards[index].owned() {
+		return s.ListOwn(ctx, id, after, wait)
 	}
-	sh := s.shards[shardOf(id, len(s.shards))]
-	if age, confirmed := sh.follow.Age(time.Now()); confirmed && age < listingAge {
-		return listing, known
+	address, known := s.opts.Peers.OwnerOf(index)
+	if !known {
+		return Listing{}, errkind.New(errkind.LogUnavailable, "shard %d has no owner", index).WithRetryAfter(retryOwner)
 	}
-	if err := sh.refresh(ctx); err != nil {
-		event.Log(s.opts.Logger, event.LogDown, "call", "refresh", "shard", sh.part.Index, "cause", err)
+	ctx, cancel := context.WithTimeout(ctx, wait+ownerTimeout)
+	defer cancel()
+	listing, err := s.opts.Peers.List(ctx, address, id, after, wait)
+	if err != nil {
+		return Listing{}, errkind.Wrap(err, errkind.LogUnavailable, "the owner of shard %d does not answer", index).WithRetryAfter(retryOwner)
 	}
-	listing, _, known = s.table.list(id, after)
-	return listing, known
+	return listing, nil
 }
 
-// refresh folds what the log holds beyond the follower.
-func (sh *shard) refresh(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-	defer cancel()
-	h, err := sh.s.opts.Log.Read(ctx, sh.part, sh.follow.Next(), 0)
-	if err != nil {
-		return err
+// ListOwn answers for a shard that this process owns. If the group has not
+// confirmed its membership of late, it first makes sure that no other owner has
+// written.
+func (s *Service) ListOwn(ctx context.Context, id string, after int, wait time.Duration) (Listing, error) {
+	sh := s.shards[shardOf(id, len(s.shards))]
+	listing, known := s.table.await(ctx, id, after, wait)
+	if !sh.owned() {
+		return Listing{}, errkind.New(errkind.LogUnavailable, "shard %d is not owned here", sh.part.Index).WithRetryAfter(retryOwner)
+	}
+	if !known {
+		return Listing{}, errkind.New(errkind.LogUnavailable, "batch job %s is not known to the owner yet", id).WithRetryAfter(retryOwner)
+	}
+	if len(listing.Results) == 0 && time.Since(s.joined()) > memberTTL {
+		if err := sh.verify(ctx); err != nil {
+			event.Log(s.opts.Logger, event.LogDown, "call", "verify ownership", "shard", sh.part.Index, "cause", err)
+		}
+	}
+	if !sh.owned() {
+		return Listing{}, errkind.New(errkind.LogUnavailable, "shard %d is not owned here", sh.part.Index).WithRetryAfter(retryOwner)
 	}
-	view{sh.s.table, sh.part}.Apply(h.Records)
-	return nil
+	return listing, nil
 }
 
 // await returns the results from a position on, or waits for one.
@@ -118,8 +134,8 @@
 	return e != nil && e.job != nil
 }
 
-// Body returns the body of an item of an open job that is not listed yet.
-// known tells whether the job is.
+// Body returns the body of an item of a job that has not ended. known tells
+// whether the job is.
 func (t *Table) Body(id, itemID string) (body []byte, found, known bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -129,26 +145,27 @@
 	}
 	for i := range e.job.Items {
 		if e.job.Items[i].ID == itemID {
-			return e.job.Items[i].Body, !e.listed[i] && !e.ended, true
+			return e.job.Items[i].Body, !e.ended, true
 		}
 	}
 	return nil, false, true
 }
 
-// WaitingTokens sums the tokens of the unfinished items on a route.
-func (t *Table) WaitingTokens(route string) int64 {
+// waiting sums the tokens of the unfinished items on each route, for jobs that
+// mine accepts and whose record stands in the range from from to before to.
+func (t *Table) waiting(mine func(id string) bool, from, to int64) map[string]int64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	var sum int64
-	for _, e := range t.byID {
-		if e.job == nil || e.job.Route != route || e.ended {
+	sums := make(map[string]int64)
+	for id, e := range t.byID {
+		if e.job == nil || e.ended || e.offset < from || e.offset >= to || !mine(id) {
 			continue
 		}
 		for i := range e.job.Items {
 			if !e.listed[i] {
-				sum += e.job.Items[i].Tokens
+				sums[e.job.Route] += e.job.Items[i].Tokens
 			}
 		}
 	}
-	return sum
+	return sums
 }
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,10 +45,33 @@
 	Table       *balance.Table
 	Pool        *upstream.Pool
 	Logger      *log.Logger
+	// Peers are the other processes.
+	Peers Peers
 	// Observe is told when a follower loses or regains the log.
 	Observe keyedlog.Observer
 }
 
+// Report tells what the owner of a shard knows of it.
+type Report struct {
+	Shard int   `cbor:"1,keyasint"`
+	Epoch int64 `cbor:"2,keyasint"`
+	// Offset is how far the owner has followed the jobs.
+	Offset int64 `cbor:"3,keyasint"`
+	// Waiting holds the tokens of unfinished items by route, of jobs before
+	// Offset.
+	Waiting map[string]int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Peers are the other processes, as this one hears of them.
+type Peers interface {
+	// OwnerOf returns the address of the owner of a shard.
+	OwnerOf(shard int) (address string, known bool)
+	// Report returns the newest report on a shard.
+	Report(shard int) (Report, bool)
+	// List asks an owner for a listing.
+	List(ctx context.Context, address, id string, after int, wait time.Duration) (Listing, error)
+}
+
 // Service accepts, keeps and runs batch jobs.
 type Service struct {
 	opts   Options
@@ -58,6 +82,12 @@
 	// accepting serializes the acceptances of this process.
 	accepting sync.Mutex
 	stopping  atomic.Bool
+	// reporting guards the reports, which are kept for a short while.
+	reporting     sync.Mutex
+	reports       []Report
+	reportedAt    time.Time
+	shardsChanged atomic.Bool
+	joinedAt      atomic.Int64 // Unix nanoseconds of the last confirmed membership
 }
 
 const (
@@ -72,6 +102,8 @@
 	// regard to other acceptances at the same moment.
 	looseQuota = 0.5
 	refusedJob = time.Second
+	// reportInterval is how long a report on the shards is kept.
+	reportInterval = 100 * time.Millisecond
 )
 
 // New returns a service; Run makes it work.
@@ -81,7 +113,7 @@
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
 	for i := range opts.Shards {
 		part := keyedlog.Partition{Topic: opts.ResultTopic, Index: i}
-		s.shards = append(s.shards, newShard(s, part, s.follower(part)))
+		s.shards = append(s.shards, newShard(s, part))
 	}
 	s.runner = newRunner(s)
 	return s
@@ -98,7 +130,6 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.jobs.Run(ctx) })
 	for _, sh := range s.shards {
-		wg.Go(func() { sh.follow.Run(ctx) })
 		wg.Go(func() { sh.write(ctx) })
 	}
 	wg.Go(func() { s.membership(ctx) })
@@ -107,17 +138,46 @@
 	wg.Wait()
 }
 
-// Ready reports whether the accepted jobs and all results are known.
+// Ready reports whether the accepted jobs are known.
 func (s *Service) Ready() bool {
-	if _, known := s.jobs.Age(time.Now()); !known {
-		return false
+	_, known := s.jobs.Age(time.Now())
+	return known
+}
+
+// Reports returns a report on each shard that this process owns. It is made
+// anew after reportInterval or when a shard has changed hands.
+func (s *Service) Reports() []Report {
+	s.reporting.Lock()
+	defer s.reporting.Unlock()
+	now := time.Now()
+	if now.Sub(s.reportedAt) < reportInterval && !s.shardsChanged.Swap(false) {
+		return s.reports
 	}
+	s.reportedAt = now
+	s.reports = nil
+	offset := s.jobs.Next()
+	for _, sh := range s.shards {
+		if epoch := sh.currentEpoch(); epoch > 0 {
+			waiting := s.table.waiting(sh.holds, 0, offset)
+			s.reports = append(s.reports, Report{Shard: sh.part.Index, Epoch: epoch, Offset: offset, Waiting: waiting})
+		}
+	}
+	return s.reports
+}
+
+// waitingTokens sums the tokens of unfinished items on a route. What an owner
+// has not reported counts as unfinished.
+func (s *Service) waitingTokens(route string) int64 {
+	var sum int64
 	for _, sh := range s.shards {
-		if _, known := sh.follow.Age(time.Now()); !known {
-			return false
+		from := int64(0)
+		if report, known := s.opts.Peers.Report(sh.part.Index); known && !sh.owned() {
+			from = report.Offset
+			sum += report.Waiting[route]
 		}
+		sum += s.table.waiting(sh.holds, from, math.MaxInt64)[route]
 	}
-	return true
+	return sum
 }
 
 // Table returns the folded state.
@@ -151,7 +211,7 @@
 			return nil
 		}
 		end := s.jobs.Next()
-		waiting := s.table.WaitingTokens(job.Route)
+		waiting := s.waitingTokens(job.Route)
 		if quota > 0 && waiting+job.Tokens() > quota {
 			return s.overQuota(job, waiting, quota, inDoubt)
 		}
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -23,19 +23,20 @@
 const (
 	producerName = "owner"
 	shardRetry   = 100 * time.Millisecond
-	foldPoll     = 5 * time.Millisecond
 )
 
 // shard is one partition of the results.
 type shard struct {
-	s      *Service
-	part   keyedlog.Partition
-	follow *keyedlog.Follower
+	s    *Service
+	part keyedlog.Partition
 
 	mu       sync.Mutex
 	phase    phase
 	epoch    int64
 	sequence int64
+	// end is the end of the partition after all that this owner has read and
+	// written, while no append is in progress.
+	end int64
 	// next is the next free position of each job with results that are not
 	// folded yet.
 	next map[string]int
@@ -50,8 +51,8 @@
 	result Result
 }
 
-func newShard(s *Service, part keyedlog.Partition, follow *keyedlog.Follower) *shard {
-	return &shard{s: s, part: part, follow: follow, wakeup: make(chan struct{}, 1)}
+func newShard(s *Service, part keyedlog.Partition) *shard {
+	return &shard{s: s, part: part, wakeup: make(chan struct{}, 1)}
 }
 
 // claim starts to take the shard on; it returns false if that was done before.
@@ -68,14 +69,21 @@
 // release gives the shard up; it returns false if it was foreign.
 func (sh *shard) release() bool {
 	sh.mu.Lock()
-	defer sh.mu.Unlock()
 	was := sh.phase
 	sh.phase = foreign
 	sh.finished = nil
 	sh.next = nil
+	sh.mu.Unlock()
+	sh.s.shardsChanged.Store(true)
+	if was == owning {
+		sh.s.table.forgetResults(sh.holds)
+	}
 	return was != foreign
 }
 
+// holds reports whether a job belongs to the shard.
+func (sh *shard) holds(id string) bool { return shardOf(id, len(sh.s.shards)) == sh.part.Index }
+
 func (sh *shard) owned() bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -88,16 +96,31 @@
 	return sh.phase == claiming
 }
 
-// takeOver sets a new epoch, which fences all former owners, and then waits
-// until everything that they wrote is folded.
+// takeOver sets a new epoch, which fences all former owners, and then reads
+// everything that they wrote.
 func (sh *shard) takeOver(ctx context.Context) {
-	epoch := time.Now().UnixMilli()
-	for raise := int64(1); ctx.Err() == nil && sh.claimed(); {
-		end, err := sh.fence(ctx, epoch)
+	epoch, ok := sh.fence(ctx)
+	for ok && sh.claimed() && ctx.Err() == nil {
+		records, end, err := sh.readAll(ctx)
+		if err == nil {
+			view{sh.s.table, sh.part}.Apply(records)
+			sh.own(epoch, end)
+			return
+		}
+		event.Log(sh.s.opts.Logger, event.LogDown, "call", "read shard", "shard", sh.part.Index, "cause", err)
+		time.Sleep(shardRetry)
+	}
+}
+
+// fence sets an epoch above all others.
+func (sh *shard) fence(ctx context.Context) (epoch int64, ok bool) {
+	epoch = time.Now().UnixMilli()
+	raise := int64(1)
+	for ctx.Err() == nil && sh.claimed() {
+		_, err := sh.s.opts.Log.Append(ctx, sh.part, nil, keyedlog.Condition{Producer: producerName, Epoch: epoch})
 		switch {
 		case err == nil:
-			sh.own(ctx, epoch, end)
-			return
+			return epoch, true
 		case errors.Is(err, keyedlog.ErrFenced):
 			epoch += raise // another clock is ahead of this one
 			raise *= 2
@@ -105,36 +128,59 @@
 			time.Sleep(shardRetry)
 		}
 	}
+	return 0, false
 }
 
-// fence sets the epoch and returns the end of the partition after it.
-func (sh *shard) fence(ctx context.Context, epoch int64) (int64, error) {
-	_, err := sh.s.opts.Log.Append(ctx, sh.part, nil, keyedlog.Condition{Producer: producerName, Epoch: epoch})
-	if err != nil {
-		return 0, err
-	}
-	h, err := sh.s.opts.Log.Read(ctx, sh.part, sh.follow.Next(), 0)
-	if errors.Is(err, keyedlog.ErrForgotten) {
-		page, err := sh.s.opts.Log.Newest(ctx, sh.part, "")
-		return page.End, err
+// readAll returns the newest records of the shard. Nobody else writes it, so the
+// pages are a snapshot.
+func (sh *shard) readAll(ctx context.Context) (records []keyedlog.Record, end int64, err error) {
+	after := ""
+	for {
+		page, err := sh.s.opts.Log.Newest(ctx, sh.part, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			return records, page.End, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
 	}
-	return h.End, err
 }
 
-func (sh *shard) own(ctx context.Context, epoch, end int64) {
-	for sh.follow.Next() < end && ctx.Err() == nil && sh.claimed() {
-		time.Sleep(foldPoll)
-	}
+func (sh *shard) own(epoch, end int64) {
 	sh.mu.Lock()
-	if sh.phase == claiming && ctx.Err() == nil {
-		sh.phase, sh.epoch, sh.sequence = owning, epoch, 1
+	if sh.phase == claiming {
+		sh.phase, sh.epoch, sh.sequence, sh.end = owning, epoch, 1, end
 		sh.next = make(map[string]int)
 	}
 	sh.mu.Unlock()
 	event.Log(sh.s.opts.Logger, event.ShardOwned, "shard", sh.part.Index, "epoch", epoch, "end", end)
+	sh.s.shardsChanged.Store(true)
 	sh.s.runner.wake()
 }
 
+// verify gives the shard up if the log holds more than this owner has read and
+// written.
+func (sh *shard) verify(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	sh.mu.Lock()
+	end, epoch := sh.end, sh.epoch
+	sh.mu.Unlock()
+	h, err := sh.s.opts.Log.Read(ctx, sh.part, end, 0)
+	if err != nil && !errors.Is(err, keyedlog.ErrForgotten) {
+		return err
+	}
+	sh.mu.Lock()
+	stale := sh.phase == owning && sh.epoch == epoch && sh.end == end && (err != nil || h.End > end)
+	sh.mu.Unlock()
+	if stale && sh.release() {
+		event.Log(sh.s.opts.Logger, event.ShardReleased, "shard", sh.part.Index, "generation", 0, "cause", "another owner has written")
+	}
+	return nil
+}
+
 // add hands a result to the writer unless that was done in the present epoch,
 // and returns the epoch; 0 if the shard is not owned.
 func (sh *shard) add(job string, r Result, before int64) int64 {
@@ -224,7 +270,7 @@
 	for ctx.Err() == nil {
 		at, err := sh.s.opts.Log.Append(ctx, sh.part, records, cond)
 		if err == nil {
-			sh.s.applyOwn(sh.part, records, at.First)
+			sh.wrote(cond.Epoch, records, at)
 			return true
 		}
 		if errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence) {
@@ -240,6 +286,20 @@
 	return false
 }
 
+// wrote folds records that this owner has appended, unless the shard was given
+// up meanwhile.
+func (sh *shard) wrote(epoch int64, records []keyedlog.Record, at keyedlog.Appended) {
+	sh.mu.Lock()
+	still := sh.phase == owning && sh.epoch == epoch
+	if still {
+		sh.end = max(sh.end, at.End)
+	}
+	sh.mu.Unlock()
+	if still {
+		sh.s.applyOwn(sh.part, records, at.First)
+	}
+}
+
 func (sh *shard) currentEpoch() int64 {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -31,7 +31,9 @@
 
 // entry is what is known of one job. Results may be seen before the job.
 type entry struct {
-	job     *Job
+	job *Job
+	// offset is where the job's record stands.
+	offset  int64
 	ended   bool
 	results []*Result // by position; nil for a gap that is not folded yet
 	// listed tells for each item whether it has a result.
@@ -128,7 +130,7 @@
 	kind, name, _ := strings.Cut(key, "/")
 	switch kind + "/" {
 	case jobPrefix:
-		return t.applyJob(name, value, count)
+		return t.applyJob(name, value, count, r.Offset)
 	case endPrefix:
 		t.applyEnd(name)
 		return nil, nil
@@ -150,7 +152,7 @@
 }
 
 // applyJob keeps the first record of a job: a later one is a resend of it.
-func (t *Table) applyJob(id string, value []byte, pieces int) (*Job, error) {
+func (t *Table) applyJob(id string, value []byte, pieces int, offset int64) (*Job, error) {
 	e := t.entry(id)
 	if e.job != nil {
 		return nil, nil
@@ -159,7 +161,7 @@
 	if err := decode(value, job); err != nil {
 		return nil, err
 	}
-	e.job, e.pieces = job, pieces
+	e.job, e.pieces, e.offset = job, pieces, offset
 	return job, nil
 }
 
@@ -225,6 +227,24 @@
 	e.changed = make(chan struct{})
 }
 
+// forgetResults drops the results and the progress of jobs that mine accepts:
+// what another process writes of them is not seen here.
+func (t *Table) forgetResults(mine func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, e := range t.byID {
+		if !mine(id) {
+			continue
+		}
+		e.results = nil
+		clear(e.listed)
+		clear(e.progress)
+		clear(e.resultPieces)
+		clear(e.progressed)
+		e.notify()
+	}
+}
+
 // drop forgets a job when the record of the job itself is dropped. The drops of
 // its other records need nothing more.
 func (t *Table) drop(key string) {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -35,10 +37,11 @@
 
 // report is a datagram: what one gateway has in progress.
 type report struct {
-	From  string            `cbor:"1,keyasint"`
-	Boot  int64             `cbor:"2,keyasint"`
-	Seq   uint64            `cbor:"3,keyasint"`
-	Loads map[string][2]int `cbor:"4,keyasint"`
+	From   string            `cbor:"1,keyasint"`
+	Boot   int64             `cbor:"2,keyasint"`
+	Seq    uint64            `cbor:"3,keyasint"`
+	Loads  map[string][2]int `cbor:"4,keyasint"`
+	Shards []jobs.Report     `cbor:"5,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -54,8 +57,10 @@
 	Table  *balance.Table
 	Logger *log.Logger
 	Conn   net.PacketConn
-	// Changed is called when a peer's report has changed the table.
-	Changed func()
+	// Client calls peers.
+	Client *http.Client
+	// Shards returns what this gateway reports on the shards that it owns.
+	Shards func() []jobs.Report
 }
 
 // Peering sends and receives reports. It implements keyedlog.View over the
@@ -76,6 +81,8 @@
 	seq   uint64
 	heard time.Time
 	alive bool
+	// shards are those that the peer owned by its last report.
+	shards []jobs.Report
 }
 
 // New returns a Peering that uses opts.Conn.
@@ -151,7 +158,7 @@
 		if far {
 			unsentFar, lastFar = 0, time.Now()
 		}
-		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: p.loads()}, far)
+		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: p.loads(), Shards: p.opts.Shards()}, far)
 		p.pause(ctx)
 	}
 }
@@ -233,11 +240,11 @@
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", known.addr)
 	}
 	known.boot, known.seq, known.heard, known.alive = r.Boot, r.Seq, now, true
+	known.shards = r.Shards
 	p.mu.Unlock()
 	counts := make(map[string]balance.Counts, len(r.Loads))
 	for id, n := range r.Loads {
 		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
 	}
 	p.opts.Table.SetPeer(r.From, counts, now)
-	p.opts.Changed()
 }
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -28,6 +29,22 @@
 	return errors.Wrap(err, "socket: TCP_USER_TIMEOUT")
 }
 
+// The settings of the connections to peers.
+const (
+	peerDialTimeout = 300 * time.Millisecond
+	peerIdle        = 30 * time.Second
+	peerMaxIdle     = 16
+)
+
+// PeerClient returns a client for calls between the system's own processes.
+func PeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, DisableCompression: true,
+		MaxIdleConnsPerHost: peerMaxIdle, IdleConnTimeout: peerIdle,
+	}}
+}
+
 // quiet reports whether an idle connection is open and has nothing to read.
 // Bytes that wait there belong to no request.
 func quiet(c net.Conn) bool {
