--- a/event/event.go
+++ b/event/event.go
@@ -70,7 +70,7 @@
 	{RequestRetried, "request_retried", log.InfoLevel, "an entry tries a request again elsewhere"},
 	{RequestDone, "request_done", log.InfoLevel, "an online request got its whole answer"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
-	{ItemDone, "item_done", log.DebugLevel, "a batch item has its committed result"},
+	{ItemDone, "item_done", log.InfoLevel, "a batch item has its committed result"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was folded from the log"},
 	{JobFinished, "job_finished", log.InfoLevel, "every item of a batch job has its result"},
 	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item goes back to its job's queue"},
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -66,7 +66,7 @@
 	defer cancel()
 	s.runner.stop(ctx)
 	for _, sh := range s.shards {
-		sh.saveProgress(ctx)
+		sh.flush(ctx)
 	}
 	if err := s.opts.Groups.Leave(ctx, groupName, s.opts.Member); err != nil {
 		event.Log(s.opts.Logger, event.LogDown, "call", "leave", "cause", err)
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -44,8 +44,8 @@
 const itemSilence = 8 * time.Second
 
 // runItem sends an item to a backend server and gathers its events after those
-// in p.
-func (s *Service) runItem(ctx context.Context, r *serving.Request, b catalog.Backend, p Progress) outcome {
+// in p. report is told of progress now and then.
+func (s *Service) runItem(ctx context.Context, r *serving.Request, b catalog.Backend, p Progress, report func(Progress)) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silent := time.AfterFunc(itemSilence, func() { cancel(errSilent) })
@@ -65,10 +65,14 @@
 		_, _ = io.Copy(io.Discard, io.LimitReader(answer, drainBytes)) // as above
 		return outcome{endFailed, p, errors.Errorf("answered %d", answer.Status)}
 	}
-	return s.gather(ctx, answer, b, p, silent)
+	return s.gather(ctx, answer, b, p, silent, report)
 }
 
-const drainBytes = 8 << 10
+const (
+	drainBytes = 8 << 10
+	// reportEvents is the number of events between two reports of progress.
+	reportEvents = 8
+)
 
 var errSilent = errors.New("jobs: backend server is silent")
 
@@ -91,7 +95,7 @@
 }
 
 // gather adds the events of an answer to p.
-func (s *Service) gather(ctx context.Context, answer *upstream.Answer, b catalog.Backend, p Progress, silent *time.Timer) outcome {
+func (s *Service) gather(ctx context.Context, answer *upstream.Answer, b catalog.Backend, p Progress, silent *time.Timer, report func(Progress)) outcome {
 	events := eventstream.NewReader(answer)
 	text := append([]byte(nil), p.Text...)
 	for {
@@ -117,6 +121,9 @@
 		text, _ = e.Data(text)
 		p.Text, p.LastEvent = text, e.ID()
 		p.Events++
+		if p.Events%reportEvents == 0 {
+			report(p)
+		}
 	}
 }
 
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -39,6 +39,8 @@
 type run struct {
 	ref      itemRef
 	progress Progress
+	// saved is the progress that was last handed to the shard's writer.
+	saved Progress
 	// backend is where it runs, empty if it does not.
 	backend string
 	cancel  context.CancelFunc
@@ -241,7 +243,7 @@
 		ref := itemRef{j.job.ID, item}
 		u := r.runs[ref]
 		if u == nil {
-			u = &run{ref: ref, progress: j.progress[item], due: j.due}
+			u = &run{ref: ref, progress: j.progress[item], saved: j.progress[item], due: j.due}
 			r.runs[ref] = u
 		}
 		if u.result != nil {
@@ -286,7 +288,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel = choice.Backend.ID, cancel
 	begun[u.backend] = true
-	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", item.ID, "backend", u.backend,
+	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
 	r.active.Add(1)
@@ -297,7 +299,7 @@
 // work runs an item once and settles it.
 func (r *runner) work(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
-	out := r.s.runItem(ctx, itemRequest(j.job, u.ref.item), b, p)
+	out := r.s.runItem(ctx, itemRequest(j.job, u.ref.item), b, p, func(p Progress) { r.report(u, p) })
 	r.s.opts.Table.End(b.ID, balance.Batch)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -366,23 +368,31 @@
 	}
 }
 
-// progressOf returns the records' keys and values of unfinished items of a
-// shard that have produced something.
-func (r *runner) progressOf(shardIndex int) map[string]Progress {
+// unsavedProgress returns, by the key of its record, the progress of unfinished
+// items of a shard that has not been appended yet.
+func (r *runner) unsavedProgress(sh *shard) map[string]Progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Progress)
 	for ref, u := range r.runs {
-		if u.result != nil || shardOf(ref.job, len(r.s.shards)) != shardIndex {
+		p := u.progress
+		if u.result != nil || !sh.holds(ref.job) || p.Events == u.saved.Events && p.Failures == u.saved.Failures {
 			continue
 		}
-		if u.progress.Events > 0 || u.progress.Failures > 0 {
-			out[progressKey(ref.job, ref.item)] = u.progress
-		}
+		u.saved = p
+		out[progressKey(ref.job, ref.item)] = p
 	}
 	return out
 }
 
+// report notes what a run has produced so far.
+func (r *runner) report(u *run, p Progress) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p.Failures = u.progress.Failures
+	u.progress = p
+}
+
 // itemRequest returns the request of an item.
 func itemRequest(j *Job, index int) *serving.Request {
 	item := &j.Items[index]
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -40,9 +40,12 @@
 	// next is the next free position of each job with results that are not
 	// folded yet.
 	next map[string]int
-	// finished waits to be appended.
-	finished []finished
-	wakeup   chan struct{}
+	// finished waits to be appended; checkpoint says that progress does.
+	finished   []finished
+	checkpoint bool
+	// flushed is closed when everything that waited has been appended.
+	flushed chan struct{}
+	wakeup  chan struct{}
 }
 
 // finished is a result on its way to the log.
@@ -52,7 +55,7 @@
 }
 
 func newShard(s *Service, part keyedlog.Partition) *shard {
-	return &shard{s: s, part: part, wakeup: make(chan struct{}, 1)}
+	return &shard{s: s, part: part, wakeup: make(chan struct{}, 1), flushed: make(chan struct{})}
 }
 
 // claim starts to take the shard on; it returns false if that was done before.
@@ -193,59 +196,10 @@
 		return before
 	}
 	sh.finished = append(sh.finished, finished{job, r})
-	select {
-	case sh.wakeup <- struct{}{}:
-	default:
-	}
+	sh.wake()
 	return sh.epoch
 }
 
-// write appends results in groups, one append at a time. An append without an
-// answer is repeated under its sequence number until its outcome is known.
-func (sh *shard) write(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-sh.wakeup:
-		}
-		for ctx.Err() == nil {
-			records, cond, ok := sh.nextGroup()
-			if !ok || !sh.appendUntilKnown(ctx, records, cond) {
-				break
-			}
-		}
-	}
-}
-
-// nextGroup gives positions to the results that wait and returns their records.
-func (sh *shard) nextGroup() ([]keyedlog.Record, keyedlog.Condition, bool) {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	if sh.phase != owning || len(sh.finished) == 0 {
-		return nil, keyedlog.Condition{}, false
-	}
-	var records []keyedlog.Record
-	size, taken := 0, 0
-	for _, f := range sh.finished {
-		value, err := encode(f.result)
-		if err != nil {
-			sh.s.logUnreadable(sh.part, keyedlog.Record{Key: f.job}, err)
-			taken++
-			continue
-		}
-		if size += len(value) + recordOverhead; size > sh.s.opts.CallBytes && len(records) > 0 {
-			break
-		}
-		records = append(records, split(resultKey(f.job, sh.position(f.job)), value, sh.s.opts.RecordBytes)...)
-		taken++
-	}
-	sh.finished = sh.finished[taken:]
-	cond := keyedlog.Condition{Producer: producerName, Epoch: sh.epoch, Sequence: sh.sequence}
-	sh.sequence++
-	return records, cond, len(records) > 0
-}
-
 // position returns the next position of a job.
 func (sh *shard) position(job string) int {
 	p, begun := sh.next[job]
@@ -266,26 +220,6 @@
 	return 0
 }
 
-func (sh *shard) appendUntilKnown(ctx context.Context, records []keyedlog.Record, cond keyedlog.Condition) bool {
-	for ctx.Err() == nil {
-		at, err := sh.s.opts.Log.Append(ctx, sh.part, records, cond)
-		if err == nil {
-			sh.wrote(cond.Epoch, records, at)
-			return true
-		}
-		if errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence) {
-			sh.release()
-			event.Log(sh.s.opts.Logger, event.ShardReleased, "shard", sh.part.Index, "generation", 0, "cause", err)
-			return false
-		}
-		if cond.Epoch != sh.currentEpoch() {
-			return false
-		}
-		time.Sleep(shardRetry)
-	}
-	return false
-}
-
 // wrote folds records that this owner has appended, unless the shard was given
 // up meanwhile.
 func (sh *shard) wrote(epoch int64, records []keyedlog.Record, at keyedlog.Appended) {
@@ -309,36 +243,6 @@
 	return sh.epoch
 }
 
-// saveProgress keeps what stopped items have produced, for the next owner.
-func (sh *shard) saveProgress(ctx context.Context) {
-	if !sh.owned() {
-		return
-	}
-	var records []keyedlog.Record
-	for key, p := range sh.s.runner.progressOf(sh.part.Index) {
-		value, err := encode(p)
-		if err != nil {
-			sh.s.logUnreadable(sh.part, keyedlog.Record{Key: key}, err)
-			continue
-		}
-		records = append(records, split(key, value, sh.s.opts.RecordBytes)...)
-	}
-	if len(records) == 0 {
-		return
-	}
-	sh.mu.Lock()
-	cond := keyedlog.Condition{Producer: producerName, Epoch: sh.epoch, Sequence: sh.sequence}
-	sh.sequence++
-	sh.mu.Unlock()
-	for _, g := range group(records, sh.s.opts.CallBytes) {
-		if _, err := sh.s.opts.Log.Append(ctx, sh.part, g, cond); err != nil {
-			event.Log(sh.s.opts.Logger, event.LogDown, "call", "save progress", "cause", err)
-			return
-		}
-		cond.Sequence++
-	}
-}
-
 // ownedShards returns the shards among the partitions of a membership.
 func ownedShards(parts []keyedlog.Partition, topic string, shards int) map[int]bool {
 	owned := make(map[int]bool, len(parts))
