Count load that only backend servers know of; hopeless items go last

What a backend server tells in an answer beyond what the gateways report now counts for 600 ms. After an outage of the store more jobs are due at once than can be done in time; in order of due times all of them ended late. Items that can't be complete by their due time, by the measured pace, now go after those that can.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -65,6 +65,7 @@
 			continue
 		}
 		load := t.load(b.ID, now)
+		load.Online += t.hidden(b.ID, now)
 		rank, reason, ok := rankOf(b, load, need)
 		if !ok {
 			continue
--- a/balance/table.go
+++ b/balance/table.go
@@ -53,6 +53,7 @@
 	peers   map[string]*peerCounts
 	health  map[string]*health
 	prefix  prefixTable
+	told    map[string]told
 	changed chan struct{}
 	// begun has a token after this entry has begun or ended an attempt.
 	begun chan struct{}
@@ -74,6 +75,7 @@
 		peers:   make(map[string]*peerCounts),
 		health:  make(map[string]*health),
 		prefix:  newPrefixTable(),
+		told:    make(map[string]told),
 		changed: make(chan struct{}),
 		begun:   make(chan struct{}, 1),
 	}
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -196,6 +196,9 @@
 		return o.noAnswer(ctx, b, err)
 	}
 	defer answer.Close()
+	if answer.Verdict.HasLoad {
+		o.g.Table.Told(b.ID, answer.Verdict.Load, time.Now())
+	}
 	if answer.Verdict.NotRun {
 		quiet.Stop()
 		return o.refused(b, answer)
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -62,13 +62,15 @@
 
 	mu   sync.Mutex
 	runs map[itemRef]*run
+	// pace is how fast items go.
+	pace pace
 	// active counts the runs in progress.
 	active sync.WaitGroup
 	halted bool
 }
 
 func newRunner(s *Service) *runner {
-	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run)}
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), pace: newPace()}
 }
 
 func (r *runner) wake() {
@@ -109,8 +111,13 @@
 		return
 	}
 	begun := make(map[string]bool)
-	for _, j := range r.openJobs(config, now) {
-		r.startItems(ctx, j, begun, now)
+	open := r.openJobs(config, now)
+	for _, hopeful := range []bool{true, false} {
+		for _, j := range open {
+			if !r.startItems(ctx, j, hopeful, begun, now) {
+				break
+			}
+		}
 	}
 }
 
@@ -167,14 +174,12 @@
 	job   *Job
 	route *catalog.Route
 	due   time.Time
-	late  bool
 	// items are the indices of the items without a result.
 	items    []int
 	progress map[int]Progress
 }
 
-// openJobs lists the jobs to run, the most urgent first: jobs that can still be
-// on time in the order of their due times, then those that are late.
+// openJobs lists the jobs to run in the order of their due times.
 func (r *runner) openJobs(config *catalog.Config, now time.Time) []openJob {
 	var open []openJob
 	for _, j := range r.s.table.openJobs(r.ownedJob) {
@@ -184,18 +189,9 @@
 		}
 		j.route = route
 		j.due = j.job.Submitted().Add(route.JobDue)
-		j.late = now.After(j.due)
 		open = append(open, j)
 	}
-	slices.SortFunc(open, func(a, b openJob) int {
-		if a.late != b.late {
-			if b.late {
-				return -1
-			}
-			return 1
-		}
-		return a.due.Compare(b.due)
-	})
+	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
 	return open
 }
 
@@ -236,34 +232,40 @@
 }
 
 // startItems starts the items of a job that find a slot, one at a backend server
-// in each cycle: begun lists those that have got one.
-func (r *runner) startItems(ctx context.Context, j openJob, begun map[string]bool, now time.Time) {
+// in each cycle: begun lists those that have got one. Items that can be done in
+// time go first, over all jobs; hopeful says which are meant. It returns false if
+// no backend server takes more.
+func (r *runner) startItems(ctx context.Context, j openJob, hopeful bool, begun map[string]bool, now time.Time) bool {
 	retained := j.route.JobRetention <= 0 || now.Before(j.job.Submitted().Add(j.route.JobRetention))
 	for _, item := range j.items {
-		ref := itemRef{j.job.ID, item}
-		u := r.runs[ref]
-		if u == nil {
-			u = &run{ref: ref, progress: j.progress[item], saved: j.progress[item], due: j.due}
-			r.runs[ref] = u
-		}
+		u := r.runOf(j, item)
 		if u.result != nil {
 			r.handOver(u)
 			continue
 		}
-		if u.backend != "" || now.Before(u.notBefore) {
+		if u.backend != "" || now.Before(u.notBefore) || hopeful != r.pace.inTime(j.job.Route, u.progress.Events, j.due.Sub(now)) {
 			continue
 		}
 		if !retained {
 			r.deliver(u, Result{Item: item, Text: u.progress.Text}, "retention is over")
 			continue
 		}
-		if len(r.runs) > 0 && r.running() >= maxRuns {
-			return
-		}
-		if !r.start(ctx, j, u, begun, now) {
-			return
+		if r.running() >= maxRuns || !r.start(ctx, j, u, begun, now) {
+			return false
 		}
 	}
+	return true
+}
+
+// runOf returns the run of an item, which it begins if there is none.
+func (r *runner) runOf(j openJob, item int) *run {
+	ref := itemRef{j.job.ID, item}
+	u := r.runs[ref]
+	if u == nil {
+		u = &run{ref: ref, progress: j.progress[item], saved: j.progress[item], due: j.due}
+		r.runs[ref] = u
+	}
+	return u
 }
 
 func (r *runner) running() int {
@@ -299,12 +301,14 @@
 // work runs an item once and settles it.
 func (r *runner) work(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
+	begin := time.Now()
 	out := r.s.runItem(ctx, itemRequest(j.job, u.ref.item), b, p, func(p Progress) { r.report(u, p) })
 	r.s.opts.Table.End(b.ID, balance.Batch)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
 	u.backend = ""
+	r.pace.note(j.job.Route, out.progress.Events-p.Events, time.Since(begin))
 	u.progress = out.progress
 	r.settle(j, u, out)
 	r.wake()
@@ -314,6 +318,7 @@
 func (r *runner) settle(j openJob, u *run, out outcome) {
 	switch out.end {
 	case endComplete:
+		r.pace.complete(j.job.Route, out.progress.Events)
 		r.deliver(u, Result{Item: u.ref.item, Completed: true, Text: out.progress.Text}, "complete")
 	case endImpossible:
 		r.deliver(u, Result{Item: u.ref.item}, "the backend server can't ever do it")
