--- /dev/null
+++ b/internal/gateway/online_test.go
@@ -0,0 +1,273 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/discovery"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/serving"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+// fixture is a gateway before some backend servers of service s.
+type fixture struct {
+	*gateway.Gateway
+	t *testing.T
+}
+
+func newFixture(t *testing.T, backends ...*platformtest.Backend) *fixture {
+	t.Helper()
+	byID := make(map[string]catalog.Backend)
+	var records []keyedlog.Record
+	for _, b := range backends {
+		byID[b.ID] = b.Entry("s", 2)
+		records = append(records, keyedlog.Record{Key: b.ID, Value: []byte("x")})
+	}
+	view := discovery.NewBackends(func(id string, _ []byte) (catalog.Backend, error) { return byID[id], nil }, func(discovery.Change) {}, time.Now)
+	view.Rebuild(records)
+	return &fixture{t: t, Gateway: &gateway.Gateway{
+		Backends: view,
+		Table:    balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
+		Pool:     upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: 200 * time.Millisecond}),
+		Log:      log.New(io.Discard),
+		Metrics:  gateway.NewMetrics(metrics.NewSet()),
+		Draining: make(chan struct{}),
+		StoreAge: func() time.Duration { return 0 },
+	}}
+}
+
+func route(kind catalog.Kind, change func(*catalog.Route)) *catalog.Route {
+	r := &catalog.Route{
+		Name: "r", Kind: kind, Splits: []catalog.Split{{Service: "s", Weight: 1}},
+		Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 1,
+	}
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+func resumable(r *catalog.Route) { r.Idempotent, r.Resumable, r.MaxAttempts = true, true, 2 }
+
+func safe(r *catalog.Route) { r.Idempotent, r.MaxAttempts = true, 3 }
+
+func request(id, path string) *serving.Request {
+	now := time.Now()
+	return &serving.Request{
+		ID: id, Method: http.MethodPost, Host: "h", Target: path, Path: path, Header: make(http.Header),
+		Arrived: now, Deadline: now.Add(2 * time.Second),
+	}
+}
+
+func (f *fixture) serve(r *serving.Request, rt *catalog.Route) (*httptest.ResponseRecorder, error) {
+	w := httptest.NewRecorder()
+	return w, f.ServeOnline(f.t.Context(), w, r, rt)
+}
+
+func wholeStream(id string, events int) string {
+	var b strings.Builder
+	for n := 1; n <= events; n++ {
+		b.WriteString("id: " + string(rune('0'+n)) + "\ndata: " + platformtest.EventData(id, n) + "\n\n")
+	}
+	return b.String()
+}
+
+func always(fault platformtest.Fault) func(platformtest.Arrival) platformtest.Fault {
+	return func(platformtest.Arrival) platformtest.Fault { return fault }
+}
+
+// first gives a fault to the first run of each request at any of the backends.
+func first(fault platformtest.Fault, backends ...*platformtest.Backend) {
+	for _, b := range backends {
+		b.SetFault(func(a platformtest.Arrival) platformtest.Fault {
+			if a.ResumeAfter == "" && totalRuns(a.ID, backends, b) == 0 {
+				return fault
+			}
+			return platformtest.None
+		})
+	}
+}
+
+// totalRuns counts the runs at the others; self holds its own lock.
+func totalRuns(id string, backends []*platformtest.Backend, self *platformtest.Backend) int {
+	n := 0
+	for _, b := range backends {
+		if b != self {
+			n += b.Runs(id)
+		}
+	}
+	return n
+}
+
+func TestCallIsAnswered(t *testing.T) {
+	b := platformtest.NewBackend(t, "b")
+	w, err := newFixture(t, b).serve(request("1", "/call"), route(catalog.Call, nil))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), "answer 1")
+	assert.Equal(t, w.Header().Get("Response-Stamp"), "b")
+	assert.Assert(t, b.Arrivals()[0].DeadlineMs != "")
+}
+
+func TestRequestThatMayNotBeRepeatedRunsOnce(t *testing.T) {
+	for name, fault := range map[string]platformtest.Fault{"lost": platformtest.LoseAnswer, "cut": platformtest.Cut, "failed": platformtest.Fail} {
+		t.Run(name, func(t *testing.T) {
+			a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+			a.SetFault(always(fault))
+			b.SetFault(always(fault))
+			w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, nil))
+			assert.Equal(t, a.Runs("1")+b.Runs("1"), 1)
+			if fault == platformtest.Fail {
+				assert.NilError(t, err)
+				assert.Equal(t, w.Code, http.StatusInternalServerError)
+				return
+			}
+			if fault == platformtest.Cut {
+				assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
+				return
+			}
+			assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.Unknown)
+			assert.Equal(t, errkind.From(err).Answer().Status, http.StatusBadGateway)
+		})
+	}
+}
+
+func TestRefusedRequestGoesElsewhere(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Full, platformtest.Misdirected} {
+		a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+		a.SetFault(always(fault))
+		f := newFixture(t, a, b)
+		for _, id := range []string{"1", "2", "3", "4"} {
+			w, err := f.serve(request(id, "/call"), route(catalog.Call, nil))
+			assert.NilError(t, err)
+			assert.Equal(t, w.Body.String(), "answer "+id)
+			assert.Equal(t, a.Runs(id)+b.Runs(id), 1)
+		}
+	}
+}
+
+func TestRefusalByAllSaysNotRunSoon(t *testing.T) {
+	a := platformtest.NewBackend(t, "a")
+	a.SetFault(always(platformtest.Full))
+	begin := time.Now()
+	_, err := newFixture(t, a).serve(request("1", "/call"), route(catalog.Call, nil))
+	answer := errkind.From(err).Answer()
+	assert.Equal(t, answer.Status, http.StatusServiceUnavailable)
+	assert.Equal(t, answer.Outcome, errkind.NotRun)
+	assert.Assert(t, answer.RetryAfter > 0)
+	assert.Assert(t, time.Since(begin) < 250*time.Millisecond)
+	assert.Equal(t, a.Runs("1"), 0)
+}
+
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	first(platformtest.Cut, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), wholeStream("1", 5))
+	assert.Equal(t, a.Runs("1")+b.Runs("1"), 2)
+	assert.Assert(t, w.Header().Get("Response-Stamp") == "a" || w.Header().Get("Response-Stamp") == "b")
+}
+
+func TestIdempotentCallIsRepeatedWithinItsAttempts(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	first(platformtest.LoseAnswer, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/call"), route(catalog.Call, safe))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), "answer 1")
+
+	a.SetFault(always(platformtest.LoseAnswer))
+	b.SetFault(always(platformtest.LoseAnswer))
+	_, err = newFixture(t, a, b).serve(request("2", "/call"), route(catalog.Call, safe))
+	assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.Unknown)
+	assert.Assert(t, a.Runs("2")+b.Runs("2") <= 3)
+}
+
+func TestSilentBackendServerIsLeftByWhatMayBeRepeated(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	first(platformtest.Silent, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), wholeStream("1", 5))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.Stopped("1") || b.Stopped("1") {
+			return poll.Success()
+		}
+		return poll.Continue("the silent backend server still works")
+	})
+}
+
+func TestSilentBackendServerKeepsWhatMayRunOnceUntilItsTime(t *testing.T) {
+	a := platformtest.NewBackend(t, "a")
+	a.SetFault(always(platformtest.Silent))
+	rt := route(catalog.Stream, func(r *catalog.Route) { r.Timeout = 900 * time.Millisecond })
+	begin := time.Now()
+	_, err := newFixture(t, a).serve(request("1", "/stream"), rt)
+	assert.Equal(t, errkind.From(err).Answer().Status, http.StatusGatewayTimeout)
+	took := time.Since(begin)
+	assert.Assert(t, took >= 850*time.Millisecond && took < 1200*time.Millisecond, "%s", took)
+}
+
+func TestCallerThatLeavesStopsTheBackendServer(t *testing.T) {
+	a := platformtest.NewBackend(t, "a")
+	a.Events, a.Gap = 1000, 5*time.Millisecond
+	f := newFixture(t, a)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	err := f.ServeOnline(ctx, httptest.NewRecorder(), request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.Assert(t, err != nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if a.Stopped("1") {
+			return poll.Success()
+		}
+		return poll.Continue("still at work")
+	})
+	assert.Equal(t, a.Runs("1"), 1)
+}
+
+func TestUnreachableBackendServerCostsNoAttempt(t *testing.T) {
+	gone, b := platformtest.NewBackend(t, "gone"), platformtest.NewBackend(t, "b")
+	gone.Close()
+	f := newFixture(t, gone, b)
+	for _, id := range []string{"1", "2", "3", "4"} {
+		w, err := f.serve(request(id, "/call"), route(catalog.Call, nil))
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), "answer "+id)
+	}
+}
+
+func TestNoBackendServerIsSaidAtOnce(t *testing.T) {
+	begin := time.Now()
+	_, err := newFixture(t).serve(request("1", "/call"), route(catalog.Call, nil))
+	assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.NotRun)
+	assert.Assert(t, time.Since(begin) < 100*time.Millisecond)
+}
+
+func TestLoadIsTakenBackAfterEachOutcome(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	f := newFixture(t, a, b)
+	for i, fault := range []platformtest.Fault{platformtest.None, platformtest.Full, platformtest.LoseAnswer, platformtest.Cut, platformtest.Fail} {
+		a.SetFault(always(fault))
+		b.SetFault(always(fault))
+		_, _ = f.serve(request(string(rune('a'+i)), "/stream"), route(catalog.Stream, nil)) // only the load counts here
+	}
+	assert.Equal(t, len(f.Table.Own()), 0)
+}
