--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,207 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+var now = time.Unix(1000, 0)
+
+func newTable() *balance.Table {
+	return balance.New(balance.Options{
+		Zone: "a", RegionOf: map[string]string{"a": "r", "b": "r", "far": "q"}, PeerTTL: time.Second, Seed: 1,
+	})
+}
+
+func backend(id, zone string) catalog.Backend {
+	return catalog.Backend{ID: id, Zone: zone, Slots: 4, State: catalog.Ready}
+}
+
+func pick(t *testing.T, table *balance.Table, need balance.Need, candidates ...catalog.Backend) balance.Choice {
+	t.Helper()
+	c, ok := table.Pick(candidates, need, now)
+	assert.Assert(t, ok)
+	return c
+}
+
+func TestLoadIsSpreadOverEqualBackendServers(t *testing.T) {
+	table := newTable()
+	a, b := backend("a", "a"), backend("b", "b")
+	counts := make(map[string]int)
+	for range 8 {
+		counts[pick(t, table, balance.Need{}, a, b).Backend.ID]++
+	}
+	assert.DeepEqual(t, counts, map[string]int{"a": 4, "b": 4})
+}
+
+func TestOtherRegionIsUsedWhenTheOwnIsFull(t *testing.T) {
+	table := newTable()
+	near, far := backend("near", "b"), backend("far", "far")
+	for range 4 {
+		assert.Equal(t, pick(t, table, balance.Need{}, near, far).Backend.ID, "near")
+	}
+	assert.Equal(t, pick(t, table, balance.Need{}, near, far).Backend.ID, "far")
+}
+
+func TestPeersLoadCountsUntilItIsOld(t *testing.T) {
+	table := newTable()
+	a, b := backend("a", "a"), backend("b", "a")
+	table.SetPeer("peer", map[string]balance.Counts{"a": {Online: 4}}, now)
+	assert.Equal(t, pick(t, table, balance.Need{}, a, b).Backend.ID, "b")
+	later := now.Add(2 * time.Second)
+	c, ok := table.Pick([]catalog.Backend{a, b}, balance.Need{}, later)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Backend.ID, "a")
+	assert.Equal(t, c.Load.Online, 0)
+}
+
+func TestBatchTakesNoMoreThanIsFree(t *testing.T) {
+	table := newTable()
+	a := backend("a", "a")
+	table.SetPeer("peer", map[string]balance.Counts{"a": {Online: 2}}, now)
+	batch := balance.Need{Class: balance.Batch}
+	pick(t, table, batch, a)
+	pick(t, table, batch, a)
+	_, ok := table.Pick([]catalog.Backend{a}, batch, now)
+	assert.Assert(t, !ok)
+}
+
+func TestBatchLeavesASlotWhereOnlineRequestsAreFrequent(t *testing.T) {
+	table := newTable()
+	a := backend("a", "a")
+	table.SetPeer("peer", map[string]balance.Counts{"a": {Online: 3}}, now)
+	_, ok := table.Pick([]catalog.Backend{a}, balance.Need{Class: balance.Batch}, now)
+	assert.Assert(t, !ok)
+}
+
+func TestOnlineRequestTakesTheSlotOfBatchAndThenWaitsBriefly(t *testing.T) {
+	table := newTable()
+	a := backend("a", "a")
+	table.SetPeer("peer", map[string]balance.Counts{"a": {Batch: 4}}, now)
+	var reasons []balance.Reason
+	for range 6 {
+		reasons = append(reasons, pick(t, table, balance.Need{}, a).Reason)
+	}
+	assert.DeepEqual(t, reasons, []balance.Reason{
+		balance.PreemptIt, balance.PreemptIt, balance.PreemptIt, balance.PreemptIt, balance.Queued, balance.Queued,
+	})
+	_, ok := table.Pick([]catalog.Backend{a}, balance.Need{}, now)
+	assert.Assert(t, !ok)
+	assert.Equal(t, pick(t, table, balance.Need{Insist: true}, a).Reason, balance.Insisted)
+}
+
+// TestExcessIsSharedAlike plays every division of batch over three entries: all
+// reach the same one, and the sum is what has to go.
+func TestExcessIsSharedAlike(t *testing.T) {
+	b := backend("a", "a")
+	names := []string{"x", "y", "z"}
+	for online := range 6 {
+		for mask := range 4 * 4 * 4 {
+			batch := []int{mask % 4, mask / 4 % 4, mask / 16}
+			sum, total := 0, online
+			for i, name := range names {
+				table := newTable()
+				for range batch[i] {
+					table.Pick([]catalog.Backend{{ID: "a", Zone: "a", Slots: 100, State: catalog.Ready}}, balance.Need{Class: balance.Batch}, now)
+				}
+				total += batch[i]
+				for j, peer := range names {
+					if j != i {
+						counts := balance.Counts{Batch: batch[j]}
+						if j == (i+1)%3 {
+							counts.Online = online
+						}
+						table.SetPeer(peer, map[string]balance.Counts{"a": counts}, now)
+					}
+				}
+				share := table.Excess(name, b, now)
+				assert.Assert(t, share >= 0 && share <= batch[i])
+				sum += share
+			}
+			want := 0
+			if online > 0 {
+				want = max(min(total-b.Slots, total-online), 0)
+			}
+			assert.Equal(t, sum, want, "online %d, batch %v", online, batch)
+		}
+	}
+}
+
+func TestBackendServerThatFailsIsAvoidedForAWhile(t *testing.T) {
+	table := newTable()
+	a, b := backend("a", "a"), backend("b", "a")
+	assert.Assert(t, table.Failed("a", true, now) > 0)
+	for range 4 {
+		assert.Equal(t, pick(t, table, balance.Need{}, a, b).Backend.ID, "b")
+	}
+	_, ok := table.Pick([]catalog.Backend{a}, balance.Need{Class: balance.Batch}, now)
+	assert.Assert(t, !ok, "batch does not try it")
+	assert.Equal(t, pick(t, table, balance.Need{}, a).Backend.ID, "a", "it is better than none")
+	c, ok := table.Pick([]catalog.Backend{a}, balance.Need{Class: balance.Batch}, now.Add(time.Minute))
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Backend.ID, "a")
+}
+
+func TestOneFailureThatMayBeChanceIsForgiven(t *testing.T) {
+	table := newTable()
+	assert.Equal(t, table.Failed("a", false, now), time.Duration(0))
+	table.Succeeded("a")
+	assert.Equal(t, table.Failed("a", false, now), time.Duration(0))
+	assert.Equal(t, table.Failed("a", false, now), time.Duration(0))
+	assert.Assert(t, table.Failed("a", false, now) > 0)
+}
+
+// TestRunsOfADeadPeerCount plays the death of a peer whose runs go on.
+func TestRunsOfADeadPeerCount(t *testing.T) {
+	table := newTable()
+	a, b := backend("a", "a"), backend("b", "a")
+	table.Told("a", serving.Load{Running: 4, Slots: 4}, now)
+	for range 2 {
+		assert.Equal(t, pick(t, table, balance.Need{}, a, b).Backend.ID, "b")
+	}
+	c, ok := table.Pick([]catalog.Backend{a}, balance.Need{}, now.Add(time.Second))
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Load.Online, 0, "what was told is old")
+}
+
+func TestPromptPartIsSentWhereItWasRead(t *testing.T) {
+	table := newTable()
+	var all []catalog.Backend
+	for i := range 8 {
+		all = append(all, backend(fmt.Sprint(i), "a"))
+	}
+	need := balance.Need{Part: "p"}
+	first := pick(t, table, need, all...).Backend.ID
+	table.End(first, balance.Online)
+	for range 5 {
+		again := pick(t, table, need, all...).Backend.ID
+		assert.Equal(t, again, first)
+		table.End(again, balance.Online)
+	}
+}
+
+func TestDrainingAndExcludedBackendServersGetNothing(t *testing.T) {
+	table := newTable()
+	leaving := backend("leaving", "a")
+	leaving.State = catalog.Draining
+	_, ok := table.Pick([]catalog.Backend{leaving, backend("tried", "a")}, balance.Need{Exclude: map[string]bool{"tried": true}, Insist: true}, now)
+	assert.Assert(t, !ok)
+}
+
+func TestWhoWaitsForRoomIsWoken(t *testing.T) {
+	table := newTable()
+	a := backend("a", "a")
+	pick(t, table, balance.Need{}, a)
+	changed := table.Changed()
+	table.End("a", balance.Online)
+	<-changed
+	<-table.OwnChanged()
+	assert.Equal(t, len(table.Own()), 0)
+}
--- /dev/null
+++ b/discovery/discovery_test.go
@@ -0,0 +1,108 @@
+package discovery_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/discovery"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+func decodeConfig(raw []byte) (*catalog.Config, error) {
+	n, err := strconv.ParseInt(string(raw), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.NewConfig(n, nil, nil, catalog.Limits{}), nil
+}
+
+func record(key, value string) keyedlog.Record {
+	if value == "" {
+		return keyedlog.Record{Key: key}
+	}
+	return keyedlog.Record{Key: key, Value: []byte(value)}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	refused := 0
+	c := discovery.NewConfigs("config", decodeConfig, func(_, _ *catalog.Config) {}, func(int64, error) { refused++ })
+	assert.Assert(t, c.Current() == nil)
+	c.Rebuild([]keyedlog.Record{record("other", "99"), record("config", "3")})
+	c.Apply([]keyedlog.Record{record("config", "7"), record("config", "5"), record("config", "junk"), record("config", "")})
+	assert.Equal(t, c.Current().Version, int64(7))
+	c.Rebuild([]keyedlog.Record{record("config", "6")}) // a stale page
+	assert.Equal(t, c.Current().Version, int64(7))
+	c.Rebuild(nil)
+	assert.Equal(t, c.Current().Version, int64(7))
+	assert.Equal(t, refused, 1)
+}
+
+// clock is a time that tests move.
+type clock struct{ t time.Time }
+
+func (c *clock) now() time.Time { return c.t }
+
+func decodeBackend(id string, raw []byte) (catalog.Backend, error) {
+	b := catalog.Backend{ID: id, Service: "s", Address: id, State: catalog.Ready}
+	switch string(raw) {
+	case "ready":
+	case "draining":
+		b.State = catalog.Draining
+	default:
+		return b, errors.New("names no backend server")
+	}
+	return b, nil
+}
+
+func newBackends() (*discovery.Backends, *clock, *[]string) {
+	c := &clock{time.Unix(0, 0)}
+	var told []string
+	b := discovery.NewBackends(decodeBackend, func(ch discovery.Change) { told = append(told, ch.Backend.ID+" "+ch.What) }, c.now)
+	return b, c, &told
+}
+
+func ids(list []catalog.Backend) string {
+	out := ""
+	for _, b := range list {
+		out += b.ID
+	}
+	return out
+}
+
+func TestLapsedRegistrationHasAGrace(t *testing.T) {
+	b, c, told := newBackends()
+	b.Rebuild([]keyedlog.Record{record("a", "ready"), record("b", "ready")})
+	b.Apply([]keyedlog.Record{record("a", "")})
+	assert.Equal(t, ids(b.Of("s")), "ab")
+	c.t = c.t.Add(discovery.LapseGrace / 2)
+	b.Expire()
+	b.Apply([]keyedlog.Record{record("a", "ready")})
+	c.t = c.t.Add(discovery.LapseGrace)
+	b.Expire()
+	assert.Equal(t, ids(b.Of("s")), "ab", "it came back in time")
+	b.Rebuild([]keyedlog.Record{record("a", "ready")})
+	c.t = c.t.Add(discovery.LapseGrace)
+	b.Expire()
+	assert.Equal(t, ids(b.Of("s")), "a")
+	assert.DeepEqual(t, *told, []string{"a seen", "b seen", "a lapsed", "a returned", "b lapsed", "b gone"})
+}
+
+func TestLeavingBackendServerIsMarked(t *testing.T) {
+	b, _, told := newBackends()
+	b.Apply([]keyedlog.Record{record("a", "ready"), record("a", "ready"), record("a", "draining")})
+	assert.Equal(t, b.Of("s")[0].State, catalog.Draining)
+	assert.DeepEqual(t, *told, []string{"a seen", "a leaving"})
+}
+
+func TestEntriesThatNameNoBackendServerAreLeftOut(t *testing.T) {
+	b, _, _ := newBackends()
+	b.Rebuild([]keyedlog.Record{record("a", "ready"), record("b", "\x00")})
+	assert.Equal(t, ids(b.Of("s")), "a")
+	b.Apply([]keyedlog.Record{record("c", "odd")})
+	assert.Equal(t, b.Len(), 1)
+}
