Log lines never block and have a budget; catkinrudderctl explain

A sink takes lines without waiting and counts those that its reader does not take; ordinary lines have a budget of 400 a second, refusals, failures and changes of belief have none. SIGHUP and a changed settings file are read.

--- a/cmd/catkinrudder-gateway/main.go
+++ b/cmd/catkinrudder-gateway/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/gatewayd"
 	"github.com/catkinrudder/catkinrudder/platform"
 )
@@ -31,10 +32,11 @@
 	if err != nil {
 		return err
 	}
-	logger := log.NewWithOptions(os.Stdout, log.Options{
+	sink := event.NewSink(os.Stdout)
+	logger := log.NewWithOptions(sink, log.Options{
 		Level: log.InfoLevel, ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter,
-	})
-	daemon, err := gatewayd.New(settings, logger)
+	}).With("node", settings.Instance)
+	daemon, err := gatewayd.New(settings, logger, sink)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/event/budget.go
@@ -0,0 +1,49 @@
+package event
+
+import (
+	"sync/atomic"
+
+	"golang.org/x/time/rate"
+)
+
+// Budget bounds how many ordinary lines a process writes. Refusals, failures and
+// changes of what a process believes are never left out.
+type Budget struct {
+	limiter *rate.Limiter
+	left    atomic.Int64
+}
+
+// NewBudget returns a budget of ordinary lines a second; a second's worth may be
+// written at once.
+func NewBudget(linesPerSecond int) *Budget {
+	return &Budget{limiter: rate.NewLimiter(rate.Limit(linesPerSecond), linesPerSecond)}
+}
+
+// Left returns how many lines were left out.
+func (b *Budget) Left() int64 { return b.left.Load() }
+
+func (b *Budget) allow() bool {
+	if b.limiter.Allow() {
+		return true
+	}
+	b.left.Add(1)
+	return false
+}
+
+// budget is the process's budget; nil is no bound.
+var budget atomic.Pointer[Budget]
+
+// SetBudget sets the budget of the process; nil for no bound.
+func SetBudget(b *Budget) { budget.Store(b) }
+
+// ordinary lists the events that a budget bounds: each request and item has some
+// of them when all goes well.
+var ordinary = map[ID]bool{
+	RequestRouted: true, RequestDone: true, ItemPlaced: true, ItemDone: true, ItemRequeued: true,
+	BatchPreempted: true, AttemptAdmitted: true,
+}
+
+func allowed(id ID) bool {
+	b := budget.Load()
+	return b == nil || !ordinary[id] || b.allow()
+}
--- a/event/event.go
+++ b/event/event.go
@@ -25,6 +25,8 @@
 	Started         ID = 101
 	Draining        ID = 102
 	Stopped         ID = 103
+	Reloaded        ID = 104
+	LinesLeftOut    ID = 105
 	RequestRouted   ID = 201
 	RequestRefused  ID = 202
 	RequestRetried  ID = 203
@@ -65,6 +67,8 @@
 	{Started, "started", log.InfoLevel, "a process serves"},
 	{Draining, "draining", log.InfoLevel, "a process refuses new work and finishes what runs"},
 	{Stopped, "stopped", log.InfoLevel, "a process has finished and exits"},
+	{Reloaded, "reloaded", log.InfoLevel, "a process has read its settings again"},
+	{LinesLeftOut, "lines_left_out", log.WarnLevel, "log lines were left out or not taken by the reader of the output"},
 	{RequestRouted, "request_routed", log.InfoLevel, "an entry chose a backend server for an online request"},
 	{RequestRefused, "request_refused", log.InfoLevel, "an entry gave a request its final, failed answer"},
 	{RequestRetried, "request_retried", log.InfoLevel, "an entry tries a request again elsewhere"},
@@ -116,6 +120,9 @@
 
 // Log writes one line for event id with alternating keys and values.
 func Log(l *log.Logger, id ID, kv ...any) {
+	if !allowed(id) {
+		return
+	}
 	s := byID[id]
 	l.Log(s.Level, s.Name, append([]any{"event", int(id)}, kv...)...)
 }
--- /dev/null
+++ b/internal/ctl/explain_test.go
@@ -0,0 +1,38 @@
+package ctl
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logText = `
+12.5 front-2 time=2026-12-03T10:00:02.5Z level=warn msg=backend_ejected event=704 node=n2 backend=i-2 for=500ms
+collector: n1 time=2026-12-03T10:00:02Z level=info msg=request_routed event=201 node=n1 request=r1 backend=i-1 reason=free_slot
+time=2026-12-03T10:00:01Z level=info msg=backend_leaving event=702 node=n1 backend=i-1 service=s
+time=2026-12-03T10:00:01Z level=info msg=backend_leaving event=702 node=n1 backend=i-9 service=s
+time=2026-12-03T09:00:01Z level=info msg=backend_seen event=701 node=n1 backend=i-1 service=s
+time=2026-12-03T10:00:03Z level=info msg=request_refused event=202 node=n1 request=r1 kind=backend_failed cause="read answer: EOF"
+time=2026-12-03T10:00:02.1Z level=info msg=request_routed event=201 node=n2 request=r2 backend=i-2
+not a line
+time=broken level=info msg=request_routed request=r1
+`
+
+func TestExplainTellsTheStoryInOrder(t *testing.T) {
+	var out bytes.Buffer
+	code := Tool{Stdin: strings.NewReader(logText), Stdout: &out, Stderr: &out}.Run(t.Context(), []string{"catkinrudderctl", "explain", "r1"})
+	assert.Equal(t, code, ExitOK, out.String())
+	assert.Equal(t, out.String(), `   -1.000s n1                     . backend_leaving backend=i-1 service=s
+   +0.000s n1                   request_routed request=r1 backend=i-1 reason=free_slot
+   +1.000s n1                   request_refused request=r1 kind=backend_failed cause=read answer: EOF
+`)
+}
+
+func TestExplainOfAnUnknownIDFails(t *testing.T) {
+	var out bytes.Buffer
+	tool := Tool{Stdin: strings.NewReader(logText), Stdout: &out, Stderr: &out}
+	assert.Equal(t, tool.Run(t.Context(), []string{"catkinrudderctl", "explain", "r9"}), ExitFailed)
+	assert.Equal(t, tool.Run(t.Context(), []string{"catkinrudderctl", "explain"}), ExitUsage)
+}
--- a/internal/ctl/tool.go
+++ b/internal/ctl/tool.go
@@ -81,7 +81,7 @@
 		},
 		Flags: globalFlags(),
 		Commands: append(append(t.desiredCommands(), t.operatorCommands()...),
-			t.batchCommand(), t.chatCommand(), t.loadCommand()),
+			t.batchCommand(), t.chatCommand(), t.loadCommand(), t.explainCommand()),
 	}
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -44,6 +44,9 @@
 	directoryGap  = 100 * time.Millisecond
 	followRetry   = 150 * time.Millisecond
 
+	// ordinaryLines bounds the ordinary log lines a second.
+	ordinaryLines = 400
+
 	jobTopic       = "jobs"
 	resultTopic    = "results"
 	directoryTopic = "gateways"
@@ -53,6 +56,8 @@
 type Daemon struct {
 	settings platform.Settings
 	log      *log.Logger
+	sink     *event.Sink
+	budget   *event.Budget
 	metrics  *metrics.Set
 
 	store     *platform.Store
@@ -65,9 +70,13 @@
 	draining  chan struct{}
 }
 
-// New returns a daemon that is not running yet.
-func New(s platform.Settings, logger *log.Logger) (*Daemon, error) {
-	d := &Daemon{settings: s, log: logger, metrics: metrics.NewSet(), draining: make(chan struct{})}
+// New returns a daemon that is not running yet. logger writes to sink.
+func New(s platform.Settings, logger *log.Logger, sink *event.Sink) (*Daemon, error) {
+	d := &Daemon{
+		settings: s, log: logger, sink: sink, budget: event.NewBudget(ordinaryLines),
+		metrics: metrics.NewSet(), draining: make(chan struct{}),
+	}
+	event.SetBudget(d.budget)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryPart))
 	}
@@ -136,11 +145,16 @@
 	wg.Go(func() { d.jobs.Run(work) })
 	wg.Go(func() { d.peering.Run(work) })
 	wg.Go(func() { d.expire(work) })
+	wg.Go(func() { d.watchLog(work) })
+	wg.Go(func() { d.watchSettings(work) })
 	wg.Go(func() { d.enroll(work) })
+	stopLog, logDone := d.runSink()
 	err := d.serve(ctx)
 	stopWork()
 	wg.Wait()
 	event.Log(d.log, event.Stopped, "instance", d.settings.Instance)
+	stopLog()
+	<-logDone
 	return err
 }
 
