Gateways know each other without the store; a start takes the configuration from peers

The rolling restart removed each stopping gateway from the directory while it still served for 3 s, and the store's outage kept restarted ones from entering it, so their attempts were counted by nobody. A gateway now stays in the directory, a report of an unknown gateway makes it known, and a process that starts while the store is away takes configuration and backend servers from a peer. Test: TestRestartedGatewayIsHeardWithoutTheDirectory.

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -45,6 +45,7 @@
 
 type entry struct {
 	backend catalog.Backend
+	record  keyedlog.Record
 	// lapsedAt is when the registration vanished; zero while it is there.
 	lapsedAt time.Time
 }
@@ -76,6 +77,19 @@
 	}
 }
 
+// Records returns the records of the backend servers that are registered.
+func (b *Backends) Records() []keyedlog.Record {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var records []keyedlog.Record
+	for _, e := range b.byID {
+		if e.lapsedAt.IsZero() {
+			records = append(records, e.record)
+		}
+	}
+	return records
+}
+
 // Len returns the number of backend servers.
 func (b *Backends) Len() int {
 	b.mu.RLock()
@@ -150,7 +164,7 @@
 		return b.lapse(r.Key) // the entry names no backend server to use
 	}
 	old := b.byID[r.Key]
-	b.byID[r.Key] = &entry{backend: backend}
+	b.byID[r.Key] = &entry{backend: backend, record: r}
 	switch {
 	case old == nil:
 		return []Change{{backend, Seen}}
--- a/discovery/configs.go
+++ b/discovery/configs.go
@@ -3,6 +3,7 @@
 package discovery
 
 import (
+	"sync"
 	"sync/atomic"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
@@ -10,17 +11,30 @@
 )
 
 // Configs holds the newest configuration seen. Its version never goes back.
-// It implements keyedlog.View.
+// It implements keyedlog.View and is safe for concurrent use.
 type Configs struct {
 	key     string
 	decode  func([]byte) (*catalog.Config, error)
 	changed func(old, current *catalog.Config)
 	refused func(offset int64, err error)
+	// taking serializes take; reads need no lock.
+	taking  sync.Mutex
 	current atomic.Pointer[catalog.Config]
+	record  atomic.Pointer[keyedlog.Record]
+}
+
+// Record returns the record of the configuration in force, or false if there is
+// none.
+func (c *Configs) Record() (keyedlog.Record, bool) {
+	r := c.record.Load()
+	if r == nil {
+		return keyedlog.Record{}, false
+	}
+	return *r, true
 }
 
 // NewConfigs returns a view of the configuration under key. changed and refused
-// are called from the follower's goroutine.
+// are called by who applies the record.
 func NewConfigs(key string, decode func([]byte) (*catalog.Config, error),
 	changed func(old, current *catalog.Config), refused func(offset int64, err error),
 ) *Configs {
@@ -48,10 +62,13 @@
 		c.refused(r.Offset, err)
 		return
 	}
+	c.taking.Lock()
+	defer c.taking.Unlock()
 	old := c.current.Load()
 	if old != nil && config.Version <= old.Version {
 		return
 	}
 	c.current.Store(config)
+	c.record.Store(&r)
 	c.changed(old, config)
 }
--- a/event/event.go
+++ b/event/event.go
@@ -61,6 +61,7 @@
 	BackendLapsed   ID = 705
 	PeerSeen        ID = 706
 	PeerGone        ID = 707
+	PeerSnapshot    ID = 708
 )
 
 var catalogue = []Spec{
@@ -103,6 +104,7 @@
 	{BackendLapsed, "backend_lapsed", log.InfoLevel, "a backend server's registration has vanished; it is used for a short while more"},
 	{PeerSeen, "peer_seen", log.InfoLevel, "another gateway is heard"},
 	{PeerGone, "peer_gone", log.InfoLevel, "another gateway is not heard any more"},
+	{PeerSnapshot, "peer_snapshot", log.InfoLevel, "a starting process took configuration and backend servers from a peer"},
 }
 
 var byID = func() map[ID]Spec {
--- /dev/null
+++ b/internal/gatewayd/bootstrap.go
@@ -0,0 +1,56 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/peering"
+)
+
+const (
+	// bootstrapDelay is how long a starting process waits for the store before
+	// it asks its peers, and between two rounds of questions.
+	bootstrapDelay   = 300 * time.Millisecond
+	bootstrapTimeout = 500 * time.Millisecond
+)
+
+// snapshot is what this process tells one that starts while the store is away.
+func (d *Daemon) snapshot() peering.Snapshot {
+	s := peering.Snapshot{Backends: d.backends.Records()}
+	if r, known := d.gateway.Configs.Record(); known {
+		s.Config = []keyedlog.Record{r}
+	}
+	return s
+}
+
+// bootstrap asks peers for the configuration and the backend servers until
+// something is known. The followers replace it once the store answers.
+func (d *Daemon) bootstrap(ctx context.Context) {
+	ticker := time.NewTicker(bootstrapDelay)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if d.gateway.Configs.Current() != nil && d.backends.Len() > 0 {
+			return
+		}
+		fetch, cancel := context.WithTimeout(ctx, bootstrapTimeout)
+		s, ok := d.peering.FetchSnapshot(fetch)
+		cancel()
+		if !ok {
+			continue
+		}
+		event.Log(d.log, event.PeerSnapshot, "backends", len(s.Backends), "config", len(s.Config))
+		if d.gateway.Configs.Current() == nil {
+			d.gateway.Configs.Apply(s.Config)
+		}
+		if d.backends.Len() == 0 {
+			d.backends.Apply(s.Backends)
+		}
+	}
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -148,6 +148,7 @@
 	wg.Go(func() { d.watchLog(work) })
 	wg.Go(func() { d.watchSettings(work) })
 	wg.Go(func() { d.enroll(work) })
+	wg.Go(func() { d.bootstrap(work) })
 	stopLog, logDone := d.runSink()
 	err := d.serve(ctx)
 	stopWork()
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -37,7 +37,7 @@
 	callers := d.server(&platform.Front{Gateway: d.gateway})
 	ready := d.server(http.HandlerFunc(d.ready))
 	status := d.server(http.HandlerFunc(d.serveMetrics))
-	peers := d.server(peering.Handler(d.jobs))
+	peers := d.server(peering.Handler(d.jobs, d.snapshot))
 	failed := make(chan error, 4)
 	statusAddress := net.JoinHostPort(d.settings.IP, metricsPort)
 	for address, server := range map[string]*http.Server{
@@ -86,9 +86,6 @@
 	d.jobs.Stop(context.Background())
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(d.settings.Grace-exitMargin))
 	defer cancel()
-	if err := d.writeDirectory(ctx, nil); err != nil {
-		event.Log(d.log, event.LogDown, "call", "leave the directory", "cause", err)
-	}
 	time.Sleep(time.Until(begin.Add(outOfRotation)))
 	if err := callers.Shutdown(ctx); err != nil {
 		_ = callers.Close()
--- a/peering/owners.go
+++ b/peering/owners.go
@@ -12,11 +12,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
 const (
-	listPath        = "/listing"
-	maxListingBytes = 4 << 20
+	listPath       = "/listing"
+	snapshotPath   = "/snapshot"
+	maxAnswerBytes = 8 << 20
 )
 
 // OwnerOf implements jobs.Peers: of several that call themselves the owner, the
@@ -61,34 +63,80 @@
 // List implements jobs.Peers.
 func (p *Peering) List(ctx context.Context, address, id string, after int, wait time.Duration) (jobs.Listing, error) {
 	q := url.Values{"job": {id}, "after": {strconv.Itoa(after)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+listPath+"?"+q.Encode(), nil)
+	raw, err := p.get(ctx, address, listPath+"?"+q.Encode())
 	if err != nil {
-		return jobs.Listing{}, errors.Wrap(err, "peering: list")
+		return jobs.Listing{}, err
+	}
+	var listing jobs.Listing
+	return listing, errors.Wrap(cbor.Unmarshal(raw, &listing), "peering: list")
+}
+
+// Lister answers for the shards that a process owns.
+type Lister interface {
+	ListOwn(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error)
+}
+
+// Snapshot is what a gateway knows of the configuration and of the backend
+// servers, for one that starts while the store is away.
+type Snapshot struct {
+	Config   []keyedlog.Record `cbor:"1,keyasint,omitempty"`
+	Backends []keyedlog.Record `cbor:"2,keyasint,omitempty"`
+}
+
+// FetchSnapshot asks the peers that were heard of late, one after the other, for
+// what they know.
+func (p *Peering) FetchSnapshot(ctx context.Context) (Snapshot, bool) {
+	for _, address := range p.alive() {
+		raw, err := p.get(ctx, address, snapshotPath)
+		if err != nil {
+			continue // the next one may answer
+		}
+		var s Snapshot
+		if err := cbor.Unmarshal(raw, &s); err == nil && len(s.Config) > 0 {
+			return s, true
+		}
+	}
+	return Snapshot{}, false
+}
+
+// alive returns the addresses of the peers that were heard of late.
+func (p *Peering) alive() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var addresses []string
+	for _, known := range p.peers {
+		if known.alive && time.Since(known.heard) <= TTL {
+			addresses = append(addresses, known.addr.String())
+		}
+	}
+	return addresses
+}
+
+// get reads what a peer serves under a path with its query.
+func (p *Peering) get(ctx context.Context, address, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "peering")
 	}
 	resp, err := p.opts.Client.Do(req)
 	if err != nil {
-		return jobs.Listing{}, errors.Wrap(err, "peering: list")
+		return nil, errors.Wrap(err, "peering")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListingBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	if err != nil {
-		return jobs.Listing{}, errors.Wrap(err, "peering: list")
+		return nil, errors.Wrap(err, "peering")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return jobs.Listing{}, errors.Errorf("peering: list: status %d: %.200s", resp.StatusCode, raw)
+		return nil, errors.Errorf("peering: status %d: %.200s", resp.StatusCode, raw)
 	}
-	var listing jobs.Listing
-	return listing, errors.Wrap(cbor.Unmarshal(raw, &listing), "peering: list")
-}
-
-// Lister answers for the shards that a process owns.
-type Lister interface {
-	ListOwn(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error)
+	return raw, nil
 }
 
 // Handler returns what a gateway serves to its peers.
-func Handler(l Lister) http.Handler {
+func Handler(l Lister, snapshot func() Snapshot) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
 	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
 		after, err1 := strconv.Atoi(q.Get("after"))
@@ -102,12 +150,16 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 			return
 		}
-		raw, err := cbor.Marshal(listing)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusInternalServerError)
-			return
-		}
-		_, _ = w.Write(raw) // the peer sees a short body if its connection broke
+		writeCBOR(w, listing)
 	})
 	return mux
 }
+
+func writeCBOR(w http.ResponseWriter, v any) {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // the peer sees a short body if its connection broke
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -33,6 +33,8 @@
 	maxDatagram   = 8 << 10
 	// TTL is how long a peer's report holds.
 	TTL = 900 * time.Millisecond
+	// forgetAfter is how long a silent peer is still sent reports.
+	forgetAfter = time.Minute
 )
 
 // report is a datagram: what one gateway has in progress.
@@ -42,6 +44,8 @@
 	Seq    uint64            `cbor:"3,keyasint"`
 	Loads  map[string][2]int `cbor:"4,keyasint"`
 	Shards []jobs.Report     `cbor:"5,keyasint,omitempty"`
+	// Region is the sender's, for receivers that have no record of it.
+	Region string `cbor:"6,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -96,7 +100,8 @@
 	return raw, errors.Wrap(err, "peering: encode")
 }
 
-// Rebuild implements keyedlog.View.
+// Rebuild implements keyedlog.View. Peers that have left the directory are
+// dropped once they have been silent for forgetAfter.
 func (p *Peering) Rebuild(records []keyedlog.Record) { p.Apply(records) }
 
 // Apply implements keyedlog.View.
@@ -107,12 +112,9 @@
 		if r.Key == p.opts.Name {
 			continue
 		}
-		if r.Value == nil {
-			delete(p.peers, r.Key)
-			p.opts.Table.ForgetPeer(r.Key)
-			continue
+		if r.Value != nil {
+			p.put(r)
 		}
-		p.put(r)
 	}
 }
 
@@ -129,7 +131,7 @@
 	}
 	known := p.peers[r.Key]
 	if known == nil {
-		known = &peer{}
+		known = &peer{heard: time.Now()}
 		p.peers[r.Key] = known
 	}
 	known.addr, known.far = addr, rec.Region != p.opts.Region
@@ -158,7 +160,7 @@
 		if far {
 			unsentFar, lastFar = 0, time.Now()
 		}
-		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Loads: p.loads(), Shards: p.opts.Shards()}, far)
+		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Loads: p.loads(), Shards: p.opts.Shards()}, far)
 		p.pause(ctx)
 	}
 }
@@ -199,6 +201,11 @@
 			known.alive = false
 			event.Log(p.opts.Logger, event.PeerGone, "peer", name, "silent_for", now.Sub(known.heard))
 		}
+		if now.Sub(known.heard) > forgetAfter {
+			delete(p.peers, name)
+			p.opts.Table.ForgetPeer(name)
+			continue
+		}
 		if !known.far || far {
 			to = append(to, known.addr)
 		}
@@ -213,7 +220,7 @@
 func (p *Peering) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := p.opts.Conn.ReadFrom(buf)
+		n, from, err := p.opts.Conn.ReadFrom(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -224,15 +231,27 @@
 		if err := cbor.Unmarshal(buf[:n], &r); err != nil {
 			continue // not a report of a gateway
 		}
-		p.take(r, time.Now())
+		p.take(r, from, time.Now())
 	}
 }
 
-// take applies a report unless a newer one of the same gateway was seen.
-func (p *Peering) take(r report, now time.Time) {
+// take applies a report unless a newer one of the same gateway was seen. The
+// report of an unknown gateway makes it known: after a restart the directory may
+// be out of reach, while the others still send to this address.
+func (p *Peering) take(r report, from net.Addr, now time.Time) {
+	if r.From == "" || r.From == p.opts.Name {
+		return
+	}
 	p.mu.Lock()
 	known := p.peers[r.From]
-	if known == nil || r.Boot < known.boot || r.Boot == known.boot && r.Seq <= known.seq {
+	if known == nil {
+		known = &peer{far: r.Region != p.opts.Region}
+		p.peers[r.From] = known
+	}
+	if udp, ok := from.(*net.UDPAddr); ok && r.Boot > known.boot {
+		known.addr = udp.AddrPort()
+	}
+	if r.Boot < known.boot || r.Boot == known.boot && r.Seq <= known.seq {
 		p.mu.Unlock()
 		return
 	}
--- /dev/null
+++ b/peering/peering_test.go
@@ -0,0 +1,170 @@
+package peering_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/peering"
+)
+
+// gateway is one end of the peering.
+type gateway struct {
+	*peering.Peering
+	name    string
+	address string
+	table   *balance.Table
+	shards  []jobs.Report
+	stop    context.CancelFunc
+}
+
+func start(t *testing.T, name, address, region string, shards ...jobs.Report) *gateway {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", address)
+	assert.NilError(t, err)
+	g := &gateway{name: name, address: conn.LocalAddr().String(), shards: shards}
+	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.TTL, Seed: 1})
+	g.Peering = peering.New(peering.Options{
+		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient,
+		Shards: func() []jobs.Report { return g.shards },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	g.stop = cancel
+	go g.Run(ctx)
+	t.Cleanup(cancel)
+	return g
+}
+
+// enter tells g of the directory entry of other.
+func (g *gateway) enter(t *testing.T, other *gateway, region string) {
+	t.Helper()
+	value, err := peering.EncodePeer(peering.Peer{Address: other.address, Region: region})
+	assert.NilError(t, err)
+	g.Apply([]keyedlog.Record{{Key: other.name, Value: value}})
+}
+
+func (g *gateway) sees(t *testing.T, id string, online int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		c, ok := g.table.Pick([]catalog.Backend{{ID: id, Zone: "z", Slots: 99, State: catalog.Ready}}, balance.Need{}, time.Now())
+		if ok {
+			g.table.End(id, balance.Online)
+		}
+		if ok && c.Load.Online == online {
+			return poll.Success()
+		}
+		return poll.Continue("%s sees %d attempts at %s, want %d", g.name, c.Load.Online, id, online)
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+func begin(t *testing.T, g *gateway, id string) {
+	t.Helper()
+	_, ok := g.table.Pick([]catalog.Backend{{ID: id, Zone: "z", Slots: 99, State: catalog.Ready}}, balance.Need{}, time.Now())
+	assert.Assert(t, ok)
+}
+
+func TestLoadIsTold(t *testing.T) {
+	for _, region := range []string{"r", "other"} {
+		a, b := start(t, "a", "127.0.0.1:0", "r"), start(t, "b", "127.0.0.1:0", region)
+		a.enter(t, b, region)
+		b.enter(t, a, "r")
+		begin(t, a, "x")
+		begin(t, a, "x")
+		b.sees(t, "x", 2)
+		a.table.End("x", balance.Online)
+		b.sees(t, "x", 1)
+		a.stop()
+		b.sees(t, "x", 0)
+	}
+}
+
+// TestRestartedGatewayIsHeardWithoutTheDirectory: the store is away, so the
+// restarted gateway finds nobody in it; its peers still send to its address.
+func TestRestartedGatewayIsHeardWithoutTheDirectory(t *testing.T) {
+	a, b := start(t, "a", "127.0.0.1:0", "r"), start(t, "b", "127.0.0.1:0", "r")
+	a.enter(t, b, "r")
+	b.enter(t, a, "r")
+	begin(t, a, "x")
+	b.sees(t, "x", 1)
+	a.stop()
+	b.sees(t, "x", 0)
+	again := start(t, "a", a.address, "r")
+	begin(t, b, "y")
+	again.sees(t, "y", 1)
+	begin(t, again, "x")
+	b.sees(t, "x", 1)
+}
+
+func TestOwnerIsTheOneWithTheHighestEpoch(t *testing.T) {
+	a := start(t, "a", "127.0.0.1:0", "r")
+	old := start(t, "old", "127.0.0.1:0", "r", jobs.Report{Shard: 3, Epoch: 5, Waiting: map[string]int64{"b": 1}})
+	owner := start(t, "new", "127.0.0.1:0", "r", jobs.Report{Shard: 3, Epoch: 6, Waiting: map[string]int64{"b": 2}})
+	for _, g := range []*gateway{old, owner} {
+		g.enter(t, a, "r")
+		a.enter(t, g, "r")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if address, known := a.OwnerOf(3); known && address == owner.address {
+			return poll.Success()
+		}
+		return poll.Continue("the owner is not known")
+	})
+	report, known := a.Report(3)
+	assert.Assert(t, known)
+	assert.Equal(t, report.Waiting["b"], int64(2))
+	_, known = a.OwnerOf(4)
+	assert.Assert(t, !known)
+}
+
+// lister answers for jobs that it owns.
+type lister struct{}
+
+func (lister) ListOwn(_ context.Context, id string, after int, wait time.Duration) (jobs.Listing, error) {
+	if id != "mine" {
+		return jobs.Listing{}, errors.New("not owned")
+	}
+	return jobs.Listing{Total: 9, Next: after + 1, Results: []jobs.ListedResult{{ItemID: "i", Completed: true, Text: fmt.Append(nil, wait)}}}, nil
+}
+
+func TestPeersAreAskedForListingsAndSnapshots(t *testing.T) {
+	snapshot := peering.Snapshot{Config: []keyedlog.Record{{Key: "config", Value: []byte("7"), Offset: 3}}}
+	server := httptest.NewServer(peering.Handler(lister{}, func() peering.Snapshot { return snapshot }))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	a := start(t, "a", "127.0.0.1:0", "r")
+	listing, err := a.List(t.Context(), address, "mine", 4, 20*time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, listing.Next, 5)
+	assert.Equal(t, string(listing.Results[0].Text), "20ms")
+	_, err = a.List(t.Context(), address, "other", 0, 0)
+	assert.ErrorContains(t, err, "not owned")
+	_, ok := a.FetchSnapshot(t.Context())
+	assert.Assert(t, !ok, "no peer has been heard")
+
+	b := start(t, "b", address, "r")
+	a.enter(t, b, "r")
+	b.enter(t, a, "r")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		got, ok := a.FetchSnapshot(t.Context())
+		if !ok {
+			return poll.Continue("no snapshot")
+		}
+		assert.DeepEqual(t, got, snapshot)
+		return poll.Success()
+	})
+}
