--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -30,6 +30,9 @@
 	// memoryPart is the part of the process's memory limit at which the
 	// garbage collector works harder.
 	memoryPart = 0.6
+	// gcPercent is the growth of the heap between two collections. Heaps are
+	// small here, and memory costs more than the processor time saved.
+	gcPercent = 40
 	// dialTimeout bounds the time to connect to a backend server.
 	dialTimeout = 400 * time.Millisecond
 	// expireInterval is the time between looks for lapsed registrations and
@@ -79,6 +82,7 @@
 	event.SetBudget(d.budget)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryPart))
+		debug.SetGCPercent(gcPercent)
 	}
 	conn, err := net.ListenPacket("udp", fmt.Sprintf("%s:%d", s.IP, s.FirstPort))
 	if err != nil {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -27,7 +27,7 @@
 	minInterval = 2 * time.Millisecond
 	perPeer     = 300 * time.Microsecond
 	// farInterval is the least time between two reports to other regions.
-	farInterval = 20 * time.Millisecond
+	farInterval = 60 * time.Millisecond
 	// quietInterval is the time between reports without a change.
 	quietInterval = 250 * time.Millisecond
 	maxDatagram   = 8 << 10
