--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -100,22 +100,18 @@
 	configs := discovery.NewConfigs(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
-		Shards: func() []jobs.Report { return d.jobs.Reports() },
+		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
 	})
 	d.jobs = jobs.New(d.jobOptions(configs, table))
-	backendFollower := d.follow(platform.BackendTopic, d.backends, keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry})
 	d.followers = []*keyedlog.Follower{
-		backendFollower,
+		d.follow(platform.BackendTopic, d.backends, keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry}),
 		d.follow(platform.ConfigTopic, configs, keyedlog.Pace{Wait: followWait, Gap: configGap, Retry: followRetry}),
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.Pace{Wait: directoryWait, Gap: directoryGap, Retry: followRetry}),
 	}
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: func() time.Duration {
-			age, _ := backendFollower.Age(time.Now())
-			return age
-		},
+		StoreAge: d.store.Age,
 	}
 	return d, nil
 }
@@ -130,7 +126,7 @@
 		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
 		MinTTL: s.Store.MinTTL, Stay: s.JobStay,
 		Configs: configs.Current, Backends: d.backends.Of, AllBackends: d.backends.All,
-		Table: table, Pool: d.pool, Logger: d.log, Peers: d.peering, Observe: d.storeChanged,
+		Table: table, Pool: d.pool, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observe: d.storeChanged,
 	}
 }
 
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -8,11 +8,9 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -45,6 +43,9 @@
 	Table       *balance.Table
 	Pool        *upstream.Pool
 	Logger      *log.Logger
+	// StoreAge returns how long ago the log last answered a call of this
+	// process; the group's heartbeat is the call that it always makes.
+	StoreAge func() time.Duration
 	// Peers are the other processes.
 	Peers Peers
 	// Observe is told when a follower loses or regains the log.
@@ -68,6 +69,13 @@
 	OwnerOf(shard int) (address string, known bool)
 	// Report returns the newest report on a shard.
 	Report(shard int) (Report, bool)
+	// WithStore returns the address of a process that has heard from the store
+	// of late.
+	WithStore() (address string, known bool)
+	// Alive returns how many processes are heard.
+	Alive() int
+	// Submit hands a submission to another process.
+	Submit(ctx context.Context, address string, job *Job, quota int64) error
 	// List asks an owner for a listing.
 	List(ctx context.Context, address, id string, after int, wait time.Duration) (Listing, error)
 }
@@ -79,9 +87,11 @@
 	jobs   *keyedlog.Follower
 	shards []*shard
 	runner *runner
-	// accepting serializes the acceptances of this process.
-	accepting sync.Mutex
-	stopping  atomic.Bool
+	// accepting serializes the acceptances of this process. appendTime is the
+	// moving average of how long their appends take.
+	accepting  sync.Mutex
+	appendTime time.Duration
+	stopping   atomic.Bool
 	// reporting guards the reports, which are kept for a short while.
 	reporting     sync.Mutex
 	reports       []Report
@@ -96,12 +106,6 @@
 	followWait = 1500 * time.Millisecond
 	followGap  = 15 * time.Millisecond
 	followStop = 150 * time.Millisecond
-	// acceptTries bounds the conditional appends of one submission.
-	acceptTries = 8
-	// looseQuota is the part of a quota up to which a job is accepted without
-	// regard to other acceptances at the same moment.
-	looseQuota = 0.5
-	refusedJob = time.Second
 	// reportInterval is how long a report on the shards is kept.
 	reportInterval = 100 * time.Millisecond
 )
@@ -183,151 +187,6 @@
 // Table returns the folded state.
 func (s *Service) Table() *Table { return s.table }
 
-// Submit accepts a job. It returns nil once the job stands on the log. A
-// refusal with outcome not_run says that no item of the job will ever run.
-func (s *Service) Submit(ctx context.Context, job *Job, quota int64) error {
-	if s.table.Known(job.ID) {
-		return nil
-	}
-	if !s.Ready() {
-		return errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(refusedJob)
-	}
-	value, err := encode(job)
-	if err != nil {
-		return errkind.Wrap(err, errkind.BadRequest, "job %s", job.ID)
-	}
-	s.accepting.Lock()
-	defer s.accepting.Unlock()
-	return s.accept(ctx, job, split(jobKey(job.ID), value, s.opts.RecordBytes), quota)
-}
-
-// accept appends the job's records at the end of the jobs that the quota was
-// checked against.
-func (s *Service) accept(ctx context.Context, job *Job, records []keyedlog.Record, quota int64) error {
-	part := keyedlog.Partition{Topic: s.opts.JobTopic}
-	inDoubt := false
-	for range acceptTries {
-		if s.table.Known(job.ID) {
-			return nil
-		}
-		end := s.jobs.Next()
-		waiting := s.waitingTokens(job.Route)
-		if quota > 0 && waiting+job.Tokens() > quota {
-			return s.overQuota(job, waiting, quota, inDoubt)
-		}
-		cond := keyedlog.Condition{AtEnd: end, Conditional: true}
-		if quota == 0 || float64(waiting+job.Tokens()) <= looseQuota*float64(quota) {
-			cond = keyedlog.Condition{}
-		}
-		at, err := s.appendAll(ctx, part, records, cond)
-		switch {
-		case err == nil:
-			s.applyOwn(part, records, at.First)
-			return nil
-		case errors.Is(err, keyedlog.ErrConflict):
-			s.catchUp(ctx, end)
-		case errors.Is(err, keyedlog.ErrRefused) && !inDoubt:
-			return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(refusedJob)
-		default:
-			inDoubt = true
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	if !inDoubt {
-		return errkind.New(errkind.Overloaded, "job %s: too many jobs at once", job.ID).WithRetryAfter(refusedJob)
-	}
-	return errkind.New(errkind.Timeout, "job %s: the log does not answer", job.ID)
-}
-
-func (s *Service) overQuota(job *Job, waiting, quota int64, inDoubt bool) error {
-	e := errkind.New(errkind.RateLimited, "job %s: %d tokens wait, %d more exceed %d", job.ID, waiting, job.Tokens(), quota)
-	if inDoubt {
-		return errkind.Wrap(e, errkind.Timeout, "job %s: the log did not answer", job.ID)
-	}
-	return e.WithRetryAfter(refusedJob)
-}
-
-// appendAll appends records in calls of the size that the log takes. The first
-// piece, without which the others mean nothing, goes last.
-func (s *Service) appendAll(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
-	groups := group(records, s.opts.CallBytes)
-	var at keyedlog.Appended
-	for i := len(groups) - 1; i >= 0; i-- {
-		var err error
-		if at, err = s.opts.Log.Append(ctx, p, groups[i], c); err != nil {
-			return at, err
-		}
-		c.AtEnd = at.End
-	}
-	return at, nil
-}
-
-// group parts records into runs of at most callBytes.
-func group(records []keyedlog.Record, callBytes int) [][]keyedlog.Record {
-	var groups [][]keyedlog.Record
-	size := 0
-	for _, r := range records {
-		n := len(r.Key) + len(r.Value) + recordOverhead
-		if len(groups) == 0 || size+n > callBytes {
-			groups = append(groups, nil)
-			size = 0
-		}
-		groups[len(groups)-1] = append(groups[len(groups)-1], r)
-		size += n
-	}
-	return groups
-}
-
-// applyOwn folds records that this process has just appended, before the
-// follower reads them back.
-func (s *Service) applyOwn(p keyedlog.Partition, records []keyedlog.Record, first int64) {
-	own := make([]keyedlog.Record, len(records))
-	for i, r := range records {
-		r.Offset = first + int64(i)
-		own[i] = r
-	}
-	view{s.table, p}.Apply(own)
-	s.runner.wake()
-}
-
-// catchUp waits a moment for the follower to go past from.
-func (s *Service) catchUp(ctx context.Context, from int64) {
-	const step, most = 5 * time.Millisecond, 500 * time.Millisecond
-	for waited := time.Duration(0); waited < most && s.jobs.Next() <= from && ctx.Err() == nil; waited += step {
-		time.Sleep(step)
-	}
-}
-
-// Confirm makes sure that the job is not known because it was not accepted: it
-// reads the log's end and waits until everything before it is folded.
-func (s *Service) Confirm(ctx context.Context, id string) (known bool, err error) {
-	part := keyedlog.Partition{Topic: s.opts.JobTopic}
-	next := s.jobs.Next()
-	h, err := s.opts.Log.Read(ctx, part, next, 0)
-	if err != nil {
-		return false, err
-	}
-	view{s.table, part}.Apply(h.Records)
-	if h.Next < h.End {
-		return s.table.Known(id), errors.New("jobs: far behind the log")
-	}
-	return s.table.Known(id), nil
-}
-
-// End ends a job: none of its items is started any more.
-func (s *Service) End(ctx context.Context, id string) error {
-	part := keyedlog.Partition{Topic: s.opts.JobTopic}
-	records := split(endKey(id), []byte{1}, s.opts.RecordBytes)
-	at, err := s.opts.Log.Append(ctx, part, records, keyedlog.Condition{})
-	if err != nil {
-		return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not ended", id).WithOutcome(errkind.Unknown)
-	}
-	s.applyOwn(part, records, at.First)
-	return nil
-}
-
 func (s *Service) logAccepted(j *Job) {
 	event.Log(s.opts.Logger, event.JobAccepted, "job", j.ID, "route", j.Route, "items", len(j.Items), "tokens", j.Tokens(),
 		"shard", shardOf(j.ID, s.opts.Shards))
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,8 +42,10 @@
 	*jobs.Service
 	name  string
 	fleet *fleet
-	stop  context.CancelFunc
-	done  chan struct{}
+	// away says that the process does not reach the log.
+	away atomic.Bool
+	stop context.CancelFunc
+	done chan struct{}
 }
 
 func newFleet(t *testing.T, backends int) *fleet {
@@ -78,7 +81,7 @@
 		AllBackends: func(g func(catalog.Backend)) { each(f.entries(), g) },
 		Table:       balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
-		Logger:      log.New(io.Discard), Peers: peersOf{n},
+		Logger:      log.New(io.Discard), Peers: peersOf{n}, StoreAge: n.storeAge,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	n.stop = cancel
@@ -102,6 +105,13 @@
 	}
 }
 
+func (n *node) storeAge() time.Duration {
+	if n.away.Load() {
+		return time.Minute
+	}
+	return 0
+}
+
 // kill ends a process without a word.
 func (n *node) kill() {
 	n.fleet.mu.Lock()
@@ -145,6 +155,30 @@
 	return r, n != nil
 }
 
+func (p peersOf) WithStore() (string, bool) {
+	p.self.fleet.mu.Lock()
+	defer p.self.fleet.mu.Unlock()
+	for name, n := range p.self.fleet.nodes {
+		if n != p.self && !n.away.Load() {
+			return name, true
+		}
+	}
+	return "", false
+}
+
+func (p peersOf) Alive() int {
+	p.self.fleet.mu.Lock()
+	defer p.self.fleet.mu.Unlock()
+	return len(p.self.fleet.nodes) - 1
+}
+
+func (p peersOf) Submit(ctx context.Context, address string, job *jobs.Job, quota int64) error {
+	p.self.fleet.mu.Lock()
+	n := p.self.fleet.nodes[address]
+	p.self.fleet.mu.Unlock()
+	return n.SubmitHere(ctx, job, quota)
+}
+
 func (p peersOf) List(ctx context.Context, address, id string, after int, wait time.Duration) (jobs.Listing, error) {
 	p.self.fleet.mu.Lock()
 	n := p.self.fleet.nodes[address]
@@ -354,6 +388,21 @@
 	f.checkWhole(j, f.waitDone(a, j))
 }
 
+func TestProcessWithoutTheLogHandsSubmissionsOn(t *testing.T) {
+	f := newFleet(t, 1)
+	a := f.start("a")
+	a.away.Store(true)
+	begin := time.Now()
+	err := a.Submit(t.Context(), job("j0", 1), 0)
+	assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.NotRun, "nobody reaches the log")
+	assert.Assert(t, time.Since(begin) < 100*time.Millisecond)
+	assert.Assert(t, errkind.From(err).Answer().RetryAfter < 100*time.Millisecond, "another process may be met soon")
+	b := f.start("b")
+	j := job("j1", 2)
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	f.checkWhole(j, f.waitDone(b, j))
+}
+
 func TestQuotaHoldsOverAllProcesses(t *testing.T) {
 	f := newFleet(t, 1)
 	f.backends[0].SetFault(always(platformtest.Full))
--- a/peering/owners.go
+++ b/peering/owners.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
@@ -18,7 +20,10 @@
 const (
 	listPath       = "/listing"
 	snapshotPath   = "/snapshot"
+	submitPath     = "/job"
 	maxAnswerBytes = 8 << 20
+	// storeFresh is the age up to which a peer counts as reaching the store.
+	storeFresh = 800 * time.Millisecond
 )
 
 // OwnerOf implements jobs.Peers: of several that call themselves the owner, the
@@ -71,9 +76,88 @@
 	return listing, errors.Wrap(cbor.Unmarshal(raw, &listing), "peering: list")
 }
 
-// Lister answers for the shards that a process owns.
-type Lister interface {
+// Host is the process that peers call.
+type Host interface {
+	// ListOwn answers for the shards that the process owns.
 	ListOwn(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error)
+	// SubmitHere accepts a job.
+	SubmitHere(ctx context.Context, job *jobs.Job, quota int64) error
+}
+
+// WithStore implements jobs.Peers. Peers of the own region go first.
+func (p *Peering) WithStore() (address string, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	far := true
+	for _, peer := range p.peers {
+		if !peer.alive || time.Since(peer.heard) > TTL || peer.storeAge > storeFresh {
+			continue
+		}
+		if !known || far && !peer.far {
+			address, known, far = peer.addr.String(), true, peer.far
+		}
+	}
+	return address, known
+}
+
+// Alive implements jobs.Peers.
+func (p *Peering) Alive() int { return len(p.alive()) }
+
+// submission is a job on its way to another gateway, and its answer.
+type submission struct {
+	Job   *jobs.Job `cbor:"1,keyasint"`
+	Quota int64     `cbor:"2,keyasint"`
+}
+
+type submitAnswer struct {
+	// Kind is empty for an accepted job.
+	Kind    errkind.Kind    `cbor:"1,keyasint,omitempty"`
+	Outcome errkind.Outcome `cbor:"2,keyasint,omitempty"`
+	Message string          `cbor:"3,keyasint,omitempty"`
+	// RetryMs is when the caller should come back.
+	RetryMs int64 `cbor:"4,keyasint,omitempty"`
+}
+
+// Submit implements jobs.Peers. Without an answer it is not known whether the
+// job was accepted.
+func (p *Peering) Submit(ctx context.Context, address string, job *jobs.Job, quota int64) error {
+	body, err := cbor.Marshal(submission{job, quota})
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "job %s", job.ID)
+	}
+	raw, err := p.call(ctx, http.MethodPost, address, submitPath, body)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Timeout, "job %s: no answer of a gateway that reaches the log", job.ID)
+	}
+	var a submitAnswer
+	if err := cbor.Unmarshal(raw, &a); err != nil {
+		return errkind.Wrap(err, errkind.Timeout, "job %s", job.ID)
+	}
+	if a.Kind == "" {
+		return nil
+	}
+	return errkind.New(a.Kind, "%s", a.Message).WithOutcome(a.Outcome).WithRetryAfter(time.Duration(a.RetryMs) * time.Millisecond)
+}
+
+// serveSubmit accepts a job for a peer.
+func serveSubmit(h Host) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+		var s submission
+		if err == nil {
+			err = cbor.Unmarshal(raw, &s)
+		}
+		if err != nil || s.Job == nil {
+			http.Error(w, "no job", http.StatusBadRequest)
+			return
+		}
+		if err := h.SubmitHere(r.Context(), s.Job, s.Quota); err != nil {
+			e := errkind.From(err)
+			writeCBOR(w, submitAnswer{e.Kind, e.Answer().Outcome, e.Message, e.Answer().RetryAfter.Milliseconds()})
+			return
+		}
+		writeCBOR(w, submitAnswer{})
+	}
 }
 
 // Snapshot is what a gateway knows of the configuration and of the backend
@@ -114,7 +198,11 @@
 
 // get reads what a peer serves under a path with its query.
 func (p *Peering) get(ctx context.Context, address, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	return p.call(ctx, http.MethodGet, address, path, nil)
+}
+
+func (p *Peering) call(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "peering")
 	}
@@ -134,8 +222,9 @@
 }
 
 // Handler returns what a gateway serves to its peers.
-func Handler(l Lister, snapshot func() Snapshot) http.Handler {
+func Handler(l Host, snapshot func() Snapshot) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+submitPath, serveSubmit(l))
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
 	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -46,6 +46,8 @@
 	Shards []jobs.Report     `cbor:"5,keyasint,omitempty"`
 	// Region is the sender's, for receivers that have no record of it.
 	Region string `cbor:"6,keyasint,omitempty"`
+	// StoreAgeMs is how long ago the sender heard from the store.
+	StoreAgeMs int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -65,6 +67,8 @@
 	Client *http.Client
 	// Shards returns what this gateway reports on the shards that it owns.
 	Shards func() []jobs.Report
+	// StoreAge returns how long ago this gateway heard from the store.
+	StoreAge func() time.Duration
 }
 
 // Peering sends and receives reports. It implements keyedlog.View over the
@@ -87,6 +91,9 @@
 	alive bool
 	// shards are those that the peer owned by its last report.
 	shards []jobs.Report
+	// storeAge is how long ago the peer had heard from the store at its last
+	// report.
+	storeAge time.Duration
 }
 
 // New returns a Peering that uses opts.Conn.
@@ -160,7 +167,7 @@
 		if far {
 			unsentFar, lastFar = 0, time.Now()
 		}
-		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Loads: p.loads(), Shards: p.opts.Shards()}, far)
+		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Loads: p.loads(), Shards: p.opts.Shards(), StoreAgeMs: p.opts.StoreAge().Milliseconds()}, far)
 		p.pause(ctx)
 	}
 }
@@ -260,6 +267,7 @@
 	}
 	known.boot, known.seq, known.heard, known.alive = r.Boot, r.Seq, now, true
 	known.shards = r.Shards
+	known.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	p.mu.Unlock()
 	counts := make(map[string]balance.Counts, len(r.Loads))
 	for id, n := range r.Loads {
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/peering"
@@ -30,7 +31,7 @@
 	address string
 	table   *balance.Table
 	shards  []jobs.Report
-	stop    context.CancelFunc
+	stop    func()
 }
 
 func start(t *testing.T, name, address, region string, shards ...jobs.Report) *gateway {
@@ -41,12 +42,13 @@
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.TTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient,
-		Shards: func() []jobs.Report { return g.shards },
+		Shards: func() []jobs.Report { return g.shards }, StoreAge: func() time.Duration { return 0 },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	g.stop = cancel
-	go g.Run(ctx)
-	t.Cleanup(cancel)
+	done := make(chan struct{})
+	go func() { g.Run(ctx); close(done) }()
+	g.stop = func() { cancel(); <-done }
+	t.Cleanup(g.stop)
 	return g
 }
 
@@ -131,19 +133,40 @@
 	assert.Assert(t, !known)
 }
 
-// lister answers for jobs that it owns.
-type lister struct{}
+// host is a process that peers call.
+type host struct{}
 
-func (lister) ListOwn(_ context.Context, id string, after int, wait time.Duration) (jobs.Listing, error) {
+func (host) ListOwn(_ context.Context, id string, after int, wait time.Duration) (jobs.Listing, error) {
 	if id != "mine" {
 		return jobs.Listing{}, errors.New("not owned")
 	}
 	return jobs.Listing{Total: 9, Next: after + 1, Results: []jobs.ListedResult{{ItemID: "i", Completed: true, Text: fmt.Append(nil, wait)}}}, nil
 }
 
+func (host) SubmitHere(_ context.Context, job *jobs.Job, quota int64) error {
+	if job.Tokens() > quota {
+		return errkind.New(errkind.RateLimited, "too much").WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+func TestSubmissionIsHandedOn(t *testing.T) {
+	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }))
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	a := start(t, "a", "127.0.0.1:0", "r")
+	job := &jobs.Job{ID: "j", Items: []jobs.Item{{ID: "i", Tokens: 5}}}
+	assert.NilError(t, a.Submit(t.Context(), address, job, 5))
+	answer := errkind.From(a.Submit(t.Context(), address, job, 4)).Answer()
+	assert.Equal(t, answer.Status, http.StatusTooManyRequests)
+	assert.Equal(t, answer.Outcome, errkind.NotRun)
+	server.Close()
+	assert.Equal(t, errkind.From(a.Submit(t.Context(), address, job, 5)).Answer().Outcome, errkind.Unknown)
+}
+
 func TestPeersAreAskedForListingsAndSnapshots(t *testing.T) {
 	snapshot := peering.Snapshot{Config: []keyedlog.Record{{Key: "config", Value: []byte("7"), Offset: 3}}}
-	server := httptest.NewServer(peering.Handler(lister{}, func() peering.Snapshot { return snapshot }))
+	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return snapshot }))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := start(t, "a", "127.0.0.1:0", "r")
