--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -58,10 +59,9 @@
 func (o *online) sendHead(answer *upstream.Answer, whole bool, n int) {
 	h := o.w.Header()
 	for name, values := range answer.Header {
-		h[name] = values
-	}
-	for _, name := range hopHeaders {
-		h.Del(name)
+		if !slices.Contains(hopHeaders, name) {
+			h[name] = values
+		}
 	}
 	if _, set := h["Content-Type"]; !set {
 		h["Content-Type"] = nil // keeps the library from guessing one
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -27,7 +27,6 @@
 	outOfRotation = 2800 * time.Millisecond
 	// exitMargin is the part of the grace that is left for the exit itself.
 	exitMargin  = 700 * time.Millisecond
-	metricsPort = "9464"
 	metricsPath = "/metrics"
 )
 
@@ -39,7 +38,7 @@
 	status := d.server(http.HandlerFunc(d.serveMetrics))
 	peers := d.server(peering.Handler(d.jobs, d.snapshot))
 	failed := make(chan error, 4)
-	statusAddress := net.JoinHostPort(d.settings.IP, metricsPort)
+	statusAddress := fmt.Sprintf("%s:%d", d.settings.IP, d.settings.MetricsPort)
 	for address, server := range map[string]*http.Server{
 		d.settings.CallersAddress: callers, d.settings.ReadyAddress: ready, statusAddress: status,
 		fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort): peers,
