A submission that the store refuses is handed on at once

Now without waiting for a second of silence. Test first failed: TestProcessThatTheLogRefusesHandsSubmissionsOn.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -40,7 +40,11 @@
 	if !s.Ready() || s.opts.StoreAge() > storeAway {
 		return s.submitElsewhere(ctx, job, quota)
 	}
-	return s.SubmitHere(ctx, job, quota)
+	err := s.SubmitHere(ctx, job, quota)
+	if errkind.Is(err, errkind.LogUnavailable) {
+		return s.submitElsewhere(ctx, job, quota)
+	}
+	return err
 }
 
 // submitElsewhere hands a submission to a process that reaches the log. Without
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -69,11 +69,16 @@
 }
 
 func (f *fleet) start(name string) *node {
+	f.t.Helper()
+	return f.startOn(name, f.log)
+}
+
+func (f *fleet) startOn(name string, l keyedlog.Log) *node {
 	f.t.Helper()
 	n := &node{name: name, fleet: f, done: make(chan struct{})}
 	config := catalog.NewConfig(1, []catalog.Route{f.route}, nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
-		Log: f.log, Groups: f.log, Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
+		Log: l, Groups: f.log, Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
 		JobTopic: "keyed.jobs", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
 		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Stay: time.Hour,
 		Configs:     func() *catalog.Config { return config },
@@ -403,6 +408,22 @@
 	f.checkWhole(j, f.waitDone(b, j))
 }
 
+// turnedAway is a log that refuses the appends of one process.
+type turnedAway struct{ *keyedlogtest.Log }
+
+func (turnedAway) Append(context.Context, keyedlog.Partition, []keyedlog.Record, keyedlog.Condition) (keyedlog.Appended, error) {
+	return keyedlog.Appended{}, keyedlog.ErrRefused
+}
+
+func TestProcessThatTheLogRefusesHandsSubmissionsOn(t *testing.T) {
+	f := newFleet(t, 1)
+	b := f.start("b")
+	a := f.startOn("a", turnedAway{f.log})
+	j := job("j1", 2)
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	f.checkWhole(j, f.waitDone(b, j))
+}
+
 func TestQuotaHoldsOverAllProcesses(t *testing.T) {
 	f := newFleet(t, 1)
 	f.backends[0].SetFault(always(platformtest.Full))
