--- a/balance/pick.go
+++ b/balance/pick.go
@@ -89,6 +89,39 @@
 	return best, found
 }
 
+// Room describes why candidates had no room, for a log line.
+type Room struct {
+	Known, Leaving, Excluded, Avoided int
+	// Least is the load of the least loaded of the others.
+	Least Counts
+}
+
+// Room counts candidates by what kept them from being chosen.
+func (t *Table) Room(candidates []catalog.Backend, need Need, now time.Time) Room {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	room := Room{Known: len(candidates)}
+	found := false
+	for _, b := range candidates {
+		switch {
+		case b.State != catalog.Ready:
+			room.Leaving++
+			continue
+		case need.Exclude[b.ID]:
+			room.Excluded++
+			continue
+		case t.suspect(b.ID, now):
+			room.Avoided++
+		}
+		load := t.load(b.ID, now)
+		load.Online += t.hidden(b.ID, now)
+		if !found || load.Online < room.Least.Online {
+			room.Least, found = load, true
+		}
+	}
+	return room
+}
+
 // The ranks of candidates, best first.
 const (
 	rankFree = iota
--- a/internal/ctl/desired.go
+++ b/internal/ctl/desired.go
@@ -147,7 +147,7 @@
 		return desired.Version{}, withCode(ExitUnavailable, err)
 	}
 	if !s.Known {
-		return desired.Version{}, errors.New("the log does not hold the version in force any more; see docs/operations.md, lost configuration")
+		return desired.Version{}, errors.New("the log does not hold the version in force any more; see docs/OPERATIONS.md, lost configuration")
 	}
 	if s.InForce == nil {
 		return desired.Version{}, nil
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -119,7 +119,7 @@
 			return balance.Choice{}, o.expired(err)
 		}
 		if now.After(until) {
-			return balance.Choice{}, o.overloaded()
+			return balance.Choice{}, o.overloaded(o.g.Table.Room(candidates, need, now))
 		}
 		o.await(ctx, changed, until.Sub(now))
 	}
@@ -152,8 +152,9 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
-func (o *online) overloaded() *errkind.Error {
-	return errkind.New(errkind.Overloaded, "no backend server has room").
+func (o *online) overloaded(r balance.Room) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "no backend server has room: %d known, %d leaving, %d tried, %d avoided, least load %d online and %d batch",
+		r.Known, r.Leaving, r.Excluded, r.Avoided, r.Least.Online, r.Least.Batch).
 		WithRetryAfter(returnAfter + rand.N(returnSpread))
 }
 
