Bytes of a connection are counted before the peer can answer

Cause of TestLoopbackCountsBothDirections failing once ("36 bytes"): countingConn.Write counted after the write had returned.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/charmbracelet/log"
@@ -32,6 +34,29 @@
 	assert.Assert(t, l.bytes.Load() > before)
 }
 
+// answeringConn reads the count while Write has not returned, as a peer does that
+// answers at once.
+type answeringConn struct {
+	net.Conn
+	bytes *atomic.Int64
+	seen  int64
+}
+
+func (c *answeringConn) Write(p []byte) (int, error) {
+	c.seen = c.bytes.Load()
+	return len(p) - 1, io.ErrShortWrite
+}
+
+func TestBytesCountBeforeThePeerCanAnswer(t *testing.T) {
+	var bytes atomic.Int64
+	peer := &answeringConn{bytes: &bytes}
+	n, err := countingConn{peer, &bytes}.Write([]byte("12345"))
+	assert.ErrorIs(t, err, io.ErrShortWrite)
+	assert.Equal(t, n, 4)
+	assert.Equal(t, peer.seen, int64(5))
+	assert.Equal(t, bytes.Load(), int64(4), "what was not written is not counted")
+}
+
 func TestStreamsAreWhole(t *testing.T) {
 	engine, stop, err := newEngine()
 	assert.NilError(t, err)
--- a/internal/capacity/loopback.go
+++ b/internal/capacity/loopback.go
@@ -76,9 +76,11 @@
 	return n, err
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. The bytes are counted before they go, since the
+// other end may answer before Write returns; what was not written is taken back.
 func (c countingConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
 	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
+	c.bytes.Add(int64(n - len(p)))
 	return n, err
 }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -111,7 +111,7 @@
 		return
 	}
 	begun := make(map[string]bool)
-	open := r.openJobs(config, now)
+	open := r.openJobs(config)
 	for _, hopeful := range []bool{true, false} {
 		for _, j := range open {
 			if !r.startItems(ctx, j, hopeful, begun, now) {
@@ -180,7 +180,7 @@
 }
 
 // openJobs lists the jobs to run in the order of their due times.
-func (r *runner) openJobs(config *catalog.Config, now time.Time) []openJob {
+func (r *runner) openJobs(config *catalog.Config) []openJob {
 	var open []openJob
 	for _, j := range r.s.table.openJobs(r.ownedJob) {
 		route := routeOf(config, j.job)
