A page of the log is bounded in bytes

Pages of 256 records held up to 88 MB where records are 257 KB, as those of a large file are; the memory of a page now stays under 4 MB after the first. Not measured again: the peak of an entry that takes a file of 54 MB, 254 MB before.

--- a/commitlog/follow.go
+++ b/commitlog/follow.go
@@ -35,8 +35,9 @@
 // followLoop folds the stream from its oldest kept record on.
 func (s *Stream) followLoop(ctx context.Context) {
 	wait := newBackoff()
+	limit := firstPage
 	for ctx.Err() == nil {
-		page, err := s.readPage(ctx)
+		page, err := s.readPage(ctx, limit)
 		if ctx.Err() != nil {
 			return
 		}
@@ -46,6 +47,7 @@
 			continue
 		}
 		wait.Reset()
+		limit = nextLimit(page, limit)
 		s.foldPage(page)
 		if len(page.Records) == 0 && page.Next <= s.Folded() {
 			sleep(ctx, minBackoff)
@@ -53,9 +55,22 @@
 	}
 }
 
-func (s *Stream) readPage(ctx context.Context) (Page, error) {
+// nextLimit returns how many records to ask for after a page, so that the memory
+// for a page does not grow with the size of the records.
+func nextLimit(page Page, limit int) int {
+	size := 0
+	for _, r := range page.Records {
+		size += len(r.Payload)
+	}
+	if size == 0 {
+		return limit
+	}
+	return min(max(pageBytes*len(page.Records)/size, 1), readPage)
+}
+
+func (s *Stream) readPage(ctx context.Context, limit int) (Page, error) {
 	at := s.Folded()
-	page, err := s.log.Read(ctx, s.name, at, readPage, readWait)
+	page, err := s.log.Read(ctx, s.name, at, limit, readWait)
 	if err == nil && page.Next < at {
 		return Page{}, errors.Wrapf(errLogShrank, "at %d, end %d", at, page.Next)
 	}
--- a/commitlog/stream.go
+++ b/commitlog/stream.go
@@ -39,8 +39,12 @@
 	// maxEntries bounds the entries of one record, below the CBOR decoder's
 	// limit on the elements of an array.
 	maxEntries = 1 << 16
-	readPage   = 256
-	readWait   = 2 * time.Second
+	// A read asks for as many records as pageBytes hold by the size of the last
+	// ones, and for at most readPage; the first for firstPage.
+	readPage  = 256
+	firstPage = 8
+	pageBytes = 4 << 20
+	readWait  = 2 * time.Second
 )
 
 // Options configure a Stream.
