Content of jobs apart from their summaries; shards owned near the store; short reports

Every gateway now follows summaries only; the owner reads the content. Reports name backend servers by 32 bits and go to the other region each 100 ms. TestSubmissionInDoubtIsNoRefusal asked that a late append of anything may make the job; content alone can't, so the test now delays the summary, and checks beside it that late content makes no job and that not_run is told. TestShardsAreOwnedNearTheLog.

--- a/balance/table.go
+++ b/balance/table.go
@@ -63,7 +63,18 @@
 
 type peerCounts struct {
 	at     time.Time
-	counts map[string]Counts
+	counts map[uint32]Counts
+}
+
+// Key is a short name of a backend server for reports between entries. Two ids
+// with the same key only add to each other's load.
+func Key(id string) uint32 {
+	const offset, prime = 2166136261, 16777619 // FNV-1a
+	h := uint32(offset)
+	for i := range len(id) {
+		h = (h ^ uint32(id[i])) * prime
+	}
+	return h
 }
 
 // New returns an empty table.
@@ -137,19 +148,19 @@
 	t.wake()
 }
 
-// Own returns this entry's attempts by backend server.
-func (t *Table) Own() map[string]Counts {
+// Own returns this entry's attempts by the key of the backend server.
+func (t *Table) Own() map[uint32]Counts {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[string]Counts, len(t.own))
+	out := make(map[uint32]Counts, len(t.own))
 	for id, o := range t.own {
-		out[id] = Counts{Online: o.n[Online], Batch: o.n[Batch]}
+		out[Key(id)] = Counts{Online: o.n[Online], Batch: o.n[Batch]}
 	}
 	return out
 }
 
-// SetPeer replaces what is known of a peer.
-func (t *Table) SetPeer(name string, counts map[string]Counts, now time.Time) {
+// SetPeer replaces what is known of a peer: its attempts by Key.
+func (t *Table) SetPeer(name string, counts map[uint32]Counts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.peers[name] = &peerCounts{at: now, counts: counts}
@@ -183,11 +194,12 @@
 		sum.Online += o.n[Online]
 		sum.Batch += o.n[Batch]
 	}
+	key := Key(id)
 	for _, p := range t.peers {
 		if now.Sub(p.at) > t.opts.PeerTTL {
 			continue
 		}
-		c := p.counts[id]
+		c := p.counts[key]
 		sum.Online += c.Online
 		sum.Batch += c.Batch
 	}
@@ -206,10 +218,11 @@
 	if excess <= 0 || sum.Online == 0 {
 		return 0
 	}
+	key := Key(b.ID)
 	holders := []holder{{name, t.ownBatch(b.ID)}}
 	for peer, p := range t.peers {
-		if now.Sub(p.at) <= t.opts.PeerTTL && p.counts[b.ID].Batch > 0 {
-			holders = append(holders, holder{peer, p.counts[b.ID].Batch})
+		if now.Sub(p.at) <= t.opts.PeerTTL && p.counts[key].Batch > 0 {
+			holders = append(holders, holder{peer, p.counts[key].Batch})
 		}
 	}
 	return shareOf(name, holders, excess)
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -59,11 +59,7 @@
 	if err := g.knownJob(ctx, id); err != nil {
 		return nil, err
 	}
-	body, found, _ := g.Jobs.Table().Body(id, itemID)
-	if !found {
-		return nil, errkind.New(errkind.NotFound, "no open item %s in batch job %s", itemID, id)
-	}
-	return body, nil
+	return g.Jobs.Body(ctx, id, itemID)
 }
 
 // knownJob returns nil if the job is known, not_found if the store confirms
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -51,6 +51,7 @@
 	ordinaryLines = 400
 
 	jobTopic       = "jobs"
+	contentTopic   = "contents"
 	resultTopic    = "results"
 	directoryTopic = "gateways"
 )
@@ -101,6 +102,7 @@
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
 		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
+		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() },
 	})
 	d.jobs = jobs.New(d.jobOptions(configs, table))
 	d.followers = []*keyedlog.Follower{
@@ -122,7 +124,7 @@
 		Log: d.store, Groups: d.store,
 		Member:   fmt.Sprintf("%s-%d", s.Instance, time.Now().UnixNano()),
 		Instance: s.Instance,
-		JobTopic: platform.KeyedTopic(jobTopic), ResultTopic: platform.KeyedTopic(resultTopic),
+		JobTopic: platform.KeyedTopic(jobTopic), ContentTopic: platform.KeyedTopic(contentTopic), ResultTopic: platform.KeyedTopic(resultTopic),
 		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
 		MinTTL: s.Store.MinTTL, Stay: s.JobStay,
 		Configs: configs.Current, Backends: d.backends.Of, AllBackends: d.backends.All,
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -68,16 +68,40 @@
 	if !s.Ready() {
 		return errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(refusedJob)
 	}
-	value, err := encode(job)
+	content, err := encode(job)
+	if err != nil {
+		return errkind.Wrap(err, errkind.BadRequest, "job %s", job.ID)
+	}
+	value, err := encode(job.summary())
 	if err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "job %s", job.ID)
 	}
 	s.accepting.Lock()
 	defer s.accepting.Unlock()
-	return s.accept(ctx, job, split(jobKey(job.ID), value, s.opts.RecordBytes), quota)
+	sh := s.shards[shardOf(job.ID, len(s.shards))]
+	if err := s.writeContent(ctx, sh, split(contentKey(job.ID), content, s.opts.RecordBytes)); err != nil {
+		return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(refusedJob)
+	}
+	err = s.accept(ctx, job, split(jobKey(job.ID), value, s.opts.RecordBytes), quota)
+	if err != nil && errkind.From(err).Answer().Outcome == errkind.NotRun {
+		s.drop(context.WithoutCancel(ctx), sh.content, tombstones(contentKey(job.ID), pieceCount(len(content), s.opts.RecordBytes)))
+	}
+	return err
+}
+
+// writeContent appends the items of a job, which mean nothing without its
+// summary.
+func (s *Service) writeContent(ctx context.Context, sh *shard, records []keyedlog.Record) error {
+	var err error
+	for range acceptDoubts {
+		if _, err = s.appendSoon(ctx, sh.content, records, keyedlog.Condition{}); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
 }
 
-// accept appends the job's records at the end of the jobs that the quota was
+// accept appends the job's summary at the end of the jobs that the quota was
 // checked against.
 func (s *Service) accept(ctx context.Context, job *Job, records []keyedlog.Record, quota int64) error {
 	part := keyedlog.Partition{Topic: s.opts.JobTopic}
--- a/jobs/expire.go
+++ b/jobs/expire.go
@@ -38,13 +38,11 @@
 	}
 	for _, old := range s.table.closedBefore(now.Add(-s.opts.Stay-stayMargin), s.runner.ownedJob) {
 		sh := s.shards[shardOf(old.id, len(s.shards))]
-		if !sh.drop(ctx, old.results) {
-			return
-		}
-		part := keyedlog.Partition{Topic: s.opts.JobTopic}
 		records := append(tombstones(jobKey(old.id), old.pieces), tombstones(endKey(old.id), 1)...)
-		if _, err := s.opts.Log.Append(ctx, part, records, keyedlog.Condition{}); err != nil {
-			event.Log(s.opts.Logger, event.LogDown, "call", "drop job", "job", old.id, "cause", err)
+		ok := s.drop(ctx, sh.part, old.results) &&
+			s.drop(ctx, sh.content, tombstones(contentKey(old.id), old.contentPieces)) &&
+			s.drop(ctx, keyedlog.Partition{Topic: s.opts.JobTopic}, records)
+		if !ok {
 			return
 		}
 	}
@@ -52,9 +50,10 @@
 
 // oldJob is a job to drop.
 type oldJob struct {
-	id      string
-	pieces  int
-	results []keyedlog.Record
+	id            string
+	pieces        int
+	contentPieces int
+	results       []keyedlog.Record
 }
 
 // closedBefore lists the jobs that mine accepts, that were submitted before t
@@ -64,10 +63,10 @@
 	defer t.mu.RUnlock()
 	var old []oldJob
 	for id, e := range t.byID {
-		if e.job == nil || e.open() || !e.job.Submitted().Before(at) || !mine(id) {
+		if e.job == nil || e.open() || !e.job.submitted().Before(at) || !mine(id) {
 			continue
 		}
-		o := oldJob{id: id, pieces: e.pieces}
+		o := oldJob{id: id, pieces: e.pieces, contentPieces: e.contentPieces}
 		for position := range e.results {
 			o.results = append(o.results, tombstones(resultKey(id, position), e.resultPieces[position])...)
 		}
@@ -79,11 +78,11 @@
 	return old
 }
 
-// drop appends tombstones to the shard; it returns false if that failed.
-func (sh *shard) drop(ctx context.Context, records []keyedlog.Record) bool {
-	for _, g := range group(records, sh.s.opts.CallBytes) {
-		if _, err := sh.s.opts.Log.Append(ctx, sh.part, g, keyedlog.Condition{}); err != nil {
-			event.Log(sh.s.opts.Logger, event.LogDown, "call", "drop results", "shard", sh.part.Index, "cause", err)
+// drop appends tombstones; it returns false if that failed.
+func (s *Service) drop(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record) bool {
+	for _, g := range group(records, s.opts.CallBytes) {
+		if _, err := s.opts.Log.Append(ctx, p, g, keyedlog.Condition{}); err != nil {
+			event.Log(s.opts.Logger, event.LogDown, "call", "drop", "topic", p.Topic, "part", p.Index, "cause", err)
 			return false
 		}
 	}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -1,12 +1,13 @@
 // Package jobs takes batch jobs, keeps them and their results on a keyed log,
 // and runs their items.
 //
-// One topic holds the jobs. A job is accepted when its record stands there; the
-// order of that log decides which jobs fit a route's quota. A second topic has
-// partitions, the shards; a job's results stand in the shard that its id hashes
-// to. One process at a time owns a shard. It writes under an epoch that the log
-// checks, so a former owner can waste work but change nothing. Every process
-// follows both topics and can answer any question about any job.
+// One topic holds summaries of the jobs, which every process follows. A job is
+// accepted when its summary stands there; the order of that log decides which jobs
+// fit a route's quota. Two more topics have a partition for each shard; a job's
+// content, which is written before its summary, and its results stand in the shard
+// that its id hashes to. One process at a time owns a shard. It reads the content,
+// runs the items and writes the results under an epoch that the log checks, so a
+// former owner can waste work but change nothing. Others ask the owner.
 package jobs
 
 import (
@@ -42,14 +43,35 @@
 	Items       []Item `cbor:"5,keyasint"`
 }
 
-// Submitted returns when the job was first seen.
-func (j *Job) Submitted() time.Time { return time.UnixMilli(j.SubmittedMs) }
-
 // Tokens returns the tokens of all items.
-func (j *Job) Tokens() int64 {
-	var sum int64
+func (j *Job) Tokens() int64 { return j.summary().total() }
+
+// summary returns what every process is to know of the job.
+func (j *Job) summary() *summary {
+	s := &summary{Host: j.Host, Route: j.Route, SubmittedMs: j.SubmittedMs, Tokens: make([]int64, len(j.Items))}
 	for i := range j.Items {
-		sum += j.Items[i].Tokens
+		s.Tokens[i] = j.Items[i].Tokens
+	}
+	return s
+}
+
+// summary is what every process knows of an accepted job. Its items, which may
+// be long, are known to the owner of its shard only.
+type summary struct {
+	Host        string `cbor:"1,keyasint"`
+	Route       string `cbor:"2,keyasint"`
+	SubmittedMs int64  `cbor:"3,keyasint"`
+	// Tokens holds the tokens of each item.
+	Tokens []int64 `cbor:"4,keyasint"`
+}
+
+// submitted returns when the job was first seen.
+func (s *summary) submitted() time.Time { return time.UnixMilli(s.SubmittedMs) }
+
+func (s *summary) total() int64 {
+	var sum int64
+	for _, n := range s.Tokens {
+		sum += n
 	}
 	return sum
 }
--- a/jobs/pieces.go
+++ b/jobs/pieces.go
@@ -23,7 +23,7 @@
 // split returns the records of a value, none longer than recordBytes.
 func split(key string, value []byte, recordBytes int) []keyedlog.Record {
 	room := recordBytes - recordOverhead
-	count := max((len(value)+room-1)/room, 1)
+	count := pieceCount(len(value), recordBytes)
 	records := make([]keyedlog.Record, 0, count)
 	for i := range count {
 		part := value[i*room : min((i+1)*room, len(value))]
@@ -33,6 +33,12 @@
 	return records
 }
 
+// pieceCount returns how many records hold a value of n bytes.
+func pieceCount(n, recordBytes int) int {
+	room := recordBytes - recordOverhead
+	return max((n+room-1)/room, 1)
+}
+
 // tombstones returns the records that drop a value of count pieces.
 func tombstones(key string, count int) []keyedlog.Record {
 	records := make([]keyedlog.Record, 0, count)
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -105,10 +105,10 @@
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.byID[id]
-	if e == nil || e.job == nil {
+	if e == nil || e.job == nil || e.items == nil {
 		return Listing{}, nil, false
 	}
-	listing := Listing{Total: len(e.job.Items), Next: after}
+	listing := Listing{Total: len(e.job.Tokens), Next: after}
 	ready := e.ready()
 	size := 0
 	for i := after; i >= 0 && i < len(ready); i++ {
@@ -117,7 +117,7 @@
 		if size > maxListing && len(listing.Results) > 0 {
 			break
 		}
-		listing.Results = append(listing.Results, ListedResult{e.job.Items[r.Item].ID, r.Completed, r.Text})
+		listing.Results = append(listing.Results, ListedResult{e.items[r.Item].ID, r.Completed, r.Text})
 	}
 	listing.Next = after + len(listing.Results)
 	if len(listing.Results) > 0 || !e.open() {
@@ -134,18 +134,51 @@
 	return e != nil && e.job != nil
 }
 
-// Body returns the body of an item of a job that has not ended. known tells
-// whether the job is.
-func (t *Table) Body(id, itemID string) (body []byte, found, known bool) {
+// Body returns the body of an item of a job that has not ended.
+func (s *Service) Body(ctx context.Context, id, itemID string) ([]byte, error) {
+	index := shardOf(id, len(s.shards))
+	if s.shards[index].owned() {
+		return s.BodyOwn(id, itemID)
+	}
+	address, known := s.opts.Peers.OwnerOf(index)
+	if !known {
+		return nil, errkind.New(errkind.LogUnavailable, "shard %d has no owner", index).WithRetryAfter(retryOwner)
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	body, found, err := s.opts.Peers.Body(ctx, address, id, itemID)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.LogUnavailable, "the owner of shard %d does not answer", index).WithRetryAfter(retryOwner)
+	}
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "no open item %s in batch job %s", itemID, id)
+	}
+	return body, nil
+}
+
+// BodyOwn answers for a shard that this process owns.
+func (s *Service) BodyOwn(id, itemID string) ([]byte, error) {
+	body, found, known := s.table.body(id, itemID)
+	if !known || !s.shards[shardOf(id, len(s.shards))].owned() {
+		return nil, errkind.New(errkind.LogUnavailable, "the content of batch job %s is not known here", id).WithRetryAfter(retryOwner)
+	}
+	if !found {
+		return nil, errkind.New(errkind.NotFound, "no open item %s in batch job %s", itemID, id)
+	}
+	return body, nil
+}
+
+// body returns the body of an item; known tells whether the job's content is.
+func (t *Table) body(id, itemID string) (body []byte, found, known bool) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	e := t.byID[id]
-	if e == nil || e.job == nil {
+	if e == nil || e.job == nil || e.items == nil {
 		return nil, false, false
 	}
-	for i := range e.job.Items {
-		if e.job.Items[i].ID == itemID {
-			return e.job.Items[i].Body, !e.ended, true
+	for i := range e.items {
+		if e.items[i].ID == itemID {
+			return e.items[i].Body, !e.ended, true
 		}
 	}
 	return nil, false, true
@@ -161,9 +194,9 @@
 		if e.job == nil || e.ended || e.offset < from || e.offset >= to || !mine(id) {
 			continue
 		}
-		for i := range e.job.Items {
+		for i, tokens := range e.job.Tokens {
 			if !e.listed[i] {
-				sums[e.job.Route] += e.job.Items[i].Tokens
+				sums[e.job.Route] += tokens
 			}
 		}
 	}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -171,9 +171,11 @@
 
 // openJob is a job of an owned shard with items to run.
 type openJob struct {
-	job   *Job
-	route *catalog.Route
-	due   time.Time
+	id      string
+	job     *summary
+	content []Item
+	route   *catalog.Route
+	due     time.Time
 	// items are the indices of the items without a result.
 	items    []int
 	progress map[int]Progress
@@ -183,12 +185,12 @@
 func (r *runner) openJobs(config *catalog.Config) []openJob {
 	var open []openJob
 	for _, j := range r.s.table.openJobs(r.ownedJob) {
-		route := routeOf(config, j.job)
+		route := routeOf(config, j)
 		if route == nil {
 			continue
 		}
 		j.route = route
-		j.due = j.job.Submitted().Add(route.JobDue)
+		j.due = j.job.submitted().Add(route.JobDue)
 		open = append(open, j)
 	}
 	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
@@ -200,11 +202,11 @@
 }
 
 // routeOf returns the route that a job's items belong to.
-func routeOf(config *catalog.Config, j *Job) *catalog.Route {
-	if len(j.Items) == 0 {
+func routeOf(config *catalog.Config, j openJob) *catalog.Route {
+	if len(j.content) == 0 {
 		return nil
 	}
-	route := config.Match(j.Host, j.Items[0].Target)
+	route := config.Match(j.job.Host, j.content[0].Target)
 	if route == nil || route.Kind != catalog.Batch {
 		return nil
 	}
@@ -217,11 +219,11 @@
 	defer t.mu.RUnlock()
 	var open []openJob
 	for id, e := range t.byID {
-		if !e.open() || !mine(id) {
+		if !e.open() || e.items == nil || !mine(id) {
 			continue
 		}
-		j := openJob{job: e.job, progress: maps.Clone(e.progress)}
-		for i := range e.job.Items {
+		j := openJob{id: id, job: e.job, content: e.items, progress: maps.Clone(e.progress)}
+		for i := range e.items {
 			if !e.listed[i] {
 				j.items = append(j.items, i)
 			}
@@ -236,7 +238,7 @@
 // time go first, over all jobs; hopeful says which are meant. It returns false if
 // no backend server takes more.
 func (r *runner) startItems(ctx context.Context, j openJob, hopeful bool, begun map[string]bool, now time.Time) bool {
-	retained := j.route.JobRetention <= 0 || now.Before(j.job.Submitted().Add(j.route.JobRetention))
+	retained := j.route.JobRetention <= 0 || now.Before(j.job.submitted().Add(j.route.JobRetention))
 	for _, item := range j.items {
 		u := r.runOf(j, item)
 		if u.result != nil {
@@ -259,7 +261,7 @@
 
 // runOf returns the run of an item, which it begins if there is none.
 func (r *runner) runOf(j openJob, item int) *run {
-	ref := itemRef{j.job.ID, item}
+	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
 		u = &run{ref: ref, progress: j.progress[item], saved: j.progress[item], due: j.due}
@@ -281,7 +283,7 @@
 // start starts an item; it returns false if no backend server has a free slot.
 func (r *runner) start(ctx context.Context, j openJob, u *run, begun map[string]bool, now time.Time) bool {
 	service := j.route.Service(float64(u.ref.item%10) / 10)
-	item := &j.job.Items[u.ref.item]
+	item := &j.content[u.ref.item]
 	need := balance.Need{Class: balance.Batch, Exclude: begun}
 	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), need, now)
 	if !ok {
@@ -302,7 +304,7 @@
 func (r *runner) work(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
 	begin := time.Now()
-	out := r.s.runItem(ctx, itemRequest(j.job, u.ref.item), b, p, func(p Progress) { r.report(u, p) })
+	out := r.s.runItem(ctx, itemRequest(j.job.Host, &j.content[u.ref.item]), b, p, func(p Progress) { r.report(u, p) })
 	r.s.opts.Table.End(b.ID, balance.Batch)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -399,10 +401,9 @@
 }
 
 // itemRequest returns the request of an item.
-func itemRequest(j *Job, index int) *serving.Request {
-	item := &j.Items[index]
+func itemRequest(host string, item *Item) *serving.Request {
 	r := &serving.Request{
-		ID: item.ID, Method: "POST", Host: j.Host, Target: item.Target, Path: item.Target,
+		ID: item.ID, Method: "POST", Host: host, Target: item.Target, Path: item.Target,
 		Header: make(map[string][]string, len(item.Header)), Body: item.Body, Arrived: time.Now(),
 	}
 	for name, value := range item.Header {
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -24,10 +24,11 @@
 	Member string
 	// Instance is this process's name towards its peers.
 	Instance string
-	// JobTopic and ResultTopic are keyed topics of the log.
-	JobTopic    string
-	ResultTopic string
-	Shards      int
+	// JobTopic, ContentTopic and ResultTopic are keyed topics of the log.
+	JobTopic     string
+	ContentTopic string
+	ResultTopic  string
+	Shards       int
 	// RecordBytes and CallBytes bound a record and an append.
 	RecordBytes int
 	CallBytes   int
@@ -72,10 +73,15 @@
 	// WithStore returns the address of a process that has heard from the store
 	// of late.
 	WithStore() (address string, known bool)
+	// NearestRTT returns the shortest time of a call to the log that a process
+	// that is heard has reported.
+	NearestRTT() (rtt time.Duration, known bool)
 	// Alive returns how many processes are heard.
 	Alive() int
 	// Submit hands a submission to another process.
 	Submit(ctx context.Context, address string, job *Job, quota int64) error
+	// Body asks an owner for the body of an item.
+	Body(ctx context.Context, address, id, itemID string) (body []byte, found bool, err error)
 	// List asks an owner for a listing.
 	List(ctx context.Context, address, id string, after int, wait time.Duration) (Listing, error)
 }
@@ -97,7 +103,11 @@
 	reports       []Report
 	reportedAt    time.Time
 	shardsChanged atomic.Bool
-	joinedAt      atomic.Int64 // Unix nanoseconds of the last confirmed membership
+	// rttGuard guards the measured times of short calls to the log.
+	rttGuard sync.Mutex
+	rtts     [rttSamples]time.Duration
+	rttNext  int
+	joinedAt atomic.Int64 // Unix nanoseconds of the last confirmed membership
 }
 
 const (
@@ -113,11 +123,10 @@
 // New returns a service; Run makes it work.
 func New(opts Options) *Service {
 	s := &Service{opts: opts}
-	s.table = NewTable(s.logAccepted, s.logUnreadable)
+	s.table = newTable(s.logAccepted, s.logUnreadable)
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
 	for i := range opts.Shards {
-		part := keyedlog.Partition{Topic: opts.ResultTopic, Index: i}
-		s.shards = append(s.shards, newShard(s, part))
+		s.shards = append(s.shards, newShard(s, i))
 	}
 	s.runner = newRunner(s)
 	return s
@@ -187,9 +196,9 @@
 // Table returns the folded state.
 func (s *Service) Table() *Table { return s.table }
 
-func (s *Service) logAccepted(j *Job) {
-	event.Log(s.opts.Logger, event.JobAccepted, "job", j.ID, "route", j.Route, "items", len(j.Items), "tokens", j.Tokens(),
-		"shard", shardOf(j.ID, s.opts.Shards))
+func (s *Service) logAccepted(id string, j *summary) {
+	event.Log(s.opts.Logger, event.JobAccepted, "job", id, "route", j.Route, "items", len(j.Tokens), "tokens", j.total(),
+		"shard", shardOf(id, s.opts.Shards))
 	if s.runner != nil {
 		s.runner.wake()
 	}
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -78,8 +78,8 @@
 	n := &node{name: name, fleet: f, done: make(chan struct{})}
 	config := catalog.NewConfig(1, []catalog.Route{f.route}, nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
-		Log: l, Groups: f.log, Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
-		JobTopic: "keyed.jobs", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
+		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
+		JobTopic: "keyed.jobs", ContentTopic: "keyed.contents", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
 		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Stay: time.Hour,
 		Configs:     func() *catalog.Config { return config },
 		Backends:    func(string) []catalog.Backend { return f.entries() },
@@ -171,6 +171,18 @@
 	return "", false
 }
 
+func (p peersOf) NearestRTT() (time.Duration, bool) {
+	p.self.fleet.mu.Lock()
+	defer p.self.fleet.mu.Unlock()
+	nearest, known := time.Duration(0), false
+	for _, n := range p.self.fleet.nodes {
+		if rtt := n.StoreRTT(); n != p.self && rtt > 0 && (!known || rtt < nearest) {
+			nearest, known = rtt, true
+		}
+	}
+	return nearest, known
+}
+
 func (p peersOf) Alive() int {
 	p.self.fleet.mu.Lock()
 	defer p.self.fleet.mu.Unlock()
@@ -184,6 +196,17 @@
 	return n.SubmitHere(ctx, job, quota)
 }
 
+func (p peersOf) Body(_ context.Context, address, id, itemID string) ([]byte, bool, error) {
+	p.self.fleet.mu.Lock()
+	n := p.self.fleet.nodes[address]
+	p.self.fleet.mu.Unlock()
+	body, err := n.BodyOwn(id, itemID)
+	if errkind.Is(err, errkind.NotFound) {
+		return nil, false, nil
+	}
+	return body, err == nil, err
+}
+
 func (p peersOf) List(ctx context.Context, address, id string, after int, wait time.Duration) (jobs.Listing, error) {
 	p.self.fleet.mu.Lock()
 	n := p.self.fleet.nodes[address]
@@ -375,12 +398,15 @@
 func TestSubmissionInDoubtIsNoRefusal(t *testing.T) {
 	f := newFleet(t, 1)
 	a := f.start("a")
-	f.log.SetFault(func(call string, _ keyedlog.Partition) keyedlogtest.Fault {
-		if call == "append" {
-			return keyedlogtest.Late
-		}
-		return keyedlogtest.None
-	})
+	late := func(topic string) {
+		f.log.SetFault(func(call string, p keyedlog.Partition) keyedlogtest.Fault {
+			if call == "append" && p.Topic == topic {
+				return keyedlogtest.Late
+			}
+			return keyedlogtest.None
+		})
+	}
+	late("keyed.jobs")
 	j := job("j1", 2)
 	for _, quota := range []int64{0, 300} {
 		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
@@ -391,6 +417,18 @@
 	f.log.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
 	f.log.RunLate()
 	f.checkWhole(j, f.waitDone(a, j))
+
+	late("keyed.contents")
+	never := job("never", 2)
+	err := a.Submit(t.Context(), never, 0)
+	assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.NotRun, "content without a summary is no job")
+	f.log.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
+	f.log.RunLate()
+	time.Sleep(100 * time.Millisecond)
+	known, err := a.Confirm(t.Context(), "never")
+	assert.NilError(t, err)
+	assert.Assert(t, !known)
+	assert.Equal(t, f.backends[0].Runs("never-i0"), 0)
 }
 
 func TestProcessWithoutTheLogHandsSubmissionsOn(t *testing.T) {
@@ -424,6 +462,49 @@
 	f.checkWhole(j, f.waitDone(b, j))
 }
 
+// farLog is a log in another region.
+type farLog struct{ *keyedlogtest.Log }
+
+const farWay = 60 * time.Millisecond
+
+func (l farLog) Append(ctx context.Context, p keyedlog.Partition, r []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
+	time.Sleep(farWay)
+	return l.Log.Append(ctx, p, r, c)
+}
+
+func (l farLog) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	time.Sleep(farWay)
+	return l.Log.Read(ctx, p, from, wait)
+}
+
+func (l farLog) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (keyedlog.Membership, error) {
+	time.Sleep(farWay)
+	return l.Log.Join(ctx, group, member, topic, ttl, generation)
+}
+
+func TestShardsAreOwnedNearTheLog(t *testing.T) {
+	f := newFleet(t, 1)
+	far := f.startOn("far", farLog{f.log})
+	owns := func(n *node, want int) func(poll.LogT) poll.Result {
+		return func(poll.LogT) poll.Result {
+			if got := len(n.Reports()); got != want {
+				return poll.Continue("%s owns %d shards, want %d", n.name, got, want)
+			}
+			return poll.Success()
+		}
+	}
+	poll.WaitOn(t, owns(far, keyedlogtest.Shards)) // it is better than none
+	near := f.start("near")
+	poll.WaitOn(t, owns(near, keyedlogtest.Shards))
+	poll.WaitOn(t, owns(far, 0))
+	j := job("j1", 4)
+	assert.NilError(t, far.Submit(t.Context(), j, 0))
+	f.checkWhole(j, f.waitDone(far, j))
+	near.kill()
+	poll.WaitOn(t, owns(far, keyedlogtest.Shards))
+	f.checkWhole(j, f.waitDone(far, j))
+}
+
 func TestQuotaHoldsOverAllProcesses(t *testing.T) {
 	f := newFleet(t, 1)
 	f.backends[0].SetFault(always(platformtest.Full))
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -27,8 +27,10 @@
 
 // shard is one partition of the results.
 type shard struct {
-	s    *Service
-	part keyedlog.Partition
+	s *Service
+	// part holds the results, content the jobs' items.
+	part    keyedlog.Partition
+	content keyedlog.Partition
 
 	mu       sync.Mutex
 	phase    phase
@@ -40,6 +42,8 @@
 	// next is the next free position of each job with results that are not
 	// folded yet.
 	next map[string]int
+	// stopContent ends followContent.
+	stopContent context.CancelFunc
 	// finished waits to be appended; checkpoint says that progress does.
 	finished   []finished
 	checkpoint bool
@@ -54,8 +58,13 @@
 	result Result
 }
 
-func newShard(s *Service, part keyedlog.Partition) *shard {
-	return &shard{s: s, part: part, wakeup: make(chan struct{}, 1), flushed: make(chan struct{})}
+func newShard(s *Service, index int) *shard {
+	return &shard{
+		s:       s,
+		part:    keyedlog.Partition{Topic: s.opts.ResultTopic, Index: index},
+		content: keyedlog.Partition{Topic: s.opts.ContentTopic, Index: index},
+		wakeup:  make(chan struct{}, 1), flushed: make(chan struct{}),
+	}
 }
 
 // claim starts to take the shard on; it returns false if that was done before.
@@ -69,6 +78,34 @@
 	return true
 }
 
+// followContent reads the items of the shard's jobs as long as it is claimed or
+// owned.
+func (sh *shard) followContent(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sh.mu.Lock()
+	sh.stopContent = cancel
+	sh.mu.Unlock()
+	pace := keyedlog.Pace{Wait: followWait, Gap: followGap, Retry: followStop}
+	keyedlog.NewFollower(sh.s.opts.Log, sh.content, contentView{view{sh.s.table, sh.content}, sh}, pace, sh.s.opts.Observe).Run(ctx)
+}
+
+// contentView feeds content into the table and wakes the runner. It implements
+// keyedlog.View.
+type contentView struct {
+	view
+	sh *shard
+}
+
+// Rebuild implements keyedlog.View.
+func (v contentView) Rebuild(records []keyedlog.Record) { v.Apply(records) }
+
+// Apply implements keyedlog.View.
+func (v contentView) Apply(records []keyedlog.Record) {
+	v.view.Apply(records)
+	v.sh.s.runner.wake()
+}
+
 // release gives the shard up; it returns false if it was foreign.
 func (sh *shard) release() bool {
 	sh.mu.Lock()
@@ -76,10 +113,14 @@
 	sh.phase = foreign
 	sh.finished = nil
 	sh.next = nil
+	if sh.stopContent != nil {
+		sh.stopContent()
+		sh.stopContent = nil
+	}
 	sh.mu.Unlock()
 	sh.s.shardsChanged.Store(true)
-	if was == owning {
-		sh.s.table.forgetResults(sh.holds)
+	if was != foreign {
+		sh.s.table.forget(sh.holds)
 	}
 	return was != foreign
 }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -14,6 +14,7 @@
 // of an item by its index.
 const (
 	jobPrefix      = "job/"
+	contentPrefix  = "content/"
 	endPrefix      = "end/"
 	resultPrefix   = "result/"
 	progressPrefix = "progress/"
@@ -21,6 +22,8 @@
 
 func jobKey(id string) string { return jobPrefix + id }
 
+func contentKey(id string) string { return contentPrefix + id }
+
 func endKey(id string) string { return endPrefix + id }
 
 func resultKey(id string, position int) string {
@@ -29,21 +32,27 @@
 
 func progressKey(id string, item int) string { return progressPrefix + id + "/" + strconv.Itoa(item) }
 
-// entry is what is known of one job. Results may be seen before the job.
+// entry is what is known of one job. Its parts may be seen in any order.
 type entry struct {
-	job *Job
-	// offset is where the job's record stands.
+	// job is nil until the job is known to be accepted.
+	job *summary
+	// items is nil until the content has been read, which only the shard's owner
+	// does.
+	items []Item
+	// offset is where the job's summary stands.
 	offset  int64
 	ended   bool
 	results []*Result // by position; nil for a gap that is not folded yet
 	// listed tells for each item whether it has a result.
 	listed   map[int]bool
 	progress map[int]Progress
-	// pieces, resultPieces and progressed count the records that hold the job,
-	// each result by position and each progress by item, for dropping them.
-	pieces       int
-	resultPieces map[int]int
-	progressed   map[int]int
+	// pieces, contentPieces, resultPieces and progressed count the records that
+	// hold the summary, the content, each result by position and each progress by
+	// item, for dropping them.
+	pieces        int
+	contentPieces int
+	resultPieces  map[int]int
+	progressed    map[int]int
 	// changed is closed at the next result or at the end of the job.
 	changed chan struct{}
 }
@@ -66,21 +75,21 @@
 }
 
 // open reports whether items of the job may still get results.
-func (e *entry) open() bool { return e.job != nil && !e.ended && len(e.listed) < len(e.job.Items) }
+func (e *entry) open() bool { return e.job != nil && !e.ended && len(e.listed) < len(e.job.Tokens) }
 
 // Table is the folded state of all jobs. It is safe for concurrent use.
 type Table struct {
 	unreadable func(p keyedlog.Partition, r keyedlog.Record, err error)
-	accepted   func(*Job)
+	accepted   func(id string, j *summary)
 
 	mu     sync.RWMutex
 	byID   map[string]*entry
 	pieces assembler
 }
 
-// NewTable returns an empty table. accepted is told of each job that joins, and
+// newTable returns an empty table. accepted is told of each job that joins, and
 // unreadable of records that are skipped.
-func NewTable(accepted func(*Job), unreadable func(keyedlog.Partition, keyedlog.Record, error)) *Table {
+func newTable(accepted func(id string, j *summary), unreadable func(keyedlog.Partition, keyedlog.Record, error)) *Table {
 	return &Table{accepted: accepted, unreadable: unreadable, byID: make(map[string]*entry), pieces: newAssembler()}
 }
 
@@ -97,49 +106,48 @@
 
 // Apply implements keyedlog.View.
 func (v view) Apply(records []keyedlog.Record) {
-	var joined []*Job
+	joined := make(map[string]*summary)
 	v.table.mu.Lock()
 	for _, r := range records {
-		job, err := v.table.apply(r)
-		if err != nil {
+		if err := v.table.apply(r, joined); err != nil {
 			v.table.unreadable(v.part, r, err)
 		}
-		if job != nil {
-			joined = append(joined, job)
-		}
 	}
 	v.table.mu.Unlock()
-	for _, job := range joined {
-		v.table.accepted(job)
+	for id, job := range joined {
+		v.table.accepted(id, job)
 	}
 }
 
-func (t *Table) apply(r keyedlog.Record) (*Job, error) {
+// apply folds one record; jobs that become known are added to joined.
+func (t *Table) apply(r keyedlog.Record, joined map[string]*summary) error {
 	key, i, err := pieceName(r.Key)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if r.Value == nil {
 		t.drop(key)
-		return nil, nil
+		return nil
 	}
 	value, count, whole, err := t.pieces.add(key, i, r.Value)
 	if err != nil || !whole {
-		return nil, err
+		return err
 	}
 	kind, name, _ := strings.Cut(key, "/")
 	switch kind + "/" {
 	case jobPrefix:
-		return t.applyJob(name, value, count, r.Offset)
+		return t.applyJob(name, value, count, r.Offset, joined)
+	case contentPrefix:
+		return t.applyContent(name, value, count)
 	case endPrefix:
 		t.applyEnd(name)
-		return nil, nil
+		return nil
 	case resultPrefix:
-		return nil, t.applyResult(name, value, count)
+		return t.applyResult(name, value, count)
 	case progressPrefix:
-		return nil, t.applyProgress(name, value, count)
+		return t.applyProgress(name, value, count)
 	}
-	return nil, errors.Errorf("jobs: key %q: unknown kind", r.Key)
+	return errors.Errorf("jobs: key %q: unknown kind", r.Key)
 }
 
 func (t *Table) entry(id string) *entry {
@@ -152,17 +160,31 @@
 }
 
 // applyJob keeps the first record of a job: a later one is a resend of it.
-func (t *Table) applyJob(id string, value []byte, pieces int, offset int64) (*Job, error) {
+func (t *Table) applyJob(id string, value []byte, pieces int, offset int64, joined map[string]*summary) error {
 	e := t.entry(id)
 	if e.job != nil {
-		return nil, nil
+		return nil
 	}
-	job := &Job{}
+	job := &summary{}
 	if err := decode(value, job); err != nil {
-		return nil, err
+		return err
 	}
 	e.job, e.pieces, e.offset = job, pieces, offset
-	return job, nil
+	joined[id] = job
+	return nil
+}
+
+func (t *Table) applyContent(id string, value []byte, pieces int) error {
+	e := t.entry(id)
+	if e.items != nil {
+		return nil
+	}
+	var job Job
+	if err := decode(value, &job); err != nil {
+		return err
+	}
+	e.items, e.contentPieces = job.Items, pieces
+	return nil
 }
 
 func (t *Table) applyEnd(id string) {
@@ -227,16 +249,16 @@
 	e.changed = make(chan struct{})
 }
 
-// forgetResults drops the results and the progress of jobs that mine accepts:
-// what another process writes of them is not seen here.
-func (t *Table) forgetResults(mine func(id string) bool) {
+// forget drops the content, the results and the progress of jobs that mine
+// accepts: what another process writes of them is not seen here.
+func (t *Table) forget(mine func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, e := range t.byID {
 		if !mine(id) {
 			continue
 		}
-		e.results = nil
+		e.items, e.results = nil, nil
 		clear(e.listed)
 		clear(e.progress)
 		clear(e.resultPieces)
--- a/peering/owners.go
+++ b/peering/owners.go
@@ -21,6 +21,7 @@
 	listPath       = "/listing"
 	snapshotPath   = "/snapshot"
 	submitPath     = "/job"
+	bodyPath       = "/body"
 	maxAnswerBytes = 8 << 20
 	// storeFresh is the age up to which a peer counts as reaching the store.
 	storeFresh = 800 * time.Millisecond
@@ -76,10 +77,46 @@
 	return listing, errors.Wrap(cbor.Unmarshal(raw, &listing), "peering: list")
 }
 
+// Body implements jobs.Peers.
+func (p *Peering) Body(ctx context.Context, address, id, itemID string) (body []byte, found bool, err error) {
+	raw, err := p.get(ctx, address, bodyPath+"?"+url.Values{"job": {id}, "item": {itemID}}.Encode())
+	if err != nil {
+		return nil, false, err
+	}
+	var answer bodyAnswer
+	if err := cbor.Unmarshal(raw, &answer); err != nil {
+		return nil, false, errors.Wrap(err, "peering: body")
+	}
+	return answer.Body, answer.Found, nil
+}
+
+// bodyAnswer is the body of an item, if there is such an item.
+type bodyAnswer struct {
+	Found bool   `cbor:"1,keyasint"`
+	Body  []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// serveBody answers for items of the process's own shards.
+func serveBody(h Host) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := h.BodyOwn(r.URL.Query().Get("job"), r.URL.Query().Get("item"))
+		switch {
+		case err == nil:
+			writeCBOR(w, bodyAnswer{true, body})
+		case errkind.Is(err, errkind.NotFound):
+			writeCBOR(w, bodyAnswer{})
+		default:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	}
+}
+
 // Host is the process that peers call.
 type Host interface {
 	// ListOwn answers for the shards that the process owns.
 	ListOwn(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error)
+	// BodyOwn returns the body of an item of such a shard.
+	BodyOwn(id, itemID string) ([]byte, error)
 	// SubmitHere accepts a job.
 	SubmitHere(ctx context.Context, job *jobs.Job, quota int64) error
 }
@@ -100,6 +137,21 @@
 	return address, known
 }
 
+// NearestRTT implements jobs.Peers.
+func (p *Peering) NearestRTT() (rtt time.Duration, known bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.peers {
+		if !peer.alive || time.Since(peer.heard) > TTL || peer.storeAge > storeFresh || peer.storeRTT <= 0 {
+			continue
+		}
+		if !known || peer.storeRTT < rtt {
+			rtt, known = peer.storeRTT, true
+		}
+	}
+	return rtt, known
+}
+
 // Alive implements jobs.Peers.
 func (p *Peering) Alive() int { return len(p.alive()) }
 
@@ -224,6 +276,7 @@
 // Handler returns what a gateway serves to its peers.
 func Handler(l Host, snapshot func() Snapshot) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+bodyPath, serveBody(l))
 	mux.HandleFunc("POST "+submitPath, serveSubmit(l))
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
 	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, r *http.Request) {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -27,7 +27,7 @@
 	minInterval = 2 * time.Millisecond
 	perPeer     = 300 * time.Microsecond
 	// farInterval is the least time between two reports to other regions.
-	farInterval = 60 * time.Millisecond
+	farInterval = 100 * time.Millisecond
 	// quietInterval is the time between reports without a change.
 	quietInterval = 250 * time.Millisecond
 	maxDatagram   = 8 << 10
@@ -42,12 +42,15 @@
 	From   string            `cbor:"1,keyasint"`
 	Boot   int64             `cbor:"2,keyasint"`
 	Seq    uint64            `cbor:"3,keyasint"`
-	Loads  map[string][2]int `cbor:"4,keyasint"`
+	Loads  map[uint32][2]int `cbor:"4,keyasint"`
 	Shards []jobs.Report     `cbor:"5,keyasint,omitempty"`
 	// Region is the sender's, for receivers that have no record of it.
 	Region string `cbor:"6,keyasint,omitempty"`
 	// StoreAgeMs is how long ago the sender heard from the store.
 	StoreAgeMs int64 `cbor:"7,keyasint,omitempty"`
+	// StoreRTTUs is how long a short call to the store takes the sender, in
+	// microseconds; 0 if it has not measured it.
+	StoreRTTUs int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -69,6 +72,9 @@
 	Shards func() []jobs.Report
 	// StoreAge returns how long ago this gateway heard from the store.
 	StoreAge func() time.Duration
+	// StoreRTT returns how long a short call to the store takes, 0 if that is
+	// not known.
+	StoreRTT func() time.Duration
 }
 
 // Peering sends and receives reports. It implements keyedlog.View over the
@@ -94,6 +100,7 @@
 	// storeAge is how long ago the peer had heard from the store at its last
 	// report.
 	storeAge time.Duration
+	storeRTT time.Duration
 }
 
 // New returns a Peering that uses opts.Conn.
@@ -167,11 +174,19 @@
 		if far {
 			unsentFar, lastFar = 0, time.Now()
 		}
-		p.send(report{From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Loads: p.loads(), Shards: p.opts.Shards(), StoreAgeMs: p.opts.StoreAge().Milliseconds()}, far)
+		p.send(p.report(seq), far)
 		p.pause(ctx)
 	}
 }
 
+func (p *Peering) report(seq uint64) report {
+	return report{
+		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region,
+		Loads: p.loads(), Shards: p.opts.Shards(),
+		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
+	}
+}
+
 // pause waits for the least time between two reports, which grows with the
 // number of peers.
 func (p *Peering) pause(ctx context.Context) {
@@ -186,9 +201,9 @@
 	}
 }
 
-func (p *Peering) loads() map[string][2]int {
+func (p *Peering) loads() map[uint32][2]int {
 	own := p.opts.Table.Own()
-	loads := make(map[string][2]int, len(own))
+	loads := make(map[uint32][2]int, len(own))
 	for id, c := range own {
 		loads[id] = [2]int{c.Online, c.Batch}
 	}
@@ -267,9 +282,10 @@
 	}
 	known.boot, known.seq, known.heard, known.alive = r.Boot, r.Seq, now, true
 	known.shards = r.Shards
+	known.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	known.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	p.mu.Unlock()
-	counts := make(map[string]balance.Counts, len(r.Loads))
+	counts := make(map[uint32]balance.Counts, len(r.Loads))
 	for id, n := range r.Loads {
 		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
 	}
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -42,7 +42,7 @@
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.TTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient,
-		Shards: func() []jobs.Report { return g.shards }, StoreAge: func() time.Duration { return 0 },
+		Shards: func() []jobs.Report { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -143,6 +143,16 @@
 	return jobs.Listing{Total: 9, Next: after + 1, Results: []jobs.ListedResult{{ItemID: "i", Completed: true, Text: fmt.Append(nil, wait)}}}, nil
 }
 
+func (host) BodyOwn(id, itemID string) ([]byte, error) {
+	if id != "mine" {
+		return nil, errkind.New(errkind.LogUnavailable, "not owned")
+	}
+	if itemID != "i" {
+		return nil, errkind.New(errkind.NotFound, "no item")
+	}
+	return []byte("body"), nil
+}
+
 func (host) SubmitHere(_ context.Context, job *jobs.Job, quota int64) error {
 	if job.Tokens() > quota {
 		return errkind.New(errkind.RateLimited, "too much").WithRetryAfter(time.Second)
@@ -176,6 +186,14 @@
 	assert.Equal(t, string(listing.Results[0].Text), "20ms")
 	_, err = a.List(t.Context(), address, "other", 0, 0)
 	assert.ErrorContains(t, err, "not owned")
+	body, found, err := a.Body(t.Context(), address, "mine", "i")
+	assert.NilError(t, err)
+	assert.Assert(t, found && string(body) == "body")
+	_, found, err = a.Body(t.Context(), address, "mine", "j")
+	assert.NilError(t, err)
+	assert.Assert(t, !found)
+	_, _, err = a.Body(t.Context(), address, "other", "i")
+	assert.ErrorContains(t, err, "not owned")
 	_, ok := a.FetchSnapshot(t.Context())
 	assert.Assert(t, !ok, "no peer has been heard")
 
