--- /dev/null
+++ b/jobs/plan.go
@@ -0,0 +1,81 @@
+package jobs
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+)
+
+// isOpen reports whether an item still needs a result.
+func (t *Table) isOpen(ref itemRef) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	e := t.byID[ref.job]
+	return e != nil && e.open() && !e.listed[ref.item]
+}
+
+// openJob is a job of an owned shard with items to run.
+type openJob struct {
+	id      string
+	job     *summary
+	content []Item
+	route   *catalog.Route
+	due     time.Time
+	// items are the indices of the items without a result.
+	items    []int
+	progress map[int]Progress
+}
+
+// openJobs lists the jobs to run in the order of their due times.
+func (r *runner) openJobs(config *catalog.Config) []openJob {
+	var open []openJob
+	for _, j := range r.s.table.openJobs(r.ownedJob) {
+		route := routeOf(config, j)
+		if route == nil {
+			continue
+		}
+		j.route = route
+		j.due = j.job.submitted().Add(route.JobDue)
+		open = append(open, j)
+	}
+	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
+	return open
+}
+
+func (r *runner) ownedJob(id string) bool {
+	return r.s.shards[shardOf(id, len(r.s.shards))].owned()
+}
+
+// routeOf returns the route that a job's items belong to.
+func routeOf(config *catalog.Config, j openJob) *catalog.Route {
+	if len(j.content) == 0 {
+		return nil
+	}
+	route := config.Match(j.job.Host, j.content[0].Target)
+	if route == nil || route.Kind != catalog.Batch {
+		return nil
+	}
+	return route
+}
+
+// openJobs returns the jobs that mine accepts and that have items left.
+func (t *Table) openJobs(mine func(id string) bool) []openJob {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var open []openJob
+	for id, e := range t.byID {
+		if !e.open() || e.items == nil || !mine(id) {
+			continue
+		}
+		j := openJob{id: id, job: e.job, content: e.items, progress: maps.Clone(e.progress)}
+		for i := range e.items {
+			if !e.listed[i] {
+				j.items = append(j.items, i)
+			}
+		}
+		open = append(open, j)
+	}
+	return open
+}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -135,14 +134,6 @@
 	}
 }
 
-// isOpen reports whether an item still needs a result.
-func (t *Table) isOpen(ref itemRef) bool {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	e := t.byID[ref.job]
-	return e != nil && e.open() && !e.listed[ref.item]
-}
-
 // yield stops batch runs where online requests have taken more than the slots
 // that are left.
 func (r *runner) yield(now time.Time) {
@@ -169,70 +160,6 @@
 	})
 }
 
-// openJob is a job of an owned shard with items to run.
-type openJob struct {
-	id      string
-	job     *summary
-	content []Item
-	route   *catalog.Route
-	due     time.Time
-	// items are the indices of the items without a result.
-	items    []int
-	progress map[int]Progress
-}
-
-// openJobs lists the jobs to run in the order of their due times.
-func (r *runner) openJobs(config *catalog.Config) []openJob {
-	var open []openJob
-	for _, j := range r.s.table.openJobs(r.ownedJob) {
-		route := routeOf(config, j)
-		if route == nil {
-			continue
-		}
-		j.route = route
-		j.due = j.job.submitted().Add(route.JobDue)
-		open = append(open, j)
-	}
-	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
-	return open
-}
-
-func (r *runner) ownedJob(id string) bool {
-	return r.s.shards[shardOf(id, len(r.s.shards))].owned()
-}
-
-// routeOf returns the route that a job's items belong to.
-func routeOf(config *catalog.Config, j openJob) *catalog.Route {
-	if len(j.content) == 0 {
-		return nil
-	}
-	route := config.Match(j.job.Host, j.content[0].Target)
-	if route == nil || route.Kind != catalog.Batch {
-		return nil
-	}
-	return route
-}
-
-// openJobs returns the jobs that mine accepts and that have items left.
-func (t *Table) openJobs(mine func(id string) bool) []openJob {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var open []openJob
-	for id, e := range t.byID {
-		if !e.open() || e.items == nil || !mine(id) {
-			continue
-		}
-		j := openJob{id: id, job: e.job, content: e.items, progress: maps.Clone(e.progress)}
-		for i := range e.items {
-			if !e.listed[i] {
-				j.items = append(j.items, i)
-			}
-		}
-		open = append(open, j)
-	}
-	return open
-}
-
 // startItems starts the items of a job that find a slot, one at a backend server
 // in each cycle: begun lists those that have got one. Items that can be done in
 // time go first, over all jobs; hopeful says which are meant. It returns false if
@@ -316,47 +243,6 @@
 	r.wake()
 }
 
-// settle decides what follows a run.
-func (r *runner) settle(j openJob, u *run, out outcome) {
-	switch out.end {
-	case endComplete:
-		r.pace.complete(j.job.Route, out.progress.Events)
-		r.deliver(u, Result{Item: u.ref.item, Completed: true, Text: out.progress.Text}, "complete")
-	case endImpossible:
-		r.deliver(u, Result{Item: u.ref.item}, "the backend server can't ever do it")
-	case endFailed:
-		u.progress.Failures++
-		if u.progress.Failures >= j.route.MaxAttempts {
-			r.deliver(u, Result{Item: u.ref.item}, "every run failed")
-			return
-		}
-		r.requeue(u, out)
-	default:
-		r.requeue(u, out)
-	}
-}
-
-func (r *runner) requeue(u *run, out outcome) {
-	if out.end != endStopped {
-		u.notBefore = time.Now().Add(itemPause)
-	}
-	event.Log(r.s.opts.Logger, event.ItemRequeued, "job", u.ref.job, "item", u.ref.item, "cause", out.cause,
-		"failures", u.progress.Failures, "last_event", u.progress.LastEvent)
-}
-
-func (r *runner) deliver(u *run, result Result, cause string) {
-	u.result = &result
-	r.handOver(u)
-	event.Log(r.s.opts.Logger, event.ItemDone, "job", u.ref.job, "item", u.ref.item, "completed", result.Completed,
-		"cause", cause, "events", u.progress.Events, "epoch", u.epoch)
-}
-
-// handOver gives a result to the writer of its shard, once in each epoch.
-func (r *runner) handOver(u *run) {
-	sh := r.s.shards[shardOf(u.ref.job, len(r.s.shards))]
-	u.epoch = sh.add(u.ref.job, *u.result, u.epoch)
-}
-
 // stop ends all runs and waits until they are settled.
 func (r *runner) stop(ctx context.Context) {
 	r.mu.Lock()
@@ -375,31 +261,6 @@
 	}
 }
 
-// unsavedProgress returns, by the key of its record, the progress of unfinished
-// items of a shard that has not been appended yet.
-func (r *runner) unsavedProgress(sh *shard) map[string]Progress {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make(map[string]Progress)
-	for ref, u := range r.runs {
-		p := u.progress
-		if u.result != nil || !sh.holds(ref.job) || p.Events == u.saved.Events && p.Failures == u.saved.Failures {
-			continue
-		}
-		u.saved = p
-		out[progressKey(ref.job, ref.item)] = p
-	}
-	return out
-}
-
-// report notes what a run has produced so far.
-func (r *runner) report(u *run, p Progress) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	p.Failures = u.progress.Failures
-	u.progress = p
-}
-
 // itemRequest returns the request of an item.
 func itemRequest(host string, item *Item) *serving.Request {
 	r := &serving.Request{
--- /dev/null
+++ b/peering/handler.go
@@ -0,0 +1,93 @@
+package peering
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/jobs"
+)
+
+// serveBody answers for items of the process's own shards.
+func serveBody(h Host) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, err := h.BodyOwn(r.URL.Query().Get("job"), r.URL.Query().Get("item"))
+		switch {
+		case err == nil:
+			writeCBOR(w, bodyAnswer{true, body})
+		case errkind.Is(err, errkind.NotFound):
+			writeCBOR(w, bodyAnswer{})
+		default:
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// Host is the process that peers call.
+type Host interface {
+	// ListOwn answers for the shards that the process owns.
+	ListOwn(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error)
+	// BodyOwn returns the body of an item of such a shard.
+	BodyOwn(id, itemID string) ([]byte, error)
+	// SubmitHere accepts a job.
+	SubmitHere(ctx context.Context, job *jobs.Job, quota int64) error
+}
+
+// serveSubmit accepts a job for a peer.
+func serveSubmit(h Host) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		raw, err := io.ReadAll(io.LimitReader(r.Body, maxAnswerBytes))
+		var s submission
+		if err == nil {
+			err = cbor.Unmarshal(raw, &s)
+		}
+		if err != nil || s.Job == nil {
+			http.Error(w, "no job", http.StatusBadRequest)
+			return
+		}
+		if err := h.SubmitHere(r.Context(), s.Job, s.Quota); err != nil {
+			e := errkind.From(err)
+			writeCBOR(w, submitAnswer{e.Kind, e.Answer().Outcome, e.Message, e.Answer().RetryAfter.Milliseconds()})
+			return
+		}
+		writeCBOR(w, submitAnswer{})
+	}
+}
+
+// Handler returns what a gateway serves to its peers.
+func Handler(l Host, snapshot func() Snapshot) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+bodyPath, serveBody(l))
+	mux.HandleFunc("POST "+submitPath, serveSubmit(l))
+	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
+	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		after, err1 := strconv.Atoi(q.Get("after"))
+		waitMs, err2 := strconv.Atoi(q.Get("wait_ms"))
+		if err1 != nil || err2 != nil {
+			http.Error(w, "after and wait_ms are numbers", http.StatusBadRequest)
+			return
+		}
+		listing, err := l.ListOwn(r.Context(), q.Get("job"), after, time.Duration(waitMs)*time.Millisecond)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		writeCBOR(w, listing)
+	})
+	return mux
+}
+
+func writeCBOR(w http.ResponseWriter, v any) {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // the peer sees a short body if its connection broke
+}
