A process that has just started holds requests for a second

A request now waits up to a second for the first configuration and backend servers, then it is refused.

--- a/discovery/configs.go
+++ b/discovery/configs.go
@@ -21,8 +21,12 @@
 	taking  sync.Mutex
 	current atomic.Pointer[catalog.Config]
 	record  atomic.Pointer[keyedlog.Record]
+	known   chan struct{}
 }
 
+// Known returns a channel that is closed once a configuration is known.
+func (c *Configs) Known() <-chan struct{} { return c.known }
+
 // Record returns the record of the configuration in force, or false if there is
 // none.
 func (c *Configs) Record() (keyedlog.Record, bool) {
@@ -38,7 +42,7 @@
 func NewConfigs(key string, decode func([]byte) (*catalog.Config, error),
 	changed func(old, current *catalog.Config), refused func(offset int64, err error),
 ) *Configs {
-	return &Configs{key: key, decode: decode, changed: changed, refused: refused}
+	return &Configs{key: key, decode: decode, changed: changed, refused: refused, known: make(chan struct{})}
 }
 
 // Current returns the configuration in force, or nil if none is known yet.
@@ -70,5 +74,8 @@
 	}
 	c.current.Store(config)
 	c.record.Store(&r)
+	if old == nil {
+		close(c.known)
+	}
 	c.changed(old, config)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -4,11 +4,13 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -41,6 +43,27 @@
 	return g.Configs.Current() != nil && g.Backends.Len() > 0
 }
 
+// learnTime is how long a request waits at a process that has just started and
+// knows no configuration or no backend server yet. A caller that is refused twice
+// may give up, while one that waits a little may still be served.
+const learnTime = time.Second
+
+// AwaitConfig returns the configuration in force, and waits a little for one if
+// none is known yet; nil if there is still none.
+func (g *Gateway) AwaitConfig(ctx context.Context) *catalog.Config {
+	if c := g.Configs.Current(); c != nil {
+		return c
+	}
+	t := time.NewTimer(learnTime)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-g.Configs.Known():
+	}
+	return g.Configs.Current()
+}
+
 // Stopping reports whether the process is about to stop.
 func (g *Gateway) Stopping() bool {
 	select {
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -107,6 +107,10 @@
 		changed := o.g.Table.Changed()
 		now := time.Now()
 		candidates := o.g.Backends.Of(o.service)
+		if o.g.Backends.Len() == 0 && now.Sub(o.r.Arrived) < learnTime && ctx.Err() == nil {
+			o.await(ctx, changed, learnTime)
+			continue
+		}
 		if len(candidates) == 0 {
 			return balance.Choice{}, errkind.New(errkind.NoBackend, "service %s has no backend server", o.service)
 		}
