--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -33,7 +33,7 @@
 // serve answers callers, readiness probes and metrics until ctx ends, then
 // finishes what runs.
 func (d *Daemon) serve(ctx context.Context) error {
-	callers := d.server(&platform.Front{Gateway: d.gateway})
+	callers := d.server(platform.NewFront(d.gateway, d.settings.MemoryBytes))
 	ready := d.server(http.HandlerFunc(d.ready))
 	status := d.server(http.HandlerFunc(d.serveMetrics))
 	peers := d.server(peering.Handler(d.jobs, d.snapshot))
