--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -107,6 +107,17 @@
 	return n, err == nil
 }
 
+// Follows reports whether the event is the one after that with the id last: its
+// number is the next, or one of the two has no number.
+func (e Event) Follows(last string) bool {
+	before, err := strconv.ParseInt(last, 10, 64)
+	if err != nil {
+		return true
+	}
+	n, ok := e.Number()
+	return !ok || n == before+1
+}
+
 // Data appends the event's data to dst, its lines separated by line feeds, and
 // reports whether there is any.
 func (e Event) Data(dst []byte) ([]byte, bool) {
--- a/eventstream/splitter_test.go
+++ b/eventstream/splitter_test.go
@@ -59,6 +59,15 @@
 	assert.Assert(t, !ok)
 }
 
+func TestFollows(t *testing.T) {
+	second := eventstream.Event{Raw: []byte("id: 2\ndata: a\n\n")}
+	comment := eventstream.Event{Raw: []byte(": alive\n\n")}
+	for last, want := range map[string]bool{"": true, "1": true, "2": false, "0": false, "x": true} {
+		assert.Equal(t, second.Follows(last), want, last)
+		assert.Assert(t, comment.Follows(last))
+	}
+}
+
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nx")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,7 +93,7 @@
 			return o.broken(ctx, b, err)
 		}
 		quiet.Reset()
-		if !follows(o.lastEvent, e) {
+		if !e.Follows(o.lastEvent) {
 			return o.broken(ctx, b, errors.Errorf("event %q follows %q", e.ID(), o.lastEvent))
 		}
 		if !o.headSent {
@@ -105,16 +105,6 @@
 	}
 }
 
-// follows reports whether e is the event after the one with the id last.
-func follows(last string, e eventstream.Event) bool {
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	n, ok := e.Number()
-	return !ok || n == before+1
-}
-
 func (o *online) sendEvent(e eventstream.Event, flush bool) error {
 	if _, err := o.w.Write(e.Raw); err != nil {
 		return err
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,13 +111,18 @@
 			return outcome{endBroken, p, err}
 		}
 		silent.Reset(itemSilence)
-		if !follows(p.LastEvent, e) {
+		if !e.Follows(p.LastEvent) {
 			return outcome{endBroken, p, errors.Errorf("event %q follows %q", e.ID(), p.LastEvent)}
 		}
+		grown := text
 		if p.Events > 0 {
-			text = append(text, '\n')
+			grown = append(grown, '\n')
 		}
-		text, _ = e.Data(text)
+		grown, found := e.Data(grown)
+		if !found {
+			continue // a comment, which keeps the connection alive
+		}
+		text = grown
 		p.Text, p.LastEvent = text, e.ID()
 		p.Events++
 		if p.Events%reportEvents == 0 {
@@ -126,13 +130,3 @@
 		}
 	}
 }
-
-// follows reports whether e is the event after the one with the id last.
-func follows(last string, e eventstream.Event) bool {
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	n, ok := e.Number()
-	return ok && n == before+1
-}
