Owners yield to a higher epoch; first progress after 0.25 s; faster heartbeats of the group

Heartbeats go each 250 ms, an owner gives a shard up when a peer reports it under a higher epoch (TestOwnerCutFromTheLogYieldsToTheNext failed first), and items without progress on the log are written after 0.25 s.

--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -15,8 +15,8 @@
 	groupName = "shards"
 	// memberTTL is how long the group waits for a member, unless the log asks
 	// for more; memberHeartbeat is the time between heartbeats.
-	memberTTL       = 1600 * time.Millisecond
-	memberHeartbeat = 500 * time.Millisecond
+	memberTTL       = 1200 * time.Millisecond
+	memberHeartbeat = 250 * time.Millisecond
 	// farther is the difference in the time of a call to the log that makes a
 	// process leave the shards to others, and the time from which one that hears
 	// nobody yet waits for hearOthers.
@@ -40,6 +40,7 @@
 	for {
 		if !s.stopping.Load() {
 			m.beat(ctx)
+			s.releaseOutdated()
 		}
 		select {
 		case <-ctx.Done():
@@ -142,6 +143,19 @@
 	return slices.Min(s.rtts[:min(s.rttNext, rttSamples)])
 }
 
+// releaseOutdated gives up shards that another process reports under a higher
+// epoch: the log may have turned this one away without a word.
+func (s *Service) releaseOutdated() {
+	for i, sh := range s.shards {
+		epoch := sh.currentEpoch()
+		report, known := s.opts.Peers.Report(i)
+		if epoch > 0 && known && report.Epoch > epoch && sh.release() {
+			event.Log(s.opts.Logger, event.ShardReleased, "shard", i, "generation", 0, "cause", "a peer reports a higher epoch",
+				"epoch", epoch, "peer_epoch", report.Epoch)
+		}
+	}
+}
+
 // joined returns when the group last confirmed the membership.
 func (s *Service) joined() time.Time { return time.Unix(0, s.joinedAt.Load()) }
 
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -462,6 +462,48 @@
 	f.checkWhole(j, f.waitDone(b, j))
 }
 
+// cutLog is a log that one process loses.
+type cutLog struct {
+	*keyedlogtest.Log
+	cut *atomic.Bool
+}
+
+func (l cutLog) Append(ctx context.Context, p keyedlog.Partition, r []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
+	if l.cut.Load() {
+		return keyedlog.Appended{}, keyedlogtest.ErrNoAnswer
+	}
+	return l.Log.Append(ctx, p, r, c)
+}
+
+func (l cutLog) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (keyedlog.Membership, error) {
+	if l.cut.Load() {
+		return keyedlog.Membership{}, keyedlogtest.ErrNoAnswer
+	}
+	return l.Log.Join(ctx, group, member, topic, ttl, generation)
+}
+
+// TestOwnerCutFromTheLogYieldsToTheNext: its runs would go on beside those of the
+// new owner.
+func TestOwnerCutFromTheLogYieldsToTheNext(t *testing.T) {
+	f := newFleet(t, 1)
+	l := cutLog{f.log, &atomic.Bool{}}
+	a := f.startOn("a", l)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(a.Reports()) == keyedlogtest.Shards {
+			return poll.Success()
+		}
+		return poll.Continue("a does not own all shards")
+	})
+	l.cut.Store(true)
+	b := f.start("b")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if len(a.Reports()) == 0 && len(b.Reports()) == keyedlogtest.Shards {
+			return poll.Success()
+		}
+		return poll.Continue("a owns %d shards, b %d", len(a.Reports()), len(b.Reports()))
+	})
+}
+
 // farLog is a log in another region.
 type farLog struct{ *keyedlogtest.Log }
 
--- a/jobs/settle.go
+++ b/jobs/settle.go
@@ -48,8 +48,9 @@
 }
 
 // unsavedProgress returns, by the key of its record, the progress of unfinished
-// items of a shard that has not been appended yet.
-func (r *runner) unsavedProgress(sh *shard) map[string]Progress {
+// items of a shard that has not been appended yet; unless all is set, only of
+// items of which nothing was.
+func (r *runner) unsavedProgress(sh *shard, all bool) map[string]Progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make(map[string]Progress)
@@ -58,6 +59,9 @@
 		if u.result != nil || !sh.holds(ref.job) || p.Events == u.saved.Events && p.Failures == u.saved.Failures {
 			continue
 		}
+		if !all && u.saved.Events > 0 {
+			continue
+		}
 		u.saved = p
 		out[progressKey(ref.job, ref.item)] = p
 	}
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -44,9 +44,11 @@
 	next map[string]int
 	// stopContent ends followContent.
 	stopContent context.CancelFunc
-	// finished waits to be appended; checkpoint says that progress does.
-	finished   []finished
-	checkpoint bool
+	// finished waits to be appended; checkpoint says that progress does, and
+	// checkpointAll that of all items.
+	finished      []finished
+	checkpoint    bool
+	checkpointAll bool
 	// flushed is closed when everything that waited has been appended.
 	flushed chan struct{}
 	wakeup  chan struct{}
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -12,10 +12,12 @@
 )
 
 const (
-	// checkpointInterval is the time between two appends of the progress of
-	// running items; checkpointSpread is added at random.
-	checkpointInterval = 800 * time.Millisecond
-	checkpointSpread   = 400 * time.Millisecond
+	// checkpointInterval is the time between two appends of the progress of items
+	// that have none on the log yet; checkpointSpread is added at random. Each
+	// fullCheckpoint-th append holds the progress of all running items.
+	checkpointInterval = 200 * time.Millisecond
+	checkpointSpread   = 100 * time.Millisecond
+	fullCheckpoint     = 4
 )
 
 func (sh *shard) wake() {
@@ -31,12 +33,13 @@
 func (sh *shard) write(ctx context.Context) {
 	timer := time.NewTimer(checkpointInterval)
 	defer timer.Stop()
-	for {
+	for beat := 1; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-timer.C:
-			sh.requestCheckpoint()
+			sh.requestCheckpoint(beat%fullCheckpoint == 0)
+			beat++
 			timer.Reset(checkpointInterval + rand.N(checkpointSpread))
 		case <-sh.wakeup:
 		}
@@ -50,10 +53,13 @@
 	}
 }
 
-func (sh *shard) requestCheckpoint() <-chan struct{} {
+// requestCheckpoint makes the next append hold progress: that of all items, or
+// of those that have none on the log.
+func (sh *shard) requestCheckpoint(all bool) <-chan struct{} {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sh.checkpoint = true
+	sh.checkpointAll = sh.checkpointAll || all
 	return sh.flushed
 }
 
@@ -72,7 +78,7 @@
 	if !sh.owned() {
 		return
 	}
-	flushed := sh.requestCheckpoint()
+	flushed := sh.requestCheckpoint(true)
 	sh.wake()
 	select {
 	case <-ctx.Done():
@@ -126,15 +132,15 @@
 // into an append beside results.
 func (sh *shard) progressRecords() []keyedlog.Record {
 	sh.mu.Lock()
-	due := sh.checkpoint
-	sh.checkpoint = false
+	due, all := sh.checkpoint, sh.checkpointAll
+	sh.checkpoint, sh.checkpointAll = false, false
 	sh.mu.Unlock()
 	if !due {
 		return nil
 	}
 	var records []keyedlog.Record
 	size := 0
-	for key, p := range sh.s.runner.unsavedProgress(sh) {
+	for key, p := range sh.s.runner.unsavedProgress(sh, all) {
 		value, err := encode(p)
 		if err != nil {
 			sh.s.logUnreadable(sh.part, keyedlog.Record{Key: key}, err)
