The content of a refused job is not dropped at once

Found by reading: a gateway that refused a job for the quota dropped its content, while another may have accepted the same job from the caller's next attempt; the store may execute the drop seconds later. The job would have been accepted and never run. The shard's owner now drops content without a summary after the time that jobs stay. Following content starts with the claim, so that a release can't come before it. TestRefusalElsewhereTakesNothingFromAnAcceptedJob failed first.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -82,15 +82,12 @@
 	if err := s.writeContent(ctx, sh, split(contentKey(job.ID), content, s.opts.RecordBytes)); err != nil {
 		return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(refusedJob)
 	}
-	err = s.accept(ctx, job, split(jobKey(job.ID), value, s.opts.RecordBytes), quota)
-	if err != nil && errkind.From(err).Answer().Outcome == errkind.NotRun {
-		s.drop(context.WithoutCancel(ctx), sh.content, tombstones(contentKey(job.ID), pieceCount(len(content), s.opts.RecordBytes)))
-	}
-	return err
+	return s.accept(ctx, job, split(jobKey(job.ID), value, s.opts.RecordBytes), quota)
 }
 
 // writeContent appends the items of a job, which mean nothing without its
-// summary.
+// summary. The content of a job that is refused stays until the shard's owner
+// drops it: the same job may be accepted by another process at the same time.
 func (s *Service) writeContent(ctx context.Context, sh *shard, records []keyedlog.Record) error {
 	var err error
 	for range acceptDoubts {
--- a/jobs/expire.go
+++ b/jobs/expire.go
@@ -56,14 +56,23 @@
 	results       []keyedlog.Record
 }
 
-// closedBefore lists the jobs that mine accepts, that were submitted before t
-// and that get no more results.
+// closedBefore reports whether the job was submitted before at and gets no more
+// results, or was never accepted.
+func (e *entry) closedBefore(at time.Time) bool {
+	if e.job == nil {
+		return e.items != nil && time.UnixMilli(e.contentMs).Before(at)
+	}
+	return !e.open() && e.job.submitted().Before(at)
+}
+
+// closedBefore lists the jobs that mine accepts and that can be dropped at a time
+// when jobs submitted before at need not be kept.
 func (t *Table) closedBefore(at time.Time, mine func(id string) bool) []oldJob {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	var old []oldJob
 	for id, e := range t.byID {
-		if e.job == nil || e.open() || !e.job.submitted().Before(at) || !mine(id) {
+		if !mine(id) || !e.closedBefore(at) {
 			continue
 		}
 		o := oldJob{id: id, pieces: e.pieces, contentPieces: e.contentPieces}
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -163,9 +163,8 @@
 func (s *Service) assign(ctx context.Context, generation int64, owned map[int]bool) {
 	for i, sh := range s.shards {
 		switch {
-		case owned[i] && sh.claim():
+		case owned[i] && sh.claim(ctx):
 			event.Log(s.opts.Logger, event.ShardAssigned, "shard", i, "generation", generation)
-			go sh.followContent(ctx)
 			go sh.takeOver(ctx)
 		case !owned[i] && sh.release():
 			event.Log(s.opts.Logger, event.ShardReleased, "shard", i, "generation", generation, "cause", "assigned elsewhere")
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -580,6 +580,24 @@
 	})
 }
 
+// TestRefusalElsewhereTakesNothingFromAnAcceptedJob: one process refuses a job that
+// another accepts at the same time; its content has to stay.
+func TestRefusalElsewhereTakesNothingFromAnAcceptedJob(t *testing.T) {
+	f := newFleet(t, 1)
+	a, b := f.start("a"), f.start("b")
+	f.log.DelayDrops("keyed.contents") // the store may execute them seconds later
+	j := job("j1", 3)
+	refused := a.Submit(t.Context(), j, 100)
+	assert.Assert(t, errkind.Is(refused, errkind.RateLimited), "%v", refused)
+	assert.NilError(t, b.Submit(t.Context(), j, 0))
+	again := job("j1", 3)
+	assert.NilError(t, a.Submit(t.Context(), again, 100), "it is known now")
+	f.log.RunLate()
+	a.kill()
+	b.kill()
+	f.checkWhole(j, f.waitDone(f.start("c"), j))
+}
+
 func TestEndedJobRunsNoMoreItems(t *testing.T) {
 	f := newFleet(t, 1)
 	f.backends[0].Events, f.backends[0].Gap = 200, 10*time.Millisecond
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -70,24 +70,21 @@
 }
 
 // claim starts to take the shard on; it returns false if that was done before.
-func (sh *shard) claim() bool {
+// The items of the shard's jobs are followed until it is released.
+func (sh *shard) claim(ctx context.Context) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if sh.phase != foreign {
 		return false
 	}
 	sh.phase = claiming
+	ctx, sh.stopContent = context.WithCancel(ctx)
+	go sh.followContent(ctx)
 	return true
 }
 
-// followContent reads the items of the shard's jobs as long as it is claimed or
-// owned.
+// followContent reads the items of the shard's jobs.
 func (sh *shard) followContent(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	sh.mu.Lock()
-	sh.stopContent = cancel
-	sh.mu.Unlock()
 	pace := keyedlog.Pace{Wait: followWait, Gap: followGap, Retry: followStop}
 	keyedlog.NewFollower(sh.s.opts.Log, sh.content, contentView{view{sh.s.table, sh.content}, sh}, pace, sh.s.opts.Observe).Run(ctx)
 }
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -39,6 +39,9 @@
 	// items is nil until the content has been read, which only the shard's owner
 	// does.
 	items []Item
+	// contentMs is when the job of the content was submitted, in Unix
+	// milliseconds.
+	contentMs int64
 	// offset is where the job's summary stands.
 	offset  int64
 	ended   bool
@@ -183,7 +186,7 @@
 	if err := decode(value, &job); err != nil {
 		return err
 	}
-	e.items, e.contentPieces = job.Items, pieces
+	e.items, e.contentPieces, e.contentMs = job.Items, pieces, job.SubmittedMs
 	return nil
 }
 
--- a/keyedlog/keyedlogtest/log.go
+++ b/keyedlog/keyedlogtest/log.go
@@ -38,10 +38,12 @@
 // Log implements keyedlog.Log and keyedlog.Groups. It is safe for concurrent
 // use.
 type Log struct {
-	mu      sync.Mutex
-	parts   map[keyedlog.Partition]*partition
-	fault   func(call string, p keyedlog.Partition) Fault
-	late    []func()
+	mu    sync.Mutex
+	parts map[keyedlog.Partition]*partition
+	fault func(call string, p keyedlog.Partition) Fault
+	late  []func()
+	// delayed is the topic whose tombstones take effect late.
+	delayed string
 	changed chan struct{}
 	group   group
 	calls   map[string]int
@@ -93,6 +95,24 @@
 	return l.calls[call]
 }
 
+// DelayDrops makes appends of nothing but tombstones to a topic take effect when
+// RunLate is called.
+func (l *Log) DelayDrops(topic string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delayed = topic
+}
+
+// drops reports whether records are tombstones only.
+func drops(records []keyedlog.Record) bool {
+	for _, r := range records {
+		if r.Value != nil {
+			return false
+		}
+	}
+	return len(records) > 0
+}
+
 // RunLate runs the calls that were held back, if their conditions still hold.
 func (l *Log) RunLate() {
 	l.mu.Lock()
@@ -135,7 +155,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	records = slices.Clone(records)
-	switch l.enter("append", id) {
+	fault := l.enter("append", id)
+	if id.Topic == l.delayed && drops(records) {
+		fault = Late
+	}
+	switch fault {
 	case Refuse:
 		return keyedlog.Appended{}, keyedlog.ErrRefused
 	case LoseCall:
