A registration that vanishes while the store is there is soon gone

That grace now holds only while the store is away and for 3 s after its return; else it is 0.5 s. TestRegistrationThatVanishesInSteadyStateIsSoonGone failed first; TestLapsedRegistrationHasAGrace now sets the outage that it is about. Beside: SIGHUP is taken from the start, and an item with a negative number of tokens is refused.

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -26,10 +26,18 @@
 	Gone     = "gone"
 )
 
-// LapseGrace is how long a backend server whose registration has vanished may
-// still get work: registrations that lapsed while the store was away come back
-// within two seconds of its return.
-const LapseGrace = 2 * time.Second
+const (
+	// LapseGrace is how long a backend server may still get work whose
+	// registration has vanished while the store was away: those that live are
+	// registered again within two seconds of its return.
+	LapseGrace = 2 * time.Second
+	// SteadyGrace is the same while the store has been there: the backend server
+	// has left or died.
+	SteadyGrace = 500 * time.Millisecond
+	// outageEcho is for how long after its return the store's absence explains
+	// a registration that vanishes.
+	outageEcho = 3 * time.Second
+)
 
 // Backends holds the registered backend servers. It implements keyedlog.View
 // and is safe for concurrent use.
@@ -41,6 +49,10 @@
 	mu        sync.RWMutex
 	byID      map[string]*entry
 	byService map[string][]catalog.Backend
+	// away says that the store does not answer, returnedAt when it last
+	// answered again.
+	away       bool
+	returnedAt time.Time
 }
 
 type entry struct {
@@ -48,6 +60,8 @@
 	record  keyedlog.Record
 	// lapsedAt is when the registration vanished; zero while it is there.
 	lapsedAt time.Time
+	// goneAt is when it then counts as gone.
+	goneAt time.Time
 }
 
 // NewBackends returns an empty view. changed is called from the follower's
@@ -126,14 +140,33 @@
 	})
 }
 
-// Expire removes backend servers whose registration has been missing for
-// LapseGrace.
+// StoreChanged notes that the store does not answer, or does again.
+func (b *Backends) StoreChanged(away bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.away && !away {
+		b.returnedAt = b.now()
+	}
+	b.away = away
+}
+
+// grace returns how long a registration that vanishes now may come back. The
+// caller holds the lock.
+func (b *Backends) grace(now time.Time) time.Duration {
+	if b.away || !b.returnedAt.IsZero() && now.Sub(b.returnedAt) < outageEcho {
+		return LapseGrace
+	}
+	return SteadyGrace
+}
+
+// Expire removes backend servers whose registration has been missing for its
+// grace.
 func (b *Backends) Expire() {
 	b.update(func() []Change {
 		var changes []Change
 		now := b.now()
 		for id, e := range b.byID {
-			if !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) >= LapseGrace {
+			if !e.lapsedAt.IsZero() && !now.Before(e.goneAt) {
 				delete(b.byID, id)
 				changes = append(changes, Change{e.backend, Gone})
 			}
@@ -184,6 +217,7 @@
 		return nil
 	}
 	e.lapsedAt = b.now()
+	e.goneAt = e.lapsedAt.Add(b.grace(e.lapsedAt))
 	return []Change{{e.backend, Lapsed}}
 }
 
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -77,6 +77,8 @@
 func TestLapsedRegistrationHasAGrace(t *testing.T) {
 	b, c, told := newBackends()
 	b.Rebuild([]keyedlog.Record{record("a", "ready"), record("b", "ready")})
+	b.StoreChanged(true)
+	b.StoreChanged(false)
 	b.Apply([]keyedlog.Record{record("a", "")})
 	assert.Equal(t, ids(b.Of("s")), "ab")
 	c.t = c.t.Add(discovery.LapseGrace / 2)
@@ -92,6 +94,22 @@
 	assert.DeepEqual(t, *told, []string{"a seen", "b seen", "a lapsed", "a returned", "b lapsed", "b gone"})
 }
 
+// TestRegistrationThatVanishesInSteadyStateIsSoonGone: the backend server may not
+// get work for longer than the drain time after it has left, and what is read of
+// the store may be a second old already.
+func TestRegistrationThatVanishesInSteadyStateIsSoonGone(t *testing.T) {
+	const drainTime, storeLag = 3 * time.Second, 1500 * time.Millisecond
+	b, c, _ := newBackends()
+	b.Rebuild([]keyedlog.Record{record("a", "ready"), record("b", "ready")})
+	b.StoreChanged(true)
+	b.StoreChanged(false)
+	c.t = c.t.Add(10 * time.Second) // the outage is long over
+	b.Apply([]keyedlog.Record{record("a", "")})
+	c.t = c.t.Add((drainTime - storeLag) / 2)
+	b.Expire()
+	assert.Equal(t, ids(b.Of("s")), "b")
+}
+
 func TestLeavingBackendServerIsMarked(t *testing.T) {
 	b, _, told := newBackends()
 	b.Apply([]keyedlog.Record{record("a", "ready"), record("a", "ready"), record("a", "draining")})
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -6,8 +6,11 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
+	"os/signal"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -72,15 +75,18 @@
 	peering   *peering.Peering
 	followers []*keyedlog.Follower
 	draining  chan struct{}
+	// hup gets SIGHUP from the start on: it would end the process otherwise.
+	hup chan os.Signal
 }
 
 // New returns a daemon that is not running yet. logger writes to sink.
 func New(s platform.Settings, logger *log.Logger, sink *event.Sink) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, log: logger, sink: sink, budget: event.NewBudget(ordinaryLines),
-		metrics: metrics.NewSet(), draining: make(chan struct{}),
+		metrics: metrics.NewSet(), draining: make(chan struct{}), hup: make(chan os.Signal, 1),
 	}
 	event.SetBudget(d.budget)
+	signal.Notify(d.hup, syscall.SIGHUP)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryPart))
 		debug.SetGCPercent(gcPercent)
@@ -225,6 +231,9 @@
 }
 
 func (d *Daemon) storeChanged(p keyedlog.Partition, err error) {
+	if p.Topic == platform.BackendTopic {
+		d.backends.StoreChanged(err != nil)
+	}
 	if err != nil {
 		event.Log(d.log, event.LogDown, "topic", p.Topic, "part", p.Index, "cause", err)
 		return
--- a/internal/gatewayd/daemon_test.go
+++ b/internal/gatewayd/daemon_test.go
@@ -210,6 +210,7 @@
 		"no items":  `{"Items":[]}`,
 		"too many":  lot(201),
 		"same ids":  `{"Items":[{"Id":"a","Path":"/batch/1"},{"Id":"a","Path":"/batch/2"}]}`,
+		"tokens":    `{"Items":[{"Id":"a","Path":"/batch/1","Tokens":-5}]}`,
 		"no path":   `{"Items":[{"Id":"a"}]}`,
 		"bad body":  `{"Items":[{"Id":"a","Path":"/batch/1","Body":"%"}]}`,
 		"wrong way": `[]`,
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -5,7 +5,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/event"
@@ -54,9 +53,7 @@
 // changed. Addresses of the process itself hold until its next start; the
 // store's address changes at once.
 func (d *Daemon) watchSettings(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	defer signal.Stop(d.hup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	path := os.Getenv(platform.SettingsVariable)
@@ -65,7 +62,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-d.hup:
 			d.reload(path, "signal")
 		case <-ticker.C:
 			if at := modified(path); !at.Equal(last) {
