A job is accepted under its quota by a conditional append always; a resend asks the log

Cause of TestQuotaHoldsOverAllProcesses (1,200 of 1,000 tokens, once, beside busy processes): below half of the quota an acceptance named no end of the log, and could land after a conditional one that filled the quota. Cause of TestRefusalElsewhereTakesNothingFromAnAcceptedJob: a gateway refused the resend of a job whose acceptance it had not folded; it now reads the log's end first. A submission in doubt is never handed on, as the other gateway's refusal would then not be true.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -15,9 +15,6 @@
 	acceptTries = 8
 	// acceptDoubts bounds the appends without an answer of one submission.
 	acceptDoubts = 2
-	// looseQuota is the part of a quota up to which a job is accepted without
-	// regard to other acceptances at the same moment.
-	looseQuota = 0.5
 	// refusedJob is when a caller should come back that the log refused, and
 	// refusedAlone when one should that met a process without any connection.
 	refusedJob   = time.Second
@@ -41,7 +38,7 @@
 		return s.submitElsewhere(ctx, job, quota)
 	}
 	err := s.SubmitHere(ctx, job, quota)
-	if errkind.Is(err, errkind.LogUnavailable) {
+	if errkind.Is(err, errkind.LogUnavailable) && errkind.From(err).Answer().Outcome == errkind.NotRun {
 		return s.submitElsewhere(ctx, job, quota)
 	}
 	return err
@@ -110,13 +107,9 @@
 		end := s.jobs.Next()
 		waiting := s.waitingTokens(job.Route)
 		if quota > 0 && waiting+job.Tokens() > quota {
-			return s.overQuota(job, waiting, quota, doubts > 0)
+			return s.refuseOverQuota(ctx, job, waiting, quota, doubts > 0)
 		}
-		cond := keyedlog.Condition{AtEnd: end, Conditional: true}
-		if quota == 0 || float64(waiting+job.Tokens()) <= looseQuota*float64(quota) {
-			cond = keyedlog.Condition{}
-		}
-		at, err := s.appendSoon(ctx, part, records, cond)
+		at, err := s.appendSoon(ctx, part, records, keyedlog.Condition{AtEnd: end, Conditional: quota > 0})
 		switch {
 		case err == nil:
 			s.applyOwn(part, records, at.First)
@@ -138,7 +131,17 @@
 	return errkind.New(errkind.Timeout, "job %s: the log does not answer", job.ID)
 }
 
-func (s *Service) overQuota(job *Job, waiting, quota int64, inDoubt bool) error {
+// refuseOverQuota refuses a job that does not fit, unless the log holds it already:
+// another process may have accepted it a moment ago.
+func (s *Service) refuseOverQuota(ctx context.Context, job *Job, waiting, quota int64, inDoubt bool) error {
+	known, err := s.Confirm(ctx, job.ID)
+	if known {
+		return nil
+	}
+	if err != nil {
+		return errkind.Wrap(err, errkind.LogUnavailable, "job %s does not fit by what is known here", job.ID).
+			WithOutcome(outcomeOf(inDoubt)).WithRetryAfter(refusedJob)
+	}
 	e := errkind.New(errkind.RateLimited, "job %s: %d tokens wait, %d more exceed %d", job.ID, waiting, job.Tokens(), quota)
 	if inDoubt {
 		return errkind.Wrap(e, errkind.Timeout, "job %s: the log did not answer", job.ID)
@@ -146,6 +149,14 @@
 	return e.WithRetryAfter(refusedJob)
 }
 
+// outcomeOf says what is known of a job that is not accepted.
+func outcomeOf(inDoubt bool) errkind.Outcome {
+	if inDoubt {
+		return errkind.Unknown
+	}
+	return errkind.NotRun
+}
+
 // appendSoon appends records within the time that an answer of the log takes by
 // experience: a caller in doubt comes back to another process.
 func (s *Service) appendSoon(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record, c keyedlog.Condition) (keyedlog.Appended, error) {
