Read as a newcomer: dead code, work done twice, what grows without end

Table.Peers had no caller; a counter of unsent reports was always positive; a short body was read off in two places (upstream.Answer.Discard); the id of each relayed event was parsed twice; health and told load of backend servers that are gone were kept for ever (Table.ForgetBackend).

--- a/balance/table.go
+++ b/balance/table.go
@@ -174,17 +174,12 @@
 	delete(t.peers, name)
 }
 
-// Peers returns the number of peers heard of within PeerTTL.
-func (t *Table) Peers(now time.Time) int {
+// ForgetBackend drops what is known of a backend server that is gone.
+func (t *Table) ForgetBackend(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
-	for _, p := range t.peers {
-		if now.Sub(p.at) <= t.opts.PeerTTL {
-			n++
-		}
-	}
-	return n
+	delete(t.health, id)
+	delete(t.told, id)
 }
 
 // load sums the counts of a backend server over all entries.
--- a/eventstream/splitter.go
+++ b/eventstream/splitter.go
@@ -101,21 +101,15 @@
 	return ""
 }
 
-// Number returns the event's id as a number, and false if it is none.
-func (e Event) Number() (int64, bool) {
-	n, err := strconv.ParseInt(e.ID(), 10, 64)
-	return n, err == nil
-}
-
-// Follows reports whether the event is the one after that with the id last: its
-// number is the next, or one of the two has no number.
-func (e Event) Follows(last string) bool {
+// Follows reports whether id is that of the event after the one with the id last:
+// its number is the next, or one of the two is no number.
+func Follows(last, id string) bool {
 	before, err := strconv.ParseInt(last, 10, 64)
 	if err != nil {
 		return true
 	}
-	n, ok := e.Number()
-	return !ok || n == before+1
+	n, err := strconv.ParseInt(id, 10, 64)
+	return err != nil || n == before+1
 }
 
 // Data appends the event's data to dst, its lines separated by line feeds, and
--- a/eventstream/splitter_test.go
+++ b/eventstream/splitter_test.go
@@ -49,22 +49,17 @@
 
 func TestFields(t *testing.T) {
 	e := eventstream.Event{Raw: []byte("idle: 9\nid:12\ndata: a\ndata\ndata:  b\n\n")}
-	n, ok := e.Number()
-	assert.Assert(t, ok)
-	assert.Equal(t, n, int64(12))
+	assert.Equal(t, e.ID(), "12")
 	data, found := e.Data(nil)
 	assert.Assert(t, found)
 	assert.Equal(t, string(data), "a\n\n b")
-	_, ok = eventstream.Event{Raw: []byte("data: a\n\n")}.Number()
-	assert.Assert(t, !ok)
+	assert.Equal(t, eventstream.Event{Raw: []byte("data: a\n\n")}.ID(), "")
 }
 
 func TestFollows(t *testing.T) {
-	second := eventstream.Event{Raw: []byte("id: 2\ndata: a\n\n")}
-	comment := eventstream.Event{Raw: []byte(": alive\n\n")}
 	for last, want := range map[string]bool{"": true, "1": true, "2": false, "0": false, "x": true} {
-		assert.Equal(t, second.Follows(last), want, last)
-		assert.Assert(t, comment.Follows(last))
+		assert.Equal(t, eventstream.Follows(last, "2"), want, last)
+		assert.Assert(t, eventstream.Follows(last, ""))
 	}
 }
 
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -288,7 +288,7 @@
 	if answer.Verdict.Misdirected {
 		o.avoid(b, true)
 	}
-	drain(answer)
+	answer.Discard()
 	o.logRetry(b, errors.Errorf("refused with %d", answer.Status))
 	return true, nil
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,7 +22,6 @@
 	// wholeAnswer bounds the answers that are read whole before they are sent
 	// on, so that one that breaks off can be tried again.
 	wholeAnswer = 64 << 10
-	drainBytes  = 8 << 10
 	eventStream = "text/event-stream"
 )
 
@@ -93,23 +92,24 @@
 			return o.broken(ctx, b, err)
 		}
 		quiet.Reset()
-		if !e.Follows(o.lastEvent) {
-			return o.broken(ctx, b, errors.Errorf("event %q follows %q", e.ID(), o.lastEvent))
+		id := e.ID()
+		if !eventstream.Follows(o.lastEvent, id) {
+			return o.broken(ctx, b, errors.Errorf("event %q follows %q", id, o.lastEvent))
 		}
 		if !o.headSent {
 			o.sendHead(answer, false, 0)
 		}
-		if err := o.sendEvent(e, !events.Buffered()); err != nil {
+		if err := o.sendEvent(e, id, !events.Buffered()); err != nil {
 			return false, errors.Wrap(ErrAborted, "caller: "+err.Error())
 		}
 	}
 }
 
-func (o *online) sendEvent(e eventstream.Event, flush bool) error {
+func (o *online) sendEvent(e eventstream.Event, id string, flush bool) error {
 	if _, err := o.w.Write(e.Raw); err != nil {
 		return err
 	}
-	if id := e.ID(); id != "" {
+	if id != "" {
 		o.lastEvent = id
 	}
 	if !flush {
@@ -151,9 +151,3 @@
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
 		"attempts", o.attempts, "first_byte", o.firstByte.Sub(o.r.Arrived), "after", time.Since(o.r.Arrived))
 }
-
-// drain reads a short body so that its connection can be kept.
-func drain(answer *upstream.Answer) {
-	// An error only means that the connection is not kept.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, drainBytes))
-}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -212,6 +212,7 @@
 	case discovery.Gone:
 		event.Log(d.log, event.BackendGone, kv...)
 		d.pool.Forget(b.Address)
+		d.gateway.Table.ForgetBackend(b.ID)
 	default:
 		event.Log(d.log, event.BackendSeen, kv...)
 	}
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -56,22 +56,19 @@
 	defer answer.Close()
 	switch {
 	case answer.Verdict.NotRun:
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, drainBytes)) // only decides whether the connection is kept
+		answer.Discard()
 		return outcome{endNotRun, p, errors.Errorf("refused with %d", answer.Status)}
 	case answer.Status == http.StatusUnprocessableEntity:
 		return outcome{endImpossible, p, nil}
 	case answer.Status != http.StatusOK:
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, drainBytes)) // as above
+		answer.Discard()
 		return outcome{endFailed, p, errors.Errorf("answered %d", answer.Status)}
 	}
 	return s.gather(ctx, answer, b, p, silent, report)
 }
 
-const (
-	drainBytes = 8 << 10
-	// reportEvents is the number of events between two reports of progress.
-	reportEvents = 8
-)
+// reportEvents is the number of events between two reports of progress.
+const reportEvents = 8
 
 var errSilent = errors.New("jobs: backend server is silent")
 
@@ -111,8 +108,9 @@
 			return outcome{endBroken, p, err}
 		}
 		silent.Reset(itemSilence)
-		if !e.Follows(p.LastEvent) {
-			return outcome{endBroken, p, errors.Errorf("event %q follows %q", e.ID(), p.LastEvent)}
+		id := e.ID()
+		if !eventstream.Follows(p.LastEvent, id) {
+			return outcome{endBroken, p, errors.Errorf("event %q follows %q", id, p.LastEvent)}
 		}
 		grown := text
 		if p.Events > 0 {
@@ -123,7 +121,7 @@
 			continue // a comment, which keeps the connection alive
 		}
 		text = grown
-		p.Text, p.LastEvent = text, e.ID()
+		p.Text, p.LastEvent = text, id
 		p.Events++
 		if p.Events%reportEvents == 0 {
 			report(p)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -160,21 +160,19 @@
 	go p.receive()
 	quiet := time.NewTicker(quietInterval)
 	defer quiet.Stop()
-	var seq, unsentFar uint64
+	var seq uint64
 	lastFar := time.Time{}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-p.opts.Table.OwnChanged():
-			unsentFar++
 		case <-quiet.C:
-			unsentFar++
 		}
 		seq++
-		far := unsentFar > 0 && time.Since(lastFar) >= farInterval
+		far := time.Since(lastFar) >= farInterval
 		if far {
-			unsentFar, lastFar = 0, time.Now()
+			lastFar = time.Now()
 		}
 		p.send(p.report(seq), far)
 		p.pause(ctx)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -112,6 +112,13 @@
 	return n, nil
 }
 
+// discardBytes is what Discard reads.
+const discardBytes = 8 << 10
+
+// Discard reads a short body that nobody wants, so that its connection can be
+// kept. An error only means that it is not.
+func (a *Answer) Discard() { _, _ = io.Copy(io.Discard, io.LimitReader(a, discardBytes)) }
+
 // Close ends the exchange. The connection is kept if the answer was read whole
 // and nothing follows it.
 func (a *Answer) Close() {
