--- a/cmd/chaos/main.go
+++ b/cmd/chaos/main.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/chaos/soak"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 )
 
@@ -31,7 +33,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	err := command().Run(ctx, os.Args)
 	stop()
-	proctest.RemoveDaemon()
+	proctest.RemovePrograms()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "chaos:", err)
 		os.Exit(1)
@@ -49,6 +51,7 @@
 			&cli.IntFlag{Name: "rounds", Value: 1, Usage: "`NUMBER` of rounds"},
 			&cli.IntFlag{Name: "parallel", Value: defaultParallel, Usage: "`NUMBER` of rounds at once"},
 			&cli.StringFlag{Name: "keep", Usage: "`DIR` that keeps settings and logs of each round"},
+			&cli.BoolFlag{Name: "gateways", Usage: "strike gateways on the platform's adapter instead of entries and sidecars"},
 			&cli.BoolFlag{Name: "plan", Usage: "print the schedules and run nothing"},
 		},
 		Action: run,
@@ -57,13 +60,17 @@
 
 func run(ctx context.Context, c *cli.Command) error {
 	first, rounds := c.Uint64("seed"), uint64(c.Int("rounds"))
+	newPlan := entryRound
+	if c.Bool("gateways") {
+		newPlan = gatewayRound
+	}
 	if c.Bool("plan") {
 		for seed := first; seed < first+rounds; seed++ {
-			chaos.NewPlan(seed).Print(os.Stdout)
+			newPlan(seed).Print(os.Stdout)
 		}
 		return nil
 	}
-	s := &session{total: chaos.NewVerdict(), keep: c.String("keep")}
+	s := &session{newPlan: newPlan, total: chaos.NewVerdict(), keep: c.String("keep")}
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(c.Int("parallel"))
 	for seed := first; seed < first+rounds; seed++ {
@@ -80,9 +87,33 @@
 	return nil
 }
 
+// round is the plan of one round, and how it is run.
+type round struct {
+	plan
+	profile string
+	run     func(ctx context.Context, dir string) (*chaos.Verdict, error)
+}
+
+// plan is a schedule of operations and faults.
+type plan interface {
+	Print(w io.Writer)
+	Faulted() string
+}
+
+func entryRound(seed uint64) round {
+	p := chaos.NewPlan(seed)
+	return round{p, string(p.Profile), func(ctx context.Context, dir string) (*chaos.Verdict, error) { return chaos.Run(ctx, p, dir) }}
+}
+
+func gatewayRound(seed uint64) round {
+	p := soak.NewPlan(seed)
+	return round{p, string(p.Profile), func(ctx context.Context, dir string) (*chaos.Verdict, error) { return soak.Run(ctx, p, dir) }}
+}
+
 // session gathers the verdicts of rounds that run side by side.
 type session struct {
-	keep string
+	newPlan func(seed uint64) round
+	keep    string
 
 	mu     sync.Mutex
 	total  *chaos.Verdict
@@ -101,8 +132,8 @@
 		}
 	}
 	started := time.Now()
-	plan := chaos.NewPlan(seed)
-	v, err := chaos.Run(ctx, plan, dir)
+	plan := s.newPlan(seed)
+	v, err := plan.run(ctx, dir)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -118,7 +149,7 @@
 		s.failed = append(s.failed, seed)
 	}
 	fmt.Printf("seed %d: %s  %s  %d requests, %d items, %.1fs  %s\n",
-		seed, result, plan.Profile, v.Requests, v.Items, time.Since(started).Seconds(), plan.Faulted())
+		seed, result, plan.profile, v.Requests, v.Items, time.Since(started).Seconds(), plan.Faulted())
 	printFindings(v)
 	return nil
 }
--- a/internal/chaos/check.go
+++ b/internal/chaos/check.go
@@ -49,12 +49,12 @@
 	}
 	for _, r := range h.Rereads {
 		if r.Status != 200 || r.Got != r.Want {
-			c.verdict.found(Lost, "kept reply %s: status %d, got %q, want %q", r.ID, r.Status, r.Got, r.Want)
+			c.verdict.Found(Lost, "kept reply %s: status %d, got %q, want %q", r.ID, r.Status, r.Got, r.Want)
 		}
 	}
 	for _, f := range h.Foreign {
 		if f.Status == 200 {
-			c.verdict.found(CrossRead, "%s answered %d to another workspace", f.What, f.Status)
+			c.verdict.Found(CrossRead, "%s answered %d to another workspace", f.What, f.Status)
 		}
 	}
 	c.checkStops()
@@ -113,13 +113,13 @@
 		c.checkWhole(r)
 	}
 	if r.Outcome == errkind.NotRun && c.ran(r) {
-		v.found(FalseNotRun, "%s was told not_run (%s), but it ran", r.Send, r.Kind)
+		v.Found(FalseNotRun, "%s was told not_run (%s), but it ran", r.Send, r.Kind)
 	}
 	if r.End.Sub(r.Start) >= callTimeout && !r.Dropped {
-		v.found(Hung, "%s %s had no end after %s", r.Op.Kind, r.Send, callTimeout)
+		v.Found(Hung, "%s %s had no end after %s", r.Op.Kind, r.Send, callTimeout)
 	}
 	if c.plan.Profile == Planned && !r.Whole {
-		v.found(CutOff, "%s %s: status %d kind %q outcome %q %s", r.Op.Kind, r.Send, r.Status, r.Kind, r.Outcome, r.Err)
+		v.Found(CutOff, "%s %s: status %d kind %q outcome %q %s", r.Op.Kind, r.Send, r.Status, r.Kind, r.Outcome, r.Err)
 	}
 }
 
@@ -152,14 +152,14 @@
 func (c *checker) checkStops() {
 	for _, s := range c.history.Stops {
 		if s.Err != "" && c.plan.Profile == Planned {
-			c.verdict.found(CutOff, "stop of %s: %s", s.Name, s.Err)
+			c.verdict.Found(CutOff, "stop of %s: %s", s.Name, s.Err)
 		}
 		if s.Backend < 0 || s.Done.IsZero() {
 			continue
 		}
 		for _, at := range c.starts(s.Backend) {
 			if at.After(s.Begin.Add(leaveBound)) && at.Before(s.Done) {
-				c.verdict.found(WorkWhileLeaving, "%s started work %s after its notice", s.Name, at.Sub(s.Begin))
+				c.verdict.Found(WorkWhileLeaving, "%s started work %s after its notice", s.Name, at.Sub(s.Begin))
 			}
 		}
 	}
--- a/internal/chaos/check_call.go
+++ b/internal/chaos/check_call.go
@@ -18,7 +18,7 @@
 // answer to its own request.
 func (c *checker) checkWhole(r Record) {
 	if why := wrong(r); why != "" {
-		c.verdict.found(WrongAnswer, "%s %s: %s", r.Op.Kind, r.Send, why)
+		c.verdict.Found(WrongAnswer, "%s %s: %s", r.Op.Kind, r.Send, why)
 	}
 }
 
@@ -65,7 +65,7 @@
 		}
 		results[r.Op.ID][r.Body] = true
 		if len(c.byID[r.Op.ID]) == 0 {
-			c.verdict.found(WrongAnswer, "%s was answered, but nothing ran", r.Send)
+			c.verdict.Found(WrongAnswer, "%s was answered, but nothing ran", r.Send)
 		}
 	}
 	for _, op := range c.plan.Ops {
@@ -73,10 +73,10 @@
 			continue
 		}
 		if n := len(c.byID[op.ID]); n > 1 {
-			c.verdict.found(Duplicate, "%s %s ran %d times", op.Kind, op.ID, n)
+			c.verdict.Found(Duplicate, "%s %s ran %d times", op.Kind, op.ID, n)
 		}
 		if n := len(results[op.ID]); n > 1 {
-			c.verdict.found(Duplicate, "%s %s was answered with %d different results", op.Kind, op.ID, n)
+			c.verdict.Found(Duplicate, "%s %s was answered with %d different results", op.Kind, op.ID, n)
 		}
 	}
 	c.checkKeys()
--- a/internal/chaos/check_job.go
+++ b/internal/chaos/check_job.go
@@ -13,7 +13,7 @@
 
 func (c *checker) checkItemStart(j JobRecord, i int, at, bound time.Time) {
 	if at.After(bound) {
-		c.verdict.found(RanAfterCancel, "job %s: item %d started %s after the cancel", j.Op.ID, i,
+		c.verdict.Found(RanAfterCancel, "job %s: item %d started %s after the cancel", j.Op.ID, i,
 			at.Sub(j.CancelAcked).Round(time.Millisecond))
 	}
 }
@@ -31,17 +31,17 @@
 func (c *checker) checkJob(j JobRecord) {
 	v := c.verdict
 	if j.Err != "" {
-		v.found(Lost, "job %s %v: %s", j.Op.ID, j.IDs, j.Err)
+		v.Found(Lost, "job %s %v: %s", j.Op.ID, j.IDs, j.Err)
 	}
 	for _, id := range j.IDs[min(1, len(j.IDs)):] {
 		if id != j.IDs[0] {
-			v.found(Duplicate, "job %s was accepted as %s and as %s", j.Op.ID, j.IDs[0], id)
+			v.Found(Duplicate, "job %s was accepted as %s and as %s", j.Op.ID, j.IDs[0], id)
 		}
 	}
 	c.checkCancel(j)
 	for i := range j.Op.Items {
 		if n := len(c.byID[strconv.Quote(itemID(j.Op, i))]); n > 1 {
-			v.found(Duplicate, "job %s: item %d, which may not be repeated, ran %d times", j.Op.ID, i, n)
+			v.Found(Duplicate, "job %s: item %d, which may not be repeated, ran %d times", j.Op.ID, i, n)
 		}
 	}
 	if len(j.Outputs) == 0 {
@@ -49,7 +49,7 @@
 	}
 	for _, o := range j.Outputs[1:] {
 		if o != j.Outputs[0] {
-			v.found(Duplicate, "job %s: two entries give different results", j.Op.ID)
+			v.Found(Duplicate, "job %s: two entries give different results", j.Op.ID)
 		}
 	}
 	c.checkItems(j)
@@ -67,7 +67,7 @@
 			}
 			var l resultLine
 			if err := json.Unmarshal([]byte(line), &l); err != nil {
-				v.found(Lost, "job %s: unreadable result %q", j.Op.ID, line)
+				v.Found(Lost, "job %s: unreadable result %q", j.Op.ID, line)
 				continue
 			}
 			seen[l.CustomID]++
@@ -77,21 +77,21 @@
 	for i := range j.Op.Items {
 		n := seen[fmt.Sprintf("i%d", i)]
 		if n > 1 {
-			v.found(Duplicate, "job %s: item %d has %d results", j.Op.ID, i, n)
+			v.Found(Duplicate, "job %s: item %d has %d results", j.Op.ID, i, n)
 		}
 		if n == 0 && j.Final.Status == "completed" {
-			v.found(Lost, "job %s: item %d has no result", j.Op.ID, i)
+			v.Found(Lost, "job %s: item %d has no result", j.Op.ID, i)
 		}
 	}
 	if s := j.Final.Status; s != "completed" && (s != "cancelled" || j.Op.CancelAfter == 0) {
-		v.found(Lost, "job %s ended %s", j.Op.ID, s)
+		v.Found(Lost, "job %s ended %s", j.Op.ID, s)
 	}
 }
 
 func (c *checker) checkItem(j JobRecord, l resultLine, result bool) {
 	var i int
 	if _, err := fmt.Sscanf(l.CustomID, "i%d", &i); err != nil || i >= j.Op.Items {
-		c.verdict.found(WrongAnswer, "job %s: a result for %q, which is no item", j.Op.ID, l.CustomID)
+		c.verdict.Found(WrongAnswer, "job %s: a result for %q, which is no item", j.Op.ID, l.CustomID)
 		return
 	}
 	if j.Op.Calls {
@@ -101,18 +101,18 @@
 	_, poison := j.Op.Poison[i]
 	if !result {
 		if !poison && j.Final.Status == "completed" {
-			c.verdict.found(Lost, "job %s: item %d failed: %s", j.Op.ID, i, l.why())
+			c.verdict.Found(Lost, "job %s: item %d failed: %s", j.Op.ID, i, l.why())
 		}
 		return
 	}
 	if poison {
-		c.verdict.found(WrongAnswer, "job %s: poison item %d has a result", j.Op.ID, i)
+		c.verdict.Found(WrongAnswer, "job %s: poison item %d has a result", j.Op.ID, i)
 		return
 	}
 	want := echo(itemPrompt(j.Op, i), j.Op.Tokens)
 	var a chatCompletion
 	if l.Response == nil || json.Unmarshal(l.Response.Body, &a) != nil || len(a.Choices) != 1 || a.Choices[0].Message.Content != want {
-		c.verdict.found(WrongAnswer, "job %s item %d: want %d tokens; got %s", j.Op.ID, i, j.Op.Tokens, l.why())
+		c.verdict.Found(WrongAnswer, "job %s item %d: want %d tokens; got %s", j.Op.ID, i, j.Op.Tokens, l.why())
 	}
 }
 
@@ -124,7 +124,7 @@
 	if result {
 		var e standin.Execution
 		if l.Response == nil || json.Unmarshal(l.Response.Body, &e) != nil || e.Path != callPath || e.Body != strconv.Quote(id) || len(ran) == 0 {
-			c.verdict.found(WrongAnswer, "job %s item %d: got %s", j.Op.ID, i, l.why())
+			c.verdict.Found(WrongAnswer, "job %s item %d: got %s", j.Op.ID, i, l.why())
 		}
 		return
 	}
@@ -134,9 +134,9 @@
 	}
 	switch {
 	case failed.Error.Outcome == errkind.NotRun && len(ran) > 0:
-		c.verdict.found(FalseNotRun, "job %s item %d was told not_run, but it ran", j.Op.ID, i)
+		c.verdict.Found(FalseNotRun, "job %s item %d was told not_run, but it ran", j.Op.ID, i)
 	case failed.Error.Outcome != errkind.Unknown && j.Final.Status == "completed", c.plan.Profile == Planned:
-		c.verdict.found(Lost, "job %s item %d failed: %s", j.Op.ID, i, l.why())
+		c.verdict.Found(Lost, "job %s item %d failed: %s", j.Op.ID, i, l.why())
 	}
 }
 
@@ -166,6 +166,6 @@
 		}
 	}
 	if s := j.Final.Status; j.Err == "" && s != "cancelled" && s != "completed" {
-		c.verdict.found(RanAfterCancel, "job %s was cancelled and ended %s", j.Op.ID, s)
+		c.verdict.Found(RanAfterCancel, "job %s was cancelled and ended %s", j.Op.ID, s)
 	}
 }
--- a/internal/chaos/check_linear.go
+++ b/internal/chaos/check_linear.go
@@ -63,7 +63,7 @@
 		})
 	}
 	if porcupine.CheckOperationsTimeout(keyModel, ops, linearTimeout) == porcupine.Illegal {
-		c.verdict.found(Duplicate, "keyed calls are not linearizable")
+		c.verdict.Found(Duplicate, "keyed calls are not linearizable")
 	}
 }
 
@@ -124,10 +124,10 @@
 func (c *checker) checkConfiguration() {
 	h := c.history
 	for _, text := range h.Reverts {
-		c.verdict.found(Reverted, "%s", text)
+		c.verdict.Found(Reverted, "%s", text)
 	}
 	if h.InForce < 0 || h.InForce > inForceBound {
-		c.verdict.found(Reverted, "the last version was in force everywhere after %s", h.InForce)
+		c.verdict.Found(Reverted, "the last version was in force everywhere after %s", h.InForce)
 	}
 	orphans := h.orphans()
 	var ops []porcupine.Operation
@@ -135,7 +135,7 @@
 		ops = append(ops, p.operation(i, orphans))
 	}
 	if porcupine.CheckOperationsTimeout(versionModel(h.First), ops, linearTimeout) == porcupine.Illegal {
-		c.verdict.found(Reverted, "publications are not linearizable from %d: %+v", h.First, h.Publishes)
+		c.verdict.Found(Reverted, "publications are not linearizable from %d: %+v", h.First, h.Publishes)
 	}
 }
 
--- a/internal/chaos/main_test.go
+++ b/internal/chaos/main_test.go
@@ -19,7 +19,7 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	proctest.RemoveDaemon()
+	proctest.RemovePrograms()
 	os.Exit(code)
 }
 
--- /dev/null
+++ b/internal/chaos/soak/check_job.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+const (
+	completed = "completed"
+	givenUp   = "dead_lettered"
+	// finishSlack is how long an item whose body was missed must have gone on.
+	finishSlack = 200 * time.Millisecond
+)
+
+// checkJob judges one batch job.
+func (c *checker) checkJob(j *JobRecord) {
+	v, id := c.verdict, j.Op.ID
+	if j.Accepted.IsZero() {
+		c.checkRefusedJob(j)
+		return
+	}
+	for _, text := range j.Missing {
+		v.Found(chaos.Lost, "job %s: %s", id, text)
+	}
+	for _, text := range j.WrongBodies {
+		v.Found(chaos.WrongAnswer, "job %s: %s", id, text)
+	}
+	c.checkBodies(j)
+	known := make(map[int]Result)
+	for _, l := range append(append([]Listing(nil), j.Listings...), j.Final...) {
+		c.checkListing(j, l, known)
+	}
+	c.checkOnce(j, known)
+	c.checkEnd(j)
+	for i := range j.Op.Items {
+		c.checkAttempts(j, i)
+	}
+}
+
+func (c *checker) checkRefusedJob(j *JobRecord) {
+	for i := range j.Op.Items {
+		if runs := c.ran(itemID(j.Op, i)); j.Refused && len(runs) > 0 {
+			c.verdict.Found(chaos.FalseNotRun, "job %s was refused, and %s ran at %s", j.Op.ID, itemID(j.Op, i), runs[0].backend)
+		}
+	}
+}
+
+// checkBodies judges bodies that were said not to be there: the item must have
+// had its result by then.
+func (c *checker) checkBodies(j *JobRecord) {
+	for _, m := range j.MissingBodies {
+		for _, r := range c.ran(m.ItemID) {
+			if r.At.After(m.At.Add(finishSlack)) {
+				c.verdict.Found(chaos.Lost, "body of %s at %s: 404 although it ran %s later", m.ItemID, m.Gateway, r.At.Sub(m.At))
+				break
+			}
+		}
+	}
+}
+
+// checkListing judges one reading against all before it: a position never holds
+// anything else.
+func (c *checker) checkListing(j *JobRecord, l Listing, known map[int]Result) {
+	v := c.verdict
+	if l.Total != j.Op.Items {
+		v.Found(chaos.WrongAnswer, "job %s at %s: %d items of %d", j.Op.ID, l.Gateway, l.Total, j.Op.Items)
+	}
+	for i, result := range l.Results {
+		at := l.From + i
+		before, read := known[at]
+		if read && before != result {
+			v.Found(chaos.Duplicate, "job %s at %s: position %d holds %s %s, was %s %s", j.Op.ID, l.Gateway, at, result.ID, result.State, before.ID, before.State)
+		}
+		if !read {
+			known[at] = result
+			c.checkResult(j, result)
+		}
+	}
+}
+
+// checkResult judges one result by what ran.
+func (c *checker) checkResult(j *JobRecord, r Result) {
+	switch {
+	case r.State == completed && r.Text != itemText(r.ID):
+		c.verdict.Found(chaos.WrongAnswer, "item %s: %q", r.ID, r.Text)
+	case r.State == givenUp && !c.mayGiveUp(j, r.ID):
+		c.verdict.Found(chaos.Lost, "item %s was given up after %d runs", r.ID, len(c.ran(r.ID)))
+	case r.State != completed && r.State != givenUp:
+		c.verdict.Found(chaos.WrongAnswer, "item %s: state %q", r.ID, r.State)
+	}
+}
+
+// mayGiveUp reports whether an item can't be done, has failed often enough, or
+// belongs to a job that was ended.
+func (c *checker) mayGiveUp(j *JobRecord, id string) bool {
+	failed := 0
+	for _, r := range c.ran(id) {
+		if r.Fault == platformtest.Impossible {
+			return true
+		}
+		if r.Fault == platformtest.Fail {
+			failed++
+		}
+	}
+	return failed >= maxAttempts || !j.EndAsked.IsZero()
+}
+
+// checkOnce judges that each item has one result, and after the faults each
+// gateway lists all of them.
+func (c *checker) checkOnce(j *JobRecord, known map[int]Result) {
+	positions := make(map[string]int)
+	for at, r := range known {
+		if other, twice := positions[r.ID]; twice {
+			c.verdict.Found(chaos.Duplicate, "item %s stands at positions %d and %d", r.ID, other, at)
+		}
+		positions[r.ID] = at
+	}
+	for _, l := range j.Final {
+		if len(l.Results) < len(known) {
+			c.verdict.Found(chaos.Lost, "job %s: %s lists %d of the %d results that were read", j.Op.ID, l.Gateway, len(l.Results), len(known))
+		}
+		if j.EndAsked.IsZero() && len(l.Results) < j.Op.Items {
+			c.verdict.Found(chaos.Lost, "job %s: %s lists %d of %d items %s after the faults", j.Op.ID, l.Gateway, len(l.Results), j.Op.Items, finishTime)
+		}
+	}
+}
+
+// checkEnd judges that no item starts long after its job's end.
+func (c *checker) checkEnd(j *JobRecord) {
+	if j.EndAcked.IsZero() {
+		return
+	}
+	from := j.EndAcked
+	if c.history.Healed.After(from) {
+		from = c.history.Healed
+	}
+	for i := range j.Op.Items {
+		for _, r := range c.ran(itemID(j.Op, i)) {
+			if r.At.After(from.Add(endBound)) {
+				c.verdict.Found(chaos.RanAfterCancel, "%s started %s after the end of its job", r.ID, r.At.Sub(j.EndAcked))
+			}
+		}
+	}
+}
+
+// checkAttempts judges how often an item that always fails was tried.
+func (c *checker) checkAttempts(j *JobRecord, i int) {
+	failed, impossible := 0, 0
+	for _, r := range c.ran(itemID(j.Op, i)) {
+		switch r.Fault {
+		case platformtest.Fail:
+			failed++
+		case platformtest.Impossible:
+			impossible++
+		}
+	}
+	if i == j.Op.Failing && failed > 3*maxAttempts || impossible > 3 {
+		c.verdict.Found(chaos.Budget, "item %s: %d answers of %d, %d of %d", itemID(j.Op, i), failed, http.StatusInternalServerError, impossible, http.StatusUnprocessableEntity)
+	}
+}
--- /dev/null
+++ b/internal/chaos/soak/inject.go
@@ -0,0 +1,287 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+const (
+	everyGateway = "every gateway"
+	// narrowRate is the narrow link's bytes a second.
+	narrowRate = 40 << 10
+	// afterEffect is how long a gateway may need to be itself again after a
+	// disturbance.
+	afterEffect = 2 * time.Second
+)
+
+// storeFaults are the faults in force at the store; several may overlap.
+type storeFaults struct {
+	log *keyedlogtest.Log
+
+	mu     sync.Mutex
+	active []storeFault
+}
+
+type storeFault struct {
+	fault keyedlogtest.Fault
+	share int
+}
+
+func (s *storeFaults) begin(f storeFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active = append(s.active, f)
+	s.apply()
+}
+
+func (s *storeFaults) end(f storeFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.active {
+		if s.active[i] == f {
+			s.active = append(s.active[:i], s.active[i+1:]...)
+			break
+		}
+	}
+	s.apply()
+}
+
+// apply puts the faults in force; the caller holds mu. What the platform itself
+// writes is only ever refused.
+func (s *storeFaults) apply() {
+	active := append([]storeFault(nil), s.active...)
+	s.log.SetFault(func(call string, p keyedlog.Partition) keyedlogtest.Fault {
+		ofPlatform := call == "append" && (p.Topic == platform.BackendTopic || p.Topic == platform.ConfigTopic)
+		for _, f := range active {
+			if ofPlatform && f.fault != keyedlogtest.Refuse || rand.IntN(100) >= f.share {
+				continue
+			}
+			return f.fault
+		}
+		return keyedlogtest.None
+	})
+}
+
+// inject carries out one fault and ends it.
+func (r *Round) inject(ctx context.Context, f Fault) {
+	r.history.add(func(h *History) { h.Struck[string(f.Kind)]++ })
+	gateway := r.gateways[f.Target%len(r.gateways)]
+	server := r.servers[f.Target%len(r.servers)]
+	switch f.Kind {
+	case KillGateway, KillAllGateways, FreezeGateway, StopGateway, ReloadGateway:
+		r.disturbGateway(ctx, f, gateway)
+	case ResetCallers, SlowCallers, NarrowCallers:
+		r.disturbed(gateway.Name, func() { r.disturbLink(ctx, f, gateway.Callers) })
+	case CutStoreLink, ResetStoreLink, SilenceStoreLink, SilenceStoreAnswers:
+		r.disturbed(gateway.Name, func() { r.disturbLink(ctx, f, gateway.Store) })
+	case CutMostStoreLinks:
+		r.disturbed(everyGateway, func() { r.cutMostStoreLinks(ctx, f, gateway) })
+	case StoreDown, StoreDownAndEmptied, StoreSlow, StoreLosesAnswers, StoreLosesCalls, StoreAppliesLate, StoreForgetsItsPast:
+		r.disturbed(everyGateway, func() { r.disturbStore(ctx, f) })
+	case KillBackend:
+		r.killBackend(ctx, f, server)
+	case DrainBackend:
+		r.drainBackend(ctx, server)
+	case CutBackend, ResetBackend, SilenceBackend, SilenceBackendAnswers, SlowBackend:
+		r.disturbLink(ctx, f, server.now().link)
+	default:
+		b := server.now()
+		b.disturb(backendFault[f.Kind], f.Share)
+		pause(ctx, f.For)
+		b.disturb(platformtest.None, 0)
+	}
+}
+
+var backendFault = map[FaultKind]platformtest.Fault{
+	BackendFails: platformtest.Fail, BackendFull: platformtest.Full, BackendCutsStreams: platformtest.Cut,
+	BackendStraysAnswers: platformtest.Stray, BackendExtraAnswers: platformtest.Extra,
+	BackendUnframed: platformtest.Unframed, BackendLosesAnswers: platformtest.LoseAnswer, BackendSilent: platformtest.Silent,
+}
+
+// disturbed notes the time of a disturbance.
+func (r *Round) disturbed(what string, f func()) {
+	var index int
+	r.history.add(func(h *History) {
+		index = len(h.Disturbed)
+		h.Disturbed = append(h.Disturbed, Interval{What: what, Begin: time.Now()})
+	})
+	f()
+	r.history.add(func(h *History) { h.Disturbed[index].End = time.Now().Add(afterEffect) })
+}
+
+func (r *Round) disturbGateway(ctx context.Context, f Fault, g *proctest.Gateway) {
+	switch f.Kind {
+	case KillGateway:
+		r.disturbed(g.Name, func() { r.kill(ctx, f.For, g) })
+	case KillAllGateways:
+		r.disturbed(everyGateway, func() { r.kill(ctx, f.For, r.gateways...) })
+	case FreezeGateway:
+		r.disturbed(g.Name, func() {
+			g.Freeze()
+			pause(ctx, f.For)
+			g.Wake()
+		})
+	case StopGateway:
+		r.stopGateway(ctx, g)
+	case ReloadGateway:
+		g.Reload()
+	}
+}
+
+func (r *Round) kill(ctx context.Context, d time.Duration, gateways ...*proctest.Gateway) {
+	for _, g := range gateways {
+		g.Kill()
+	}
+	pause(ctx, d)
+	for _, g := range gateways {
+		r.fail(g.Start())
+	}
+}
+
+// stopGateway asks a gateway to stop and starts it again. One that is frozen or
+// killed meanwhile may take longer or end otherwise.
+func (r *Round) stopGateway(ctx context.Context, g *proctest.Gateway) {
+	if r.plan.Profile == Planned {
+		r.rolling.Lock()
+		defer r.rolling.Unlock()
+		defer r.awaitReady(ctx, g)
+	}
+	begin := time.Now()
+	err := g.Stop(grace)
+	if err != nil && r.undisturbed(g.Name, begin) {
+		r.history.add(func(h *History) { h.BadStops = append(h.BadStops, g.Name+": "+err.Error()) })
+	}
+	if err != nil {
+		g.Kill()
+	}
+	r.fail(g.Start())
+}
+
+func (r *Round) awaitReady(ctx context.Context, g *proctest.Gateway) {
+	for end := time.Now().Add(startTimeout); !g.Ready() && time.Now().Before(end); {
+		pause(ctx, lookInterval)
+	}
+	// The platform's own look comes later.
+	pause(ctx, 2*probeInterval)
+}
+
+// undisturbed reports whether nothing but planned stops struck a gateway.
+func (r *Round) undisturbed(gateway string, begin time.Time) bool {
+	return r.inTouch(gateway, begin, time.Now())
+}
+
+func (r *Round) disturbLink(ctx context.Context, f Fault, link *proctest.Forwarder) {
+	switch f.Kind {
+	case CutStoreLink, CutBackend:
+		link.Cut()
+	case ResetCallers, ResetStoreLink, ResetBackend:
+		link.Reset()
+		return
+	case SilenceStoreLink, SilenceBackend:
+		link.Stall()
+	case SilenceStoreAnswers, SilenceBackendAnswers:
+		link.StallOneWay(proctest.FromTarget)
+	case SlowCallers, SlowBackend:
+		link.Delay(f.Delay)
+	case NarrowCallers:
+		link.Narrow(narrowRate)
+	}
+	pause(ctx, f.For)
+	link.Restore()
+}
+
+// cutMostStoreLinks leaves one gateway that reaches the store.
+func (r *Round) cutMostStoreLinks(ctx context.Context, f Fault, spared *proctest.Gateway) {
+	for _, g := range r.gateways {
+		if g != spared {
+			g.Store.Cut()
+		}
+	}
+	pause(ctx, f.For)
+	for _, g := range r.gateways {
+		g.Store.Restore()
+	}
+}
+
+func (r *Round) disturbStore(ctx context.Context, f Fault) {
+	fault := storeFault{share: f.Share}
+	switch f.Kind {
+	case StoreForgetsItsPast:
+		r.store.Log.Forget()
+		return
+	case StoreSlow:
+		r.store.SetDelay(f.Delay)
+		pause(ctx, f.For)
+		r.store.SetDelay(0)
+		return
+	case StoreDown, StoreDownAndEmptied:
+		fault = storeFault{fault: keyedlogtest.Refuse, share: 100}
+	case StoreLosesAnswers:
+		fault.fault = keyedlogtest.LoseAnswer
+	case StoreLosesCalls:
+		fault.fault = keyedlogtest.LoseCall
+	case StoreAppliesLate:
+		fault.fault = keyedlogtest.Late
+	}
+	r.faults.begin(fault)
+	pause(ctx, f.For)
+	r.faults.end(fault)
+	switch f.Kind {
+	case StoreAppliesLate:
+		pause(ctx, f.Delay)
+		r.store.Log.RunLate()
+	case StoreDownAndEmptied:
+		// The registrations have lapsed meanwhile; the next beats bring them back.
+		for _, s := range r.servers {
+			s.now().remove(r.store.Log)
+		}
+	}
+}
+
+func (r *Round) killBackend(ctx context.Context, f Fault, s *server) {
+	s.kill()
+	pause(ctx, f.For)
+	r.fail(s.start())
+}
+
+// drainBackend replaces a backend server as planned.
+func (r *Round) drainBackend(ctx context.Context, s *server) {
+	b := s.now()
+	notice := Interval{What: b.backend.ID, Begin: b.leave(ctx, r.store.Log)}
+	r.fail(s.start())
+	pause(ctx, drainTime+lingerTime)
+	notice.End = time.Now()
+	r.history.add(func(h *History) { h.Drains = append(h.Drains, notice) })
+	b.depart(r.store.Log)
+}
+
+// heal ends every fault that is still in force.
+func (r *Round) heal() {
+	for _, g := range r.gateways {
+		g.Wake()
+		g.Callers.Restore()
+		g.Store.Restore()
+		if !g.Running() {
+			r.history.add(func(h *History) { h.Crashes = append(h.Crashes, g.Name) })
+			r.fail(g.Start())
+		}
+	}
+	for _, s := range r.servers {
+		s.now().link.Restore()
+		s.now().disturb(platformtest.None, 0)
+	}
+	r.store.Log.RunLate()
+	now := time.Now()
+	r.mu.Lock()
+	r.healed = now
+	r.mu.Unlock()
+	r.history.add(func(h *History) { h.Healed = now })
+}
--- /dev/null
+++ b/internal/chaos/soak/publish.go
@@ -0,0 +1,128 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/platform"
+)
+
+const (
+	host    = "h.example"
+	service = "svc"
+	zone    = "z"
+	region  = "r"
+
+	routeTimeout = 3 * time.Second
+	maxAttempts  = 3
+
+	lookInterval = 150 * time.Millisecond
+	// configBound is how soon a configuration is in force.
+	configBound = 4 * time.Second
+)
+
+// configuration is version n: the routes of the round, and one more for each
+// version so far.
+func configuration(n int) ([]byte, error) {
+	type route map[string]any
+	online := func(kind OpKind, routeType string, resumable bool) route {
+		return route{
+			"Name": string(kind), "Host": host, "PathPrefix": paths[kind], "RouteType": routeType, "Service": service,
+			"TimeoutMs": routeTimeout.Milliseconds(), "TargetLatencyMs": 300, "GapAimMs": 300,
+			"MaxAttempts": maxAttempts, "Resumable": resumable,
+		}
+	}
+	routes := []route{
+		online(Stream, "stream", true), online(FinalStream, "stream", false),
+		online(SafeCall, "safe", false), online(UnsafeCall, "unsafe", false),
+		{
+			"Name": "batch", "Host": host, "PathPrefix": "/batch/", "RouteType": "batch", "Service": service,
+			"TargetLatencyMs": 400, "CompletionTargetMs": 18000, "RetentionS": 120, "MaxAttempts": maxAttempts, "Cap": 1 << 30,
+		},
+	}
+	for i := 1; i <= n; i++ {
+		r := online(SafeCall, "safe", false)
+		r["Name"], r["PathPrefix"], r["Service"] = fmt.Sprint("version-", i), versionPath(i), "nobody"
+		routes = append(routes, r)
+	}
+	return json.Marshal(map[string]any{
+		"Version": n, "Routes": routes, "Services": []any{map[string]any{"Name": service, "MaxConnections": 200}},
+		"Limits": map[string]any{"MaxBodyBytes": 1 << 20},
+	})
+}
+
+// versionPath is a path that has a route from version n on.
+func versionPath(n int) string { return fmt.Sprintf("/version-%d/", n) }
+
+// publish writes the next version, again until the store acknowledges it.
+func (r *Round) publish(ctx context.Context) {
+	r.publishing.Lock()
+	defer r.publishing.Unlock()
+	next := r.published + 1
+	value, err := configuration(next)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	for write(r.store.Log, platform.ConfigTopic, keyedlog.Record{Key: platform.ConfigKey, Value: value}) != nil {
+		if !pause(ctx, lookInterval) {
+			return
+		}
+	}
+	r.published = next
+	r.history.add(func(h *History) { h.Published = next })
+}
+
+// watchVersions looks at each gateway for the newest version that its process
+// has shown, and for the next one.
+func (r *Round) watchVersions(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, g := range r.gateways {
+		wg.Go(func() {
+			for newest := 1; pause(ctx, lookInterval); {
+				if r.look(ctx, g, newest+1) {
+					newest++
+				}
+				r.look(ctx, g, newest)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// look asks a gateway, past the forwarder, for the route of a version. There is
+// no backend server behind it: any answer but 404 shows that the route is known.
+func (r *Round) look(ctx context.Context, g *proctest.Gateway, version int) (known bool) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	boot := g.Boot()
+	sent := time.Now()
+	req, err := newRequest(ctx, http.MethodPost, g.Direct, versionPath(version), fmt.Sprintf("look-%d", version), "")
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Deadline-Ms", "100")
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	known = resp.StatusCode != http.StatusNotFound
+	if boot == g.Boot() && !r.startingUp(resp) {
+		r.history.add(func(h *History) {
+			h.Probes = append(h.Probes, Probe{Gateway: g.Name, Boot: boot, At: sent, Least: version, Known: known})
+		})
+	}
+	return known
+}
+
+// startingUp reports whether an answer says that no configuration is known yet.
+// It is the only refusal with a time of one second.
+func (*Round) startingUp(resp *http.Response) bool { return resp.Header.Get("Retry-After") == "1.000" }
--- /dev/null
+++ b/internal/chaos/soak/round_test.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/internal/proctest"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	proctest.RemovePrograms()
+	os.Exit(code)
+}
+
+// shortSeeds are one round of each profile.
+var shortSeeds = []uint64{2, 5, 9}
+
+func TestShortRounds(t *testing.T) {
+	for _, seed := range shortSeeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			playRound(t, seed)
+		})
+	}
+}
+
+// playRound plays one seed; the gateways' logs are printed if it fails.
+func playRound(t *testing.T, seed uint64) {
+	t.Helper()
+	dir := t.TempDir()
+	v, err := Run(t.Context(), NewPlan(seed), dir)
+	assert.NilError(t, err)
+	for _, f := range v.Findings {
+		t.Errorf("%s: %s", f.Breach, f.Text)
+	}
+	if !v.OK() {
+		printLogs(t, dir)
+	}
+}
+
+func printLogs(t *testing.T, dir string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	assert.NilError(t, err)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		t.Logf("%s:\n%s", filepath.Base(file), raw)
+	}
+}
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -40,6 +40,14 @@
 	Reverted Breach = "configuration"
 	// Hung: a request without any answer within its bound.
 	Hung Breach = "hung"
+	// Budget: tried at more backend servers than the route allows.
+	Budget Breach = "budget"
+	// WorkForNobody: a backend server worked on after the caller had left.
+	WorkForNobody Breach = "work_for_nobody"
+	// NotRecovered: requests fail although every fault has ended.
+	NotRecovered Breach = "not_recovered"
+	// Crashed: a process ended that nobody had ended.
+	Crashed Breach = "crashed"
 )
 
 // Breaches lists every breach.
@@ -47,6 +55,7 @@
 	return []Breach{
 		Duplicate, Lost, FalseNotRun, CrossRead, WrongAnswer,
 		CutOff, RanAfterCancel, WorkWhileLeaving, Reverted, Hung,
+		Budget, WorkForNobody, NotRecovered, Crashed,
 	}
 }
 
@@ -100,7 +109,8 @@
 	return n
 }
 
-func (v *Verdict) found(b Breach, format string, args ...any) {
+// Found adds a finding.
+func (v *Verdict) Found(b Breach, format string, args ...any) {
 	v.Findings = append(v.Findings, Finding{b, fmt.Sprintf(format, args...)})
 }
 
--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -97,7 +97,7 @@
 	if c != nil {
 		c.Close()
 	}
-	proctest.RemoveDaemon()
+	proctest.RemovePrograms()
 	os.Exit(code)
 }
 
--- a/internal/proctest/binaries.go
+++ b/internal/proctest/binaries.go
@@ -10,28 +10,41 @@
 	"github.com/pkg/errors"
 )
 
-const daemonPackage = "github.com/catkinrudder/catkinrudder/cmd/catkinrudderd"
-
+// programs are built once per process. They stay in temporary directories until
+// RemovePrograms is called.
 var (
-	buildOnce  sync.Once
-	daemonPath string
-	errBuild   error
+	daemonProgram  = program{name: "catkinrudderd"}
+	gatewayProgram = program{name: "catkinrudder-gateway"}
 )
 
-// Daemon builds catkinrudderd once per process and returns its path. The
-// binary stays in the temporary directory until RemoveDaemon is called.
-func Daemon() (string, error) {
-	buildOnce.Do(func() { daemonPath, errBuild = buildDaemon() })
-	return daemonPath, errBuild
+const commands = "github.com/catkinrudder/catkinrudder/cmd/"
+
+// program is a command of this module.
+type program struct {
+	name string
+	once sync.Once
+	path string
+	err  error
+}
+
+// DaemonBinary returns the path of catkinrudderd.
+func DaemonBinary() (string, error) { return daemonProgram.binary() }
+
+// GatewayBinary returns the path of catkinrudder-gateway.
+func GatewayBinary() (string, error) { return gatewayProgram.binary() }
+
+func (p *program) binary() (string, error) {
+	p.once.Do(func() { p.path, p.err = p.build() })
+	return p.path, p.err
 }
 
-func buildDaemon() (string, error) {
+func (p *program) build() (string, error) {
 	dir, err := os.MkdirTemp("", "catkinrudder-bin-")
 	if err != nil {
 		return "", errors.Wrap(err, "proctest: build")
 	}
-	path := filepath.Join(dir, "catkinrudderd")
-	cmd := exec.Command("go", "build", "-o", path, daemonPackage)
+	path := filepath.Join(dir, p.name)
+	cmd := exec.Command("go", "build", "-o", path, commands+p.name)
 	cmd.Dir = sourceDir()
 	out, err := cmd.CombinedOutput()
 	if err != nil {
@@ -40,7 +53,7 @@
 	return path, nil
 }
 
-// sourceDir is where this package's source lies, so that the daemon is built
+// sourceDir is where this package's source lies, so that a program is built
 // from the same tree whatever the working directory is; empty if that is not
 // known.
 func sourceDir() string {
@@ -51,9 +64,11 @@
 	return ""
 }
 
-// RemoveDaemon deletes the binary that Daemon built.
-func RemoveDaemon() {
-	if daemonPath != "" {
-		_ = os.RemoveAll(filepath.Dir(daemonPath))
+// RemovePrograms deletes the binaries that were built.
+func RemovePrograms() {
+	for _, p := range []*program{&daemonProgram, &gatewayProgram} {
+		if p.path != "" {
+			_ = os.RemoveAll(filepath.Dir(p.path))
+		}
 	}
 }
--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -68,7 +68,7 @@
 
 func (c *Cluster) start() error {
 	var err error
-	if c.daemon, err = Daemon(); err != nil {
+	if c.daemon, err = DaemonBinary(); err != nil {
 		return err
 	}
 	if !c.keepDir {
--- a/internal/proctest/forwarder.go
+++ b/internal/proctest/forwarder.go
@@ -10,8 +10,18 @@
 
 const forwardBuffer = 32 << 10
 
-// Forwarder passes TCP connections on to a target, and can cut, stall or delay
-// them. A new one passes everything.
+// Direction is one of the two ways through a forwarder.
+type Direction uint8
+
+// The directions.
+const (
+	ToTarget Direction = iota
+	FromTarget
+	directions
+)
+
+// Forwarder passes TCP connections on to a target, and can cut, reset, stall,
+// delay or narrow them. A new one passes everything.
 type Forwarder struct {
 	// Addr is where the forwarder listens.
 	Addr   string
@@ -23,7 +33,8 @@
 	conns  map[net.Conn]struct{}
 	cut    bool
 	delay  time.Duration
-	resume chan struct{} // closed unless stalled
+	rate   int                       // bytes a second, 0 for any number
+	resume [directions]chan struct{} // each closed unless that direction is stalled
 	closed bool
 }
 
@@ -33,8 +44,11 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "proctest: forwarder")
 	}
-	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{}), resume: make(chan struct{})}
-	close(f.resume)
+	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{})}
+	for d := range f.resume {
+		f.resume[d] = make(chan struct{})
+		close(f.resume[d])
+	}
 	f.wg.Go(f.accept)
 	return f, nil
 }
@@ -47,17 +61,38 @@
 	f.closeConns()
 }
 
+// Reset closes every connection; new ones pass.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closeConns()
+}
+
 // Stall holds every byte back, on old and new connections, until Restore.
 func (f *Forwarder) Stall() {
+	f.StallOneWay(ToTarget)
+	f.StallOneWay(FromTarget)
+}
+
+// StallOneWay holds the bytes of one direction back until Restore.
+func (f *Forwarder) StallOneWay(d Direction) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	select {
-	case <-f.resume:
-		f.resume = make(chan struct{})
+	case <-f.resume[d]:
+		f.resume[d] = make(chan struct{})
 	default:
 	}
 }
 
+// Narrow passes at most so many bytes a second, for each connection and
+// direction, until Restore.
+func (f *Forwarder) Narrow(rate int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rate = rate
+}
+
 // Delay holds each piece back for d in each direction until Restore.
 func (f *Forwarder) Delay(d time.Duration) {
 	f.mu.Lock()
@@ -69,7 +104,7 @@
 func (f *Forwarder) Restore() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cut, f.delay = false, 0
+	f.cut, f.delay, f.rate = false, 0, 0
 	f.unstall()
 }
 
@@ -86,10 +121,12 @@
 
 // unstall lets bytes pass; the caller holds mu.
 func (f *Forwarder) unstall() {
-	select {
-	case <-f.resume:
-	default:
-		close(f.resume)
+	for _, resume := range f.resume {
+		select {
+		case <-resume:
+		default:
+			close(resume)
+		}
 	}
 }
 
@@ -129,8 +166,8 @@
 	}
 	defer f.remove(out)
 	var wg sync.WaitGroup
-	wg.Go(func() { f.copy(out, in) })
-	wg.Go(func() { f.copy(in, out) })
+	wg.Go(func() { f.copy(out, in, ToTarget) })
+	wg.Go(func() { f.copy(in, out, FromTarget) })
 	wg.Wait()
 }
 
@@ -151,13 +188,13 @@
 }
 
 // copy passes one direction on and closes both ends when it is over.
-func (f *Forwarder) copy(dst, src net.Conn) {
+func (f *Forwarder) copy(dst, src net.Conn, d Direction) {
 	defer func() { _ = dst.Close(); _ = src.Close() }()
 	buf := make([]byte, forwardBuffer)
 	for {
 		n, err := src.Read(buf)
 		if n > 0 {
-			f.hold()
+			f.hold(d, n)
 			if _, werr := dst.Write(buf[:n]); werr != nil {
 				return
 			}
@@ -168,12 +205,16 @@
 	}
 }
 
-// hold waits as long as the forwarder stalls or delays.
-func (f *Forwarder) hold() {
+// hold waits as long as the forwarder stalls, delays or narrows a piece of n
+// bytes.
+func (f *Forwarder) hold(d Direction, n int) {
 	f.mu.Lock()
-	resume, delay := f.resume, f.delay
+	resume, delay, rate := f.resume[d], f.delay, f.rate
 	f.mu.Unlock()
 	<-resume
+	if rate > 0 {
+		delay += time.Duration(n) * time.Second / time.Duration(rate)
+	}
 	if delay > 0 {
 		time.Sleep(delay)
 	}
--- a/internal/proctest/forwarder_test.go
+++ b/internal/proctest/forwarder_test.go
@@ -87,7 +87,7 @@
 
 func TestProcessStops(t *testing.T) {
 	log := t.TempDir() + "/log"
-	p, err := StartProcess(log, "/bin/sleep", "600")
+	p, err := StartProcess(log, nil, "/bin/sleep", "600")
 	assert.NilError(t, err)
 	assert.Assert(t, p.Running())
 	assert.ErrorContains(t, p.Stop(time.Minute), "signal: terminated")
--- a/internal/proctest/node.go
+++ b/internal/proctest/node.go
@@ -176,7 +176,7 @@
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
 		return errors.Wrap(err, "proctest")
 	}
-	n.proc, err = StartProcess(n.cluster.file(n.settings.Instance+".log"), n.cluster.daemon, "serve", "--settings", file)
+	n.proc, err = StartProcess(n.cluster.file(n.settings.Instance+".log"), nil, n.cluster.daemon, "serve", "--settings", file)
 	if err == nil {
 		n.list(logservice.Live)
 	}
--- a/internal/proctest/ports.go
+++ b/internal/proctest/ports.go
@@ -15,6 +15,11 @@
 	firstPort = 12000
 	lastPort  = 32000
 	portBlock = 2000
+
+	// Each block of ports has loopback networks of its own, from
+	// 127.firstHostBlock on.
+	firstHostBlock = 10
+	hostsPerNet    = 250
 )
 
 // ports is the block of ports that this process has reserved by listening on
@@ -23,6 +28,7 @@
 	sync.Mutex
 	reserved    net.Listener
 	first, next int
+	hosts       int
 }
 
 // reserve takes a block that no other process has; the caller holds ports.
@@ -50,6 +56,21 @@
 	return ln.Addr().String(), nil
 }
 
+// FreeIP returns a loopback address that no other test uses, for a program that
+// listens on a port of its own choice.
+func FreeIP() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	if ports.reserved == nil {
+		if err := reserve(); err != nil {
+			return "", err
+		}
+	}
+	block := (ports.first - firstPort) / portBlock
+	ports.hosts++
+	return fmt.Sprintf("127.%d.%d.%d", firstHostBlock+block, ports.hosts/hostsPerNet, 1+ports.hosts%hostsPerNet), nil
+}
+
 // listenFree listens on a loopback address that no earlier call used. Whoever
 // listens in this process keeps the listener rather than open it again: between
 // fork and exec a new process holds a copy of it, and the port stays in use.
--- a/internal/proctest/process.go
+++ b/internal/proctest/process.go
@@ -19,8 +19,9 @@
 	err error
 }
 
-// StartProcess runs a program whose output goes to the end of a file.
-func StartProcess(logFile, path string, args ...string) (*Process, error) {
+// StartProcess runs a program whose output goes to the end of a file. env adds
+// variables to its environment, written NAME=VALUE.
+func StartProcess(logFile string, env []string, path string, args ...string) (*Process, error) {
 	out, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, errors.Wrap(err, "proctest")
@@ -28,7 +29,7 @@
 	defer func() { _ = out.Close() }()
 	p := &Process{cmd: exec.Command(path, args...), exited: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	p.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	p.cmd.Env = append(append(os.Environ(), "GOMAXPROCS=2"), env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "proctest")
