--- a/balance/table.go
+++ b/balance/table.go
@@ -50,7 +50,7 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	own     map[string]*ownCounts
-	peers   map[string]*peerCounts
+	peers   peerTable
 	health  map[string]*health
 	prefix  prefixTable
 	told    map[string]told
@@ -61,11 +61,6 @@
 
 type ownCounts struct{ n [classes]int }
 
-type peerCounts struct {
-	at     time.Time
-	counts map[uint32]Counts
-}
-
 // Key is a short name of a backend server for reports between entries. Two ids
 // with the same key only add to each other's load.
 func Key(id string) uint32 {
@@ -83,7 +78,7 @@
 		opts:    opts,
 		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 		own:     make(map[string]*ownCounts),
-		peers:   make(map[string]*peerCounts),
+		peers:   newPeerTable(opts.PeerTTL),
 		health:  make(map[string]*health),
 		prefix:  newPrefixTable(),
 		told:    make(map[string]told),
@@ -163,7 +158,7 @@
 func (t *Table) SetPeer(name string, counts map[uint32]Counts, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[name] = &peerCounts{at: now, counts: counts}
+	t.peers.set(name, counts, now)
 	t.wake()
 }
 
@@ -171,7 +166,7 @@
 func (t *Table) ForgetPeer(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.peers, name)
+	t.peers.forget(name)
 }
 
 // ForgetBackend drops what is known of a backend server that is gone.
@@ -189,15 +184,10 @@
 		sum.Online += o.n[Online]
 		sum.Batch += o.n[Batch]
 	}
-	key := Key(id)
-	for _, p := range t.peers {
-		if now.Sub(p.at) > t.opts.PeerTTL {
-			continue
-		}
-		c := p.counts[key]
-		sum.Online += c.Online
-		sum.Batch += c.Batch
-	}
+	t.peers.expire(now)
+	of := t.peers.sums[Key(id)]
+	sum.Online += of.Online
+	sum.Batch += of.Batch
 	return sum
 }
 
@@ -215,8 +205,8 @@
 	}
 	key := Key(b.ID)
 	holders := []holder{{name, t.ownBatch(b.ID)}}
-	for peer, p := range t.peers {
-		if now.Sub(p.at) <= t.opts.PeerTTL && p.counts[key].Batch > 0 {
+	for peer, p := range t.peers.peers {
+		if p.counts[key].Batch > 0 {
 			holders = append(holders, holder{peer, p.counts[key].Batch})
 		}
 	}
