--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -54,7 +54,7 @@
 func TestPeersLoadCountsUntilItIsOld(t *testing.T) {
 	table := newTable()
 	a, b := backend("a", "a"), backend("b", "a")
-	table.SetPeer("peer", map[uint32]balance.Counts{balance.Key("a"): {Online: 4}}, now)
+	table.SetPeer("peer", balance.PeerReport{Counts: map[uint32]balance.Counts{balance.Key("a"): {Online: 4}}}, now)
 	assert.Equal(t, pick(t, table, balance.Need{}, a, b).Backend.ID, "b")
 	later := now.Add(2 * time.Second)
 	c, ok := table.Pick([]catalog.Backend{a, b}, balance.Need{}, later)
@@ -66,7 +66,7 @@
 func TestBatchTakesNoMoreThanIsFree(t *testing.T) {
 	table := newTable()
 	a := backend("a", "a")
-	table.SetPeer("peer", map[uint32]balance.Counts{balance.Key("a"): {Online: 2}}, now)
+	table.SetPeer("peer", balance.PeerReport{Counts: map[uint32]balance.Counts{balance.Key("a"): {Online: 2}}}, now)
 	batch := balance.Need{Class: balance.Batch}
 	pick(t, table, batch, a)
 	pick(t, table, batch, a)
@@ -77,7 +77,7 @@
 func TestBatchLeavesASlotWhereOnlineRequestsAreFrequent(t *testing.T) {
 	table := newTable()
 	a := backend("a", "a")
-	table.SetPeer("peer", map[uint32]balance.Counts{balance.Key("a"): {Online: 3}}, now)
+	table.SetPeer("peer", balance.PeerReport{Counts: map[uint32]balance.Counts{balance.Key("a"): {Online: 3}}}, now)
 	_, ok := table.Pick([]catalog.Backend{a}, balance.Need{Class: balance.Batch}, now)
 	assert.Assert(t, !ok)
 }
@@ -85,7 +85,7 @@
 func TestOnlineRequestTakesTheSlotOfBatchAndThenWaitsBriefly(t *testing.T) {
 	table := newTable()
 	a := backend("a", "a")
-	table.SetPeer("peer", map[uint32]balance.Counts{balance.Key("a"): {Batch: 4}}, now)
+	table.SetPeer("peer", balance.PeerReport{Counts: map[uint32]balance.Counts{balance.Key("a"): {Batch: 4}}}, now)
 	var reasons []balance.Reason
 	for range 6 {
 		reasons = append(reasons, pick(t, table, balance.Need{}, a).Reason)
@@ -119,7 +119,7 @@
 						if j == (i+1)%3 {
 							counts.Online = online
 						}
-						table.SetPeer(peer, map[uint32]balance.Counts{balance.Key("a"): counts}, now)
+						table.SetPeer(peer, balance.PeerReport{Counts: map[uint32]balance.Counts{balance.Key("a"): counts}}, now)
 					}
 				}
 				share := table.Excess(name, b, now)
--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -23,7 +23,7 @@
 				for i := p % 3; i < size.backends; i += 3 {
 					counts[balance.Key(all[i].ID)] = balance.Counts{}
 				}
-				table.SetPeer(fmt.Sprint("peer-", p), counts, now)
+				table.SetPeer(fmt.Sprint("peer-", p), balance.PeerReport{Counts: counts}, now)
 			}
 			for b.Loop() {
 				c, _ := table.Pick(all, balance.Need{}, now)
--- a/balance/health.go
+++ b/balance/health.go
@@ -48,6 +48,7 @@
 func (t *Table) Failed(id string, unreachable bool, now time.Time) (avoided time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	shared := t.countFailure(id, now)
 	h := t.health[id]
 	if h == nil {
 		h = &health{}
@@ -55,16 +56,22 @@
 	}
 	h.score++
 	if !unreachable && h.score < suspectScore || now.Before(h.until) {
-		return 0
+		return shared
 	}
-	h.span = min(max(2*h.span, firstSuspicion), longestSuspicion)
+	h.span = nextSpan(h.span)
 	h.until = now.Add(h.span)
-	return h.span
+	return max(h.span, shared)
 }
 
 func (t *Table) suspect(id string, now time.Time) bool {
-	h := t.health[id]
-	return h != nil && now.Before(h.until)
+	if h := t.health[id]; h != nil && now.Before(h.until) {
+		return true
+	}
+	if len(t.evidence) == 0 {
+		return false
+	}
+	e := t.evidence[Key(id)]
+	return e != nil && now.Before(e.until)
 }
 
 // mostSuspect reports whether more than half of the candidates are suspect. The
--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -122,7 +122,7 @@
 	for i, other := range p.entries {
 		if i != entry {
 			p.after(p.delay, func() {
-				other.SetPeer(fmt.Sprint(entry), counts, p.now)
+				other.SetPeer(fmt.Sprint(entry), balance.PeerReport{Counts: counts}, p.now)
 				p.yield(i)
 			})
 		}
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -13,24 +13,25 @@
 }
 
 type peerCounts struct {
-	at     time.Time
-	counts map[uint32]Counts
+	at       time.Time
+	counts   map[uint32]Counts
+	failures map[uint32]uint32
 }
 
 func newPeerTable(ttl time.Duration) peerTable {
 	return peerTable{ttl: ttl, peers: make(map[string]*peerCounts), sums: make(map[uint32]Counts)}
 }
 
-// set replaces the counts of a peer.
-func (p *peerTable) set(name string, counts map[uint32]Counts, now time.Time) {
+// set replaces what a peer has told.
+func (p *peerTable) set(name string, r PeerReport, now time.Time) {
 	p.forget(name)
-	for key, c := range counts {
+	for key, c := range r.Counts {
 		p.add(key, c.Online, c.Batch)
 	}
 	if len(p.peers) == 0 || now.Add(p.ttl).Before(p.next) {
 		p.next = now.Add(p.ttl)
 	}
-	p.peers[name] = &peerCounts{at: now, counts: counts}
+	p.peers[name] = &peerCounts{at: now, counts: r.Counts, failures: r.Failures}
 }
 
 // forget drops the counts of a peer.
--- a/balance/peers_test.go
+++ b/balance/peers_test.go
@@ -25,8 +25,8 @@
 			delete(naive, name)
 		} else {
 			counts := map[uint32]Counts{uint32(rng.IntN(5)): {Online: rng.IntN(3), Batch: rng.IntN(3)}}
-			table.set(name, counts, now)
-			naive[name] = peerCounts{now, counts}
+			table.set(name, PeerReport{Counts: counts}, now)
+			naive[name] = peerCounts{at: now, counts: counts}
 		}
 		table.expire(now)
 		want := make(map[uint32]Counts)
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -17,6 +17,8 @@
 	jitter = 0.9
 	// suspectCost sets back a backend server that has just failed.
 	suspectCost = 100.0
+	// doubtCost weighs each recent failure of any entry.
+	doubtCost = 3.0
 	// onlineQueue is how many online requests may wait at an engine.
 	onlineQueue = 2
 	// busyReserve is how many slots batch leaves free at a backend server that
@@ -71,11 +73,14 @@
 		if !ok {
 			continue
 		}
-		suspect := heed && t.suspect(b.ID, now)
+		suspect := heed && (t.suspect(b.ID, now) || load.total() > 0 && t.onProbation(b.ID, now))
 		if suspect && need.Class == Batch {
 			continue
 		}
 		cost := t.cost(b, load, need, now)
+		if heed {
+			cost += doubtCost * t.doubt(b.ID, now)
+		}
 		if suspect {
 			rank, cost = rankQueue, cost+suspectCost
 		}
--- a/balance/table.go
+++ b/balance/table.go
@@ -47,14 +47,17 @@
 type Table struct {
 	opts Options
 
-	mu      sync.Mutex
-	rng     *rand.Rand
-	own     map[string]*ownCounts
-	peers   peerTable
-	health  map[string]*health
-	prefix  prefixTable
-	told    map[string]told
-	changed chan struct{}
+	mu     sync.Mutex
+	rng    *rand.Rand
+	own    map[string]*ownCounts
+	peers  peerTable
+	health map[string]*health
+	// failures are this entry's own, evidence is that of all, both by Key.
+	failures map[uint32]failureCount
+	evidence map[uint32]*evidence
+	prefix   prefixTable
+	told     map[string]told
+	changed  chan struct{}
 	// begun has a token after this entry has begun or ended an attempt.
 	begun chan struct{}
 }
@@ -75,15 +78,17 @@
 // New returns an empty table.
 func New(opts Options) *Table {
 	return &Table{
-		opts:    opts,
-		rng:     rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
-		own:     make(map[string]*ownCounts),
-		peers:   newPeerTable(opts.PeerTTL),
-		health:  make(map[string]*health),
-		prefix:  newPrefixTable(),
-		told:    make(map[string]told),
-		changed: make(chan struct{}),
-		begun:   make(chan struct{}, 1),
+		opts:     opts,
+		rng:      rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
+		own:      make(map[string]*ownCounts),
+		peers:    newPeerTable(opts.PeerTTL),
+		health:   make(map[string]*health),
+		failures: make(map[uint32]failureCount),
+		evidence: make(map[uint32]*evidence),
+		prefix:   newPrefixTable(),
+		told:     make(map[string]told),
+		changed:  make(chan struct{}),
+		begun:    make(chan struct{}, 1),
 	}
 }
 
@@ -154,12 +159,24 @@
 	return out
 }
 
-// SetPeer replaces what is known of a peer: its attempts by Key.
-func (t *Table) SetPeer(name string, counts map[uint32]Counts, now time.Time) {
+// PeerReport is what a peer tells of itself, by Key.
+type PeerReport struct {
+	// Counts are its attempts in progress.
+	Counts map[uint32]Counts
+	// Failures are the numbers of its recent failures; nil if they are not to be
+	// heeded.
+	Failures map[uint32]uint32
+}
+
+// SetPeer replaces what is known of a peer. It returns the backend servers that
+// are avoided from now on.
+func (t *Table) SetPeer(name string, r PeerReport, now time.Time) []Suspicion {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers.set(name, counts, now)
+	suspicions := t.hear(name, r.Failures, now)
+	t.peers.set(name, r, now)
 	t.wake()
+	return suspicions
 }
 
 // ForgetPeer drops a peer that has left.
@@ -175,6 +192,8 @@
 	defer t.mu.Unlock()
 	delete(t.health, id)
 	delete(t.told, id)
+	delete(t.failures, Key(id))
+	delete(t.evidence, Key(id))
 }
 
 // load sums the counts of a backend server over all entries.
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -192,7 +192,7 @@
 	defer o.g.Table.End(b.ID, balance.Online)
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	quiet := o.watchSilence(cancel)
+	quiet := o.watchSilence(b, cancel)
 	answer, err := o.g.Pool.Do(actx, o.r, serving.Attempt{
 		BackendID: b.ID, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent,
 	})
@@ -227,34 +227,27 @@
 }
 
 // watchSilence cancels an attempt that may be repeated once the backend server
-// has been silent for too long. Others wait: silence is no proof of failure.
-func (o *online) watchSilence(cancel context.CancelFunc) *silence {
+// has been silent for too long. Others wait, as silence is no proof that the
+// request did not run; it counts against the backend server.
+func (o *online) watchSilence(b catalog.Backend, cancel context.CancelFunc) *silence {
+	limit := max(silencePart*o.route.Objective, minSilence)
 	if !o.route.Idempotent || o.attempts+1 >= o.route.MaxAttempts {
-		return &silence{}
+		return &silence{timer: time.AfterFunc(limit, func() { o.avoid(b, false) }), limit: limit}
 	}
-	limit := max(silencePart*o.route.Objective, minSilence)
 	return &silence{timer: time.AfterFunc(limit, cancel), limit: limit}
 }
 
-// silence is the timer of an attempt; its zero value never fires.
+// silence is the timer of an attempt.
 type silence struct {
 	timer *time.Timer
 	limit time.Duration
 }
 
 // Stop ends the watch.
-func (s *silence) Stop() {
-	if s.timer != nil {
-		s.timer.Stop()
-	}
-}
+func (s *silence) Stop() { s.timer.Stop() }
 
 // Reset restarts the watch after a sign of life.
-func (s *silence) Reset() {
-	if s.timer != nil {
-		s.timer.Reset(s.limit)
-	}
-}
+func (s *silence) Reset() { s.timer.Reset(s.limit) }
 
 // noAnswer decides after an attempt that brought no head of an answer.
 func (o *online) noAnswer(ctx context.Context, b catalog.Backend, err error) (again bool, _ error) {
@@ -295,7 +288,7 @@
 
 func (o *online) avoid(b catalog.Backend, unreachable bool) {
 	if span := o.g.Table.Failed(b.ID, unreachable, time.Now()); span > 0 {
-		event.Log(o.g.Log, event.BackendEjected, "backend", b.ID, "service", b.Service, "for", span, "unreachable", unreachable)
+		event.Log(o.g.Log, event.BackendEjected, "backend", b.ID, "service", b.Service, "for", span, "by", "own", "unreachable", unreachable)
 	}
 	if unreachable {
 		o.g.Pool.Forget(b.Address)
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -298,3 +298,22 @@
 	}
 	assert.Equal(t, len(f.Table.Own()), 0)
 }
+
+// TestSilenceCountsThoughNothingIsRepeated sends calls that may not be repeated to
+// a silent backend server: they wait, and later calls go to another one.
+func TestSilenceCountsThoughNothingIsRepeated(t *testing.T) {
+	silent, other := platformtest.NewBackend(t, "silent"), platformtest.NewBackend(t, "other")
+	silent.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Silent })
+	f := newFixture(t, silent)
+	rt := route(catalog.Call, func(r *catalog.Route) { r.Timeout = 1500 * time.Millisecond })
+	for _, id := range []string{"first", "second"} {
+		_, err := f.serve(request(id, "/call/x"), rt)
+		assert.Equal(t, errkind.From(err).Kind, errkind.Timeout)
+	}
+	f.learn(silent, other)
+	for range 4 {
+		_, err := f.serve(request("later", "/call/x"), rt)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, silent.Runs("later"), 0)
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -108,7 +108,7 @@
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
 		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
-		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() },
+		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
 	d.jobs = jobs.New(d.jobOptions(configs, table))
 	d.followers = []*keyedlog.Follower{
@@ -219,6 +219,17 @@
 	d.gateway.Table.Wake()
 }
 
+// backendID returns the id of the backend server with a key of package balance,
+// or nothing if it is not known any more.
+func (d *Daemon) backendID(key uint32) (id string) {
+	d.backends.All(func(b catalog.Backend) {
+		if balance.Key(b.ID) == key {
+			id = b.ID
+		}
+	})
+	return id
+}
+
 func (d *Daemon) configChanged(old, current *catalog.Config) {
 	before := int64(0)
 	if old != nil {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -53,6 +53,8 @@
 	// StoreRTTUs is how long a short call to the store takes the sender, in
 	// microseconds; 0 if it has not measured it.
 	StoreRTTUs int64 `cbor:"8,keyasint,omitempty"`
+	// Failures are the sender's recent failures at backend servers.
+	Failures map[uint32]uint32 `cbor:"9,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -72,6 +74,8 @@
 	Client *http.Client
 	// Shards returns what this gateway reports on the shards that it owns.
 	Shards func() []jobs.Report
+	// BackendID returns the id of the backend server with a key of package balance.
+	BackendID func(key uint32) string
 	// StoreAge returns how long ago this gateway heard from the store.
 	StoreAge func() time.Duration
 	// StoreRTT returns how long a short call to the store takes, 0 if that is
@@ -182,7 +186,7 @@
 func (p *Peering) report(seq uint64) report {
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region,
-		Loads: p.loads(), Shards: p.opts.Shards(),
+		Loads: p.loads(), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
 }
@@ -289,10 +293,19 @@
 	known.shards = r.Shards
 	known.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	known.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
+	far := known.far
 	p.mu.Unlock()
 	counts := make(map[uint32]balance.Counts, len(r.Loads))
 	for id, n := range r.Loads {
 		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
 	}
-	p.opts.Table.SetPeer(r.From, counts, now)
+	told := balance.PeerReport{Counts: counts}
+	if !far {
+		// A cut between regions makes the other region's backend servers fail
+		// there, and not here.
+		told.Failures = r.Failures
+	}
+	for _, s := range p.opts.Table.SetPeer(r.From, told, now) {
+		event.Log(p.opts.Logger, event.BackendEjected, "backend", p.opts.BackendID(s.Key), "for", s.For, "by", "several", "last", r.From)
+	}
 }
