--- /dev/null
+++ b/internal/gateway/metrics_test.go
@@ -0,0 +1,31 @@
+package gateway_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+// TestSeriesOfBackendServersAreBounded lets backend servers come and go; an
+// attempt that ends late brings no series back.
+func TestSeriesOfBackendServersAreBounded(t *testing.T) {
+	set := metrics.NewSet()
+	m := gateway.NewMetrics(set)
+	for i := range 100 {
+		id := "i-" + strings.Repeat("x", i)
+		m.KnowBackend(id)
+		m.AttemptEnded(id, upstream.Whole)
+		m.AttemptEnded(id, upstream.Failed)
+		m.ForgetBackend(id)
+		m.AttemptEnded(id, upstream.Broken)
+	}
+	assert.Equal(t, len(set.ListMetricNames()), 0)
+	m.KnowBackend("i-1")
+	m.AttemptEnded("i-1", upstream.NotRun)
+	assert.DeepEqual(t, set.ListMetricNames(), []string{`catkinrudder_gateway_backend_attempts_total{backend="i-1",outcome="not_run"}`})
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -97,8 +97,11 @@
 	}
 	d.store = platform.NewStore(s.Store.Address)
 	gatewayMetrics := gateway.NewMetrics(d.metrics)
+	d.store.Called = func(call string, o platform.CallOutcome, took time.Duration) {
+		gatewayMetrics.StoreCalled(call, string(o), took)
+	}
 	d.pool = upstream.NewPool(upstream.Options{
-		Codec: platform.Codec{}, DialTimeout: dialTimeout, Opened: gatewayMetrics.ConnectionOpened,
+		Codec: platform.Codec{}, DialTimeout: dialTimeout, Opened: gatewayMetrics.ConnectionOpened, Ended: gatewayMetrics.AttemptEnded,
 	})
 	table := balance.New(balance.Options{
 		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.TTL, Seed: uint64(time.Now().UnixNano()),
@@ -213,7 +216,9 @@
 		event.Log(d.log, event.BackendGone, kv...)
 		d.pool.Forget(b.Address)
 		d.gateway.Table.ForgetBackend(b.ID)
+		d.gateway.Metrics.ForgetBackend(b.ID)
 	default:
+		d.gateway.Metrics.KnowBackend(b.ID)
 		event.Log(d.log, event.BackendSeen, kv...)
 	}
 	d.gateway.Table.Wake()
--- a/internal/ops/docs_test.go
+++ b/internal/ops/docs_test.go
@@ -66,17 +66,20 @@
 	return out
 }
 
-// leading returns the string literal that an expression begins with.
-func leading(e ast.Expr) (*ast.BasicLit, bool) {
-	for {
-		b, ok := e.(*ast.BinaryExpr)
-		if !ok {
-			break
-		}
-		e = b.X
+// leading returns the string literal that an expression begins with, and the text
+// of every literal that it is joined from.
+func leading(e ast.Expr) (first *ast.BasicLit, text string, ok bool) {
+	if b, joined := e.(*ast.BinaryExpr); joined {
+		left, text, ok := leading(b.X)
+		_, right, _ := leading(b.Y)
+		return left, text + right, ok
 	}
 	lit, ok := e.(*ast.BasicLit)
-	return lit, ok && lit.Kind == token.STRING
+	if !ok || lit.Kind != token.STRING {
+		return nil, "", false
+	}
+	text, err := strconv.Unquote(lit.Value)
+	return lit, text, err == nil
 }
 
 // split parts a metric's literal into its name and label names.
@@ -105,12 +108,10 @@
 			if !ok || constructors[sel.Sel.Name] == "" || len(n.Args) == 0 {
 				return true
 			}
-			lit, ok := leading(n.Args[0])
+			lit, literal, ok := leading(n.Args[0])
 			if !ok {
 				return true
 			}
-			literal, err := strconv.Unquote(lit.Value)
-			assert.NilError(t, err)
 			if strings.HasPrefix(literal, metricPrefix) {
 				made[lit] = true
 				name, labels := split(literal)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -34,12 +34,35 @@
 	maxIdle = 32
 )
 
+// Outcome is how far an attempt came.
+type Outcome string
+
+// The outcomes.
+const (
+	// Unreached: no byte of the request was sent.
+	Unreached Outcome = "unreached"
+	// Unanswered: sent, and no head of an answer came.
+	Unanswered Outcome = "unanswered"
+	// NotRun: the backend server said that it did not run the request.
+	NotRun Outcome = "not_run"
+	// Failed: the backend server answered with an error of its own.
+	Failed Outcome = "failed"
+	// Broken: the answer broke off, or this process ended it.
+	Broken Outcome = "broken"
+	// Whole: the answer was read to its end.
+	Whole Outcome = "whole"
+)
+
+// Outcomes lists every outcome.
+func Outcomes() []Outcome { return []Outcome{Unreached, Unanswered, NotRun, Failed, Broken, Whole} }
+
 // Options are the settings of a Pool.
 type Options struct {
 	Codec       serving.Codec
 	DialTimeout time.Duration
-	// Opened, if set, is called for each new connection.
+	// Opened, if set, is called for each new connection, Ended for each attempt.
 	Opened func(address string)
+	Ended  func(backendID string, o Outcome)
 }
 
 // Pool keeps connections to backend servers by address.
@@ -69,7 +92,7 @@
 
 	body     io.Reader
 	pool     *Pool
-	address  string
+	attempt  serving.Attempt
 	exchange *exchange
 	resp     *http.Response
 	unwatch  func() bool
@@ -82,6 +105,7 @@
 func (p *Pool) Do(ctx context.Context, r *serving.Request, a serving.Attempt) (*Answer, error) {
 	c, err := p.get(ctx, a.Address)
 	if err != nil {
+		p.ended(a.BackendID, Unreached)
 		return nil, err
 	}
 	unwatch := closeOnDone(ctx, c)
@@ -90,14 +114,42 @@
 	if err != nil {
 		unwatch()
 		_ = c.Close()
+		p.ended(a.BackendID, headless(err))
 		return nil, err
 	}
 	return &Answer{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Verdict: verdict,
-		body: resp.Body, pool: p, address: a.Address, exchange: e, resp: resp, unwatch: unwatch,
+		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch,
 	}, nil
 }
 
+func (p *Pool) ended(backendID string, o Outcome) {
+	if p.opts.Ended != nil {
+		p.opts.Ended(backendID, o)
+	}
+}
+
+// headless returns the outcome of an attempt without the head of an answer.
+func headless(err error) Outcome {
+	if errors.Is(err, ErrNotSent) {
+		return Unreached
+	}
+	return Unanswered
+}
+
+// outcome returns how far the attempt came.
+func (a *Answer) outcome() Outcome {
+	switch {
+	case a.Verdict.NotRun:
+		return NotRun
+	case a.Status >= http.StatusInternalServerError:
+		return Failed
+	case !a.complete || a.broken:
+		return Broken
+	}
+	return Whole
+}
+
 // Read reads the body. It returns io.EOF only after a complete body.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.Read(b)
@@ -122,6 +174,7 @@
 // Close ends the exchange. The connection is kept if the answer was read whole
 // and nothing follows it.
 func (a *Answer) Close() {
+	a.pool.ended(a.attempt.BackendID, a.outcome())
 	watching := a.unwatch()
 	c := a.exchange.conn
 	framed := a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0
@@ -136,7 +189,7 @@
 		idle = min(idle, told-idleMargin)
 	}
 	c.idleUntil = time.Now().Add(idle)
-	a.pool.put(a.address, c)
+	a.pool.put(a.attempt.Address, c)
 }
 
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
