--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -13,6 +13,10 @@
 	StopGateway     FaultKind = "stop_gateway"
 	ReloadGateway   FaultKind = "reload_gateway"
 
+	CutPeers     FaultKind = "cut_peers"
+	SilencePeers FaultKind = "silence_peers"
+	CutRegion    FaultKind = "cut_region"
+
 	ResetCallers  FaultKind = "reset_callers"
 	SlowCallers   FaultKind = "slow_callers"
 	NarrowCallers FaultKind = "narrow_callers"
@@ -56,6 +60,7 @@
 
 var otherFaults = []FaultKind{
 	KillGateway, KillGateway, KillAllGateways, FreezeGateway, FreezeGateway, StopGateway, StopGateway, ReloadGateway,
+	CutPeers, CutPeers, SilencePeers, SilencePeers, CutRegion, CutRegion,
 	ResetCallers, SlowCallers, NarrowCallers,
 	CutStoreLink, CutMostStoreLinks, ResetStoreLink, SilenceStoreLink, SilenceStoreAnswers,
 	StoreDown, StoreDown, StoreDownAndEmptied, StoreSlow, StoreLosesAnswers, StoreLosesAnswers, StoreLosesCalls,
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -80,6 +80,10 @@
 		r.disturbGateway(ctx, f, gateway)
 	case ResetCallers, SlowCallers, NarrowCallers:
 		r.disturbed(gateway.Name, func() { r.disturbLink(ctx, f, gateway.Callers) })
+	case CutPeers, SilencePeers:
+		r.disturbed(gateway.Name, func() { r.disturbPeers(ctx, f, f.Target%len(r.gateways)) })
+	case CutRegion:
+		r.disturbed(everyGateway, func() { r.cutRegion(ctx, f) })
 	case CutStoreLink, ResetStoreLink, SilenceStoreLink, SilenceStoreAnswers:
 		r.disturbed(gateway.Name, func() { r.disturbLink(ctx, f, gateway.Store) })
 	case CutMostStoreLinks:
@@ -211,6 +215,36 @@
 	}
 }
 
+// disturbPeers cuts a gateway off from the others, or drops what it sends to them.
+func (r *Round) disturbPeers(ctx context.Context, f Fault, gateway int) {
+	if f.Kind == CutPeers {
+		r.links.cut(gateway)
+	} else {
+		r.links.silence(gateway)
+	}
+	pause(ctx, f.For)
+	r.links.restore()
+}
+
+// cutRegion parts the region without the store from the other: its gateways reach
+// neither the store nor the gateways there.
+func (r *Round) cutRegion(ctx context.Context, f Fault) {
+	far := make(map[int]bool)
+	for i, g := range r.gateways {
+		if far[i] = regionOf[zoneOf(i)] != storeRegion; far[i] {
+			g.Store.Cut()
+		}
+	}
+	r.links.part(far)
+	pause(ctx, f.For)
+	r.links.restore()
+	for i, g := range r.gateways {
+		if far[i] {
+			g.Store.Restore()
+		}
+	}
+}
+
 func (r *Round) disturbStore(ctx context.Context, f Fault) {
 	fault := storeFault{share: f.Share}
 	switch f.Kind {
@@ -269,6 +303,7 @@
 		g.Wake()
 		g.Callers.Restore()
 		g.Store.Restore()
+		r.links.restore()
 		if !g.Running() {
 			r.history.add(func(h *History) { h.Crashes = append(h.Crashes, g.Name) })
 			r.fail(g.Start())
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -66,7 +66,7 @@
 
 // Sizes of a round.
 const (
-	gateways     = 3
+	gateways     = 4
 	servers      = 4
 	callers      = 10
 	span         = 6 * time.Second
--- a/internal/chaos/soak/publish.go
+++ b/internal/chaos/soak/publish.go
@@ -16,8 +16,6 @@
 const (
 	host    = "h.example"
 	service = "svc"
-	zone    = "z"
-	region  = "r"
 
 	routeTimeout = 3 * time.Second
 	maxAttempts  = 3
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -34,6 +34,7 @@
 	store    *platformtest.Store
 	servers  []*server
 	gateways []*proctest.Gateway
+	links    *peerLinks
 	rotation *rotation
 	callers  []*caller
 	faults   storeFaults
@@ -80,13 +81,14 @@
 func newRound(p Plan, dir string) (*Round, error) {
 	r := &Round{plan: p, dir: dir, store: platformtest.StartStore(), history: &History{Struck: make(map[string]int)}}
 	r.faults.log = r.store.Log
+	r.links = &peerLinks{}
 	r.rotation = &rotation{missed: make(map[*proctest.Gateway]int)}
 	for i := range servers {
-		r.servers = append(r.servers, newServer(fmt.Sprintf("i%d", i), r.store.Log))
+		r.servers = append(r.servers, newServer(fmt.Sprintf("i%d", i), zoneOf(i), r.store.Log))
 	}
 	for i := range gateways {
 		g, err := proctest.NewGateway(fmt.Sprintf("g%d", i), proctest.GatewayOptions{
-			Dir: dir, StoreAddress: r.store.Address, Shards: keyedlogtest.Shards, Zone: zone, Region: region,
+			Dir: dir, StoreAddress: r.store.Front(r.links.view(i)), Shards: keyedlogtest.Shards, Zone: zoneOf(i), RegionOf: regionOf,
 			Grace: grace, DrainTime: drainTime, Stay: stay,
 		})
 		if err != nil {
@@ -95,6 +97,10 @@
 		}
 		r.gateways = append(r.gateways, g)
 	}
+	if err := r.links.connect(r.gateways); err != nil {
+		r.close()
+		return nil, err
+	}
 	r.rotation.gateways = r.gateways
 	for range callers {
 		r.callers = append(r.callers, newCaller(r.rotation))
@@ -106,6 +112,7 @@
 	for _, g := range r.gateways {
 		g.Close()
 	}
+	r.links.close()
 	for _, s := range r.servers {
 		s.close()
 	}
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -35,6 +35,7 @@
 // a new id and address.
 type server struct {
 	name string
+	zone string
 	log  *keyedlogtest.Log
 
 	mu    sync.Mutex
@@ -45,6 +46,7 @@
 type boot struct {
 	backend *platformtest.Backend
 	link    *proctest.Forwarder
+	zone    string
 	// stop ends the registration.
 	stop context.CancelFunc
 	done chan struct{}
@@ -55,7 +57,9 @@
 	share int
 }
 
-func newServer(name string, log *keyedlogtest.Log) *server { return &server{name: name, log: log} }
+func newServer(name, zone string, log *keyedlogtest.Log) *server {
+	return &server{name: name, zone: zone, log: log}
+}
 
 // start begins a new life.
 func (s *server) start() error {
@@ -72,7 +76,7 @@
 		return err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	b := &boot{backend: backend, link: link, stop: stop, done: make(chan struct{}), state: "ready"}
+	b := &boot{backend: backend, link: link, zone: s.zone, stop: stop, done: make(chan struct{}), state: "ready"}
 	backend.SetFault(b.choose)
 	s.boots = append(s.boots, b)
 	go b.beat(ctx, s.log)
@@ -156,7 +160,7 @@
 // state follows a newer one.
 func (b *boot) registerLocked(log *keyedlogtest.Log, state string, seq int) error {
 	value, err := json.Marshal(map[string]any{
-		"Service": service, "Address": b.link.Addr, "Zone": zone, "Version": "v1", "Slots": serverSlots,
+		"Service": service, "Address": b.link.Addr, "Zone": b.zone, "Version": "v1", "Slots": serverSlots,
 		"State": state, "ColdRemainingMs": 0, "Seq": seq,
 	})
 	if err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -23,7 +23,9 @@
 }
 
 // NewMetrics returns metrics that are registered with set.
-func NewMetrics(set *metrics.Set) *Metrics { return &Metrics{set: set, backends: make(map[string]bool)} }
+func NewMetrics(set *metrics.Set) *Metrics {
+	return &Metrics{set: set, backends: make(map[string]bool)}
+}
 
 func (m *Metrics) routed(reason balance.Reason) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_attempts_total{reason="` + string(reason) + `"}`).Inc()
--- a/internal/proctest/forwarder.go
+++ b/internal/proctest/forwarder.go
@@ -44,13 +44,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "proctest: forwarder")
 	}
+	return forward(ln, target), nil
+}
+
+// forward passes the connections that ln accepts on to target.
+func forward(ln net.Listener, target string) *Forwarder {
 	f := &Forwarder{Addr: ln.Addr().String(), target: target, ln: ln, conns: make(map[net.Conn]struct{})}
 	for d := range f.resume {
 		f.resume[d] = make(chan struct{})
 		close(f.resume[d])
 	}
 	f.wg.Go(f.accept)
-	return f, nil
+	return f
 }
 
 // Cut closes every connection and refuses new ones until Restore.
--- a/internal/proctest/forwarder_test.go
+++ b/internal/proctest/forwarder_test.go
@@ -94,3 +94,31 @@
 	assert.Assert(t, !p.Running())
 	p.Kill() // of a process that has ended is no error
 }
+
+func TestForwarderSilencesOneWay(t *testing.T) {
+	f := newEcho(t)
+	c := dial(t, f)
+	assert.NilError(t, echoed(c, time.Minute))
+	f.StallOneWay(FromTarget)
+	assert.ErrorContains(t, echoed(c, shortWait), "timeout")
+	f.Restore()
+	assert.NilError(t, readBack(c, time.Minute))
+}
+
+func TestForwarderResets(t *testing.T) {
+	f := newEcho(t)
+	c := dial(t, f)
+	assert.NilError(t, echoed(c, time.Minute))
+	f.Reset()
+	assert.Assert(t, echoed(c, time.Minute) != nil)
+	assert.NilError(t, echoed(dial(t, f), time.Minute))
+}
+
+func TestForwarderNarrows(t *testing.T) {
+	f := newEcho(t)
+	c := dial(t, f)
+	f.Narrow(20) // one byte takes a twentieth of a second each way
+	started := time.Now()
+	assert.NilError(t, echoed(c, time.Minute))
+	assert.Assert(t, time.Since(started) >= 100*time.Millisecond)
+}
--- a/internal/proctest/gateway.go
+++ b/internal/proctest/gateway.go
@@ -1,6 +1,7 @@
 package proctest
 
 import (
+	"fmt"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -20,8 +21,9 @@
 	Dir          string
 	StoreAddress string
 	Shards       int
-	// Zone lies in Region.
-	Zone, Region string
+	// Zone is the gateway's own, RegionOf maps each zone to its region.
+	Zone     string
+	RegionOf map[string]string
 	// Grace is the time from SIGTERM to the end, DrainTime how long a leaving
 	// backend server gets work, Stay how long a job stays readable.
 	Grace, DrainTime, Stay time.Duration
@@ -34,8 +36,9 @@
 	// Callers is the way from callers to the gateway, Store its way to the
 	// store.
 	Callers, Store *Forwarder
-	// Direct is where the gateway itself listens for callers.
-	Direct string
+	// Direct is where the gateway itself listens for callers, Peers where it
+	// listens for other gateways.
+	Direct, Peers string
 
 	binary   string
 	settings string
@@ -62,7 +65,7 @@
 		return nil, err
 	}
 	const front, ready, peers = "14000", "14001", 14002
-	g.ready, g.Direct = ip+":"+ready, ip+":"+front
+	g.ready, g.Direct, g.Peers = ip+":"+ready, ip+":"+front, fmt.Sprint(ip, ":", peers)
 	if g.Callers, err = NewForwarder(g.Direct); err != nil {
 		return nil, err
 	}
@@ -70,8 +73,8 @@
 		return nil, err
 	}
 	return g, errors.Wrap(g.writeSettings(map[string]any{
-		"NodeName": name, "Ip": ip, "Zone": o.Zone, "Region": o.Region, "InternalPortRange": []int{peers, peers},
-		"Zones":  map[string]string{o.Zone: o.Region},
+		"NodeName": name, "Ip": ip, "Zone": o.Zone, "Region": o.RegionOf[o.Zone], "InternalPortRange": []int{peers, peers},
+		"Zones":  o.RegionOf,
 		"Listen": map[string]string{"Front": g.Direct, "Ready": g.ready},
 		"Limits": map[string]int{"MemoryMb": 256},
 		"Bounds": map[string]any{
