--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -24,7 +24,9 @@
 	recoveredRow = 10
 
 	grace = 6 * time.Second
-	stay  = 2 * time.Minute
+	// memoryMB is that of the smallest machine.
+	memoryMB = 184
+	stay     = 2 * time.Minute
 )
 
 // Round is one run of a plan.
@@ -89,7 +91,7 @@
 	for i := range gateways {
 		g, err := proctest.NewGateway(fmt.Sprintf("g%d", i), proctest.GatewayOptions{
 			Dir: dir, StoreAddress: r.store.Front(r.links.view(i)), Shards: keyedlogtest.Shards, Zone: zoneOf(i), RegionOf: regionOf,
-			Grace: grace, DrainTime: drainTime, Stay: stay,
+			MemoryMB: memoryMB, Grace: grace, DrainTime: drainTime, Stay: stay,
 		})
 		if err != nil {
 			r.close()
--- a/internal/proctest/gateway.go
+++ b/internal/proctest/gateway.go
@@ -24,6 +24,8 @@
 	// Zone is the gateway's own, RegionOf maps each zone to its region.
 	Zone     string
 	RegionOf map[string]string
+	// MemoryMB is the process's memory limit.
+	MemoryMB int
 	// Grace is the time from SIGTERM to the end, DrainTime how long a leaving
 	// backend server gets work, Stay how long a job stays readable.
 	Grace, DrainTime, Stay time.Duration
@@ -76,7 +78,7 @@
 		"NodeName": name, "Ip": ip, "Zone": o.Zone, "Region": o.RegionOf[o.Zone], "InternalPortRange": []int{peers, peers},
 		"Zones":  o.RegionOf,
 		"Listen": map[string]string{"Front": g.Direct, "Ready": g.ready},
-		"Limits": map[string]int{"MemoryMb": 256},
+		"Limits": map[string]int{"MemoryMb": o.MemoryMB},
 		"Bounds": map[string]any{
 			"DrainMs": o.DrainTime.Milliseconds(), "GraceS": o.Grace.Seconds(), "StatusS": o.Stay.Seconds(),
 		},
@@ -120,6 +122,9 @@
 	return g.boots
 }
 
+// PID is the id of the process.
+func (g *Gateway) PID() int { return g.process().cmd.Process.Pid }
+
 // Running reports whether the process runs.
 func (g *Gateway) Running() bool { return g.process().Running() }
 
