--- a/internal/chaos/balancer.go
+++ b/internal/chaos/balancer.go
@@ -46,7 +46,7 @@
 				b.mu.Lock()
 				b.ready[n] = ok
 				b.mu.Unlock()
-				pause(ctx, probeInterval)
+				Pause(ctx, probeInterval)
 			}
 		})
 	}
@@ -69,7 +69,7 @@
 // dial connects to the first entry that takes the connection.
 func (b *balancer) dial(ctx context.Context, salt int) (net.Conn, *proctest.Node, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	for end := time.Now().Add(pickTimeout); time.Now().Before(end) && ctx.Err() == nil; pause(ctx, pickRetry) {
+	for end := time.Now().Add(pickTimeout); time.Now().Before(end) && ctx.Err() == nil; Pause(ctx, pickRetry) {
 		for _, n := range b.order(salt) {
 			if conn, err := d.DialContext(ctx, "tcp", n.CallerAddr()); err == nil {
 				return conn, n, nil
@@ -98,13 +98,3 @@
 	}
 	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}, via
 }
-
-// pause sleeps for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/chaos/fault.go
+++ b/internal/chaos/fault.go
@@ -56,25 +56,25 @@
 
 // faults draws up to four faults; about half of them come while another one
 // is in force.
-func (g *generator) faults(p Profile) []Fault {
+func (g generator) faults(p Profile) []Fault {
 	if p == Planned {
-		return []Fault{{At: g.within(span / 3), Kind: plannedFaults[g.rng.IntN(len(plannedFaults))], Target: g.rng.IntN(60)}}
+		return []Fault{{At: g.Within(span / 3), Kind: plannedFaults[g.IntN(len(plannedFaults))], Target: g.IntN(60)}}
 	}
 	var out []Fault
-	for range 1 + g.rng.IntN(4) {
+	for range 1 + g.IntN(4) {
 		f := Fault{
-			At: g.within(span * 3 / 4), For: g.between(100*time.Millisecond, 2500*time.Millisecond),
-			Kind: mixedFaults[g.rng.IntN(len(mixedFaults))], Target: g.rng.IntN(60),
-			N: 1 + g.rng.IntN(12), Delay: g.between(5*time.Millisecond, 200*time.Millisecond),
+			At: g.Within(span * 3 / 4), For: g.Between(100*time.Millisecond, 2500*time.Millisecond),
+			Kind: mixedFaults[g.IntN(len(mixedFaults))], Target: g.IntN(60),
+			N: 1 + g.IntN(12), Delay: g.Between(5*time.Millisecond, 200*time.Millisecond),
 		}
-		if g.percent(longPercent) && p != Expiring {
-			f.For = g.between(4*time.Second, 7*time.Second)
+		if g.Percent(longPercent) && p != Expiring {
+			f.For = g.Between(4*time.Second, 7*time.Second)
 		}
-		if f.Kind == LogAppliesLate && g.percent(50) {
-			f.Delay = g.between(200*time.Millisecond, 3*time.Second)
+		if f.Kind == LogAppliesLate && g.Percent(50) {
+			f.Delay = g.Between(200*time.Millisecond, 3*time.Second)
 		}
-		if len(out) > 0 && g.percent(50) {
-			f.At = out[len(out)-1].At + g.within(50*time.Millisecond)
+		if len(out) > 0 && g.Percent(50) {
+			f.At = out[len(out)-1].At + g.Within(50*time.Millisecond)
 		}
 		out = append(out, f)
 	}
--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -130,12 +130,12 @@
 	for _, n := range r.cluster.Entries {
 		n.Kill()
 	}
-	pause(t.Context(), 2*slow)
+	Pause(t.Context(), 2*slow)
 	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{DownStream: desired.Stream} })
 	for _, n := range r.cluster.Entries {
 		assert.NilError(t, n.Start())
 	}
-	pause(t.Context(), 2*slow) // time for an entry to judge the job too early
+	Pause(t.Context(), 2*slow) // time for an entry to judge the job too early
 	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{} })
 	for _, n := range r.cluster.Entries {
 		assert.NilError(t, n.WaitReady())
--- a/internal/chaos/operations.go
+++ b/internal/chaos/operations.go
@@ -95,7 +95,7 @@
 	var wg sync.WaitGroup
 	for i, s := range op.Sends {
 		wg.Go(func() {
-			pause(ctx, s.After)
+			Pause(ctx, s.After)
 			q := build(op, fmt.Sprintf("%s/%d", op.ID, i))
 			q.key, q.giveUp = op.ID, s.GiveUp
 			r.record(ctx, op, q)
--- a/internal/chaos/operator.go
+++ b/internal/chaos/operator.go
@@ -109,7 +109,7 @@
 				if ps, ok := status(ctx, n); ok {
 					r.noteVersions(highest, ownIncarnation(ps, name), ps)
 				}
-				pause(ctx, statusInterval)
+				Pause(ctx, statusInterval)
 			}
 		})
 	}
@@ -165,7 +165,7 @@
 		if r.allAt(ctx, snap.InForce.Number) {
 			return time.Since(started)
 		}
-		pause(ctx, statusInterval)
+		Pause(ctx, statusInterval)
 	}
 	return -1
 }
--- a/internal/chaos/plan.go
+++ b/internal/chaos/plan.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -121,7 +120,7 @@
 
 // NewPlan returns the plan of a seed.
 func NewPlan(seed uint64) Plan {
-	g := &generator{seed: seed, rng: rand.New(rand.NewPCG(seed, 0))}
+	g := generator{NewDraw(seed, 0)}
 	p := Plan{Seed: seed, Profile: Mixed}
 	switch {
 	case seed%plannedEvery == 0:
@@ -136,7 +135,7 @@
 		p.Ops = append(p.Ops, g.job(i, p.Profile))
 	}
 	for i := range racesPerRound {
-		p.Ops = append(p.Ops, Op{At: g.within(span), Kind: ConfigRace, ID: g.id("race", i)})
+		p.Ops = append(p.Ops, Op{At: g.Within(span), Kind: ConfigRace, ID: g.ID("race", i)})
 	}
 	slices.SortStableFunc(p.Ops, func(a, b Op) int { return int(a.At - b.At) })
 	p.Faults = g.faults(p.Profile)
@@ -144,69 +143,56 @@
 }
 
 // generator draws a plan.
-type generator struct {
-	seed uint64
-	rng  *rand.Rand
-}
-
-func (g *generator) id(kind string, i int) string { return fmt.Sprintf("s%d-%s%d", g.seed, kind, i) }
-
-func (g *generator) within(d time.Duration) time.Duration {
-	return time.Duration(g.rng.Int64N(int64(d))).Truncate(time.Millisecond)
-}
-
-func (g *generator) between(from, to time.Duration) time.Duration { return from + g.within(to-from) }
-
-func (g *generator) percent(n int) bool { return g.rng.IntN(100) < n }
+type generator struct{ Draw }
 
-func (g *generator) live(i int, p Profile) Op {
+func (g generator) live(i int, p Profile) Op {
 	kinds := []OpKind{ChatStream, ChatStream, ChatStream, ChatWhole, StoredChat, KeyedChat, Get, Get, Post, KeyedPost, KeyedPost, KeyedPost}
 	op := Op{
-		At: g.within(span), Kind: kinds[g.rng.IntN(len(kinds))], ID: g.id("r", i),
-		Workspace: g.rng.IntN(len(workspaces)), Tokens: 4 + g.rng.IntN(90), Delay: g.within(300 * time.Millisecond),
+		At: g.Within(span), Kind: kinds[g.IntN(len(kinds))], ID: g.ID("r", i),
+		Workspace: g.IntN(len(workspaces)), Tokens: 4 + g.IntN(90), Delay: g.Within(300 * time.Millisecond),
 	}
 	switch {
 	case op.Kind == KeyedPost || op.Kind == KeyedChat:
 		op.Sends = g.sends(p)
-	case op.Kind == ChatStream && p != Planned && g.percent(strikesPercent):
-		op.Strike = []Strike{KillBackendMidStream, FreezeBackendMidStream}[g.rng.IntN(2)]
+	case op.Kind == ChatStream && p != Planned && g.Percent(strikesPercent):
+		op.Strike = []Strike{KillBackendMidStream, FreezeBackendMidStream}[g.IntN(2)]
 	}
 	return op
 }
 
 // sends draws the sends of a keyed call: some clients drop the connection, and
 // all send again, now and then while the first send still runs.
-func (g *generator) sends(p Profile) []Send {
-	sends := make([]Send, 1+g.rng.IntN(3))
+func (g generator) sends(p Profile) []Send {
+	sends := make([]Send, 1+g.IntN(3))
 	for i := range sends {
 		if i > 0 {
-			sends[i].After = g.within(600 * time.Millisecond)
+			sends[i].After = g.Within(600 * time.Millisecond)
 		}
-		if p != Planned && g.percent(30) {
-			sends[i].GiveUp = g.between(5*time.Millisecond, 300*time.Millisecond)
+		if p != Planned && g.Percent(30) {
+			sends[i].GiveUp = g.Between(5*time.Millisecond, 300*time.Millisecond)
 		}
 	}
 	return sends
 }
 
-func (g *generator) job(i int, p Profile) Op {
+func (g generator) job(i int, p Profile) Op {
 	op := Op{
-		At: g.within(span / 2), Kind: Batch, ID: g.id("b", i), Workspace: i % len(workspaces),
-		Items: 5 + g.rng.IntN(maxItems), Tokens: 4 + g.rng.IntN(40), Poison: map[int]string{},
+		At: g.Within(span / 2), Kind: Batch, ID: g.ID("b", i), Workspace: i % len(workspaces),
+		Items: 5 + g.IntN(maxItems), Tokens: 4 + g.IntN(40), Poison: map[int]string{},
 	}
 	op.Calls = i == jobsPerRound-1
 	if p == Planned {
 		return op
 	}
-	for range g.rng.IntN(3) {
-		if item, word := g.rng.IntN(op.Items), poisonWords[g.rng.IntN(len(poisonWords))]; !op.Calls {
+	for range g.IntN(3) {
+		if item, word := g.IntN(op.Items), poisonWords[g.IntN(len(poisonWords))]; !op.Calls {
 			op.Poison[item] = word
 		}
 	}
-	if g.percent(35) {
-		op.CancelAfter = g.within(time.Second) + time.Millisecond
+	if g.Percent(35) {
+		op.CancelAfter = g.Within(time.Second) + time.Millisecond
 	}
-	if g.percent(25) {
+	if g.Percent(25) {
 		op.Strike = KillEntryOnAck
 	}
 	return op
--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -98,13 +98,13 @@
 	var ops, faults sync.WaitGroup
 	started := time.Now()
 	for _, op := range r.plan.Ops {
-		ops.Go(func() { pause(ctx, op.At-time.Since(started)); r.run(ctx, op) })
+		ops.Go(func() { Pause(ctx, op.At-time.Since(started)); r.run(ctx, op) })
 	}
 	for _, f := range r.plan.Faults {
-		faults.Go(func() { pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
+		faults.Go(func() { Pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
 	}
 	faults.Wait()
-	pause(ctx, span-time.Since(started))
+	Pause(ctx, span-time.Since(started))
 	if ctx.Err() != nil {
 		ops.Wait()
 		r.strikes.Wait()
@@ -122,7 +122,7 @@
 // awaitSettled waits until every entry knows every instance and the first
 // configuration is in force everywhere.
 func (r *Round) awaitSettled(ctx context.Context) error {
-	for end := time.Now().Add(settle); time.Now().Before(end); pause(ctx, settlePoll) {
+	for end := time.Now().Add(settle); time.Now().Before(end); Pause(ctx, settlePoll) {
 		if len(r.balancer.order(0)) == entries && r.allAt(ctx, 1) {
 			return nil
 		}
@@ -150,7 +150,7 @@
 // knows only what was renewed.
 func (r *Round) age(ctx context.Context) {
 	if r.plan.Profile == Expiring {
-		pause(ctx, ageing)
+		Pause(ctx, ageing)
 		r.replace(r.cluster.Entries[0])
 	}
 	close(r.aged)
--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -87,7 +87,7 @@
 
 // faults draws a series of faults; half of them begin while the one before is in
 // force.
-func (g *generator) faults(p Profile) []Fault {
+func (g generator) faults(p Profile) []Fault {
 	kinds := append(append([]FaultKind(nil), backendFaults...), otherFaults...)
 	switch p {
 	case Planned:
@@ -96,20 +96,20 @@
 		kinds = backendFaults
 	}
 	var out []Fault
-	for range 3 + g.rng.IntN(8) {
+	for range 3 + g.IntN(8) {
 		f := Fault{
-			At: g.within(span * 3 / 4), For: g.between(100*time.Millisecond, 2500*time.Millisecond),
-			Kind: kinds[g.rng.IntN(len(kinds))], Target: g.rng.IntN(60),
-			Share: 10 + g.rng.IntN(90), Delay: g.between(5*time.Millisecond, 300*time.Millisecond),
+			At: g.Within(span * 3 / 4), For: g.Between(100*time.Millisecond, 2500*time.Millisecond),
+			Kind: kinds[g.IntN(len(kinds))], Target: g.IntN(60),
+			Share: 10 + g.IntN(90), Delay: g.Between(5*time.Millisecond, 300*time.Millisecond),
 		}
-		if g.percent(longPercent) {
-			f.For = g.between(4*time.Second, 8*time.Second)
+		if g.Percent(longPercent) {
+			f.For = g.Between(4*time.Second, 8*time.Second)
 		}
-		if f.Kind == StoreAppliesLate && g.percent(50) {
-			f.Delay = g.between(300*time.Millisecond, 3*time.Second)
+		if f.Kind == StoreAppliesLate && g.Percent(50) {
+			f.Delay = g.Between(300*time.Millisecond, 3*time.Second)
 		}
-		if len(out) > 0 && g.percent(50) {
-			f.At = out[len(out)-1].At + g.within(100*time.Millisecond)
+		if len(out) > 0 && g.Percent(50) {
+			f.At = out[len(out)-1].At + g.Within(100*time.Millisecond)
 		}
 		out = append(out, f)
 	}
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/internal/chaos"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
@@ -99,7 +100,7 @@
 	default:
 		b := server.now()
 		b.disturb(backendFault[f.Kind], f.Share)
-		pause(ctx, f.For)
+		chaos.Pause(ctx, f.For)
 		b.disturb(platformtest.None, 0)
 	}
 }
@@ -130,7 +131,7 @@
 	case FreezeGateway:
 		r.disturbed(g.Name, func() {
 			g.Freeze()
-			pause(ctx, f.For)
+			chaos.Pause(ctx, f.For)
 			g.Wake()
 		})
 	case StopGateway:
@@ -144,7 +145,7 @@
 	for _, g := range gateways {
 		g.Kill()
 	}
-	pause(ctx, d)
+	chaos.Pause(ctx, d)
 	for _, g := range gateways {
 		r.fail(g.Start())
 	}
@@ -171,10 +172,10 @@
 
 func (r *Round) awaitReady(ctx context.Context, g *proctest.Gateway) {
 	for end := time.Now().Add(startTimeout); !g.Ready() && time.Now().Before(end); {
-		pause(ctx, lookInterval)
+		chaos.Pause(ctx, lookInterval)
 	}
 	// The platform's own look comes later.
-	pause(ctx, 2*probeInterval)
+	chaos.Pause(ctx, 2*probeInterval)
 }
 
 // undisturbed reports whether nothing but planned stops struck a gateway.
@@ -198,7 +199,7 @@
 	case NarrowCallers:
 		link.Narrow(narrowRate)
 	}
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	link.Restore()
 }
 
@@ -209,7 +210,7 @@
 			g.Store.Cut()
 		}
 	}
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	for _, g := range r.gateways {
 		g.Store.Restore()
 	}
@@ -222,7 +223,7 @@
 	} else {
 		r.links.silence(gateway)
 	}
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	r.links.restore()
 }
 
@@ -236,7 +237,7 @@
 		}
 	}
 	r.links.part(far)
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	r.links.restore()
 	for i, g := range r.gateways {
 		if far[i] {
@@ -253,7 +254,7 @@
 		return
 	case StoreSlow:
 		r.store.SetDelay(f.Delay)
-		pause(ctx, f.For)
+		chaos.Pause(ctx, f.For)
 		r.store.SetDelay(0)
 		return
 	case StoreDown, StoreDownAndEmptied:
@@ -266,11 +267,11 @@
 		fault.fault = keyedlogtest.Late
 	}
 	r.faults.begin(fault)
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	r.faults.end(fault)
 	switch f.Kind {
 	case StoreAppliesLate:
-		pause(ctx, f.Delay)
+		chaos.Pause(ctx, f.Delay)
 		r.store.Log.RunLate()
 	case StoreDownAndEmptied:
 		// The registrations have lapsed meanwhile; the next beats bring them back.
@@ -282,7 +283,7 @@
 
 func (r *Round) killBackend(ctx context.Context, f Fault, s *server) {
 	s.kill()
-	pause(ctx, f.For)
+	chaos.Pause(ctx, f.For)
 	r.fail(s.start())
 }
 
@@ -291,7 +292,7 @@
 	b := s.now()
 	notice := Interval{What: b.backend.ID, Begin: b.leave(ctx, r.store.Log)}
 	r.fail(s.start())
-	pause(ctx, drainTime+lingerTime)
+	chaos.Pause(ctx, drainTime+lingerTime)
 	notice.End = time.Now()
 	r.history.add(func(h *History) { h.Drains = append(h.Drains, notice) })
 	b.depart(r.store.Log)
--- a/internal/chaos/soak/job.go
+++ b/internal/chaos/soak/job.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/chaos"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -106,7 +107,7 @@
 			return
 		}
 		rec.Refused = rec.Refused && err == nil && promisesNotRun(status)
-		pause(ctx, resendDelay)
+		chaos.Pause(ctx, resendDelay)
 	}
 }
 
@@ -156,7 +157,7 @@
 		if r.isHealed() && (after >= rec.Op.Items || !rec.EndAcked.IsZero()) {
 			return
 		}
-		pause(ctx, readInterval)
+		chaos.Pause(ctx, readInterval)
 	}
 }
 
@@ -237,7 +238,7 @@
 			break
 		}
 		if !ok {
-			pause(ctx, readInterval)
+			chaos.Pause(ctx, readInterval)
 			continue
 		}
 		whole.At, whole.Total = l.At, l.Total
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -3,10 +3,11 @@
 import (
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/chaos"
 )
 
 // OpKind is what a caller or an operator does.
@@ -81,7 +82,7 @@
 
 // NewPlan returns the plan of a seed.
 func NewPlan(seed uint64) Plan {
-	g := &generator{seed: seed, rng: rand.New(rand.NewPCG(seed, 1))}
+	g := generator{chaos.NewDraw(seed, 1)}
 	p := Plan{Seed: seed, Profile: Mixed}
 	switch {
 	case seed%plannedEvery == 0:
@@ -96,7 +97,7 @@
 		p.Ops = append(p.Ops, g.job(i))
 	}
 	for i := range publications {
-		p.Ops = append(p.Ops, Op{At: g.within(span), Kind: Publish, ID: g.id("config", i)})
+		p.Ops = append(p.Ops, Op{At: g.Within(span), Kind: Publish, ID: g.ID("config", i)})
 	}
 	slices.SortStableFunc(p.Ops, func(a, b Op) int { return int(a.At - b.At) })
 	p.Faults = g.faults(p.Profile)
@@ -104,46 +105,33 @@
 }
 
 // generator draws a plan.
-type generator struct {
-	seed uint64
-	rng  *rand.Rand
-}
-
-func (g *generator) id(kind string, i int) string { return fmt.Sprintf("s%d-%s%d", g.seed, kind, i) }
-
-func (g *generator) within(d time.Duration) time.Duration {
-	return time.Duration(g.rng.Int64N(int64(d))).Truncate(time.Millisecond)
-}
-
-func (g *generator) between(from, to time.Duration) time.Duration { return from + g.within(to-from) }
-
-func (g *generator) percent(n int) bool { return g.rng.IntN(100) < n }
+type generator struct{ chaos.Draw }
 
-func (g *generator) online(i int, p Profile) Op {
+func (g generator) online(i int, p Profile) Op {
 	kinds := []OpKind{Stream, Stream, FinalStream, SafeCall, UnsafeCall}
-	op := Op{At: g.within(span), Kind: kinds[g.rng.IntN(len(kinds))], ID: g.id("r", i), Caller: g.rng.IntN(callers)}
-	if p != Planned && g.percent(8) {
-		op.LeaveAfter = g.between(5*time.Millisecond, 150*time.Millisecond)
+	op := Op{At: g.Within(span), Kind: kinds[g.IntN(len(kinds))], ID: g.ID("r", i), Caller: g.IntN(callers)}
+	if p != Planned && g.Percent(8) {
+		op.LeaveAfter = g.Between(5*time.Millisecond, 150*time.Millisecond)
 	}
 	return op
 }
 
-func (g *generator) job(i int) Op {
+func (g generator) job(i int) Op {
 	op := Op{
-		At: g.within(span * 2 / 3), Kind: Job, ID: g.id("job", i), Caller: g.rng.IntN(callers),
-		Items: 1 + g.rng.IntN(maxItems), Poison: -1, Failing: -1,
+		At: g.Within(span * 2 / 3), Kind: Job, ID: g.ID("job", i), Caller: g.IntN(callers),
+		Items: 1 + g.IntN(maxItems), Poison: -1, Failing: -1,
 	}
-	if g.percent(30) {
-		op.Poison = g.rng.IntN(op.Items)
+	if g.Percent(30) {
+		op.Poison = g.IntN(op.Items)
 	}
-	if g.percent(30) {
-		op.Failing = g.rng.IntN(op.Items)
+	if g.Percent(30) {
+		op.Failing = g.IntN(op.Items)
 	}
 	if op.Failing == op.Poison {
 		op.Failing = -1
 	}
-	if g.percent(30) {
-		op.EndAfter = g.between(time.Millisecond, 1500*time.Millisecond)
+	if g.Percent(30) {
+		op.EndAfter = g.Between(time.Millisecond, 1500*time.Millisecond)
 	}
 	return op
 }
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -136,17 +136,17 @@
 	var ops, faults sync.WaitGroup
 	started := time.Now()
 	for _, op := range r.plan.Ops {
-		ops.Go(func() { pause(ctx, op.At-time.Since(started)); r.operate(ctx, op) })
+		ops.Go(func() { chaos.Pause(ctx, op.At-time.Since(started)); r.operate(ctx, op) })
 	}
 	for _, f := range r.plan.Faults {
-		faults.Go(func() { pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
+		faults.Go(func() { chaos.Pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
 	}
 	faults.Wait()
-	pause(ctx, span-time.Since(started))
+	chaos.Pause(ctx, span-time.Since(started))
 	r.heal()
 	r.awaitRecovery(ctx)
 	ops.Wait()
-	pause(ctx, configBound-time.Since(r.healed))
+	chaos.Pause(ctx, configBound-time.Since(r.healed))
 	r.noteCrashes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -165,7 +165,7 @@
 			return err
 		}
 	}
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); pause(ctx, lookInterval) {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); chaos.Pause(ctx, lookInterval) {
 		if r.allReady() {
 			return nil
 		}
@@ -203,7 +203,7 @@
 		rec := c.send(ctx, Op{Kind: SafeCall, ID: fmt.Sprintf("s%d-after%d", r.plan.Seed, i)})
 		if row++; !rec.Whole || rec.Status != 200 {
 			row = 0
-			pause(ctx, lookInterval)
+			chaos.Pause(ctx, lookInterval)
 		}
 		if row == recoveredRow {
 			taken = time.Since(r.healed)
@@ -268,15 +268,3 @@
 	}
 	return out
 }
-
-// pause sleeps for d or until ctx ends; it returns whether ctx goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -79,7 +79,7 @@
 	for _, n := range nodes {
 		n.Kill()
 	}
-	pause(ctx, d)
+	Pause(ctx, d)
 	for _, n := range nodes {
 		r.fail(n.Start())
 	}
@@ -87,7 +87,7 @@
 
 func (r *Round) freeze(ctx context.Context, d time.Duration, n *proctest.Node) {
 	n.Freeze()
-	pause(ctx, d)
+	Pause(ctx, d)
 	n.Wake()
 }
 
@@ -112,7 +112,7 @@
 	if err := n.WaitReady(); err != nil {
 		return err
 	}
-	for end := time.Now().Add(knownTimeout); time.Now().Before(end); pause(r.ctx, settlePoll) {
+	for end := time.Now().Add(knownTimeout); time.Now().Before(end); Pause(r.ctx, settlePoll) {
 		if r.knownEverywhere(n) {
 			return nil
 		}
@@ -135,11 +135,11 @@
 	switch f.Kind {
 	case LogDown:
 		r.log.change(func(l *standin.LogFaults) { l.Down = true })
-		pause(ctx, f.For)
+		Pause(ctx, f.For)
 		r.log.change(func(l *standin.LogFaults) { l.Down = false })
 	case LogSlow:
 		r.log.change(func(l *standin.LogFaults) { l.DelayMS = int(f.Delay.Milliseconds()) })
-		pause(ctx, f.For)
+		Pause(ctx, f.For)
 		r.log.change(func(l *standin.LogFaults) { l.DelayMS = 0 })
 	case LogLosesAnswers:
 		r.log.change(func(l *standin.LogFaults) { l.LoseAnswers = f.N })
@@ -160,7 +160,7 @@
 	for _, l := range links {
 		l.Cut()
 	}
-	pause(ctx, d)
+	Pause(ctx, d)
 	for _, l := range links {
 		l.Restore()
 	}
@@ -184,7 +184,7 @@
 	case SlowPeer:
 		link.Delay(f.Delay)
 	}
-	pause(ctx, f.For)
+	Pause(ctx, f.For)
 	link.Restore()
 }
 
