--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -121,10 +121,11 @@
 }
 
 // hear compares the failures that a peer tells with those that it told before.
-// Those of its first report may be old. The caller holds mu.
+// Those of its first report, also after a silence, may be old, or of a time in which
+// it was cut off. The caller holds mu.
 func (t *Table) hear(name string, failures map[uint32]uint32, now time.Time) []Suspicion {
 	before := t.peers.peers[name]
-	if before == nil {
+	if before == nil || now.Sub(before.at) > t.opts.PeerTTL {
 		return nil
 	}
 	var out []Suspicion
--- a/balance/shared_test.go
+++ b/balance/shared_test.go
@@ -146,3 +146,18 @@
 	}
 	assert.Equal(t, fresh.Room(f.backends, balance.Need{}, f.now).Avoided, 0)
 }
+
+// TestFailuresDuringACutAccuseNobody cuts some entries off: what they failed to
+// reach meanwhile was reachable for the others.
+func TestFailuresDuringACutAccuseNobody(t *testing.T) {
+	f := newFleet(1)
+	f.report()
+	f.now = f.now.Add(2 * time.Second) // longer than a report holds
+	for _, e := range f.entries[:6] {
+		for _, b := range f.backends[:fleetBackends/3] {
+			e.Failed(b.ID, true, f.now)
+		}
+	}
+	f.report()
+	assert.Equal(t, f.entries[20].Room(f.backends, balance.Need{}, f.now).Avoided, 0)
+}
