--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -73,6 +73,8 @@
 	pool      *upstream.Pool
 	jobs      *jobs.Service
 	peering   *peering.Peering
+	// relay passes the registrations of backend servers on to other gateways.
+	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
 	draining  chan struct{}
 	// hup gets SIGHUP from the start on: it would end the process otherwise.
@@ -113,9 +115,11 @@
 		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
+	d.relay = keyedlog.NewRelay(d.backends, platform.SameBackend)
 	d.jobs = jobs.New(d.jobOptions(configs, table))
 	d.followers = []*keyedlog.Follower{
-		d.follow(platform.BackendTopic, d.backends, keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry}),
+		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
+			keyedlog.Pace{Wait: followWait, Gap: backendGap, Retry: followRetry}, d.storeChanged),
 		d.follow(platform.ConfigTopic, configs, keyedlog.Pace{Wait: followWait, Gap: configGap, Retry: followRetry}),
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.Pace{Wait: directoryWait, Gap: directoryGap, Retry: followRetry}),
 	}
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -36,7 +36,7 @@
 	callers := d.server(platform.NewFront(d.gateway, d.settings.MemoryBytes))
 	ready := d.server(http.HandlerFunc(d.ready))
 	status := d.server(http.HandlerFunc(d.serveMetrics))
-	peers := d.server(peering.Handler(d.jobs, d.snapshot))
+	peers := d.server(peering.Handler(d.jobs, d.snapshot, d.relay))
 	failed := make(chan error, 4)
 	statusAddress := fmt.Sprintf("%s:%d", d.settings.IP, d.settings.MetricsPort)
 	for address, server := range map[string]*http.Server{
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -32,11 +32,14 @@
 
 // Follower keeps a View up to date with one partition.
 type Follower struct {
-	log     Log
+	log     Reader
 	part    Partition
 	view    View
 	pace    Pace
 	observe Observer
+	// relay, if set, is told how far the view is complete.
+	relay  *Relay
+	source Source
 
 	next   atomic.Int64
 	synced atomic.Int64 // unix nanoseconds of the last answer, 0 before the first rebuild
@@ -47,13 +50,27 @@
 }
 
 // NewFollower returns a follower; observe may be nil.
-func NewFollower(log Log, part Partition, view View, pace Pace, observe Observer) *Follower {
+func NewFollower(log Reader, part Partition, view View, pace Pace, observe Observer) *Follower {
 	if observe == nil {
 		observe = func(Partition, error) {}
 	}
 	return &Follower{log: log, part: part, view: view, pace: pace, observe: observe}
 }
 
+// NewRelayedFollower returns a follower that feeds a relay's view and reads from
+// source, which may be another relay.
+func NewRelayedFollower(source Source, part Partition, relay *Relay, pace Pace, observe Observer) *Follower {
+	f := NewFollower(source, part, relay, pace, observe)
+	f.relay, f.source = relay, source
+	return f
+}
+
+// Source is a reader that tells whether its last answer came from the service itself.
+type Source interface {
+	Reader
+	Direct() bool
+}
+
 // Next returns the offset up to which the view is complete.
 func (f *Follower) Next() int64 { return f.next.Load() }
 
@@ -95,6 +112,9 @@
 	if err == nil {
 		f.synced.Store(time.Now().UnixNano())
 	}
+	if f.relay != nil {
+		f.relay.Followed(f.next.Load(), err == nil && f.source.Direct())
+	}
 	if f.broken != (err != nil) {
 		f.broken = err != nil
 		f.observe(f.part, err)
--- a/keyedlog/log.go
+++ b/keyedlog/log.go
@@ -78,9 +78,15 @@
 	Owned      []Partition
 }
 
-// Log is the service. A zero or negative wait returns at once.
+// Log is the service.
 type Log interface {
+	Reader
 	Append(ctx context.Context, p Partition, records []Record, c Condition) (Appended, error)
+}
+
+// Reader is what a follower needs of the service. A zero or negative wait returns at
+// once.
+type Reader interface {
 	Read(ctx context.Context, p Partition, from int64, wait time.Duration) (History, error)
 	Newest(ctx context.Context, p Partition, after string) (Page, error)
 }
--- /dev/null
+++ b/keyedlog/relay.go
@@ -0,0 +1,152 @@
+package keyedlog
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// relayHistory is the number of changes that a relay keeps.
+const relayHistory = 4096
+
+// Relay stands between a follower and its view, and serves what passes to other
+// readers of the same partition, so that not each of them has to read the service.
+// It passes on only records that say something new: a registration that is renewed
+// unchanged costs its readers nothing. It is safe for concurrent use; the View's
+// methods are called by the follower alone.
+type Relay struct {
+	view View
+	// same reports whether two values of a key say the same.
+	same func(a, b []byte) bool
+
+	mu     sync.Mutex
+	newest map[string]Record
+	// changes are the records from offset first on that said something new.
+	changes     []Record
+	first, next int64
+	// direct says that the follower's last answer came from the service itself.
+	direct  bool
+	changed chan struct{}
+}
+
+// NewRelay returns a relay in front of view.
+func NewRelay(view View, same func(a, b []byte) bool) *Relay {
+	return &Relay{view: view, same: same, newest: make(map[string]Record), changed: make(chan struct{})}
+}
+
+// Rebuild implements View.
+func (r *Relay) Rebuild(records []Record) {
+	r.view.Rebuild(records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.newest = make(map[string]Record, len(records))
+	for _, record := range records {
+		r.newest[record.Key] = record
+	}
+	// What was rebuilt is complete up to an offset that the follower tells next.
+	r.changes, r.first, r.next = nil, -1, -1
+	r.wake()
+}
+
+// Apply implements View.
+func (r *Relay) Apply(records []Record) {
+	r.view.Apply(records)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, record := range records {
+		old, known := r.newest[record.Key]
+		if known && record.Value != nil && r.same(old.Value, record.Value) {
+			continue
+		}
+		if !known && record.Value == nil {
+			continue
+		}
+		if record.Value == nil {
+			delete(r.newest, record.Key)
+		} else {
+			r.newest[record.Key] = record
+		}
+		r.changes = append(r.changes, record)
+	}
+	if drop := len(r.changes) - relayHistory; drop > 0 {
+		r.first = r.changes[drop-1].Offset + 1
+		r.changes = append([]Record(nil), r.changes[drop:]...)
+	}
+}
+
+// Followed tells up to which offset the view is complete, and whether that was
+// learned from the service itself.
+func (r *Relay) Followed(next int64, direct bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.first < 0 {
+		r.first = next
+	}
+	grown := len(r.changes) > 0 && r.changes[len(r.changes)-1].Offset >= r.next
+	r.next, r.direct = next, direct
+	if grown || !direct {
+		r.wake()
+	}
+}
+
+// wake lets readers look again; the caller holds mu.
+func (r *Relay) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Newest returns the newest record of each key. It returns ErrRefused unless the
+// relay itself reads the service.
+func (r *Relay) Newest() (Page, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.direct || r.next < 0 {
+		return Page{}, ErrRefused
+	}
+	page := Page{End: r.next}
+	for _, record := range r.newest {
+		page.Records = append(page.Records, record)
+	}
+	return page, nil
+}
+
+// Read returns the changes from an offset on, and waits for one if there is none.
+// It returns ErrRefused unless the relay itself reads the service.
+func (r *Relay) Read(ctx context.Context, from int64, wait time.Duration) (History, error) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		h, changed, err := r.read(from)
+		if err != nil || len(h.Records) > 0 {
+			return h, err
+		}
+		select {
+		case <-changed:
+		case <-t.C:
+			return h, nil
+		case <-ctx.Done():
+			return h, ctx.Err()
+		}
+	}
+}
+
+func (r *Relay) read(from int64) (History, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !r.direct || r.next < 0:
+		return History{}, nil, ErrRefused
+	case from < r.first:
+		return History{}, nil, ErrForgotten
+	case from > r.next:
+		// The reader is ahead, as it has read the service itself.
+		return History{Next: from, End: from}, r.changed, nil
+	}
+	h := History{Next: r.next, End: r.next}
+	for _, record := range r.changes {
+		if record.Offset >= from {
+			h.Records = append(h.Records, record)
+		}
+	}
+	return h, r.changed, nil
+}
--- /dev/null
+++ b/keyedlog/relay_test.go
@@ -0,0 +1,100 @@
+package keyedlog_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// sameWord takes values of the same first letter for the same.
+func sameWord(a, b []byte) bool { return a[0] == b[0] }
+
+type nothing struct{}
+
+func (nothing) Rebuild([]keyedlog.Record) {}
+func (nothing) Apply([]keyedlog.Record)   {}
+
+func record(key, value string, offset int64) keyedlog.Record {
+	r := keyedlog.Record{Key: key, Offset: offset}
+	if value != "" {
+		r.Value = []byte(value)
+	}
+	return r
+}
+
+// newRelay returns a relay that has read key a up to offset 10 by itself.
+func newRelay() *keyedlog.Relay {
+	r := keyedlog.NewRelay(nothing{}, sameWord)
+	r.Rebuild([]keyedlog.Record{record("a", "x1", 9)})
+	r.Followed(10, true)
+	return r
+}
+
+func readNow(t *testing.T, r *keyedlog.Relay, from int64) keyedlog.History {
+	t.Helper()
+	h, err := r.Read(t.Context(), from, 0)
+	assert.NilError(t, err)
+	return h
+}
+
+func TestRelayPassesOnWhatIsNew(t *testing.T) {
+	r := newRelay()
+	r.Apply([]keyedlog.Record{record("a", "x2", 10), record("b", "y1", 11), record("a", "z1", 12), record("c", "", 13), record("b", "", 14)})
+	r.Followed(15, true)
+	h := readNow(t, r, 10)
+	assert.DeepEqual(t, h.Records, []keyedlog.Record{record("b", "y1", 11), record("a", "z1", 12), record("b", "", 14)})
+	assert.Equal(t, h.Next, int64(15))
+	assert.Equal(t, len(readNow(t, r, 12).Records), 2)
+	page, err := r.Newest()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, page.Records, []keyedlog.Record{record("a", "z1", 12)})
+	assert.Equal(t, page.End, int64(15))
+}
+
+func TestRelayWakesItsReaders(t *testing.T) {
+	r := newRelay()
+	got := make(chan keyedlog.History, 1)
+	go func() {
+		h, _ := r.Read(context.Background(), 10, time.Minute) // an error shows as no record
+		got <- h
+	}()
+	r.Apply([]keyedlog.Record{record("a", "x9", 10)})
+	r.Followed(11, true)
+	r.Apply([]keyedlog.Record{record("b", "new", 11)})
+	r.Followed(12, true)
+	assert.DeepEqual(t, (<-got).Records, []keyedlog.Record{record("b", "new", 11)})
+}
+
+func TestRelaySendsItsReadersAwayWithoutTheService(t *testing.T) {
+	r := newRelay()
+	r.Followed(10, false)
+	_, err := r.Read(t.Context(), 10, time.Minute)
+	assert.ErrorIs(t, err, keyedlog.ErrRefused)
+	_, err = r.Newest()
+	assert.ErrorIs(t, err, keyedlog.ErrRefused)
+	_, err = keyedlog.NewRelay(nothing{}, sameWord).Read(t.Context(), 0, time.Minute)
+	assert.ErrorIs(t, err, keyedlog.ErrRefused)
+}
+
+func TestRelayWithoutTheHistoryAsksForARebuild(t *testing.T) {
+	r := newRelay()
+	_, err := r.Read(t.Context(), 9, 0)
+	assert.ErrorIs(t, err, keyedlog.ErrForgotten)
+	for i := range 5000 {
+		r.Apply([]keyedlog.Record{record("k", string(rune('a'+i%2)), int64(10+i))})
+		r.Followed(int64(11+i), true)
+	}
+	_, err = r.Read(t.Context(), 10, 0)
+	assert.ErrorIs(t, err, keyedlog.ErrForgotten, "the history is bounded")
+	assert.Equal(t, len(readNow(t, r, 5000).Records), 10)
+}
+
+func TestReaderAheadOfTheRelayGoesOn(t *testing.T) {
+	h := readNow(t, newRelay(), 17)
+	assert.Equal(t, h.Next, int64(17))
+	assert.Equal(t, len(h.Records), 0)
+}
--- a/peering/handler.go
+++ b/peering/handler.go
@@ -11,6 +11,7 @@
 
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
 // serveBody answers for items of the process's own shards.
@@ -59,9 +60,12 @@
 	}
 }
 
-// Handler returns what a gateway serves to its peers.
-func Handler(l Host, snapshot func() Snapshot) http.Handler {
+// Handler returns what a gateway serves to its peers. relay holds what it reads for
+// them.
+func Handler(l Host, snapshot func() Snapshot, relay *keyedlog.Relay) http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+changesPath, serveChanges(relay))
+	mux.HandleFunc("GET "+newestPath, serveNewest(relay))
 	mux.HandleFunc("GET "+bodyPath, serveBody(l))
 	mux.HandleFunc("POST "+submitPath, serveSubmit(l))
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -28,8 +28,15 @@
 	minInterval = 2 * time.Millisecond
 	perPair     = 10 * time.Microsecond
 	maxInterval = 300 * time.Millisecond
-	// farInterval is the least time between two reports to other regions.
-	farInterval = 100 * time.Millisecond
+	// farInterval is the least time between two reports to other regions. It grows
+	// by perFarPair for each pair of gateways of the two sides, as the reports of all
+	// share one link. From ownersInterval on only owners of shards report there, at
+	// that interval, as the others need to find them; all others only remind of
+	// themselves each helloInterval.
+	farInterval    = 100 * time.Millisecond
+	perFarPair     = 500 * time.Microsecond
+	ownersInterval = 400 * time.Millisecond
+	helloInterval  = 20 * time.Second
 	// quietInterval is the time between reports without a change.
 	quietInterval = 250 * time.Millisecond
 	maxDatagram   = 8 << 10
@@ -89,6 +96,10 @@
 	opts Options
 	boot int64
 
+	// listed is closed once the directory was read.
+	listed     chan struct{}
+	listedOnce sync.Once
+
 	mu    sync.Mutex
 	peers map[string]*peer
 }
@@ -111,7 +122,7 @@
 
 // New returns a Peering that uses opts.Conn.
 func New(opts Options) *Peering {
-	return &Peering{opts: opts, boot: time.Now().UnixNano(), peers: make(map[string]*peer)}
+	return &Peering{opts: opts, boot: time.Now().UnixNano(), listed: make(chan struct{}), peers: make(map[string]*peer)}
 }
 
 // EncodePeer returns the directory record of a gateway.
@@ -122,7 +133,10 @@
 
 // Rebuild implements keyedlog.View. Peers that have left the directory are
 // dropped once they have been silent for forgetAfter.
-func (p *Peering) Rebuild(records []keyedlog.Record) { p.Apply(records) }
+func (p *Peering) Rebuild(records []keyedlog.Record) {
+	p.Apply(records)
+	p.listedOnce.Do(func() { close(p.listed) })
+}
 
 // Apply implements keyedlog.View.
 func (p *Peering) Apply(records []keyedlog.Record) {
@@ -174,11 +188,12 @@
 		case <-quiet.C:
 		}
 		seq++
-		far := time.Since(lastFar) >= farInterval
+		r := p.report(seq)
+		far := time.Since(lastFar) >= p.farPause(len(r.Shards) > 0)
 		if far {
 			lastFar = time.Now()
 		}
-		p.send(p.report(seq), far)
+		p.send(r, far)
 		p.pause(ctx)
 	}
 }
@@ -196,6 +211,32 @@
 	return min(minInterval+time.Duration(n*n)*perPair, maxInterval)
 }
 
+// farPause returns the least time between two reports to other regions.
+func (p *Peering) farPause(owner bool) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	near, far := 1, 0
+	for _, known := range p.peers {
+		if known.far {
+			far++
+		} else {
+			near++
+		}
+	}
+	return farPause(near, far, owner)
+}
+
+func farPause(near, far int, owner bool) time.Duration {
+	d := max(farInterval, time.Duration(near*far)*perFarPair)
+	switch {
+	case d <= ownersInterval:
+		return d
+	case owner:
+		return ownersInterval
+	}
+	return helloInterval
+}
+
 // pause waits for the least time between two reports, which grows with the
 // number of peers.
 func (p *Peering) pause(ctx context.Context) {
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -161,7 +161,7 @@
 }
 
 func TestSubmissionIsHandedOn(t *testing.T) {
-	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }))
+	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, keyedlog.NewRelay(nil, nil)))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := start(t, "a", "127.0.0.1:0", "r")
@@ -176,7 +176,7 @@
 
 func TestPeersAreAskedForListingsAndSnapshots(t *testing.T) {
 	snapshot := peering.Snapshot{Config: []keyedlog.Record{{Key: "config", Value: []byte("7"), Offset: 3}}}
-	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return snapshot }))
+	server := httptest.NewServer(peering.Handler(host{}, func() peering.Snapshot { return snapshot }, keyedlog.NewRelay(nil, nil)))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := start(t, "a", "127.0.0.1:0", "r")
--- /dev/null
+++ b/peering/relay.go
@@ -0,0 +1,265 @@
+package peering
+
+import (
+	"cmp"
+	"context"
+	"hash/fnv"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+const (
+	// fewGateways of a region read the service each by itself.
+	fewGateways = 8
+	// leastRelays and readersPerRelay say how many gateways of a larger region read
+	// the service for the others.
+	leastRelays     = 2
+	readersPerRelay = 40
+	// relayWait is how long a relay may hold an answer back, and relayTimeout when a
+	// relay that does not answer is given up; relayPause is how long the service is
+	// read instead.
+	relayWait    = 500 * time.Millisecond
+	relayTimeout = 900 * time.Millisecond
+	relayPause   = 3 * time.Second
+
+	// manyGateways is the size of a region from which on a starting gateway waits
+	// for a relay: relayPatience at most, with relayRetry between two questions, and
+	// directoryPatience for the directory before that.
+	manyGateways      = 40
+	relayPatience     = 1500 * time.Millisecond
+	relayRetry        = 50 * time.Millisecond
+	directoryPatience = 300 * time.Millisecond
+
+	changesPath = "/changes"
+	newestPath  = "/newest"
+)
+
+// errNotRelay is a relay's answer while it does not read the service itself.
+var errNotRelay = errors.New("peering: not a relay now")
+
+// Source reads one partition through a relay of the own region if there is one,
+// and else from the service. It implements keyedlog.Source.
+type Source struct {
+	peering *Peering
+	log     keyedlog.Reader
+	// pausedUntil is how long the service is read, in Unix nanoseconds.
+	pausedUntil atomic.Int64
+	direct      atomic.Bool
+}
+
+// NewSource returns a source of the partition that the relays of p pass on.
+func (p *Peering) NewSource(log keyedlog.Reader) *Source {
+	return &Source{peering: p, log: log}
+}
+
+// Direct implements keyedlog.Source.
+func (s *Source) Direct() bool { return s.direct.Load() }
+
+// Read implements keyedlog.Reader.
+func (s *Source) Read(ctx context.Context, part keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	if relay := s.relay(); relay != "" {
+		h, err := s.peering.changes(ctx, relay, from, min(wait, relayWait))
+		if err == nil || errors.Is(err, keyedlog.ErrForgotten) {
+			s.direct.Store(false)
+			return h, err
+		}
+		s.pause()
+	}
+	s.direct.Store(true)
+	return s.log.Read(ctx, part, from, wait)
+}
+
+// Newest implements keyedlog.Reader. In a large region, in which many gateways may
+// start at once, it waits for a relay rather than read everything from the service.
+func (s *Source) Newest(ctx context.Context, part keyedlog.Partition, after string) (keyedlog.Page, error) {
+	if after == "" && s.peering.inLargeRegion(ctx) {
+		if page, ok := s.newestOfRelay(ctx); ok {
+			s.direct.Store(false)
+			return page, nil
+		}
+	}
+	s.direct.Store(true)
+	return s.log.Newest(ctx, part, after)
+}
+
+// newestOfRelay asks the relay until it answers. It returns false if this gateway
+// is a relay itself, or none answers in time.
+func (s *Source) newestOfRelay(ctx context.Context) (keyedlog.Page, bool) {
+	ctx, cancel := context.WithTimeout(ctx, relayPatience)
+	defer cancel()
+	for {
+		near := len(s.peering.near())
+		relay := s.peering.relay()
+		if near >= fewGateways && relay == "" {
+			return keyedlog.Page{}, false
+		}
+		if relay != "" {
+			if page, err := s.peering.newest(ctx, relay); err == nil {
+				return page, true
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return keyedlog.Page{}, false
+		case <-time.After(relayRetry):
+		}
+	}
+}
+
+// inLargeRegion reports whether the directory lists many gateways of the own region.
+// A process that has just started waits a little for the directory.
+func (p *Peering) inLargeRegion(ctx context.Context) bool {
+	t := time.NewTimer(directoryPatience)
+	defer t.Stop()
+	select {
+	case <-p.listed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, known := range p.peers {
+		if !known.far {
+			n++
+		}
+	}
+	return n >= manyGateways
+}
+
+func (s *Source) pause() { s.pausedUntil.Store(time.Now().Add(relayPause).UnixNano()) }
+
+// relay returns the address of the relay to read from, or nothing.
+func (s *Source) relay() string {
+	if time.Now().UnixNano() < s.pausedUntil.Load() {
+		return ""
+	}
+	return s.peering.relay()
+}
+
+// candidate is a gateway of the own region.
+type candidate struct {
+	name, address string
+	rank          uint32
+}
+
+// rankOf orders the gateways of a region alike at each of them.
+func rankOf(name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name)) // a hash takes everything
+	return h.Sum32()
+}
+
+// relay returns the address of the relay of this gateway, or nothing if it is one
+// itself or the region is small.
+func (p *Peering) relay() string {
+	near := p.near()
+	if len(near) < fewGateways {
+		return ""
+	}
+	slices.SortFunc(near, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
+	})
+	relays := near[:max(leastRelays, len(near)/readersPerRelay)]
+	for _, r := range relays {
+		if r.name == p.opts.Name {
+			return ""
+		}
+	}
+	return relays[int(rankOf(p.opts.Name)>>16)%len(relays)].address
+}
+
+// near returns the gateways of the own region that were heard of late, this one
+// included.
+func (p *Peering) near() []candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []candidate{{name: p.opts.Name, rank: rankOf(p.opts.Name)}}
+	for name, known := range p.peers {
+		if !known.far && known.alive && time.Since(known.heard) <= TTL {
+			out = append(out, candidate{name, known.addr.String(), rankOf(name)})
+		}
+	}
+	return out
+}
+
+// relayed is a relay's answer. Forgotten says that the history before the offset
+// asked for is gone, Refused that the relay does not read the service itself.
+type relayed struct {
+	Records   []keyedlog.Record `cbor:"1,keyasint,omitempty"`
+	Next      int64             `cbor:"2,keyasint"`
+	Forgotten bool              `cbor:"3,keyasint,omitempty"`
+	Refused   bool              `cbor:"4,keyasint,omitempty"`
+}
+
+func (p *Peering) changes(ctx context.Context, address string, from int64, wait time.Duration) (keyedlog.History, error) {
+	q := url.Values{"from": {strconv.FormatInt(from, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	a, err := p.askRelay(ctx, address, changesPath+"?"+q.Encode())
+	if err != nil {
+		return keyedlog.History{}, err
+	}
+	return keyedlog.History{Records: a.Records, Next: a.Next, End: a.Next}, nil
+}
+
+func (p *Peering) newest(ctx context.Context, address string) (keyedlog.Page, error) {
+	a, err := p.askRelay(ctx, address, newestPath)
+	if err != nil {
+		return keyedlog.Page{}, err
+	}
+	return keyedlog.Page{Records: a.Records, End: a.Next}, nil
+}
+
+func (p *Peering) askRelay(ctx context.Context, address, path string) (relayed, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	raw, err := p.get(ctx, address, path)
+	if err != nil {
+		return relayed{}, err
+	}
+	var a relayed
+	if err := cbor.Unmarshal(raw, &a); err != nil {
+		return relayed{}, errors.Wrap(err, "peering: relay")
+	}
+	switch {
+	case a.Refused:
+		return relayed{}, errNotRelay
+	case a.Forgotten:
+		return relayed{}, keyedlog.ErrForgotten
+	}
+	return a, nil
+}
+
+// serveChanges answers other gateways from what this one reads of the service.
+func serveChanges(r *keyedlog.Relay) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		q := req.URL.Query()
+		from, err1 := strconv.ParseInt(q.Get("from"), 10, 64)
+		waitMs, err2 := strconv.Atoi(q.Get("wait_ms"))
+		if err1 != nil || err2 != nil {
+			http.Error(w, "from and wait_ms are numbers", http.StatusBadRequest)
+			return
+		}
+		h, err := r.Read(req.Context(), from, time.Duration(waitMs)*time.Millisecond)
+		writeRelayed(w, h.Records, h.Next, err)
+	}
+}
+
+func serveNewest(r *keyedlog.Relay) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		page, err := r.Newest()
+		writeRelayed(w, page.Records, page.End, err)
+	}
+}
+
+func writeRelayed(w http.ResponseWriter, records []keyedlog.Record, next int64, err error) {
+	writeCBOR(w, relayed{records, next, errors.Is(err, keyedlog.ErrForgotten), err != nil && !errors.Is(err, keyedlog.ErrForgotten)})
+}
--- /dev/null
+++ b/peering/relay_test.go
@@ -0,0 +1,160 @@
+package peering_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
+	"github.com/catkinrudder/catkinrudder/peering"
+)
+
+var registrations = keyedlog.Partition{Topic: "registrations"}
+
+// words is a view that counts the records of each key.
+type words struct {
+	mu     sync.Mutex
+	latest map[string]string
+	taken  int
+}
+
+func (w *words) Rebuild(records []keyedlog.Record) {
+	w.mu.Lock()
+	w.latest = make(map[string]string)
+	w.mu.Unlock()
+	w.Apply(records)
+}
+
+func (w *words) Apply(records []keyedlog.Record) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range records {
+		w.latest[r.Key] = string(r.Value)
+		w.taken++
+	}
+}
+
+func (w *words) value(key string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.latest[key]
+}
+
+// reader is a gateway that follows the registrations.
+type reader struct {
+	*gateway
+	words *words
+	stop  context.CancelFunc
+}
+
+// newReaders starts n gateways of one region that know each other.
+func newReaders(t *testing.T, log *keyedlogtest.Log, n int) []*reader {
+	t.Helper()
+	var out []*reader
+	for i := range n {
+		out = append(out, &reader{gateway: start(t, fmt.Sprint("g", i), "127.0.0.1:0", "r"), words: &words{}})
+	}
+	for _, a := range out {
+		for _, b := range out {
+			if a != b {
+				a.enter(t, b.gateway, "r")
+			}
+		}
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range out {
+			if r.Alive() < n-1 {
+				return poll.Continue("%s hears %d", r.name, r.Alive())
+			}
+		}
+		return poll.Success()
+	})
+	for _, r := range out {
+		r.follow(t, log)
+	}
+	return out
+}
+
+func (r *reader) follow(t *testing.T, log *keyedlogtest.Log) {
+	t.Helper()
+	relay := keyedlog.NewRelay(r.words, bytes.Equal)
+	ln, err := net.Listen("tcp", r.address)
+	assert.NilError(t, err)
+	server := &http.Server{Handler: peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, relay)}
+	go func() { _ = server.Serve(ln) }() // ends with Close
+	f := keyedlog.NewRelayedFollower(r.NewSource(log), registrations, relay,
+		keyedlog.Pace{Wait: 300 * time.Millisecond, Gap: time.Millisecond, Retry: 10 * time.Millisecond}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	r.stop = func() {
+		cancel()
+		<-done
+		_ = server.Close()
+		r.gateway.stop()
+	}
+	t.Cleanup(r.stop)
+}
+
+func put(t *testing.T, log *keyedlogtest.Log, key, value string) {
+	t.Helper()
+	_, err := log.Append(t.Context(), registrations, []keyedlog.Record{{Key: key, Value: []byte(value)}}, keyedlog.Condition{})
+	assert.NilError(t, err)
+}
+
+// allSee waits until every reader has a value.
+func allSee(t *testing.T, readers []*reader, key, value string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range readers {
+			if got := r.words.value(key); got != value {
+				return poll.Continue("%s has %q", r.name, got)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// TestFewReadTheServiceForMany renews registrations without a change: only the
+// relays read them.
+func TestFewReadTheServiceForMany(t *testing.T) {
+	const gateways, renewals = 12, 100
+	log := keyedlogtest.New()
+	put(t, log, "a", "one")
+	readers := newReaders(t, log, gateways)
+	allSee(t, readers, "a", "one")
+	put(t, log, "a", "two")
+	allSee(t, readers, "a", "two")
+	before := log.Calls("read")
+	for range renewals {
+		put(t, log, "a", "two")
+		time.Sleep(3 * time.Millisecond)
+	}
+	put(t, log, "a", "three")
+	allSee(t, readers, "a", "three")
+	perGateway := float64(log.Calls("read")-before) / gateways
+	assert.Assert(t, perGateway < renewals/3, "%.0f reads a gateway", perGateway)
+}
+
+// TestReadersOutliveTheirRelays stops one gateway after the other, relays too.
+func TestReadersOutliveTheirRelays(t *testing.T) {
+	log := keyedlogtest.New()
+	put(t, log, "a", "one")
+	readers := newReaders(t, log, 12)
+	allSee(t, readers, "a", "one")
+	for i := range 6 {
+		readers[i].stop()
+		value := fmt.Sprint("after ", i)
+		put(t, log, "a", value)
+		allSee(t, readers[i+1:], "a", value)
+	}
+}
