--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -111,7 +111,7 @@
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigs(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
+		Name: s.Instance, Region: s.Region, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
 		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -178,6 +178,7 @@
 func (d *Daemon) enroll(ctx context.Context) {
 	value, err := peering.EncodePeer(peering.Peer{
 		Address: fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort), Region: d.settings.Region,
+		LinkMbps: d.settings.LinkMbps,
 	})
 	for err == nil && ctx.Err() == nil {
 		if err := d.writeDirectory(ctx, value); err == nil {
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -97,7 +97,7 @@
 			rebuild = errors.Is(err, ErrForgotten)
 		}
 		f.report(err)
-		pause := f.pace.Gap
+		pause := f.gap()
 		if err != nil && !errors.Is(err, ErrForgotten) {
 			pause = f.pace.Retry
 		}
@@ -105,6 +105,17 @@
 	}
 }
 
+// relayGap is the least time between two reads from a relay, which answers only
+// when there is something new.
+const relayGap = 20 * time.Millisecond
+
+func (f *Follower) gap() time.Duration {
+	if f.source != nil && !f.source.Direct() {
+		return min(f.pace.Gap, relayGap)
+	}
+	return f.pace.Gap
+}
+
 func (f *Follower) report(err error) {
 	if errors.Is(err, ErrForgotten) {
 		err = nil
--- a/keyedlog/relay.go
+++ b/keyedlog/relay.go
@@ -24,6 +24,8 @@
 	// changes are the records from offset first on that said something new.
 	changes     []Record
 	first, next int64
+	// version counts the changes of newest.
+	version int64
 	// direct says that the follower's last answer came from the service itself.
 	direct  bool
 	changed chan struct{}
@@ -45,6 +47,7 @@
 	}
 	// What was rebuilt is complete up to an offset that the follower tells next.
 	r.changes, r.first, r.next = nil, -1, -1
+	r.version++
 	r.wake()
 }
 
@@ -67,6 +70,7 @@
 			r.newest[record.Key] = record
 		}
 		r.changes = append(r.changes, record)
+		r.version++
 	}
 	if drop := len(r.changes) - relayHistory; drop > 0 {
 		r.first = r.changes[drop-1].Offset + 1
@@ -95,19 +99,20 @@
 	r.changed = make(chan struct{})
 }
 
-// Newest returns the newest record of each key. It returns ErrRefused unless the
-// relay itself reads the service.
-func (r *Relay) Newest() (Page, error) {
+// Newest returns the newest record of each key. While the version stays, an older
+// page is as good: nothing has changed since its end. It returns ErrRefused unless
+// the relay itself reads the service.
+func (r *Relay) Newest() (page Page, version int64, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.direct || r.next < 0 {
-		return Page{}, ErrRefused
+		return Page{}, 0, ErrRefused
 	}
-	page := Page{End: r.next}
+	page = Page{End: r.next}
 	for _, record := range r.newest {
 		page.Records = append(page.Records, record)
 	}
-	return page, nil
+	return page, r.version, nil
 }
 
 // Read returns the changes from an offset on, and waits for one if there is none.
--- a/peering/handler.go
+++ b/peering/handler.go
@@ -65,7 +65,7 @@
 func Handler(l Host, snapshot func() Snapshot, relay *keyedlog.Relay) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+changesPath, serveChanges(relay))
-	mux.HandleFunc("GET "+newestPath, serveNewest(relay))
+	mux.HandleFunc("GET "+newestPath, (&newestAnswer{relay: relay}).serve)
 	mux.HandleFunc("GET "+bodyPath, serveBody(l))
 	mux.HandleFunc("POST "+submitPath, serveSubmit(l))
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -68,12 +68,16 @@
 type Peer struct {
 	Address string `cbor:"1,keyasint"`
 	Region  string `cbor:"2,keyasint"`
+	// LinkMbps is what the gateway's link carries, 0 if that is not known.
+	LinkMbps float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Options are the settings of Peering.
 type Options struct {
 	Name   string
 	Region string
+	// LinkMbps is what this gateway's link carries, 0 if that is not known.
+	LinkMbps float64
 	Table  *balance.Table
 	Logger *log.Logger
 	Conn   net.PacketConn
@@ -107,6 +111,8 @@
 type peer struct {
 	addr netip.AddrPort
 	far  bool
+	// linkMbps is what its link carries, by the directory.
+	linkMbps float64
 	// boot and seq order the reports; heard is when the last one came.
 	boot  int64
 	seq   uint64
@@ -168,7 +174,7 @@
 		known = &peer{heard: time.Now()}
 		p.peers[r.Key] = known
 	}
-	known.addr, known.far = addr, rec.Region != p.opts.Region
+	known.addr, known.far, known.linkMbps = addr, rec.Region != p.opts.Region, rec.LinkMbps
 }
 
 // Run sends and receives until ctx ends.
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -1,13 +1,16 @@
 package peering
 
 import (
+	"bytes"
 	"cmp"
+	"compress/gzip"
 	"context"
 	"hash/fnv"
 	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -149,9 +152,15 @@
 // candidate is a gateway of the own region.
 type candidate struct {
 	name, address string
+	linkMbps      float64
 	rank          uint32
 }
 
+// compare orders candidates: those with the widest links first.
+func (c candidate) compare(o candidate) int {
+	return cmp.Or(cmp.Compare(o.linkMbps, c.linkMbps), cmp.Compare(c.rank, o.rank), cmp.Compare(c.name, o.name))
+}
+
 // rankOf orders the gateways of a region alike at each of them.
 func rankOf(name string) uint32 {
 	h := fnv.New32a()
@@ -166,9 +175,7 @@
 	if len(near) < fewGateways {
 		return ""
 	}
-	slices.SortFunc(near, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
-	})
+	slices.SortFunc(near, candidate.compare)
 	relays := near[:max(leastRelays, len(near)/readersPerRelay)]
 	for _, r := range relays {
 		if r.name == p.opts.Name {
@@ -183,10 +190,10 @@
 func (p *Peering) near() []candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := []candidate{{name: p.opts.Name, rank: rankOf(p.opts.Name)}}
+	out := []candidate{{name: p.opts.Name, linkMbps: p.opts.LinkMbps, rank: rankOf(p.opts.Name)}}
 	for name, known := range p.peers {
 		if !known.far && known.alive && time.Since(known.heard) <= TTL {
-			out = append(out, candidate{name, known.addr.String(), rankOf(name)})
+			out = append(out, candidate{name, known.addr.String(), known.linkMbps, rankOf(name)})
 		}
 	}
 	return out
@@ -211,10 +218,20 @@
 }
 
 func (p *Peering) newest(ctx context.Context, address string) (keyedlog.Page, error) {
-	a, err := p.askRelay(ctx, address, newestPath)
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	raw, err := p.get(ctx, address, newestPath)
 	if err != nil {
 		return keyedlog.Page{}, err
 	}
+	z, err := gzip.NewReader(bytes.NewReader(raw))
+	if err != nil {
+		return keyedlog.Page{}, errors.Wrap(err, "peering: relay")
+	}
+	var a relayed
+	if err := cbor.NewDecoder(z).Decode(&a); err != nil {
+		return keyedlog.Page{}, errors.Wrap(err, "peering: relay")
+	}
 	return keyedlog.Page{Records: a.Records, End: a.Next}, nil
 }
 
@@ -253,11 +270,51 @@
 	}
 }
 
-func serveNewest(r *keyedlog.Relay) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		page, err := r.Newest()
-		writeRelayed(w, page.Records, page.End, err)
+// newestAnswer keeps the encoded newest records, which many readers ask for at once
+// after a start.
+type newestAnswer struct {
+	relay *keyedlog.Relay
+
+	mu      sync.Mutex
+	version int64
+	raw     []byte
+}
+
+func (n *newestAnswer) serve(w http.ResponseWriter, _ *http.Request) {
+	page, version, err := n.relay.Newest()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	raw, err := n.encoded(page, version)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(raw) // the peer sees a short body if its connection broke
+}
+
+// encoded returns the compressed answer; it is encoded once for each version.
+func (n *newestAnswer) encoded(page keyedlog.Page, version int64) ([]byte, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.raw != nil && n.version == version {
+		return n.raw, nil
+	}
+	raw, err := cbor.Marshal(relayed{Records: page.Records, Next: page.End})
+	if err != nil {
+		return nil, errors.Wrap(err, "peering: relay")
+	}
+	var out bytes.Buffer
+	z := gzip.NewWriter(&out)
+	if _, err := z.Write(raw); err != nil {
+		return nil, errors.Wrap(err, "peering: relay")
+	}
+	if err := z.Close(); err != nil {
+		return nil, errors.Wrap(err, "peering: relay")
 	}
+	n.raw, n.version = out.Bytes(), version
+	return n.raw, nil
 }
 
 func writeRelayed(w http.ResponseWriter, records []keyedlog.Record, next int64, err error) {
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -57,7 +57,7 @@
 }
 
 // newReaders starts n gateways of one region that know each other.
-func newReaders(t *testing.T, log *keyedlogtest.Log, n int) []*reader {
+func newReaders(t *testing.T, n int) []*reader {
 	t.Helper()
 	var out []*reader
 	for i := range n {
@@ -78,10 +78,14 @@
 		}
 		return poll.Success()
 	})
-	for _, r := range out {
+	return out
+}
+
+func follow(t *testing.T, log *keyedlogtest.Log, readers []*reader) {
+	t.Helper()
+	for _, r := range readers {
 		r.follow(t, log)
 	}
-	return out
 }
 
 func (r *reader) follow(t *testing.T, log *keyedlogtest.Log) {
@@ -130,7 +134,8 @@
 	const gateways, renewals = 12, 100
 	log := keyedlogtest.New()
 	put(t, log, "a", "one")
-	readers := newReaders(t, log, gateways)
+	readers := newReaders(t, gateways)
+	follow(t, log, readers)
 	allSee(t, readers, "a", "one")
 	put(t, log, "a", "two")
 	allSee(t, readers, "a", "two")
@@ -149,7 +154,8 @@
 func TestReadersOutliveTheirRelays(t *testing.T) {
 	log := keyedlogtest.New()
 	put(t, log, "a", "one")
-	readers := newReaders(t, log, 12)
+	readers := newReaders(t, 12)
+	follow(t, log, readers)
 	allSee(t, readers, "a", "one")
 	for i := range 6 {
 		readers[i].stop()
@@ -158,3 +164,20 @@
 		allSee(t, readers[i+1:], "a", value)
 	}
 }
+
+// TestStartInALargeRegionAsksTheRelays lists many gateways more than are there: only
+// the relays read everything from the service.
+func TestStartInALargeRegionAsksTheRelays(t *testing.T) {
+	log := keyedlogtest.New()
+	put(t, log, "a", "one")
+	readers := newReaders(t, 12)
+	for _, r := range readers {
+		for i := range 40 {
+			r.enter(t, &gateway{name: fmt.Sprint("absent-", i), address: "127.0.0.1:9"}, "r")
+		}
+		r.Rebuild(nil)
+	}
+	follow(t, log, readers)
+	allSee(t, readers, "a", "one")
+	assert.Assert(t, log.Calls("newest") <= 2, "%d of 12 read everything", log.Calls("newest"))
+}
