--- a/event/event.go
+++ b/event/event.go
@@ -62,6 +62,7 @@
 	PeerSeen        ID = 706
 	PeerGone        ID = 707
 	PeerSnapshot    ID = 708
+	SourceChanged   ID = 709
 )
 
 var catalogue = []Spec{
@@ -105,6 +106,7 @@
 	{PeerSeen, "peer_seen", log.InfoLevel, "another gateway is heard"},
 	{PeerGone, "peer_gone", log.InfoLevel, "another gateway is not heard any more"},
 	{PeerSnapshot, "peer_snapshot", log.InfoLevel, "a starting process took configuration and backend servers from a peer"},
+	{SourceChanged, "source_changed", log.InfoLevel, "a gateway reads the registrations of backend servers from another source"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/chaos/soak/memory_test.go
+++ b/internal/chaos/soak/memory_test.go
@@ -47,7 +47,7 @@
 // smallGateway runs one gateway of the smallest size.
 func smallGateway(t *testing.T) *proctest.Gateway {
 	t.Helper()
-	r, err := newRound(Plan{}, t.TempDir())
+	r, err := newRound(Plan{Gateways: 1}, t.TempDir())
 	assert.NilError(t, err)
 	t.Cleanup(r.close)
 	assert.NilError(t, r.start(t.Context()))
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -61,13 +61,17 @@
 type Plan struct {
 	Seed    uint64
 	Profile Profile
-	Ops     []Op
-	Faults  []Fault
+	// Gateways is their number. Regions of many gateways read the store through
+	// relays.
+	Gateways int
+	Ops      []Op
+	Faults   []Fault
 }
 
 // Sizes of a round.
 const (
-	gateways     = 4
+	fewGateways  = 4
+	manyGateways = 18
 	servers      = 4
 	callers      = 10
 	span         = 6 * time.Second
@@ -78,18 +82,22 @@
 
 	plannedEvery  = 5
 	backendsEvery = 4
+	manyEvery     = 6
 )
 
 // NewPlan returns the plan of a seed.
 func NewPlan(seed uint64) Plan {
 	g := generator{chaos.NewDraw(seed, 1)}
-	p := Plan{Seed: seed, Profile: Mixed}
+	p := Plan{Seed: seed, Profile: Mixed, Gateways: fewGateways}
 	switch {
 	case seed%plannedEvery == 0:
 		p.Profile = Planned
 	case seed%backendsEvery == 1:
 		p.Profile = Backends
 	}
+	if seed%manyEvery == 2 {
+		p.Gateways = manyGateways
+	}
 	for i := range onlineOps {
 		p.Ops = append(p.Ops, g.online(i, p.Profile))
 	}
@@ -147,7 +155,7 @@
 
 // Print writes the plan, one line for each operation and fault.
 func (p Plan) Print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "seed %d profile %s\n", p.Seed, p.Profile)
+	_, _ = fmt.Fprintf(w, "seed %d profile %s, %d gateways\n", p.Seed, p.Profile, p.Gateways)
 	for _, op := range p.Ops {
 		_, _ = fmt.Fprintf(w, "  %+v\n", op)
 	}
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -88,7 +88,7 @@
 	for i := range servers {
 		r.servers = append(r.servers, newServer(fmt.Sprintf("i%d", i), zoneOf(i), r.store.Log))
 	}
-	for i := range gateways {
+	for i := range p.Gateways {
 		g, err := proctest.NewGateway(fmt.Sprintf("g%d", i), proctest.GatewayOptions{
 			Dir: dir, StoreAddress: r.store.Front(r.links.view(i)), Shards: keyedlogtest.Shards, Zone: zoneOf(i), RegionOf: regionOf,
 			MemoryMB: memoryMB, Grace: grace, DrainTime: drainTime, Stay: stay,
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -67,12 +67,12 @@
 	budget   *event.Budget
 	metrics  *metrics.Set
 
-	store     *platform.Store
-	gateway   *gateway.Gateway
-	backends  *discovery.Backends
-	pool      *upstream.Pool
-	jobs      *jobs.Service
-	peering   *peering.Peering
+	store    *platform.Store
+	gateway  *gateway.Gateway
+	backends *discovery.Backends
+	pool     *upstream.Pool
+	jobs     *jobs.Service
+	peering  *peering.Peering
 	// relay passes the registrations of backend servers on to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -78,9 +78,9 @@
 	Region string
 	// LinkMbps is what this gateway's link carries, 0 if that is not known.
 	LinkMbps float64
-	Table  *balance.Table
-	Logger *log.Logger
-	Conn   net.PacketConn
+	Table    *balance.Table
+	Logger   *log.Logger
+	Conn     net.PacketConn
 	// Client calls peers.
 	Client *http.Client
 	// Shards returns what this gateway reports on the shards that it owns.
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -17,6 +17,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -57,6 +58,8 @@
 	// pausedUntil is how long the service is read, in Unix nanoseconds.
 	pausedUntil atomic.Int64
 	direct      atomic.Bool
+	// last is the relay of the last answer, known to the follower alone.
+	last string
 }
 
 // NewSource returns a source of the partition that the relays of p pass on.
@@ -72,12 +75,13 @@
 	if relay := s.relay(); relay != "" {
 		h, err := s.peering.changes(ctx, relay, from, min(wait, relayWait))
 		if err == nil || errors.Is(err, keyedlog.ErrForgotten) {
-			s.direct.Store(false)
+			s.answered(relay, nil)
 			return h, err
 		}
 		s.pause()
+		s.answered("", err)
 	}
-	s.direct.Store(true)
+	s.answered("", nil)
 	return s.log.Read(ctx, part, from, wait)
 }
 
@@ -85,34 +89,34 @@
 // start at once, it waits for a relay rather than read everything from the service.
 func (s *Source) Newest(ctx context.Context, part keyedlog.Partition, after string) (keyedlog.Page, error) {
 	if after == "" && s.peering.inLargeRegion(ctx) {
-		if page, ok := s.newestOfRelay(ctx); ok {
-			s.direct.Store(false)
+		if page, relay := s.newestOfRelay(ctx); relay != "" {
+			s.answered(relay, nil)
 			return page, nil
 		}
 	}
-	s.direct.Store(true)
+	s.answered("", nil)
 	return s.log.Newest(ctx, part, after)
 }
 
-// newestOfRelay asks the relay until it answers. It returns false if this gateway
-// is a relay itself, or none answers in time.
-func (s *Source) newestOfRelay(ctx context.Context) (keyedlog.Page, bool) {
+// newestOfRelay asks the relay until it answers. It returns no relay if this gateway
+// is one itself, or none answers in time.
+func (s *Source) newestOfRelay(ctx context.Context) (page keyedlog.Page, relay string) {
 	ctx, cancel := context.WithTimeout(ctx, relayPatience)
 	defer cancel()
 	for {
 		near := len(s.peering.near())
 		relay := s.peering.relay()
 		if near >= fewGateways && relay == "" {
-			return keyedlog.Page{}, false
+			return keyedlog.Page{}, ""
 		}
 		if relay != "" {
 			if page, err := s.peering.newest(ctx, relay); err == nil {
-				return page, true
+				return page, relay
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return keyedlog.Page{}, false
+			return keyedlog.Page{}, ""
 		case <-time.After(relayRetry):
 		}
 	}
@@ -139,6 +143,16 @@
 	return n >= manyGateways
 }
 
+// answered notes where the next answer comes from; relay is empty for the service.
+func (s *Source) answered(relay string, cause error) {
+	s.direct.Store(relay == "")
+	if relay == s.last {
+		return
+	}
+	s.last = relay
+	event.Log(s.peering.opts.Logger, event.SourceChanged, "relay", relay, "cause", cause)
+}
+
 func (s *Source) pause() { s.pausedUntil.Store(time.Now().Add(relayPause).UnixNano()) }
 
 // relay returns the address of the relay to read from, or nothing.
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -52,16 +52,33 @@
 // reader is a gateway that follows the registrations.
 type reader struct {
 	*gateway
+	ln    net.Listener
 	words *words
 	stop  context.CancelFunc
 }
 
+// listenBoth listens for connections at a port that is free for datagrams too.
+func listenBoth(t *testing.T) net.Listener {
+	t.Helper()
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		conn, err := net.ListenPacket("udp", ln.Addr().String())
+		if err == nil {
+			assert.NilError(t, conn.Close())
+			return ln
+		}
+		assert.NilError(t, ln.Close())
+	}
+}
+
 // newReaders starts n gateways of one region that know each other.
 func newReaders(t *testing.T, n int) []*reader {
 	t.Helper()
 	var out []*reader
 	for i := range n {
-		out = append(out, &reader{gateway: start(t, fmt.Sprint("g", i), "127.0.0.1:0", "r"), words: &words{}})
+		ln := listenBoth(t)
+		out = append(out, &reader{gateway: start(t, fmt.Sprint("g", i), ln.Addr().String(), "r"), ln: ln, words: &words{}})
 	}
 	for _, a := range out {
 		for _, b := range out {
@@ -91,10 +108,8 @@
 func (r *reader) follow(t *testing.T, log *keyedlogtest.Log) {
 	t.Helper()
 	relay := keyedlog.NewRelay(r.words, bytes.Equal)
-	ln, err := net.Listen("tcp", r.address)
-	assert.NilError(t, err)
 	server := &http.Server{Handler: peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, relay)}
-	go func() { _ = server.Serve(ln) }() // ends with Close
+	go func() { _ = server.Serve(r.ln) }() // ends with Close
 	f := keyedlog.NewRelayedFollower(r.NewSource(log), registrations, relay,
 		keyedlog.Pace{Wait: 300 * time.Millisecond, Gap: time.Millisecond, Retry: 10 * time.Millisecond}, nil)
 	ctx, cancel := context.WithCancel(t.Context())
