--- a/Makefile
+++ b/Makefile
@@ -5,14 +5,15 @@
 # make bench   the policies against their baselines, in virtual time
 # make capacity              the slopes that docs/CAPACITY.md quotes
 # make chaos SEED=1 ROUNDS=5 failure rounds on real processes
-# ARGS adds flags to bench, capacity and chaos.
+# make soak SEED=1 ROUNDS=5  the same on gateways of the users' platform
+# ARGS adds flags to bench, capacity, chaos and soak.
 GO ?= go
 SEED ?= 1
 ROUNDS ?= 5
 BIN := $(CURDIR)/.bin
 export PATH := $(BIN):$(PATH)
 
-.PHONY: build demo test check tools fmt-check lint vet generate generate-check model bench capacity chaos
+.PHONY: build demo test check tools fmt-check lint vet generate generate-check model bench capacity chaos soak
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -59,4 +60,7 @@
 chaos:
 	$(GO) run ./cmd/chaos --seed $(SEED) --rounds $(ROUNDS) $(ARGS)
 
+soak:
+	$(GO) run ./cmd/chaos --gateways --seed $(SEED) --rounds $(ROUNDS) $(ARGS)
+
 check: fmt-check vet lint generate-check test model
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/internal/chaos"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
-	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
-	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
@@ -23,54 +19,6 @@
 	afterEffect = 2 * time.Second
 )
 
-// storeFaults are the faults in force at the store; several may overlap.
-type storeFaults struct {
-	log *keyedlogtest.Log
-
-	mu     sync.Mutex
-	active []storeFault
-}
-
-type storeFault struct {
-	fault keyedlogtest.Fault
-	share int
-}
-
-func (s *storeFaults) begin(f storeFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.active = append(s.active, f)
-	s.apply()
-}
-
-func (s *storeFaults) end(f storeFault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range s.active {
-		if s.active[i] == f {
-			s.active = append(s.active[:i], s.active[i+1:]...)
-			break
-		}
-	}
-	s.apply()
-}
-
-// apply puts the faults in force; the caller holds mu. What the platform itself
-// writes is only ever refused.
-func (s *storeFaults) apply() {
-	active := append([]storeFault(nil), s.active...)
-	s.log.SetFault(func(call string, p keyedlog.Partition) keyedlogtest.Fault {
-		ofPlatform := call == "append" && (p.Topic == platform.BackendTopic || p.Topic == platform.ConfigTopic)
-		for _, f := range active {
-			if ofPlatform && f.fault != keyedlogtest.Refuse || rand.IntN(100) >= f.share {
-				continue
-			}
-			return f.fault
-		}
-		return keyedlogtest.None
-	})
-}
-
 // inject carries out one fault and ends it.
 func (r *Round) inject(ctx context.Context, f Fault) {
 	r.history.add(func(h *History) { h.Struck[string(f.Kind)]++ })
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
@@ -35,6 +36,36 @@
 	m.set.GetOrCreateHistogram(`catkinrudder_gateway_first_byte_seconds{route_kind="` + kind + `"}`).Update(seconds)
 }
 
+// requestEnd is how a request ended for its caller.
+type requestEnd string
+
+// The ends of requests.
+const (
+	endAnswered requestEnd = "answered"
+	// endNotRun: refused, with the word that nothing ran; endFailed: an error
+	// without that word.
+	endNotRun requestEnd = "not_run"
+	endFailed requestEnd = "failed"
+	// endAborted: the answer broke off after a part of it was sent.
+	endAborted requestEnd = "aborted"
+)
+
+func endOf(err error) requestEnd {
+	switch {
+	case err == nil:
+		return endAnswered
+	case errors.Is(err, ErrAborted):
+		return endAborted
+	case errkind.From(err).Answer().Outcome == errkind.NotRun:
+		return endNotRun
+	}
+	return endFailed
+}
+
+func (m *Metrics) ended(routeKind string, err error) {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_requests_total{route_kind="` + routeKind + `",outcome="` + string(endOf(err)) + `"}`).Inc()
+}
+
 func (m *Metrics) failed(kind errkind.Kind) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_failures_total{kind="` + string(kind) + `"}`).Inc()
 }
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -7,7 +7,9 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -29,3 +31,20 @@
 	m.AttemptEnded("i-1", upstream.NotRun)
 	assert.DeepEqual(t, set.ListMetricNames(), []string{`catkinrudder_gateway_backend_attempts_total{backend="i-1",outcome="not_run"}`})
 }
+
+func TestRequestsAreCountedByTheirEnd(t *testing.T) {
+	b := platformtest.NewBackend(t, "a")
+	f := newFixture(t, b)
+	set := metrics.NewSet()
+	f.Metrics = gateway.NewMetrics(set)
+	_, err := f.serve(request("one", "/call/x"), route(catalog.Call, nil))
+	assert.NilError(t, err)
+	b.Close()
+	f.Pool.Forget(b.Address)
+	_, err = f.serve(request("two", "/call/x"), route(catalog.Call, nil))
+	assert.Assert(t, err != nil)
+	for outcome, want := range map[string]uint64{"answered": 1, "not_run": 1, "failed": 0, "aborted": 0} {
+		name := `catkinrudder_gateway_requests_total{route_kind="call",outcome="` + outcome + `"}`
+		assert.Equal(t, set.GetOrCreateCounter(name).Get(), want, outcome)
+	}
+}
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -77,6 +77,7 @@
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	err := o.run(ctx)
+	g.Metrics.ended(route.Kind.String(), err)
 	if err != nil {
 		o.logFailure(err)
 	}
