--- a/balance/evidence.go
+++ b/balance/evidence.go
@@ -17,9 +17,6 @@
 	// calmTime is how long after a suspicion one more failure is enough, and makes
 	// the next one longer.
 	calmTime = 8 * time.Second
-	// probationTime is how long after a suspicion a backend server gets one
-	// request at a time: idle as it is, it would draw those of all entries.
-	probationTime = 2 * time.Second
 )
 
 // failureCount counts an entry's own failures at a backend server. Each entry
@@ -162,15 +159,6 @@
 	return 0
 }
 
-// onProbation reports whether a backend server was suspect until a moment ago.
-func (t *Table) onProbation(id string, now time.Time) bool {
-	if len(t.evidence) == 0 {
-		return false
-	}
-	e := t.evidence[Key(id)]
-	return e != nil && now.Sub(e.until) < probationTime
-}
-
 // forgetEvidence drops what is old; the caller holds mu.
 func (t *Table) forgetEvidence(now time.Time) {
 	for key, e := range t.evidence {
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -73,7 +73,7 @@
 		if !ok {
 			continue
 		}
-		suspect := heed && (t.suspect(b.ID, now) || load.total() > 0 && t.onProbation(b.ID, now))
+		suspect := heed && t.suspect(b.ID, now)
 		if suspect && need.Class == Batch {
 			continue
 		}
