--- a/balance/table.go
+++ b/balance/table.go
@@ -210,6 +210,13 @@
 	return sum
 }
 
+// Full reports whether attempts at b are known to fill its slots.
+func (t *Table) Full(b catalog.Backend, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.load(b.ID, now).total()+t.hidden(b.ID, now) >= b.Slots
+}
+
 // Excess returns how many of its own batch attempts at b this entry has to stop
 // so that the online attempts there find slots. Entries that hold batch attempts
 // there share what is too much in the order of their counts, so that each
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -229,11 +229,17 @@
 
 // watchSilence cancels an attempt that may be repeated once the backend server
 // has been silent for too long. Others wait, as silence is no proof that the
-// request did not run; it counts against the backend server.
+// request did not run; it counts against the backend server, unless that is known to
+// be full and the request waits for a slot.
 func (o *online) watchSilence(b catalog.Backend, cancel context.CancelFunc) *silence {
 	limit := max(silencePart*o.route.Objective, minSilence)
 	if !o.route.Idempotent || o.attempts+1 >= o.route.MaxAttempts {
-		return &silence{timer: time.AfterFunc(limit, func() { o.avoid(b, false) }), limit: limit}
+		note := func() {
+			if !o.g.Table.Full(b, time.Now()) {
+				o.avoid(b, false)
+			}
+		}
+		return &silence{timer: time.AfterFunc(limit, note), limit: limit}
 	}
 	return &silence{timer: time.AfterFunc(limit, cancel), limit: limit}
 }
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -317,3 +317,26 @@
 	}
 	assert.Equal(t, silent.Runs("later"), 0)
 }
+
+// TestSilenceOfAFullBackendServerIsNoFailure keeps every slot taken: what waits there
+// waits for a slot.
+func TestSilenceOfAFullBackendServerIsNoFailure(t *testing.T) {
+	full := platformtest.NewBackend(t, "full")
+	full.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Silent })
+	f := newFixture(t, full)
+	busy := map[uint32]balance.Counts{balance.Key("full"): {Online: 2}}
+	rt := route(catalog.Call, func(r *catalog.Route) { r.Timeout = 1200 * time.Millisecond })
+	for _, id := range []string{"first", "second"} {
+		ctx, stop := context.WithCancel(t.Context())
+		go func() {
+			for ctx.Err() == nil {
+				f.Table.SetPeer("peer", balance.PeerReport{Counts: busy}, time.Now())
+				time.Sleep(50 * time.Millisecond)
+			}
+		}()
+		_, err := f.serve(request(id, "/call/x"), rt)
+		stop()
+		assert.Equal(t, errkind.From(err).Kind, errkind.Timeout)
+	}
+	assert.Equal(t, len(f.Table.Failures(time.Now())), 0)
+}
