--- a/peering/relay.go
+++ b/peering/relay.go
@@ -27,11 +27,12 @@
 	leastRelays     = 2
 	readersPerRelay = 40
 	// relayWait is how long a relay may hold an answer back, and relayTimeout when a
-	// relay that does not answer is given up; relayPause is how long the service is
-	// read instead.
+	// relay that does not answer is given up. Instead the service is read, for
+	// relayPause, or for refusedPause if the relay answers that it is none now.
 	relayWait    = 500 * time.Millisecond
 	relayTimeout = 900 * time.Millisecond
 	relayPause   = 3 * time.Second
+	refusedPause = 300 * time.Millisecond
 
 	// manyGateways is the size of a region from which on a starting gateway waits
 	// for a relay: relayPatience at most, with relayRetry between two questions, and
@@ -76,7 +77,7 @@
 			s.answered(relay, nil)
 			return h, err
 		}
-		s.pause()
+		s.pause(err)
 		s.answered("", err)
 	}
 	s.answered("", nil)
@@ -151,7 +152,13 @@
 	event.Log(s.peering.opts.Logger, event.SourceChanged, "relay", relay, "cause", cause)
 }
 
-func (s *Source) pause() { s.pausedUntil.Store(time.Now().Add(relayPause).UnixNano()) }
+func (s *Source) pause(cause error) {
+	d := relayPause
+	if errors.Is(cause, errNotRelay) {
+		d = refusedPause
+	}
+	s.pausedUntil.Store(time.Now().Add(d).UnixNano())
+}
 
 // relay returns the address of the relay to read from, or nothing.
 func (s *Source) relay() string {
@@ -197,6 +204,9 @@
 	return relays[int(rankOf(p.opts.Name)>>16)%len(relays)].address
 }
 
+// IsRelay reports whether this gateway reads the service for others.
+func (p *Peering) IsRelay() bool { return len(p.near()) >= fewGateways && p.relay() == "" }
+
 // near returns the gateways of the own region that were heard of late, this one
 // included.
 func (p *Peering) near() []candidate {
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -52,9 +52,11 @@
 // reader is a gateway that follows the registrations.
 type reader struct {
 	*gateway
-	ln    net.Listener
-	words *words
-	stop  context.CancelFunc
+	ln     net.Listener
+	words  *words
+	source *peering.Source
+	relay  *keyedlog.Relay
+	stop   context.CancelFunc
 }
 
 // listenBoth listens for connections at a port that is free for datagrams too.
@@ -98,30 +100,45 @@
 	return out
 }
 
+// follow lets readers answer others and follow the registrations.
 func follow(t *testing.T, log *keyedlogtest.Log, readers []*reader) {
 	t.Helper()
 	for _, r := range readers {
-		r.follow(t, log)
+		r.serve(t)
+	}
+	for _, r := range readers {
+		r.run(t, log)
 	}
 }
 
-func (r *reader) follow(t *testing.T, log *keyedlogtest.Log) {
+// serve lets others ask r.
+func (r *reader) serve(t *testing.T) {
 	t.Helper()
-	relay := keyedlog.NewRelay(r.words, bytes.Equal)
-	server := &http.Server{Handler: peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, relay)}
+	r.relay = keyedlog.NewRelay(r.words, bytes.Equal)
+	server := &http.Server{Handler: peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, r.relay)}
 	go func() { _ = server.Serve(r.ln) }() // ends with Close
-	f := keyedlog.NewRelayedFollower(r.NewSource(log), registrations, relay,
+	r.stop = func() {
+		_ = server.Close()
+		r.gateway.stop()
+	}
+	t.Cleanup(func() { r.stop() })
+}
+
+// run follows the registrations until stop.
+func (r *reader) run(t *testing.T, log *keyedlogtest.Log) {
+	t.Helper()
+	r.source = r.NewSource(log)
+	f := keyedlog.NewRelayedFollower(r.source, registrations, r.relay,
 		keyedlog.Pace{Wait: 300 * time.Millisecond, Gap: time.Millisecond, Retry: 10 * time.Millisecond}, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() { f.Run(ctx); close(done) }()
+	stopServing := r.stop
 	r.stop = func() {
 		cancel()
 		<-done
-		_ = server.Close()
-		r.gateway.stop()
+		stopServing()
 	}
-	t.Cleanup(r.stop)
 }
 
 func put(t *testing.T, log *keyedlogtest.Log, key, value string) {
@@ -143,6 +160,54 @@
 	}, poll.WithDelay(5*time.Millisecond))
 }
 
+// onlyRelaysRead waits until all but the relays read from a relay. One that asked
+// before its relay had read anything reads the service for a moment.
+func onlyRelaysRead(t *testing.T, readers []*reader) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		direct := 0
+		for _, r := range readers {
+			if r.source.Direct() {
+				direct++
+			}
+		}
+		if direct > 2 {
+			return poll.Continue("%d read the service", direct)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// TestRelayThatHasNotReadYetIsAskedAgainSoon starts the relays last: the others are
+// refused first, and have to come back from the service.
+func TestRelayThatHasNotReadYetIsAskedAgainSoon(t *testing.T) {
+	log := keyedlogtest.New()
+	put(t, log, "a", "one")
+	readers := newReaders(t, 12)
+	var relays, others []*reader
+	for _, r := range readers {
+		if r.IsRelay() {
+			relays = append(relays, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	for _, r := range readers {
+		r.serve(t)
+	}
+	for _, r := range others {
+		r.run(t, log)
+	}
+	allSee(t, others, "a", "one")
+	time.Sleep(100 * time.Millisecond) // each has been refused once
+	for _, r := range relays {
+		r.run(t, log)
+	}
+	started := time.Now()
+	onlyRelaysRead(t, readers)
+	assert.Assert(t, time.Since(started) < 2*time.Second)
+}
+
 // TestFewReadTheServiceForMany renews registrations without a change: only the
 // relays read them.
 func TestFewReadTheServiceForMany(t *testing.T) {
@@ -154,6 +219,7 @@
 	allSee(t, readers, "a", "one")
 	put(t, log, "a", "two")
 	allSee(t, readers, "a", "two")
+	onlyRelaysRead(t, readers)
 	before := log.Calls("read")
 	for range renewals {
 		put(t, log, "a", "two")
