--- a/cmd/chaos/main.go
+++ b/cmd/chaos/main.go
@@ -70,7 +70,7 @@
 		}
 		return nil
 	}
-	s := &session{newPlan: newPlan, total: chaos.NewVerdict(), keep: c.String("keep")}
+	s := &session{newPlan: newPlan, total: chaos.NewVerdict(nil), keep: c.String("keep")}
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(c.Int("parallel"))
 	for seed := first; seed < first+rounds; seed++ {
--- a/internal/chaos/check.go
+++ b/internal/chaos/check.go
@@ -34,7 +34,7 @@
 // check judges a whole history.
 func check(p Plan, h *History, o Observed) *Verdict {
 	c := &checker{
-		plan: p, history: h, seen: o, verdict: NewVerdict(),
+		plan: p, history: h, seen: o, verdict: NewVerdict(judged),
 		bySend: make(map[string][]standin.Execution), byID: make(map[string][]standin.Execution),
 		generations: make(map[string][]standin.Generation),
 	}
--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -35,9 +35,15 @@
 	verdict *chaos.Verdict
 }
 
+// judged are the breaches that a round on gateways looks for.
+var judged = []chaos.Breach{
+	chaos.Duplicate, chaos.Lost, chaos.FalseNotRun, chaos.WrongAnswer, chaos.CutOff, chaos.RanAfterCancel,
+	chaos.WorkWhileLeaving, chaos.Reverted, chaos.Hung, chaos.Budget, chaos.WorkForNobody, chaos.NotRecovered, chaos.Crashed,
+}
+
 // check judges a whole history.
 func check(p Plan, h *History, lives []*boot) *chaos.Verdict {
-	c := &checker{plan: p, history: h, runs: make(map[string][]run), verdict: chaos.NewVerdict()}
+	c := &checker{plan: p, history: h, runs: make(map[string][]run), verdict: chaos.NewVerdict(judged)}
 	for _, b := range lives {
 		for _, a := range b.backend.Arrivals() {
 			c.runs[a.ID] = append(c.runs[a.ID], run{a, b.backend.ID})
@@ -165,9 +171,6 @@
 // checkLeft judges whether work ended when its caller left, where nothing kept
 // the gateway from telling the backend server. A quarter may go on.
 func (c *checker) checkLeft() {
-	if c.plan.Profile != Backends && c.plan.Profile != Mixed {
-		return
-	}
 	left, worked := 0, 0
 	for _, r := range c.history.Records {
 		if !r.Left || r.Op.Kind == SafeCall || r.Op.Kind == UnsafeCall || !inTouch(c.history.Disturbed, r.Gateway, r.Start, r.End.Add(leftSlack)) {
@@ -175,7 +178,7 @@
 		}
 		for _, a := range c.ran(r.Op.ID) {
 			left++
-			if a.End.After(r.End.Add(leftSlack)) {
+			if a.End.After(r.End.Add(leftSlack)) || a.endless() {
 				worked++
 			}
 		}
@@ -185,6 +188,12 @@
 	}
 }
 
+// endless reports whether a backend server still works on a run after the round. One
+// that broke off by itself has no end either.
+func (r run) endless() bool {
+	return r.End.IsZero() && (r.Fault == platformtest.None || r.Fault == platformtest.Silent)
+}
+
 // checkDrains judges what leaving backend servers got, in rounds in which every
 // gateway reached the store.
 func (c *checker) checkDrains() {
@@ -202,15 +211,17 @@
 	}
 }
 
+// life is one life of a gateway's process.
+type life struct {
+	gateway string
+	boot    int
+}
+
 // checkVersions judges that no process went back to an older configuration, and
-// that the last one is in force in the end.
+// that the last one is in force in the end at the last life of each.
 func (c *checker) checkVersions() {
-	type life struct {
-		gateway string
-		boot    int
-	}
 	newest := make(map[life]int)
-	last := make(map[string]int)
+	boots := make(map[string]int)
 	for _, p := range c.history.Probes {
 		l := life{p.Gateway, p.Boot}
 		if !p.Known && newest[l] >= p.Least {
@@ -218,11 +229,11 @@
 		}
 		if p.Known {
 			newest[l] = max(newest[l], p.Least)
-			last[p.Gateway] = newest[l]
 		}
+		boots[p.Gateway] = max(boots[p.Gateway], p.Boot)
 	}
-	for gateway, version := range last {
-		if version < c.history.Published {
+	for gateway, boot := range boots {
+		if version := newest[life{gateway, boot}]; version < c.history.Published {
 			c.verdict.Found(chaos.Reverted, "%s is at version %d of %d after the faults", gateway, version, c.history.Published)
 		}
 	}
--- a/internal/chaos/soak/check_test.go
+++ b/internal/chaos/soak/check_test.go
@@ -44,7 +44,7 @@
 
 // judge judges an invented history.
 func (i invented) judge() *chaos.Verdict {
-	c := &checker{plan: Plan{Profile: i.profile}, history: i.history, runs: make(map[string][]run), verdict: chaos.NewVerdict()}
+	c := &checker{plan: Plan{Profile: i.profile}, history: i.history, runs: make(map[string][]run), verdict: chaos.NewVerdict(judged)}
 	for _, r := range i.runs {
 		c.runs[r.ID] = append(c.runs[r.ID], r)
 	}
@@ -82,7 +82,7 @@
 // TestCheckerFinds gives the checker histories that each break one promise.
 func TestCheckerFinds(t *testing.T) {
 	ran := []run{arrival("s", 0, platformtest.None), arrival("f", 0, platformtest.None), arrival("u", 0, platformtest.None)}
-	for name, c := range map[string]struct {
+	cases := map[string]struct {
 		want chaos.Breach
 		invented
 	}{
@@ -118,9 +118,16 @@
 			{Gateway: "g0", Least: 2, Known: true}, {Gateway: "g0", Least: 2},
 		}}}},
 		"a version that never comes": {chaos.Reverted, invented{history: &History{Published: 3, Probes: []Probe{{Gateway: "g0", Least: 2, Known: true}}}}},
-		"a process that ended":       {chaos.Crashed, invented{history: &History{Crashes: []string{"g0"}}}},
-		"a stop that hung":           {chaos.CutOff, invented{history: &History{BadStops: []string{"g0"}}}},
-		"no recovery":                {chaos.NotRecovered, invented{history: &History{Recovered: -1}}},
+		"a process that forgot all versions in its last life": {chaos.Reverted, invented{history: &History{Published: 2, Probes: []Probe{
+			{Gateway: "g0", Boot: 1, Least: 2, Known: true}, {Gateway: "g0", Boot: 2, Least: 2},
+		}}}},
+		"work for callers that have left, without an end": {chaos.WorkForNobody, invented{
+			profile: Mixed, history: records(left("a"), left("b"), left("c")),
+			runs: []run{arrival("a", 0, platformtest.None), arrival("b", 0, platformtest.None), arrival("c", 0, platformtest.Silent)},
+		}},
+		"a process that ended": {chaos.Crashed, invented{history: &History{Crashes: []string{"g0"}}}},
+		"a stop that hung":     {chaos.CutOff, invented{history: &History{BadStops: []string{"g0"}}}},
+		"no recovery":          {chaos.NotRecovered, invented{history: &History{Recovered: -1}}},
 		"a refused job that ran": {chaos.FalseNotRun, invented{runs: []run{arrival("j-item1", 0, platformtest.None)}, history: jobs(func(j *JobRecord) {
 			j.Accepted, j.Refused = time.Time{}, true
 		})}},
@@ -147,12 +154,18 @@
 			},
 			history: jobs(func(*JobRecord) {}),
 		}},
-	} {
+	}
+	found := make(map[chaos.Breach]bool)
+	for name, c := range cases {
+		found[c.want] = true
 		t.Run(name, func(t *testing.T) {
 			v := c.judge()
 			assert.Assert(t, v.Count(c.want) > 0, "%v", v.Findings)
 		})
 	}
+	for _, b := range judged {
+		assert.Assert(t, found[b], "no history breaks %s", b)
+	}
 }
 
 func tooOften(ids ...string) []run {
--- a/internal/chaos/soak/publish.go
+++ b/internal/chaos/soak/publish.go
@@ -113,15 +113,16 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	known = resp.StatusCode != http.StatusNotFound
-	if boot == g.Boot() && !r.startingUp(resp) {
-		r.history.add(func(h *History) {
-			h.Probes = append(h.Probes, Probe{Gateway: g.Name, Boot: boot, At: sent, Least: version, Known: known})
-		})
+	if boot != g.Boot() || startingUp(resp) {
+		return false // the answer belongs to no life of the process, or shows nothing
 	}
+	known = resp.StatusCode != http.StatusNotFound
+	r.history.add(func(h *History) {
+		h.Probes = append(h.Probes, Probe{Gateway: g.Name, Boot: boot, At: sent, Least: version, Known: known})
+	})
 	return known
 }
 
 // startingUp reports whether an answer says that no configuration is known yet.
 // It is the only refusal with a time of one second.
-func (*Round) startingUp(resp *http.Response) bool { return resp.Header.Get("Retry-After") == "1.000" }
+func startingUp(resp *http.Response) bool { return resp.Header.Get("Retry-After") == "1.000" }
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -50,13 +50,9 @@
 	Crashed Breach = "crashed"
 )
 
-// Breaches lists every breach.
-func Breaches() []Breach {
-	return []Breach{
-		Duplicate, Lost, FalseNotRun, CrossRead, WrongAnswer,
-		CutOff, RanAfterCancel, WorkWhileLeaving, Reverted, Hung,
-		Budget, WorkForNobody, NotRecovered, Crashed,
-	}
+// judged are the breaches that a round on entries and sidecars looks for.
+var judged = []Breach{
+	Duplicate, Lost, FalseNotRun, CrossRead, WrongAnswer, CutOff, RanAfterCancel, WorkWhileLeaving, Reverted, Hung,
 }
 
 // Finding is one breach with what was seen.
@@ -71,14 +67,19 @@
 	// NotRounds counts the rounds that could not be run to their end.
 	NotRounds int
 	Faults    map[string]int
-	Findings  []Finding
+	// Judged are the breaches that were looked for.
+	Judged   []Breach
+	Findings []Finding
 }
 
-// NewVerdict returns a verdict over no rounds.
-func NewVerdict() *Verdict { return &Verdict{Faults: make(map[string]int)} }
+// NewVerdict returns a verdict over no rounds, which look for some breaches.
+func NewVerdict(judged []Breach) *Verdict {
+	return &Verdict{Faults: make(map[string]int), Judged: judged}
+}
 
 // Add takes another verdict in.
 func (v *Verdict) Add(o *Verdict) {
+	v.Judged = o.Judged
 	v.Rounds += o.Rounds
 	v.NotRounds += o.NotRounds
 	v.Requests += o.Requests
@@ -127,7 +128,7 @@
 		_, _ = fmt.Fprintf(w, "  %-26s %d\n", k, v.Faults[k])
 	}
 	_, _ = fmt.Fprintln(w, "broken promises")
-	for _, b := range Breaches() {
+	for _, b := range v.Judged {
 		_, _ = fmt.Fprintf(w, "  %-26s %d\n", b, v.Count(b))
 	}
 	if v.OK() {
