--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -115,7 +115,7 @@
 		Shards: func() []jobs.Report { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
-	d.relay = keyedlog.NewRelay(d.backends, platform.SameBackend)
+	d.relay = keyedlog.NewRelay(d.backends, platform.BackendMeaning)
 	d.jobs = jobs.New(d.jobOptions(configs, table))
 	d.followers = []*keyedlog.Follower{
 		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
--- a/keyedlog/relay.go
+++ b/keyedlog/relay.go
@@ -11,16 +11,16 @@
 
 // Relay stands between a follower and its view, and serves what passes to other
 // readers of the same partition, so that not each of them has to read the service.
-// It passes on only records that say something new: a registration that is renewed
-// unchanged costs its readers nothing. It is safe for concurrent use; the View's
+// Its view and its readers get only records that say something new: a registration
+// that is renewed unchanged costs them nothing. It is safe for concurrent use; the View's
 // methods are called by the follower alone.
 type Relay struct {
 	view View
-	// same reports whether two values of a key say the same.
-	same func(a, b []byte) bool
+	// meaning returns what a value says, in a comparable form.
+	meaning func(value []byte) any
 
 	mu     sync.Mutex
-	newest map[string]Record
+	newest map[string]meant
 	// changes are the records from offset first on that said something new.
 	changes     []Record
 	first, next int64
@@ -31,9 +31,15 @@
 	changed chan struct{}
 }
 
-// NewRelay returns a relay in front of view.
-func NewRelay(view View, same func(a, b []byte) bool) *Relay {
-	return &Relay{view: view, same: same, newest: make(map[string]Record), changed: make(chan struct{})}
+// meant is a record with what its value says.
+type meant struct {
+	record  Record
+	meaning any
+}
+
+// NewRelay returns a relay in front of view. Values with equal meanings say the same.
+func NewRelay(view View, meaning func(value []byte) any) *Relay {
+	return &Relay{view: view, meaning: meaning, newest: make(map[string]meant), changed: make(chan struct{})}
 }
 
 // Rebuild implements View.
@@ -41,9 +47,9 @@
 	r.view.Rebuild(records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.newest = make(map[string]Record, len(records))
+	r.newest = make(map[string]meant, len(records))
 	for _, record := range records {
-		r.newest[record.Key] = record
+		r.newest[record.Key] = meant{record, r.meaning(record.Value)}
 	}
 	// What was rebuilt is complete up to an offset that the follower tells next.
 	r.changes, r.first, r.next = nil, -1, -1
@@ -53,29 +59,44 @@
 
 // Apply implements View.
 func (r *Relay) Apply(records []Record) {
-	r.view.Apply(records)
+	if news := r.take(records); len(news) > 0 {
+		r.view.Apply(news)
+	}
+}
+
+// take keeps the records that say something new and returns them.
+func (r *Relay) take(records []Record) []Record {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var news []Record
 	for _, record := range records {
-		old, known := r.newest[record.Key]
-		if known && record.Value != nil && r.same(old.Value, record.Value) {
-			continue
-		}
-		if !known && record.Value == nil {
-			continue
+		if r.isNew(record) {
+			news = append(news, record)
 		}
-		if record.Value == nil {
-			delete(r.newest, record.Key)
-		} else {
-			r.newest[record.Key] = record
-		}
-		r.changes = append(r.changes, record)
-		r.version++
 	}
+	r.changes = append(r.changes, news...)
+	r.version += int64(len(news))
 	if drop := len(r.changes) - relayHistory; drop > 0 {
 		r.first = r.changes[drop-1].Offset + 1
 		r.changes = append([]Record(nil), r.changes[drop:]...)
 	}
+	return news
+}
+
+// isNew enters a record and reports whether it says something new; the caller holds
+// mu.
+func (r *Relay) isNew(record Record) bool {
+	old, known := r.newest[record.Key]
+	if record.Value == nil {
+		delete(r.newest, record.Key)
+		return known
+	}
+	meaning := r.meaning(record.Value)
+	if known && old.meaning == meaning {
+		return false
+	}
+	r.newest[record.Key] = meant{record, meaning}
+	return true
 }
 
 // Followed tells up to which offset the view is complete, and whether that was
@@ -109,8 +130,8 @@
 		return Page{}, 0, ErrRefused
 	}
 	page = Page{End: r.next}
-	for _, record := range r.newest {
-		page.Records = append(page.Records, record)
+	for _, m := range r.newest {
+		page.Records = append(page.Records, m.record)
 	}
 	return page, r.version, nil
 }
@@ -149,7 +170,8 @@
 	}
 	h := History{Next: r.next, End: r.next}
 	for _, record := range r.changes {
-		if record.Offset >= from {
+		// What the follower has not finished with comes with the next answer.
+		if record.Offset >= from && record.Offset < r.next {
 			h.Records = append(h.Records, record)
 		}
 	}
--- a/keyedlog/relay_test.go
+++ b/keyedlog/relay_test.go
@@ -10,8 +10,8 @@
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
-// sameWord takes values of the same first letter for the same.
-func sameWord(a, b []byte) bool { return a[0] == b[0] }
+// firstLetter is the meaning of a value.
+func firstLetter(value []byte) any { return value[0] }
 
 type nothing struct{}
 
@@ -28,7 +28,7 @@
 
 // newRelay returns a relay that has read key a up to offset 10 by itself.
 func newRelay() *keyedlog.Relay {
-	r := keyedlog.NewRelay(nothing{}, sameWord)
+	r := keyedlog.NewRelay(nothing{}, firstLetter)
 	r.Rebuild([]keyedlog.Record{record("a", "x1", 9)})
 	r.Followed(10, true)
 	return r
@@ -55,6 +55,34 @@
 	assert.Equal(t, page.End, int64(15))
 }
 
+// recorder is a view that keeps what it is given.
+type recorder struct{ applied []keyedlog.Record }
+
+func (*recorder) Rebuild([]keyedlog.Record)         {}
+func (r *recorder) Apply(records []keyedlog.Record) { r.applied = append(r.applied, records...) }
+
+func TestRelayGivesItsViewWhatIsNewOnly(t *testing.T) {
+	view := &recorder{}
+	r := keyedlog.NewRelay(view, firstLetter)
+	r.Rebuild([]keyedlog.Record{record("a", "x1", 9)})
+	r.Followed(10, true)
+	r.Apply([]keyedlog.Record{record("a", "x2", 10), record("a", "y1", 11), record("a", "", 12), record("a", "", 13), record("a", "y1", 14)})
+	assert.DeepEqual(t, view.applied, []keyedlog.Record{record("a", "y1", 11), record("a", "", 12), record("a", "y1", 14)})
+}
+
+// TestRelayAnswersUpToWhereItHasFollowed reads while the follower is between taking
+// records in and telling how far it is: nothing may come twice.
+func TestRelayAnswersUpToWhereItHasFollowed(t *testing.T) {
+	r := newRelay()
+	r.Apply([]keyedlog.Record{record("b", "y1", 10)})
+	h := readNow(t, r, 10)
+	assert.Equal(t, len(h.Records), 0)
+	r.Followed(11, true)
+	h = readNow(t, r, h.Next)
+	assert.Equal(t, len(h.Records), 1)
+	assert.Equal(t, h.Next, int64(11))
+}
+
 func TestRelayWakesItsReaders(t *testing.T) {
 	r := newRelay()
 	got := make(chan keyedlog.History, 1)
@@ -76,7 +104,7 @@
 	assert.ErrorIs(t, err, keyedlog.ErrRefused)
 	_, _, err = r.Newest()
 	assert.ErrorIs(t, err, keyedlog.ErrRefused)
-	_, err = keyedlog.NewRelay(nothing{}, sameWord).Read(t.Context(), 0, time.Minute)
+	_, err = keyedlog.NewRelay(nothing{}, firstLetter).Read(t.Context(), 0, time.Minute)
 	assert.ErrorIs(t, err, keyedlog.ErrRefused)
 }
 
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -1,7 +1,6 @@
 package peering_test
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -114,7 +113,7 @@
 // serve lets others ask r.
 func (r *reader) serve(t *testing.T) {
 	t.Helper()
-	r.relay = keyedlog.NewRelay(r.words, bytes.Equal)
+	r.relay = keyedlog.NewRelay(r.words, func(value []byte) any { return string(value) })
 	server := &http.Server{Handler: peering.Handler(host{}, func() peering.Snapshot { return peering.Snapshot{} }, r.relay)}
 	go func() { _ = server.Serve(r.ln) }() // ends with Close
 	r.stop = func() {
