--- a/batch/runner.go
+++ b/batch/runner.go
@@ -10,6 +10,7 @@
 	"github.com/catkinrudder/catkinrudder/blob"
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 // Times and limits of the runner.
@@ -301,7 +302,7 @@
 		err := work(ctx, js.shard, v, expired)
 		if err != nil {
 			event.Log(r.opts.Logger, event.JobStepFailed, "job", v.ID, "status", v.Status, "err", err)
-			sleep(ctx, jobRetry)
+			delay.Wait(ctx, jobRetry)
 		}
 		return func() {
 			js.busy = false
@@ -356,16 +357,6 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		sleep(ctx, commitRetry)
-	}
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+		delay.Wait(ctx, commitRetry)
 	}
 }
--- a/batch/runner_shard.go
+++ b/batch/runner_shard.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/catkinrudder/catkinrudder/blob"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 type shardState struct {
@@ -43,7 +44,7 @@
 			err = r.opts.Settle(ctx, s.ID)
 		}
 		if err != nil {
-			sleep(ctx, jobRetry)
+			delay.Wait(ctx, jobRetry)
 		}
 		return func() {
 			if s.term != term {
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -19,6 +19,7 @@
 	"github.com/catkinrudder/catkinrudder/commitlog"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 type testServices struct{}
@@ -53,7 +54,7 @@
 func (d *slowDispatcher) Dispatch(ctx context.Context, it Item) (Answer, error) {
 	d.run(1)
 	defer d.run(-1)
-	sleep(ctx, time.Second)
+	delay.Wait(ctx, time.Second)
 	if ctx.Err() != nil {
 		return Answer{}, ctx.Err()
 	}
@@ -109,7 +110,7 @@
 type slowLog struct{ *commitlogtest.MemLog }
 
 func (l slowLog) Read(ctx context.Context, stream string, from commitlog.Offset, _ int, wait time.Duration) (commitlog.Page, error) {
-	sleep(ctx, time.Second)
+	delay.Wait(ctx, time.Second)
 	return l.MemLog.Read(ctx, stream, from, 1, wait)
 }
 
--- a/commitlog/append.go
+++ b/commitlog/append.go
@@ -6,6 +6,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 const (
@@ -81,7 +83,7 @@
 			return
 		}
 		for s.hasPending() {
-			if !sleep(ctx, s.opts.Interval) || !s.spendBudget(ctx) {
+			if !delay.Wait(ctx, s.opts.Interval) || !s.spendBudget(ctx) {
 				return
 			}
 			g, payload := s.nextGroup()
@@ -181,7 +183,7 @@
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	go func() {
-		if g.sleep(ctx, appendTimeout) && g.folded() && sleep(ctx, foldedGrace) {
+		if g.sleep(ctx, appendTimeout) && g.folded() && delay.Wait(ctx, foldedGrace) {
 			cancel()
 		}
 	}()
@@ -219,15 +221,3 @@
 	b.MaxInterval = maxBackoff
 	return b
 }
-
-// sleep waits for d and reports whether ctx is still alive.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/commitlog/follow.go
+++ b/commitlog/follow.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 const (
@@ -43,14 +44,14 @@
 		}
 		s.setReadDown(err)
 		if err != nil {
-			sleep(ctx, wait.NextBackOff())
+			delay.Wait(ctx, wait.NextBackOff())
 			continue
 		}
 		wait.Reset()
 		limit = nextLimit(page, limit)
 		s.foldPage(page)
 		if len(page.Records) == 0 && page.Next <= s.Folded() {
-			sleep(ctx, minBackoff)
+			delay.Wait(ctx, minBackoff)
 		}
 	}
 }
--- a/commitlog/renew.go
+++ b/commitlog/renew.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 // RenewalSource says what must be appended again before the log drops it.
@@ -57,7 +59,7 @@
 		r.horizon.observe(time.Now(), r.stream.Folded())
 		_, _ = r.Pass(ctx)
 		step := r.retention / renewalSteps
-		if !sleep(ctx, step/2+rand.N(step)) {
+		if !delay.Wait(ctx, step/2+rand.N(step)) {
 			return
 		}
 	}
--- a/internal/chaos/balancer.go
+++ b/internal/chaos/balancer.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 )
 
@@ -46,7 +47,7 @@
 				b.mu.Lock()
 				b.ready[n] = ok
 				b.mu.Unlock()
-				Pause(ctx, probeInterval)
+				delay.Wait(ctx, probeInterval)
 			}
 		})
 	}
@@ -69,7 +70,7 @@
 // dial connects to the first entry that takes the connection.
 func (b *balancer) dial(ctx context.Context, salt int) (net.Conn, *proctest.Node, error) {
 	d := net.Dialer{Timeout: dialTimeout}
-	for end := time.Now().Add(pickTimeout); time.Now().Before(end) && ctx.Err() == nil; Pause(ctx, pickRetry) {
+	for end := time.Now().Add(pickTimeout); time.Now().Before(end) && ctx.Err() == nil; delay.Wait(ctx, pickRetry) {
 		for _, n := range b.order(salt) {
 			if conn, err := d.DialContext(ctx, "tcp", n.CallerAddr()); err == nil {
 				return conn, n, nil
--- a/internal/chaos/draw.go
+++ b/internal/chaos/draw.go
@@ -1,7 +1,6 @@
 package chaos
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -32,15 +31,3 @@
 
 // Percent is true in n of 100 cases.
 func (d Draw) Percent(n int) bool { return d.IntN(100) < n }
-
-// Pause sleeps for d or until ctx ends; it returns whether ctx goes on.
-func Pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/chaos/job.go
+++ b/internal/chaos/job.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 const (
@@ -85,7 +87,7 @@
 	r.trespass(ctx, op, file, id)
 	r.submit(ctx, op, file, &rec)
 	if op.CancelAfter > 0 {
-		Pause(ctx, op.CancelAfter)
+		delay.Wait(ctx, op.CancelAfter)
 		r.cancelJob(ctx, op, id, &rec)
 	}
 	r.awaitJob(ctx, op, id, &rec)
@@ -94,7 +96,7 @@
 // until repeats a request at one entry after the other until it is answered
 // with one of the statuses.
 func (r *Round) until(ctx context.Context, q request, statuses ...int) (answer, bool) {
-	for end := time.Now().Add(submitTimeout); time.Now().Before(end) && ctx.Err() == nil; Pause(ctx, submitRetry) {
+	for end := time.Now().Add(submitTimeout); time.Now().Before(end) && ctx.Err() == nil; delay.Wait(ctx, submitRetry) {
 		a := r.do(ctx, q)
 		for _, s := range statuses {
 			if a.status == s && a.err == nil {
@@ -180,7 +182,7 @@
 		return
 	}
 	q := request{method: http.MethodGet, path: "/v1/batches/" + id, workspace: op.Workspace}
-	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && ctx.Err() == nil; Pause(ctx, jobPoll) {
+	for end := time.Now().Add(jobTimeout); time.Now().Before(end) && ctx.Err() == nil; delay.Wait(ctx, jobPoll) {
 		a := r.do(ctx, q)
 		if a.status == http.StatusOK {
 			_ = json.Unmarshal([]byte(a.body), &rec.Final)
--- a/internal/chaos/job_test.go
+++ b/internal/chaos/job_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
@@ -130,12 +131,12 @@
 	for _, n := range r.cluster.Entries {
 		n.Kill()
 	}
-	Pause(t.Context(), 2*slow)
+	delay.Wait(t.Context(), 2*slow)
 	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{DownStream: desired.Stream} })
 	for _, n := range r.cluster.Entries {
 		assert.NilError(t, n.Start())
 	}
-	Pause(t.Context(), 2*slow) // time for an entry to judge the job too early
+	delay.Wait(t.Context(), 2*slow) // time for an entry to judge the job too early
 	r.log.change(func(l *standin.LogFaults) { *l = standin.LogFaults{} })
 	for _, n := range r.cluster.Entries {
 		assert.NilError(t, n.WaitReady())
--- a/internal/chaos/operations.go
+++ b/internal/chaos/operations.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 const (
@@ -95,7 +97,7 @@
 	var wg sync.WaitGroup
 	for i, s := range op.Sends {
 		wg.Go(func() {
-			Pause(ctx, s.After)
+			delay.Wait(ctx, s.After)
 			q := build(op, fmt.Sprintf("%s/%d", op.ID, i))
 			q.key, q.giveUp = op.ID, s.GiveUp
 			r.record(ctx, op, q)
--- a/internal/chaos/operator.go
+++ b/internal/chaos/operator.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 )
 
@@ -109,7 +110,7 @@
 				if ps, ok := status(ctx, n); ok {
 					r.noteVersions(highest, ownIncarnation(ps, name), ps)
 				}
-				Pause(ctx, statusInterval)
+				delay.Wait(ctx, statusInterval)
 			}
 		})
 	}
@@ -165,7 +166,7 @@
 		if r.allAt(ctx, snap.InForce.Number) {
 			return time.Since(started)
 		}
-		Pause(ctx, statusInterval)
+		delay.Wait(ctx, statusInterval)
 	}
 	return -1
 }
--- a/internal/chaos/round.go
+++ b/internal/chaos/round.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/desired"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
@@ -98,13 +99,13 @@
 	var ops, faults sync.WaitGroup
 	started := time.Now()
 	for _, op := range r.plan.Ops {
-		ops.Go(func() { Pause(ctx, op.At-time.Since(started)); r.run(ctx, op) })
+		ops.Go(func() { delay.Wait(ctx, op.At-time.Since(started)); r.run(ctx, op) })
 	}
 	for _, f := range r.plan.Faults {
-		faults.Go(func() { Pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
+		faults.Go(func() { delay.Wait(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
 	}
 	faults.Wait()
-	Pause(ctx, span-time.Since(started))
+	delay.Wait(ctx, span-time.Since(started))
 	if ctx.Err() != nil {
 		ops.Wait()
 		r.strikes.Wait()
@@ -122,7 +123,7 @@
 // awaitSettled waits until every entry knows every instance and the first
 // configuration is in force everywhere.
 func (r *Round) awaitSettled(ctx context.Context) error {
-	for end := time.Now().Add(settle); time.Now().Before(end); Pause(ctx, settlePoll) {
+	for end := time.Now().Add(settle); time.Now().Before(end); delay.Wait(ctx, settlePoll) {
 		if len(r.balancer.order(0)) == entries && r.allAt(ctx, 1) {
 			return nil
 		}
@@ -150,7 +151,7 @@
 // knows only what was renewed.
 func (r *Round) age(ctx context.Context) {
 	if r.plan.Profile == Expiring {
-		Pause(ctx, ageing)
+		delay.Wait(ctx, ageing)
 		r.replace(r.cluster.Entries[0])
 	}
 	close(r.aged)
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
@@ -48,7 +48,7 @@
 	default:
 		b := server.now()
 		b.disturb(backendFault[f.Kind], f.Share)
-		chaos.Pause(ctx, f.For)
+		delay.Wait(ctx, f.For)
 		b.disturb(platformtest.None, 0)
 	}
 }
@@ -79,7 +79,7 @@
 	case FreezeGateway:
 		r.disturbed(g.Name, func() {
 			g.Freeze()
-			chaos.Pause(ctx, f.For)
+			delay.Wait(ctx, f.For)
 			g.Wake()
 		})
 	case StopGateway:
@@ -93,7 +93,7 @@
 	for _, g := range gateways {
 		g.Kill()
 	}
-	chaos.Pause(ctx, d)
+	delay.Wait(ctx, d)
 	for _, g := range gateways {
 		r.fail(g.Start())
 	}
@@ -120,10 +120,10 @@
 
 func (r *Round) awaitReady(ctx context.Context, g *proctest.Gateway) {
 	for end := time.Now().Add(startTimeout); !g.Ready() && time.Now().Before(end); {
-		chaos.Pause(ctx, lookInterval)
+		delay.Wait(ctx, lookInterval)
 	}
 	// The platform's own look comes later.
-	chaos.Pause(ctx, 2*probeInterval)
+	delay.Wait(ctx, 2*probeInterval)
 }
 
 // undisturbed reports whether nothing but planned stops struck a gateway.
@@ -147,7 +147,7 @@
 	case NarrowCallers:
 		link.Narrow(narrowRate)
 	}
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	link.Restore()
 }
 
@@ -158,7 +158,7 @@
 			g.Store.Cut()
 		}
 	}
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	for _, g := range r.gateways {
 		g.Store.Restore()
 	}
@@ -171,7 +171,7 @@
 	} else {
 		r.links.silence(gateway)
 	}
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	r.links.restore()
 }
 
@@ -185,7 +185,7 @@
 		}
 	}
 	r.links.part(far)
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	r.links.restore()
 	for i, g := range r.gateways {
 		if far[i] {
@@ -202,7 +202,7 @@
 		return
 	case StoreSlow:
 		r.store.SetDelay(f.Delay)
-		chaos.Pause(ctx, f.For)
+		delay.Wait(ctx, f.For)
 		r.store.SetDelay(0)
 		return
 	case StoreDown, StoreDownAndEmptied:
@@ -215,11 +215,11 @@
 		fault.fault = keyedlogtest.Late
 	}
 	r.faults.begin(fault)
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	r.faults.end(fault)
 	switch f.Kind {
 	case StoreAppliesLate:
-		chaos.Pause(ctx, f.Delay)
+		delay.Wait(ctx, f.Delay)
 		r.store.Log.RunLate()
 	case StoreDownAndEmptied:
 		// The registrations have lapsed meanwhile; the next beats bring them back.
@@ -231,7 +231,7 @@
 
 func (r *Round) killBackend(ctx context.Context, f Fault, s *server) {
 	s.kill()
-	chaos.Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	r.fail(s.start())
 }
 
@@ -240,7 +240,7 @@
 	b := s.now()
 	notice := Interval{What: b.backend.ID, Begin: b.leave(ctx, r.store.Log)}
 	r.fail(s.start())
-	chaos.Pause(ctx, drainTime+lingerTime)
+	delay.Wait(ctx, drainTime+lingerTime)
 	notice.End = time.Now()
 	r.history.add(func(h *History) { h.Drains = append(h.Drains, notice) })
 	b.depart(r.store.Log)
--- a/internal/chaos/soak/job.go
+++ b/internal/chaos/soak/job.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -107,7 +107,7 @@
 			return
 		}
 		rec.Refused = rec.Refused && err == nil && promisesNotRun(status)
-		chaos.Pause(ctx, resendDelay)
+		delay.Wait(ctx, resendDelay)
 	}
 }
 
@@ -157,7 +157,7 @@
 		if r.isHealed() && (after >= rec.Op.Items || !rec.EndAcked.IsZero()) {
 			return
 		}
-		chaos.Pause(ctx, readInterval)
+		delay.Wait(ctx, readInterval)
 	}
 }
 
@@ -238,7 +238,7 @@
 			break
 		}
 		if !ok {
-			chaos.Pause(ctx, readInterval)
+			delay.Wait(ctx, readInterval)
 			continue
 		}
 		whole.At, whole.Total = l.At, l.Total
--- a/internal/chaos/soak/online.go
+++ b/internal/chaos/soak/online.go
@@ -13,7 +13,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -59,7 +59,7 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				r.note(g, g.Ready())
-				chaos.Pause(ctx, probeInterval)
+				delay.Wait(ctx, probeInterval)
 			}
 		})
 	}
--- a/internal/chaos/soak/publish.go
+++ b/internal/chaos/soak/publish.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/platform"
@@ -70,7 +70,7 @@
 		return
 	}
 	for write(r.store.Log, platform.ConfigTopic, keyedlog.Record{Key: platform.ConfigKey, Value: value}) != nil {
-		if !chaos.Pause(ctx, lookInterval) {
+		if !delay.Wait(ctx, lookInterval) {
 			return
 		}
 	}
@@ -84,7 +84,7 @@
 	var wg sync.WaitGroup
 	for _, g := range r.gateways {
 		wg.Go(func() {
-			for newest := 1; chaos.Pause(ctx, lookInterval); {
+			for newest := 1; delay.Wait(ctx, lookInterval); {
 				if r.look(ctx, g, newest+1) {
 					newest++
 				}
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
@@ -136,17 +137,17 @@
 	var ops, faults sync.WaitGroup
 	started := time.Now()
 	for _, op := range r.plan.Ops {
-		ops.Go(func() { chaos.Pause(ctx, op.At-time.Since(started)); r.operate(ctx, op) })
+		ops.Go(func() { delay.Wait(ctx, op.At-time.Since(started)); r.operate(ctx, op) })
 	}
 	for _, f := range r.plan.Faults {
-		faults.Go(func() { chaos.Pause(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
+		faults.Go(func() { delay.Wait(ctx, f.At-time.Since(started)); r.inject(ctx, f) })
 	}
 	faults.Wait()
-	chaos.Pause(ctx, span-time.Since(started))
+	delay.Wait(ctx, span-time.Since(started))
 	r.heal()
 	r.awaitRecovery(ctx)
 	ops.Wait()
-	chaos.Pause(ctx, configBound-time.Since(r.healed))
+	delay.Wait(ctx, configBound-time.Since(r.healed))
 	r.noteCrashes()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -165,7 +166,7 @@
 			return err
 		}
 	}
-	for end := time.Now().Add(startTimeout); time.Now().Before(end); chaos.Pause(ctx, lookInterval) {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); delay.Wait(ctx, lookInterval) {
 		if r.allReady() {
 			return nil
 		}
@@ -203,7 +204,7 @@
 		rec := c.send(ctx, Op{Kind: SafeCall, ID: fmt.Sprintf("s%d-after%d", r.plan.Seed, i)})
 		if row++; !rec.Whole || rec.Status != 200 {
 			row = 0
-			chaos.Pause(ctx, lookInterval)
+			delay.Wait(ctx, lookInterval)
 		}
 		if row == recoveredRow {
 			taken = time.Since(r.healed)
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/catkinrudder/catkinrudder/internal/chaos"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
@@ -125,7 +125,7 @@
 	b.state = "draining"
 	b.mu.Unlock()
 	for b.register(log, "draining", 0) != nil && ctx.Err() == nil {
-		chaos.Pause(ctx, beatInterval)
+		delay.Wait(ctx, beatInterval)
 	}
 	return time.Now()
 }
@@ -147,7 +147,7 @@
 		// A store that is down refuses; the next beat comes anyway.
 		_ = b.registerLocked(log, b.state, seq)
 		b.mu.Unlock()
-		chaos.Pause(ctx, beatInterval)
+		delay.Wait(ctx, beatInterval)
 	}
 }
 
--- a/internal/chaos/strike.go
+++ b/internal/chaos/strike.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
 	"github.com/catkinrudder/catkinrudder/internal/standin"
 )
@@ -79,7 +80,7 @@
 	for _, n := range nodes {
 		n.Kill()
 	}
-	Pause(ctx, d)
+	delay.Wait(ctx, d)
 	for _, n := range nodes {
 		r.fail(n.Start())
 	}
@@ -87,7 +88,7 @@
 
 func (r *Round) freeze(ctx context.Context, d time.Duration, n *proctest.Node) {
 	n.Freeze()
-	Pause(ctx, d)
+	delay.Wait(ctx, d)
 	n.Wake()
 }
 
@@ -112,7 +113,7 @@
 	if err := n.WaitReady(); err != nil {
 		return err
 	}
-	for end := time.Now().Add(knownTimeout); time.Now().Before(end); Pause(r.ctx, settlePoll) {
+	for end := time.Now().Add(knownTimeout); time.Now().Before(end); delay.Wait(r.ctx, settlePoll) {
 		if r.knownEverywhere(n) {
 			return nil
 		}
@@ -135,11 +136,11 @@
 	switch f.Kind {
 	case LogDown:
 		r.log.change(func(l *standin.LogFaults) { l.Down = true })
-		Pause(ctx, f.For)
+		delay.Wait(ctx, f.For)
 		r.log.change(func(l *standin.LogFaults) { l.Down = false })
 	case LogSlow:
 		r.log.change(func(l *standin.LogFaults) { l.DelayMS = int(f.Delay.Milliseconds()) })
-		Pause(ctx, f.For)
+		delay.Wait(ctx, f.For)
 		r.log.change(func(l *standin.LogFaults) { l.DelayMS = 0 })
 	case LogLosesAnswers:
 		r.log.change(func(l *standin.LogFaults) { l.LoseAnswers = f.N })
@@ -160,7 +161,7 @@
 	for _, l := range links {
 		l.Cut()
 	}
-	Pause(ctx, d)
+	delay.Wait(ctx, d)
 	for _, l := range links {
 		l.Restore()
 	}
@@ -184,7 +185,7 @@
 	case SlowPeer:
 		link.Delay(f.Delay)
 	}
-	Pause(ctx, f.For)
+	delay.Wait(ctx, f.For)
 	link.Restore()
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
@@ -184,7 +185,7 @@
 		if err := d.writeDirectory(ctx, value); err == nil {
 			return
 		}
-		time.Sleep(followRetry)
+		delay.Wait(ctx, followRetry)
 	}
 }
 
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -215,7 +216,7 @@
 func (s *Service) catchUp(ctx context.Context, from int64) {
 	const step, most = 5 * time.Millisecond, 500 * time.Millisecond
 	for waited := time.Duration(0); waited < most && s.jobs.Next() <= from && ctx.Err() == nil; waited += step {
-		time.Sleep(step)
+		delay.Wait(ctx, step)
 	}
 }
 
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -10,6 +10,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
 
@@ -91,7 +92,7 @@
 		case <-r.s.opts.Table.Changed():
 		}
 		r.cycle(ctx, time.Now())
-		time.Sleep(runnerGap + rand.N(runnerSpread))
+		delay.Wait(ctx, runnerGap+rand.N(runnerSpread))
 	}
 }
 
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -151,7 +152,7 @@
 			return
 		}
 		event.Log(sh.s.opts.Logger, event.LogDown, "call", "read shard", "shard", sh.part.Index, "cause", err)
-		time.Sleep(shardRetry)
+		delay.Wait(ctx, shardRetry)
 	}
 }
 
@@ -168,7 +169,7 @@
 			epoch += raise // another clock is ahead of this one
 			raise *= 2
 		default:
-			time.Sleep(shardRetry)
+			delay.Wait(ctx, shardRetry)
 		}
 	}
 	return 0, false
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -179,7 +180,7 @@
 		if cond.Epoch != sh.currentEpoch() {
 			return false
 		}
-		time.Sleep(shardRetry)
+		delay.Wait(ctx, shardRetry)
 	}
 	return false
 }
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 // View is what a follower feeds. Its methods are called from one goroutine.
@@ -101,7 +103,7 @@
 		if err != nil && !errors.Is(err, ErrForgotten) {
 			pause = f.pace.Retry
 		}
-		sleep(ctx, pause)
+		delay.Wait(ctx, pause)
 	}
 }
 
@@ -192,15 +194,3 @@
 	}
 	return kept
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/peering/pace.go
+++ b/peering/pace.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 const (
@@ -62,10 +64,5 @@
 	p.mu.Lock()
 	n := len(p.peers)
 	p.mu.Unlock()
-	t := time.NewTimer(interval(n))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	delay.Wait(ctx, interval(n))
 }
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -103,9 +104,8 @@
 	ctx, cancel := context.WithTimeout(ctx, relayPatience)
 	defer cancel()
 	for {
-		near := len(s.peering.near())
-		relay := s.peering.relay()
-		if near >= fewGateways && relay == "" {
+		relay, own := s.peering.relay()
+		if own {
 			return keyedlog.Page{}, ""
 		}
 		if relay != "" {
@@ -113,10 +113,8 @@
 				return page, relay
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if !delay.Wait(ctx, relayRetry) {
 			return keyedlog.Page{}, ""
-		case <-time.After(relayRetry):
 		}
 	}
 }
@@ -165,7 +163,8 @@
 	if time.Now().UnixNano() < s.pausedUntil.Load() {
 		return ""
 	}
-	return s.peering.relay()
+	address, _ := s.peering.relay()
+	return address
 }
 
 // candidate is a gateway of the own region.
@@ -187,26 +186,23 @@
 	return h.Sum32()
 }
 
-// relay returns the address of the relay of this gateway, or nothing if it is one
-// itself or the region is small.
-func (p *Peering) relay() string {
+// relay returns the address of the relay of this gateway. It is empty if this gateway
+// is a relay itself, which own says, or if the region is small.
+func (p *Peering) relay() (address string, own bool) {
 	near := p.near()
 	if len(near) < fewGateways {
-		return ""
+		return "", false
 	}
 	slices.SortFunc(near, candidate.compare)
 	relays := near[:max(leastRelays, len(near)/readersPerRelay)]
 	for _, r := range relays {
 		if r.name == p.opts.Name {
-			return ""
+			return "", true
 		}
 	}
-	return relays[int(rankOf(p.opts.Name)>>16)%len(relays)].address
+	return relays[int(rankOf(p.opts.Name)>>16)%len(relays)].address, false
 }
 
-// IsRelay reports whether this gateway reads the service for others.
-func (p *Peering) IsRelay() bool { return len(p.near()) >= fewGateways && p.relay() == "" }
-
 // near returns the gateways of the own region that were heard of late, this one
 // included.
 func (p *Peering) near() []candidate {
