--- /dev/null
+++ b/internal/ejection/ejection_test.go
@@ -0,0 +1,28 @@
+package ejection_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/internal/ejection"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+func TestAnEjectionIsLoggedOnce(t *testing.T) {
+	var lines strings.Builder
+	e := ejection.Ejector{
+		Table: balance.New(balance.Options{PeerTTL: time.Second}), Pool: upstream.NewPool(upstream.Options{}), Log: log.New(&lines),
+	}
+	b := catalog.Backend{ID: "i-1", Address: "127.0.0.1:9"}
+	e.Failed(b, false)
+	assert.Equal(t, lines.String(), "", "one failure may be chance")
+	e.Failed(b, false)
+	e.Failed(b, true)
+	assert.Equal(t, strings.Count(lines.String(), "backend_ejected"), 1, "%s", lines.String())
+}
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -213,7 +214,7 @@
 	o.excluded[b.ID] = true
 	if answer.Status >= http.StatusInternalServerError && o.mayRepeat() {
 		quiet.Stop()
-		o.g.Table.Failed(b.ID, false, time.Now())
+		o.avoid(b, false)
 		o.worst = errkind.New(errkind.BackendFailed, "backend server answered %d", answer.Status)
 		o.logRetry(b, o.worst)
 		return true, nil
@@ -294,12 +295,7 @@
 }
 
 func (o *online) avoid(b catalog.Backend, unreachable bool) {
-	if span := o.g.Table.Failed(b.ID, unreachable, time.Now()); span > 0 {
-		event.Log(o.g.Log, event.BackendEjected, "backend", b.ID, "service", b.Service, "for", span, "by", "own", "unreachable", unreachable)
-	}
-	if unreachable {
-		o.g.Pool.Forget(b.Address)
-	}
+	ejection.Ejector{Table: o.g.Table, Pool: o.g.Pool, Log: o.g.Log}.Failed(b, unreachable)
 }
 
 func (o *online) logChoice(c balance.Choice, now time.Time) {
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/eventstream"
+	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -77,14 +78,17 @@
 		return outcome{endStopped, p, ctx.Err()}
 	}
 	unreachable := errors.Is(err, upstream.ErrNotSent)
-	s.opts.Table.Failed(b.ID, unreachable, time.Now())
+	s.ejector().Failed(b, unreachable)
 	if unreachable {
-		s.opts.Pool.Forget(b.Address)
 		return outcome{endNotRun, p, err}
 	}
 	return outcome{endBroken, p, err}
 }
 
+func (s *Service) ejector() ejection.Ejector {
+	return ejection.Ejector{Table: s.opts.Table, Pool: s.opts.Pool, Log: s.opts.Logger}
+}
+
 // stopped reports whether this process ended the run for a reason of its own.
 func stopped(ctx context.Context) bool {
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)
@@ -104,7 +108,7 @@
 			if stopped(ctx) {
 				return outcome{endStopped, p, ctx.Err()}
 			}
-			s.opts.Table.Failed(b.ID, false, time.Now())
+			s.ejector().Failed(b, false)
 			return outcome{endBroken, p, err}
 		}
 		silent.Reset(itemSilence)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		unwatch()
 		_ = c.Close()
-		p.ended(a.BackendID, headless(err))
+		p.ended(a.BackendID, Unanswered)
 		return nil, err
 	}
 	return &Answer{
@@ -129,14 +129,6 @@
 	}
 }
 
-// headless returns the outcome of an attempt without the head of an answer.
-func headless(err error) Outcome {
-	if errors.Is(err, ErrNotSent) {
-		return Unreached
-	}
-	return Unanswered
-}
-
 // outcome returns how far the attempt came.
 func (a *Answer) outcome() Outcome {
 	switch {
