--- a/desired/fold_test.go
+++ b/desired/fold_test.go
@@ -92,6 +92,9 @@
 			n.publish(t, Publish{Recover: true, Seen: commitlog.Offset(seen), Document: document(i)}, true)
 		}
 	}
+	if n.next() == 0 {
+		n.publish(t, Publish{ID: "only", Document: document(0)}, true)
+	}
 	return n
 }
 
@@ -119,9 +122,6 @@
 func TestTableAgreesWithNaive(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := generate(t)
-		if n.next() == 0 {
-			t.Skip("empty stream")
-		}
 		whole := NewTable(Hooks{})
 		fold(t, whole, n, 0, n.next())
 		assert.Assert(t, whole.Known())
--- a/internal/chaos/soak/memory_test.go
+++ b/internal/chaos/soak/memory_test.go
@@ -26,6 +26,7 @@
 	idleCallers    = 1000
 	longHeader     = 60 << 10
 	longHeaderSent = 200
+	sendBuffer     = 8 << 10
 )
 
 // peakMemory returns the largest resident size of a process, in bytes.
@@ -64,12 +65,13 @@
 	for range idleCallers {
 		wg.Go(func() { hold(ctx, g.Direct) })
 	}
-	var senders sync.WaitGroup
+	var senders, sent sync.WaitGroup
+	sent.Add(hugeSenders + longHeaderSent)
 	for i := range hugeSenders {
-		senders.Go(func() { sendSlowly(g.Direct, i) })
+		senders.Go(func() { sendBody(g.Direct, i, &sent) })
 	}
 	for range longHeaderSent {
-		senders.Go(func() { sendHeader(g.Direct) })
+		senders.Go(func() { sendHeader(g.Direct, &sent) })
 	}
 	senders.Wait()
 	peak := peakMemory(t, g.PID())
@@ -96,30 +98,33 @@
 	<-ctx.Done()
 }
 
-// sendSlowly sends a submission as long as the limit allows, the last byte late, so
-// that many are held at once.
-func sendSlowly(address string, i int) {
-	c, err := net.Dial("tcp", address)
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.Close() }()
-	// Errors mean that the gateway has refused: that is what it may do.
-	_, _ = fmt.Fprintf(c, "POST /batch/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: huge-%d\r\nContent-Length: %d\r\n\r\n", host, i, hugeBody)
-	_, _ = io.WriteString(c, strings.Repeat("x", hugeBody-1))
-	time.Sleep(2 * time.Second)
-	_, _ = io.WriteString(c, "x")
-	_, _ = bufio.NewReader(c).ReadString('\n')
+// sendBody sends a submission as long as the limit allows, the last byte when all
+// others have sent theirs, so that all are held at once. Errors mean that the gateway
+// has refused: that is what it may do.
+func sendBody(address string, i int, sent *sync.WaitGroup) {
+	head := fmt.Sprintf("POST /batch/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: huge-%d\r\nContent-Length: %d\r\n\r\n", host, i, hugeBody)
+	sendInTwo(address, head+strings.Repeat("x", hugeBody-1), "x", sent)
+}
+
+func sendHeader(address string, sent *sync.WaitGroup) {
+	head := fmt.Sprintf("POST /call-once/x HTTP/1.1\r\nHost: %s\r\nX-Long: %s\r\n", host, strings.Repeat("x", longHeader))
+	sendInTwo(address, head, "Content-Length: 0\r\n\r\n", sent)
 }
 
-func sendHeader(address string) {
+// sendInTwo sends the first part of a request, and the last one when all senders have
+// sent their first.
+func sendInTwo(address, first, last string, sent *sync.WaitGroup) {
 	c, err := net.Dial("tcp", address)
 	if err != nil {
+		sent.Done()
 		return
 	}
 	defer func() { _ = c.Close() }()
-	_, _ = fmt.Fprintf(c, "POST /call-once/x HTTP/1.1\r\nHost: %s\r\nX-Long: %s\r\n", host, strings.Repeat("x", longHeader))
-	time.Sleep(2 * time.Second)
-	_, _ = io.WriteString(c, "Content-Length: 0\r\n\r\n")
+	// What is not buffered here has been read there.
+	_ = c.(*net.TCPConn).SetWriteBuffer(sendBuffer)
+	_, _ = io.WriteString(c, first) // see sendBody for errors
+	sent.Done()
+	sent.Wait()
+	_, _ = io.WriteString(c, last)
 	_, _ = bufio.NewReader(c).ReadString('\n')
 }
--- a/internal/entry/batchapi/api_test.go
+++ b/internal/entry/batchapi/api_test.go
@@ -19,6 +19,7 @@
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/commitlog"
@@ -209,18 +210,21 @@
 	return job
 }
 
+// patience bounds a wait; on a slow machine it takes longer and nothing else changes.
+const patience = 60 * time.Second
+
 // wait polls until the batch is terminal.
 func (f *fixture) wait(t *testing.T, ws, id string) object {
 	t.Helper()
-	for range 2000 {
-		_, job := f.json(t, ws, "GET", "/v1/batches/"+id, "")
+	var job object
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, job = f.json(t, ws, "GET", "/v1/batches/"+id, "")
 		if batch.Status(job.str("status")).Terminal() {
-			return job
+			return poll.Success()
 		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	t.Fatal("batch did not end")
-	return nil
+		return poll.Continue("batch %s is %s", id, job.str("status"))
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(patience))
+	return job
 }
 
 func (f *fixture) content(t *testing.T, ws, id string) []object {
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -12,6 +12,7 @@
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/batch"
 	"github.com/catkinrudder/catkinrudder/commitlog/commitlogtest"
@@ -135,9 +136,12 @@
 	for range 4 {
 		<-started
 	}
-	for f.disp.runs("c3") == 0 { // the first four have answers
-		time.Sleep(time.Millisecond)
-	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the first four have answers
+		if f.disp.runs("c3") > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("c3 has no answer")
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(patience))
 	_, job = f.json(t, "a", "POST", "/v1/batches/"+job.str("id")+"/cancel", "")
 	assert.Assert(t, job.str("status") == "cancelling" || job.str("status") == "cancelled", job.str("status"))
 	job = f.wait(t, "a", job.str("id"))
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -324,18 +324,12 @@
 	full := platformtest.NewBackend(t, "full")
 	full.SetFault(func(platformtest.Arrival) platformtest.Fault { return platformtest.Silent })
 	f := newFixture(t, full)
+	f.Table = balance.New(balance.Options{Zone: "z", PeerTTL: time.Hour, Seed: 1})
 	busy := map[uint32]balance.Counts{balance.Key("full"): {Online: 2}}
+	f.Table.SetPeer("peer", balance.PeerReport{Counts: busy}, time.Now())
 	rt := route(catalog.Call, func(r *catalog.Route) { r.Timeout = 1200 * time.Millisecond })
 	for _, id := range []string{"first", "second"} {
-		ctx, stop := context.WithCancel(t.Context())
-		go func() {
-			for ctx.Err() == nil {
-				f.Table.SetPeer("peer", balance.PeerReport{Counts: busy}, time.Now())
-				time.Sleep(50 * time.Millisecond)
-			}
-		}()
 		_, err := f.serve(request(id, "/call/x"), rt)
-		stop()
 		assert.Equal(t, errkind.From(err).Kind, errkind.Timeout)
 	}
 	assert.Equal(t, len(f.Table.Failures(time.Now())), 0)
--- a/jobs/fleet_test.go
+++ b/jobs/fleet_test.go
@@ -251,6 +251,38 @@
 	return results
 }
 
+// waitCheckpoints waits until progress of each item of a job stands in the log.
+func (f *fleet) waitCheckpoints(j *jobs.Job) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		found := 0
+		for shard := range keyedlogtest.Shards {
+			page, err := f.log.Newest(f.t.Context(), keyedlog.Partition{Topic: "keyed.results", Index: shard}, "")
+			assert.NilError(f.t, err)
+			for _, r := range page.Records {
+				if strings.HasPrefix(r.Key, "progress/"+j.ID+"/") {
+					found++
+				}
+			}
+		}
+		if found < len(j.Items) {
+			return poll.Continue("%d of %d", found, len(j.Items))
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// arrivalsOf counts the requests for items of a job at the first backend server.
+func (f *fleet) arrivalsOf(j *jobs.Job) int {
+	n := 0
+	for _, a := range f.backends[0].Arrivals() {
+		if strings.HasPrefix(a.ID, j.ID+"-") {
+			n++
+		}
+	}
+	return n
+}
+
 // checkWhole checks that each item is listed once with its whole output.
 func (f *fleet) checkWhole(j *jobs.Job, results []jobs.ListedResult) {
 	f.t.Helper()
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,7 +63,7 @@
 	a, b := f.start("a"), f.start("b")
 	j := job("j1", 3)
 	assert.NilError(t, b.Submit(t.Context(), j, 0))
-	time.Sleep(1600 * time.Millisecond) // a checkpoint has been written
+	f.waitCheckpoints(j)
 	owner, other := a, b
 	if ownsJob(b, j.ID) {
 		owner, other = b, a
@@ -179,7 +180,9 @@
 	assert.Equal(t, errkind.From(err).Answer().Outcome, errkind.NotRun, "content without a summary is no job")
 	f.log.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
 	f.log.RunLate()
-	time.Sleep(100 * time.Millisecond)
+	next := job("next", 1)
+	assert.NilError(t, a.Submit(t.Context(), next, 0))
+	f.checkWhole(next, f.waitDone(a, next))
 	known, err := a.Confirm(t.Context(), "never")
 	assert.NilError(t, err)
 	assert.Assert(t, !known)
@@ -356,6 +359,12 @@
 func TestEndedJobRunsNoMoreItems(t *testing.T) {
 	f := newFleet(t, 1)
 	f.backends[0].Events, f.backends[0].Gap = 200, 10*time.Millisecond
+	f.backends[0].SetFault(func(a platformtest.Arrival) platformtest.Fault {
+		if strings.HasPrefix(a.ID, "next-") {
+			return platformtest.Impossible
+		}
+		return platformtest.None
+	})
 	a, b := f.start("a"), f.start("b")
 	j := job("j1", 8)
 	assert.NilError(t, a.Submit(t.Context(), j, 0))
@@ -375,9 +384,11 @@
 		}
 		return poll.Success()
 	})
-	before := len(f.backends[0].Arrivals())
-	time.Sleep(300 * time.Millisecond)
-	assert.Equal(t, len(f.backends[0].Arrivals()), before)
+	before := f.arrivalsOf(j)
+	next := job("next", 1) // it ends at once, after the runners have looked at everything
+	assert.NilError(t, a.Submit(t.Context(), next, 0))
+	f.waitDone(a, next)
+	assert.Equal(t, f.arrivalsOf(j), before)
 }
 
 func TestItemThatCantBeDoneIsGivenUpAlone(t *testing.T) {
@@ -407,7 +418,18 @@
 	a := f.start("a")
 	j := job("j1", 2)
 	assert.NilError(t, a.Submit(t.Context(), j, 0))
-	time.Sleep(250 * time.Millisecond)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		gone := 0
+		for _, arrival := range f.backends[0].Arrivals() {
+			if arrival.Sent >= 5 {
+				gone++
+			}
+		}
+		if gone < len(j.Items) {
+			return poll.Continue("%d of %d items have gone on", gone, len(j.Items))
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	a.Stop(t.Context())
 	a.kill()
 	f.checkWhole(j, f.waitDone(f.start("b"), j))
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -98,7 +98,13 @@
 	f := follow(t, l, v, nil)
 	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "1", "b": "1"}) })
 	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.Refuse })
-	time.Sleep(30 * time.Millisecond) // the read that waits ends
+	refused := l.Calls("read")
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the read that waits ends
+		if l.Calls("read") > refused {
+			return poll.Success()
+		}
+		return poll.Continue("the follower still waits")
+	}, poll.WithDelay(time.Millisecond))
 	l.SetFault(func(call string, _ keyedlog.Partition) keyedlogtest.Fault {
 		if call == "append" {
 			return keyedlogtest.None
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,11 +20,10 @@
 
 var registrations = keyedlog.Partition{Topic: "registrations"}
 
-// words is a view that counts the records of each key.
+// words is a view that keeps the newest value of each key.
 type words struct {
 	mu     sync.Mutex
 	latest map[string]string
-	taken  int
 }
 
 func (w *words) Rebuild(records []keyedlog.Record) {
@@ -38,7 +38,6 @@
 	defer w.mu.Unlock()
 	for _, r := range records {
 		w.latest[r.Key] = string(r.Value)
-		w.taken++
 	}
 }
 
@@ -48,12 +47,26 @@
 	return w.latest[key]
 }
 
+// service counts what one gateway reads of the log itself.
+type service struct {
+	keyedlog.Reader
+	reads, records atomic.Int64
+}
+
+func (s *service) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	s.reads.Add(1)
+	h, err := s.Reader.Read(ctx, p, from, wait)
+	s.records.Add(int64(len(h.Records)))
+	return h, err
+}
+
 // reader is a gateway that follows the registrations.
 type reader struct {
 	*gateway
 	ln     net.Listener
 	words  *words
 	source *peering.Source
+	own    *service
 	relay  *keyedlog.Relay
 	stop   context.CancelFunc
 }
@@ -126,7 +139,8 @@
 // run follows the registrations until stop.
 func (r *reader) run(t *testing.T, log *keyedlogtest.Log) {
 	t.Helper()
-	r.source = r.NewSource(log)
+	r.own = &service{Reader: log}
+	r.source = r.NewSource(r.own)
 	f := keyedlog.NewRelayedFollower(r.source, registrations, r.relay,
 		keyedlog.Pace{Wait: 300 * time.Millisecond, Gap: time.Millisecond, Retry: 10 * time.Millisecond}, nil)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -198,7 +212,14 @@
 		r.run(t, log)
 	}
 	allSee(t, others, "a", "one")
-	time.Sleep(100 * time.Millisecond) // each has been refused once
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, r := range others {
+			if r.own.reads.Load() == 0 {
+				return poll.Continue("%s has not been refused yet", r.name)
+			}
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 	for _, r := range relays {
 		r.run(t, log)
 	}
@@ -207,6 +228,15 @@
 	assert.Assert(t, time.Since(started) < 2*time.Second)
 }
 
+// readByThemselves counts the records that gateways have read of the service.
+func readByThemselves(readers []*reader) int64 {
+	n := int64(0)
+	for _, r := range readers {
+		n += r.own.records.Load()
+	}
+	return n
+}
+
 // TestFewReadTheServiceForMany renews registrations without a change: only the
 // relays read them.
 func TestFewReadTheServiceForMany(t *testing.T) {
@@ -219,15 +249,14 @@
 	put(t, log, "a", "two")
 	allSee(t, readers, "a", "two")
 	onlyRelaysRead(t, readers)
-	before := log.Calls("read")
+	before := readByThemselves(readers)
 	for range renewals {
 		put(t, log, "a", "two")
-		time.Sleep(3 * time.Millisecond)
 	}
 	put(t, log, "a", "three")
 	allSee(t, readers, "a", "three")
-	perGateway := float64(log.Calls("read")-before) / gateways
-	assert.Assert(t, perGateway < renewals/3, "%.0f reads a gateway", perGateway)
+	perGateway := float64(readByThemselves(readers)-before) / gateways
+	assert.Assert(t, perGateway < renewals/3, "%.0f records a gateway", perGateway)
 }
 
 // TestReadersOutliveTheirRelays stops one gateway after the other, relays too.
