peering: close the socket on every way out of Run

Cause: Run closed its socket in a function registered by context.AfterFunc, and its deferred stop unregistered that function. When ctx ended, Run could return and call stop before the function had started, and the socket then stayed open: the next process at the address failed with "address already in use".

Change: Run closes the socket itself when it returns and waits for the receiver.

--- a/peering/peering.go
+++ b/peering/peering.go
@@ -166,11 +166,13 @@
 	listed.addr, listed.far, listed.linkMbps = addr, rec.Region != p.opts.Region, rec.LinkMbps
 }
 
-// Run sends and receives reports until ctx ends.
+// Run sends and receives reports until ctx ends. Conn is closed when it returns, so that
+// the next process can bind the address.
 func (p *Peering) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { _ = p.opts.Conn.Close() })
-	defer stop()
-	go p.receive()
+	var receiver sync.WaitGroup
+	receiver.Go(p.receive)
+	defer receiver.Wait()
+	defer func() { _ = p.opts.Conn.Close() }() // ends receive
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	var seq uint64
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -95,6 +95,33 @@
 	}
 }
 
+// lateContext is a context whose functions registered by context.AfterFunc run later than
+// every goroutine that waits for Done.
+type lateContext struct{ context.Context }
+
+// AfterFunc is used by context.AfterFunc.
+func (lateContext) AfterFunc(func()) (stop func() bool) {
+	return func() bool { return true }
+}
+
+// TestRunClosesTheSocket checks that the address can be bound as soon as Run has returned,
+// even if functions that wait for the end of the context have not run by then.
+func TestRunClosesTheSocket(t *testing.T) {
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	p := peering.New(peering.Options{
+		Name: "a", Region: "r", Table: balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1}), Logger: log.New(io.Discard), Conn: conn,
+		Shards: func() []jobs.ShardReport { return nil }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return 0 },
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	p.Run(lateContext{ctx})
+	again, err := net.ListenPacket("udp", conn.LocalAddr().String())
+	assert.NilError(t, err)
+	assert.NilError(t, again.Close())
+}
+
 // TestRestartedGatewayIsHeardWithoutTheDirectory covers a restart while the store is
 // unavailable: the restarted gateway finds no peers in the directory, but its peers
 // still send to its address.
