jobs: two processes never own a shard under one epoch

Cause: the epoch of a new owner is the time of day in milliseconds, and the log accepts an append without records under an epoch that it has already seen. Two processes that claimed a shard in the same millisecond both became its owner; neither saw a higher epoch, so neither released it, and both could have written under the same sequence numbers.

Ruled out: a lost release (the membership loop releases in one goroutine) and a stale generation (a claim needs a response of the group, which the cut prevents).

Change: the claim is an append with the process's name as its first record. Under an epoch that is in use, the log takes it for a repetition of the other process's first append and ignores it; the new owner, which reads the shard anyway, finds the other's name and claims the shard again under a higher epoch. A takeover makes as many calls as before. becomeOwner no longer logs an owned shard that was released in the meantime.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -33,6 +33,9 @@
 	backends []*platformtest.Backend
 	route    catalog.Route
 
+	// now is the clock of all processes; nil is the real one.
+	now func() time.Time
+
 	mu    sync.Mutex
 	nodes map[string]*node
 }
@@ -80,7 +83,7 @@
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
 		JobTopic: "keyed.jobs", ContentTopic: "keyed.contents", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
-		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Retention: time.Hour,
+		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Retention: time.Hour, Now: c.now,
 		Config:      func() *catalog.Config { return config },
 		Backends:    func(string) []catalog.Backend { return c.registrations() },
 		AllBackends: func(g func(catalog.Backend)) { each(c.registrations(), g) },
@@ -257,9 +260,7 @@
 	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
 		found := 0
 		for shard := range keyedlogtest.Shards {
-			page, err := c.log.Newest(c.t.Context(), keyedlog.Partition{Topic: "keyed.results", Index: shard}, "")
-			assert.NilError(c.t, err)
-			for _, r := range page.Records {
+			for _, r := range c.newestRecords(keyedlog.Partition{Topic: "keyed.results", Index: shard}) {
 				if strings.HasPrefix(r.Key, "progress/"+j.ID+"/") {
 					found++
 				}
@@ -272,6 +273,22 @@
 	}, poll.WithDelay(5*time.Millisecond))
 }
 
+// newestRecords returns the newest record of each key of a partition.
+func (c *cluster) newestRecords(p keyedlog.Partition) []keyedlog.Record {
+	c.t.Helper()
+	var records []keyedlog.Record
+	after := ""
+	for {
+		page, err := c.log.Newest(c.t.Context(), p, after)
+		assert.NilError(c.t, err)
+		records = append(records, page.Records...)
+		if !page.More {
+			return records
+		}
+		after = records[len(records)-1].Key
+	}
+}
+
 // requestCount counts the requests for a job's items at the first backend server.
 func (c *cluster) requestCount(j *jobs.Job) int {
 	n := 0
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -34,6 +34,8 @@
 	// RecordBytes and CallBytes bound the size of a record and of an append.
 	RecordBytes int
 	CallBytes   int
+	// Now returns the time of day; nil selects time.Now.
+	Now func() time.Time
 	// MinTTL is the shortest time to live of a group member.
 	MinTTL time.Duration
 	// Retention is how long a job can be read after its submission. Jobs are never
@@ -129,6 +131,9 @@
 
 // New returns a service that does nothing until Run is called.
 func New(opts Options) *Service {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	s := &Service{opts: opts}
 	s.table = newTable(s.jobAccepted, s.logUnreadable)
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -263,6 +263,39 @@
 	})
 }
 
+// TestEqualEpochsDoNotShareAShard covers processes that claim a shard in the same
+// millisecond, as an owner that was just assigned its shards and another process that
+// starts: both would use the same epoch, and the log would accept appends of both.
+func TestEqualEpochsDoNotShareAShard(t *testing.T) {
+	c := newCluster(t, 1)
+	start := time.Now()
+	c.now = func() time.Time { return start }
+	l := disconnectableLog{c.log, &atomic.Bool{}}
+	a := c.startWithLog("a", l)
+	waitForShards(t, a, keyedlogtest.Shards)
+	l.cut.Store(true)
+	b := c.start("b")
+	waitForShards(t, b, keyedlogtest.Shards)
+	waitForShards(t, a, 0)
+	epochs := make(map[int]int64)
+	for _, r := range b.Reports() {
+		epochs[r.Shard] = r.Epoch
+	}
+	for shard := range keyedlogtest.Shards {
+		assert.Assert(t, epochs[shard] > start.UnixMilli(), "shard %d: b claims it under a's epoch", shard)
+	}
+}
+
+func waitForShards(t *testing.T, n *node, want int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if got := len(n.Reports()); got != want {
+			return poll.Continue("%s owns %d shards, want %d", n.name, got, want)
+		}
+		return poll.Success()
+	})
+}
+
 // remoteLog is a log in another region.
 type remoteLog struct{ *keyedlogtest.Log }
 
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -22,7 +22,9 @@
 )
 
 const (
-	producerName    = "owner"
+	producerName = "owner"
+	// claimSequence is the sequence number of an owner's first append, its claim.
+	claimSequence   = 1
 	shardRetryDelay = 100 * time.Millisecond
 )
 
@@ -142,32 +144,42 @@
 	return sh.phase == claiming
 }
 
-// takeOver sets a new epoch, which fences all former owners, and then reads
-// everything that they have written.
+// takeOver claims the shard under a new epoch, which fences all former owners, and then
+// reads everything that they have written. If the record of the claim is that of another
+// process, which has chosen the same epoch, it claims the shard again under a higher one.
 func (sh *shard) takeOver(ctx context.Context) {
-	epoch, ok := sh.fence(ctx)
-	for ok && sh.claimed() && ctx.Err() == nil {
-		records, end, err := sh.readAll(ctx)
-		if err == nil {
+	epoch := sh.s.opts.Now().UnixMilli()
+	for {
+		var ok bool
+		if epoch, ok = sh.fence(ctx, epoch); !ok {
+			return
+		}
+		records, end, ok := sh.readAllRetrying(ctx)
+		if !ok {
+			return
+		}
+		if claimedBy(records) == sh.s.opts.Member {
 			view{sh.s.table, sh.part}.Apply(records)
 			sh.becomeOwner(epoch, end)
 			return
 		}
-		event.Log(sh.s.opts.Logger, event.LogDown, "call", "read shard", "shard", sh.part.Index, "cause", err)
-		delay.Wait(ctx, shardRetryDelay)
+		epoch++
 	}
 }
 
-// fence sets an epoch higher than all others.
-func (sh *shard) fence(ctx context.Context) (epoch int64, ok bool) {
-	epoch = time.Now().UnixMilli()
+// fence appends a record with this process's name under an epoch that is at least first
+// and higher than all others. If another process has used the same epoch before, the log
+// takes the append for a repetition of that process's and ignores the record.
+func (sh *shard) fence(ctx context.Context, first int64) (epoch int64, ok bool) {
+	epoch = first
+	claim := splitValue(ownerKey, []byte(sh.s.opts.Member), sh.s.opts.RecordBytes)
 	raise := int64(1)
 	for ctx.Err() == nil && sh.claimed() {
-		_, err := sh.s.opts.Log.Append(ctx, sh.part, nil, keyedlog.Condition{Producer: producerName, Epoch: epoch})
+		_, err := sh.s.opts.Log.Append(ctx, sh.part, claim, keyedlog.Condition{Producer: producerName, Epoch: epoch, Sequence: claimSequence})
 		switch {
 		case err == nil:
 			return epoch, true
-		case errors.Is(err, keyedlog.ErrFenced):
+		case errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence):
 			epoch += raise // another clock is ahead of this one
 			raise *= 2
 		default:
@@ -177,6 +189,29 @@
 	return 0, false
 }
 
+// claimedBy returns the name of the process whose claim is the last one in records.
+func claimedBy(records []keyedlog.Record) string {
+	for _, r := range records {
+		if r.Key == chunkKey(ownerKey, 0) && len(r.Value) >= chunkHeaderBytes {
+			return string(r.Value[chunkHeaderBytes:])
+		}
+	}
+	return ""
+}
+
+// readAllRetrying calls readAll until it succeeds. It returns false if the claim ends.
+func (sh *shard) readAllRetrying(ctx context.Context) (records []keyedlog.Record, end int64, ok bool) {
+	for sh.claimed() && ctx.Err() == nil {
+		records, end, err := sh.readAll(ctx)
+		if err == nil {
+			return records, end, true
+		}
+		event.Log(sh.s.opts.Logger, event.LogDown, "call", "read shard", "shard", sh.part.Index, "cause", err)
+		delay.Wait(ctx, shardRetryDelay)
+	}
+	return nil, 0, false
+}
+
 // readAll returns the newest records of the shard. No other process can write to the
 // shard, so the pages form a snapshot.
 func (sh *shard) readAll(ctx context.Context) (records []keyedlog.Record, end int64, err error) {
@@ -194,13 +229,18 @@
 	}
 }
 
+// becomeOwner makes a claimed shard an owned one, unless it was released in the meantime.
 func (sh *shard) becomeOwner(epoch, end int64) {
 	sh.mu.Lock()
-	if sh.phase == claiming {
-		sh.phase, sh.epoch, sh.sequence, sh.end = owning, epoch, 1, end
+	claimed := sh.phase == claiming
+	if claimed {
+		sh.phase, sh.epoch, sh.sequence, sh.end = owning, epoch, claimSequence+1, end
 		sh.nextPositions = make(map[string]int)
 	}
 	sh.mu.Unlock()
+	if !claimed {
+		return
+	}
 	event.Log(sh.s.opts.Logger, event.ShardOwned, "shard", sh.part.Index, "epoch", epoch, "end", end)
 	sh.s.shardsChanged.Store(true)
 	sh.s.runner.wake()
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -11,13 +11,16 @@
 )
 
 // The prefixes of record keys: the summary of a job, its content, its cancellation, a
-// result by position, the progress of an item by index.
+// result by position, the progress of an item by index. ownerKey is the key of the name of
+// the process that has claimed a shard.
 const (
 	jobPrefix      = "job/"
 	contentPrefix  = "content/"
 	cancelPrefix   = "end/"
 	resultPrefix   = "result/"
 	progressPrefix = "progress/"
+	ownerPrefix    = "owner/"
+	ownerKey       = ownerPrefix + "member"
 )
 
 func jobKey(id string) string { return jobPrefix + id }
@@ -149,6 +152,8 @@
 		return t.applyResult(name, value, count)
 	case progressPrefix:
 		return t.applyProgress(name, value, count)
+	case ownerPrefix:
+		return nil // the claim of a shard is not part of a job
 	}
 	return errors.Errorf("jobs: key %q has an unknown prefix", r.Key)
 }
