jobs: a run without an answer is preempted once, not again and again

Whether an answer was on its way can't be known here.

Change: a run without a response head may be preempted once for each item; the next run keeps its place until the backend server has answered. The count of such stops is part of the item's progress, so it survives a change of the shard's owner, and a third run may still end with its owner. Runs that have answered are preempted as before.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -26,6 +26,9 @@
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
+// clusterSlots is the number of slots of a backend server.
+const clusterSlots = 4
+
 // cluster is a group of processes that share a log and backend servers.
 type cluster struct {
 	t        *testing.T
@@ -45,6 +48,7 @@
 	*jobs.Service
 	name    string
 	cluster *cluster
+	balance *balance.Table
 	// disconnected simulates that the process can't reach the log.
 	disconnected atomic.Bool
 	stop         context.CancelFunc
@@ -66,7 +70,7 @@
 func (c *cluster) registrations() []catalog.Backend {
 	var out []catalog.Backend
 	for _, b := range c.backends {
-		out = append(out, b.Registration("s", 4))
+		out = append(out, b.Registration("s", clusterSlots))
 	}
 	return out
 }
@@ -78,7 +82,7 @@
 
 func (c *cluster) startWithLog(name string, l keyedlog.Log) *node {
 	c.t.Helper()
-	n := &node{name: name, cluster: c, done: make(chan struct{})}
+	n := &node{name: name, cluster: c, done: make(chan struct{}), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
 	config := catalog.NewConfig(1, []catalog.Route{c.route}, nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
@@ -87,7 +91,7 @@
 		Config:      func() *catalog.Config { return config },
 		Backends:    func(string) []catalog.Backend { return c.registrations() },
 		AllBackends: func(g func(catalog.Backend)) { each(c.registrations(), g) },
-		Table:       balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
+		Table:       n.balance,
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
 		Logger:      log.New(io.Discard), Peers: clusterPeers{n}, StoreAge: n.storeAge,
 	})
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -97,6 +97,14 @@
 	// Failures counts the runs that ended with an error response of the backend
 	// server.
 	Failures int `cbor:"4,keyasint,omitempty"`
+	// UnansweredStops counts the runs that were stopped before the backend server had
+	// answered, since its last answer. Such a run may have had an answer on its way.
+	UnansweredStops int `cbor:"5,keyasint,omitempty"`
+}
+
+// equalState reports whether a record of q would add nothing to one of p.
+func (p Progress) equalState(q Progress) bool {
+	return p.Events == q.Events && p.Failures == q.Failures && p.UnansweredStops == q.UnansweredStops
 }
 
 // shardOf returns the shard of a job.
--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -56,7 +56,7 @@
 	out := make(map[string]Progress)
 	for ref, u := range r.runs {
 		p := u.progress
-		if u.result != nil || !sh.contains(ref.job) || p.Events == u.checkpointed.Events && p.Failures == u.checkpointed.Failures {
+		if u.result != nil || !sh.contains(ref.job) || p.equalState(u.checkpointed) {
 			continue
 		}
 		if !all && u.checkpointed.Events > 0 {
@@ -72,6 +72,14 @@
 func (r *runner) recordProgress(u *run, p Progress) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p.Failures = u.progress.Failures
+	p.Failures, p.UnansweredStops = u.progress.Failures, u.progress.UnansweredStops
 	u.progress = p
 }
+
+// recordAnswer records that the backend server has answered a run.
+func (r *runner) recordAnswer(u *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u.answered = true
+	u.progress.UnansweredStops = 0
+}
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -43,9 +43,18 @@
 // itemIdleTimeout is the maximum time between two events of an item.
 const itemIdleTimeout = 8 * time.Second
 
+// runObserver follows a run while it is in progress.
+type runObserver struct {
+	// answered is called once the backend server that runs the item has sent a response
+	// head.
+	answered func()
+	// progressed is called with the progress after every progressInterval events.
+	progressed func(Progress)
+}
+
 // runItem sends an item to a backend server and appends the received events to
-// those in p. It calls report with the progress after every progressInterval events.
-func (s *Service) runItem(ctx context.Context, r *serving.Request, b catalog.Backend, p Progress, report func(Progress)) outcome {
+// those in p.
+func (s *Service) runItem(ctx context.Context, r *serving.Request, b catalog.Backend, p Progress, o runObserver) outcome {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	idle := time.AfterFunc(itemIdleTimeout, func() { cancel(errIdle) })
@@ -55,17 +64,19 @@
 		return s.noResponse(ctx, b, p, err)
 	}
 	defer response.Close()
-	switch {
-	case response.Info.NotRun:
+	if response.Info.NotRun {
 		response.Discard()
 		return outcome{runNotStarted, p, errors.Errorf("backend server refused the item with status %d", response.Status)}
+	}
+	o.answered()
+	switch {
 	case response.Status == http.StatusUnprocessableEntity:
 		return outcome{runRejected, p, nil}
 	case response.Status != http.StatusOK:
 		response.Discard()
 		return outcome{runFailed, p, errors.Errorf("backend server responded with status %d", response.Status)}
 	}
-	return s.collectEvents(ctx, response, b, p, idle, report)
+	return s.collectEvents(ctx, response, b, p, idle, o.progressed)
 }
 
 // progressInterval is the number of events between two reports of progress.
@@ -96,7 +107,7 @@
 }
 
 // collectEvents appends the events of a response to p.
-func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, report func(Progress)) outcome {
+func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, progressed func(Progress)) outcome {
 	events := eventstream.NewReader(response)
 	text := append([]byte(nil), p.Text...)
 	for {
@@ -129,7 +140,7 @@
 		p.Text, p.LastEvent = text, id
 		p.Events++
 		if p.Events%progressInterval == 0 {
-			report(p)
+			progressed(p)
 		}
 	}
 }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -25,6 +25,11 @@
 	cycleJitter = 8 * time.Millisecond
 	// itemRetryDelay is the delay before an item is retried after a failed run.
 	itemRetryDelay = 150 * time.Millisecond
+	// maxUnansweredStops is how many runs of an item may be preempted before the backend
+	// server has answered. The next run is left alone until it has an answer, because an
+	// item that can't be done must not reach backend servers again after three answers
+	// that say so, even if they were not read. A third run may end with its shard's owner.
+	maxUnansweredStops = 1
 	// maxConcurrentRuns bounds the items that one process runs concurrently.
 	maxConcurrentRuns = 256
 )
@@ -45,6 +50,8 @@
 	// does.
 	backend string
 	cancel  context.CancelFunc
+	// answered states that the backend server has sent a response head in this run.
+	answered bool
 	// due orders preemption: the run with the latest due time is stopped first.
 	due time.Time
 	// notBefore is the earliest time of the next attempt.
@@ -138,12 +145,17 @@
 	}
 }
 
+// mayPreempt reports whether the item runs and may be stopped for online requests.
+func (u *run) mayPreempt() bool {
+	return u.backend != "" && (u.answered || u.progress.UnansweredStops < maxUnansweredStops)
+}
+
 // preempt stops batch runs at backend servers where online requests need more slots
 // than are left.
 func (r *runner) preempt(now time.Time) {
 	byBackend := make(map[string][]*run)
 	for _, u := range r.runs {
-		if u.backend != "" {
+		if u.mayPreempt() {
 			byBackend[u.backend] = append(byBackend[u.backend], u)
 		}
 	}
@@ -221,7 +233,7 @@
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
-	u.backend, u.cancel = choice.Backend.ID, cancel
+	u.backend, u.cancel, u.answered = choice.Backend.ID, cancel, false
 	used[u.backend] = true
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
@@ -235,13 +247,19 @@
 func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
 	begin := time.Now()
-	out := r.s.runItem(ctx, itemRequest(j.job.Host, &j.content[u.ref.item]), b, p, func(p Progress) { r.recordProgress(u, p) })
+	out := r.s.runItem(ctx, itemRequest(j.job.Host, &j.content[u.ref.item]), b, p, runObserver{
+		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
+	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
 	u.backend = ""
 	r.estimates.recordRun(j.job.Route, out.progress.Events-p.Events, time.Since(begin))
+	out.progress.UnansweredStops = u.progress.UnansweredStops
+	if out.end == runCancelled && !u.answered {
+		out.progress.UnansweredStops++
+	}
 	u.progress = out.progress
 	r.handleOutcome(j, u, out)
 	r.wake()
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
@@ -446,6 +447,52 @@
 	assert.Equal(t, c.backends[0].Runs("j1-i2"), c.route.MaxAttempts)
 }
 
+// TestUnansweredRunsAreNotPreemptedAgain covers an item that can't be done and whose runs
+// are stopped for online requests: the backend server may have answered each time, and the
+// item must not reach backend servers again after three such answers.
+func TestUnansweredRunsAreNotPreemptedAgain(t *testing.T) {
+	c := newCluster(t, 1)
+	server := c.backends[0]
+	server.SetFault(func(platformtest.Request) platformtest.Fault { return platformtest.Hang })
+	a := c.start("a")
+	j := job("j1", 1)
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	for range 4 {
+		runs := c.requestCount(j)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if c.requestCount(j) > 0 {
+				return poll.Success()
+			}
+			return poll.Continue("the item is not running")
+		}, poll.WithDelay(5*time.Millisecond))
+		online := a.fillWithOnline(t)
+		time.Sleep(2 * preemptionTime)
+		online()
+		deadline := time.Now().Add(preemptionTime)
+		for c.requestCount(j) == runs && time.Now().Before(deadline) {
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	assert.Equal(t, c.requestCount(j), 2, "runs of the item")
+}
+
+// preemptionTime is the time in which a process preempts or starts an item.
+const preemptionTime = 150 * time.Millisecond
+
+// fillWithOnline takes all slots for online requests until release is called.
+func (n *node) fillWithOnline(t *testing.T) (release func()) {
+	t.Helper()
+	for range clusterSlots {
+		_, ok := n.balance.Pick(n.cluster.registrations(), balance.Requirements{Class: balance.Online}, time.Now())
+		assert.Assert(t, ok)
+	}
+	return func() {
+		for range clusterSlots {
+			n.balance.Release(n.cluster.backends[0].ID, balance.Online)
+		}
+	}
+}
+
 func TestStopHandsOverProgress(t *testing.T) {
 	c := newCluster(t, 1)
 	c.backends[0].Events, c.backends[0].EventInterval = 60, 10*time.Millisecond
