gateway: requests wait for a slot for a third of their time, those in time first

Change: the limit is a third of the request's time, after which a retry still has time to be served. Requests that can still meet their objective go before those that can't, so a long burst does not make all of them late. A request that backend servers themselves refuse still ends after a fifth of its objective.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	// StoreAge returns the time since the store last confirmed the state of the
 	// backend servers.
 	StoreAge func() time.Duration
+
+	queue queue
 }
 
 // Ready reports whether the gateway can serve: it has a configuration and backend
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -22,10 +22,6 @@
 var ErrAborted = errors.New("gateway: response aborted")
 
 const (
-	// queueWaitFactor is the fraction of the route's FirstByteObjective for which a
-	// request waits for a free slot before it is refused, so that a caller that is
-	// refused can still retry in time.
-	queueWaitFactor = 0.2
 	// refusedRetryDelay is the maximum wait before a request that all backend servers
 	// have refused is tried again.
 	refusedRetryDelay = 20 * time.Millisecond
@@ -52,6 +48,8 @@
 
 	// excluded holds the backend servers that are currently not to be tried.
 	excluded map[string]bool
+	// refused states that a backend server has refused the request.
+	refused bool
 	// attempts counts the attempts that may have run the request.
 	attempts int
 	// firstByte is when the first byte of the response was sent to the caller.
@@ -103,11 +101,9 @@
 
 // pickBackend waits for a backend server with a free slot and counts the attempt there.
 func (o *onlineRequest) pickBackend(ctx context.Context) (balance.Choice, error) {
-	queueWait := time.Duration(float64(o.route.FirstByteObjective) * queueWaitFactor)
-	until := time.Now().Add(queueWait)
-	if !o.mayHaveRun() {
-		until = o.r.ReceivedAt.Add(queueWait)
-	}
+	w := o.g.queue.waiter(o.service, o.r.ReceivedAt.Add(o.route.FirstByteObjective))
+	defer w.leave()
+	begin := time.Now()
 	for {
 		changed := o.g.Table.CapacityChanged()
 		now := time.Now()
@@ -120,20 +116,33 @@
 			return balance.Choice{}, errkind.New(errkind.NoBackend, "service %s has no backend server", o.service)
 		}
 		need := balance.Requirements{Class: balance.Online, PromptPart: sharedPart(o.r.Prompt), Exclude: o.excluded, AllowOverload: o.mayHaveRun()}
-		if choice, ok := o.g.Table.Pick(candidates, need, now); ok {
-			o.logChoice(choice, now)
-			return choice, nil
+		if !w.yields(now) {
+			if choice, ok := o.g.Table.Pick(candidates, need, now); ok {
+				o.logChoice(choice, now)
+				return choice, nil
+			}
 		}
 		if err := ctx.Err(); err != nil {
 			return balance.Choice{}, o.expiredError(err)
 		}
+		until := o.queueUntil(begin)
 		if now.After(until) {
 			return balance.Choice{}, o.overloadedError(o.g.Table.Availability(candidates, need, now))
 		}
+		w.join(now)
 		o.waitForChange(ctx, changed, until.Sub(now))
 	}
 }
 
+// queueUntil returns until when the request waits for a free slot, if it began to wait at
+// begin.
+func (o *onlineRequest) queueUntil(begin time.Time) time.Time {
+	if !o.mayHaveRun() {
+		begin = o.r.ReceivedAt
+	}
+	return queueUntil(begin, o.deadline, o.route.FirstByteObjective, o.refused)
+}
+
 // waitForChange waits up to d for a change of the balance table. Unless the request may
 // have run already, backend servers that refused it may be tried again afterwards.
 func (o *onlineRequest) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) {
@@ -292,6 +301,7 @@
 // did not run the request.
 func (o *onlineRequest) handleRefusal(b catalog.Backend, response *upstream.Response) (retry bool, _ error) {
 	o.excluded[b.ID] = true
+	o.refused = true
 	if response.Info.Misdirected {
 		o.reportFailure(b, true)
 	}
