--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"os"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -17,6 +18,8 @@
 
 const (
 	flagAround    = "around"
+	flagSummary   = "summary"
+	flagIDs       = "ids"
 	defaultAround = 3 * time.Second
 	// maxLogLine is the maximum length of a log line in bytes.
 	maxLogLine = 1 << 20
@@ -41,12 +44,20 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "show what happened to a request or a batch job from the log lines of several processes",
-		ArgsUsage: "ID [FILE ...]",
+		ArgsUsage: "ID [FILE ...], or --summary [FILE ...]",
 		Description: "Reads log files, or standard input if there are none. In addition to the lines with ID it shows the\n" +
 			"events that the processes involved logged shortly before and in the meantime about the backend servers\n" +
-			"and shards involved, the configuration and the store.",
-		Flags: []cli.Flag{&cli.DurationFlag{Name: flagAround, Value: defaultAround, Usage: "how long before the first line related events are shown"}},
+			"and shards involved, the configuration and the store. With --summary it counts the requests that were not\n" +
+			"answered by cause and by whether another decision could have served them.",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: flagAround, Value: defaultAround, Usage: "how long before the first line related events are shown"},
+			&cli.BoolFlag{Name: flagSummary, Usage: "count all requests by how they ended"},
+			&cli.StringFlag{Name: flagIDs, Usage: "count only the requests whose ids are in `FILE`, one in each line"},
+		},
 		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Bool(flagSummary) {
+				return t.explainAll(c.Args().Slice(), c.String(flagIDs), c.Bool(flagJSON))
+			}
 			if !c.Args().Present() {
 				return withCode(ExitUsage, errors.New("explain: ID is missing"))
 			}
@@ -59,6 +70,27 @@
 	}
 }
 
+// explainAll prints how the requests in the logs ended.
+func (t Tool) explainAll(paths []string, idFile string, asJSON bool) error {
+	var ids map[string]bool
+	if idFile != "" {
+		var err error
+		if ids, err = readIDs(idFile); err != nil {
+			return err
+		}
+	}
+	lines, err := t.readLogs(paths)
+	if err != nil {
+		return err
+	}
+	s := summarize(lines, ids)
+	if asJSON {
+		return t.writeJSON(s)
+	}
+	t.printSummary(s)
+	return nil
+}
+
 // logLine is one line of a process's log.
 type logLine struct {
 	at     time.Time
@@ -89,19 +121,27 @@
 	return all, nil
 }
 
+// lineStart is the beginning of a log line.
+var lineStart = regexp.MustCompile(`(^|\s)time=\d`)
+
 // readLog reads log lines and skips everything else. It ignores text before the
-// time field, where log collectors add their own fields.
+// time field, where log collectors add their own fields. If a collector has joined lines
+// of several processes, it reads each of them.
 func readLog(r io.Reader) ([]logLine, error) {
 	var lines []logLine
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(nil, maxLogLine)
 	for scanner.Scan() {
-		_, text, found := strings.Cut(scanner.Text(), "time=")
-		if !found {
-			continue
-		}
-		if line, ok := parseLine("time=" + text); ok {
-			lines = append(lines, line)
+		text := scanner.Text()
+		begins := lineStart.FindAllStringIndex(text, -1)
+		for i, begin := range begins {
+			end := len(text)
+			if i+1 < len(begins) {
+				end = begins[i+1][0]
+			}
+			if line, ok := parseLine(strings.TrimSpace(text[begin[0]:end])); ok {
+				lines = append(lines, line)
+			}
 		}
 	}
 	return lines, errors.Wrap(scanner.Err(), "explain")
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -329,11 +329,11 @@
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
 		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", "aborted",
-			"cause", err, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent)
+			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent)
 		return
 	}
 	e := errkind.From(err)
 	o.g.Metrics.requestFailed(e.Kind)
 	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
-		"cause", e, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter)
+		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter)
 }
