Jumps of the time of day change no decision

They are measured by CLOCK_BOOTTIME now (internal/boottime), which does not jump and, unlike the monotonic clock, counts a suspension of the machine.

A gateway that restarted after its clock had jumped back was ignored by its peers for a minute, because its reports bore an earlier start time. A report of another start now counts as newer once the peer has been silent for 250 ms.

The epoch of a shard's owner stays a time of day: a clock that is behind is raised by the log's refusals.

--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -83,7 +83,7 @@
 		return
 	}
 	s.recordRTT(time.Since(begin))
-	s.lastJoin.Store(time.Now().UnixNano())
+	s.lastJoin.Set()
 	m.generation, m.joined = membership.Generation, true
 	s.assign(ctx, membership.Generation, ownedShards(membership.Owned, s.opts.ResultTopic, len(s.shards)))
 }
@@ -162,8 +162,12 @@
 	}
 }
 
-// membershipConfirmedAt returns when the group last confirmed the membership.
-func (s *Service) membershipConfirmedAt() time.Time { return time.Unix(0, s.lastJoin.Load()) }
+// membershipConfirmed reports whether the group has confirmed the membership within
+// membershipTTL. A suspension of the machine counts.
+func (s *Service) membershipConfirmed() bool {
+	age, joined := s.lastJoin.Age()
+	return joined && age <= membershipTTL
+}
 
 // assign claims newly assigned shards and releases the others.
 func (s *Service) assign(ctx context.Context, generation int64, owned map[int]bool) {
--- a/jobs/open_jobs.go
+++ b/jobs/open_jobs.go
@@ -22,7 +22,9 @@
 	job     *summary
 	content []Item
 	route   *catalog.Route
-	due     time.Time
+	// submitted is when the job was first received, due when its results are due.
+	submitted time.Time
+	due       time.Time
 	// items are the indices of the items without a result.
 	items    []int
 	progress map[int]Progress
@@ -37,7 +39,7 @@
 			continue
 		}
 		j.route = route
-		j.due = j.job.submitted().Add(route.JobCompletionTarget)
+		j.due = j.submitted.Add(route.JobCompletionTarget)
 		open = append(open, j)
 	}
 	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
@@ -69,7 +71,7 @@
 		if !e.open() || e.items == nil || !include(id) {
 			continue
 		}
-		j := openJob{id: id, job: e.job, content: e.items, progress: maps.Clone(e.progress)}
+		j := openJob{id: id, job: e.job, submitted: e.submitted, content: e.items, progress: maps.Clone(e.progress)}
 		for i := range e.items {
 			if !e.done[i] {
 				j.items = append(j.items, i)
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -68,7 +68,7 @@
 	if !known {
 		return Listing{}, errkind.New(errkind.LogUnavailable, "batch job %s is not known to the owner yet", id).WithRetryAfter(ownerRetryAfter)
 	}
-	if len(listing.Results) == 0 && time.Since(s.membershipConfirmedAt()) > membershipTTL {
+	if len(listing.Results) == 0 && !s.membershipConfirmed() {
 		if err := sh.verify(ctx); err != nil {
 			event.Log(s.opts.Logger, event.LogDown, "call", "verify ownership", "shard", sh.part.Index, "cause", err)
 		}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -181,7 +181,7 @@
 // jobs, items that can be complete in time go first; inTime selects either those
 // or the others. It returns false if no backend server takes more items.
 func (r *runner) startItems(ctx context.Context, j openJob, inTime bool, used map[string]bool, now time.Time) bool {
-	retained := j.route.JobRetention <= 0 || now.Before(j.job.submitted().Add(j.route.JobRetention))
+	retained := j.route.JobRetention <= 0 || now.Before(j.submitted.Add(j.route.JobRetention+clockSkewMargin))
 	for _, item := range j.items {
 		u := r.runFor(j, item)
 		if u.result != nil {
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -112,10 +113,11 @@
 	reportedAt    time.Time
 	shardsChanged atomic.Bool
 	// rttMu guards the measured durations of short calls to the log.
-	rttMu    sync.Mutex
-	rtts     [rttSamples]time.Duration
-	rttNext  int
-	lastJoin atomic.Int64 // Unix nanoseconds of the last confirmed membership
+	rttMu   sync.Mutex
+	rtts    [rttSamples]time.Duration
+	rttNext int
+	// lastJoin is when the group last confirmed the membership.
+	lastJoin boottime.Stamp
 }
 
 const (
@@ -135,7 +137,7 @@
 		opts.Now = time.Now
 	}
 	s := &Service{opts: opts}
-	s.table = newTable(s.jobAccepted, s.logUnreadable)
+	s.table = newTable(opts.Now, s.jobAccepted, s.logUnreadable)
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
 	for i := range opts.Shards {
 		s.shards = append(s.shards, newShard(s, i))
@@ -165,7 +167,7 @@
 
 // Ready reports whether the accepted jobs have been read from the log.
 func (s *Service) Ready() bool {
-	_, known := s.jobs.Age(time.Now())
+	_, known := s.jobs.Age()
 	return known
 }
 
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -493,6 +493,18 @@
 	}
 }
 
+// TestJobOfSlowClockIsNotAbandonedEarly covers a gateway whose time of day was behind by
+// seconds when it accepted a job: to the owner, the job's retention seems to be over.
+func TestJobOfSlowClockIsNotAbandonedEarly(t *testing.T) {
+	c := newCluster(t, 1)
+	c.route.JobRetention = time.Second
+	a := c.start("a")
+	j := job("j1", 3)
+	j.SubmittedMs -= 5000
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	c.checkComplete(j, c.waitComplete(a, j))
+}
+
 func TestStopHandsOverProgress(t *testing.T) {
 	c := newCluster(t, 1)
 	c.backends[0].Events, c.backends[0].EventInterval = 60, 10*time.Millisecond
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -37,8 +38,10 @@
 
 // entry is the state of one job. Its records may be read in any order.
 type entry struct {
-	// job is nil until the job is accepted.
-	job *summary
+	// job is nil until the job is accepted. submitted is when it was first received, by
+	// the clock of this process.
+	job       *summary
+	submitted time.Time
 	// items is nil until the content has been read, which only the shard's owner
 	// does.
 	items []Item
@@ -87,6 +90,8 @@
 type Table struct {
 	onUnreadable func(p keyedlog.Partition, r keyedlog.Record, err error)
 	onAccepted   func(id string, j *summary)
+	// now returns the time of day.
+	now func() time.Time
 
 	mu     sync.RWMutex
 	byID   map[string]*entry
@@ -95,8 +100,8 @@
 
 // newTable returns an empty table, which calls accepted for each newly accepted job
 // and unreadable for each record that it skips.
-func newTable(accepted func(id string, j *summary), unreadable func(keyedlog.Partition, keyedlog.Record, error)) *Table {
-	return &Table{onAccepted: accepted, onUnreadable: unreadable, byID: make(map[string]*entry), chunks: newAssembler()}
+func newTable(now func() time.Time, accepted func(id string, j *summary), unreadable func(keyedlog.Partition, keyedlog.Record, error)) *Table {
+	return &Table{now: now, onAccepted: accepted, onUnreadable: unreadable, byID: make(map[string]*entry), chunks: newAssembler()}
 }
 
 // view applies one partition to the table. It implements keyedlog.View.
@@ -178,6 +183,7 @@
 		return err
 	}
 	e.job, e.summaryChunks, e.offset = job, chunks, offset
+	e.submitted = localTime(job.submitted(), t.now(), time.Now())
 	accepted[id] = job
 	return nil
 }
@@ -235,6 +241,14 @@
 	return nil
 }
 
+// localTime converts a time of day that another process has measured to a time of this
+// process's monotonic clock, so that later jumps of the time of day do not change it. The
+// time of day is now, and the monotonic clock is at local. Nothing was received in the
+// future.
+func localTime(at, now, local time.Time) time.Time {
+	return local.Add(-max(now.Sub(at), 0))
+}
+
 // setResult stores the result at a position; a stored result is never replaced.
 func (e *entry) setResult(position int, r *Result) {
 	if position < 0 || position >= MaxItems {
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
@@ -46,7 +47,7 @@
 	source Source
 
 	next         atomic.Int64
-	lastResponse atomic.Int64 // Unix nanoseconds of the last response, 0 before the first rebuild
+	lastResponse boottime.Stamp // not set before the first rebuild
 	failing      bool
 	// rebuiltOffsets holds the offsets of the rebuilt keys while the history is replayed
 	// from the end offset of the rebuild's first page.
@@ -81,13 +82,7 @@
 
 // Age returns the time since the log service last confirmed the view, and false if it
 // never has.
-func (f *Follower) Age(now time.Time) (time.Duration, bool) {
-	at := f.lastResponse.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return now.Sub(time.Unix(0, at)), true
-}
+func (f *Follower) Age() (time.Duration, bool) { return f.lastResponse.Age() }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
@@ -126,7 +121,7 @@
 		err = nil
 	}
 	if err == nil {
-		f.lastResponse.Store(time.Now().UnixNano())
+		f.lastResponse.Set()
 	}
 	if f.relay != nil {
 		f.relay.Advance(f.next.Load(), err == nil && f.source.Direct())
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -23,6 +23,9 @@
 
 const (
 	maxDatagram = 8 << 10
+	// datagramDelay is the longest time that a datagram takes to arrive. It is less than a
+	// restart of a process takes.
+	datagramDelay = 250 * time.Millisecond
 	// ReportTTL is how long a peer's report is valid.
 	ReportTTL = 900 * time.Millisecond
 	// removeAfter is how long reports are still sent to a peer that sends none.
@@ -115,6 +118,16 @@
 	storeRTT time.Duration
 }
 
+// precedes reports whether r is newer than the peer's last report. The time of day may
+// have jumped back between two starts of the peer, so a report of another start is also
+// newer if it arrives after datagramDelay: by then all reports of the former one have.
+func (s *peer) precedes(r report, now time.Time) bool {
+	if r.Boot == s.boot {
+		return r.Seq > s.seq
+	}
+	return r.Boot > s.boot || now.Sub(s.lastReport) > datagramDelay
+}
+
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
 	return &Peering{opts: opts, boot: time.Now().UnixNano(), directoryRead: make(chan struct{}), peers: make(map[string]*peer)}
@@ -272,13 +285,13 @@
 		sender = &peer{far: r.Region != p.opts.Region}
 		p.peers[r.From] = sender
 	}
-	if udp, ok := from.(*net.UDPAddr); ok && r.Boot > sender.boot {
-		sender.addr = udp.AddrPort()
-	}
-	if r.Boot < sender.boot || r.Boot == sender.boot && r.Seq <= sender.seq {
+	if !sender.precedes(r, now) {
 		p.mu.Unlock()
 		return
 	}
+	if udp, ok := from.(*net.UDPAddr); ok && r.Boot != sender.boot {
+		sender.addr = udp.AddrPort()
+	}
 	if !sender.reachable {
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", sender.addr)
 	}
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
@@ -57,8 +58,8 @@
 type Source struct {
 	peering *Peering
 	log     keyedlog.Reader
-	// pausedUntil is the time until which relays are not used, in Unix nanoseconds.
-	pausedUntil atomic.Int64
+	// pause is the time until which relays are not used.
+	pause boottime.Deadline
 	// direct states that the last response came from the log service itself.
 	direct atomic.Bool
 	// lastRelay is the relay of the last response. Only the follower accesses it.
@@ -81,7 +82,7 @@
 			s.setSource(relay, nil)
 			return h, err
 		}
-		s.pause(err)
+		s.pauseRelays(err)
 		s.setSource("", err)
 	}
 	s.setSource("", nil)
@@ -155,18 +156,18 @@
 	event.Log(s.peering.opts.Logger, event.SourceChanged, "relay", relay, "cause", cause)
 }
 
-// pause stops the use of relays for a time that depends on why a relay failed.
-func (s *Source) pause(cause error) {
+// pauseRelays stops the use of relays for a time that depends on why a relay failed.
+func (s *Source) pauseRelays(cause error) {
 	d := relayPause
 	if errors.Is(cause, errNotRelay) {
 		d = refusedPause
 	}
-	s.pausedUntil.Store(time.Now().Add(d).UnixNano())
+	s.pause.Extend(d)
 }
 
 // relay returns the address of the relay to read from, or an empty string.
 func (s *Source) relay() string {
-	if time.Now().UnixNano() < s.pausedUntil.Load() {
+	if !s.pause.Passed() {
 		return ""
 	}
 	address, _ := s.peering.relay()
