--- a/admission/admission.go
+++ b/admission/admission.go
@@ -54,12 +54,8 @@
 // Arrive reports the arrival of an attempt.
 type Arrive struct{ Attempt Attempt }
 
-// Token reports that a running attempt produced a token. The core counts one
-// token for each input and does not evaluate N.
-type Token struct {
-	ID string
-	N  int
-}
+// Token reports that a running attempt produced a token.
+type Token struct{ ID string }
 
 // Finish reports that a running attempt has ended, for any reason.
 type Finish struct{ ID string }
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -201,7 +201,7 @@
 	case 0, 1, 2:
 		return []admission.Input{drawArrival(t, n, fmt.Sprintf("a%d", i))}
 	case 3:
-		return []admission.Input{admission.Token{ID: id, N: 1}}
+		return []admission.Input{admission.Token{ID: id}}
 	case 4:
 		if s := n.state[id]; s == "running" || s == "stopping" {
 			n.end(t, id)
@@ -249,7 +249,7 @@
 	for i := range 32 {
 		id := fmt.Sprintf("a%d", i)
 		c.Tick(0, arrive(id, admission.Class(i%2)))
-		in = append(in, admission.Token{ID: id, N: 1})
+		in = append(in, admission.Token{ID: id})
 	}
 	now := time.Duration(0)
 	b.ReportAllocs()
--- a/admission/pause_test.go
+++ b/admission/pause_test.go
@@ -18,10 +18,10 @@
 func TestBatchPausesUntilOnlineHasItsFirstToken(t *testing.T) {
 	c := newPausingCore()
 	assert.Equal(t, kinds(c.Tick(0, arrive("b", admission.Batch))), "0:b ")
-	c.Tick(1, admission.Token{ID: "b", N: 1})
+	c.Tick(1, admission.Token{ID: "b"})
 	assert.Equal(t, kinds(c.Tick(2, arrive("o", admission.Online))), "4:b 0:o ")
 	assert.Equal(t, kinds(c.Tick(3)), "")
-	assert.Equal(t, kinds(c.Tick(4, admission.Token{ID: "o", N: 1})), "0:b ")
+	assert.Equal(t, kinds(c.Tick(4, admission.Token{ID: "o"})), "0:b ")
 }
 
 func TestLongPromptStartsInSlices(t *testing.T) {
@@ -57,5 +57,5 @@
 	c.Tick(0, arrive("b", admission.Batch))
 	c.Tick(1, arrive("o", admission.Online))
 	assert.Equal(t, kinds(c.Tick(2, admission.Cancel{ID: "b"})), "3:b ")
-	assert.Equal(t, kinds(c.Tick(3, admission.Token{ID: "o", N: 1})), "")
+	assert.Equal(t, kinds(c.Tick(3, admission.Token{ID: "o"})), "")
 }
--- a/desired/diff.go
+++ b/desired/diff.go
@@ -89,8 +89,11 @@
 
 // elementName returns the name that identifies an element of an array of tables.
 func elementName(v reflect.Value) string {
-	if call, ok := v.Interface().(Call); ok {
-		return call.Method + " " + call.Path
+	switch element := v.Interface().(type) {
+	case Call:
+		return element.Method + " " + element.Path
+	case Deployment:
+		return element.Model
 	}
 	return v.FieldByName("Name").String()
 }
--- a/desired/parse_test.go
+++ b/desired/parse_test.go
@@ -86,6 +86,16 @@
 	assert.Equal(t, len(Diff(to, to)), 0)
 }
 
+func TestDiffTellsDeploymentsApart(t *testing.T) {
+	document := func(versions ...string) Document {
+		var d Document
+		d.Services = []Service{{Name: "s", Deploy: []Deployment{{Model: "a", Version: versions[0]}, {Model: "b", Version: versions[1]}}}}
+		return d
+	}
+	changes := Diff(document("1", "1"), document("2", "1"))
+	assert.DeepEqual(t, changes, []Change{{Key: "service[s].deploy[a].version", Old: "1", New: "2"}})
+}
+
 func TestWorkspaceForKey(t *testing.T) {
 	open := Document{}
 	name, ok := open.WorkspaceForKey("")
--- a/internal/bench/leastwork.go
+++ b/internal/bench/leastwork.go
@@ -11,7 +11,6 @@
 type leastWorkRow struct {
 	backend         routing.Backend
 	load            routing.Load
-	loadAt          time.Duration
 	sentSinceReport int // attempts sent since the last load report
 	failures        int
 	ejectedUntil    time.Duration
@@ -40,9 +39,9 @@
 }
 
 // Observe records a load report.
-func (t *leastWorkTable) Observe(now time.Duration, instance string, l routing.Load) {
+func (t *leastWorkTable) Observe(_ time.Duration, instance string, l routing.Load) {
 	if r, ok := t.rows[instance]; ok {
-		r.load, r.loadAt, r.sentSinceReport = l, now, 0
+		r.load, r.sentSinceReport = l, 0
 	}
 }
 
--- a/internal/bench/worker.go
+++ b/internal/bench/worker.go
@@ -200,7 +200,7 @@
 	w.engine.cache.reserve(1)
 	w.sim.stats.recordToken(w.sim, s)
 	if a.keptTokens < a.req.outputTokens {
-		w.pendingInputs = append(w.pendingInputs, admission.Token{ID: a.id, N: 1})
+		w.pendingInputs = append(w.pendingInputs, admission.Token{ID: a.id})
 		return
 	}
 	w.engine.finish(s)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -182,7 +182,11 @@
 		Address: fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort), Region: d.settings.Region,
 		LinkMbps: d.settings.LinkMbps,
 	})
-	for err == nil && ctx.Err() == nil {
+	if err != nil {
+		event.Log(d.log, event.RecordSkipped, "topic", platform.KeyedTopic(directoryTopic), "cause", err)
+		return
+	}
+	for ctx.Err() == nil {
 		if err := d.writeDirectory(ctx, value); err == nil {
 			return
 		}
--- a/internal/sidecar/attempt.go
+++ b/internal/sidecar/attempt.go
@@ -186,7 +186,7 @@
 	var err error
 	if a.req.Model {
 		end, err = s.backend.chat(ctx, a.req, func(d *peerv1.Delta) bool {
-			s.onToken(a, int(d.Tokens))
+			s.onToken(a)
 			return a.send(&peerv1.RunEvent{Event: &peerv1.RunEvent_Delta{Delta: d}})
 		})
 	} else {
@@ -215,8 +215,8 @@
 	return refused(errkind.BackendFailed, err.Error(), true, 0)
 }
 
-func (s *Server) onToken(a *attempt, n int) {
+func (s *Server) onToken(a *attempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tick(admission.Token{ID: a.req.AttemptId, N: n})
+	s.tick(admission.Token{ID: a.req.AttemptId})
 }
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -98,6 +98,11 @@
 	})
 }
 
+func TestNoTargetsNoAssignments(t *testing.T) {
+	in := Input{Service: "s", Servers: []Server{{Instance: "a"}}, MaxConcurrentLoads: 2, LoadTime: time.Second, Horizon: time.Hour}
+	assert.Equal(t, len(Plan(in)), 0)
+}
+
 func TestDemandMovesServerOnlyWhenWorthwhile(t *testing.T) {
 	servers := func() []Server {
 		var out []Server
--- a/placement/plan.go
+++ b/placement/plan.go
@@ -46,10 +46,13 @@
 const paybackLoadTimes = 4
 
 // Plan returns the assignments to make now. It returns a few at a time, in an
-// order that depends only on the input. It counts the loads in progress, fills
+// order that depends only on the input, and none without a target. It counts the loads in progress, fills
 // the minimum replicas, upgrades servers one by one and then follows demand.
 func Plan(in Input) []Assignment {
 	p := newPlanner(in)
+	if len(in.Targets) == 0 {
+		return nil
+	}
 	p.fillReplicas()
 	p.upgrade()
 	p.followDemand()
@@ -122,7 +125,7 @@
 	}
 	for !p.atLoadLimit() {
 		s := p.unassigned()
-		if s == nil || len(p.in.Targets) == 0 {
+		if s == nil {
 			return
 		}
 		p.assign(s, p.mostUnderserved().Spec)
--- a/routing/table.go
+++ b/routing/table.go
@@ -14,7 +14,6 @@
 	hash         uint64 // of the instance
 	load         Load
 	loadAt       time.Duration
-	reported     bool
 	sent         [2]int // attempts of each class sent since the load was reported
 	failures     int
 	slowReports  int           // consecutive load reports with a slow step time
@@ -80,7 +79,7 @@
 	if !ok {
 		return
 	}
-	r.load, r.loadAt, r.sent, r.reported = l, now, [2]int{}, true
+	r.load, r.loadAt, r.sent = l, now, [2]int{}
 	t.checkSlow(now, r)
 }
 
