--- a/internal/capacity/requests.go
+++ b/internal/capacity/requests.go
@@ -48,7 +48,7 @@
 				c, now := newCoreWithAttempts(n), time.Duration(0)
 				return nanosPerCall(func() {
 					now += time.Millisecond
-					c.Tick(now, admission.Token{ID: identifier(0), N: 1})
+					c.Tick(now, admission.Token{ID: identifier(0)})
 				}), nil
 			}},
 		measurement{Quantity{ID: "admission.attempt", Help: "arrival and end of one attempt", Unit: Nanoseconds, Per: "running attempt"},
