balance: choices allow for what other gateways have started unseen

Change: reports bear how many attempts a gateway has started at each service. From the rates and the ages of the reports each gateway estimates how many attempts the others have started since, and assumes that they fill the cheapest servers evenly, as it does itself: it chooses at random, in proportion to what a server takes up to that common level ("load interpretation", Dahlin 1999). With reports after each attempt this is the former choice with its random term. The order of the ways in which a server admits a request is a part of the cost now, so that the level passes from free slots to preemption.

--- a/balance/peers.go
+++ b/balance/peers.go
@@ -8,6 +8,9 @@
 	ttl   time.Duration
 	peers map[string]*storedReport
 	sums  map[uint32]Counts
+	// unseen is the number of attempts by the key of the service that peers have probably
+	// started since their last reports.
+	unseen map[uint32]*unseenStarts
 	// nextExpiry is when the oldest report expires; it is undefined without peers.
 	nextExpiry time.Time
 }
@@ -17,14 +20,19 @@
 	reportedAt time.Time
 	counts     map[uint32]Counts
 	failures   map[uint32]uint32
+	// rates are the peer's start rates by the key of the service.
+	rates map[uint32]startRate
 }
 
 func newPeerTable(ttl time.Duration) peerTable {
-	return peerTable{ttl: ttl, peers: make(map[string]*storedReport), sums: make(map[uint32]Counts)}
+	return peerTable{
+		ttl: ttl, peers: make(map[string]*storedReport), sums: make(map[uint32]Counts), unseen: make(map[uint32]*unseenStarts),
+	}
 }
 
 // set replaces the last report of a peer.
 func (p *peerTable) set(name string, r PeerReport, now time.Time) {
+	rates := p.updatedRates(name, r.Started, now)
 	p.remove(name)
 	for key, c := range r.Counts {
 		p.add(key, c.Online, c.Batch)
@@ -32,7 +40,37 @@
 	if len(p.peers) == 0 || now.Add(p.ttl).Before(p.nextExpiry) {
 		p.nextExpiry = now.Add(p.ttl)
 	}
-	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures}
+	for service, rate := range rates {
+		p.unseenAt(service).add(rate.perSecond, now)
+	}
+	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures, rates: rates}
+}
+
+// updatedRates returns the start rates of a peer after a report.
+func (p *peerTable) updatedRates(name string, started map[uint32]uint64, now time.Time) map[uint32]startRate {
+	var last map[uint32]startRate
+	if previous := p.peers[name]; previous != nil {
+		last = previous.rates
+	}
+	rates := make(map[uint32]startRate, len(started))
+	for service, count := range started {
+		rate, known := last[service]
+		if !known || count < rate.started {
+			rates[service] = startRate{started: count, at: now}
+			continue
+		}
+		rates[service] = rate.update(count, now)
+	}
+	return rates
+}
+
+func (p *peerTable) unseenAt(service uint32) *unseenStarts {
+	u := p.unseen[service]
+	if u == nil {
+		u = &unseenStarts{}
+		p.unseen[service] = u
+	}
+	return u
 }
 
 // remove drops the report of a peer.
@@ -44,6 +82,9 @@
 	for key, c := range old.counts {
 		p.add(key, -c.Online, -c.Batch)
 	}
+	for service, rate := range old.rates {
+		p.unseenAt(service).add(-rate.perSecond, old.reportedAt)
+	}
 	delete(p.peers, name)
 }
 
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -14,11 +14,8 @@
 	// prefixBonus is subtracted if the backend server has recently processed the
 	// prompt part.
 	prefixBonus = 1.0
-	// jitter is the upper bound of a random cost, which spreads the choices of
-	// gateways that have the same information.
-	jitter = 0.9
 	// ejectedCost is the cost of a backend server that is ejected after failures.
-	ejectedCost = 100.0
+	ejectedCost = 1000.0
 	// recentFailureCost is the cost of each recent failure that any gateway reports.
 	recentFailureCost = 3.0
 	// maxQueuedOnline is how many online requests may wait at an engine.
@@ -68,39 +65,53 @@
 func (t *Table) Pick(candidates []catalog.Backend, req Requirements, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	best, found := Choice{}, false
-	bestRank, bestCost := 0, 0.0
+	choices, costs := t.admissible(candidates, req, now)
+	if len(choices) == 0 {
+		return Choice{}, false
+	}
+	chosen := choices[spread(t.rng, costs, t.unseen(choices[0].Backend.Service, now))]
+	t.countAttempt(chosen.Backend, req.Class)
+	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
+	return chosen, true
+}
+
+// admissible returns the candidates that the request may be sent to, with their costs.
+func (t *Table) admissible(candidates []catalog.Backend, req Requirements, now time.Time) (choices []Choice, costs []float64) {
 	useHealth := !t.mostEjected(candidates, now)
+	step := reasonStep(candidates)
 	for _, b := range candidates {
 		if b.State != catalog.Ready || req.Exclude[b.ID] {
 			continue
 		}
 		load := t.load(b.ID, now)
 		load.Online += t.unreported(b.ID, now)
-		rank, reason, ok := classify(b, load, req)
+		reason, ok := classify(b, load, req)
 		if !ok {
 			continue
 		}
-		ejected := useHealth && t.ejected(b.ID, now)
-		if ejected && req.Class == Batch {
-			continue
-		}
-		cost := t.cost(b, load, req, now)
+		cost := step*float64(reasonRanks[reason]) + t.cost(b, load, reason, req, now)
 		if useHealth {
 			cost += recentFailureCost * t.sharedScore(b.ID, now)
+			if t.ejected(b.ID, now) {
+				if req.Class == Batch {
+					continue
+				}
+				cost += ejectedCost
+			}
 		}
-		if ejected {
-			rank, cost = rankQueue, cost+ejectedCost
-		}
-		if !found || rank < bestRank || rank == bestRank && cost < bestCost {
-			best, bestRank, bestCost, found = Choice{b, load, reason}, rank, cost, true
-		}
+		choices = append(choices, Choice{b, load, reason})
+		costs = append(costs, cost)
 	}
-	if found {
-		t.countAttempt(best.Backend.ID, req.Class)
-		t.prefix.record(req.PromptPart, best.Backend.ID, now)
+	return choices, costs
+}
+
+// unseen estimates how many attempts peers have started at a service since they reported.
+func (t *Table) unseen(service string, now time.Time) float64 {
+	t.peers.expire(now)
+	if u := t.peers.unseen[Key(service)]; u != nil {
+		return u.at(now)
 	}
-	return best, found
+	return 0
 }
 
 // Availability describes why no candidate had capacity, for a log line.
@@ -140,30 +151,36 @@
 	return out
 }
 
-// The ranks of candidates, best first.
-const (
-	rankFree = iota
-	rankPreempt
-	rankQueue
-	rankOverload
-)
-
-// classify returns how a backend server would admit a request: the rank of the
-// candidate, the reason for choosing it, and whether it can be chosen at all.
-func classify(b catalog.Backend, load Counts, req Requirements) (int, Reason, bool) {
+// classify returns how a backend server would admit a request, and whether the request
+// can be sent there at all.
+func classify(b catalog.Backend, load Counts, req Requirements) (Reason, bool) {
 	switch {
 	case req.Class == Batch:
-		return rankFree, FreeSlot, load.total()+reserve(b, load) < b.Slots
+		return FreeSlot, load.total()+reserve(b, load) < b.Slots
 	case load.total() < b.Slots:
-		return rankFree, FreeSlot, true
+		return FreeSlot, true
 	case load.Online < b.Slots:
-		return rankPreempt, PreemptsBatch, true
+		return PreemptsBatch, true
 	case load.Online < b.Slots+maxQueuedOnline:
-		return rankQueue, Queued, true
+		return Queued, true
 	case req.AllowOverload:
-		return rankOverload, Overloaded, true
+		return Overloaded, true
+	}
+	return "", false
+}
+
+// reasonRanks orders the ways in which a backend server admits a request. A free slot in
+// another region goes before a batch attempt that has to be stopped in the own one.
+var reasonRanks = map[Reason]int{FreeSlot: 0, PreemptsBatch: 1, Queued: 2, Overloaded: 3}
+
+// reasonStep returns the cost that separates the ranks of reasons: more than candidates of
+// one rank differ by.
+func reasonStep(candidates []catalog.Backend) float64 {
+	slots := 0
+	for _, b := range candidates {
+		slots = max(slots, b.Slots)
 	}
-	return 0, "", false
+	return float64(slots) + maxQueuedOnline + otherRegionCost + prefixBonus
 }
 
 // reserve returns how many free slots a batch attempt has to leave. Where online
@@ -177,10 +194,10 @@
 
 // cost returns the cost of a candidate in slots; lower is better. If all slots are in
 // use, batch attempts do not count, as an online request preempts them.
-func (t *Table) cost(b catalog.Backend, load Counts, req Requirements, now time.Time) float64 {
-	cost := float64(load.total()) + t.rng.Float64()*jitter
-	if load.total() >= b.Slots {
-		cost = float64(load.Online) + t.rng.Float64()*jitter
+func (t *Table) cost(b catalog.Backend, load Counts, reason Reason, req Requirements, now time.Time) float64 {
+	cost := float64(load.Online)
+	if reason == FreeSlot {
+		cost += float64(load.Batch)
 	}
 	if b.Zone != t.opts.Zone && t.opts.RegionOf[b.Zone] != t.opts.RegionOf[t.opts.Zone] {
 		cost += otherRegionCost
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -17,13 +17,14 @@
 // order of arrival and have a fixed number of slots. Online requests and batch items
 // hold a slot for a while; batch items are stopped on request.
 type sim struct {
+	simConfig
 	gateways []*balance.Table
 	engines  []*engine
 	backends []catalog.Backend
-	// delay is the latency of a report between gateways; a negative value disables
-	// reports.
-	delay time.Duration
-	rng   *rand.Rand
+	rng      *rand.Rand
+	// lastReport is when each gateway has last reported, reportDue whether a report is due.
+	lastReport []time.Time
+	reportDue  []bool
 
 	now    time.Time
 	events eventQueue
@@ -75,20 +76,44 @@
 	return x
 }
 
-const (
-	simGateways = 8
-	simEngines  = 9
-	simSlots    = 8
-	onlineTime  = 750 * time.Millisecond
-	batchTime   = 5 * time.Second
-)
+const simSlots = 8
+
+// simConfig is the size and the load of a simulation.
+type simConfig struct {
+	numGateways, numEngines int
+	// onlineTime and batchTime are how long an attempt holds its slot on average.
+	onlineTime, batchTime time.Duration
+	// onlinePerSecond is the mean rate of online requests. If batch is set, there is always
+	// more batch work than fits.
+	onlinePerSecond float64
+	batch           bool
+	// reportDelay is the latency of a report between gateways; a negative value disables
+	// reports. reportInterval is the least time between two reports of a gateway.
+	reportDelay, reportInterval time.Duration
+	length                      time.Duration
+}
+
+// smallFleet is a fleet in which each attempt is reported at once.
+var smallFleet = simConfig{
+	numGateways: 8, numEngines: 9, onlineTime: 750 * time.Millisecond, batchTime: 5 * time.Second,
+	onlinePerSecond: 45, batch: true, reportDelay: 4 * time.Millisecond, length: time.Minute,
+}
+
+// largeRegion has the load and the report interval of one of two regions of a fleet of 133
+// gateways, and half of its size. Online requests use a fifth of the slots on average and
+// a third in bursts.
+var largeRegion = simConfig{
+	numGateways: 33, numEngines: 36, onlineTime: 330 * time.Millisecond, batchTime: 2200 * time.Millisecond,
+	onlinePerSecond: 168, batch: true, reportDelay: 4 * time.Millisecond, reportInterval: 176 * time.Millisecond,
+	length: 10 * time.Second,
+}
 
-func newSim(seed uint64, delay time.Duration) *sim {
-	s := &sim{delay: delay, rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
-	for i := range simGateways {
+func newSim(seed uint64, c simConfig) *sim {
+	s := &sim{simConfig: c, lastReport: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
+	for i := range c.numGateways {
 		s.gateways = append(s.gateways, balance.New(balance.Options{Zone: "z", PeerTTL: time.Hour, Seed: seed + uint64(i)}))
 	}
-	for i := range simEngines {
+	for i := range c.numEngines {
 		s.engines = append(s.engines, &engine{})
 		s.backends = append(s.backends, catalog.Backend{ID: fmt.Sprint("b", i), Zone: "z", Slots: simSlots, State: catalog.Ready})
 	}
@@ -114,16 +139,24 @@
 	}
 }
 
-// report sends the attempts in progress of a gateway to the other gateways.
+// report makes a gateway send a report as soon as reportInterval allows.
 func (s *sim) report(gateway int) {
-	if s.delay < 0 {
+	if s.reportDelay < 0 || s.reportDue[gateway] {
 		return
 	}
-	counts := s.gateways[gateway].LocalCounts()
+	s.reportDue[gateway] = true
+	s.after(max(s.reportInterval-s.now.Sub(s.lastReport[gateway]), 0), func() { s.sendReport(gateway) })
+}
+
+// sendReport sends the attempts in progress of a gateway to the other gateways.
+func (s *sim) sendReport(gateway int) {
+	s.reportDue[gateway] = false
+	s.lastReport[gateway] = s.now
+	r := balance.PeerReport{Counts: s.gateways[gateway].LocalCounts(), Started: s.gateways[gateway].Started()}
 	for i, other := range s.gateways {
 		if i != gateway {
-			s.after(s.delay, func() {
-				other.SetPeer(fmt.Sprint(gateway), balance.PeerReport{Counts: counts}, s.now)
+			s.after(s.reportDelay, func() {
+				other.SetPeer(fmt.Sprint(gateway), r, s.now)
 				s.stopExcess(i)
 			})
 		}
@@ -166,10 +199,10 @@
 		}
 		a.started = s.now
 		e.running++
-		duration := batchTime
+		duration := s.batchTime
 		if a.class == balance.Online {
 			s.waits = append(s.waits, s.now.Sub(a.arrived))
-			duration = onlineTime/2 + s.random(onlineTime)
+			duration = s.onlineTime/2 + s.random(s.onlineTime)
 		}
 		s.after(duration, func() { s.end(a) })
 	}
@@ -191,6 +224,9 @@
 
 // stopExcess stops the excess batch attempts of a gateway.
 func (s *sim) stopExcess(gateway int) {
+	if len(s.batchAttempts[gateway]) == 0 {
+		return
+	}
 	for i, b := range s.backends {
 		for range s.gateways[gateway].ExcessBatch(fmt.Sprint(gateway), b, s.now) {
 			s.stopBatchAttempt(gateway, i)
@@ -208,37 +244,28 @@
 	}
 }
 
-// online generates requests at random gateways, perSecond on average, with bursts of
-// almost twice as many for two of every five seconds.
-func (s *sim) online(perSecond float64) {
-	gateway := s.rng.IntN(simGateways)
-	s.arrive(gateway)
-	rate := perSecond * 0.5
+// online generates requests at random gateways with bursts of almost twice the mean rate
+// for two of every five seconds.
+func (s *sim) online() {
+	s.arrive(s.rng.IntN(s.numGateways))
+	rate := s.onlinePerSecond * 0.5
 	if s.now.Unix()%5 >= 3 {
-		rate = perSecond * 1.75
+		rate = s.onlinePerSecond * 1.75
 	}
-	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), func() { s.online(perSecond) })
+	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.online)
 }
 
-// batch starts an item at a gateway whenever a backend server has capacity for it.
-func (s *sim) batch(gateway int) {
+// batchCycle starts an item at a gateway whenever a backend server has capacity for it.
+func (s *sim) batchCycle(gateway int) {
 	if c, ok := s.gateways[gateway].Pick(s.backends, balance.Requirements{Class: balance.Batch}, s.now); ok {
 		s.send(gateway, c, balance.Batch)
 	}
-	s.after(10*time.Millisecond+s.random(10*time.Millisecond), func() { s.batch(gateway) })
+	s.after(10*time.Millisecond+s.random(10*time.Millisecond), func() { s.batchCycle(gateway) })
 }
 
-const (
-	simTime = 60 * time.Second
-	// reportDelay is the latency of a report within a region.
-	reportDelay = 4 * time.Millisecond
-	// startObjective is the time in which a request has to get its slot so that its
-	// first event can arrive within an objective of 300 ms.
-	startObjective = 250 * time.Millisecond
-	// onlineRate is the online load in requests per second: 0.45 of the capacity on
-	// average and 0.8 in bursts.
-	onlineRate = 45
-)
+// startObjective is the time in which a request has to get its slot so that its first
+// event can arrive within an objective of 300 ms.
+const startObjective = 250 * time.Millisecond
 
 // inTime returns the fraction of all online requests that got a slot in time.
 func (s *sim) inTime() float64 {
@@ -252,18 +279,18 @@
 }
 
 func (s *sim) utilization() float64 {
-	return float64(s.busy) / float64(simTime*simEngines*simSlots)
+	return float64(s.busy) / float64(s.length*time.Duration(s.numEngines*simSlots))
 }
 
-func simulate(seed uint64, delay time.Duration, batch bool) *sim {
-	s := newSim(seed, delay)
-	s.after(0, func() { s.online(onlineRate) })
-	for gateway := range simGateways {
-		if batch {
-			s.after(0, func() { s.batch(gateway) })
+func simulate(seed uint64, c simConfig) *sim {
+	s := newSim(seed, c)
+	s.after(0, s.online)
+	for gateway := range c.numGateways {
+		if c.batch {
+			s.after(0, func() { s.batchCycle(gateway) })
 		}
 	}
-	s.until(simTime)
+	s.until(c.length)
 	return s
 }
 
@@ -273,9 +300,9 @@
 // leave. Gateways that only count their own attempts do worse at both.
 func TestOnlineIsNotSlowedByBatch(t *testing.T) {
 	for seed := range uint64(3) {
-		onlineOnly := simulate(seed, reportDelay, false)
-		withBatch := simulate(seed, reportDelay, true)
-		withoutReports := simulate(seed, -1, true)
+		alone, silent := smallFleet, smallFleet
+		alone.batch, silent.reportDelay = false, -1
+		onlineOnly, withBatch, withoutReports := simulate(seed, alone), simulate(seed, smallFleet), simulate(seed, silent)
 		t.Logf("seed %d: in time alone %.4f, with batch %.4f, without reports %.4f; used %.3f, %.3f, %.3f",
 			seed, onlineOnly.inTime(), withBatch.inTime(), withoutReports.inTime(), onlineOnly.utilization(), withBatch.utilization(), withoutReports.utilization())
 		assert.Assert(t, onlineOnly.inTime() >= 0.99)
@@ -284,3 +311,18 @@
 		assert.Assert(t, withBatch.utilization() >= 0.85)
 	}
 }
+
+// TestStaleReportsDoNotOverloadBackendServers runs bursts at a region that is so large that
+// a gateway knows what the others have started only some hundred milliseconds later. There
+// are several free slots for each request. If all gateways chose the least loaded server
+// of the last reports, they would all choose the same one.
+func TestStaleReportsDoNotOverloadBackendServers(t *testing.T) {
+	for seed := range uint64(2) {
+		alone := largeRegion
+		alone.batch = false
+		onlineOnly, withBatch := simulate(seed, alone), simulate(seed, largeRegion)
+		t.Logf("seed %d: in time alone %.4f, with batch %.4f; used %.3f, %.3f", seed, onlineOnly.inTime(), withBatch.inTime(), onlineOnly.utilization(), withBatch.utilization())
+		assert.Assert(t, onlineOnly.inTime() >= 0.99)
+		assert.Assert(t, withBatch.inTime() >= 0.99)
+	}
+}
--- a/balance/table.go
+++ b/balance/table.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -50,11 +51,13 @@
 type Table struct {
 	opts Options
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	local  map[string]*localCounts
-	peers  peerTable
-	health map[string]*health
+	mu    sync.Mutex
+	rng   *rand.Rand
+	local map[string]*localCounts
+	// started counts the attempts that this gateway has started by the key of the service.
+	started map[uint32]uint64
+	peers   peerTable
+	health  map[string]*health
 	// failures are those of this gateway, shared those of all gateways; both are
 	// keyed by Key.
 	failures        map[uint32]failureCount
@@ -70,8 +73,8 @@
 // localCounts holds this gateway's attempts in progress at one backend server.
 type localCounts struct{ n [numClasses]int }
 
-// Key returns a short hash that identifies a backend server in reports between
-// gateways. A collision of two ids only adds up their loads.
+// Key returns a short hash that identifies a backend server or a service in reports
+// between gateways. A collision of two ids only adds up their loads.
 func Key(id string) uint32 {
 	const offset, prime = 2166136261, 16777619 // FNV-1a
 	h := uint32(offset)
@@ -87,6 +90,7 @@
 		opts:            opts,
 		rng:             rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
 		local:           make(map[string]*localCounts),
+		started:         make(map[uint32]uint64),
 		peers:           newPeerTable(opts.PeerTTL),
 		health:          make(map[string]*health),
 		failures:        make(map[uint32]failureCount),
@@ -130,13 +134,14 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *Table) countAttempt(id string, c Class) {
-	counts := t.local[id]
+func (t *Table) countAttempt(b catalog.Backend, c Class) {
+	counts := t.local[b.ID]
 	if counts == nil {
 		counts = &localCounts{}
-		t.local[id] = counts
+		t.local[b.ID] = counts
 	}
 	counts.n[c]++
+	t.started[Key(b.Service)]++
 	t.notifyLocalChange()
 }
 
@@ -167,8 +172,18 @@
 	return out
 }
 
+// Started returns how many attempts this gateway has started so far by the key of the
+// service.
+func (t *Table) Started() map[uint32]uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.started)
+}
+
 // PeerReport is the report of a peer; its maps are keyed by Key.
 type PeerReport struct {
+	// Started counts the attempts that the peer has started so far, by service.
+	Started map[uint32]uint64
 	// Counts are the peer's attempts in progress.
 	Counts map[uint32]Counts
 	// Failures are the counts of the peer's recent failures; nil if they are to be
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -49,6 +49,8 @@
 	StoreRTTUs int64 `cbor:"8,keyasint,omitempty"`
 	// Failures are the counts of the sender's recent failures at backend servers.
 	Failures map[uint32]uint32 `cbor:"9,keyasint,omitempty"`
+	// Started counts the attempts that the sender has started, by service.
+	Started map[uint32]uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -211,7 +213,7 @@
 func (p *Peering) report(seq uint64) report {
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region,
-		Loads: p.loads(), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()),
+		Loads: p.loads(), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
 }
@@ -305,7 +307,7 @@
 	for id, n := range r.Loads {
 		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
 	}
-	peerReport := balance.PeerReport{Counts: counts}
+	peerReport := balance.PeerReport{Counts: counts, Started: r.Started}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
 		// servers fail there, but not here.
