Large regions: own zone first, loads of other regions known, room for unseen attempts

Changes: - In a region of 40 gateways or more, reports go to the own zone and to the owners of shards (which stop batch items), at most 500 a second, and to the others three times a second. Online requests prefer servers of their zone if it has eight or more of the service. - One gateway of a region sends the sum of its loads to one of each other region, which passes it on. Without a summary, batch stays out of a silent region and its servers count as full. - Batch attempts leave free what other gateways have probably started unseen, twice. - A server whose batch attempt has to be stopped costs as much as one whose last slot is taken, so that stale reports of free slots do not gather requests.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -51,6 +51,40 @@
 	assert.Equal(t, pick(t, table, balance.Requirements{}, near, far).Backend.ID, "far")
 }
 
+// TestLargeRegionsPreferTheOwnZone checks where online requests go in a region whose gateways
+// know the loads of their zone better than those of others.
+func TestLargeRegionsPreferTheOwnZone(t *testing.T) {
+	zones := func(n int) (out []catalog.Backend) {
+		for i := range n {
+			out = append(out, backend(fmt.Sprint("a", i), "a"), backend(fmt.Sprint("b", i), "b"))
+		}
+		return out
+	}
+	inZone := func(large bool, servers, load int) int {
+		table := newTable()
+		table.SetZoneFirst(large)
+		counts := make(map[uint32]balance.Counts)
+		for i := range servers {
+			counts[balance.Key(fmt.Sprint("a", i))] = balance.Counts{Online: load}
+		}
+		table.SetPeer("peer", balance.PeerReport{Counts: counts}, now)
+		n := 0
+		for range 100 {
+			c := pick(t, table, balance.Requirements{}, zones(servers)...)
+			if c.Backend.Zone == "a" {
+				n++
+			}
+			table.Release(c.Backend.ID, balance.Online)
+		}
+		return n
+	}
+	assert.Equal(t, inZone(true, 10, 3), 100, "servers of the own zone have free slots")
+	assert.Equal(t, inZone(true, 10, 6), 0, "servers of the own zone are full")
+	assert.Equal(t, inZone(false, 10, 3), 0, "in a small region the least loaded server is chosen")
+	few := inZone(true, 2, 0)
+	assert.Assert(t, few > 25 && few < 75, "%d of 100 in the own zone, which has few servers", few)
+}
+
 func TestPeerLoadCountsUntilItExpires(t *testing.T) {
 	table := newTable()
 	a, b := backend("a", "a"), backend("b", "a")
@@ -74,6 +108,57 @@
 	assert.Assert(t, !ok)
 }
 
+// TestBatchLeavesRoomForUnseenAttempts plays peers that report a second apart and start
+// attempts all the time: batch attempts leave free what these probably hold by now.
+func TestBatchLeavesRoomForUnseenAttempts(t *testing.T) {
+	table := newTable()
+	a, b := backend("a", "a"), backend("b", "a")
+	for i := range uint64(10) {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		table.SetPeer("peer", balance.PeerReport{Started: map[uint32]uint64{balance.Key(""): i}}, at)
+	}
+	reported := now.Add(900 * time.Millisecond)
+	started := func(at time.Time) int {
+		n := 0
+		for {
+			if _, ok := table.Pick([]catalog.Backend{a, b}, balance.Requirements{Class: balance.Batch}, at); !ok {
+				break
+			}
+			n++
+		}
+		for id, c := range map[string]int{"a": table.LocalCounts()[balance.Key("a")].Batch, "b": table.LocalCounts()[balance.Key("b")].Batch} {
+			for range c {
+				table.Release(id, balance.Batch)
+			}
+		}
+		return n
+	}
+	assert.Equal(t, started(reported), 8, "at the time of the report")
+	assert.Equal(t, started(reported.Add(100*time.Millisecond)), 6, "an attempt unseen, and one more until a stop, at two servers")
+	assert.Equal(t, started(reported.Add(200*time.Millisecond)), 4)
+}
+
+func TestBatchAvoidsRegionsOfUnknownLoad(t *testing.T) {
+	table := newTable()
+	far := []catalog.Backend{backend("x", "far")}
+	batch := balance.Requirements{Class: balance.Batch}
+	table.SetOtherRegionsSilent(true)
+	_, ok := table.Pick(far, batch, now)
+	assert.Assert(t, !ok)
+	_, ok = table.Pick(far, balance.Requirements{}, now)
+	assert.Assert(t, ok, "an online request that finds no room in its region")
+	table.Release("x", balance.Online)
+	table.SetRegionSummary("q", map[uint32]balance.Counts{balance.Key("x"): {Online: 2}}, now)
+	pick(t, table, batch, far...)
+	pick(t, table, batch, far...)
+	_, ok = table.Pick(far, batch, now)
+	assert.Assert(t, !ok, "the summary counts")
+	_, ok = table.Pick(far, batch, now.Add(2*time.Second))
+	assert.Assert(t, !ok, "the summary has expired")
+	table.SetOtherRegionsSilent(false)
+	pick(t, table, batch, far...)
+}
+
 func TestBatchLeavesASlotWhereOnlineRequestsAreFrequent(t *testing.T) {
 	table := newTable()
 	a := backend("a", "a")
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -8,9 +8,9 @@
 	ttl   time.Duration
 	peers map[string]*storedReport
 	sums  map[uint32]Counts
-	// unseen is the number of attempts by the key of the service that peers have probably
-	// started since their last reports.
-	unseen map[uint32]*unseenStarts
+	// unseen is the number of attempts that peers have probably started since their last
+	// reports.
+	unseen map[startsKey]*unseenStarts
 	// nextExpiry is when the oldest report expires; it is undefined without peers.
 	nextExpiry time.Time
 }
@@ -21,12 +21,14 @@
 	counts     map[uint32]Counts
 	failures   map[uint32]uint32
 	// rates are the peer's start rates by the key of the service.
-	rates map[uint32]startRate
+	rates       map[uint32]startRate
+	otherRegion bool
+	otherZone   bool
 }
 
 func newPeerTable(ttl time.Duration) peerTable {
 	return peerTable{
-		ttl: ttl, peers: make(map[string]*storedReport), sums: make(map[uint32]Counts), unseen: make(map[uint32]*unseenStarts),
+		ttl: ttl, peers: make(map[string]*storedReport), sums: make(map[uint32]Counts), unseen: make(map[startsKey]*unseenStarts),
 	}
 }
 
@@ -41,9 +43,9 @@
 		p.nextExpiry = now.Add(p.ttl)
 	}
 	for service, rate := range rates {
-		p.unseenAt(service).add(rate.perSecond, now)
+		p.unseenAt(startsKey{service, r.OtherZone}).add(rate.perSecond, now)
 	}
-	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures, rates: rates}
+	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures, rates: rates, otherRegion: r.OtherRegion, otherZone: r.OtherZone}
 }
 
 // updatedRates returns the start rates of a peer after a report.
@@ -64,11 +66,18 @@
 	return rates
 }
 
-func (p *peerTable) unseenAt(service uint32) *unseenStarts {
-	u := p.unseen[service]
+// startsKey is the service and the origin of attempts: gateways of the own zone or of
+// others.
+type startsKey struct {
+	service   uint32
+	otherZone bool
+}
+
+func (p *peerTable) unseenAt(key startsKey) *unseenStarts {
+	u := p.unseen[key]
 	if u == nil {
 		u = &unseenStarts{}
-		p.unseen[service] = u
+		p.unseen[key] = u
 	}
 	return u
 }
@@ -83,7 +92,7 @@
 		p.add(key, -c.Online, -c.Batch)
 	}
 	for service, rate := range old.rates {
-		p.unseenAt(service).add(-rate.perSecond, old.reportedAt)
+		p.unseenAt(startsKey{service, old.otherZone}).add(-rate.perSecond, old.reportedAt)
 	}
 	delete(p.peers, name)
 }
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
@@ -11,6 +12,12 @@
 const (
 	// otherRegionCost is the cost of the network path to another region.
 	otherRegionCost = 6.0
+	// otherZoneCost is the cost of a backend server in another zone of a large region, whose
+	// gateways report less often.
+	otherZoneCost = 5.0
+	// minZoneServers is the number of backend servers in a zone from which on its requests
+	// prefer them: a few servers do not even out the variation of a zone's requests.
+	minZoneServers = 8
 	// prefixBonus is subtracted if the backend server has recently processed the
 	// prompt part.
 	prefixBonus = 1.0
@@ -20,6 +27,9 @@
 	recentFailureCost = 3.0
 	// maxQueuedOnline is how many online requests may wait at an engine.
 	maxQueuedOnline = 2
+	// summaryAgeFactor is how many times older the loads in a summary of another region are
+	// than those that gateways of the own region report.
+	summaryAgeFactor = 2
 	// onlineReserve is how many slots batch attempts leave free at a backend server
 	// where online requests use more than half of the slots.
 	onlineReserve = 1
@@ -72,7 +82,7 @@
 	if len(choices) == 0 {
 		return Choice{}, false
 	}
-	chosen := choices[spread(t.rng, costs, t.unseen(choices[0].Backend.Service, now))]
+	chosen := choices[spread(t.rng, costs, t.unseen(choices[0].Backend.Service, t.ownZoneFirst(candidates, req), now))]
 	t.countAttempt(chosen.Backend, req.Class)
 	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
 	return chosen, true
@@ -80,19 +90,25 @@
 
 // admissible returns the candidates that the request may be sent to, with their costs.
 func (t *Table) admissible(candidates []catalog.Backend, req Requirements, now time.Time) (choices []Choice, costs []float64) {
+	t.peers.expire(now)
 	useHealth := !t.mostEjected(candidates, now)
 	step := reasonStep(candidates)
+	unseen := t.unseenPerServer(candidates, now)
+	zoneFirst := t.ownZoneFirst(candidates, req)
 	for _, b := range candidates {
-		if b.State != catalog.Ready || req.Exclude[b.ID] {
+		if b.State != catalog.Ready || req.Exclude[b.ID] || req.Class == Batch && t.unknownLoad(b) {
 			continue
 		}
 		load := t.load(b.ID, now)
 		load.Online += t.unreported(b.ID, now)
-		reason, ok := classify(b, load, req)
+		reason, ok := classify(b, load, req, t.batchHeadroom(b, unseen))
 		if !ok {
 			continue
 		}
 		cost := step*float64(reasonRanks[reason]) + t.cost(b, load, reason, req, now)
+		if zoneFirst && b.Zone != t.opts.Zone && !t.otherRegion(b) {
+			cost += otherZoneCost
+		}
 		if useHealth {
 			cost += recentFailureCost * t.sharedScore(b.ID, now)
 			if req.RunsOnce && t.doubtful(b.ID, now) {
@@ -111,13 +127,32 @@
 	return choices, costs
 }
 
-// unseen estimates how many attempts peers have started at a service since they reported.
-func (t *Table) unseen(service string, now time.Time) float64 {
+// unseen estimates how many attempts peers have started at a service since they reported:
+// all of them, or only those of the own zone.
+func (t *Table) unseen(service string, ownZone bool, now time.Time) float64 {
 	t.peers.expire(now)
-	if u := t.peers.unseen[Key(service)]; u != nil {
-		return u.at(now)
+	sum := 0.0
+	for _, otherZone := range []bool{false, true} {
+		if u := t.peers.unseen[startsKey{Key(service), otherZone}]; u != nil && !(otherZone && ownZone) {
+			sum += u.at(now)
+		}
 	}
-	return 0
+	return sum
+}
+
+// ownZoneFirst reports whether a request prefers the backend servers of the own zone: an
+// online one in a large region whose zone has several of them.
+func (t *Table) ownZoneFirst(candidates []catalog.Backend, req Requirements) bool {
+	if !t.zoneFirst || req.Class == Batch {
+		return false
+	}
+	n := 0
+	for _, b := range candidates {
+		if b.Zone == t.opts.Zone && b.State == catalog.Ready {
+			n++
+		}
+	}
+	return n >= minZoneServers
 }
 
 // Availability describes why no candidate had capacity, for a log line.
@@ -159,10 +194,10 @@
 
 // classify returns how a backend server would admit a request, and whether the request
 // can be sent there at all.
-func classify(b catalog.Backend, load Counts, req Requirements) (Reason, bool) {
+func classify(b catalog.Backend, load Counts, req Requirements, headroom int) (Reason, bool) {
 	switch {
 	case req.Class == Batch:
-		return FreeSlot, load.total()+reserve(b, load) < b.Slots
+		return FreeSlot, load.total()+reserve(b, load)+headroom < b.Slots
 	case load.total() < b.Slots:
 		return FreeSlot, true
 	case load.Online < b.Slots:
@@ -175,9 +210,11 @@
 	return "", false
 }
 
-// reasonRanks orders the ways in which a backend server admits a request. A free slot in
-// another region goes before a batch attempt that has to be stopped in the own one.
-var reasonRanks = map[Reason]int{FreeSlot: 0, PreemptsBatch: 1, Queued: 2, Overloaded: 3}
+// reasonRanks orders the ways in which a backend server admits a request: anything goes
+// before a queue. A server whose batch attempt has to be stopped costs as much as one whose
+// last slot is taken, so that online requests stay even over the servers where many of
+// them have free slots by reports that are not quite up to date.
+var reasonRanks = map[Reason]int{FreeSlot: 0, PreemptsBatch: 0, Queued: 1, Overloaded: 2}
 
 // reasonStep returns the cost that separates the ranks of reasons: more than candidates of
 // one rank differ by.
@@ -186,7 +223,47 @@
 	for _, b := range candidates {
 		slots = max(slots, b.Slots)
 	}
-	return float64(slots) + maxQueuedOnline + otherRegionCost + prefixBonus
+	return float64(2*slots) + otherRegionCost + prefixBonus
+}
+
+// unseenPerServer estimates how many attempts each backend server of the own region holds
+// that this gateway does not know of yet.
+func (t *Table) unseenPerServer(candidates []catalog.Backend, now time.Time) float64 {
+	near := 0
+	for _, b := range candidates {
+		if b.State == catalog.Ready && !t.otherRegion(b) {
+			near++
+		}
+	}
+	if near == 0 {
+		return 0
+	}
+	return t.unseen(candidates[0].Service, false, now) / float64(near)
+}
+
+// batchHeadroom returns how many slots batch attempts leave free: as many as the other
+// gateways have probably started since they reported, and as many again that they start
+// until the gateways that run batch attempts know of them and stop one.
+func (t *Table) batchHeadroom(b catalog.Backend, unseen float64) int {
+	if t.otherRegionsSilent && t.otherRegion(b) {
+		unseen *= summaryAgeFactor
+	}
+	return int(math.Round(2 * unseen))
+}
+
+// unknownLoad reports whether the gateways near a backend server do not report to this one,
+// neither by themselves nor in a summary of their region. Batch attempts there would stand
+// in the way of online requests that this gateway never learns of. For online requests the
+// server counts as full.
+func (t *Table) unknownLoad(b catalog.Backend) bool {
+	if !t.otherRegionsSilent || !t.otherRegion(b) {
+		return false
+	}
+	return t.peers.peers[summaryName(t.opts.RegionOf[b.Zone])] == nil
+}
+
+func (t *Table) otherRegion(b catalog.Backend) bool {
+	return b.Zone != t.opts.Zone && t.opts.RegionOf[b.Zone] != t.opts.RegionOf[t.opts.Zone]
 }
 
 // reserve returns how many free slots a batch attempt has to leave. Where online
@@ -202,12 +279,18 @@
 // use, batch attempts do not count, as an online request preempts them.
 func (t *Table) cost(b catalog.Backend, load Counts, reason Reason, req Requirements, now time.Time) float64 {
 	cost := float64(load.Online)
-	if reason == FreeSlot {
+	switch reason {
+	case FreeSlot:
 		cost += float64(load.Batch)
+	case PreemptsBatch:
+		cost += float64(b.Slots)
 	}
-	if b.Zone != t.opts.Zone && t.opts.RegionOf[b.Zone] != t.opts.RegionOf[t.opts.Zone] {
+	if t.otherRegion(b) {
 		cost += otherRegionCost
 	}
+	if t.unknownLoad(b) {
+		cost += float64(b.Slots)
+	}
 	if t.prefix.has(req.PromptPart, b.ID, now) {
 		cost -= prefixBonus
 	}
--- a/balance/table.go
+++ b/balance/table.go
@@ -60,9 +60,13 @@
 	health  map[string]*health
 	// failures are those of this gateway, shared those of all gateways; both are
 	// keyed by Key.
-	failures        map[uint32]failureCount
-	shared          map[uint32]*sharedFailures
-	prefix          prefixTable
+	failures map[uint32]failureCount
+	shared   map[uint32]*sharedFailures
+	prefix   prefixTable
+	// otherRegionsSilent states that the gateways of other regions do not report their loads.
+	otherRegionsSilent bool
+	// zoneFirst states that online requests prefer the own zone.
+	zoneFirst       bool
 	unreportedLoads map[string]unreportedLoad
 	// changed is closed and replaced at each change that may free capacity.
 	changed chan struct{}
@@ -186,6 +190,9 @@
 	Started map[uint32]uint64
 	// Counts are the peer's attempts in progress.
 	Counts map[uint32]Counts
+	// OtherRegion states that the peer is in another region, OtherZone that it is in another
+	// zone of the own region.
+	OtherRegion, OtherZone bool
 	// Failures are the counts of the peer's recent failures; nil if they are to be
 	// ignored.
 	Failures map[uint32]uint32
@@ -202,6 +209,61 @@
 	return ejections
 }
 
+// SetOtherRegionsSilent sets whether the gateways of other regions report their loads too
+// rarely for choices.
+func (t *Table) SetOtherRegionsSilent(silent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.otherRegionsSilent = silent
+}
+
+// SetZoneFirst sets whether online requests prefer backend servers of the own zone, since
+// the gateways of other zones report less often.
+func (t *Table) SetZoneFirst(on bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.zoneFirst = on
+}
+
+// SetRegionSummary replaces the summed counts of the gateways of another region.
+func (t *Table) SetRegionSummary(region string, counts map[uint32]Counts, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers.set(summaryName(region), PeerReport{Counts: counts, OtherRegion: true}, now)
+	t.wake()
+}
+
+// HasRegionSummary reports whether the counts of the gateways of another region are known
+// from a summary.
+func (t *Table) HasRegionSummary(region string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers.expire(now)
+	return t.peers.peers[summaryName(region)] != nil
+}
+
+// summaryName is the name of the peer that stands for all gateways of a region. Names of
+// gateways contain no space.
+func summaryName(region string) string { return "region " + region }
+
+// RegionCounts returns the summed counts of the gateways of the own region, for a summary.
+func (t *Table) RegionCounts(now time.Time) map[uint32]Counts {
+	sums := t.LocalCounts()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers.expire(now)
+	for _, p := range t.peers.peers {
+		if p.otherRegion {
+			continue
+		}
+		for key, c := range p.counts {
+			sum := sums[key]
+			sums[key] = Counts{Online: sum.Online + c.Online, Batch: sum.Batch + c.Batch}
+		}
+	}
+	return sums
+}
+
 // RemovePeer drops the report of a peer that has left.
 func (t *Table) RemovePeer(name string) {
 	t.mu.Lock()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -113,7 +113,7 @@
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
+		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -180,7 +180,7 @@
 func (d *Daemon) register(ctx context.Context) {
 	value, err := peering.EncodePeer(peering.Peer{
 		Address: fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort), Region: d.settings.Region,
-		LinkMbps: d.settings.LinkMbps,
+		LinkMbps: d.settings.LinkMbps, Zone: d.settings.Zone,
 	})
 	if err != nil {
 		event.Log(d.log, event.RecordSkipped, "topic", platform.KeyedTopic(directoryTopic), "cause", err)
--- a/peering/interval.go
+++ b/peering/interval.go
@@ -1,11 +1,6 @@
 package peering
 
-import (
-	"context"
-	"time"
-
-	"github.com/catkinrudder/catkinrudder/internal/delay"
-)
+import "time"
 
 const (
 	// The least time between two reports of a gateway is minInterval plus
@@ -24,15 +19,51 @@
 	farIntervalPerPair = 500 * time.Microsecond
 	ownerInterval      = 400 * time.Millisecond
 	keepaliveInterval  = 20 * time.Second
+	// In a region of at least largeRegion gateways, reports go to the gateways of the own
+	// zone and to the owners of shards, which stop batch items for online requests. The
+	// others get one every wideInterval. The reports of a gateway then do not exceed
+	// largeReportsPerSecond.
+	largeRegion           = 40
+	wideInterval          = 300 * time.Millisecond
+	largeReportsPerSecond = 500
 	// idleInterval is the time between reports without a change.
 	idleInterval = 250 * time.Millisecond
 )
 
+// interval returns the least time until the next report after one that went to receivers
+// peers of the own region.
+func (p *Peering) interval(receivers int, large bool) time.Duration {
+	if large {
+		return largeInterval(receivers)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return interval(len(p.peers))
+}
+
 // interval returns the least time between two reports to n peers.
 func interval(n int) time.Duration {
 	return min(minInterval+time.Duration(n*n)*intervalPerPair, maxInterval)
 }
 
+// largeInterval returns the least time between two reports to n peers in a large region.
+func largeInterval(n int) time.Duration {
+	return max(interval(n), time.Duration(n)*time.Second/largeReportsPerSecond)
+}
+
+// inLargeRegion reports whether the own region has at least largeRegion gateways.
+func (p *Peering) inLargeRegion() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, other := range p.peers {
+		if !other.far {
+			n++
+		}
+	}
+	return n >= largeRegion
+}
+
 // farReportInterval returns the least time between two reports to other regions.
 func (p *Peering) farReportInterval(owner bool) time.Duration {
 	p.mu.Lock()
@@ -58,12 +89,3 @@
 	}
 	return keepaliveInterval
 }
-
-// pause waits for the least time between two reports, which grows with the number of
-// peers.
-func (p *Peering) pause(ctx context.Context) {
-	p.mu.Lock()
-	n := len(p.peers)
-	p.mu.Unlock()
-	delay.Wait(ctx, interval(n))
-}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -17,12 +17,14 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
 const (
-	maxDatagram = 8 << 10
+	// maxDatagram fits the summary of a region with 2,500 backend servers.
+	maxDatagram = 32 << 10
 	// datagramDelay is the longest time that a datagram takes to arrive. It is less than a
 	// restart of a process takes.
 	datagramDelay = 250 * time.Millisecond
@@ -51,6 +53,15 @@
 	Failures map[uint32]uint32 `cbor:"9,keyasint,omitempty"`
 	// Started counts the attempts that the sender has started, by service.
 	Started map[uint32]uint64 `cbor:"10,keyasint,omitempty"`
+	// Zone is the sender's zone, for receivers that have no record of the sender.
+	Zone string `cbor:"12,keyasint,omitempty"`
+}
+
+// datagram is a report or, if Summary is set, the summary of a region. Gateways without
+// summaries ignore one, as it has no sender.
+type datagram struct {
+	report
+	Summary *regionSummary `cbor:"11,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -59,13 +70,16 @@
 	Region  string `cbor:"2,keyasint"`
 	// LinkMbps is the bandwidth of the gateway's link; 0 if it is unknown.
 	LinkMbps float64 `cbor:"3,keyasint,omitempty"`
+	// Zone is the gateway's availability zone; it is empty in records of older releases.
+	Zone string `cbor:"4,keyasint,omitempty"`
 }
 
 // Options are the settings of Peering.
 type Options struct {
-	// Name is this gateway's key in the directory; Region is its region.
+	// Name is this gateway's key in the directory; Region and Zone are where it runs.
 	Name   string
 	Region string
+	Zone   string
 	// LinkMbps is the bandwidth of this gateway's link; 0 if it is unknown.
 	LinkMbps float64
 	Table    *balance.Table
@@ -101,8 +115,11 @@
 
 type peer struct {
 	addr netip.AddrPort
-	// far states that the peer is in another region.
-	far bool
+	// far states that the peer is in another region, otherZone that it is in another zone of
+	// the own region.
+	far       bool
+	otherZone bool
+	region    string
 	// linkMbps is the bandwidth of the peer's link, from the directory.
 	linkMbps float64
 	// boot and seq order the reports: seq counts those of one start of the peer.
@@ -178,7 +195,9 @@
 		listed = &peer{lastReport: time.Now()}
 		p.peers[r.Key] = listed
 	}
-	listed.addr, listed.far, listed.linkMbps = addr, rec.Region != p.opts.Region, rec.LinkMbps
+	listed.addr, listed.region, listed.linkMbps = addr, rec.Region, rec.LinkMbps
+	listed.far = rec.Region != p.opts.Region
+	listed.otherZone = !listed.far && rec.Zone != p.opts.Zone
 }
 
 // Run sends and receives reports until ctx ends. Conn is closed when it returns, so that
@@ -191,7 +210,7 @@
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	var seq uint64
-	lastFar := time.Time{}
+	var lastFar, lastWide, lastSummary time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -201,36 +220,45 @@
 		}
 		seq++
 		r := p.report(seq)
-		far := time.Since(lastFar) >= p.farReportInterval(len(r.Shards) > 0)
+		now := time.Now()
+		far := now.Sub(lastFar) >= p.farReportInterval(len(r.Shards) > 0)
 		if far {
-			lastFar = time.Now()
+			lastFar = now
+		}
+		wide := now.Sub(lastWide) >= wideInterval
+		if wide {
+			lastWide = now
 		}
-		p.send(r, far)
-		p.pause(ctx)
+		large := p.inLargeRegion()
+		p.opts.Table.SetZoneFirst(large)
+		receivers := p.send(r, recipients{far: far, otherZones: wide || !large || len(r.Shards) > 0})
+		silent := p.farReportInterval(false) > ownerInterval
+		p.opts.Table.SetOtherRegionsSilent(silent)
+		if silent && now.Sub(lastSummary) >= summaryInterval(p.otherRegions()) {
+			lastSummary = now
+			p.sendSummary(now)
+		}
+		delay.Wait(ctx, p.interval(receivers, large))
 	}
 }
 
 func (p *Peering) report(seq uint64) report {
 	return report{
-		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region,
-		Loads: p.loads(), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
+		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone,
+		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
 }
 
-func (p *Peering) loads() map[uint32][2]int {
-	counts := p.opts.Table.LocalCounts()
-	loads := make(map[uint32][2]int, len(counts))
-	for id, c := range counts {
-		loads[id] = [2]int{c.Online, c.Batch}
-	}
-	return loads
-}
+// recipients are the groups of peers that a report goes to, in addition to those of the own
+// zone and to the owners of shards in the own region.
+type recipients struct{ far, otherZones bool }
 
-func (p *Peering) send(r report, far bool) {
+// send sends a report and returns how many peers of the own region have got it.
+func (p *Peering) send(r report, to recipients) (near int) {
 	raw, err := cbor.Marshal(r)
 	if err != nil {
-		return
+		return 0
 	}
 	now := time.Now()
 	p.mu.Lock()
@@ -245,15 +273,20 @@
 			p.opts.Table.RemovePeer(name)
 			continue
 		}
-		if !other.far || far {
-			addresses = append(addresses, other.addr)
+		switch {
+		case other.far && !to.far, other.otherZone && len(other.shards) == 0 && !to.otherZones:
+			continue
+		case !other.far:
+			near++
 		}
+		addresses = append(addresses, other.addr)
 	}
 	p.mu.Unlock()
 	for _, addr := range addresses {
 		// A datagram that cannot be sent counts as lost.
 		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
 	}
+	return near
 }
 
 func (p *Peering) receive() {
@@ -266,11 +299,15 @@
 		if err != nil {
 			continue
 		}
-		var r report
-		if err := cbor.Unmarshal(buf[:n], &r); err != nil {
-			continue // not the report of a gateway
+		var d datagram
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+			continue // not sent by a gateway
+		}
+		if d.Summary != nil {
+			p.applySummary(*d.Summary, time.Now())
+			continue
 		}
-		p.apply(r, from, time.Now())
+		p.apply(d.report, from, time.Now())
 	}
 }
 
@@ -284,7 +321,7 @@
 	p.mu.Lock()
 	sender := p.peers[r.From]
 	if sender == nil {
-		sender = &peer{far: r.Region != p.opts.Region}
+		sender = &peer{region: r.Region, far: r.Region != p.opts.Region, otherZone: r.Region == p.opts.Region && r.Zone != p.opts.Zone}
 		p.peers[r.From] = sender
 	}
 	if !sender.precedes(r, now) {
@@ -301,17 +338,16 @@
 	sender.shards = r.Shards
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
-	far := sender.far
+	far, otherZone := sender.far, sender.otherZone
 	p.mu.Unlock()
-	counts := make(map[uint32]balance.Counts, len(r.Loads))
-	for id, n := range r.Loads {
-		counts[id] = balance.Counts{Online: n[0], Batch: n[1]}
-	}
-	peerReport := balance.PeerReport{Counts: counts, Started: r.Started}
+	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
-		// servers fail there, but not here.
-		peerReport.Failures = r.Failures
+		// servers fail there, but not here. What is started there goes to its own servers.
+		peerReport.Failures, peerReport.Started = r.Failures, r.Started
+	}
+	if far && p.opts.Table.HasRegionSummary(r.Region, now) {
+		peerReport.Counts = nil // they are a part of the summary
 	}
 	for _, s := range p.opts.Table.SetPeer(r.From, peerReport, now) {
 		event.Log(p.opts.Logger, event.BackendEjected, "backend", p.opts.BackendID(s.Key), "for", s.For, "by", "several", "last", r.From)
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -28,6 +28,7 @@
 type gateway struct {
 	*peering.Peering
 	name    string
+	region  string
 	address string
 	table   *balance.Table
 	shards  []jobs.ShardReport
@@ -38,7 +39,7 @@
 	t.Helper()
 	conn, err := net.ListenPacket("udp", address)
 	assert.NilError(t, err)
-	g := &gateway{name: name, address: conn.LocalAddr().String(), shards: shards}
+	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient,
@@ -55,9 +56,14 @@
 // addPeer adds the directory record of other to g.
 func (g *gateway) addPeer(t *testing.T, other *gateway, region string) {
 	t.Helper()
-	value, err := peering.EncodePeer(peering.Peer{Address: other.address, Region: region})
+	g.addRecord(t, other.name, peering.Peer{Address: other.address, Region: region})
+}
+
+func (g *gateway) addRecord(t *testing.T, name string, p peering.Peer) {
+	t.Helper()
+	value, err := peering.EncodePeer(p)
 	assert.NilError(t, err)
-	g.Apply([]keyedlog.Record{{Key: other.name, Value: value}})
+	g.Apply([]keyedlog.Record{{Key: name, Value: value}})
 }
 
 func (g *gateway) waitForLoad(t *testing.T, id string, online int) {
@@ -140,6 +146,44 @@
 	b.waitForLoad(t, "x", 1)
 }
 
+// TestLoadOfLargeOtherRegionsIsKnown covers fleets so large that gateways do not report to
+// each other across regions: each gateway gets the summed load of the other region.
+func TestLoadOfLargeOtherRegionsIsKnown(t *testing.T) {
+	a, b := startGateway(t, "a", "127.0.0.1:0", "r"), startGateway(t, "b", "127.0.0.1:0", "r")
+	x, y := startGateway(t, "x", "127.0.0.1:0", "q"), startGateway(t, "y", "127.0.0.1:0", "q")
+	gateways := []*gateway{a, b, x, y}
+	unused := listenAddress(t)
+	for _, g := range gateways {
+		for i := range 900 { // gateways that are not running, and last in the order of reporters
+			g.addRecord(t, fmt.Sprint("stopped-", i), peering.Peer{Address: unused, Region: map[string]string{"r": "q", "q": "r"}[g.region], LinkMbps: -1})
+		}
+		for _, other := range gateways {
+			if other != g {
+				g.addRecord(t, other.name, peering.Peer{Address: other.address, Region: other.region})
+			}
+		}
+	}
+	beginAttempt(t, a, "s")
+	x.waitForLoad(t, "s", 1)
+	y.waitForLoad(t, "s", 1)
+	beginAttempt(t, a, "s")
+	beginAttempt(t, b, "s")
+	x.waitForLoad(t, "s", 3)
+	y.waitForLoad(t, "s", 3)
+	a.table.Release("s", balance.Online)
+	x.waitForLoad(t, "s", 2)
+	y.waitForLoad(t, "s", 2)
+}
+
+// listenAddress returns an address that nobody reads from.
+func listenAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.LocalAddr().String()
+}
+
 func TestOwnerIsTheOneWithTheHighestEpoch(t *testing.T) {
 	a := startGateway(t, "a", "127.0.0.1:0", "r")
 	old := startGateway(t, "old", "127.0.0.1:0", "r", jobs.ShardReport{Shard: 3, Epoch: 5, Waiting: map[string]int64{"b": 1}})
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -39,9 +39,8 @@
 	refusedPause = 300 * time.Millisecond
 
 	// A starting gateway waits for the directory for directoryTimeout at most. If it has
-	// at least largeRegion peers in its region then, it calls its relay until it gets a
+	// at least largeRegion gateways in its region then, it calls its relay until it gets a
 	// response, for startRelayTimeout at most, with relayRetry between two calls.
-	largeRegion       = 40
 	startRelayTimeout = 1500 * time.Millisecond
 	relayRetry        = 50 * time.Millisecond
 	directoryTimeout  = 300 * time.Millisecond
@@ -93,7 +92,7 @@
 // at the same time, it waits for a relay instead of reading all records from the
 // service.
 func (s *Source) Newest(ctx context.Context, part keyedlog.Partition, after string) (keyedlog.Page, error) {
-	if after == "" && s.peering.inLargeRegion(ctx) {
+	if after == "" && s.peering.startsInLargeRegion(ctx) {
 		if page, relay := s.newestOfRelay(ctx); relay != "" {
 			s.setSource(relay, nil)
 			return page, nil
@@ -124,9 +123,9 @@
 	}
 }
 
-// inLargeRegion reports whether the directory lists many gateways of the own region.
+// startsInLargeRegion reports whether the directory lists many gateways of the own region.
 // A process that has just started first waits a short time for the directory.
-func (p *Peering) inLargeRegion(ctx context.Context) bool {
+func (p *Peering) startsInLargeRegion(ctx context.Context) bool {
 	t := time.NewTimer(directoryTimeout)
 	defer t.Stop()
 	select {
@@ -134,15 +133,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 0
-	for _, other := range p.peers {
-		if !other.far {
-			n++
-		}
-	}
-	return n >= largeRegion
+	return p.inLargeRegion()
 }
 
 // setSource records the source of the last response and logs a change of the source;
