balance, peering: a choice and a report are named steps

No change of behaviour. Pick evaluates each candidate by a selection that holds what one choice needs (load, path and health cost); the room that batch leaves stands in headroom.go; the reporter decides who gets a report at what time.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
@@ -78,81 +77,25 @@
 func (t *Table) Pick(candidates []catalog.Backend, req Requirements, now time.Time) (Choice, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	choices, costs := t.admissible(candidates, req, now)
-	if len(choices) == 0 {
+	if len(candidates) == 0 {
 		return Choice{}, false
 	}
-	chosen := choices[spread(t.rng, costs, t.unseen(choices[0].Backend.Service, t.ownZoneFirst(candidates, req), now))]
-	t.countAttempt(chosen.Backend, req.Class)
-	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
-	return chosen, true
-}
-
-// admissible returns the candidates that the request may be sent to, with their costs.
-func (t *Table) admissible(candidates []catalog.Backend, req Requirements, now time.Time) (choices []Choice, costs []float64) {
-	t.peers.expire(now)
-	useHealth := !t.mostEjected(candidates, now)
-	step := reasonStep(candidates)
-	unseen := t.unseenPerServer(candidates, now)
-	zoneFirst := t.ownZoneFirst(candidates, req)
+	s := t.newSelection(candidates, req, now)
+	var choices []Choice
+	var costs []float64
 	for _, b := range candidates {
-		if b.State != catalog.Ready || req.Exclude[b.ID] || req.Class == Batch && t.unknownLoad(b) {
-			continue
-		}
-		load := t.load(b.ID, now)
-		load.Online += t.unreported(b.ID, now)
-		reason, ok := classify(b, load, req, t.batchHeadroom(b, unseen))
-		if !ok {
-			continue
-		}
-		cost := step*float64(reasonRanks[reason]) + t.cost(b, load, reason, req, now)
-		if zoneFirst && b.Zone != t.opts.Zone && !t.otherRegion(b) {
-			cost += otherZoneCost
+		if choice, cost, ok := s.evaluate(b); ok {
+			choices = append(choices, choice)
+			costs = append(costs, cost)
 		}
-		if useHealth {
-			cost += recentFailureCost * t.sharedScore(b.ID, now)
-			if req.RunsOnce && t.doubtful(b.ID, now) {
-				cost += step
-			}
-			if t.ejected(b.ID, now) {
-				if req.Class == Batch {
-					continue
-				}
-				cost += ejectedCost
-			}
-		}
-		choices = append(choices, Choice{b, load, reason})
-		costs = append(costs, cost)
-	}
-	return choices, costs
-}
-
-// unseen estimates how many attempts peers have started at a service since they reported:
-// all of them, or only those of the own zone.
-func (t *Table) unseen(service string, ownZone bool, now time.Time) float64 {
-	t.peers.expire(now)
-	sum := 0.0
-	for _, otherZone := range []bool{false, true} {
-		if u := t.peers.unseen[startsKey{Key(service), otherZone}]; u != nil && !(otherZone && ownZone) {
-			sum += u.at(now)
-		}
-	}
-	return sum
-}
-
-// ownZoneFirst reports whether a request prefers the backend servers of the own zone: an
-// online one in a large region whose zone has several of them.
-func (t *Table) ownZoneFirst(candidates []catalog.Backend, req Requirements) bool {
-	if !t.zoneFirst || req.Class == Batch {
-		return false
 	}
-	n := 0
-	for _, b := range candidates {
-		if b.Zone == t.opts.Zone && b.State == catalog.Ready {
-			n++
-		}
+	if len(choices) == 0 {
+		return Choice{}, false
 	}
-	return n >= minZoneServers
+	chosen := choices[spread(t.rng, costs, t.unseen(candidates[0].Service, s.ownZoneFirst, now))]
+	t.countAttempt(chosen.Backend, req.Class)
+	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
+	return chosen, true
 }
 
 // Availability describes why no candidate had capacity, for a log line.
@@ -216,9 +159,9 @@
 // them have free slots by reports that are not quite up to date.
 var reasonRanks = map[Reason]int{FreeSlot: 0, PreemptsBatch: 0, Queued: 1, Overloaded: 2}
 
-// reasonStep returns the cost that separates the ranks of reasons: more than candidates of
+// rankStep returns the cost that separates the ranks of reasons: more than candidates of
 // one rank differ by.
-func reasonStep(candidates []catalog.Backend) float64 {
+func rankStep(candidates []catalog.Backend) float64 {
 	slots := 0
 	for _, b := range candidates {
 		slots = max(slots, b.Slots)
@@ -226,46 +169,6 @@
 	return float64(2*slots) + otherRegionCost + prefixBonus
 }
 
-// unseenPerServer estimates how many attempts each backend server of the own region holds
-// that this gateway does not know of yet.
-func (t *Table) unseenPerServer(candidates []catalog.Backend, now time.Time) float64 {
-	near := 0
-	for _, b := range candidates {
-		if b.State == catalog.Ready && !t.otherRegion(b) {
-			near++
-		}
-	}
-	if near == 0 {
-		return 0
-	}
-	return t.unseen(candidates[0].Service, false, now) / float64(near)
-}
-
-// batchHeadroom returns how many slots batch attempts leave free: as many as the other
-// gateways have probably started since they reported, and as many again that they start
-// until the gateways that run batch attempts know of them and stop one.
-func (t *Table) batchHeadroom(b catalog.Backend, unseen float64) int {
-	if t.otherRegionsSilent && t.otherRegion(b) {
-		unseen *= summaryAgeFactor
-	}
-	return int(math.Round(2 * unseen))
-}
-
-// unknownLoad reports whether the gateways near a backend server do not report to this one,
-// neither by themselves nor in a summary of their region. Batch attempts there would stand
-// in the way of online requests that this gateway never learns of. For online requests the
-// server counts as full.
-func (t *Table) unknownLoad(b catalog.Backend) bool {
-	if !t.otherRegionsSilent || !t.otherRegion(b) {
-		return false
-	}
-	return t.peers.peers[summaryName(t.opts.RegionOf[b.Zone])] == nil
-}
-
-func (t *Table) otherRegion(b catalog.Backend) bool {
-	return b.Zone != t.opts.Zone && t.opts.RegionOf[b.Zone] != t.opts.RegionOf[t.opts.Zone]
-}
-
 // reserve returns how many free slots a batch attempt has to leave. Where online
 // requests are frequent, a batch attempt that takes the last slot is soon preempted.
 func reserve(b catalog.Backend, load Counts) int {
@@ -274,25 +177,3 @@
 	}
 	return onlineReserve
 }
-
-// cost returns the cost of a candidate in slots; lower is better. If all slots are in
-// use, batch attempts do not count, as an online request preempts them.
-func (t *Table) cost(b catalog.Backend, load Counts, reason Reason, req Requirements, now time.Time) float64 {
-	cost := float64(load.Online)
-	switch reason {
-	case FreeSlot:
-		cost += float64(load.Batch)
-	case PreemptsBatch:
-		cost += float64(b.Slots)
-	}
-	if t.otherRegion(b) {
-		cost += otherRegionCost
-	}
-	if t.unknownLoad(b) {
-		cost += float64(b.Slots)
-	}
-	if t.prefix.has(req.PromptPart, b.ID, now) {
-		cost -= prefixBonus
-	}
-	return cost
-}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -209,8 +209,7 @@
 	defer func() { _ = p.opts.Conn.Close() }() // ends receive
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
-	var seq uint64
-	var lastFar, lastWide, lastSummary time.Time
+	reporter := &reporter{p: p}
 	for {
 		select {
 		case <-ctx.Done():
@@ -218,27 +217,7 @@
 		case <-p.opts.Table.LocalCountsChanged():
 		case <-idle.C:
 		}
-		seq++
-		r := p.report(seq)
-		now := time.Now()
-		far := now.Sub(lastFar) >= p.farReportInterval(len(r.Shards) > 0)
-		if far {
-			lastFar = now
-		}
-		wide := now.Sub(lastWide) >= wideInterval
-		if wide {
-			lastWide = now
-		}
-		large := p.inLargeRegion()
-		p.opts.Table.SetZoneFirst(large)
-		receivers := p.send(r, recipients{far: far, otherZones: wide || !large || len(r.Shards) > 0})
-		silent := p.farReportInterval(false) > ownerInterval
-		p.opts.Table.SetOtherRegionsSilent(silent)
-		if silent && now.Sub(lastSummary) >= summaryInterval(p.otherRegions()) {
-			lastSummary = now
-			p.sendSummary(now)
-		}
-		delay.Wait(ctx, p.interval(receivers, large))
+		delay.Wait(ctx, reporter.sendDue(time.Now()))
 	}
 }
 
@@ -250,45 +229,6 @@
 	}
 }
 
-// recipients are the groups of peers that a report goes to, in addition to those of the own
-// zone and to the owners of shards in the own region.
-type recipients struct{ far, otherZones bool }
-
-// send sends a report and returns how many peers of the own region have got it.
-func (p *Peering) send(r report, to recipients) (near int) {
-	raw, err := cbor.Marshal(r)
-	if err != nil {
-		return 0
-	}
-	now := time.Now()
-	p.mu.Lock()
-	var addresses []netip.AddrPort
-	for name, other := range p.peers {
-		if other.reachable && now.Sub(other.lastReport) > ReportTTL {
-			other.reachable = false
-			event.Log(p.opts.Logger, event.PeerGone, "peer", name, "silent_for", now.Sub(other.lastReport))
-		}
-		if now.Sub(other.lastReport) > removeAfter {
-			delete(p.peers, name)
-			p.opts.Table.RemovePeer(name)
-			continue
-		}
-		switch {
-		case other.far && !to.far, other.otherZone && len(other.shards) == 0 && !to.otherZones:
-			continue
-		case !other.far:
-			near++
-		}
-		addresses = append(addresses, other.addr)
-	}
-	p.mu.Unlock()
-	for _, addr := range addresses {
-		// A datagram that cannot be sent counts as lost.
-		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
-	}
-	return near
-}
-
 func (p *Peering) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
