--- a/balance/headroom.go
+++ b/balance/headroom.go
@@ -13,7 +13,10 @@
 	t.peers.expire(now)
 	sum := 0.0
 	for _, otherZone := range []bool{false, true} {
-		if u := t.peers.unseen[startsKey{Key(service), otherZone}]; u != nil && !(otherZone && ownZone) {
+		if otherZone && ownZone {
+			continue
+		}
+		if u := t.peers.unseen[startsKey{Key(service), otherZone}]; u != nil {
 			sum += u.at(now)
 		}
 	}
