Log lines name the version of backend servers and the attempt that a caller resumes

The lines of the gateways could not tell a stream that the gateway itself continued elsewhere from one that its caller resumed, and no line held the version of a server.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -122,6 +122,8 @@
 	// Address is the IP:port that the backend server listens on.
 	Address string
 	Zone    string
+	// Version is the version of the backend server's software. Versions have no order.
+	Version string
 	State   State
 	// Slots is how many requests the backend server processes concurrently.
 	Slots int
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -321,7 +321,8 @@
 	o.g.Metrics.routed(c.Reason)
 	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "route", o.route.Name, "service", o.service,
 		"backend", c.Backend.ID, "reason", c.Reason, "online", c.Load.Online, "batch", c.Load.Batch, "slots", c.Backend.Slots,
-		"attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge())
+		"attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
+		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
 }
 
 func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -217,7 +217,7 @@
 
 func (d *Daemon) backendChanged(c discovery.Change) {
 	b := c.Backend
-	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "slots", b.Slots}
+	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "version", b.Version, "slots", b.Slots}
 	switch c.Kind {
 	case discovery.DrainStarted:
 		event.Log(d.log, event.BackendLeaving, kv...)
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -237,7 +237,7 @@
 	used[u.backend] = true
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
-		"resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
+		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
 	r.active.Add(1)
 	go r.execute(runCtx, j, u, choice.Backend, u.progress)
 	return true
--- a/serving/request.go
+++ b/serving/request.go
@@ -43,7 +43,10 @@
 	// LastEventID is the id of the last event that the caller has received; empty if
 	// the stream starts from the beginning.
 	LastEventID string
-	Prompt      Prompt
+	// Resumes is the id of the caller's attempt that brought the first event of the
+	// stream; empty if the stream starts from the beginning or the caller does not say.
+	Resumes string
+	Prompt  Prompt
 }
 
 // Attempt is one attempt to send a request to one backend server.
