Failing tests: streams and items continued by another software version

TestStreamWithoutEventsStartsAtAnyVersion passes and guards what must stay. Registrations in the tests gain a version, v1 unless a test says otherwise.

--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -36,8 +36,9 @@
 
 func newFixture(t *testing.T, backends ...*platformtest.Backend) *fixture {
 	t.Helper()
-	decode := func(id string, address []byte) (catalog.Backend, error) {
-		return catalog.Backend{ID: id, Service: "s", Address: string(address), Zone: "z", State: catalog.Ready, Slots: 2}, nil
+	decode := func(id string, value []byte) (catalog.Backend, error) {
+		address, version, _ := strings.Cut(string(value), " ")
+		return catalog.Backend{ID: id, Service: "s", Address: address, Zone: "z", Version: version, State: catalog.Ready, Slots: 2}, nil
 	}
 	discovered := discovery.NewBackends(decode, func(discovery.Change) {}, time.Now)
 	f := &fixture{t: t, Gateway: &gateway.Gateway{
@@ -57,7 +58,7 @@
 func (f *fixture) register(backends ...*platformtest.Backend) {
 	var records []keyedlog.Record
 	for _, b := range backends {
-		records = append(records, keyedlog.Record{Key: b.ID, Value: []byte(b.Address)})
+		records = append(records, keyedlog.Record{Key: b.ID, Value: []byte(b.Address + " " + b.Version)})
 	}
 	f.Backends.Rebuild(records)
 }
--- /dev/null
+++ b/internal/gateway/version_test.go
@@ -0,0 +1,57 @@
+package gateway_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+// ranAt returns the versions of the backend servers that ran a request.
+func ranAt(id string, backends ...*platformtest.Backend) map[string]bool {
+	versions := make(map[string]bool)
+	for _, b := range backends {
+		if b.Runs(id) > 0 {
+			versions[b.Version] = true
+		}
+	}
+	return versions
+}
+
+func TestInterruptedStreamIsNotContinuedByAnotherVersion(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	b.Version = "v2"
+	faultOnFirstRun(platformtest.CutMidEvent, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
+	assert.Equal(t, w.Body.String(), streamBody("1", 2))
+	assert.Equal(t, a.Runs("1")+b.Runs("1"), 1)
+}
+
+func TestInterruptedStreamContinuesAtItsVersion(t *testing.T) {
+	servers := []*platformtest.Backend{platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b"), platformtest.NewBackend(t, "c"), platformtest.NewBackend(t, "d")}
+	servers[2].Version, servers[3].Version = "v2", "v2"
+	faultOnFirstRun(platformtest.CutMidEvent, servers...)
+	f := newFixture(t, servers...)
+	for i := range 12 {
+		id := fmt.Sprint("r", i)
+		w, err := f.serve(request(id, "/stream"), route(catalog.Stream, resumable))
+		assert.NilError(t, err)
+		assert.Equal(t, w.Body.String(), streamBody(id, 5))
+		assert.Equal(t, len(ranAt(id, servers...)), 1, "request %s ran at two versions", id)
+	}
+}
+
+func TestStreamWithoutEventsStartsAtAnyVersion(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	b.Version = "v2"
+	faultOnFirstRun(platformtest.ResetAfterRun, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), streamBody("1", 5))
+}
--- a/internal/gatewayd/daemon_test.go
+++ b/internal/gatewayd/daemon_test.go
@@ -41,14 +41,22 @@
 	d := &deployment{t: t, store: platformtest.NewStore(t)}
 	d.write(platform.ConfigTopic, platform.ConfigKey, config)
 	for i := range backends {
-		b := platformtest.NewBackend(t, fmt.Sprint("i-", i))
-		d.backends = append(d.backends, b)
-		d.write(platform.BackendTopic, b.ID, fmt.Sprintf(
-			`{"Service":"svc","Address":"%s","Zone":"z","Version":"v1","Slots":4,"State":"ready","ColdRemainingMs":0,"Seq":1}`, b.Address))
+		d.addBackend(fmt.Sprint("i-", i), "v1")
 	}
 	return d
 }
 
+// addBackend starts and registers a backend server.
+func (d *deployment) addBackend(id, version string) *platformtest.Backend {
+	d.t.Helper()
+	b := platformtest.NewBackend(d.t, id)
+	b.Version = version
+	d.backends = append(d.backends, b)
+	d.write(platform.BackendTopic, b.ID, fmt.Sprintf(
+		`{"Service":"svc","Address":"%s","Zone":"z","Version":"%s","Slots":4,"State":"ready","ColdRemainingMs":0,"Seq":1}`, b.Address, version))
+	return b
+}
+
 func (d *deployment) write(topic, key, value string) {
 	d.t.Helper()
 	record := keyedlog.Record{Key: key, Value: []byte(value)}
