Streams go on at the software version that began them, at any gateway

Cause: a stream's place was its last event id alone. A gateway that continued an interrupted stream chose among all servers of the service, and one that a caller resumed at knew neither version nor service (a split route could even change the service). Evidence: request_retried and request_routed of (v1.1, then v1 in one answer), resumed as (v1.2, then v1.1). Change: the origin of a stream, service and version, is fixed with its first event and is a requirement of later choices. If no ready server of the version is left, it is refused at once. Weighed: a lookup at the gateway that began it (gone when callers resume), the log service (an append per stream, out of reach in its outages; mass kills would survive), one preferred version per id (moves with each server that comes or goes).

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -44,11 +44,19 @@
 	// RunsOnce states that the request must not run twice: if the backend server breaks off
 	// its only run, the request has failed.
 	RunsOnce bool
+	// Origin is the software that has begun the output; only servers that run it are chosen.
+	// It is zero for a request without any output.
+	Origin catalog.Software
 	// AllowOverload selects the least loaded backend server even if none has free
 	// capacity.
 	AllowOverload bool
 }
 
+// excludes reports whether the request must not be sent to b.
+func (r Requirements) excludes(b catalog.Backend) bool {
+	return r.Exclude[b.ID] || r.Origin != catalog.Software{} && !b.Runs(r.Origin)
+}
+
 // Reason is why a backend server was chosen.
 type Reason string
 
@@ -120,7 +128,7 @@
 		case b.State != catalog.Ready:
 			out.Draining++
 			continue
-		case req.Exclude[b.ID]:
+		case req.excludes(b):
 			out.Excluded++
 			continue
 		case t.ejected(b.ID, now):
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -130,3 +130,21 @@
 	// ColdRemaining is how much longer the backend server is slow after its start.
 	ColdRemaining time.Duration
 }
+
+// Software identifies the software that a backend server runs. What two versions produce for
+// one request does not fit together, so an output may be continued at the same software only.
+type Software struct {
+	Service string
+	// Version is empty if it is unknown. Two unknown versions are not the same.
+	Version string
+}
+
+// Known reports whether the version is known.
+func (s Software) Known() bool { return s.Version != "" }
+
+// Software returns the software that b runs.
+func (b Backend) Software() Software { return Software{b.Service, b.Version} }
+
+// Runs reports whether b runs the software s. It returns false if the version of s is
+// unknown.
+func (b Backend) Runs(s Software) bool { return s.Known() && b.Software() == s }
--- a/event/event.go
+++ b/event/event.go
@@ -31,6 +31,7 @@
 	RequestRefused  ID = 202
 	RequestRetried  ID = 203
 	RequestDone     ID = 204
+	StreamResumed   ID = 205
 	ItemPlaced      ID = 301
 	ItemDone        ID = 302
 	JobAccepted     ID = 303
@@ -75,6 +76,7 @@
 	{RequestRefused, "request_refused", log.InfoLevel, "an entry sent the final error response to a request"},
 	{RequestRetried, "request_retried", log.InfoLevel, "an entry retries a request on another backend server"},
 	{RequestDone, "request_done", log.InfoLevel, "the response to an online request is complete"},
+	{StreamResumed, "stream_resumed", log.InfoLevel, "a caller resumes a stream; the line names the version that began it, if it is known"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,10 +30,21 @@
 	// StoreAge returns the time since the store last confirmed the state of the
 	// backend servers.
 	StoreAge func() time.Duration
+	Origins  Origins
 
 	queue queue
 }
 
+// Origins knows which software began the streams of callers, also of those whose callers
+// reached other gateways. A stream is named by the id of the caller's attempt that brought its
+// first event.
+type Origins interface {
+	// AnnounceOrigin records the software that began a stream.
+	AnnounceOrigin(id string, s catalog.Software)
+	// FindOrigin returns the software that began a stream, if it is known anywhere.
+	FindOrigin(ctx context.Context, id string) (s catalog.Software, known bool)
+}
+
 // Ready reports whether the gateway can serve: it has a configuration and backend
 // servers, and it is not stopping. It stays ready while the store is unavailable.
 func (g *Gateway) Ready() bool {
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -58,6 +58,9 @@
 	headSent bool
 	// lastEvent is the id of the last event that was sent to the caller.
 	lastEvent string
+	// origin is the software that began the stream, once the caller has an event of it. Only
+	// servers that run it may go on.
+	origin catalog.Software
 	// lastFailure is the last failure; it is returned if no attempt is left.
 	lastFailure *errkind.Error
 }
@@ -87,6 +90,11 @@
 }
 
 func (o *onlineRequest) run(ctx context.Context) error {
+	if o.resumes() {
+		if err := o.findOrigin(ctx); err != nil {
+			return err
+		}
+	}
 	for {
 		choice, err := o.pickBackend(ctx)
 		if err != nil {
@@ -115,9 +123,12 @@
 		if len(candidates) == 0 {
 			return balance.Choice{}, errkind.New(errkind.NoBackend, "service %s has no backend server", o.service)
 		}
+		if o.origin.Known() && !anyReady(candidates, o.origin) {
+			return balance.Choice{}, errkind.New(errkind.NoBackend, "no backend server of service %s runs version %s", o.service, o.origin.Version)
+		}
 		need := balance.Requirements{
 			Class: balance.Online, PromptPart: sharedPart(o.r.Prompt), Exclude: o.excluded,
-			RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(),
+			RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(), Origin: o.origin,
 		}
 		if !w.yields(now) {
 			if choice, ok := o.g.Table.Pick(candidates, need, now); ok {
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -22,6 +22,7 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 	"github.com/catkinrudder/catkinrudder/serving"
@@ -49,11 +50,23 @@
 		Metrics:  gateway.NewMetrics(metrics.NewSet()),
 		Draining: make(chan struct{}),
 		StoreAge: func() time.Duration { return 0 },
+		Origins:  localOrigins{origins.NewTable()},
 	}}
 	f.register(backends...)
 	return f
 }
 
+// localOrigins knows the origins of the streams of one gateway.
+type localOrigins struct{ table *origins.Table }
+
+func (l localOrigins) AnnounceOrigin(id string, s catalog.Software) {
+	l.table.Record(id, s, time.Now())
+}
+
+func (l localOrigins) FindOrigin(_ context.Context, id string) (catalog.Software, bool) {
+	return l.table.Lookup(id)
+}
+
 // register registers backend servers.
 func (f *fixture) register(backends ...*platformtest.Backend) {
 	var records []keyedlog.Record
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -98,6 +98,7 @@
 			return o.handleInterruption(ctx, b, errors.Errorf("event id %q does not follow %q", id, o.lastEvent))
 		}
 		if !o.headSent {
+			o.recordOrigin(b)
 			o.sendHead(response, false, 0)
 		}
 		if err := o.sendEvent(e, id, !events.Buffered()); err != nil {
@@ -134,7 +135,7 @@
 	}
 	o.reportFailure(b, false)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s broke off", b.ID)
-	if !o.mayRepeat() || o.headSent && !o.route.Resumable {
+	if !o.mayRepeat() || o.headSent && !o.mayContinue() {
 		return false, o.finalError(o.lastFailure)
 	}
 	o.logRetry(b, err)
--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+)
+
+// unknownOriginRetryAfter is the Retry-After of a resume whose origin is not known here. The
+// caller's next attempt may reach a gateway that knows it.
+const unknownOriginRetryAfter = 200 * time.Millisecond
+
+// resumes reports whether the caller has a part of the stream already.
+func (o *onlineRequest) resumes() bool {
+	return o.route.Kind == catalog.Stream && o.r.LastEventID != ""
+}
+
+// findOrigin restricts a resumed stream to the software that began it. If that is unknown, the
+// request is refused: events of two versions do not fit together.
+func (o *onlineRequest) findOrigin(ctx context.Context) error {
+	begin := time.Now()
+	origin, known := o.g.Origins.FindOrigin(ctx, o.r.Resumes)
+	event.Log(o.g.Log, event.StreamResumed, "request", o.r.ID, "resumes", o.r.Resumes, "resume_after", o.lastEvent,
+		"known", known, "service", origin.Service, "version", origin.Version, "took", time.Since(begin))
+	if !known {
+		return errkind.New(errkind.NoBackend, "the software that began stream %q is unknown", o.r.Resumes).WithRetryAfter(unknownOriginRetryAfter)
+	}
+	if !slices.ContainsFunc(o.route.Splits, func(s catalog.Split) bool { return s.Service == origin.Service }) {
+		return errkind.New(errkind.NoBackend, "route %s no longer leads to service %s, which began the stream", o.route.Name, origin.Service)
+	}
+	o.service, o.origin = origin.Service, origin
+	return nil
+}
+
+// recordOrigin records the software that sends the first event of a stream. Other gateways
+// learn it before the caller can come back.
+func (o *onlineRequest) recordOrigin(b catalog.Backend) {
+	if o.origin.Known() || !o.route.Resumable {
+		return
+	}
+	o.origin = b.Software()
+	o.g.Origins.AnnounceOrigin(o.r.ID, o.origin)
+}
+
+// mayContinue reports whether another backend server may go on with the stream.
+func (o *onlineRequest) mayContinue() bool { return o.route.Resumable && o.origin.Known() }
+
+// anyReady reports whether a backend server that runs s takes requests.
+func anyReady(candidates []catalog.Backend, s catalog.Software) bool {
+	return slices.ContainsFunc(candidates, func(b catalog.Backend) bool { return b.State == catalog.Ready && b.Runs(s) })
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -25,6 +25,7 @@
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -74,6 +75,7 @@
 	pool     *upstream.Pool
 	jobs     *jobs.Service
 	peering  *peering.Peering
+	origins  *origins.Table
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
@@ -87,7 +89,7 @@
 func New(s platform.Settings, logger *log.Logger, sink *event.Sink) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, log: logger, sink: sink, lineLimiter: event.NewLineLimiter(ordinaryLinesPerSecond),
-		metrics: metrics.NewSet(), draining: make(chan struct{}), hup: make(chan os.Signal, 1),
+		metrics: metrics.NewSet(), origins: origins.NewTable(), draining: make(chan struct{}), hup: make(chan os.Signal, 1),
 	}
 	event.SetLineLimiter(d.lineLimiter)
 	signal.Notify(d.hup, syscall.SIGHUP)
@@ -113,7 +115,7 @@
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(),
+		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -128,7 +130,7 @@
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age,
+		StoreAge: d.store.Age, Origins: d.peering,
 	}
 	return d, nil
 }
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -36,7 +36,7 @@
 	callers := d.server(platform.NewHandler(d.gateway, d.settings.MemoryBytes))
 	ready := d.server(http.HandlerFunc(d.ready))
 	metricsServer := d.server(http.HandlerFunc(d.serveMetrics))
-	peers := d.server(peering.Handler(d.jobs, d.snapshot, d.relay))
+	peers := d.server(peering.Handler(d.jobs, d.snapshot, d.relay, d.origins))
 	failed := make(chan error, 4)
 	metricsAddress := fmt.Sprintf("%s:%d", d.settings.IP, d.settings.MetricsPort)
 	for address, server := range map[string]*http.Server{
--- a/peering/handler.go
+++ b/peering/handler.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/origins"
 )
 
 // serveBody serves the bodies of items of this process's own shards.
@@ -61,12 +62,13 @@
 }
 
 // Handler returns the HTTP handler of a gateway for its peers. relay holds the records
-// that this gateway reads for them.
-func Handler(host Host, snapshot func() Snapshot, relay *keyedlog.Relay) http.Handler {
+// that this gateway reads for them, streams the origins of streams that it knows.
+func Handler(host Host, snapshot func() Snapshot, relay *keyedlog.Relay, streams *origins.Table) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+changesPath, serveChanges(relay))
 	mux.HandleFunc("GET "+newestPath, (&newestCache{relay: relay}).serve)
 	mux.HandleFunc("GET "+bodyPath, serveBody(host))
+	mux.HandleFunc("GET "+originPath, serveOrigin(streams))
 	mux.HandleFunc("POST "+submitPath, serveSubmit(host))
 	mux.HandleFunc("GET "+snapshotPath, func(w http.ResponseWriter, _ *http.Request) { writeCBOR(w, snapshot()) })
 	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, r *http.Request) {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -20,6 +20,7 @@
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/origins"
 )
 
 const (
@@ -57,11 +58,12 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 }
 
-// datagram is a report or, if Summary is set, the summary of a region. Gateways without
-// summaries ignore one, as it has no sender.
+// datagram is a report or, if Summary or Origin is set, the summary of a region or the origin
+// of a stream. Gateways of older releases ignore these two, as they have no sender.
 type datagram struct {
 	report
 	Summary *regionSummary `cbor:"11,keyasint,omitempty"`
+	Origin  *streamOrigin  `cbor:"13,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -87,6 +89,8 @@
 	Conn     net.PacketConn
 	// Client is the HTTP client for calls to peers.
 	Client *http.Client
+	// Origins holds the origins of streams that this gateway knows.
+	Origins *origins.Table
 	// Shards returns this gateway's reports on the shards that it owns.
 	Shards func() []jobs.ShardReport
 	// BackendID returns the id of the backend server with the given balance.Key.
@@ -243,11 +247,14 @@
 		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
 			continue // not sent by a gateway
 		}
-		if d.Summary != nil {
-			p.applySummary(*d.Summary, time.Now())
-			continue
+		switch now := time.Now(); {
+		case d.Summary != nil:
+			p.applySummary(*d.Summary, now)
+		case d.Origin != nil:
+			p.opts.Origins.Record(d.Origin.ID, d.Origin.software(), now)
+		default:
+			p.apply(d.report, from, now)
 		}
-		p.apply(d.report, from, time.Now())
 	}
 }
 
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -21,6 +21,7 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
 )
 
@@ -32,6 +33,7 @@
 	address string
 	table   *balance.Table
 	shards  []jobs.ShardReport
+	origins *origins.Table
 	stop    func()
 }
 
@@ -39,10 +41,10 @@
 	t.Helper()
 	conn, err := net.ListenPacket("udp", address)
 	assert.NilError(t, err)
-	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards}
+	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable()}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
-		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient,
+		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins,
 		Shards: func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
@@ -233,7 +235,7 @@
 }
 
 func TestSubmissionIsForwarded(t *testing.T) {
-	server := httptest.NewServer(peering.Handler(testHost{}, func() peering.Snapshot { return peering.Snapshot{} }, keyedlog.NewRelay(nil, nil)))
+	server := httptest.NewServer(peering.Handler(testHost{}, func() peering.Snapshot { return peering.Snapshot{} }, keyedlog.NewRelay(nil, nil), origins.NewTable()))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := startGateway(t, "a", "127.0.0.1:0", "r")
@@ -248,7 +250,7 @@
 
 func TestListingsAndSnapshotsAreFetchedFromPeers(t *testing.T) {
 	snapshot := peering.Snapshot{Config: []keyedlog.Record{{Key: "config", Value: []byte("7"), Offset: 3}}}
-	server := httptest.NewServer(peering.Handler(testHost{}, func() peering.Snapshot { return snapshot }, keyedlog.NewRelay(nil, nil)))
+	server := httptest.NewServer(peering.Handler(testHost{}, func() peering.Snapshot { return snapshot }, keyedlog.NewRelay(nil, nil), origins.NewTable()))
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
 	a := startGateway(t, "a", "127.0.0.1:0", "r")
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
+	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
 )
 
@@ -127,7 +128,7 @@
 func (r *reader) serve(t *testing.T) {
 	t.Helper()
 	r.relay = keyedlog.NewRelay(r.values, func(value []byte) any { return string(value) })
-	server := &http.Server{Handler: peering.Handler(testHost{}, func() peering.Snapshot { return peering.Snapshot{} }, r.relay)}
+	server := &http.Server{Handler: peering.Handler(testHost{}, func() peering.Snapshot { return peering.Snapshot{} }, r.relay, origins.NewTable())}
 	go func() { _ = server.Serve(r.ln) }() // returns after Close
 	r.stop = func() {
 		_ = server.Close()
