jobs: the output of an item is continued by the version that began it

What callers would see: a batch result whose text two software versions have written. Cause: stored progress held text and last event, not who had written it. Change: progress names service and version. An item that has output waits for a slot at its version for a second if other versions serve too, and then, or if no ready server of the version is left, starts from the first event. Progress of an older release starts again.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -67,7 +67,16 @@
 	return c
 }
 
+// addBackend registers one more backend server.
+func (c *cluster) addBackend(b *platformtest.Backend) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.backends = append(c.backends, b)
+}
+
 func (c *cluster) registrations() []catalog.Backend {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var out []catalog.Backend
 	for _, b := range c.backends {
 		out = append(out, b.Registration("s", clusterSlots))
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -17,6 +17,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
 )
 
 // MaxItems is the maximum number of items in a job.
@@ -100,6 +102,23 @@
 	// UnansweredStops counts the runs that were stopped before the backend server had
 	// answered, since its last answer. Such a run may have had an answer on its way.
 	UnansweredStops int `cbor:"5,keyasint,omitempty"`
+	// Service and Version are the software that has written Text. Records of older releases
+	// do not hold them.
+	Service string `cbor:"6,keyasint,omitempty"`
+	Version string `cbor:"7,keyasint,omitempty"`
+}
+
+// origin returns the software that has written the output so far.
+func (p Progress) origin() catalog.Software {
+	return catalog.Software{Service: p.Service, Version: p.Version}
+}
+
+// started reports whether there is any output.
+func (p Progress) started() bool { return p.LastEvent != "" || p.Events > 0 }
+
+// withoutOutput returns the progress of an item that starts from the beginning again.
+func (p Progress) withoutOutput() Progress {
+	return Progress{Failures: p.Failures, UnansweredStops: p.UnansweredStops}
 }
 
 // equalState reports whether a record of q would add nothing to one of p.
--- /dev/null
+++ b/jobs/pick.go
@@ -0,0 +1,78 @@
+package jobs
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+)
+
+// originWait is how long an item that has output waits for a slot at the software that has
+// begun it. After that it starts from the beginning at any backend server: in a release the
+// last server of a version may stay full, and the item is due.
+const originWait = time.Second
+
+// search is the outcome of the search for a backend server for an item.
+type search uint8
+
+const (
+	// slotFound: a backend server was chosen.
+	slotFound search = iota + 1
+	// waitsForOrigin: the software that has begun the item has no free slot.
+	waitsForOrigin
+	// noSlot: no backend server has a free slot.
+	noSlot
+)
+
+// pickBackend chooses the backend server of an item's next run. An item that has output goes on
+// at the software that has begun it, or drops the output.
+func (r *runner) pickBackend(j openJob, u *run, used map[string]bool, now time.Time) (balance.Choice, search) {
+	origin := u.progress.origin()
+	if u.progress.started() && r.servesRoute(j, origin) {
+		choice, found := r.pickOrigin(u, origin, used, now)
+		if found != noSlot {
+			return choice, found
+		}
+	}
+	service := j.route.PickService(float64(u.ref.item%10) / 10)
+	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), balance.Requirements{Class: balance.Batch, Exclude: used}, now)
+	if !ok {
+		return balance.Choice{}, noSlot
+	}
+	u.originWaitSince = time.Time{}
+	if u.progress.started() && !choice.Backend.Runs(origin) {
+		u.progress = u.progress.withoutOutput()
+	}
+	return choice, slotFound
+}
+
+// pickOrigin chooses a backend server that runs origin, which has begun the item. It returns
+// noSlot if the item need not wait for one.
+func (r *runner) pickOrigin(u *run, origin catalog.Software, used map[string]bool, now time.Time) (balance.Choice, search) {
+	backends := r.s.opts.Backends(origin.Service)
+	need := balance.Requirements{Class: balance.Batch, Exclude: used, Origin: origin}
+	if choice, ok := r.s.opts.Table.Pick(backends, need, now); ok {
+		u.originWaitSince = time.Time{}
+		return choice, slotFound
+	}
+	if !slices.ContainsFunc(backends, func(b catalog.Backend) bool { return !b.Runs(origin) }) {
+		return balance.Choice{}, noSlot
+	}
+	if u.originWaitSince.IsZero() {
+		u.originWaitSince = now
+	}
+	if now.Sub(u.originWaitSince) < originWait {
+		return balance.Choice{}, waitsForOrigin
+	}
+	return balance.Choice{}, noSlot
+}
+
+// servesRoute reports whether a backend server of a job's route runs the software s and takes
+// items.
+func (r *runner) servesRoute(j openJob, s catalog.Software) bool {
+	onRoute := slices.ContainsFunc(j.route.Splits, func(split catalog.Split) bool { return split.Service == s.Service })
+	return onRoute && slices.ContainsFunc(r.s.opts.Backends(s.Service), func(b catalog.Backend) bool {
+		return b.State == catalog.Ready && b.Runs(s)
+	})
+}
--- a/jobs/preempt_test.go
+++ b/jobs/preempt_test.go
@@ -72,13 +72,14 @@
 // fillWithOnline takes all slots for online requests until release is called.
 func (n *node) fillWithOnline(t *testing.T) (release func()) {
 	t.Helper()
+	server := n.cluster.backends[0].ID
 	for range clusterSlots {
 		_, ok := n.balance.Pick(n.cluster.registrations(), balance.Requirements{Class: balance.Online}, time.Now())
 		assert.Assert(t, ok)
 	}
 	return func() {
 		for range clusterSlots {
-			n.balance.Release(n.cluster.backends[0].ID, balance.Online)
+			n.balance.Release(server, balance.Online)
 		}
 	}
 }
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -138,6 +138,7 @@
 		}
 		text = extended
 		p.Text, p.LastEvent = text, id
+		p.Service, p.Version = b.Service, b.Version
 		p.Events++
 		if p.Events%progressInterval == 0 {
 			progressed(p)
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -56,6 +56,9 @@
 	due time.Time
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
+	// originWaitSince is when the item first found no slot at the software that has begun it;
+	// zero if it does not wait for one.
+	originWaitSince time.Time
 	// result is set once the item is done. It was passed to the shard's writer under
 	// epoch, and is passed again under a later epoch if it was lost in between.
 	result *Result
@@ -225,11 +228,12 @@
 
 // startItem starts an item. It returns false if no backend server has a free slot.
 func (r *runner) startItem(ctx context.Context, j openJob, u *run, used map[string]bool, now time.Time) bool {
-	service := j.route.PickService(float64(u.ref.item%10) / 10)
 	item := &j.content[u.ref.item]
-	need := balance.Requirements{Class: balance.Batch, Exclude: used}
-	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), need, now)
-	if !ok {
+	choice, found := r.pickBackend(j, u, used, now)
+	switch found {
+	case waitsForOrigin:
+		return true
+	case noSlot:
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
