--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -55,6 +55,8 @@
 	mu        sync.RWMutex
 	byID      map[string]*registration
 	byService map[string][]catalog.Backend
+	// removed is when the last backend server with a software was removed.
+	removed map[catalog.Software]time.Time
 	// unavailable states that the store does not respond; availableAt is when it last
 	// became available again.
 	unavailable bool
@@ -76,6 +78,7 @@
 	return &Backends{
 		decode: decode, changed: changed, now: now,
 		byID: make(map[string]*registration), byService: make(map[string][]catalog.Backend),
+		removed: make(map[catalog.Software]time.Time),
 	}
 }
 
@@ -87,6 +90,26 @@
 	return b.byService[service]
 }
 
+// OnlySoftware returns the software of a service if all of its backend servers run the same
+// one, and none that ran another has been removed in the last window.
+func (b *Backends) OnlySoftware(service string, window time.Duration) (s catalog.Software, only bool) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, backend := range b.byService[service] {
+		if s.Known() && !backend.Runs(s) {
+			return catalog.Software{}, false
+		}
+		s = backend.Software()
+	}
+	now := b.now()
+	for other, at := range b.removed {
+		if other.Service == service && other != s && now.Sub(at) < window {
+			return catalog.Software{}, false
+		}
+	}
+	return s, s.Known()
+}
+
 // ForEach calls f for each backend server.
 func (b *Backends) ForEach(f func(catalog.Backend)) {
 	b.mu.RLock()
@@ -175,6 +198,7 @@
 		for id, reg := range b.byID {
 			if !reg.lapsedAt.IsZero() && !now.Before(reg.removeAt) {
 				delete(b.byID, id)
+				b.removed[reg.backend.Software()] = now
 				changes = append(changes, Change{reg.backend, Removed})
 			}
 		}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -8,12 +8,17 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/origins"
 )
 
 // unknownOriginRetryAfter is the Retry-After of a resume whose origin is not known here. The
 // caller's next attempt may reach a gateway that knows it.
 const unknownOriginRetryAfter = 200 * time.Millisecond
 
+// maxRegistrationAge is the time since the store last responded beyond which a new version may
+// serve that this gateway does not know of. It exceeds the longest read of the store.
+const maxRegistrationAge = 1500 * time.Millisecond
+
 // resumes reports whether the caller has a part of the stream already.
 func (o *onlineRequest) resumes() bool {
 	return o.route.Kind == catalog.Stream && o.r.LastEventID != ""
@@ -23,10 +28,10 @@
 // request is refused: events of two versions do not fit together.
 func (o *onlineRequest) findOrigin(ctx context.Context) error {
 	begin := time.Now()
-	origin, known := o.g.Origins.FindOrigin(ctx, o.r.Resumes)
+	origin, source := o.lookupOrigin(ctx)
 	event.Log(o.g.Log, event.StreamResumed, "request", o.r.ID, "resumes", o.r.Resumes, "resume_after", o.lastEvent,
-		"known", known, "service", origin.Service, "version", origin.Version, "took", time.Since(begin))
-	if !known {
+		"origin", source, "service", origin.Service, "version", origin.Version, "took", time.Since(begin))
+	if source == originUnknown {
 		return errkind.New(errkind.NoBackend, "the software that began stream %q is unknown", o.r.Resumes).WithRetryAfter(unknownOriginRetryAfter)
 	}
 	if !slices.ContainsFunc(o.route.Splits, func(s catalog.Split) bool { return s.Service == origin.Service }) {
@@ -36,6 +41,33 @@
 	return nil
 }
 
+// originSource is how the origin of a stream is known.
+type originSource string
+
+const (
+	// originRecorded: a gateway has recorded it.
+	originRecorded originSource = "recorded"
+	// originOnly: all backend servers that may have begun the stream run the same software.
+	originOnly originSource = "only_version"
+	// originUnknown: it is not known.
+	originUnknown originSource = "unknown"
+)
+
+// lookupOrigin returns the software that began the stream.
+func (o *onlineRequest) lookupOrigin(ctx context.Context) (catalog.Software, originSource) {
+	if origin, known := o.g.Origins.FindOrigin(ctx, o.r.Resumes); known {
+		return origin, originRecorded
+	}
+	// A caller may not name the attempt, and gateways may be lost with what they recorded.
+	if len(o.route.Splits) != 1 || o.g.StoreAge() > maxRegistrationAge {
+		return catalog.Software{}, originUnknown
+	}
+	if origin, only := o.g.Backends.OnlySoftware(o.route.Splits[0].Service, origins.Retention); only {
+		return origin, originOnly
+	}
+	return catalog.Software{}, originUnknown
+}
+
 // recordOrigin records the software that sends the first event of a stream. Other gateways
 // learn it before the caller can come back.
 func (o *onlineRequest) recordOrigin(b catalog.Backend) {
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -55,3 +57,31 @@
 	assert.NilError(t, err)
 	assert.Equal(t, w.Body.String(), streamBody("1", 5))
 }
+
+// TestStreamOfTheOnlyVersionIsResumed covers callers that do not name the attempt and gateways
+// that have lost their records: without another version, there is no doubt about the origin.
+func TestStreamOfTheOnlyVersionIsResumed(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	f := newFixture(t, a)
+	resume := func(change func(*catalog.Route)) error {
+		r := request("1", "/stream")
+		r.LastEventID = "3"
+		_, err := f.serve(r, route(catalog.Stream, func(rt *catalog.Route) { resumable(rt); change(rt) }))
+		return err
+	}
+	unchanged := func(*catalog.Route) {}
+	assert.NilError(t, resume(unchanged))
+	assert.Equal(t, a.Requests()[0].ResumeAfter, "3")
+
+	split := func(r *catalog.Route) { r.Splits = append(r.Splits, catalog.Split{Service: "other", Weight: 1}) }
+	assert.Equal(t, errkind.From(resume(split)).Response().Outcome, errkind.NotRun)
+
+	f.StoreAge = func() time.Duration { return 3 * time.Second }
+	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
+
+	f.StoreAge = func() time.Duration { return 0 }
+	b.Version = "v2"
+	f.register(a, b)
+	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
+	assert.Equal(t, a.Runs("1"), 1)
+}
