Log lines of failed attempts name the shared parts of the prompt

Change: request_retried and request_refused gain parts, the ids of the prompt parts that other requests may share.

--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -178,10 +178,11 @@
 // sharedPart returns the id of the last prompt part that other requests share. The
 // very last part is specific to the request.
 func sharedPart(p serving.Prompt) string {
-	if len(p.Parts) < 2 {
+	shared := p.SharedParts()
+	if len(shared) == 0 {
 		return ""
 	}
-	return p.Parts[len(p.Parts)-2].ID
+	return shared[len(shared)-1]
 }
 
 // overloadedError returns the error of a request that found no backend server with
@@ -338,17 +339,19 @@
 
 func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
 	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
-		"attempts", o.attempts, "resume_after", o.lastEvent)
+		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.r.Prompt.SharedParts())
 }
 
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
 		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", "aborted",
-			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent)
+			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
+			"parts", o.r.Prompt.SharedParts())
 		return
 	}
 	e := errkind.From(err)
 	o.g.Metrics.requestFailed(e.Kind)
 	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
-		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter)
+		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
+		"parts", o.r.Prompt.SharedParts())
 }
--- a/serving/request.go
+++ b/serving/request.go
@@ -24,6 +24,16 @@
 	Parts []PromptPart
 }
 
+// SharedParts returns the ids of the parts that other requests may share: all but the last,
+// which belongs to the request itself.
+func (p Prompt) SharedParts() []string {
+	var ids []string
+	for i := range len(p.Parts) - 1 {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
 // Request is one attempt of a caller. It is not modified after it has been decoded.
 type Request struct {
 	// ID is the id that the caller gave the attempt.
