Failing test: one prompt part crashes one backend server after the other

TestServersThatEndTogetherCondemnNoPrompt passes and guards the innocent: servers that end together under sound requests.

--- /dev/null
+++ b/internal/gatewayd/crash_test.go
@@ -0,0 +1,93 @@
+package gatewayd_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+// crashDeployment is a deployment whose backend servers end when they begin to run a request
+// with a certain prompt part.
+type crashDeployment struct {
+	*deployment
+	gateways []*gateway
+	crashed  atomic.Int64
+}
+
+func newCrashDeployment(t *testing.T, backends int, part string) *crashDeployment {
+	t.Helper()
+	c := &crashDeployment{deployment: newDeployment(t, backends)}
+	for _, b := range c.backends {
+		b.SetFault(func(r platformtest.Request) platformtest.Fault {
+			if !strings.Contains(r.Prompt, part) {
+				return platformtest.None
+			}
+			c.crashed.Add(1)
+			return platformtest.Crash
+		})
+	}
+	c.gateways = []*gateway{c.start("a"), c.start("b"), c.start("c")}
+	return c
+}
+
+// send sends a stream request with the given prompt parts to one of the gateways in turn and
+// returns the status.
+func (c *crashDeployment) send(i int, id, parts string) int {
+	c.t.Helper()
+	resp := c.gateways[i%len(c.gateways)].streamRequest(c.t.Context(), c.t, id, map[string]string{
+		"Model": "m", "Token-Counts": "100,20", "Prompt-Prefix": parts,
+	})
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode
+}
+
+// TestPromptPartDoesNotCrashOneServerAfterTheOther sends requests with a part that ends each
+// server that runs them, at all gateways, and sound ones that share their first part.
+func TestPromptPartDoesNotCrashOneServerAfterTheOther(t *testing.T) {
+	c := newCrashDeployment(t, 14, "bad1")
+	for i := range 9 {
+		assert.Equal(t, c.send(i, fmt.Sprint("before", i), fmt.Sprintf("aa01:100,bb%02d:50,cc%02d:10", i, i)), http.StatusOK)
+	}
+	for i := range 24 {
+		c.send(i, fmt.Sprint("bad", i), fmt.Sprintf("aa01:100,bad1:50,dd%02d:10", i))
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Assert(t, c.crashed.Load() <= 5, "%d servers have ended", c.crashed.Load())
+	for i := range 9 {
+		assert.Equal(t, c.send(i, fmt.Sprint("after", i), fmt.Sprintf("aa01:100,bb%02d:50,ee%02d:10", i, i)), http.StatusOK)
+	}
+}
+
+// TestServersThatEndTogetherCondemnNoPrompt ends most servers at once, several times, under sound
+// requests that share their first part.
+func TestServersThatEndTogetherCondemnNoPrompt(t *testing.T) {
+	c := newCrashDeployment(t, 12, "never")
+	for i := range 3 {
+		for _, b := range c.backends[3*i : 3*i+3] {
+			b.Events, b.EventInterval = 50, 5*time.Millisecond
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for n := range 8 {
+				c.send(n, fmt.Sprintf("lost%d-%d", i, n), fmt.Sprintf("aa01:100,bb%02d:50,cc%02d:10", n, n))
+			}
+		}()
+		time.Sleep(100 * time.Millisecond)
+		for _, b := range c.backends[3*i : 3*i+3] {
+			b.Kill()
+		}
+		<-done
+		time.Sleep(300 * time.Millisecond)
+	}
+	for i := range 9 {
+		assert.Equal(t, c.send(i, fmt.Sprint("after", i), fmt.Sprintf("aa01:100,bb%02d:50,ee%02d:10", i, i)), http.StatusOK)
+	}
+}
