internal/recent: a map that forgets, taken out of origins

Cause: what is remembered for some seconds is needed in a second place, the evidence about prompt parts.

--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -64,7 +64,7 @@
 }
 
 func (l localOrigins) FindOrigin(_ context.Context, id string) (catalog.Software, bool) {
-	return l.table.Lookup(id)
+	return l.table.Lookup(id, time.Now())
 }
 
 // register registers backend servers.
--- a/peering/origins.go
+++ b/peering/origins.go
@@ -62,7 +62,7 @@
 
 // FindOrigin returns the software that began a stream, as recorded here or at another gateway.
 func (p *Peering) FindOrigin(ctx context.Context, id string) (s catalog.Software, known bool) {
-	if s, known = p.opts.Origins.Lookup(id); known || id == "" {
+	if s, known = p.opts.Origins.Lookup(id, time.Now()); known || id == "" {
 		return s, known
 	}
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
@@ -99,7 +99,7 @@
 func serveOrigin(streams *origins.Table) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		id := r.URL.Query().Get("id")
-		s, _ := streams.Lookup(id)
+		s, _ := streams.Lookup(id, time.Now())
 		writeCBOR(w, streamOrigin{id, s.Service, s.Version})
 	}
 }
--- a/peering/origins_test.go
+++ b/peering/origins_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -79,7 +80,7 @@
 	assert.Assert(t, known)
 	holding := 0
 	for _, g := range all[2:] {
-		if _, known := g.origins.Lookup("stream"); known {
+		if _, known := g.origins.Lookup("stream", time.Now()); known {
 			holding++
 		}
 	}
