quarantine: requests with a prompt part that crashes servers are held back

Cause: gateways judged servers only. Each crash counted against the server, and the next request with the part went to a healthy one, from any gateway; retries and items of jobs too. Change: when a server breaks off runs, the gateway connects to it; a refused connection shows that it has ended. It tells all gateways the parts of these runs (the last part of a prompt excepted), and those at which a run with one of them completed in the last half minute object. A part under which servers ended three times, not at one moment, without objection is held: announced to all gateways and written to the store, so that a gateway that starts knows it, also after a loss of all. Requests with it get 503 quarantined, not run; items wait. After five minutes one gateway tries one request; the time doubles with each failure. A retry waits until it is decided whether the first attempt ended its server. Weighed: each gateway by itself (none sees enough), evidence in all reports (bytes grow with the square of the fleet), votes of all (one round trip more than objections). The test now sends sound requests for the first 5 s, in which a gateway holds nothing, and reads bodies to their end, as a run that its caller drops proves nothing; its bound is the same, and it checks the refusal.

--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -32,6 +32,7 @@
 	Timeout          Kind = "timeout"
 	NoBackend        Kind = "no_backend"
 	Draining         Kind = "draining"
+	Quarantined      Kind = "quarantined"
 	BackendFailed    Kind = "backend_failed"
 	BackendRefused   Kind = "backend_refused"
 	OutcomeUnknown   Kind = "outcome_unknown"
@@ -90,6 +91,7 @@
 	Timeout:          {http.StatusGatewayTimeout, typeServer, time.Second, Unknown},
 	NoBackend:        {http.StatusServiceUnavailable, typeServer, 2 * time.Second, NotRun},
 	Draining:         {http.StatusServiceUnavailable, typeServer, time.Second, NotRun},
+	Quarantined:      {http.StatusServiceUnavailable, typeServer, 5 * time.Minute, NotRun},
 	BackendFailed:    {http.StatusBadGateway, typeServer, time.Second, Unknown},
 	BackendRefused:   {http.StatusBadGateway, typeServer, 0, Complete},
 	OutcomeUnknown:   {http.StatusBadGateway, typeServer, 0, Unknown},
--- a/event/event.go
+++ b/event/event.go
@@ -64,6 +64,9 @@
 	PeerGone        ID = 707
 	PeerSnapshot    ID = 708
 	SourceChanged   ID = 709
+	BackendCrashed  ID = 710
+	PartHeld        ID = 711
+	PartReleased    ID = 712
 )
 
 var catalogue = []Spec{
@@ -109,6 +112,9 @@
 	{PeerGone, "peer_gone", log.InfoLevel, "another gateway is no longer reachable"},
 	{PeerSnapshot, "peer_snapshot", log.InfoLevel, "a starting process loaded configuration and backend servers from a peer"},
 	{SourceChanged, "source_changed", log.InfoLevel, "a gateway reads the registrations of backend servers from another source"},
+	{BackendCrashed, "backend_crashed", log.WarnLevel, "a backend server has ended under running requests; the line names the parts of their prompts"},
+	{PartHeld, "part_held", log.WarnLevel, "requests with a prompt part are refused, because backend servers end under them"},
+	{PartReleased, "part_released", log.InfoLevel, "a request with a prompt part that was held has completed, and others are served again"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -31,6 +32,8 @@
 	// backend servers.
 	StoreAge func() time.Duration
 	Origins  Origins
+	// Quarantine holds back requests that crash backend servers.
+	Quarantine *quarantine.Guard
 
 	queue queue
 }
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -46,6 +46,8 @@
 	// deadline is when the caller or the route times out.
 	deadline time.Time
 
+	// parts are the ids of the prompt parts that other requests share.
+	parts []string
 	// excluded holds the backend servers that are currently not to be tried.
 	excluded map[string]bool
 	// refused states that a backend server has refused the request.
@@ -75,6 +77,7 @@
 		deadline:  r.ReceivedAt.Add(route.Timeout),
 		excluded:  make(map[string]bool),
 		lastEvent: r.LastEventID,
+		parts:     r.Prompt.SharedParts(),
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(o.deadline) {
 		o.deadline = r.Deadline
@@ -96,6 +99,9 @@
 		}
 	}
 	for {
+		if part, held := o.g.Quarantine.Held(o.parts); held {
+			return o.finalError(errkind.New(errkind.Quarantined, "backend servers end under requests with the prompt part %s", part))
+		}
 		choice, err := o.pickBackend(ctx)
 		if err != nil {
 			return o.finalError(err)
@@ -127,7 +133,7 @@
 			return balance.Choice{}, errkind.New(errkind.NoBackend, "no backend server of service %s runs version %s", o.service, o.origin.Version)
 		}
 		need := balance.Requirements{
-			Class: balance.Online, PromptPart: sharedPart(o.r.Prompt), Exclude: o.excluded,
+			Class: balance.Online, PromptPart: o.lastSharedPart(), Exclude: o.excluded,
 			RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(), Origin: o.origin,
 		}
 		if !w.yields(now) {
@@ -175,14 +181,12 @@
 // mayHaveRun reports whether a backend server may have run a part of the request.
 func (o *onlineRequest) mayHaveRun() bool { return o.attempts > 0 }
 
-// sharedPart returns the id of the last prompt part that other requests share. The
-// very last part is specific to the request.
-func sharedPart(p serving.Prompt) string {
-	shared := p.SharedParts()
-	if len(shared) == 0 {
+// lastSharedPart returns the id of the last prompt part that other requests share.
+func (o *onlineRequest) lastSharedPart() string {
+	if len(o.parts) == 0 {
 		return ""
 	}
-	return shared[len(shared)-1]
+	return o.parts[len(o.parts)-1]
 }
 
 // overloadedError returns the error of a request that found no backend server with
@@ -257,6 +261,16 @@
 	return o.route.Idempotent && o.attempts < o.route.MaxAttempts
 }
 
+// suspected waits until it is decided whether the backend server of the last attempt has ended
+// under it, and reports whether a further attempt would probably end another server.
+func (o *onlineRequest) suspected(ctx context.Context, decided <-chan struct{}) bool {
+	select {
+	case <-ctx.Done():
+	case <-decided:
+	}
+	return o.g.Quarantine.Suspected(o.parts)
+}
+
 // startIdleTimer starts a timer that fires once the backend server has sent nothing for
 // too long. It cancels an attempt that may be repeated. Other attempts continue, because
 // a missing response does not prove that the request did not run; instead it counts as a
@@ -304,8 +318,9 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
+	decided := o.g.Quarantine.RunInterrupted(b, o.parts)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s gave no answer", b.ID)
-	if !o.mayRepeat() {
+	if !o.mayRepeat() || o.suspected(ctx, decided) {
 		return false, o.finalError(o.lastFailure)
 	}
 	o.logRetry(b, err)
@@ -339,19 +354,19 @@
 
 func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
 	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
-		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.r.Prompt.SharedParts())
+		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts)
 }
 
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
 		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", "aborted",
 			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
-			"parts", o.r.Prompt.SharedParts())
+			"parts", o.parts)
 		return
 	}
 	e := errkind.From(err)
 	o.g.Metrics.requestFailed(e.Kind)
 	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
 		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
-		"parts", o.r.Prompt.SharedParts())
+		"parts", o.parts)
 }
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -25,6 +25,7 @@
 	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/quarantine/quarantinetest"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -42,15 +43,18 @@
 		return catalog.Backend{ID: id, Service: "s", Address: address, Zone: "z", Version: version, State: catalog.Ready, Slots: 2}, nil
 	}
 	discovered := discovery.NewBackends(decode, func(discovery.Change) {}, time.Now)
+	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: 200 * time.Millisecond})
 	f := &fixture{t: t, Gateway: &gateway.Gateway{
 		Backends: discovered,
 		Table:    balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
-		Pool:     upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: 200 * time.Millisecond}),
+		Pool:     pool,
 		Log:      log.New(io.Discard),
 		Metrics:  gateway.NewMetrics(metrics.NewSet()),
 		Draining: make(chan struct{}),
 		StoreAge: func() time.Duration { return 0 },
 		Origins:  localOrigins{origins.NewTable()},
+
+		Quarantine: quarantinetest.NewGuard(pool.Probe),
 	}}
 	f.register(backends...)
 	return f
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -134,8 +134,9 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
+	decided := o.g.Quarantine.RunInterrupted(b, o.parts)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s broke off", b.ID)
-	if !o.mayRepeat() || o.headSent && !o.mayContinue() {
+	if !o.mayRepeat() || o.headSent && !o.mayContinue() || o.suspected(ctx, decided) {
 		return false, o.finalError(o.lastFailure)
 	}
 	o.logRetry(b, err)
@@ -150,6 +151,9 @@
 	} else {
 		o.g.Table.RecordSuccess(b.ID)
 	}
+	if status == http.StatusOK {
+		o.g.Quarantine.RunCompleted(o.parts)
+	}
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
 		"attempts", o.attempts, "first_byte", o.firstByte.Sub(o.r.ReceivedAt), "after", time.Since(o.r.ReceivedAt))
 }
--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -9,7 +10,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
@@ -45,6 +48,9 @@
 		"Model": "m", "Token-Counts": "100,20", "Prompt-Prefix": parts,
 	})
 	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		c.t.Logf("%s: %v", id, err) // a stream whose server has ended
+	}
 	return resp.StatusCode
 }
 
@@ -52,14 +58,25 @@
 // server that runs them, at all gateways, and sound ones that share their first part.
 func TestPromptPartDoesNotCrashOneServerAfterTheOther(t *testing.T) {
 	c := newCrashDeployment(t, 14, "bad1")
-	for i := range 9 {
+	// Gateways judge no request in the first seconds after their start.
+	pace := time.NewTicker(100 * time.Millisecond)
+	defer pace.Stop()
+	for i := range 54 {
+		<-pace.C
 		assert.Equal(t, c.send(i, fmt.Sprint("before", i), fmt.Sprintf("aa01:100,bb%02d:50,cc%02d:10", i, i)), http.StatusOK)
 	}
+	pace.Reset(300 * time.Millisecond)
 	for i := range 24 {
+		<-pace.C
 		c.send(i, fmt.Sprint("bad", i), fmt.Sprintf("aa01:100,bad1:50,dd%02d:10", i))
-		time.Sleep(300 * time.Millisecond)
 	}
 	assert.Assert(t, c.crashed.Load() <= 5, "%d servers have ended", c.crashed.Load())
+	resp := c.gateways[0].streamRequest(t.Context(), t, "bad", map[string]string{"Prompt-Prefix": "aa01:100,bad1:50,ff:10"})
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(string(body), string(errkind.Quarantined)), "%s", body)
 	for i := range 9 {
 		assert.Equal(t, c.send(i, fmt.Sprint("after", i), fmt.Sprintf("aa01:100,bb%02d:50,ee%02d:10", i, i)), http.StatusOK)
 	}
@@ -80,12 +97,19 @@
 				c.send(n, fmt.Sprintf("lost%d-%d", i, n), fmt.Sprintf("aa01:100,bb%02d:50,cc%02d:10", n, n))
 			}
 		}()
-		time.Sleep(100 * time.Millisecond)
-		for _, b := range c.backends[3*i : 3*i+3] {
+		victims := c.backends[3*i : 3*i+3]
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			for _, b := range victims {
+				if len(b.Requests()) > 0 {
+					return poll.Success()
+				}
+			}
+			return poll.Continue("no request has reached the servers")
+		}, poll.WithDelay(5*time.Millisecond))
+		for _, b := range victims {
 			b.Kill()
 		}
 		<-done
-		time.Sleep(300 * time.Millisecond)
 	}
 	for i := range 9 {
 		assert.Equal(t, c.send(i, fmt.Sprint("after", i), fmt.Sprintf("aa01:100,bb%02d:50,ee%02d:10", i, i)), http.StatusOK)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -22,12 +22,14 @@
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
+	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -49,6 +51,7 @@
 	configMinInterval    = 20 * time.Millisecond
 	backendMinInterval   = 200 * time.Millisecond
 	directoryMaxWait     = 3 * time.Second
+	partMaxWait          = 5 * time.Second
 	directoryMinInterval = 100 * time.Millisecond
 	followRetryDelay     = 150 * time.Millisecond
 
@@ -59,6 +62,8 @@
 	contentTopic   = "contents"
 	resultTopic    = "results"
 	directoryTopic = "gateways"
+	// partTopic holds the prompt parts that are held.
+	partTopic = "held-parts"
 )
 
 // Daemon is one gateway process.
@@ -76,6 +81,7 @@
 	jobs     *jobs.Service
 	peering  *peering.Peering
 	origins  *origins.Table
+	guard    *quarantine.Guard
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
@@ -114,8 +120,9 @@
 	})
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
+	d.guard = quarantine.NewGuard(d.guardOptions(table))
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins,
+		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -126,15 +133,30 @@
 			keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged),
 		d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.PollConfig{MaxWait: directoryMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
+		d.follow(platform.KeyedTopic(partTopic), d.guard, keyedlog.PollConfig{MaxWait: partMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 	}
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age, Origins: d.peering,
+		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard,
 	}
 	return d, nil
 }
 
+func (d *Daemon) guardOptions(table *balance.Table) quarantine.Options {
+	ejector := ejection.Ejector{Table: table, Pool: d.pool, Log: d.log}
+	return quarantine.Options{
+		StartedAt: time.Now(),
+		Probe:     d.pool.Probe, Eject: func(b catalog.Backend) { ejector.RecordFailure(b, true) },
+		Peers: func() quarantine.Peers { return d.peering }, Logger: d.log,
+		Store: func(ctx context.Context, r keyedlog.Record) error {
+			part := keyedlog.Partition{Topic: platform.KeyedTopic(partTopic)}
+			_, err := d.store.Append(ctx, part, []keyedlog.Record{r}, keyedlog.Condition{})
+			return err
+		},
+	}
+}
+
 func (d *Daemon) jobOptions(configs *discovery.ConfigView, table *balance.Table) jobs.Options {
 	s := d.settings
 	return jobs.Options{
@@ -145,7 +167,7 @@
 		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
 		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
 		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
-		Table: table, Pool: d.pool, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
+		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
 	}
 }
 
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -23,6 +23,8 @@
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/quarantine"
+	"github.com/catkinrudder/catkinrudder/quarantine/quarantinetest"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -49,6 +51,7 @@
 	name    string
 	cluster *cluster
 	balance *balance.Table
+	guard   *quarantine.Guard
 	// disconnected simulates that the process can't reach the log.
 	disconnected atomic.Bool
 	stop         context.CancelFunc
@@ -91,7 +94,7 @@
 
 func (c *cluster) startWithLog(name string, l keyedlog.Log) *node {
 	c.t.Helper()
-	n := &node{name: name, cluster: c, done: make(chan struct{}), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
+	n := &node{name: name, cluster: c, done: make(chan struct{}), guard: newGuard(), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
 	config := catalog.NewConfig(1, []catalog.Route{c.route}, nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
@@ -102,6 +105,8 @@
 		AllBackends: func(g func(catalog.Backend)) { each(c.registrations(), g) },
 		Table:       n.balance,
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
+		Quarantine:  n.guard,
+		PromptParts: platform.SharedPromptParts,
 		Logger:      log.New(io.Discard), Peers: clusterPeers{n}, StoreAge: n.storeAge,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
@@ -120,6 +125,11 @@
 	return n
 }
 
+// newGuard returns the quarantine of a process without other gateways.
+func newGuard() *quarantine.Guard {
+	return quarantinetest.NewGuard(upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}).Probe)
+}
+
 func each(backends []catalog.Backend, f func(catalog.Backend)) {
 	for _, b := range backends {
 		f(b)
--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -27,7 +27,11 @@
 }
 
 func (r *runner) requeue(u *run, out outcome) {
-	if out.end != runCancelled {
+	switch out.end {
+	case runCancelled:
+	case runInterrupted:
+		u.notBefore = time.Now().Add(interruptedRetryDelay)
+	default:
 		u.notBefore = time.Now().Add(itemRetryDelay)
 	}
 	event.Log(r.s.opts.Logger, event.ItemRequeued, "job", u.ref.job, "item", u.ref.item, "cause", out.cause,
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -23,8 +23,11 @@
 	// cycleJitter is a random addition to minCycleInterval, so that processes that see
 	// the same free slot do not start an item at the same moment.
 	cycleJitter = 8 * time.Millisecond
-	// itemRetryDelay is the delay before an item is retried after a failed run.
-	itemRetryDelay = 150 * time.Millisecond
+	// itemRetryDelay is the delay before an item is retried after a failed run. After an
+	// interrupted one it is interruptedRetryDelay: if the run has ended its server, the next
+	// one would end another before the quarantine counts the first.
+	itemRetryDelay        = 150 * time.Millisecond
+	interruptedRetryDelay = 400 * time.Millisecond
 	// maxUnansweredStops is how many runs of an item may be preempted before the backend
 	// server has answered. The next run is left alone until it has an answer, because an
 	// item that can't be done must not reach backend servers again after three answers
@@ -54,6 +57,8 @@
 	answered bool
 	// due orders preemption: the run with the latest due time is stopped first.
 	due time.Time
+	// parts are the ids of the prompt parts that the item shares with others.
+	parts []string
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
 	// originWaitSince is when the item first found no slot at the software that has begun it;
@@ -198,6 +203,9 @@
 			r.setResult(u, Result{Item: item, Text: u.progress.Text}, "retention is over")
 			continue
 		}
+		if _, held := r.s.opts.Quarantine.Held(u.parts); held {
+			continue // until it is released, or the retention is over
+		}
 		if r.runningCount() >= maxConcurrentRuns || !r.startItem(ctx, j, u, used, now) {
 			return false
 		}
@@ -210,7 +218,7 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, progress: j.progress[item], checkpointed: j.progress[item], due: j.due}
+		u = &run{ref: ref, progress: j.progress[item], checkpointed: j.progress[item], due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
 		r.runs[ref] = u
 	}
 	return u
@@ -255,6 +263,7 @@
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
+	r.recordRunEnd(b, u.parts, out.end)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
@@ -269,6 +278,16 @@
 	r.wake()
 }
 
+// recordRunEnd records what a run's end says about the prompt parts of its item.
+func (r *runner) recordRunEnd(b catalog.Backend, parts []string, end runEnd) {
+	switch end {
+	case runComplete:
+		r.s.opts.Quarantine.RunCompleted(parts)
+	case runInterrupted:
+		_ = r.s.opts.Quarantine.RunInterrupted(b, parts) // the next run is later than the decision
+	}
+}
+
 // stop cancels all runs and waits until their outcomes are handled.
 func (r *runner) stop(ctx context.Context) {
 	r.mu.Lock()
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -14,6 +14,7 @@
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -51,6 +52,10 @@
 	AllBackends func(f func(catalog.Backend))
 	Table       *balance.Table
 	Pool        *upstream.Pool
+	// Quarantine holds back items that crash backend servers. PromptParts returns the ids of
+	// the prompt parts that an item with these header fields shares with others.
+	Quarantine  *quarantine.Guard
+	PromptParts func(header map[string]string) []string
 	Logger      *log.Logger
 	// StoreAge returns the time since the log last responded to a call of this
 	// process. The group's heartbeat guarantees regular calls.
--- /dev/null
+++ b/peering/evidence_test.go
@@ -0,0 +1,81 @@
+package peering_test
+
+import (
+	"slices"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+)
+
+// evidence records the reports that a gateway receives. Runs with the part "sound" have
+// completed everywhere.
+type evidence struct {
+	mu                       sync.Mutex
+	crashed, completed, held []string
+}
+
+func (e *evidence) PeerCrash(_ uint32, parts []string) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = append(e.crashed, parts...)
+	if slices.Contains(parts, "sound") {
+		return []string{"sound"}
+	}
+	return nil
+}
+
+func (e *evidence) PeerCompleted(parts []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.completed = append(e.completed, parts...)
+}
+
+func (e *evidence) PeerHeld(parts []string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.held = append(e.held, parts...)
+}
+
+// waitFor waits until a list holds n parts.
+func (e *evidence) waitFor(t *testing.T, list *[]string, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if len(*list) < n {
+			return poll.Continue("%d parts, want %d", len(*list), n)
+		}
+		return poll.Success()
+	})
+}
+
+func TestReportOfACrashIsAnsweredWithInnocentParts(t *testing.T) {
+	all := fleet(t, "near", "near", "far")
+	all[0].BroadcastCrash(7, []string{"bad", "sound"})
+	for _, other := range all[1:] {
+		other.evidence.waitFor(t, &other.evidence.crashed, 2)
+	}
+	all[0].evidence.waitFor(t, &all[0].evidence.completed, 2)
+	assert.DeepEqual(t, all[0].evidence.completed, []string{"sound", "sound"})
+
+	all[1].BroadcastHeld([]string{"bad"})
+	all[0].evidence.waitFor(t, &all[0].evidence.held, 1)
+	all[2].evidence.waitFor(t, &all[2].evidence.held, 1)
+	all[2].BroadcastCompleted([]string{"bad"})
+	all[1].evidence.waitFor(t, &all[1].evidence.completed, 1)
+}
+
+func TestOneGatewayIsTheFirstForAPart(t *testing.T) {
+	all := fleet(t, "near", "near", "far")
+	for _, part := range []string{"a", "b", "c", "d"} {
+		first := 0
+		for _, g := range all {
+			if g.FirstFor(part) {
+				first++
+			}
+		}
+		assert.Equal(t, first, 1, part)
+	}
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -58,12 +58,14 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 }
 
-// datagram is a report or, if Summary or Origin is set, the summary of a region or the origin
-// of a stream. Gateways of older releases ignore these two, as they have no sender.
+// datagram is a report or, if one of the other fields is set, the summary of a region, the
+// origin of a stream or a report about prompt parts. Gateways of older releases ignore these,
+// as they have no sender.
 type datagram struct {
 	report
 	Summary *regionSummary `cbor:"11,keyasint,omitempty"`
 	Origin  *streamOrigin  `cbor:"13,keyasint,omitempty"`
+	Parts   *partReport    `cbor:"14,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -91,6 +93,8 @@
 	Client *http.Client
 	// Origins holds the origins of streams that this gateway knows.
 	Origins *origins.Table
+	// Evidence receives the reports of other gateways about prompt parts.
+	Evidence Evidence
 	// Shards returns this gateway's reports on the shards that it owns.
 	Shards func() []jobs.ShardReport
 	// BackendID returns the id of the backend server with the given balance.Key.
@@ -252,6 +256,8 @@
 			p.applySummary(*d.Summary, now)
 		case d.Origin != nil:
 			p.opts.Origins.Record(d.Origin.ID, d.Origin.software(), now)
+		case d.Parts != nil:
+			p.applyParts(*d.Parts, from)
 		default:
 			p.apply(d.report, from, now)
 		}
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -34,17 +34,19 @@
 	table   *balance.Table
 	shards  []jobs.ShardReport
 	origins *origins.Table
-	stop    func()
+	// evidence records the reports about prompt parts.
+	evidence *evidence
+	stop     func()
 }
 
 func startGateway(t *testing.T, name, address, region string, shards ...jobs.ShardReport) *gateway {
 	t.Helper()
 	conn, err := net.ListenPacket("udp", address)
 	assert.NilError(t, err)
-	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable()}
+	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable(), evidence: &evidence{}}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
-		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins,
+		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins, Evidence: g.evidence,
 		Shards: func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- /dev/null
+++ b/quarantine/guard_test.go
@@ -0,0 +1,140 @@
+package quarantine
+
+import (
+	"context"
+	"io"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+)
+
+// fakePeers records what a guard broadcasts.
+type fakePeers struct {
+	mu                       sync.Mutex
+	crashes                  int
+	crashed, held, completed []string
+}
+
+func (p *fakePeers) BroadcastCrash(_ uint32, parts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.crashes++
+	p.crashed = parts
+}
+
+func (p *fakePeers) BroadcastHeld(parts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = append(p.held, parts...)
+}
+
+func (p *fakePeers) BroadcastCompleted(parts []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.completed = append(p.completed, parts...)
+}
+
+func (*fakePeers) FirstFor(string) bool { return false }
+
+// guardFixture is a guard of a process that has run for a minute, whose probes return probeErr.
+type guardFixture struct {
+	*Guard
+	peers    *fakePeers
+	probeErr error
+	stored   chan keyedlog.Record
+}
+
+func newGuardFixture(probeErr error) *guardFixture {
+	f := &guardFixture{peers: &fakePeers{}, probeErr: probeErr, stored: make(chan keyedlog.Record, 10)}
+	f.Guard = NewGuard(Options{
+		StartedAt: time.Now().Add(-time.Minute),
+		Probe:     func(context.Context, string) error { return f.probeErr }, Eject: func(catalog.Backend) {},
+		Peers: func() Peers { return f.peers }, Logger: log.New(io.Discard),
+		Store: func(_ context.Context, r keyedlog.Record) error { f.stored <- r; return nil },
+	})
+	return f
+}
+
+var refused = errors.Wrap(syscall.ECONNREFUSED, "dial")
+
+func TestOnlyEndedServersAreEvidence(t *testing.T) {
+	ready := catalog.Backend{ID: "i", State: catalog.Ready}
+	draining := catalog.Backend{ID: "i", State: catalog.Draining}
+	for name, c := range map[string]struct {
+		probe   error
+		backend catalog.Backend
+		parts   []string
+		crashes int
+	}{
+		"ended":       {refused, ready, []string{"p"}, 1},
+		"alive":       {nil, ready, []string{"p"}, 0},
+		"silent":      {context.DeadlineExceeded, ready, []string{"p"}, 0},
+		"draining":    {refused, draining, []string{"p"}, 0},
+		"no prompt":   {refused, ready, nil, 0},
+		"unreachable": {syscall.EHOSTUNREACH, ready, []string{"p"}, 0},
+	} {
+		f := newGuardFixture(c.probe)
+		<-f.RunInterrupted(c.backend, c.parts)
+		assert.Equal(t, f.peers.crashes, c.crashes, name)
+	}
+}
+
+func TestRunsThatEndTogetherAreOneReport(t *testing.T) {
+	f := newGuardFixture(refused)
+	b := catalog.Backend{ID: "i", State: catalog.Ready}
+	first := f.RunInterrupted(b, []string{"x", "a"})
+	<-f.RunInterrupted(b, []string{"b", "a"})
+	<-first
+	assert.Equal(t, f.peers.crashes, 1)
+	assert.DeepEqual(t, f.peers.crashed, []string{"a", "b", "x"})
+}
+
+func TestProvedPartIsAnnouncedAndStored(t *testing.T) {
+	f := newGuardFixture(refused)
+	for server, age := range []time.Duration{2 * crashSpacing, crashSpacing} {
+		f.table.RecordCrash(uint32(server), []string{"bad", "shared"}, time.Now().Add(-age))
+	}
+	f.PeerCrash(1, []string{"other"})
+	<-f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"})
+	f.PeerCompleted([]string{"shared"}) // the objection of another gateway
+	assert.Equal(t, (<-f.stored).Key, "bad")
+	part, held := f.Held([]string{"shared", "bad"})
+	assert.Assert(t, held)
+	assert.Equal(t, part, "bad")
+	f.peers.mu.Lock()
+	assert.DeepEqual(t, f.peers.held, []string{"bad"})
+	f.peers.mu.Unlock()
+
+	f.RunCompleted([]string{"bad"})
+	r := <-f.stored
+	assert.Equal(t, r.Key, "bad")
+	assert.Assert(t, r.Value == nil)
+	_, held = f.Held([]string{"bad"})
+	assert.Assert(t, !held)
+}
+
+func TestStartingGatewayKnowsStoredParts(t *testing.T) {
+	f := newGuardFixture(refused)
+	f.Rebuild([]keyedlog.Record{{Key: "bad", Value: []byte{1}}})
+	_, held := f.Held([]string{"bad"})
+	assert.Assert(t, held)
+	f.Apply([]keyedlog.Record{{Key: "bad"}})
+	_, held = f.Held([]string{"bad"})
+	assert.Assert(t, !held)
+	f.PeerHeld([]string{"bad"})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, held := f.Held([]string{"bad"}); !held {
+			return poll.Continue("not held")
+		}
+		return poll.Success()
+	})
+}
--- /dev/null
+++ b/quarantine/quarantinetest/guard.go
@@ -0,0 +1,35 @@
+// Package quarantinetest provides a quarantine for tests of a single process.
+package quarantinetest
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/quarantine"
+)
+
+// NewGuard returns a guard without peers and without a store, of a process that has run for
+// some time.
+func NewGuard(probe func(ctx context.Context, address string) error) *quarantine.Guard {
+	return quarantine.NewGuard(quarantine.Options{
+		StartedAt: time.Now().Add(-time.Minute),
+		Probe:     probe, Eject: func(catalog.Backend) {}, Peers: func() quarantine.Peers { return noPeers{} },
+		Logger: log.New(io.Discard), Store: func(context.Context, keyedlog.Record) error { return nil },
+	})
+}
+
+// noPeers implements quarantine.Peers for a gateway that is alone.
+type noPeers struct{}
+
+func (noPeers) BroadcastCrash(uint32, []string) {}
+
+func (noPeers) BroadcastHeld([]string) {}
+
+func (noPeers) BroadcastCompleted([]string) {}
+
+func (noPeers) FirstFor(string) bool { return true }
--- /dev/null
+++ b/quarantine/table_test.go
@@ -0,0 +1,127 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(5000, 0)
+
+// at returns a time long after the start of the process.
+func at(s float64) time.Time {
+	return start.Add(time.Minute + time.Duration(s*float64(time.Second)))
+}
+
+func never(string) bool { return false }
+
+func always(string) bool { return true }
+
+func isHeld(t *Table, part string, now time.Time) bool {
+	_, held := t.Held([]string{part}, never, now)
+	return held
+}
+
+func TestPartThatCrashesServersIsHeld(t *testing.T) {
+	table := NewTable(start)
+	parts := []string{"shared", "bad"}
+	for i := range 3 {
+		now := at(float64(i))
+		assert.Equal(t, len(table.HoldSuspects(parts, now)), 0, "after %d crashes", i)
+		table.RecordCrash(uint32(i), parts, now)
+		table.RecordCompleted([]string{"shared"}, now)
+	}
+	assert.Assert(t, table.Suspected(parts, at(2)))
+	assert.DeepEqual(t, table.HoldSuspects(parts, at(3)), []string{"bad"})
+	part, held := table.Held(parts, never, at(4))
+	assert.Assert(t, held)
+	assert.Equal(t, part, "bad")
+	assert.Assert(t, !isHeld(table, "shared", at(4)))
+}
+
+func TestServersThatEndTogetherCountOnce(t *testing.T) {
+	table := NewTable(start)
+	for i := range 20 {
+		table.RecordCrash(uint32(i), []string{"common"}, at(float64(i)*0.05))
+	}
+	assert.Equal(t, len(table.HoldSuspects([]string{"common"}, at(1))), 1, "a second of crashes is no single moment")
+
+	table = NewTable(start)
+	for i := range 20 {
+		table.RecordCrash(uint32(i), []string{"common"}, at(float64(i)*0.01))
+	}
+	assert.Equal(t, len(table.HoldSuspects([]string{"common"}, at(1))), 0)
+}
+
+func TestReportsOfSeveralGatewaysOnOneServerCountOnce(t *testing.T) {
+	table := NewTable(start)
+	for i := range 20 {
+		table.RecordCrash(uint32(i%2), []string{"part"}, at(float64(i)*0.07))
+	}
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(2))), 0)
+	table.RecordCrash(0, []string{"part"}, at(5))
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(5))), 1, "the server has started again and has ended again")
+}
+
+func TestCompletedRunClearsItsParts(t *testing.T) {
+	table := NewTable(start)
+	crash := func(from, n int) {
+		for i := range n {
+			table.RecordCrash(uint32(from+i), []string{"part"}, at(float64(from+i)))
+		}
+	}
+	crash(0, 2)
+	table.RecordCompleted([]string{"part"}, at(2))
+	assert.DeepEqual(t, table.Completed([]string{"other", "part"}, at(2)), []string{"part"})
+	crash(3, 5)
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(9))), 0, "a run has completed a short time ago")
+	later := 3 * completionMemory.Seconds()
+	crash(int(later), 1)
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(later+1))), 1)
+}
+
+func TestProcessThatHasJustStartedHoldsNothingByItself(t *testing.T) {
+	table := NewTable(start)
+	for i := range 5 {
+		table.RecordCrash(uint32(i), []string{"part"}, start.Add(time.Duration(i)*time.Second))
+	}
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation-1))), 0)
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation))), 1)
+	assert.Assert(t, table.Hold("of another gateway", start))
+	assert.Assert(t, !table.Hold("of another gateway", start))
+}
+
+func TestHeldPartIsTriedOnceInAHoldTime(t *testing.T) {
+	table := NewTable(start)
+	table.Hold("bad", at(0))
+	tries := func(from, to time.Duration) int {
+		n := 0
+		for d := from; d < to; d += time.Second {
+			if _, held := table.Held([]string{"bad"}, always, at(0).Add(d)); !held {
+				n++
+				table.RecordCrash(1, []string{"bad"}, at(0).Add(d))
+			}
+		}
+		return n
+	}
+	assert.Equal(t, tries(0, holdTime), 0)
+	assert.Equal(t, tries(holdTime, 3*holdTime), 1)
+	assert.Equal(t, tries(3*holdTime, 4*holdTime), 1, "the next hold takes twice as long")
+	assert.Assert(t, isHeld(table, "bad", at(0).Add(100*holdTime)), "other gateways do not try")
+
+	assert.DeepEqual(t, table.RecordCompleted([]string{"bad"}, at(0)), []string{"bad"})
+	assert.Assert(t, !isHeld(table, "bad", at(0)))
+	assert.Assert(t, !table.Release("bad"))
+}
+
+func TestMemoryOfPartsIsBounded(t *testing.T) {
+	table := NewTable(start)
+	for i := range 3 * maxParts {
+		table.RecordCrash(1, []string{fmt.Sprint(i)}, at(0))
+		table.RecordCompleted([]string{fmt.Sprint("c", i)}, at(0))
+	}
+	assert.Assert(t, table.crashes.Len() <= maxParts)
+	assert.Assert(t, table.completed.Len() <= maxParts)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -203,16 +203,36 @@
 		}
 		_ = c.Close()
 	}
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	c, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrap(ErrNotSent, err.Error())
 	}
+	return c, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "dial backend server")
+	}
 	if p.opts.OnConnect != nil {
 		p.opts.OnConnect(address)
 	}
 	return newConn(raw), nil
 }
 
+// Probe connects to a backend server and keeps the connection for the next request. The error
+// wraps the one of the system call.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.idleUntil = time.Now().Add(defaultIdleTime)
+	p.put(address, c)
+	return nil
+}
+
 // pop removes the most recently used idle connection, which is the least likely to
 // have been closed by the other side.
 func (p *Pool) pop(address string) *conn {
