Failing tests: refusals that answer another send are believed

The tests play two ways in which such a word can be false, on real sockets: a refusal without an id that arrives on a reused connection, and a refusal that is sent twice and read by the next send of the same request. In both, a call that may run once runs twice.

--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -354,3 +354,27 @@
 	}
 	assert.Equal(t, len(f.Table.Failures(time.Now())), 0)
 }
+
+// TestRefusalOfAnotherRequestIsNotBelieved covers late refusals on reused connections: the
+// request that they seem to refuse runs, and must neither run again nor be refused.
+func TestRefusalOfAnotherRequestIsNotBelieved(t *testing.T) {
+	for name, fault := range map[string]platformtest.Fault{"without id": platformtest.LateRefusal, "repeated": platformtest.RefuseTwice} {
+		t.Run(name, func(t *testing.T) {
+			a := platformtest.NewBackend(t, "a")
+			seen := make(map[string]int)
+			a.SetFault(func(r platformtest.Request) platformtest.Fault {
+				if seen[r.ID]++; fault == platformtest.RefuseTwice && seen[r.ID] > 1 {
+					return platformtest.None
+				}
+				return fault
+			})
+			f := newFixture(t, a)
+			for _, id := range []string{"1", "2", "3", "4"} {
+				w, err := f.serve(request(id, "/call"), route(catalog.Call, nil))
+				assert.NilError(t, err)
+				assert.Equal(t, w.Body.String(), "answer "+id)
+				assert.Equal(t, a.Runs(id), 1)
+			}
+		})
+	}
+}
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -122,3 +122,28 @@
 	_, err = io.ReadAll(resp)
 	assert.ErrorContains(t, err, "EOF")
 }
+
+func TestRefusalWithoutIDOnAReusedConnectionIsNoAnswer(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(platformtest.Request) platformtest.Fault { return platformtest.LateRefusal })
+	for _, id := range []string{"1", "2", "3"} {
+		assert.Equal(t, fetch(t, p, request(id, "/call"), to(b)), "answer "+id)
+	}
+	assert.Equal(t, b.Connections(), 1)
+}
+
+// TestRepeatedRefusalIsNoAnswerToTheNextSend covers a backend server that repeats a refusal
+// when the same request comes again on the same connection, and runs it then.
+func TestRepeatedRefusalIsNoAnswerToTheNextSend(t *testing.T) {
+	b, p := platformtest.NewBackend(t, "b"), newPool()
+	b.SetFault(func(platformtest.Request) platformtest.Fault { return platformtest.RefuseTwice })
+	resp, err := p.Do(t.Context(), request("1", "/call"), to(b))
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Info.NotRun)
+	resp.Discard()
+	resp.Close()
+	b.SetFault(func(platformtest.Request) platformtest.Fault { return platformtest.None })
+	assert.Equal(t, fetch(t, p, request("1", "/call"), to(b)), "answer 1")
+	assert.Equal(t, fetch(t, p, request("2", "/call"), to(b)), "answer 2")
+	assert.Equal(t, b.Runs("1"), 1)
+}
