upstream: a refusal without an id counts on a new connection only

What callers saw: REFUSED and TWICE on real processes: requests that may run once ran twice, or ran though they were refused with a promise. Cause: a response without Request-Id that says not run was taken as the answer to the request on the connection. On a reused connection it may be a late answer to an earlier one, which arrives after the connection was looked at and found idle; then this request runs all the same. Change: such a refusal is skipped on a connection that has carried another request.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -33,6 +33,8 @@
 	w *bufio.Writer
 	// idleUntil is when the connection is too old to be reused.
 	idleUntil time.Time
+	// reused states that the connection has carried another request before.
+	reused bool
 }
 
 func newConn(c net.Conn) *conn {
@@ -96,7 +98,8 @@
 }
 
 // readHead reads the head of the response. It skips responses that belong to other
-// requests.
+// requests. A refusal without an id may answer an earlier request of the connection, and then
+// this one runs.
 func (e *exchange) readHead(id, method string, codec serving.Codec) (*http.Response, serving.ResponseInfo, error) {
 	for range maxMismatched + 1 {
 		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: method})
@@ -107,7 +110,7 @@
 			continue
 		}
 		info := codec.Decode(resp)
-		if info.RequestID == id || (info.RequestID == "" && info.NotRun) {
+		if info.RequestID == id || (info.RequestID == "" && info.NotRun && !e.conn.reused) {
 			return resp, info, nil
 		}
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -188,6 +188,7 @@
 		idle = min(idle, announced-idleMargin)
 	}
 	c.idleUntil = time.Now().Add(idle)
+	c.reused = true
 	r.pool.put(r.attempt.Address, c)
 }
 
