upstream: a request is not sent again on a connection that has refused it

Cause: a request that all servers refuse is tried again after 20 ms, often on the connection that was refused last. If the server sends its refusal twice, the copy, which bears the right id, is read as the answer to the second send, which runs. Evidence: suspected. It fits the record, in which a gateway logs two refusals of one request within half a millisecond and the second server ran it.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -24,6 +24,8 @@
 	inlineBodyBytes = 8 << 10
 	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
+	// maxRefusals bounds the refused requests that a connection remembers.
+	maxRefusals = 16
 )
 
 // conn is one connection to a backend server. It carries one request at a time.
@@ -35,12 +37,22 @@
 	idleUntil time.Time
 	// reused states that the connection has carried another request before.
 	reused bool
+	// refused holds the ids of the last requests that were refused on the connection.
+	refused []string
 }
 
 func newConn(c net.Conn) *conn {
 	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
+// recordRefusal records that the request id was refused.
+func (c *conn) recordRefusal(id string) {
+	if len(c.refused) == maxRefusals {
+		c.refused = c.refused[1:]
+	}
+	c.refused = append(c.refused, id)
+}
+
 // usable reports whether the idle connection may be reused for another request.
 func (c *conn) usable(now time.Time) bool {
 	return now.Before(c.idleUntil) && c.r.Buffered() == 0 && idleOpen(c.Conn)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -96,6 +97,9 @@
 	Length int64
 	Info   serving.ResponseInfo
 
+	// requestID is the id of the request.
+	requestID string
+
 	body     io.Reader
 	pool     *Pool
 	attempt  serving.Attempt
@@ -110,7 +114,7 @@
 // Do sends r to the backend server of a and returns the head of the response. The
 // connection is closed when ctx ends, even while the body is read.
 func (p *Pool) Do(ctx context.Context, r *serving.Request, a serving.Attempt) (*Response, error) {
-	c, err := p.get(ctx, a.Address)
+	c, err := p.get(ctx, a.Address, r.ID)
 	if err != nil {
 		p.ended(a.BackendID, NotSent)
 		return nil, err
@@ -125,7 +129,7 @@
 		return nil, err
 	}
 	return &Response{
-		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info,
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
 		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch,
 	}, nil
 }
@@ -189,13 +193,18 @@
 	}
 	c.idleUntil = time.Now().Add(idle)
 	c.reused = true
+	if r.Info.NotRun {
+		c.recordRefusal(r.requestID)
+	}
 	r.pool.put(r.attempt.Address, c)
 }
 
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns a connection for the request id, an idle one if possible. It is not one on which
+// the same request was refused: a repetition of that refusal would be read as the answer.
+func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			break
 		}
@@ -234,18 +243,19 @@
 	return nil
 }
 
-// pop removes the most recently used idle connection, which is the least likely to
-// have been closed by the other side.
-func (p *Pool) pop(address string) *conn {
+// pop removes the most recently used idle connection on which the request id was not refused.
+// It is the least likely to have been closed by the other side.
+func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if !slices.Contains(c.refused, id) {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) put(address string, c *conn) {
