A backend server that says in a response that it leaves gets no more requests

Cause: the header was not read; only registrations said that a server drains. Change: the response marks the server as draining in this process, for online requests and batch items alike, until its registration is removed or names a later start (born). TestServerThatSaysItLeavesStaysDraining covers renewals.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -129,6 +129,9 @@
 	Slots int
 	// ColdRemaining is how much longer the backend server is slow after its start.
 	ColdRemaining time.Duration
+	// StartedMs is when this incarnation has started, in Unix milliseconds; 0 if it is
+	// unknown. A backend server may start again under its id.
+	StartedMs int64
 }
 
 // Software identifies the software that a backend server runs. What two versions produce for
--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -66,6 +66,9 @@
 type registration struct {
 	backend catalog.Backend
 	record  keyedlog.Record
+	// leaving states that the backend server itself has said that it drains, whatever its
+	// registration says.
+	leaving bool
 	// lapsedAt is when the registration disappeared; zero while it is present.
 	lapsedAt time.Time
 	// removeAt is when a lapsed backend server is removed.
@@ -170,6 +173,34 @@
 	})
 }
 
+// SetLeaving records that a backend server has said in a response that it drains. Its
+// registration may say so later, or never.
+func (b *Backends) SetLeaving(id string) {
+	if b.knownLeaving(id) {
+		return
+	}
+	b.update(func() []Change {
+		reg := b.byID[id]
+		if reg == nil || reg.leaving {
+			return nil
+		}
+		reg.leaving = true
+		if reg.backend.State == catalog.Draining {
+			return nil
+		}
+		reg.backend.State = catalog.Draining
+		return []Change{{reg.backend, DrainStarted}}
+	})
+}
+
+// knownLeaving reports whether SetLeaving has nothing to do for a backend server.
+func (b *Backends) knownLeaving(id string) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	reg := b.byID[id]
+	return reg == nil || reg.leaving
+}
+
 // SetStoreUnavailable records whether the store is unavailable.
 func (b *Backends) SetStoreUnavailable(unavailable bool) {
 	b.mu.Lock()
@@ -231,7 +262,11 @@
 		return b.lapse(r.Key) // the record describes no usable backend server
 	}
 	old := b.byID[r.Key]
-	b.byID[r.Key] = &registration{backend: backend, record: r}
+	leaving := old != nil && old.leaving && old.backend.StartedMs == backend.StartedMs
+	if leaving {
+		backend.State = catalog.Draining
+	}
+	b.byID[r.Key] = &registration{backend: backend, record: r, leaving: leaving}
 	switch {
 	case old == nil:
 		return []Change{{backend, Registered}}
--- a/discovery/software_test.go
+++ b/discovery/software_test.go
@@ -36,3 +36,22 @@
 	c.at = c.at.Add(window)
 	assert.Equal(t, only(), "v2")
 }
+
+// TestServerThatSaysItLeavesStaysDraining covers a registration that is renewed as ready after
+// the server has said that it drains, and a server that starts again under its id.
+func TestServerThatSaysItLeavesStaysDraining(t *testing.T) {
+	decode := func(id string, raw []byte) (catalog.Backend, error) {
+		return catalog.Backend{ID: id, Service: "s", State: catalog.Ready, StartedMs: int64(len(raw))}, nil
+	}
+	var changes []string
+	b := discovery.NewBackends(decode, func(ch discovery.Change) { changes = append(changes, ch.Kind) }, time.Now)
+	b.SetLeaving("a")
+	b.Apply([]keyedlog.Record{record("a", "1")})
+	b.SetLeaving("a")
+	b.SetLeaving("a")
+	b.Apply([]keyedlog.Record{record("a", "1")})
+	assert.Equal(t, b.OfService("s")[0].State, catalog.Draining)
+	b.Apply([]keyedlog.Record{record("a", "22")})
+	assert.Equal(t, b.OfService("s")[0].State, catalog.Ready)
+	assert.DeepEqual(t, changes, []string{discovery.Registered, discovery.DrainStarted, discovery.Registered})
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -114,6 +114,7 @@
 	}
 	d.pool = upstream.NewPool(upstream.Options{
 		Codec: platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
+		OnLeaving: func(backendID string) { d.backends.SetLeaving(backendID) },
 	})
 	table := balance.New(balance.Options{
 		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.ReportTTL, Seed: uint64(time.Now().UnixNano()),
--- a/serving/request.go
+++ b/serving/request.go
@@ -84,6 +84,8 @@
 	NotRun bool
 	// Misdirected states that another backend server now uses the address.
 	Misdirected bool
+	// Leaving states that the backend server drains and wants no more requests.
+	Leaving bool
 	// Load is only set if HasLoad is true.
 	Load    Load
 	HasLoad bool
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -69,6 +69,9 @@
 	// called at the end of each attempt.
 	OnConnect    func(address string)
 	OnAttemptEnd func(backendID string, o Outcome)
+	// OnLeaving, if set, is called for each response of a backend server that says that it
+	// leaves, before the response is returned.
+	OnLeaving func(backendID string)
 }
 
 // Pool keeps idle connections to backend servers by address.
@@ -128,6 +131,9 @@
 		p.ended(a.BackendID, NoResponse)
 		return nil, err
 	}
+	if info.Leaving && !info.Misdirected && p.opts.OnLeaving != nil {
+		p.opts.OnLeaving(a.BackendID)
+	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
 		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch,
