soak: two software versions, resumed streams, late refusals, servers that say they leave

Its servers all said v1, its callers never resumed a stream, and its refusals were sent once and bore an id. A new check, mixed_software, with its cases in the checker's table test.

--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -25,6 +25,8 @@
 type arrival struct {
 	platformtest.Request
 	backend string
+	// version is the version of the backend server's software.
+	version string
 }
 
 // checker holds the history of one round and the arrivals by request.
@@ -38,7 +40,7 @@
 // checkedBreaches are the breaches that a round on gateways checks for.
 var checkedBreaches = []chaos.Breach{
 	chaos.Duplicate, chaos.Lost, chaos.FalseNotRun, chaos.WrongResponse, chaos.Interrupted, chaos.RanAfterCancel,
-	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.NotRecovered, chaos.Crashed,
+	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.MixedSoftware, chaos.NotRecovered, chaos.Crashed,
 }
 
 // check checks a complete history.
@@ -46,7 +48,7 @@
 	c := &checker{plan: p, history: h, arrivals: make(map[string][]arrival), verdict: chaos.NewVerdict(checkedBreaches)}
 	for _, b := range incarnations {
 		for _, a := range b.backend.Requests() {
-			c.arrivals[a.ID] = append(c.arrivals[a.ID], arrival{a, b.backend.ID})
+			c.arrivals[a.ID] = append(c.arrivals[a.ID], arrival{a, b.backend.ID, b.backend.Version})
 		}
 	}
 	c.checkAll()
@@ -61,6 +63,7 @@
 	c.checkAttemptLimit()
 	c.checkTimeouts()
 	c.checkDisconnected()
+	c.checkSoftware()
 	for _, j := range c.history.Jobs {
 		c.checkJob(j)
 	}
--- a/internal/chaos/soak/check_test.go
+++ b/internal/chaos/soak/check_test.go
@@ -18,7 +18,7 @@
 
 // newArrival returns an arrival at backend server i0.
 func newArrival(id string, s float64, f platformtest.Fault) arrival {
-	return arrival{platformtest.Request{ID: id, Started: f != platformtest.Full, At: at(s), Fault: f}, "i0"}
+	return arrival{platformtest.Request{ID: id, Started: f != platformtest.Full, At: at(s), Fault: f}, "i0", "v1"}
 }
 
 func completeRecord(op Op) Record {
@@ -79,6 +79,11 @@
 	assert.Equal(t, len(v.Findings), 0, "%v", v.Findings)
 }
 
+func TestCheckerAcceptsStreamContinuedAtItsVersion(t *testing.T) {
+	v := syntheticHistory{profile: Mixed, arrivals: continued("s", "s"+resumedSuffix, "v1"), history: records(completeRecord(stream))}.check()
+	assert.Equal(t, len(v.Findings), 0, "%v", v.Findings)
+}
+
 // TestCheckerFinds passes the checker histories that each violate one guarantee.
 func TestCheckerFinds(t *testing.T) {
 	ran := []arrival{newArrival("s", 0, platformtest.None), newArrival("f", 0, platformtest.None), newArrival("u", 0, platformtest.None)}
@@ -109,6 +114,10 @@
 			arrivals: tooManyAttempts("a", "b", "c", "d"),
 			history:  records(refused(Op{Kind: SafeCall, ID: "a"}, 502), refused(Op{Kind: SafeCall, ID: "b"}, 502), refused(Op{Kind: SafeCall, ID: "c"}, 502), refused(Op{Kind: SafeCall, ID: "d"}, 502)),
 		}},
+		"stream continued by another version": {chaos.MixedSoftware, syntheticHistory{profile: Mixed, arrivals: continued("s", "s", "v2"), history: records(completeRecord(stream))}},
+		"stream resumed by its caller at another version": {chaos.MixedSoftware, syntheticHistory{
+			profile: Mixed, arrivals: continued("s", "s"+resumedSuffix, "v2"), history: records(completeRecord(stream)),
+		}},
 		"work after callers disconnected": {chaos.WorkAfterDisconnect, syntheticHistory{profile: Mixed, arrivals: streamsAfterDisconnect("a", "b", "c"), history: records(disconnected("a"), disconnected("b"), disconnected("c"))}},
 		"work at a draining backend server": {chaos.WorkWhileDraining, syntheticHistory{
 			profile: Backends, arrivals: []arrival{newArrival("s", drainTime.Seconds()+0.1, platformtest.None)},
@@ -193,6 +202,14 @@
 	return out
 }
 
+// continued returns a run at version v1 that has sent five events, and one at another version that
+// goes on from there.
+func continued(id, next, version string) []arrival {
+	first, second := newArrival(id, 0, platformtest.CutMidEvent), newArrival(next, 0.5, platformtest.None)
+	first.Sent, second.ResumeAfter, second.version = 5, "5", version
+	return []arrival{first, second}
+}
+
 func swapped(l Listing) Listing {
 	l.Results = []Result{l.Results[1], l.Results[0]}
 	return l
--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -58,6 +58,8 @@
 	BackendCloseDelimited      FaultKind = "backend_unframed"
 	BackendResetsAfterRun      FaultKind = "backend_loses_answers"
 	BackendHangs               FaultKind = "backend_silent"
+	BackendLateRefusals        FaultKind = "backend_late_refusals"
+	BackendRepeatsRefusals     FaultKind = "backend_repeats_refusals"
 )
 
 var plannedFaults = []FaultKind{StopGateway, ReloadGateway, DrainBackend}
@@ -92,6 +94,20 @@
 	Delay time.Duration
 }
 
+// lateRefusals draws faults in which backend servers send refusals that answer no request, or
+// answer one twice.
+func (g generator) lateRefusals() []Fault {
+	kinds := []FaultKind{BackendLateRefusals, BackendRepeatsRefusals}
+	var out []Fault
+	for range g.IntN(4) {
+		out = append(out, Fault{
+			At: g.Within(workloadDuration * 3 / 4), For: g.Between(300*time.Millisecond, 2500*time.Millisecond),
+			Kind: kinds[g.IntN(len(kinds))], Target: g.IntN(60), Share: 10 + g.IntN(60),
+		})
+	}
+	return out
+}
+
 // longFaultPercent is the percentage of faults that outlast leases, reports and registrations.
 const longFaultPercent = 15
 
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -57,6 +57,7 @@
 	BackendFails: platformtest.Fail, BackendFull: platformtest.Full, BackendCutsStreams: platformtest.CutMidEvent,
 	BackendMismatchesResponses: platformtest.MismatchedResponse, BackendTrailingBytes: platformtest.TrailingBytes,
 	BackendCloseDelimited: platformtest.CloseDelimited, BackendResetsAfterRun: platformtest.ResetAfterRun, BackendHangs: platformtest.Hang,
+	BackendLateRefusals: platformtest.LateRefusal, BackendRepeatsRefusals: platformtest.RefuseTwice,
 }
 
 // recordDisturbance runs f and records the period as a disturbance of the target.
--- a/internal/chaos/soak/online.go
+++ b/internal/chaos/soak/online.go
@@ -137,6 +137,10 @@
 	if err != nil {
 		return err
 	}
+	if op := rec.Op; op.Resumes != "" {
+		req.Header.Set("Resumes", op.Resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(op.ResumeAfter))
+	}
 	resp, err := c.client.Do(req)
 	if err != nil {
 		return errors.WithStack(err)
@@ -148,6 +152,21 @@
 	return errors.WithStack(err)
 }
 
+// resumedSuffix is the suffix of the id of an attempt that resumes a stream.
+const resumedSuffix = "-resumed"
+
+// resume returns the operation that goes on with a stream that was broken off, or false if there
+// is nothing to go on with.
+func (r Record) resume() (Op, bool) {
+	events := strings.Count(r.Body, "\n\n")
+	if r.Op.Kind != Stream || r.Op.Resumes != "" || r.Complete || r.Disconnected || events == 0 {
+		return Op{}, false
+	}
+	op := r.Op
+	op.ID, op.Resumes, op.ResumeAfter = r.Op.ID+resumedSuffix, r.Op.ID, events
+	return op, true
+}
+
 func newRequest(ctx context.Context, method, address, path, id, body string) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
@@ -165,7 +184,7 @@
 		return "answer " + op.ID
 	}
 	var b strings.Builder
-	for n := 1; n <= streamEvents; n++ {
+	for n := op.ResumeAfter + 1; n <= streamEvents; n++ {
 		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", n, platformtest.EventData(op.ID, n))
 	}
 	return b.String()
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -35,6 +35,10 @@
 	ID   string
 	// Caller is the index of the caller, whose connections are used.
 	Caller int
+	// Resumes is the id of the interrupted stream that the operation resumes after event
+	// ResumeAfter; empty for a new request. A plan holds no such operations.
+	Resumes     string
+	ResumeAfter int
 	// LeaveAfter is when the caller closes its connection, zero for never.
 	LeaveAfter time.Duration
 	// Items is the number of items of a job. For the item at index Poison, backend servers
@@ -113,6 +117,10 @@
 	}
 	slices.SortStableFunc(p.Ops, func(a, b Op) int { return int(a.At - b.At) })
 	p.Faults = g.faults(p.Profile)
+	if p.Profile != Planned {
+		// Drawn separately, so that the rest of the plan of a seed stays the same.
+		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 2)}.lateRefusals()...)
+	}
 	return p
 }
 
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -194,6 +194,9 @@
 	default:
 		rec := r.callers[op.Caller].send(ctx, op)
 		r.history.update(func(h *History) { h.Records = append(h.Records, rec) })
+		if again, ok := rec.resume(); ok {
+			r.runOp(ctx, again)
+		}
 	}
 }
 
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -71,6 +71,8 @@
 	if err != nil {
 		return err
 	}
+	// Each start is a release of the other one of two software versions.
+	backend.Version = fmt.Sprintf("v%d", 1+len(s.incarnations)%2)
 	backend.Events, backend.EventInterval, backend.CallDuration = streamEvents, eventInterval, callDuration
 	link, err := proctest.NewForwarder(backend.Address)
 	if err != nil {
@@ -126,6 +128,7 @@
 	i.mu.Lock()
 	i.state = "draining"
 	i.mu.Unlock()
+	i.backend.SetLeaving()
 	for i.register(log, "draining", 0) != nil && ctx.Err() == nil {
 		delay.Wait(ctx, heartbeatInterval)
 	}
@@ -163,7 +166,7 @@
 // written after a newer one.
 func (i *incarnation) registerLocked(log *keyedlogtest.Log, state string, seq int) error {
 	value, err := json.Marshal(map[string]any{
-		"Service": service, "Address": i.link.Addr, "Zone": i.zone, "Version": "v1", "Slots": serverSlots,
+		"Service": service, "Address": i.link.Addr, "Zone": i.zone, "Version": i.backend.Version, "Slots": serverSlots,
 		"State": state, "ColdRemainingMs": 0, "Seq": seq,
 	})
 	if err != nil {
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -44,6 +44,9 @@
 	AttemptLimitExceeded Breach = "budget"
 	// WorkAfterDisconnect: a backend server continued after the caller disconnected.
 	WorkAfterDisconnect Breach = "work_for_nobody"
+	// MixedSoftware: an output was continued by another software version than the one that
+	// had written it.
+	MixedSoftware Breach = "mixed_software"
 	// NotRecovered: requests still fail although every fault has ended.
 	NotRecovered Breach = "not_recovered"
 	// Crashed: a process exited that was neither stopped nor killed.
