--- a/internal/chaos/soak/check_software.go
+++ b/internal/chaos/soak/check_software.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 
@@ -11,7 +12,7 @@
 // written it.
 func (c *checker) checkSoftware() {
 	for id, runs := range c.arrivals {
-		earlier := append(c.arrivals[strings.TrimSuffix(id, resumedSuffix)], runs...)
+		earlier := slices.Concat(c.arrivals[strings.TrimSuffix(id, resumedSuffix)], runs)
 		for _, a := range runs {
 			after, err := strconv.Atoi(a.ResumeAfter)
 			if err != nil || !a.Started {
