Failing tests: an unframed stream that its server's end cuts seems complete

What callers would see: a part of a stream as the whole, and servers that go on ending one after the other, as every cut run counts as complete and clears the guilty part.

--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -85,3 +85,18 @@
 	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
 	assert.Equal(t, a.Runs("1"), 1)
 }
+
+// TestUnframedStreamOfAnEndedServerIsInterrupted covers a stream whose end is marked by closing
+// the connection: if the server has ended, the stream is not complete.
+func TestUnframedStreamOfAnEndedServerIsInterrupted(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	faultOnFirstRun(platformtest.CrashUnframed, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), streamBody("1", 5))
+
+	c := platformtest.NewBackend(t, "c")
+	c.SetFault(always(platformtest.CrashUnframed))
+	_, err = newFixture(t, c).serve(request("2", "/stream"), route(catalog.Stream, nil))
+	assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
+}
--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -24,7 +24,7 @@
 	crashed  atomic.Int64
 }
 
-func newCrashDeployment(t *testing.T, backends int, part string) *crashDeployment {
+func newCrashDeployment(t *testing.T, backends int, part string, fault platformtest.Fault) *crashDeployment {
 	t.Helper()
 	c := &crashDeployment{deployment: newDeployment(t, backends)}
 	for _, b := range c.backends {
@@ -33,7 +33,7 @@
 				return platformtest.None
 			}
 			c.crashed.Add(1)
-			return platformtest.Crash
+			return fault
 		})
 	}
 	c.gateways = []*gateway{c.start("a"), c.start("b"), c.start("c")}
@@ -57,7 +57,22 @@
 // TestPromptPartDoesNotCrashOneServerAfterTheOther sends requests with a part that ends each
 // server that runs them, at all gateways, and sound ones that share their first part.
 func TestPromptPartDoesNotCrashOneServerAfterTheOther(t *testing.T) {
-	c := newCrashDeployment(t, 14, "bad1")
+	testPromptPartIsHeld(t, platformtest.Crash, 2)
+}
+
+// TestPromptPartOfUnframedStreamsIsHeld does the same with streams that seem to be complete, as
+// their end is marked by closing the connection.
+func TestPromptPartOfUnframedStreamsIsHeld(t *testing.T) {
+	t.Run("no event", func(t *testing.T) { testPromptPartIsHeld(t, platformtest.CrashUnframed, 0) })
+	t.Run("events", func(t *testing.T) { testPromptPartIsHeld(t, platformtest.CrashUnframed, 2) })
+}
+
+func testPromptPartIsHeld(t *testing.T, fault platformtest.Fault, events int) {
+	t.Helper()
+	c := newCrashDeployment(t, 14, "bad1", fault)
+	for _, b := range c.backends {
+		b.CutAfter = events
+	}
 	// Gateways judge no request in the first seconds after their start.
 	pace := time.NewTicker(100 * time.Millisecond)
 	defer pace.Stop()
@@ -85,7 +100,7 @@
 // TestServersThatEndTogetherCondemnNoPrompt ends most servers at once, several times, under sound
 // requests that share their first part.
 func TestServersThatEndTogetherCondemnNoPrompt(t *testing.T) {
-	c := newCrashDeployment(t, 12, "never")
+	c := newCrashDeployment(t, 12, "never", platformtest.Crash)
 	for i := range 3 {
 		for _, b := range c.backends[3*i : 3*i+3] {
 			b.Events, b.EventInterval = 50, 5*time.Millisecond
