An unframed stream that ends with its server is interrupted, not complete

What callers would see: a part of a stream as the whole, if the server crashes between two events of a stream that has neither a length nor chunks; and a guilty prompt part that is never held, because each such run counted as complete. Cause: the end of the connection was taken as the end of the stream. Change: at the end of an unframed stream the gateway connects to the server, as after an interruption. If it has ended without draining, the stream was interrupted: another server of the version goes on, or the answer is cut. Such a stream never clears a prompt part. Items of jobs do the same.

--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -13,6 +13,7 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -261,13 +262,10 @@
 	return o.route.Idempotent && o.attempts < o.route.MaxAttempts
 }
 
-// suspected waits until it is decided whether the backend server of the last attempt has ended
-// under it, and reports whether a further attempt would probably end another server.
-func (o *onlineRequest) suspected(ctx context.Context, decided <-chan struct{}) bool {
-	select {
-	case <-ctx.Done():
-	case <-decided:
-	}
+// suspected waits until it is known whether the backend server of the last attempt has ended, and
+// reports whether a further attempt would probably end another server.
+func (o *onlineRequest) suspected(ctx context.Context, examination *quarantine.Examination) bool {
+	examination.Ended(ctx)
 	return o.g.Quarantine.Suspected(o.parts)
 }
 
@@ -318,9 +316,9 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
-	decided := o.g.Quarantine.RunInterrupted(b, o.parts)
+	examination := o.g.Quarantine.RunInterrupted(b, o.parts)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s gave no answer", b.ID)
-	if !o.mayRepeat() || o.suspected(ctx, decided) {
+	if !o.mayRepeat() || o.suspected(ctx, examination) {
 		return false, o.finalError(o.lastFailure)
 	}
 	o.logRetry(b, err)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 			return o.handleInterruption(ctx, b, err)
 		}
 	}
-	o.succeeded(b, response.Status)
+	o.succeeded(b, response)
 	return false, nil
 }
 
@@ -86,6 +86,9 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if o.cutByEnd(ctx, b, response) {
+				return o.handleInterruption(ctx, b, errUnframedCut)
+			}
 			o.finishEvents(b, response)
 			return false, nil
 		}
@@ -107,6 +110,14 @@
 	}
 }
 
+var errUnframedCut = errors.New("the backend server has ended with the stream")
+
+// cutByEnd reports whether the end of a stream that is marked by closing the connection is the end
+// of its backend server.
+func (o *onlineRequest) cutByEnd(ctx context.Context, b catalog.Backend, response *upstream.Response) bool {
+	return !response.Framed() && o.g.Quarantine.Examine(b, o.parts).Ended(ctx)
+}
+
 func (o *onlineRequest) sendEvent(e eventstream.Event, id string, flush bool) error {
 	if _, err := o.w.Write(e.Raw); err != nil {
 		return err
@@ -125,7 +136,7 @@
 	if !o.headSent {
 		o.sendHead(response, true, 0)
 	}
-	o.succeeded(b, response.Status)
+	o.succeeded(b, response)
 }
 
 // handleInterruption handles a response that was cut off.
@@ -134,9 +145,9 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
-	decided := o.g.Quarantine.RunInterrupted(b, o.parts)
+	examination := o.g.Quarantine.RunInterrupted(b, o.parts)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s broke off", b.ID)
-	if !o.mayRepeat() || o.headSent && !o.mayContinue() || o.suspected(ctx, decided) {
+	if !o.mayRepeat() || o.headSent && !o.mayContinue() || o.suspected(ctx, examination) {
 		return false, o.finalError(o.lastFailure)
 	}
 	o.logRetry(b, err)
@@ -145,13 +156,14 @@
 
 // succeeded completes a request whose caller has the complete response. A server
 // error is a complete response too, but it counts as a failure of the backend server.
-func (o *onlineRequest) succeeded(b catalog.Backend, status int) {
+func (o *onlineRequest) succeeded(b catalog.Backend, response *upstream.Response) {
+	status := response.Status
 	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
 		o.reportFailure(b, false)
 	} else {
 		o.g.Table.RecordSuccess(b.ID)
 	}
-	if status == http.StatusOK {
+	if status == http.StatusOK && response.Framed() {
 		o.g.Quarantine.RunCompleted(o.parts)
 	}
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -82,6 +82,8 @@
 // progressInterval is the number of events between two reports of progress.
 const progressInterval = 8
 
+var errUnframedCut = errors.New("jobs: the backend server has ended with the stream")
+
 var errIdle = errors.New("jobs: no event from the backend server in time")
 
 // noResponse returns the outcome of a run that ended without a response.
@@ -113,6 +115,9 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if !response.Framed() && s.opts.Quarantine.Examine(b, nil).Ended(ctx) {
+				return outcome{runInterrupted, p, errUnframedCut}
+			}
 			s.opts.Table.RecordSuccess(b.ID)
 			return outcome{runComplete, p, nil}
 		}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -71,19 +71,32 @@
 
 	mu sync.Mutex
 	// examinations are those in progress, by the id of the backend server.
-	examinations map[string]*examination
+	examinations map[string]*Examination
 }
 
-// examination finds out whether a backend server that has broken off runs has ended.
-type examination struct {
+// Examination finds out whether a backend server that has broken off runs has ended.
+type Examination struct {
 	// parts are the parts of these runs.
 	parts map[string]bool
+	// done is closed once ended is set.
 	done  chan struct{}
+	ended bool
+}
+
+// Ended waits for the result, and reports whether the server has ended. It returns false if ctx
+// ends first.
+func (e *Examination) Ended(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.done:
+		return e.ended
+	}
 }
 
 // NewGuard returns a guard that holds nothing.
 func NewGuard(opts Options) *Guard {
-	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*examination)}
+	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
 }
 
 // Held returns the part for which a request with these parts must not be sent, if there is one.
@@ -104,28 +117,43 @@
 }
 
 // RunInterrupted records that b has broken off a run with these parts. If b turns out to have
-// ended, the parts count as evidence. The returned channel is closed once that is decided.
-func (g *Guard) RunInterrupted(b catalog.Backend, parts []string) (decided <-chan struct{}) {
+// ended, the parts count as evidence.
+func (g *Guard) RunInterrupted(b catalog.Backend, parts []string) *Examination {
+	if len(parts) == 0 {
+		return noExamination() // says nothing about prompts
+	}
+	return g.Examine(b, parts)
+}
+
+// noExamination returns an examination whose result is that the server lives.
+func noExamination() *Examination {
+	e := &Examination{done: make(chan struct{})}
+	close(e.done)
+	return e
+}
+
+// Examine finds out whether b has ended, and counts the parts as evidence if it has. A server that
+// drains may end at any time.
+func (g *Guard) Examine(b catalog.Backend, parts []string) *Examination {
+	if b.State != catalog.Ready {
+		return noExamination()
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.examinations[b.ID]
 	if e == nil {
-		e = &examination{parts: make(map[string]bool), done: make(chan struct{})}
-		if len(parts) == 0 || b.State != catalog.Ready {
-			close(e.done)
-			return e.done
-		}
+		e = &Examination{parts: make(map[string]bool), done: make(chan struct{})}
 		g.examinations[b.ID] = e
-		time.AfterFunc(gatherTime, func() { g.examine(b, e) })
+		time.AfterFunc(gatherTime, func() { g.probe(b, e) })
 	}
 	for _, part := range parts {
 		e.parts[part] = true
 	}
-	return e.done
+	return e
 }
 
-// examine reports the interrupted runs of a server if it has ended.
-func (g *Guard) examine(b catalog.Backend, e *examination) {
+// probe connects to a server and reports the runs that it has broken off if it has ended.
+func (g *Guard) probe(b catalog.Backend, e *Examination) {
 	defer close(e.done)
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
@@ -137,9 +165,17 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
 		return // the server lives, or can't be reached from here
 	}
+	e.ended = true
 	event.Log(g.opts.Logger, event.BackendCrashed, "backend", b.ID, "service", b.Service, "parts", parts)
 	g.opts.Eject(b)
-	server := balance.Key(b.ID)
+	if len(parts) > 0 {
+		g.reportCrash(balance.Key(b.ID), parts)
+	}
+}
+
+// reportCrash records the end of a server here and at the other gateways, and decides later, when
+// they have had time to object.
+func (g *Guard) reportCrash(server uint32, parts []string) {
 	g.table.RecordCrash(server, parts, time.Now())
 	g.opts.Peers().BroadcastCrash(server, parts)
 	time.AfterFunc(objectionTime, func() { g.holdSuspects(parts) })
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -83,7 +83,7 @@
 		"unreachable": {syscall.EHOSTUNREACH, ready, []string{"p"}, 0},
 	} {
 		f := newGuardFixture(c.probe)
-		<-f.RunInterrupted(c.backend, c.parts)
+		f.RunInterrupted(c.backend, c.parts).Ended(t.Context())
 		assert.Equal(t, f.peers.crashes, c.crashes, name)
 	}
 }
@@ -92,8 +92,8 @@
 	f := newGuardFixture(refused)
 	b := catalog.Backend{ID: "i", State: catalog.Ready}
 	first := f.RunInterrupted(b, []string{"x", "a"})
-	<-f.RunInterrupted(b, []string{"b", "a"})
-	<-first
+	assert.Assert(t, f.RunInterrupted(b, []string{"b", "a"}).Ended(t.Context()))
+	assert.Assert(t, first.Ended(t.Context()))
 	assert.Equal(t, f.peers.crashes, 1)
 	assert.DeepEqual(t, f.peers.crashed, []string{"a", "b", "x"})
 }
@@ -104,7 +104,7 @@
 		f.table.RecordCrash(uint32(server), []string{"bad", "shared"}, time.Now().Add(-age))
 	}
 	f.PeerCrash(1, []string{"other"})
-	<-f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"})
+	f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"}).Ended(t.Context())
 	f.PeerCompleted([]string{"shared"}) // the objection of another gateway
 	assert.Equal(t, (<-f.stored).Key, "bad")
 	part, held := f.Held([]string{"shared", "bad"})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -146,6 +146,12 @@
 	}
 }
 
+// Framed reports whether the end of the body is marked by its length or its last chunk, and not
+// by closing the connection.
+func (r *Response) Framed() bool {
+	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
+}
+
 // outcome returns the outcome of the attempt.
 func (r *Response) outcome() Outcome {
 	switch {
@@ -186,8 +192,7 @@
 	r.pool.ended(r.attempt.BackendID, r.outcome())
 	watching := r.unwatch()
 	c := r.exchange.conn
-	framed := r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-	keep := watching && r.complete && !r.interrupted && framed && !r.resp.Close &&
+	keep := watching && r.complete && !r.interrupted && r.Framed() && !r.resp.Close &&
 		r.exchange.finishedWriting() && c.r.Buffered() == 0
 	if !keep {
 		_ = c.Close()
