quarantine: a complete unframed stream clears its prompt parts if the server lives

What callers would see: on a service whose streams all end with their connection, the first part that all prompts share would be held after a few crashes, and every request refused. Found by a test written for it: TestUnframedStreamsClearTheirPromptParts failed with 503 for a sound request, and passes now. Change: the examination at the end of an unframed stream also says whether the server is known to live; if it does, the run was complete, since the part would have ended it.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -51,7 +51,7 @@
 			return o.handleInterruption(ctx, b, err)
 		}
 	}
-	o.succeeded(b, response)
+	o.succeeded(b, response.Status, response.Framed())
 	return false, nil
 }
 
@@ -86,11 +86,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if o.cutByEnd(ctx, b, response) {
-				return o.handleInterruption(ctx, b, errUnframedCut)
-			}
-			o.finishEvents(b, response)
-			return false, nil
+			return o.endOfEvents(ctx, b, response)
 		}
 		if err != nil {
 			return o.handleInterruption(ctx, b, err)
@@ -112,10 +108,22 @@
 
 var errUnframedCut = errors.New("the backend server has ended with the stream")
 
-// cutByEnd reports whether the end of a stream that is marked by closing the connection is the end
-// of its backend server.
-func (o *onlineRequest) cutByEnd(ctx context.Context, b catalog.Backend, response *upstream.Response) bool {
-	return !response.Framed() && o.g.Quarantine.Examine(b, o.parts).Ended(ctx)
+// endOfEvents handles the end of a stream. If it is marked by closing the connection only, it may
+// be the end of the backend server.
+func (o *onlineRequest) endOfEvents(ctx context.Context, b catalog.Backend, response *upstream.Response) (retry bool, err error) {
+	proved := response.Framed()
+	if !proved {
+		examination := o.g.Quarantine.Examine(b, o.parts)
+		if examination.Ended(ctx) {
+			return o.handleInterruption(ctx, b, errUnframedCut)
+		}
+		proved = examination.Lives(ctx)
+	}
+	if !o.headSent {
+		o.sendHead(response, true, 0)
+	}
+	o.succeeded(b, response.Status, proved)
+	return false, nil
 }
 
 func (o *onlineRequest) sendEvent(e eventstream.Event, id string, flush bool) error {
@@ -131,14 +139,6 @@
 	return http.NewResponseController(o.w).Flush()
 }
 
-// finishEvents completes a response after the last event.
-func (o *onlineRequest) finishEvents(b catalog.Backend, response *upstream.Response) {
-	if !o.headSent {
-		o.sendHead(response, true, 0)
-	}
-	o.succeeded(b, response)
-}
-
 // handleInterruption handles a response that was cut off.
 func (o *onlineRequest) handleInterruption(ctx context.Context, b catalog.Backend, err error) (retry bool, _ error) {
 	if ctx.Err() != nil {
@@ -155,15 +155,15 @@
 }
 
 // succeeded completes a request whose caller has the complete response. A server
-// error is a complete response too, but it counts as a failure of the backend server.
-func (o *onlineRequest) succeeded(b catalog.Backend, response *upstream.Response) {
-	status := response.Status
+// error is a complete response too, but it counts as a failure of the backend server. proved
+// states that the response is certainly complete.
+func (o *onlineRequest) succeeded(b catalog.Backend, status int, proved bool) {
 	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
 		o.reportFailure(b, false)
 	} else {
 		o.g.Table.RecordSuccess(b.ID)
 	}
-	if status == http.StatusOK && response.Framed() {
+	if status == http.StatusOK && proved {
 		o.g.Quarantine.RunCompleted(o.parts)
 	}
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -67,12 +67,35 @@
 	t.Run("events", func(t *testing.T) { testPromptPartIsHeld(t, platformtest.CrashUnframed, 2) })
 }
 
+// TestUnframedStreamsClearTheirPromptParts covers a service whose streams all end with their
+// connection: sound requests complete, so their common part must not be held.
+func TestUnframedStreamsClearTheirPromptParts(t *testing.T) {
+	c := newCrashDeployment(t, 14, "bad1", platformtest.Crash)
+	for _, b := range c.backends {
+		crash := b.Fault()
+		b.SetFault(func(r platformtest.Request) platformtest.Fault {
+			if f := crash(r); f != platformtest.None {
+				return f
+			}
+			return platformtest.CloseDelimited
+		})
+	}
+	c.checkPartIsHeld()
+}
+
 func testPromptPartIsHeld(t *testing.T, fault platformtest.Fault, events int) {
 	t.Helper()
 	c := newCrashDeployment(t, 14, "bad1", fault)
 	for _, b := range c.backends {
 		b.CutAfter = events
 	}
+	c.checkPartIsHeld()
+}
+
+// checkPartIsHeld sends sound requests, then requests with the part bad1, and sound ones again.
+func (c *crashDeployment) checkPartIsHeld() {
+	t := c.t
+	t.Helper()
 	// Gateways judge no request in the first seconds after their start.
 	pace := time.NewTicker(100 * time.Millisecond)
 	defer pace.Stop()
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -78,9 +78,9 @@
 type Examination struct {
 	// parts are the parts of these runs.
 	parts map[string]bool
-	// done is closed once ended is set.
-	done  chan struct{}
-	ended bool
+	// done is closed once ended and lives are set. Both are false if the server can't be reached.
+	done         chan struct{}
+	ended, lives bool
 }
 
 // Ended waits for the result, and reports whether the server has ended. It returns false if ctx
@@ -94,6 +94,16 @@
 	}
 }
 
+// Lives waits for the result, and reports whether the server is known to serve.
+func (e *Examination) Lives(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-e.done:
+		return e.lives
+	}
+}
+
 // NewGuard returns a guard that holds nothing.
 func NewGuard(opts Options) *Guard {
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
@@ -125,7 +135,7 @@
 	return g.Examine(b, parts)
 }
 
-// noExamination returns an examination whose result is that the server lives.
+// noExamination returns an examination whose result is that nothing is known.
 func noExamination() *Examination {
 	e := &Examination{done: make(chan struct{})}
 	close(e.done)
@@ -162,8 +172,9 @@
 	delete(g.examinations, b.ID)
 	parts := slices.Sorted(maps.Keys(e.parts))
 	g.mu.Unlock()
+	e.lives = err == nil
 	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
-		return // the server lives, or can't be reached from here
+		return
 	}
 	e.ended = true
 	event.Log(g.opts.Logger, event.BackendCrashed, "backend", b.ID, "service", b.Service, "parts", parts)
