ctl: an interrupted download leaves no part of a file

Cause: the file was written in place. Change: it is written beside its name and renamed at the end. Before: TestInterruptedDownloadLeavesNoPartialFile fails; after: passes.

--- a/internal/ctl/batch.go
+++ b/internal/ctl/batch.go
@@ -221,15 +221,19 @@
 	if path == "" {
 		return withTransportCode(client.CopyFile(ctx, t.Stdout, file))
 	}
-	out, err := os.Create(path)
+	out, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*.part")
 	if err != nil {
 		return errors.Wrap(err, "results")
 	}
+	defer func() { _ = os.Remove(out.Name()) }() // does nothing after the rename
 	if err := client.CopyFile(ctx, out, file); err != nil {
 		_ = out.Close()
 		return withTransportCode(err)
 	}
-	return errors.Wrap(out.Close(), "results")
+	if err := out.Close(); err != nil {
+		return errors.Wrap(err, "results")
+	}
+	return errors.Wrap(os.Rename(out.Name(), path), "results")
 }
 
 // sleep waits for d and reports whether it ended before ctx was done.
--- a/internal/ctl/tool_test.go
+++ b/internal/ctl/tool_test.go
@@ -222,3 +222,27 @@
 	code, _, _ := h.run("--entry", s.URL, "chat", "--model", "m", "hi")
 	assert.Equal(t, code, ExitUnknown)
 }
+
+// TestInterruptedDownloadLeavesNoPartialFile covers results that break off half way: an earlier
+// download under the same name stays as it is.
+func TestInterruptedDownloadLeavesNoPartialFile(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/content") {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "half of the results") // the connection is closed after it
+			return
+		}
+		_, _ = io.WriteString(w, `{"id":"b1","status":"completed","output_file_id":"f1"}`)
+	}))
+	defer server.Close()
+	h := newHarness(t)
+	path := h.file("results.jsonl", "earlier results")
+	code, _, _ := h.run("batch", "results", "b1", "--output", path, "--entry", server.URL)
+	assert.Assert(t, code != ExitOK)
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.Equal(t, string(content), "earlier results")
+	entries, err := os.ReadDir(h.dir)
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 1)
+}
