batchapi: a form field that is too long is an error

What callers saw: form fields beyond 4 KiB were cut silently. Cause: the limit of the read was taken for the end of the field. Change: 413 too_large that names the field. Before: TestLongFormFieldIsRejected gets 200; after: passes.

--- a/internal/entry/batchapi/api_test.go
+++ b/internal/entry/batchapi/api_test.go
@@ -188,6 +188,21 @@
 	return status, o
 }
 
+func TestLongFormFieldIsRejected(t *testing.T) {
+	f := newFixture(t, nil)
+	var buf bytes.Buffer
+	mw := multipart.NewWriter(&buf)
+	assert.NilError(t, mw.WriteField("note", strings.Repeat("x", 5000)))
+	assert.NilError(t, mw.WriteField("purpose", "batch"))
+	w, err := mw.CreateFormFile("file", "in.jsonl")
+	assert.NilError(t, err)
+	_, err = io.WriteString(w, lines(1))
+	assert.NilError(t, err)
+	assert.NilError(t, mw.Close())
+	status, body := f.do(t, "a", "POST", "/v1/files", &buf, "Content-Type", mw.FormDataContentType())
+	assert.Equal(t, status, http.StatusRequestEntityTooLarge, "%s", body)
+}
+
 func createBody(file string) string {
 	return fmt.Sprintf(`{"input_file_id":%q,"endpoint":"/v1/chat/completions","completion_window":"24h","metadata":{"lot":"7"}}`, file)
 }
--- a/internal/entry/batchapi/files.go
+++ b/internal/entry/batchapi/files.go
@@ -156,10 +156,13 @@
 
 func (a *api) readPart(ctx context.Context, c request, part *multipart.Part, up *upload) error {
 	if part.FormName() != "file" {
-		b, err := io.ReadAll(io.LimitReader(part, maxFieldBytes))
+		b, err := io.ReadAll(io.LimitReader(part, maxFieldBytes+1))
 		if err != nil {
 			return errkind.Wrap(err, errkind.BadRequest, "the multipart body is malformed").WithParam(part.FormName())
 		}
+		if len(b) > maxFieldBytes {
+			return errkind.New(errkind.TooLarge, "the form field is longer than %d bytes", maxFieldBytes).WithParam(part.FormName())
+		}
 		up.fields[part.FormName()] = string(b)
 		return nil
 	}
