Tests of crashes and origins hold beside load

Cause of the first two: the test bound UDP to a free port and then TCP to the same one, which another test had.

--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -43,6 +43,11 @@
 	t.Helper()
 	conn, err := net.ListenPacket("udp", address)
 	assert.NilError(t, err)
+	return startGatewayOn(t, conn, name, region, shards...)
+}
+
+func startGatewayOn(t *testing.T, conn net.PacketConn, name, region string, shards ...jobs.ShardReport) *gateway {
+	t.Helper()
 	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable(), evidence: &evidence{}}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
 	g.Peering = peering.New(peering.Options{
