The limit that a backend server names is decoded and logged

Cause before change: no line showed whether a gateway had seen a limit. The head of each response now tells it (also of a refusal or a stream), a line backend_limited is written when it changes, and limit_malformed when it can't be read: the last sound value stays. Choices are as before.

--- a/event/event.go
+++ b/event/event.go
@@ -67,6 +67,8 @@
 	BackendCrashed  ID = 710
 	PartHeld        ID = 711
 	PartReleased    ID = 712
+	BackendLimited  ID = 713
+	LimitMalformed  ID = 714
 )
 
 var catalogue = []Spec{
@@ -115,6 +117,8 @@
 	{BackendCrashed, "backend_crashed", log.WarnLevel, "a backend server has ended under running requests; the line names the parts of their prompts"},
 	{PartHeld, "part_held", log.WarnLevel, "requests with a prompt part are refused, because backend servers end under them"},
 	{PartReleased, "part_released", log.InfoLevel, "a request with a prompt part that was held has completed, and others are served again"},
+	{BackendLimited, "backend_limited", log.InfoLevel, "a backend server names a limit for the requests a second that it takes from all gateways together, or another one, or none any more"},
+	{LimitMalformed, "limit_malformed", log.WarnLevel, "a backend server names a limit that cannot be read; the last one stays in force"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -30,6 +30,8 @@
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/quarantine"
+	"github.com/catkinrudder/catkinrudder/ratelimit"
+	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -82,6 +84,7 @@
 	peering  *peering.Peering
 	origins  *origins.Table
 	guard    *quarantine.Guard
+	limits   *ratelimit.Limiter
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
@@ -109,12 +112,13 @@
 	}
 	d.store = platform.NewStore(s.Store.Address)
 	gatewayMetrics := gateway.NewMetrics(d.metrics)
+	d.limits = ratelimit.NewLimiter(ratelimit.Options{Logger: logger})
 	d.store.OnCall = func(call string, o platform.CallOutcome, took time.Duration) {
 		gatewayMetrics.StoreCalled(call, string(o), took)
 	}
 	d.pool = upstream.NewPool(upstream.Options{
 		Codec: platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
-		OnLeaving: func(backendID string) { d.backends.SetLeaving(backendID) },
+		OnResponse: d.responseReceived,
 	})
 	table := balance.New(balance.Options{
 		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.ReportTTL, Seed: uint64(time.Now().UnixNano()),
@@ -252,6 +256,7 @@
 		event.Log(d.log, event.BackendGone, kv...)
 		d.pool.CloseIdle(b.Address)
 		d.gateway.Table.RemoveBackend(b.ID)
+		d.limits.Remove(b.ID)
 		d.gateway.Metrics.RemoveBackend(b.ID)
 	default:
 		d.gateway.Metrics.AddBackend(b.ID)
@@ -260,6 +265,14 @@
 	d.gateway.Table.NotifyWaiters()
 }
 
+// responseReceived records what the head of a response says about its backend server.
+func (d *Daemon) responseReceived(backendID string, info serving.ResponseInfo) {
+	if info.Leaving {
+		d.backends.SetLeaving(backendID)
+	}
+	d.limits.Observe(backendID, info.RateLimit)
+}
+
 // backendID returns the id of the backend server with the given key of package
 // balance, or an empty string if it is no longer registered.
 func (d *Daemon) backendID(key uint32) (id string) {
--- a/serving/request.go
+++ b/serving/request.go
@@ -75,6 +75,18 @@
 	Running, Waiting, Slots int
 }
 
+// RateLimit is what a response says about the requests that its backend server takes. The zero
+// value says that the server names no limit.
+type RateLimit struct {
+	// Named states that the server names a limit: PerSecond requests a second from all gateways
+	// together.
+	Named     bool
+	PerSecond float64
+	// Malformed states that the response names a limit that can't be read; Text is its value.
+	Malformed bool
+	Text      string
+}
+
 // ResponseInfo is the information in the head of a backend server's response.
 type ResponseInfo struct {
 	// RequestID is the id of the request that the response belongs to; empty if the
@@ -89,6 +101,8 @@
 	// Load is only set if HasLoad is true.
 	Load    Load
 	HasLoad bool
+	// RateLimit is the limit that the backend server names.
+	RateLimit RateLimit
 	// KeepAlive is how long the backend server keeps an idle connection open; zero
 	// if it does not report a time.
 	KeepAlive time.Duration
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -69,9 +69,9 @@
 	// called at the end of each attempt.
 	OnConnect    func(address string)
 	OnAttemptEnd func(backendID string, o Outcome)
-	// OnLeaving, if set, is called for each response of a backend server that says that it
-	// leaves, before the response is returned.
-	OnLeaving func(backendID string)
+	// OnResponse, if set, is called with the head of each response of a backend server before
+	// the response is returned.
+	OnResponse func(backendID string, info serving.ResponseInfo)
 }
 
 // Pool keeps idle connections to backend servers by address.
@@ -131,8 +131,8 @@
 		p.ended(a.BackendID, NoResponse)
 		return nil, err
 	}
-	if info.Leaving && !info.Misdirected && p.opts.OnLeaving != nil {
-		p.opts.OnLeaving(a.BackendID)
+	if !info.Misdirected && p.opts.OnResponse != nil {
+		p.opts.OnResponse(a.BackendID, info)
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
