Failing test: servers that name a limit get more in sum

Three gateways, four of six servers with a limit of 2.5 a second: 30 and 28 requests in 4 s where the limit allows 10.

--- /dev/null
+++ b/internal/gatewayd/limit_test.go
@@ -0,0 +1,94 @@
+package gatewayd_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+const (
+	// limitPerSecond is the limit that servers in need name, and limitWindow the time in which
+	// the requests that they get are counted.
+	limitPerSecond = 2.5
+	limitWindow    = 4 * time.Second
+	// limitBurst is how many requests more than the limit a server may get in a window.
+	limitBurst = 3
+)
+
+// checkLimit checks that a server got no more requests from a time on than its limit allows.
+func checkLimit(t *testing.T, b *platformtest.Backend, from time.Time) {
+	t.Helper()
+	var at []time.Time
+	for _, r := range b.Requests() {
+		if r.At.After(from) {
+			at = append(at, r.At)
+		}
+	}
+	for i := range at {
+		n := 0
+		for _, other := range at[i:] {
+			if other.Sub(at[i]) < limitWindow {
+				n++
+			}
+		}
+		assert.Assert(t, n <= int(limitPerSecond*limitWindow.Seconds())+limitBurst, "%s got %d requests in %v", b.ID, n, limitWindow)
+	}
+}
+
+// pacedRequests sends n requests at an interval to the gateways that next returns, and returns how
+// many got each status.
+func pacedRequests(t *testing.T, n int, interval time.Duration, next func(i int) *gateway) map[int]int {
+	t.Helper()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	statuses := make(map[int]int)
+	pace := time.NewTicker(interval)
+	defer pace.Stop()
+	for i := range n {
+		<-pace.C
+		g, path := next(i), []string{"/call/1", "/stream/1"}[i%2]
+		wg.Go(func() {
+			resp, _ := g.send(t, http.MethodPost, path, fmt.Sprint("r", i), "x")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses[resp.StatusCode]++
+		})
+	}
+	wg.Wait()
+	return statuses
+}
+
+// TestLimitOfAServerHoldsForTheSumOfAllGateways sends more requests than the servers that name a
+// limit take, from three gateways, with a job's items among them.
+func TestLimitOfAServerHoldsForTheSumOfAllGateways(t *testing.T) {
+	for name, restart := range map[string]bool{"steady": false, "restarts": true} {
+		t.Run(name, func(t *testing.T) {
+			d := newDeployment(t, 6)
+			limited := d.backends[:4]
+			for _, b := range limited {
+				b.SetRateLimit(fmt.Sprint(limitPerSecond))
+			}
+			gateways := []*gateway{d.start("a"), d.start("b"), d.start("c")}
+			resp, _ := gateways[0].send(t, http.MethodPost, "/batch/j", "job-1", batchJob(60))
+			assert.Equal(t, resp.StatusCode, http.StatusAccepted)
+			begin := time.Now()
+			statuses := pacedRequests(t, 300, 25*time.Millisecond, func(i int) *gateway {
+				if restart && i%100 == 50 {
+					gateways[i/100].stop()
+					gateways[i/100] = d.start(fmt.Sprint("next", i))
+				}
+				return gateways[i%3]
+			})
+			assert.Equal(t, statuses[http.StatusOK], 300, "%v", statuses)
+			for _, b := range limited {
+				checkLimit(t, b, begin.Add(time.Second))
+			}
+		})
+	}
+}
