Requests to a backend server stay within the limit that it names

Cause: no gateway read the limit, and a limit per gateway would not have helped: eight gateways send 1 to 7 requests each to one server in 4 s. The class: a bound that holds for the sum of all gateways, kept by none. Change: package ratelimit. One gateway of the server's region, the owner, which all choose by the server's id, hands out permits from a token bucket that starts empty and holds one second's worth. upstream.Pool.Do, through which first attempts, retries, resumes, calls that may run once and items of jobs all pass, sends nothing without one. A limit that any response names is reported to the owner and announced to all; the newer report counts, the stricter one if they are too close to tell. A silent owner grants nothing; parts of a partition hand out their share; a gateway that stops hands over. Items get what online requests leave. Where only limits stand in the way and the next permit comes too late, a request is refused at once, with the time until that permit as Retry-After.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -108,12 +108,11 @@
 
 // Availability describes why no candidate had capacity, for a log line.
 type Availability struct {
-	// Candidates is the number of all candidates. Draining and Excluded count those
+	// Candidates is the number of all candidates. Draining, Excluded and Limited count those
 	// that cannot be chosen; Ejected counts those that are ejected, which an online
 	// request may still be sent to.
-	Candidates, Draining, Excluded, Ejected int
-	// LeastLoaded is the load of the least loaded candidate that is neither draining
-	// nor excluded.
+	Candidates, Draining, Excluded, Limited, Ejected int
+	// LeastLoaded is the load of the least loaded candidate that can be chosen.
 	LeastLoaded Counts
 }
 
@@ -131,6 +130,9 @@
 		case req.excludes(b):
 			out.Excluded++
 			continue
+		case t.denied(b.ID, req.Class, now):
+			out.Limited++
+			continue
 		case t.ejected(b.ID, now):
 			out.Ejected++
 		}
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -35,7 +35,7 @@
 // evaluate returns how the request would be sent to a candidate and at what cost, or false
 // if it can't be sent there.
 func (s *selection) evaluate(b catalog.Backend) (Choice, float64, bool) {
-	if b.State != catalog.Ready || s.req.excludes(b) || s.req.Class == Batch && s.t.unknownLoad(b) {
+	if b.State != catalog.Ready || s.req.excludes(b) || s.t.denied(b.ID, s.req.Class, s.now) || s.req.Class == Batch && s.t.unknownLoad(b) {
 		return Choice{}, 0, false
 	}
 	ejected := s.useHealth && s.t.ejected(b.ID, s.now)
--- a/balance/table.go
+++ b/balance/table.go
@@ -68,6 +68,8 @@
 	// zoneFirst states that online requests prefer the own zone.
 	zoneFirst       bool
 	unreportedLoads map[string]unreportedLoad
+	// denials are those of backend servers that name a limit.
+	denials map[denialKey]denial
 	// changed is closed and replaced at each change that may free capacity.
 	changed chan struct{}
 	// localChanged receives a token after this gateway has begun or ended an attempt.
@@ -101,6 +103,7 @@
 		shared:          make(map[uint32]*sharedFailures),
 		prefix:          newPrefixTable(),
 		unreportedLoads: make(map[string]unreportedLoad),
+		denials:         make(map[denialKey]denial),
 		changed:         make(chan struct{}),
 		localChanged:    make(chan struct{}, 1),
 	}
@@ -277,6 +280,7 @@
 	defer t.mu.Unlock()
 	delete(t.health, id)
 	delete(t.unreportedLoads, id)
+	t.removeDenials(id)
 	delete(t.failures, Key(id))
 	delete(t.shared, Key(id))
 }
--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -113,6 +113,16 @@
 	return s, s.Known()
 }
 
+// Zone returns the availability zone of a backend server; it is empty if the server is not known.
+func (b *Backends) Zone(id string) string {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if reg := b.byID[id]; reg != nil {
+		return reg.backend.Zone
+	}
+	return ""
+}
+
 // ForEach calls f for each backend server.
 func (b *Backends) ForEach(f func(catalog.Backend)) {
 	b.mu.RLock()
--- a/event/event.go
+++ b/event/event.go
@@ -32,6 +32,7 @@
 	RequestRetried  ID = 203
 	RequestDone     ID = 204
 	StreamResumed   ID = 205
+	PermitDenied    ID = 206
 	ItemPlaced      ID = 301
 	ItemDone        ID = 302
 	JobAccepted     ID = 303
@@ -82,6 +83,7 @@
 	{RequestRetried, "request_retried", log.InfoLevel, "an entry retries a request on another backend server"},
 	{RequestDone, "request_done", log.InfoLevel, "the response to an online request is complete"},
 	{StreamResumed, "stream_resumed", log.InfoLevel, "a caller resumes a stream; the line names the version that began it, if it is known"},
+	{PermitDenied, "permit_denied", log.InfoLevel, "the limit that a backend server names left no room for a request, which tries another one or waits"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -150,8 +150,9 @@
 			return balance.Choice{}, o.expiredError(err)
 		}
 		until := o.queueUntil(begin)
-		if now.After(until) {
-			return balance.Choice{}, o.overloadedError(o.g.Table.Availability(candidates, need, now))
+		permit, limited := o.g.Table.NextPermit(candidates, need, now)
+		if now.After(until) || limited && permit.After(until) {
+			return balance.Choice{}, o.overloadedError(o.g.Table.Availability(candidates, need, now), permit.Sub(now))
 		}
 		w.join(now)
 		o.waitForChange(ctx, changed, until.Sub(now))
@@ -194,11 +195,12 @@
 }
 
 // overloadedError returns the error of a request that found no backend server with
-// capacity in time.
-func (o *onlineRequest) overloadedError(r balance.Availability) *errkind.Error {
-	return errkind.New(errkind.Overloaded, "no backend server has room: %d known, %d leaving, %d tried, %d avoided, least load %d online and %d batch",
-		r.Candidates, r.Draining, r.Excluded, r.Ejected, r.LeastLoaded.Online, r.LeastLoaded.Batch).
-		WithRetryAfter(overloadRetryAfter + rand.N(overloadRetryJitter))
+// capacity in time. untilPermit is the time until one that names a limit probably takes a request,
+// if nothing else stands in the way.
+func (o *onlineRequest) overloadedError(r balance.Availability, untilPermit time.Duration) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "no backend server has room: %d known, %d leaving, %d tried, %d at their limits, %d avoided, least load %d online and %d batch",
+		r.Candidates, r.Draining, r.Excluded, r.Limited, r.Ejected, r.LeastLoaded.Online, r.LeastLoaded.Batch).
+		WithRetryAfter(max(overloadRetryAfter, untilPermit) + rand.N(overloadRetryJitter))
 }
 
 // expiredError returns the error of a request whose deadline has passed or whose caller
@@ -306,10 +308,15 @@
 
 // handleNoResponse handles an attempt that ended without a response head.
 func (o *onlineRequest) handleNoResponse(ctx context.Context, b catalog.Backend, err error) (retry bool, _ error) {
-	if errors.Is(err, upstream.ErrNotSent) {
+	notPermitted := errors.Is(err, upstream.ErrNoPermit)
+	if notPermitted || errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() != nil {
 			return false, o.finalError(o.expiredError(ctx.Err()))
 		}
+		if notPermitted {
+			event.Log(o.g.Log, event.PermitDenied, "request", o.r.ID, "backend", b.ID, "cause", err)
+			return true, nil
+		}
 		o.reportFailure(b, true)
 		o.excluded[b.ID] = true
 		o.logRetry(b, err)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -112,12 +112,12 @@
 	}
 	d.store = platform.NewStore(s.Store.Address)
 	gatewayMetrics := gateway.NewMetrics(d.metrics)
-	d.limits = ratelimit.NewLimiter(ratelimit.Options{Logger: logger})
 	d.store.OnCall = func(call string, o platform.CallOutcome, took time.Duration) {
 		gatewayMetrics.StoreCalled(call, string(o), took)
 	}
 	d.pool = upstream.NewPool(upstream.Options{
 		Codec: platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
+		Admit:      func(ctx context.Context, a serving.Attempt) error { return d.limits.Admit(ctx, a.BackendID, a.Batch) },
 		OnResponse: d.responseReceived,
 	})
 	table := balance.New(balance.Options{
@@ -125,9 +125,11 @@
 	})
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
+	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
 	d.guard = quarantine.NewGuard(d.guardOptions(table))
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
+		Limits: d.limits, RegionOf: s.RegionOf,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -162,6 +164,23 @@
 	}
 }
 
+func (d *Daemon) limitOptions(table *balance.Table) ratelimit.Options {
+	return ratelimit.Options{
+		StartedAt: time.Now(), Peers: func() ratelimit.Peers { return d.peering }, Zone: d.backends.Zone, Logger: d.log,
+		Denied: func(server string, batch bool, until, expected time.Time) {
+			table.RecordDenial(server, classOf(batch), until, expected)
+		},
+		Freed: func(server string, batch bool) { table.ClearDenial(server, classOf(batch)) },
+	}
+}
+
+func classOf(batch bool) balance.Class {
+	if batch {
+		return balance.Batch
+	}
+	return balance.Online
+}
+
 func (d *Daemon) jobOptions(configs *discovery.ConfigView, table *balance.Table) jobs.Options {
 	s := d.settings
 	return jobs.Options{
@@ -190,6 +209,7 @@
 	}
 	wg.Go(func() { d.jobs.Run(work) })
 	wg.Go(func() { d.peering.Run(work) })
+	wg.Go(func() { d.limits.Run(work) })
 	wg.Go(func() { d.runExpiry(work) })
 	wg.Go(func() { d.reportDroppedLines(work) })
 	wg.Go(func() { d.watchSettings(work) })
--- a/internal/gatewayd/limit_test.go
+++ b/internal/gatewayd/limit_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -92,3 +94,56 @@
 		})
 	}
 }
+
+// TestCallersOfLimitedServersAreServedOrToldWhenToComeBack sends three times as many requests as the
+// servers take, all of which name a limit, until the limits end.
+func TestCallersOfLimitedServersAreServedOrToldWhenToComeBack(t *testing.T) {
+	d := newDeployment(t, 2)
+	for _, b := range d.backends {
+		b.SetRateLimit(fmt.Sprint(limitPerSecond))
+	}
+	gateways := []*gateway{d.start("a"), d.start("b")}
+	type answer struct {
+		status     int
+		retryAfter float64
+		took       time.Duration
+	}
+	const requests, interval = 90, 66 * time.Millisecond
+	answers := make(chan answer, requests)
+	pace := time.NewTicker(interval)
+	defer pace.Stop()
+	begin := time.Now()
+	for i := range requests {
+		<-pace.C
+		go func() {
+			sent := time.Now()
+			resp, _ := gateways[i%2].send(t, http.MethodPost, "/call/1", fmt.Sprint("r", i), "x")
+			retryAfter, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64) // 0 if there is none
+			answers <- answer{resp.StatusCode, retryAfter, time.Since(sent)}
+		}()
+	}
+	served := 0
+	for range requests {
+		a := <-answers
+		if a.status == http.StatusOK {
+			served++
+			continue
+		}
+		assert.Equal(t, a.status, http.StatusServiceUnavailable)
+		assert.Assert(t, a.retryAfter > 0)
+		assert.Assert(t, a.took < time.Second, "refused after %v", a.took)
+	}
+	taken := 2 * limitPerSecond * time.Since(begin).Seconds()
+	assert.Assert(t, float64(served) >= 0.7*taken, "%d served, the servers take %v", served, taken)
+	for _, b := range d.backends {
+		checkLimit(t, b, begin.Add(time.Second))
+		b.SetRateLimit("")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		statuses := pacedRequests(t, 20, 10*time.Millisecond, func(int) *gateway { return gateways[0] })
+		if statuses[http.StatusOK] < 20 {
+			return poll.Continue("the limits have ended: %v", statuses)
+		}
+		return poll.Success()
+	})
+}
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -82,6 +82,7 @@
 	begin := time.Now()
 	event.Log(d.log, event.Draining, "instance", d.settings.Instance, "grace", d.settings.Grace)
 	close(d.draining)
+	d.peering.SetLeaving()
 	d.jobs.Stop(context.Background())
 	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(d.settings.Grace-exitMargin))
 	defer cancel()
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -59,7 +59,7 @@
 	defer cancel(nil)
 	idle := time.AfterFunc(itemIdleTimeout, func() { cancel(errIdle) })
 	defer idle.Stop()
-	response, err := s.opts.Pool.Do(ctx, r, serving.Attempt{BackendID: b.ID, Address: b.Address, ResumeAfter: p.LastEvent})
+	response, err := s.opts.Pool.Do(ctx, r, serving.Attempt{BackendID: b.ID, Address: b.Address, Batch: true, ResumeAfter: p.LastEvent})
 	if err != nil {
 		return s.noResponse(ctx, b, p, err)
 	}
@@ -91,6 +91,9 @@
 	if cancelledHere(ctx) {
 		return outcome{runCancelled, p, ctx.Err()}
 	}
+	if errors.Is(err, upstream.ErrNoPermit) {
+		return outcome{runNotStarted, p, err}
+	}
 	unreachable := errors.Is(err, upstream.ErrNotSent)
 	s.ejector().RecordFailure(b, unreachable)
 	if unreachable {
--- a/peering/interval.go
+++ b/peering/interval.go
@@ -68,6 +68,11 @@
 func (p *Peering) farReportInterval(owner bool) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.farIntervalLocked(owner)
+}
+
+// farIntervalLocked is farReportInterval for callers that hold mu.
+func (p *Peering) farIntervalLocked(owner bool) time.Duration {
 	near, far := 1, 0
 	for _, other := range p.peers {
 		if other.far {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -56,16 +57,19 @@
 	Started map[uint32]uint64 `cbor:"10,keyasint,omitempty"`
 	// Zone is the sender's zone, for receivers that have no record of the sender.
 	Zone string `cbor:"12,keyasint,omitempty"`
+	// Leaving states that the sender is about to stop.
+	Leaving bool `cbor:"15,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
-// origin of a stream or a report about prompt parts. Gateways of older releases ignore these,
+// origin of a stream, a report about prompt parts or a message about limits. Gateways of older releases ignore these,
 // as they have no sender.
 type datagram struct {
 	report
 	Summary *regionSummary `cbor:"11,keyasint,omitempty"`
 	Origin  *streamOrigin  `cbor:"13,keyasint,omitempty"`
 	Parts   *partReport    `cbor:"14,keyasint,omitempty"`
+	Limits  *limitMessage  `cbor:"16,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -95,6 +99,10 @@
 	Origins *origins.Table
 	// Evidence receives the reports of other gateways about prompt parts.
 	Evidence Evidence
+	// Limits receives the messages of other gateways about the limits that backend servers name.
+	Limits Limits
+	// RegionOf maps availability zones to their regions.
+	RegionOf map[string]string
 	// Shards returns this gateway's reports on the shards that it owns.
 	Shards func() []jobs.ShardReport
 	// BackendID returns the id of the backend server with the given balance.Key.
@@ -117,8 +125,15 @@
 	directoryRead chan struct{}
 	directoryOnce sync.Once
 
+	// leaving states that this process is about to stop.
+	leaving atomic.Bool
+
 	mu    sync.Mutex
 	peers map[string]*peer
+	// permitRequests are those that wait for a reply, by their ids. The ids of two starts of a
+	// process differ.
+	permitRequests map[uint64]permitRequest
+	lastRequest    uint64
 }
 
 type peer struct {
@@ -137,6 +152,8 @@
 	seq        uint64
 	lastReport time.Time
 	reachable  bool
+	// leaving states that the peer is about to stop.
+	leaving bool
 	// shards are the shards that the peer owned at its last report.
 	shards []jobs.ShardReport
 	// storeAge is the time between the peer's last contact with the store and its
@@ -157,7 +174,8 @@
 
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
-	return &Peering{opts: opts, boot: time.Now().UnixNano(), directoryRead: make(chan struct{}), peers: make(map[string]*peer)}
+	boot := time.Now().UnixNano()
+	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest)}
 }
 
 // EncodePeer returns the directory record of a gateway.
@@ -231,7 +249,7 @@
 
 func (p *Peering) report(seq uint64) report {
 	return report{
-		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone,
+		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
@@ -258,6 +276,8 @@
 			p.opts.Origins.Record(d.Origin.ID, d.Origin.software(), now)
 		case d.Parts != nil:
 			p.applyParts(*d.Parts, from)
+		case d.Limits != nil:
+			p.applyLimits(*d.Limits, from, now)
 		default:
 			p.apply(d.report, from, now)
 		}
@@ -288,7 +308,7 @@
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", sender.addr)
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
-	sender.shards = r.Shards
+	sender.shards, sender.leaving = r.Shards, r.Leaving
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,6 +24,7 @@
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
+	"github.com/catkinrudder/catkinrudder/ratelimit"
 )
 
 // gateway is one participant of the peering.
@@ -36,7 +38,11 @@
 	origins *origins.Table
 	// evidence records the reports about prompt parts.
 	evidence *evidence
-	stop     func()
+	limits   *ratelimit.Limiter
+	// mu guards denied, the time until which requests were denied.
+	mu     sync.Mutex
+	denied time.Time
+	stop   func()
 }
 
 func startGateway(t *testing.T, name, address, region string, shards ...jobs.ShardReport) *gateway {
@@ -50,7 +56,12 @@
 	t.Helper()
 	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable(), evidence: &evidence{}}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
+	g.limits = ratelimit.NewLimiter(ratelimit.Options{
+		StartedAt: time.Now().Add(-time.Minute), Peers: func() ratelimit.Peers { return g }, Zone: func(string) string { return "z-near" }, Logger: log.New(io.Discard),
+		Denied: func(_ string, _ bool, until, _ time.Time) { g.setDenied(until) }, Freed: func(string, bool) { g.setDenied(time.Time{}) },
+	})
 	g.Peering = peering.New(peering.Options{
+		Limits: g.limits, RegionOf: map[string]string{"z-near": "near", "z-far": "far"},
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins, Evidence: g.evidence,
 		Shards: func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
 	})
@@ -62,6 +73,18 @@
 	return g
 }
 
+func (g *gateway) setDenied(until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.denied = until
+}
+
+func (g *gateway) deniedUntil() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.denied
+}
+
 // addPeer adds the directory record of other to g.
 func (g *gateway) addPeer(t *testing.T, other *gateway, region string) {
 	t.Helper()
--- a/serving/request.go
+++ b/serving/request.go
@@ -63,6 +63,8 @@
 type Attempt struct {
 	BackendID string
 	Address   string
+	// Batch states that the request is an item of a batch job.
+	Batch bool
 	// Deadline is when the backend server has to stop working on the request.
 	Deadline time.Time
 	// ResumeAfter is the id of the last event received; empty to start from the
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,6 +22,9 @@
 var (
 	// ErrNotSent is returned if no byte of the request reached the backend server.
 	ErrNotSent = errors.New("upstream: not sent")
+	// ErrNoPermit is returned if the backend server names a limit that leaves no room for the
+	// request now. Nothing was sent.
+	ErrNoPermit = errors.New("upstream: no permit")
 	// ErrMismatchedResponse is returned if the backend server only sent responses to
 	// other requests.
 	ErrMismatchedResponse = errors.New("upstream: responses belong to other requests")
@@ -44,6 +47,8 @@
 const (
 	// NotSent: no byte of the request was sent.
 	NotSent Outcome = "unreached"
+	// NotPermitted: the limit that the backend server names left no room.
+	NotPermitted Outcome = "not_permitted"
 	// NoResponse: the request was sent, but no head of a response was received.
 	NoResponse Outcome = "unanswered"
 	// NotRun: the backend server reported that it did not run the request.
@@ -58,7 +63,7 @@
 
 // Outcomes lists every outcome.
 func Outcomes() []Outcome {
-	return []Outcome{NotSent, NoResponse, NotRun, Failed, Interrupted, Complete}
+	return []Outcome{NotSent, NotPermitted, NoResponse, NotRun, Failed, Interrupted, Complete}
 }
 
 // Options are the settings of a Pool.
@@ -69,6 +74,8 @@
 	// called at the end of each attempt.
 	OnConnect    func(address string)
 	OnAttemptEnd func(backendID string, o Outcome)
+	// Admit, if set, is called before each attempt. An error keeps it from being sent.
+	Admit func(ctx context.Context, a serving.Attempt) error
 	// OnResponse, if set, is called with the head of each response of a backend server before
 	// the response is returned.
 	OnResponse func(backendID string, info serving.ResponseInfo)
@@ -117,6 +124,12 @@
 // Do sends r to the backend server of a and returns the head of the response. The
 // connection is closed when ctx ends, even while the body is read.
 func (p *Pool) Do(ctx context.Context, r *serving.Request, a serving.Attempt) (*Response, error) {
+	if p.opts.Admit != nil {
+		if err := p.opts.Admit(ctx, a); err != nil {
+			p.ended(a.BackendID, NotPermitted)
+			return nil, errors.Wrap(ErrNoPermit, err.Error())
+		}
+	}
 	c, err := p.get(ctx, a.Address, r.ID)
 	if err != nil {
 		p.ended(a.BackendID, NotSent)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -147,3 +148,18 @@
 	assert.Equal(t, fetch(t, p, request("2", "/call"), to(b)), "answer 2")
 	assert.Equal(t, b.Runs("1"), 1)
 }
+
+func TestRequestWithoutAPermitIsNotSent(t *testing.T) {
+	b := platformtest.NewBackend(t, "b")
+	var outcomes []upstream.Outcome
+	pool := upstream.NewPool(upstream.Options{
+		Codec: platform.Codec{}, DialTimeout: time.Second,
+		Admit:        func(context.Context, serving.Attempt) error { return errors.New("limit reached") },
+		OnAttemptEnd: func(_ string, o upstream.Outcome) { outcomes = append(outcomes, o) },
+	})
+	_, err := pool.Do(t.Context(), &serving.Request{ID: "1", Method: "POST"}, serving.Attempt{BackendID: "b", Address: b.Address})
+	assert.Assert(t, errors.Is(err, upstream.ErrNoPermit))
+	assert.Assert(t, !errors.Is(err, upstream.ErrNotSent), "the server is not at fault")
+	assert.Equal(t, b.Connections(), 0)
+	assert.DeepEqual(t, outcomes, []upstream.Outcome{upstream.NotPermitted})
+}
