--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -38,6 +38,8 @@
 	// maxExaminationWait is how long a retry waits until it is known whether the server of the
 	// last attempt has ended: a connection to another region takes less.
 	maxExaminationWait = 100 * time.Millisecond
+	// eagerIdentityBytes is the size of the largest body whose digest is computed without need.
+	eagerIdentityBytes = 16 << 10
 )
 
 // onlineRequest is the state of one online request.
@@ -52,6 +54,8 @@
 
 	// parts are the ids of the prompt parts that other requests share.
 	parts []string
+	// identities are those of the request; see identify.
+	identities []string
 	// excluded holds the backend servers that are currently not to be tried.
 	excluded map[string]bool
 	// refused states that a backend server has refused the request.
@@ -350,6 +354,24 @@
 	return true, nil
 }
 
+// identify returns the identities of the request, whose digests are computed when they are first
+// needed.
+func (o *onlineRequest) identify() []string {
+	if o.identities == nil {
+		o.identities = quarantine.Identities(o.r)
+	}
+	return o.identities
+}
+
+// loggedIdentity returns the identity for log lines, unless the digest of a large body would have to
+// be computed for it.
+func (o *onlineRequest) loggedIdentity() string {
+	if o.identities == nil && len(o.r.Body) > eagerIdentityBytes {
+		return ""
+	}
+	return o.identify()[0]
+}
+
 func (o *onlineRequest) reportFailure(b catalog.Backend, unreachable bool) {
 	ejection.Ejector{Table: o.g.Table, Pool: o.g.Pool, Log: o.g.Log}.RecordFailure(b, unreachable)
 }
@@ -364,19 +386,19 @@
 
 func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
 	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
-		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts)
+		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts, "identity", o.loggedIdentity())
 }
 
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
 		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", "aborted",
 			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
-			"parts", o.parts)
+			"parts", o.parts, "identity", o.loggedIdentity())
 		return
 	}
 	e := errkind.From(err)
 	o.g.Metrics.requestFailed(e.Kind)
 	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
 		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
-		"parts", o.parts)
+		"parts", o.parts, "identity", o.loggedIdentity())
 }
--- a/internal/gatewayd/daemon_test.go
+++ b/internal/gatewayd/daemon_test.go
@@ -26,6 +26,7 @@
 const config = `{"Version":3,"Routes":[
 	{"Name":"s","Host":"h.example","PathPrefix":"/stream/","RouteType":"stream","TimeoutMs":5000,"TargetLatencyMs":300,"Service":"svc","MaxAttempts":2,"Resumable":true},
 	{"Name":"c","Host":"h.example","PathPrefix":"/call/","RouteType":"unsafe","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"svc","MaxAttempts":1},
+	{"Name":"p","Host":"h.example","PathPrefix":"/safe/","RouteType":"safe","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"svc","MaxAttempts":3},
 	{"Name":"b","Host":"h.example","PathPrefix":"/batch/","RouteType":"batch","TargetLatencyMs":400,"CompletionTargetMs":18000,"RetentionS":60,"Service":"svc","MaxAttempts":3,"Cap":100000}],
 	"Services":[{"Name":"svc","MaxConnections":100}],"Limits":{"MaxBodyBytes":1048576}}`
 
--- /dev/null
+++ b/quarantine/identity.go
@@ -0,0 +1,53 @@
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+	"io"
+
+	"github.com/catkinrudder/catkinrudder/serving"
+)
+
+const (
+	// requestPrefix and callerPrefix begin the identities of requests. Ids of prompt parts
+	// contain no colon.
+	requestPrefix = "request:"
+	callerPrefix  = "caller:"
+	// identityBytes is the length of the digest in an identity.
+	identityBytes = 16
+)
+
+// credentialHeaders lists the header fields that tell callers behind one address apart.
+var credentialHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
+
+// Identities returns the identities of a request, which are the same for each time that its caller
+// sends it, at any gateway: that of its method, host, target and body, and that of the same from this
+// caller. They are digests, as they go into logs and the store. Ids of attempts, deadlines and other
+// header fields differ between two sends and don't count.
+func Identities(r *serving.Request) []string {
+	h := sha256.New()
+	for _, field := range []string{r.Method, r.Host, r.Target, string(r.Body)} {
+		writeField(h, field)
+	}
+	content := h.Sum(nil)
+	h.Reset()
+	writeField(h, string(content))
+	writeField(h, r.Caller)
+	for _, name := range credentialHeaders {
+		writeField(h, r.Header.Get(name))
+	}
+	return []string{
+		requestPrefix + hex.EncodeToString(content[:identityBytes]),
+		callerPrefix + hex.EncodeToString(h.Sum(nil)[:identityBytes]),
+	}
+}
+
+// writeField writes a field behind its length, so that no two lists of fields are equal.
+func writeField(h hash.Hash, field string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(field)))
+	_, _ = h.Write(length[:])       // never fails
+	_, _ = io.WriteString(h, field) // never fails
+}
--- a/serving/request.go
+++ b/serving/request.go
@@ -37,7 +37,9 @@
 // Request is one attempt of a caller. It is not modified after it has been decoded.
 type Request struct {
 	// ID is the id that the caller gave the attempt.
-	ID     string
+	ID string
+	// Caller is the address of the caller without its port.
+	Caller string
 	Method string
 	Host   string
 	// Target is the path and the query as received.
