Failing tests: a repeated request crashes one server after the other

14 of 14 servers end under one request that comes eight times; 20 of 20 if all three gateways get a copy.

--- /dev/null
+++ b/internal/gatewayd/crash_request_test.go
@@ -0,0 +1,85 @@
+package gatewayd_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+)
+
+// newCrashingRequestDeployment returns a deployment of three gateways whose backend servers end when
+// they begin to run a request with the body crash.
+func newCrashingRequestDeployment(t *testing.T, backends int) *crashDeployment {
+	t.Helper()
+	c := &crashDeployment{deployment: newDeployment(t, backends)}
+	for _, b := range c.backends {
+		b.SetFault(func(r platformtest.Request) platformtest.Fault {
+			if r.Body != crashBody {
+				return platformtest.None
+			}
+			c.crashed.Add(1)
+			return platformtest.Crash
+		})
+	}
+	c.gateways = []*gateway{c.start("a"), c.start("b"), c.start("c")}
+	return c
+}
+
+const crashBody = "crash"
+
+// TestRepeatedRequestDoesNotCrashOneServerAfterTheOther sends one request again and again, with a
+// new id each time and at all gateways, and sound ones to the same path.
+func TestRepeatedRequestDoesNotCrashOneServerAfterTheOther(t *testing.T) {
+	c := newCrashingRequestDeployment(t, 14)
+	// Gateways judge no request in the first seconds after their start.
+	statuses := pacedCalls(c, "before", 54, 100*time.Millisecond)
+	assert.Equal(t, statuses[http.StatusOK], 54, "%v", statuses)
+	for i := range 8 {
+		c.gateways[i%3].send(t, http.MethodPost, "/safe/call/1", fmt.Sprint("crash", i), crashBody)
+		time.Sleep(500 * time.Millisecond) // the gateways decide before the next one, also on a slow machine
+	}
+	assert.Assert(t, c.crashed.Load() <= 4, "%d servers have ended", c.crashed.Load())
+	for _, g := range c.gateways {
+		resp, body := g.send(t, http.MethodPost, "/safe/call/1", "again", crashBody)
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Assert(t, strings.Contains(body, string(errkind.Quarantined)), "%s", body)
+	}
+	statuses = pacedCalls(c, "after", 9, 10*time.Millisecond)
+	assert.Equal(t, statuses[http.StatusOK], 9, "%v", statuses)
+}
+
+// pacedCalls sends n sound requests to the gateways in turn, and returns how many got each status.
+func pacedCalls(c *crashDeployment, id string, n int, interval time.Duration) map[int]int {
+	statuses := make(map[int]int)
+	pace := time.NewTicker(interval)
+	defer pace.Stop()
+	for i := range n {
+		<-pace.C
+		resp, _ := c.gateways[i%3].send(c.t, http.MethodPost, "/safe/call/1", fmt.Sprint(id, i), fmt.Sprint("sound", i))
+		statuses[resp.StatusCode]++
+	}
+	return statuses
+}
+
+// TestSeveralCopiesOfACrashingRequestEndFewServers sends the request to all gateways at once, a few
+// times in a row.
+func TestSeveralCopiesOfACrashingRequestEndFewServers(t *testing.T) {
+	c := newCrashingRequestDeployment(t, 20)
+	pacedCalls(c, "before", 54, 100*time.Millisecond)
+	for i := range 6 {
+		var wg sync.WaitGroup
+		for n, g := range c.gateways {
+			wg.Go(func() { g.send(t, http.MethodPost, "/safe/call/1", fmt.Sprint("crash", i, "-", n), crashBody) })
+		}
+		wg.Wait()
+		time.Sleep(400 * time.Millisecond)
+	}
+	assert.Assert(t, c.crashed.Load() <= 9, "%d servers have ended", c.crashed.Load())
+}
