--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,6 +61,8 @@
 	excluded map[string]bool
 	// refused states that a backend server has refused the request.
 	refused bool
+	// attemptBegan is when the last attempt began.
+	attemptBegan time.Time
 	// attempts counts the attempts that may have run the request.
 	attempts int
 	// firstByte is when the first byte of the response was sent to the caller.
@@ -107,8 +110,8 @@
 		}
 	}
 	for {
-		if part, held := o.g.Quarantine.Held(o.parts); held {
-			return o.finalError(errkind.New(errkind.Quarantined, "backend servers end under requests with the prompt part %s", part))
+		if suspect, held := o.g.Quarantine.Held(o.suspectsIfNeeded(0)); held {
+			return o.finalError(errkind.New(errkind.Quarantined, "backend servers end under requests with the prompt part or identity %s", suspect))
 		}
 		choice, err := o.pickBackend(ctx)
 		if err != nil {
@@ -238,6 +241,7 @@
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := o.startIdleTimer(b, cancel)
+	o.attemptBegan = time.Now()
 	response, err := o.g.Pool.Do(actx, o.r, serving.Attempt{
 		BackendID: b.ID, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent,
 	})
@@ -277,7 +281,7 @@
 	ctx, cancel := context.WithTimeout(ctx, maxExaminationWait)
 	defer cancel()
 	examination.Ended(ctx)
-	return o.g.Quarantine.Suspected(o.parts)
+	return o.g.Quarantine.Suspected(o.suspects())
 }
 
 // startIdleTimer starts a timer that fires once the backend server has sent nothing for
@@ -332,7 +336,7 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
-	examination := o.g.Quarantine.RunInterrupted(b, o.parts)
+	examination := o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s gave no answer", b.ID)
 	if !o.mayRepeat() || o.suspected(ctx, examination) {
 		return false, o.finalError(o.lastFailure)
@@ -363,6 +367,19 @@
 	return o.identities
 }
 
+// suspects returns what may crash a backend server that runs the request: the parts of its prompt and
+// the request itself.
+func (o *onlineRequest) suspects() []string { return append(slices.Clone(o.parts), o.identify()...) }
+
+// suspectsIfNeeded is suspects, but leaves the request itself out if its digest would be computed for
+// a body of more than eager bytes although no request is suspected.
+func (o *onlineRequest) suspectsIfNeeded(eager int) []string {
+	if o.identities == nil && len(o.r.Body) > eager && !o.g.Quarantine.SuspectsRequests() {
+		return o.parts
+	}
+	return o.suspects()
+}
+
 // loggedIdentity returns the identity for log lines, unless the digest of a large body would have to
 // be computed for it.
 func (o *onlineRequest) loggedIdentity() string {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -113,7 +113,7 @@
 func (o *onlineRequest) endOfEvents(ctx context.Context, b catalog.Backend, response *upstream.Response) (retry bool, err error) {
 	proved := response.Framed()
 	if !proved {
-		examination := o.g.Quarantine.Examine(b, o.parts)
+		examination := o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
 		if examination.Ended(ctx) {
 			return o.handleInterruption(ctx, b, errUnframedCut)
 		}
@@ -145,7 +145,7 @@
 		return false, o.finalError(o.expiredError(ctx.Err()))
 	}
 	o.reportFailure(b, false)
-	examination := o.g.Quarantine.RunInterrupted(b, o.parts)
+	examination := o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s broke off", b.ID)
 	if !o.mayRepeat() || o.headSent && !o.mayContinue() || o.suspected(ctx, examination) {
 		return false, o.finalError(o.lastFailure)
@@ -164,7 +164,7 @@
 		o.g.Table.RecordSuccess(b.ID)
 	}
 	if status == http.StatusOK && proved {
-		o.g.Quarantine.RunCompleted(o.parts)
+		o.g.Quarantine.RunCompleted(o.suspectsIfNeeded(eagerIdentityBytes))
 	}
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
 		"attempts", o.attempts, "first_byte", o.firstByte.Sub(o.r.ReceivedAt), "after", time.Since(o.r.ReceivedAt))
--- a/internal/recent/map.go
+++ b/internal/recent/map.go
@@ -47,6 +47,20 @@
 	delete(m.previous, key)
 }
 
+// Update replaces the value of each entry by that which f returns, or removes the entry if keep is
+// false.
+func (m *Map[K, V]) Update(f func(key K, value V) (updated V, keep bool)) {
+	for _, entries := range []map[K]V{m.current, m.previous} {
+		for key, value := range entries {
+			if updated, keep := f(key, value); keep {
+				entries[key] = updated
+			} else {
+				delete(entries, key)
+			}
+		}
+	}
+}
+
 // Len returns the number of entries; renewed ones may count twice.
 func (m *Map[K, V]) Len() int { return len(m.current) + len(m.previous) }
 
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -118,7 +118,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !response.Framed() && s.opts.Quarantine.Examine(b, nil).Ended(ctx) {
+			if !response.Framed() && s.opts.Quarantine.Examine(b, nil, time.Time{}).Ended(ctx) {
 				return outcome{runInterrupted, p, errUnframedCut}
 			}
 			s.opts.Table.RecordSuccess(b.ID)
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -263,7 +263,7 @@
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
-	r.recordRunEnd(b, u.parts, out.end)
+	r.recordRunEnd(b, u.parts, begin, out.end)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
@@ -279,12 +279,12 @@
 }
 
 // recordRunEnd records what a run's end says about the prompt parts of its item.
-func (r *runner) recordRunEnd(b catalog.Backend, parts []string, end runEnd) {
+func (r *runner) recordRunEnd(b catalog.Backend, parts []string, began time.Time, end runEnd) {
 	switch end {
 	case runComplete:
 		r.s.opts.Quarantine.RunCompleted(parts)
 	case runInterrupted:
-		_ = r.s.opts.Quarantine.RunInterrupted(b, parts) // the next run is later than the decision
+		_ = r.s.opts.Quarantine.RunInterrupted(b, parts, began) // the next run is later than the decision
 	}
 }
 
--- a/peering/evidence.go
+++ b/peering/evidence.go
@@ -5,56 +5,81 @@
 	"net"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/catkinrudder/catkinrudder/quarantine"
 )
 
-// Evidence receives what other gateways report about prompt parts that may crash servers.
+// Evidence receives what other gateways report about what may crash servers: the parts of prompts
+// and the identities of requests.
 type Evidence interface {
-	// PeerCrash records the end of a backend server, given by balance.Key of its id, under runs
-	// with these parts. It returns the parts with which a run has completed here.
-	PeerCrash(server uint32, parts []string) (completed []string)
-	// PeerCompleted records parts with which a run has completed.
-	PeerCompleted(parts []string)
-	// PeerHeld records parts that are held from now on.
-	PeerHeld(parts []string)
+	// PeerCrash records the end of a backend server, given by balance.Key of its id, under these
+	// runs. It returns the suspects with which a run has completed here.
+	PeerCrash(server uint32, runs quarantine.Runs) (completed []string)
+	// PeerCompleted records suspects with which a run has completed.
+	PeerCompleted(suspects []string)
+	// PeerHeld records suspects that are held from now on.
+	PeerHeld(suspects []string)
 }
 
-// partReport is what a gateway reports about prompt parts. Only one of the lists is set.
-type partReport struct {
-	// Server is the server that has ended under runs with the parts Crashed.
+// evidenceReport is what a gateway reports about suspects. Only one of the lists is set.
+type evidenceReport struct {
+	// Server is the server that has ended under runs with the suspects Crashed. LastedMs holds, in
+	// the same order, how long they had lasted; reports of older releases lack it.
 	Server    uint32   `cbor:"1,keyasint,omitempty"`
 	Crashed   []string `cbor:"2,keyasint,omitempty"`
 	Completed []string `cbor:"3,keyasint,omitempty"`
 	Held      []string `cbor:"4,keyasint,omitempty"`
+	LastedMs  []int64  `cbor:"5,keyasint,omitempty"`
+}
+
+// runs returns the runs that have been broken off.
+func (r evidenceReport) runs() quarantine.Runs {
+	runs := make(quarantine.Runs, len(r.Crashed))
+	for i, suspect := range r.Crashed {
+		if i < len(r.LastedMs) {
+			runs[suspect] = time.Duration(r.LastedMs[i]) * time.Millisecond
+			continue
+		}
+		runs[suspect] = 0
+	}
+	return runs
 }
 
 // BroadcastCrash implements quarantine.Peers.
-func (p *Peering) BroadcastCrash(server uint32, parts []string) {
-	p.broadcastParts(partReport{Server: server, Crashed: parts})
+func (p *Peering) BroadcastCrash(server uint32, runs quarantine.Runs) {
+	r := evidenceReport{Server: server, Crashed: runs.Suspects()}
+	for _, suspect := range r.Crashed {
+		r.LastedMs = append(r.LastedMs, runs[suspect].Milliseconds())
+	}
+	p.broadcastEvidence(r)
 }
 
 // BroadcastHeld implements quarantine.Peers.
-func (p *Peering) BroadcastHeld(parts []string) { p.broadcastParts(partReport{Held: parts}) }
+func (p *Peering) BroadcastHeld(suspects []string) {
+	p.broadcastEvidence(evidenceReport{Held: suspects})
+}
 
 // BroadcastCompleted implements quarantine.Peers.
-func (p *Peering) BroadcastCompleted(parts []string) {
-	p.broadcastParts(partReport{Completed: parts})
+func (p *Peering) BroadcastCompleted(suspects []string) {
+	p.broadcastEvidence(evidenceReport{Completed: suspects})
 }
 
-func (p *Peering) broadcastParts(r partReport) {
+func (p *Peering) broadcastEvidence(r evidenceReport) {
 	p.mu.Lock()
 	var to []netip.AddrPort
 	for _, other := range p.peers {
 		to = append(to, other.addr)
 	}
 	p.mu.Unlock()
-	p.sendParts(r, to...)
+	p.sendEvidence(r, to...)
 }
 
-func (p *Peering) sendParts(r partReport, to ...netip.AddrPort) {
-	raw, err := cbor.Marshal(datagram{Parts: &r})
+func (p *Peering) sendEvidence(r evidenceReport, to ...netip.AddrPort) {
+	raw, err := cbor.Marshal(datagram{Evidence: &r})
 	if err != nil {
 		return // can't happen: all fields are numbers and strings
 	}
@@ -64,18 +89,18 @@
 	}
 }
 
-// applyParts applies a report about prompt parts. A report of a crash is answered with the
-// parts that are innocent.
-func (p *Peering) applyParts(r partReport, from net.Addr) {
+// applyEvidence applies a report about suspects. A report of a crash is answered with those that are
+// innocent.
+func (p *Peering) applyEvidence(r evidenceReport, from net.Addr) {
 	switch {
 	case len(r.Completed) > 0:
 		p.opts.Evidence.PeerCompleted(r.Completed)
 	case len(r.Held) > 0:
 		p.opts.Evidence.PeerHeld(r.Held)
 	case len(r.Crashed) > 0:
-		completed := p.opts.Evidence.PeerCrash(r.Server, r.Crashed)
+		completed := p.opts.Evidence.PeerCrash(r.Server, r.runs())
 		if sender, ok := from.(*net.UDPAddr); ok && len(completed) > 0 {
-			p.sendParts(partReport{Completed: completed}, sender.AddrPort())
+			p.sendEvidence(evidenceReport{Completed: completed}, sender.AddrPort())
 		}
 	}
 }
--- a/peering/evidence_test.go
+++ b/peering/evidence_test.go
@@ -4,9 +4,12 @@
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/quarantine"
 )
 
 // evidence records the reports that a gateway receives. Runs with the part "sound" have
@@ -16,7 +19,8 @@
 	crashed, completed, held []string
 }
 
-func (e *evidence) PeerCrash(_ uint32, parts []string) []string {
+func (e *evidence) PeerCrash(_ uint32, runs quarantine.Runs) []string {
+	parts := runs.Suspects()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.crashed = append(e.crashed, parts...)
@@ -53,7 +57,7 @@
 
 func TestReportOfACrashIsAnsweredWithInnocentParts(t *testing.T) {
 	all := fleet(t, "near", "near", "far")
-	all[0].BroadcastCrash(7, []string{"bad", "sound"})
+	all[0].BroadcastCrash(7, quarantine.Runs{"bad": time.Second, "sound": 0})
 	for _, other := range all[1:] {
 		other.evidence.waitFor(t, &other.evidence.crashed, 2)
 	}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -62,14 +62,14 @@
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
-// origin of a stream, a report about prompt parts or a message about limits. Gateways of older releases ignore these,
+// origin of a stream, a report about suspects or a message about limits. Gateways of older releases ignore these,
 // as they have no sender.
 type datagram struct {
 	report
-	Summary *regionSummary `cbor:"11,keyasint,omitempty"`
-	Origin  *streamOrigin  `cbor:"13,keyasint,omitempty"`
-	Parts   *partReport    `cbor:"14,keyasint,omitempty"`
-	Limits  *limitMessage  `cbor:"16,keyasint,omitempty"`
+	Summary  *regionSummary  `cbor:"11,keyasint,omitempty"`
+	Origin   *streamOrigin   `cbor:"13,keyasint,omitempty"`
+	Evidence *evidenceReport `cbor:"14,keyasint,omitempty"`
+	Limits   *limitMessage   `cbor:"16,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -97,7 +97,7 @@
 	Client *http.Client
 	// Origins holds the origins of streams that this gateway knows.
 	Origins *origins.Table
-	// Evidence receives the reports of other gateways about prompt parts.
+	// Evidence receives the reports of other gateways about suspects.
 	Evidence Evidence
 	// Limits receives the messages of other gateways about the limits that backend servers name.
 	Limits Limits
@@ -274,8 +274,8 @@
 			p.applySummary(*d.Summary, now)
 		case d.Origin != nil:
 			p.opts.Origins.Record(d.Origin.ID, d.Origin.software(), now)
-		case d.Parts != nil:
-			p.applyParts(*d.Parts, from)
+		case d.Evidence != nil:
+			p.applyEvidence(*d.Evidence, from)
 		case d.Limits != nil:
 			p.applyLimits(*d.Limits, from, now)
 		default:
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,28 +22,28 @@
 	gatherTime = 20 * time.Millisecond
 	// probeTimeout bounds the connection that shows whether a server has ended.
 	probeTimeout = 300 * time.Millisecond
-	// objectionTime is how long other gateways may report complete runs before a part is held.
+	// objectionTime is how long other gateways may report complete runs before a suspect is held.
 	objectionTime = 250 * time.Millisecond
-	// storeTimeout bounds one attempt to store a held part; storeRetryDelay is the delay
+	// storeTimeout bounds one attempt to store a held suspect; storeRetryDelay is the delay
 	// before the next.
 	storeTimeout    = 2 * time.Second
 	storeRetryDelay = 500 * time.Millisecond
 	storeAttempts   = 20
-	// maxKeyBytes is the length of the longest part id that is stored.
+	// maxKeyBytes is the length of the longest suspect that is stored.
 	maxKeyBytes = 200
 )
 
 // Peers are the other gateways.
 type Peers interface {
 	// BroadcastCrash reports the end of a backend server, given by the hash of its id, under
-	// runs with these parts. Gateways that have seen runs with some of them complete respond.
-	BroadcastCrash(server uint32, parts []string)
-	// BroadcastHeld reports parts that are held from now on.
-	BroadcastHeld(parts []string)
-	// BroadcastCompleted reports parts with which a run has completed.
-	BroadcastCompleted(parts []string)
-	// FirstFor reports whether this gateway is the one that tries a held part again.
-	FirstFor(part string) bool
+	// these runs. Gateways that have seen runs with some of their suspects complete respond.
+	BroadcastCrash(server uint32, runs Runs)
+	// BroadcastHeld reports suspects that are held from now on.
+	BroadcastHeld(suspects []string)
+	// BroadcastCompleted reports suspects with which a run has completed.
+	BroadcastCompleted(suspects []string)
+	// FirstFor reports whether this gateway is the one that tries a held suspect again.
+	FirstFor(suspect string) bool
 }
 
 // Options are the settings of a Guard.
@@ -59,12 +57,12 @@
 	// Peers returns the other gateways.
 	Peers  func() Peers
 	Logger *log.Logger
-	// Store appends the record of a held part, or its tombstone.
+	// Store appends the record of a held suspect, or its tombstone.
 	Store func(ctx context.Context, r keyedlog.Record) error
 }
 
 // Guard collects the evidence of one gateway and holds back requests. It implements
-// keyedlog.View over the stored parts, so that a gateway that starts knows what is held.
+// keyedlog.View over the stored suspects, so that a gateway that starts knows what is held.
 type Guard struct {
 	opts  Options
 	table *Table
@@ -76,8 +74,8 @@
 
 // Examination finds out whether a backend server that has broken off runs has ended.
 type Examination struct {
-	// parts are the parts of these runs.
-	parts map[string]bool
+	// began holds when these runs began, by suspect.
+	began map[string]time.Time
 	// done is closed once ended and lives are set. Both are false if the server can't be reached.
 	done         chan struct{}
 	ended, lives bool
@@ -109,30 +107,34 @@
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
 }
 
-// Held returns the part for which a request with these parts must not be sent, if there is one.
-func (g *Guard) Held(parts []string) (part string, held bool) {
-	return g.table.Held(parts, g.opts.Peers().FirstFor, time.Now())
+// Held returns the suspect for which a request must not be sent, if there is one.
+func (g *Guard) Held(suspects []string) (suspect string, held bool) {
+	return g.table.Held(suspects, g.opts.Peers().FirstFor, time.Now())
 }
 
-// Suspected reports whether a request with these parts, whose run has broken off, must not be
+// SuspectsRequests reports whether the identities of requests matter at present.
+func (g *Guard) SuspectsRequests() bool { return g.table.SuspectsRequests() }
+
+// Suspected reports whether a request with these suspects, whose run has broken off, must not be
 // sent to another server.
-func (g *Guard) Suspected(parts []string) bool { return g.table.Suspected(parts, time.Now()) }
+func (g *Guard) Suspected(suspects []string) bool { return g.table.Suspected(suspects, time.Now()) }
 
-// RunCompleted records a complete run with these parts.
-func (g *Guard) RunCompleted(parts []string) {
-	if released := g.table.RecordCompleted(parts, time.Now()); len(released) > 0 {
-		g.opts.Peers().BroadcastCompleted(released)
-		g.release(released)
+// RunCompleted records a complete run with these suspects.
+func (g *Guard) RunCompleted(suspects []string) {
+	released, cleared := g.table.RecordCompleted(suspects, time.Now())
+	if innocent := append(released, cleared...); len(innocent) > 0 {
+		g.opts.Peers().BroadcastCompleted(innocent)
 	}
+	g.release(released)
 }
 
-// RunInterrupted records that b has broken off a run with these parts. If b turns out to have
-// ended, the parts count as evidence.
-func (g *Guard) RunInterrupted(b catalog.Backend, parts []string) *Examination {
-	if len(parts) == 0 {
-		return noExamination() // says nothing about prompts
+// RunInterrupted records that b has broken off a run with these suspects that began at the time
+// began. If b turns out to have ended, this counts as evidence against them.
+func (g *Guard) RunInterrupted(b catalog.Backend, suspects []string, began time.Time) *Examination {
+	if len(suspects) == 0 {
+		return noExamination()
 	}
-	return g.Examine(b, parts)
+	return g.Examine(b, suspects, began)
 }
 
 // noExamination returns an examination whose result is that nothing is known.
@@ -142,9 +144,9 @@
 	return e
 }
 
-// Examine finds out whether b has ended, and counts the parts as evidence if it has. A server that
-// drains may end at any time.
-func (g *Guard) Examine(b catalog.Backend, parts []string) *Examination {
+// Examine finds out whether b has ended, which counts as evidence against the suspects of a run that
+// began at the time began. A server that drains may end at any time.
+func (g *Guard) Examine(b catalog.Backend, suspects []string, began time.Time) *Examination {
 	if b.State != catalog.Ready {
 		return noExamination()
 	}
@@ -152,12 +154,12 @@
 	defer g.mu.Unlock()
 	e := g.examinations[b.ID]
 	if e == nil {
-		e = &Examination{parts: make(map[string]bool), done: make(chan struct{})}
+		e = &Examination{began: make(map[string]time.Time), done: make(chan struct{})}
 		g.examinations[b.ID] = e
 		time.AfterFunc(gatherTime, func() { g.probe(b, e) })
 	}
-	for _, part := range parts {
-		e.parts[part] = true
+	for _, suspect := range suspects {
+		e.began[suspect] = began
 	}
 	return e
 }
@@ -170,60 +172,63 @@
 	err := g.opts.Probe(ctx, b.Address)
 	g.mu.Lock()
 	delete(g.examinations, b.ID)
-	parts := slices.Sorted(maps.Keys(e.parts))
+	runs := make(Runs, len(e.began))
+	for suspect, began := range e.began {
+		runs[suspect] = time.Since(began)
+	}
 	g.mu.Unlock()
 	e.lives = err == nil
 	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
 		return
 	}
 	e.ended = true
-	event.Log(g.opts.Logger, event.BackendCrashed, "backend", b.ID, "service", b.Service, "parts", parts)
+	event.Log(g.opts.Logger, event.BackendCrashed, "backend", b.ID, "service", b.Service, "suspects", runs.Suspects())
 	g.opts.Eject(b)
-	if len(parts) > 0 {
-		g.reportCrash(balance.Key(b.ID), parts)
+	if len(runs) > 0 {
+		g.reportCrash(balance.Key(b.ID), runs)
 	}
 }
 
 // reportCrash records the end of a server here and at the other gateways, and decides later, when
 // they have had time to object.
-func (g *Guard) reportCrash(server uint32, parts []string) {
-	g.table.RecordCrash(server, parts, time.Now())
-	g.opts.Peers().BroadcastCrash(server, parts)
-	time.AfterFunc(objectionTime, func() { g.holdSuspects(parts) })
+func (g *Guard) reportCrash(server uint32, runs Runs) {
+	g.table.RecordCrash(server, runs, time.Now())
+	g.opts.Peers().BroadcastCrash(server, runs)
+	time.AfterFunc(objectionTime, func() { g.holdSuspects(runs.Suspects()) })
 }
 
-// holdSuspects holds those of the parts that are proved to crash servers.
-func (g *Guard) holdSuspects(parts []string) {
-	found := g.table.HoldSuspects(parts, time.Now())
+// holdSuspects holds those that are proved to crash servers.
+func (g *Guard) holdSuspects(suspects []string) {
+	found := g.table.HoldSuspects(suspects, time.Now())
 	if len(found) == 0 {
 		return
 	}
 	g.opts.Peers().BroadcastHeld(found)
-	for _, part := range found {
-		event.Log(g.opts.Logger, event.PartHeld, "part", part, "by", "own")
-		g.store(part, []byte{1})
+	for _, suspect := range found {
+		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own")
+		g.store(suspect, []byte{1})
 	}
 }
 
-// release stores that parts are no longer held.
-func (g *Guard) release(parts []string) {
-	for _, part := range parts {
-		event.Log(g.opts.Logger, event.PartReleased, "part", part)
-		g.store(part, nil)
+// release stores that suspects are no longer held.
+func (g *Guard) release(suspects []string) {
+	for _, suspect := range suspects {
+		event.Log(g.opts.Logger, event.PartReleased, "suspect", suspect)
+		g.store(suspect, nil)
 	}
 }
 
-// store writes the record of a part, or its tombstone, until the store has confirmed it. It
-// gives up in a long outage: the other gateways know the part, and only a loss of all of them
+// store writes the record of a suspect, or its tombstone, until the store has confirmed it. It
+// gives up in a long outage: the other gateways know the suspect, and only a loss of all of them
 // makes them forget it.
-func (g *Guard) store(part string, value []byte) {
-	if len(part) > maxKeyBytes {
+func (g *Guard) store(suspect string, value []byte) {
+	if len(suspect) > maxKeyBytes {
 		return
 	}
 	go func() {
 		for range storeAttempts {
 			ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-			err := g.opts.Store(ctx, keyedlog.Record{Key: part, Value: value})
+			err := g.opts.Store(ctx, keyedlog.Record{Key: suspect, Value: value})
 			cancel()
 			if err == nil {
 				return
@@ -233,28 +238,28 @@
 	}()
 }
 
-// PeerCrash records the report of another gateway, and returns the parts with which a run has
+// PeerCrash records the report of another gateway, and returns the suspects with which a run has
 // completed here, for the reply.
-func (g *Guard) PeerCrash(server uint32, parts []string) (completed []string) {
+func (g *Guard) PeerCrash(server uint32, runs Runs) (completed []string) {
 	now := time.Now()
-	g.table.RecordCrash(server, parts, now)
-	return g.table.Completed(parts, now)
+	g.table.RecordCrash(server, runs, now)
+	return g.table.Completed(runs.Suspects(), now)
 }
 
 // PeerCompleted records runs that have completed at another gateway.
-func (g *Guard) PeerCompleted(parts []string) { g.table.RecordCompleted(parts, time.Now()) }
+func (g *Guard) PeerCompleted(suspects []string) { g.table.RecordCompleted(suspects, time.Now()) }
 
-// PeerHeld records parts that another gateway has found.
-func (g *Guard) PeerHeld(parts []string) {
-	for _, part := range parts {
-		if g.table.Hold(part, time.Now()) {
-			event.Log(g.opts.Logger, event.PartHeld, "part", part, "by", "peer")
+// PeerHeld records suspects that another gateway has found.
+func (g *Guard) PeerHeld(suspects []string) {
+	for _, suspect := range suspects {
+		if g.table.Hold(suspect, time.Now()) {
+			event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "peer")
 		}
 	}
 }
 
-// Rebuild implements keyedlog.View. A part that another gateway has announced may not be stored
-// yet, so parts without a record stay.
+// Rebuild implements keyedlog.View. A suspect that another gateway has announced may not be
+// stored yet, so those without a record stay.
 func (g *Guard) Rebuild(records []keyedlog.Record) { g.Apply(records) }
 
 // Apply implements keyedlog.View.
@@ -264,7 +269,7 @@
 		case r.Value == nil:
 			g.table.Release(r.Key)
 		case g.table.Hold(r.Key, time.Now()):
-			event.Log(g.opts.Logger, event.PartHeld, "part", r.Key, "by", "store")
+			event.Log(g.opts.Logger, event.PartHeld, "suspect", r.Key, "by", "store")
 		}
 	}
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -24,11 +24,11 @@
 	crashed, held, completed []string
 }
 
-func (p *fakePeers) BroadcastCrash(_ uint32, parts []string) {
+func (p *fakePeers) BroadcastCrash(_ uint32, runs Runs) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.crashes++
-	p.crashed = parts
+	p.crashed = runs.Suspects()
 }
 
 func (p *fakePeers) BroadcastHeld(parts []string) {
@@ -83,7 +83,7 @@
 		"unreachable": {syscall.EHOSTUNREACH, ready, []string{"p"}, 0},
 	} {
 		f := newGuardFixture(c.probe)
-		f.RunInterrupted(c.backend, c.parts).Ended(t.Context())
+		f.RunInterrupted(c.backend, c.parts, time.Now()).Ended(t.Context())
 		assert.Equal(t, f.peers.crashes, c.crashes, name)
 	}
 }
@@ -91,8 +91,8 @@
 func TestRunsThatEndTogetherAreOneReport(t *testing.T) {
 	f := newGuardFixture(refused)
 	b := catalog.Backend{ID: "i", State: catalog.Ready}
-	first := f.RunInterrupted(b, []string{"x", "a"})
-	assert.Assert(t, f.RunInterrupted(b, []string{"b", "a"}).Ended(t.Context()))
+	first := f.RunInterrupted(b, []string{"x", "a"}, time.Now())
+	assert.Assert(t, f.RunInterrupted(b, []string{"b", "a"}, time.Now()).Ended(t.Context()))
 	assert.Assert(t, first.Ended(t.Context()))
 	assert.Equal(t, f.peers.crashes, 1)
 	assert.DeepEqual(t, f.peers.crashed, []string{"a", "b", "x"})
@@ -100,11 +100,11 @@
 
 func TestProvedPartIsAnnouncedAndStored(t *testing.T) {
 	f := newGuardFixture(refused)
-	for server, age := range []time.Duration{2 * crashSpacing, crashSpacing} {
-		f.table.RecordCrash(uint32(server), []string{"bad", "shared"}, time.Now().Add(-age))
+	for server, age := range []time.Duration{2 * partCrashSpacing, partCrashSpacing} {
+		f.table.RecordCrash(uint32(server), runsOf("bad", "shared"), time.Now().Add(-age))
 	}
-	f.PeerCrash(1, []string{"other"})
-	f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"}).Ended(t.Context())
+	f.PeerCrash(1, runsOf("other"))
+	f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"}, time.Now()).Ended(t.Context())
 	f.PeerCompleted([]string{"shared"}) // the objection of another gateway
 	assert.Equal(t, (<-f.stored).Key, "bad")
 	part, held := f.Held([]string{"shared", "bad"})
--- /dev/null
+++ b/quarantine/request_test.go
@@ -0,0 +1,102 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// guilty and innocent are identities of requests.
+const (
+	guilty   = requestPrefix + "guilty"
+	innocent = requestPrefix + "innocent"
+)
+
+// after returns a time well after the start of the process of the tables under test.
+func after(d time.Duration) time.Time { return at(60).Add(d) }
+
+func TestRequestIsHeldAsSoonAsItIsProved(t *testing.T) {
+	table := NewTable(start)
+	for i := range minCrashes {
+		assert.Assert(t, !isHeld(table, guilty, after(0)))
+		// The crashes are hours apart in all, but less than the time for which they count.
+		table.RecordCrash(uint32(i), runsOf(guilty), after(time.Duration(i)*requestEvidenceTime/3))
+	}
+	now := after(requestEvidenceTime)
+	assert.Assert(t, isHeld(table, guilty, now), "before the gateways agree")
+	assert.DeepEqual(t, table.HoldSuspects([]string{guilty}, now), []string{guilty})
+	assert.Assert(t, isHeld(table, guilty, now.Add(requestHoldTime-time.Second)))
+	_, held := table.Held([]string{guilty}, func(string) bool { return true }, now.Add(requestHoldTime))
+	assert.Assert(t, !held, "one is tried after the hold time")
+}
+
+func TestPartIsNotHeldBeforeTheOthersCouldObject(t *testing.T) {
+	table := NewTable(start)
+	for i := range minCrashes {
+		table.RecordCrash(uint32(i), runsOf("part"), after(time.Duration(i)*time.Second))
+	}
+	assert.Assert(t, !isHeld(table, "part", after(3*time.Second)))
+}
+
+// TestRepeatedPollIsClearedByItsNextCompletion covers servers that end for other reasons under a
+// poll that completes in between, also at other gateways.
+func TestRepeatedPollIsClearedByItsNextCompletion(t *testing.T) {
+	table := NewTable(start)
+	for i := range 20 {
+		now := after(time.Duration(i) * time.Minute)
+		table.RecordCrash(uint32(i), runsOf(innocent), now)
+		_, cleared := table.RecordCompleted([]string{innocent}, now.Add(time.Second))
+		assert.DeepEqual(t, cleared, []string{innocent}) // the other gateways learn it
+		assert.Assert(t, !isHeld(table, innocent, now.Add(2*time.Second)))
+	}
+	_, cleared := table.RecordCompleted([]string{innocent}, after(time.Hour))
+	assert.Equal(t, len(cleared), 0)
+}
+
+// TestCrashesOfAHeldRequestCountAgainstNoOther covers requests that ran at the servers that another
+// request has ended.
+func TestCrashesOfAHeldRequestCountAgainstNoOther(t *testing.T) {
+	table := NewTable(start)
+	for i := range minCrashes {
+		suspects := []string{guilty, fmt.Sprint(requestPrefix, i)}
+		if i < minCrashes-1 {
+			suspects = append(suspects, innocent, "part")
+		}
+		table.RecordCrash(uint32(i), runsOf(suspects...), after(time.Duration(i)*time.Second))
+	}
+	assert.DeepEqual(t, table.HoldSuspects([]string{guilty, innocent, "part"}, after(3*time.Second)), []string{guilty})
+	table.RecordCrash(9, runsOf(innocent, "part"), after(4*time.Second))
+	assert.Assert(t, !isHeld(table, innocent, after(5*time.Second)))
+	assert.Equal(t, len(table.HoldSuspects([]string{innocent, "part"}, after(5*time.Second))), 0)
+}
+
+// TestServersThatEndTogetherCondemnNoRequest covers copies of one request at several servers that are
+// lost with their rack, and are noticed one after the other.
+func TestServersThatEndTogetherCondemnNoRequest(t *testing.T) {
+	table := NewTable(start)
+	for i := range 5 {
+		noticed := time.Duration(i) * 50 * time.Millisecond
+		table.RecordCrash(uint32(i), Runs{innocent: noticed + time.Second}, after(noticed))
+	}
+	assert.Assert(t, !isHeld(table, innocent, after(time.Second)))
+	assert.Assert(t, !table.Suspected([]string{innocent}, after(time.Second)), "it may be sent again")
+}
+
+func TestRetryThatEndsItsServerTooIsEvidence(t *testing.T) {
+	table := NewTable(start)
+	table.RecordCrash(1, Runs{guilty: 40 * time.Millisecond}, after(0))
+	assert.Assert(t, !table.Suspected([]string{guilty}, after(0)), "its first retry is allowed")
+	table.RecordCrash(2, Runs{guilty: 10 * time.Millisecond}, after(20*time.Millisecond))
+	assert.Assert(t, table.Suspected([]string{guilty}, after(20*time.Millisecond)))
+}
+
+func TestRequestsAndPartsDoNotDisplaceEachOther(t *testing.T) {
+	table := NewTable(start)
+	table.RecordCompleted([]string{"part"}, at(0))
+	for i := range 3 * maxSuspects {
+		table.RecordCompleted([]string{fmt.Sprint(requestPrefix, i)}, at(0))
+	}
+	assert.DeepEqual(t, table.Completed([]string{"part"}, at(1)), []string{"part"})
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,13 +1,16 @@
-// Package quarantine finds the parts of prompts under which backend servers crash one after the
-// other, and holds back the requests that carry them.
+// Package quarantine finds what makes backend servers crash one after the other, and holds back the
+// requests that do.
 //
-// Every request with such a part ends the server that begins to answer it, so a part is innocent
-// as soon as any run with it completes. A part is suspected if servers end under runs with it
-// several times and no gateway has seen a run with it complete.
+// A suspect is a part of prompts, which many requests may share, or one request that is sent again
+// and again. Every run with a guilty one ends the server that begins it, so a suspect is innocent as
+// soon as any run with it completes. It is held if servers end under runs with it several times and
+// no gateway has seen a run with it complete.
 package quarantine
 
 import (
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,43 +18,63 @@
 )
 
 const (
-	// minCrashes is how often servers must have ended under runs with a part before it is held.
+	// minCrashes is how often servers must have ended under runs with a suspect before it is held.
 	minCrashes = 3
-	// crashSpacing is the least time between two crashes that count: servers that end together
-	// have a common cause, such as a lost rack, and say nothing about the requests.
-	crashSpacing = 250 * time.Millisecond
+	// partCrashSpacing is the least time between two crashes that count against a part: servers that
+	// end together have a common cause, such as a lost rack, and say nothing about the requests.
+	// Against a request, the end of a server counts if the run there began after the last crash that
+	// counts.
+	partCrashSpacing = 250 * time.Millisecond
 	// sameCrash is the time in which reports on one server are about the same crash. A server
 	// takes longer to start again.
 	sameCrash = 1500 * time.Millisecond
-	// evidenceWindow is how long a crash counts.
-	evidenceWindow = time.Minute
-	// completionMemory is how long a complete run speaks for its parts.
+	// partEvidenceTime and requestEvidenceTime are how long a crash counts. Half of the traffic may
+	// share a part, while one request may come again after a long time only.
+	partEvidenceTime    = time.Minute
+	requestEvidenceTime = time.Hour
+	// completionMemory is how long a complete run speaks for its suspects.
 	completionMemory = 30 * time.Second
-	// minObservation is the time after its start in which a process holds no part: it has not
+	// minObservation is the time after its start in which a process holds nothing: it has not
 	// seen enough runs complete.
 	minObservation = 5 * time.Second
-	// holdTime is the time after which one request with a held part is tried. It doubles with
-	// each try that ends a server, up to maxHoldTime.
-	holdTime    = 5 * time.Minute
-	maxHoldTime = time.Hour
+	// The hold times are the times after which one request with a held suspect is tried. They
+	// double with each try that ends a server, up to the maximum.
+	partHoldTime       = 5 * time.Minute
+	maxPartHoldTime    = time.Hour
+	requestHoldTime    = 24 * time.Hour
+	maxRequestHoldTime = 30 * 24 * time.Hour
 	// trialTimeout is the time after which another request may be tried if the outcome of the
 	// last one is not known.
 	trialTimeout = time.Minute
-	// maxParts bounds the memory for parts of each kind.
-	maxParts = 1 << 14
+	// maxSuspects bounds the memory for suspects of each kind.
+	maxSuspects = 1 << 14
 )
 
-// Table holds what is known about prompt parts. It is safe for concurrent use.
+// Table holds what is known about suspects. It is safe for concurrent use.
 type Table struct {
 	startedAt time.Time
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// parts and requests are the records of the two kinds of suspects.
+	parts, requests records
+	held            map[string]*hold
+}
+
+// records are the runs that speak for suspects of one kind, or against them.
+type records struct {
 	completed *recent.Map[string, struct{}]
 	crashes   *recent.Map[string, evidence]
-	held      map[string]*hold
+	// spacing is the least time between two crashes that count; if it is 0, the run has to begin
+	// after the last one.
+	spacing time.Duration
+	// holdTime and maxHoldTime are those of suspects of this kind.
+	holdTime, maxHoldTime time.Duration
+	// immediate states that a suspect is held as soon as there is the evidence for it, before the
+	// other gateways have had time to object.
+	immediate bool
 }
 
-// evidence are the crashes under runs with one part that count.
+// evidence are the crashes under runs with one suspect that count.
 type evidence []crash
 
 // crash is the end of a backend server, which is given by the hash of its id.
@@ -60,18 +83,26 @@
 	at     time.Time
 }
 
-// covers reports whether the end of a server adds nothing to the evidence.
-func (e evidence) covers(server uint32, now time.Time) bool {
+// covers reports whether the end of a server, where a run had begun at a time, adds nothing to the
+// evidence.
+func (e evidence) covers(server uint32, began time.Time, spacing time.Duration, now time.Time) bool {
 	return slices.ContainsFunc(e, func(c crash) bool {
 		age := now.Sub(c.at)
-		return age < crashSpacing || c.server == server && age < sameCrash
+		return age < spacing || spacing == 0 && began.Before(c.at) || c.server == server && age < sameCrash
+	})
+}
+
+// without returns the crashes that are not among those of other.
+func (e evidence) without(other evidence) evidence {
+	return slices.DeleteFunc(slices.Clone(e), func(c crash) bool {
+		return slices.ContainsFunc(other, func(o crash) bool { return o.server == c.server })
 	})
 }
 
-// hold is the state of a held part.
+// hold is the state of a held suspect.
 type hold struct {
-	since    time.Time
-	duration time.Duration
+	since                 time.Time
+	duration, maxDuration time.Duration
 	// triedAt is when a request was last tried; zero if none was.
 	triedAt time.Time
 }
@@ -80,136 +111,194 @@
 func NewTable(startedAt time.Time) *Table {
 	return &Table{
 		startedAt: startedAt,
-		completed: recent.New[string, struct{}](completionMemory, maxParts),
-		crashes:   recent.New[string, evidence](evidenceWindow, maxParts),
-		held:      make(map[string]*hold),
+		parts: records{
+			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
+			crashes:   recent.New[string, evidence](partEvidenceTime, maxSuspects),
+			spacing:   partCrashSpacing, holdTime: partHoldTime, maxHoldTime: maxPartHoldTime,
+		},
+		requests: records{
+			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
+			crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
+			holdTime:  requestHoldTime, maxHoldTime: maxRequestHoldTime, immediate: true,
+		},
+		held: make(map[string]*hold),
+	}
+}
+
+// isRequest reports whether a suspect is the identity of a request.
+func isRequest(suspect string) bool {
+	return strings.HasPrefix(suspect, requestPrefix) || strings.HasPrefix(suspect, callerPrefix)
+}
+
+func (t *Table) records(suspect string) *records {
+	if isRequest(suspect) {
+		return &t.requests
 	}
+	return &t.parts
+}
+
+// SuspectsRequests reports whether any request is held, or servers have ended under one.
+func (t *Table) SuspectsRequests() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.held) > 0 || t.requests.crashes.Len() > 0
 }
 
-// RecordCompleted records a complete run, here or at another gateway. It returns the parts that
-// are no longer held.
-func (t *Table) RecordCompleted(parts []string, now time.Time) (released []string) {
+// RecordCompleted records a complete run, here or at another gateway. It returns the suspects that
+// are no longer held, and those requests against which there was evidence that does not count any
+// more.
+func (t *Table) RecordCompleted(suspects []string, now time.Time) (released, cleared []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		t.completed.Put(part, struct{}{}, now)
-		t.crashes.Delete(part)
-		if t.held[part] != nil {
-			delete(t.held, part)
-			released = append(released, part)
+	for _, suspect := range suspects {
+		r := t.records(suspect)
+		r.completed.Put(suspect, struct{}{}, now)
+		if e, _ := r.crashes.Get(suspect, now); len(e) > 0 && isRequest(suspect) {
+			cleared = append(cleared, suspect)
+		}
+		r.crashes.Delete(suspect)
+		if t.held[suspect] != nil {
+			delete(t.held, suspect)
+			released = append(released, suspect)
 		}
 	}
-	return released
+	return released, cleared
 }
 
-// RecordCrash records that a backend server, given by the hash of its id, ended under runs with
-// these parts.
-func (t *Table) RecordCrash(server uint32, parts []string, now time.Time) {
+// Runs are the runs that the end of a backend server has broken off: how long they had lasted, by
+// suspect.
+type Runs map[string]time.Duration
+
+// Suspects returns the suspects of the runs in order.
+func (r Runs) Suspects() []string { return slices.Sorted(maps.Keys(r)) }
+
+// RecordCrash records that a backend server, given by the hash of its id, ended under these runs.
+func (t *Table) RecordCrash(server uint32, runs Runs, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, part := range parts {
-		if h := t.held[part]; h != nil {
+	for suspect, lasted := range runs {
+		if h := t.held[suspect]; h != nil {
 			h.failTrial(now)
 			continue
 		}
-		e, _ := t.crashes.Get(part, now)
-		if len(e) < minCrashes && !e.covers(server, now) {
-			t.crashes.Put(part, append(slices.Clone(e), crash{server, now}), now)
+		r := t.records(suspect)
+		e, _ := r.crashes.Get(suspect, now)
+		if len(e) < minCrashes && !e.covers(server, now.Add(-lasted), r.spacing, now) {
+			r.crashes.Put(suspect, append(slices.Clone(e), crash{server, now}), now)
 		}
 	}
 }
 
-// failTrial extends the hold if a request with the part was being tried.
+// failTrial extends the hold if a request with the suspect was being tried.
 func (h *hold) failTrial(now time.Time) {
 	if h.triedAt.IsZero() {
 		return
 	}
-	*h = hold{since: now, duration: min(2*h.duration, maxHoldTime)}
+	*h = hold{since: now, duration: min(2*h.duration, h.maxDuration), maxDuration: h.maxDuration}
 }
 
-// Completed returns those of the parts with which a run has completed a short time ago.
-func (t *Table) Completed(parts []string, now time.Time) []string {
+// Completed returns those of the suspects with which a run has completed a short time ago.
+func (t *Table) Completed(suspects []string, now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(parts), func(part string) bool { return !t.completedLately(part, now) })
+	return slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool { return !t.completedLately(suspect, now) })
 }
 
-func (t *Table) completedLately(part string, now time.Time) bool {
-	_, found := t.completed.Get(part, now)
+func (t *Table) completedLately(suspect string, now time.Time) bool {
+	_, found := t.records(suspect).completed.Get(suspect, now)
 	return found
 }
 
-// HoldSuspects holds those of the parts that are proved to crash servers, and returns them.
-func (t *Table) HoldSuspects(parts []string, now time.Time) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// proved reports whether the evidence against a suspect is enough. The caller holds mu.
+func (t *Table) proved(suspect string, now time.Time) bool {
 	if now.Sub(t.startedAt) < minObservation {
-		return nil
+		return false
 	}
-	var out []string
-	for _, part := range parts {
-		e, _ := t.crashes.Get(part, now)
-		if len(e) < minCrashes || t.held[part] != nil || t.completedLately(part, now) {
-			continue
-		}
-		t.held[part] = &hold{since: now, duration: holdTime}
-		out = append(out, part)
+	e, _ := t.records(suspect).crashes.Get(suspect, now)
+	return len(e) >= minCrashes && !t.completedLately(suspect, now)
+}
+
+// HoldSuspects holds those of the suspects that are proved to crash servers, and returns them.
+func (t *Table) HoldSuspects(suspects []string, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool {
+		return t.held[suspect] != nil || !t.proved(suspect, now)
+	})
+	for _, suspect := range out {
+		t.hold(suspect, now)
 	}
 	return out
 }
 
-// Hold holds a part that another gateway has found, and reports whether it was not held yet.
-func (t *Table) Hold(part string, now time.Time) bool {
+// hold holds a suspect. The crashes that it explains no longer count against others. The caller
+// holds mu.
+func (t *Table) hold(suspect string, now time.Time) {
+	r := t.records(suspect)
+	t.held[suspect] = &hold{since: now, duration: r.holdTime, maxDuration: r.maxHoldTime}
+	explained, _ := r.crashes.Get(suspect, now)
+	for _, others := range []*records{&t.parts, &t.requests} {
+		others.crashes.Update(func(other string, e evidence) (evidence, bool) {
+			if t.held[other] == nil {
+				e = e.without(explained)
+			}
+			return e, len(e) > 0
+		})
+	}
+}
+
+// Hold holds a suspect that another gateway has found, and reports whether it was not held yet.
+func (t *Table) Hold(suspect string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.held[part] != nil {
+	if t.held[suspect] != nil {
 		return false
 	}
-	t.held[part] = &hold{since: now, duration: holdTime}
+	t.hold(suspect, now)
 	return true
 }
 
-// Release stops holding a part, and reports whether it was held.
-func (t *Table) Release(part string) bool {
+// Release stops holding a suspect, and reports whether it was held.
+func (t *Table) Release(suspect string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	found := t.held[part] != nil
-	delete(t.held, part)
+	found := t.held[suspect] != nil
+	delete(t.held, suspect)
 	return found
 }
 
-// Held returns the first of the parts that is held. After its hold time, one request is let
+// Held returns the first of the suspects that is held. After its hold time, one request is let
 // through at the gateway for which mayTry returns true.
-func (t *Table) Held(parts []string, mayTry func(part string) bool, now time.Time) (part string, held bool) {
+func (t *Table) Held(suspects []string, mayTry func(suspect string) bool, now time.Time) (suspect string, held bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.held) == 0 {
-		return "", false
-	}
-	for _, part := range parts {
-		if h := t.held[part]; h != nil && !h.startTrial(part, mayTry, now) {
-			return part, true
+	for _, suspect := range suspects {
+		if h := t.held[suspect]; h != nil && !h.startTrial(suspect, mayTry, now) {
+			return suspect, true
+		}
+		if t.held[suspect] == nil && t.records(suspect).immediate && t.proved(suspect, now) {
+			return suspect, true
 		}
 	}
 	return "", false
 }
 
-// startTrial reports whether the request that carries the part is tried.
-func (h *hold) startTrial(part string, mayTry func(string) bool, now time.Time) bool {
-	if now.Sub(h.since) < h.duration || now.Sub(h.triedAt) < trialTimeout || !mayTry(part) {
+// startTrial reports whether the request that carries the suspect is tried.
+func (h *hold) startTrial(suspect string, mayTry func(string) bool, now time.Time) bool {
+	if now.Sub(h.since) < h.duration || now.Sub(h.triedAt) < trialTimeout || !mayTry(suspect) {
 		return false
 	}
 	h.triedAt = now
 	return true
 }
 
-// Suspected reports whether servers have ended under runs with one of the parts more than once.
+// Suspected reports whether servers have ended under runs with one of the suspects more than once.
 // Such a request is not sent to a further server after its own run has broken off.
-func (t *Table) Suspected(parts []string, now time.Time) bool {
+func (t *Table) Suspected(suspects []string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.ContainsFunc(parts, func(part string) bool {
-		e, _ := t.crashes.Get(part, now)
-		return len(e) >= minCrashes-1 && !t.completedLately(part, now)
+	return slices.ContainsFunc(suspects, func(suspect string) bool {
+		e, _ := t.records(suspect).crashes.Get(suspect, now)
+		return len(e) >= minCrashes-1 && !t.completedLately(suspect, now)
 	})
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -15,6 +15,15 @@
 	return start.Add(time.Minute + time.Duration(s*float64(time.Second)))
 }
 
+// runsOf returns runs with these suspects that have just begun.
+func runsOf(suspects ...string) Runs {
+	runs := make(Runs)
+	for _, suspect := range suspects {
+		runs[suspect] = 0
+	}
+	return runs
+}
+
 func never(string) bool { return false }
 
 func always(string) bool { return true }
@@ -30,7 +39,7 @@
 	for i := range 3 {
 		now := at(float64(i))
 		assert.Equal(t, len(table.HoldSuspects(parts, now)), 0, "after %d crashes", i)
-		table.RecordCrash(uint32(i), parts, now)
+		table.RecordCrash(uint32(i), runsOf(parts...), now)
 		table.RecordCompleted([]string{"shared"}, now)
 	}
 	assert.Assert(t, table.Suspected(parts, at(2)))
@@ -44,13 +53,13 @@
 func TestServersThatEndTogetherCountOnce(t *testing.T) {
 	table := NewTable(start)
 	for i := range 20 {
-		table.RecordCrash(uint32(i), []string{"common"}, at(float64(i)*0.05))
+		table.RecordCrash(uint32(i), runsOf("common"), at(float64(i)*0.05))
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{"common"}, at(1))), 1, "a second of crashes is no single moment")
 
 	table = NewTable(start)
 	for i := range 20 {
-		table.RecordCrash(uint32(i), []string{"common"}, at(float64(i)*0.01))
+		table.RecordCrash(uint32(i), runsOf("common"), at(float64(i)*0.01))
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{"common"}, at(1))), 0)
 }
@@ -58,10 +67,10 @@
 func TestReportsOfSeveralGatewaysOnOneServerCountOnce(t *testing.T) {
 	table := NewTable(start)
 	for i := range 20 {
-		table.RecordCrash(uint32(i%2), []string{"part"}, at(float64(i)*0.07))
+		table.RecordCrash(uint32(i%2), runsOf("part"), at(float64(i)*0.07))
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(2))), 0)
-	table.RecordCrash(0, []string{"part"}, at(5))
+	table.RecordCrash(0, runsOf("part"), at(5))
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, at(5))), 1, "the server has started again and has ended again")
 }
 
@@ -69,7 +78,7 @@
 	table := NewTable(start)
 	crash := func(from, n int) {
 		for i := range n {
-			table.RecordCrash(uint32(from+i), []string{"part"}, at(float64(from+i)))
+			table.RecordCrash(uint32(from+i), runsOf("part"), at(float64(from+i)))
 		}
 	}
 	crash(0, 2)
@@ -85,7 +94,7 @@
 func TestProcessThatHasJustStartedHoldsNothingByItself(t *testing.T) {
 	table := NewTable(start)
 	for i := range 5 {
-		table.RecordCrash(uint32(i), []string{"part"}, start.Add(time.Duration(i)*time.Second))
+		table.RecordCrash(uint32(i), runsOf("part"), start.Add(time.Duration(i)*time.Second))
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation-1))), 0)
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation))), 1)
@@ -101,27 +110,28 @@
 		for d := from; d < to; d += time.Second {
 			if _, held := table.Held([]string{"bad"}, always, at(0).Add(d)); !held {
 				n++
-				table.RecordCrash(1, []string{"bad"}, at(0).Add(d))
+				table.RecordCrash(1, runsOf("bad"), at(0).Add(d))
 			}
 		}
 		return n
 	}
-	assert.Equal(t, tries(0, holdTime), 0)
-	assert.Equal(t, tries(holdTime, 3*holdTime), 1)
-	assert.Equal(t, tries(3*holdTime, 4*holdTime), 1, "the next hold takes twice as long")
-	assert.Assert(t, isHeld(table, "bad", at(0).Add(100*holdTime)), "other gateways do not try")
+	assert.Equal(t, tries(0, partHoldTime), 0)
+	assert.Equal(t, tries(partHoldTime, 3*partHoldTime), 1)
+	assert.Equal(t, tries(3*partHoldTime, 4*partHoldTime), 1, "the next hold takes twice as long")
+	assert.Assert(t, isHeld(table, "bad", at(0).Add(100*partHoldTime)), "other gateways do not try")
 
-	assert.DeepEqual(t, table.RecordCompleted([]string{"bad"}, at(0)), []string{"bad"})
+	released, _ := table.RecordCompleted([]string{"bad"}, at(0))
+	assert.DeepEqual(t, released, []string{"bad"})
 	assert.Assert(t, !isHeld(table, "bad", at(0)))
 	assert.Assert(t, !table.Release("bad"))
 }
 
 func TestMemoryOfPartsIsBounded(t *testing.T) {
 	table := NewTable(start)
-	for i := range 3 * maxParts {
-		table.RecordCrash(1, []string{fmt.Sprint(i)}, at(0))
+	for i := range 3 * maxSuspects {
+		table.RecordCrash(1, runsOf(fmt.Sprint(i)), at(0))
 		table.RecordCompleted([]string{fmt.Sprint("c", i)}, at(0))
 	}
-	assert.Assert(t, table.crashes.Len() <= maxParts)
-	assert.Assert(t, table.completed.Len() <= maxParts)
+	assert.Assert(t, table.parts.crashes.Len() <= maxSuspects)
+	assert.Assert(t, table.parts.completed.Len() <= maxSuspects)
 }
