An unframed response of a call that ends with its server is interrupted, not complete

Callers of a plain service could get the first part of a response as a complete one: without length and chunks, the end of the server looks like the end of the response. Streams were checked since, calls were not. The end of every unframed response is now checked by a connection to its server. Test: TestUnframedCallThatItsServersEndCutsIsNotComplete, before: 'answer' in place of 'answer 1'.

--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -378,3 +378,25 @@
 		})
 	}
 }
+
+func TestUnframedCallThatItsServersEndCutsIsNotComplete(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	faultOnFirstRun(platformtest.CrashUnframed, a, b)
+	f := newFixture(t, a, b)
+	w, err := f.serve(request("1", "/call"), route(catalog.Call, idempotent))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), "answer 1")
+
+	c := platformtest.NewBackend(t, "c")
+	c.SetFault(always(platformtest.CrashUnframed))
+	_, err = newFixture(t, c).serve(request("2", "/call"), route(catalog.Call, nil))
+	assert.Equal(t, errkind.From(err).Kind, errkind.BackendFailed)
+}
+
+func TestUnframedCallOfALivingServerIsComplete(t *testing.T) {
+	a := platformtest.NewBackend(t, "a")
+	a.SetFault(always(platformtest.CloseDelimited))
+	w, err := newFixture(t, a).serve(request("1", "/call"), route(catalog.Call, nil))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Body.String(), "answer 1")
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,16 +42,35 @@
 	if err != nil {
 		return o.handleInterruption(ctx, b, err)
 	}
-	o.sendHead(response, len(body) < maxBufferedBytes, len(body))
+	if len(body) == maxBufferedBytes {
+		return o.relayLong(ctx, b, response, body)
+	}
+	proved, err := o.checkEnd(ctx, b, response)
+	if err != nil {
+		return o.handleInterruption(ctx, b, err)
+	}
+	o.sendHead(response, true, len(body))
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
-	if len(body) == maxBufferedBytes {
-		if _, err := io.Copy(o.w, response); err != nil {
-			return o.handleInterruption(ctx, b, err)
-		}
+	o.succeeded(b, response.Status, proved)
+	return false, nil
+}
+
+// relayLong sends a response that begins with body as it arrives.
+func (o *onlineRequest) relayLong(ctx context.Context, b catalog.Backend, response *upstream.Response, body []byte) (retry bool, err error) {
+	o.sendHead(response, false, 0)
+	if _, err := o.w.Write(body); err != nil {
+		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
+	}
+	if _, err := io.Copy(o.w, response); err != nil {
+		return o.handleInterruption(ctx, b, err)
+	}
+	proved, err := o.checkEnd(ctx, b, response)
+	if err != nil {
+		return o.handleInterruption(ctx, b, err)
 	}
-	o.succeeded(b, response.Status, response.Framed())
+	o.succeeded(b, response.Status, proved)
 	return false, nil
 }
 
@@ -106,18 +125,27 @@
 	}
 }
 
-var errUnframedCut = errors.New("the backend server has ended with the stream")
+var errUnframedCut = errors.New("the backend server has ended with the response")
+
+// checkEnd checks that a response that has ended is complete. If its end is marked by closing the
+// connection only, it may be the end of the backend server, which is an error. proved states that the
+// response is certainly complete.
+func (o *onlineRequest) checkEnd(ctx context.Context, b catalog.Backend, response *upstream.Response) (proved bool, err error) {
+	if response.Framed() {
+		return true, nil
+	}
+	examination := o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
+	if examination.Ended(ctx) {
+		return false, errUnframedCut
+	}
+	return examination.Lives(ctx), nil
+}
 
-// endOfEvents handles the end of a stream. If it is marked by closing the connection only, it may
-// be the end of the backend server.
+// endOfEvents handles the end of a stream.
 func (o *onlineRequest) endOfEvents(ctx context.Context, b catalog.Backend, response *upstream.Response) (retry bool, err error) {
-	proved := response.Framed()
-	if !proved {
-		examination := o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
-		if examination.Ended(ctx) {
-			return o.handleInterruption(ctx, b, errUnframedCut)
-		}
-		proved = examination.Lives(ctx)
+	proved, err := o.checkEnd(ctx, b, response)
+	if err != nil {
+		return o.handleInterruption(ctx, b, err)
 	}
 	if !o.headSent {
 		o.sendHead(response, true, 0)
