--- a/internal/gatewayd/crash_request_test.go
+++ b/internal/gatewayd/crash_request_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,3 +84,62 @@
 	}
 	assert.Assert(t, c.crashed.Load() <= 9, "%d servers have ended", c.crashed.Load())
 }
+
+// TestPollIsServedWhileServersEndForOtherReasons sends one request without a body several times a
+// second, while servers that run it are lost one after the other.
+func TestPollIsServedWhileServersEndForOtherReasons(t *testing.T) {
+	d := newDeployment(t, 12)
+	for _, b := range d.backends {
+		b.CallDuration = 200 * time.Millisecond
+	}
+	gateways := []*gateway{d.start("a"), d.start("b"), d.start("c")}
+	pace := time.NewTicker(50 * time.Millisecond)
+	defer pace.Stop()
+	var refused atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 160 {
+		<-pace.C
+		if i >= 110 && i%7 == 0 { // the processes have run for five seconds
+			killRunning(d.backends)
+		}
+		wg.Go(func() {
+			resp, _ := gateways[i%3].send(t, http.MethodPost, "/safe/call/poll", fmt.Sprint("poll", i), "")
+			if resp.StatusCode == http.StatusServiceUnavailable {
+				refused.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, refused.Load(), int64(0))
+}
+
+// killRunning ends a server that runs a request.
+func killRunning(backends []*platformtest.Backend) {
+	for _, b := range backends {
+		if requests := b.Requests(); len(requests) > 0 && requests[len(requests)-1].End.IsZero() {
+			b.Kill()
+			return
+		}
+	}
+}
+
+// TestItemUnderWhichServersEndIsStillOwed covers an item of a job whose first runs end their servers.
+func TestItemUnderWhichServersEndIsStillOwed(t *testing.T) {
+	d := newDeployment(t, 8)
+	var crashed atomic.Int64
+	for _, b := range d.backends {
+		b.SetFault(func(r platformtest.Request) platformtest.Fault {
+			if r.Path == "/batch/0" && crashed.Add(1) <= 4 {
+				return platformtest.Crash
+			}
+			return platformtest.None
+		})
+	}
+	g := d.start("a")
+	resp, _ := g.send(t, http.MethodPost, "/batch/j", "job-1", batchJob(2))
+	assert.Equal(t, resp.StatusCode, http.StatusAccepted)
+	for _, r := range g.results(t, "job-1", 2).Results {
+		assert.Equal(t, r.State, "completed")
+	}
+	assert.Assert(t, crashed.Load() > 4)
+}
