Bytes without end, in a head or a body, are cut off

Callers waited until their deadline and the gateway read on: a status line, a header line, header lines or informational responses without end were kept in memory, and the body of a response to another request was read to its end. Cause: only bodies that are kept had a bound of bytes. Change: a head, an informational response and the body of a response to another request have 64 KB each; then the connection is closed, the attempt has failed and counts against the server. An event has 256 KB (1 MB before), a response that is no stream 64 MB, the output of an item 4 MB: it starts again elsewhere.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -12,7 +12,7 @@
 )
 
 // maxEventBytes bounds the size of one event.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // ErrPartial is returned if the stream ends inside an event.
 var ErrPartial = errors.New("eventstream: ends inside an event")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,6 +22,8 @@
 	// maxBufferedBytes bounds the responses that are buffered whole before they are
 	// sent, so that an attempt whose response is cut off can be repeated.
 	maxBufferedBytes = 64 << 10
+	// maxResponseBytes bounds a response that is not a stream of events.
+	maxResponseBytes = 64 << 20
 	eventStreamType  = "text/event-stream"
 )
 
@@ -63,7 +65,11 @@
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
-	if _, err := io.Copy(o.w, response); err != nil {
+	n, err := io.Copy(o.w, io.LimitReader(response, maxResponseBytes))
+	if err == nil && n == maxResponseBytes {
+		err = errors.New("the response is too long")
+	}
+	if err != nil {
 		return o.handleInterruption(ctx, b, err)
 	}
 	proved, err := o.checkEnd(ctx, b, response)
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -22,6 +22,8 @@
 	idleConnTimeout = 90 * time.Second
 	callTimeout     = 5 * time.Second
 	maxErrorBody    = 1 << 10
+	maxHeadBytes    = 64 << 10
+	maxBodyBytes    = 64 << 20
 )
 
 // State is the state of an instance as the platform reports it.
@@ -126,7 +128,7 @@
 func newClient(addr string) client {
 	return client{
 		base: "http://" + addr,
-		http: &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 16}},
+		http: &http.Client{Transport: &http.Transport{IdleConnTimeout: idleConnTimeout, MaxIdleConnsPerHost: 16, MaxResponseHeaderBytes: maxHeadBytes}},
 	}
 }
 
@@ -149,7 +151,7 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		return errors.Errorf("platform: %s %s: status %d: %s", method, path, resp.StatusCode, text)
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out); err != nil {
 		return errors.Errorf("platform: decode response: %v", err)
 	}
 	return nil
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -17,9 +17,12 @@
 )
 
 const (
-	requestIDHeader     = "X-Request-Id"
-	plainChunkBytes     = 32 << 10
-	maxErrorBytes       = 4 << 10
+	requestIDHeader = "X-Request-Id"
+	plainChunkBytes = 32 << 10
+	maxErrorBytes   = 4 << 10
+	// maxHeadBytes bounds the head of a response, maxCompletionBytes the stream of a completion.
+	maxHeadBytes        = 64 << 10
+	maxCompletionBytes  = 16 << 20
 	backendIdleTimeout  = 60 * time.Second
 	maxIdleBackendConns = 256
 )
@@ -34,8 +37,8 @@
 }
 
 func newBackend(addr string) *backend {
-	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, IdleConnTimeout: backendIdleTimeout}
-	fresh := &http.Transport{DisableKeepAlives: true}
+	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, IdleConnTimeout: backendIdleTimeout, MaxResponseHeaderBytes: maxHeadBytes}
+	fresh := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &backend{
 		base:   "http://" + addr,
 		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
@@ -71,6 +74,7 @@
 		return nil, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	resp.Body = boundedBody{io.LimitReader(resp.Body, maxCompletionBytes), resp.Body}
 	dec := ssestream.NewDecoder(resp)
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(resp)
@@ -78,6 +82,12 @@
 	return readChat(dec, emit)
 }
 
+// boundedBody is a body of which only a part can be read.
+type boundedBody struct {
+	io.Reader
+	io.Closer
+}
+
 func readChat(dec ssestream.Decoder, emit func(*peerv1.Delta) bool) (*peerv1.End, error) {
 	end := &peerv1.End{}
 	for dec.Next() {
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -43,6 +43,9 @@
 // itemIdleTimeout is the maximum time between two events of an item.
 const itemIdleTimeout = 8 * time.Second
 
+// maxOutputBytes bounds the output of an item.
+const maxOutputBytes = 4 << 20
+
 // runObserver follows a run while it is in progress.
 type runObserver struct {
 	// answered is called once the backend server that runs the item has sent a response
@@ -84,6 +87,8 @@
 
 var errUnframedCut = errors.New("jobs: the backend server has ended with the stream")
 
+var errOutputTooLong = errors.New("jobs: the output of the item is too long")
+
 var errIdle = errors.New("jobs: no event from the backend server in time")
 
 // noResponse returns the outcome of a run that ended without a response.
@@ -144,6 +149,10 @@
 		if !found {
 			continue // a comment, which keeps the connection alive
 		}
+		if len(extended) > maxOutputBytes {
+			s.ejector().RecordFailure(b, false)
+			return outcome{runInterrupted, p.withoutOutput(), errOutputTooLong}
+		}
 		text = extended
 		p.Text, p.LastEvent = text, id
 		p.Service, p.Version = b.Service, b.Version
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -31,8 +31,10 @@
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
-	r *bufio.Reader
-	w *bufio.Writer
+	// r reads from bounded, which reads from Conn.
+	r       *bufio.Reader
+	bounded *boundedReader
+	w       *bufio.Writer
 	// idleUntil is when the connection is too old to be reused.
 	idleUntil time.Time
 	// reused states that the connection has carried another request before.
@@ -42,7 +44,8 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
+	bounded := &boundedReader{r: c}
+	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
 // recordRefusal records that the request id was refused.
@@ -113,7 +116,9 @@
 // requests. A refusal without an id may answer an earlier request of the connection, and then
 // this one runs.
 func (e *exchange) readHead(id, method string, codec serving.Codec) (*http.Response, serving.ResponseInfo, error) {
+	defer e.conn.bounded.removeBound()
 	for range maxMismatched + 1 {
+		e.conn.bounded.setBound(maxHeadBytes)
 		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: method})
 		if err != nil {
 			return nil, serving.ResponseInfo{}, errors.Wrap(err, "read response")
@@ -125,6 +130,7 @@
 		if info.RequestID == id || (info.RequestID == "" && info.NotRun && !e.conn.reused) {
 			return resp, info, nil
 		}
+		e.conn.bounded.setBound(maxMismatchedBytes)
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 			return nil, serving.ResponseInfo{}, errors.Wrap(err, "read mismatched response")
 		}
--- a/upstream/socket.go
+++ b/upstream/socket.go
@@ -41,7 +41,7 @@
 	dialer := &net.Dialer{Timeout: peerDialTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout}
 	return &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, DisableCompression: true,
-		MaxIdleConnsPerHost: peerMaxIdleConns, IdleConnTimeout: peerIdleTimeout,
+		MaxIdleConnsPerHost: peerMaxIdleConns, IdleConnTimeout: peerIdleTimeout, MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
