A server that is stopped at its start closes its listener

Run closes the listener on its way out. Test: TestServerThatIsStoppedAtItsStartClosesItsListener, before: it still listens.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -151,7 +151,7 @@
 	g.Go(func() error {
 		h := server.New(opts...)
 		e.callerRoutes(h)
-		return ops.Run(ctx, h, exitWait)
+		return ops.Run(ctx, h, callers, exitWait)
 	})
 	if e.settings.OperatorListen == "" {
 		return nil
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -34,12 +34,14 @@
 	}, opts...)
 	h := server.New(opts...)
 	routes(h)
-	return Run(ctx, h, exitWait)
+	return Run(ctx, h, ln, exitWait)
 }
 
-// Run runs a hertz server until ctx is done, then shuts it down and gives open
+// Run runs a hertz server, which listens on ln, until ctx is done, then shuts it down and gives open
 // connections up to wait to finish.
-func Run(ctx context.Context, h *server.Hertz, wait time.Duration) error {
+func Run(ctx context.Context, h *server.Hertz, ln net.Listener, wait time.Duration) error {
+	// A shutdown has no effect on a server that has not begun to accept connections.
+	defer func() { _ = ln.Close() }()
 	done := make(chan error, 1)
 	go func() { done <- h.Run() }()
 	select {
