proctest: stand-ins serve on listeners that stay open

Cause: a stand-in's address was chosen by opening and closing a listener, and opened again in the same process. A process that another test starts in between holds a copy of the first descriptor until its exec, so the second open fails with 'address already in use'. Then all stand-ins of the deployment end, which was only written to a log, and nothing becomes ready. Change: the listeners stay open and are handed to the stand-ins.

--- a/internal/proctest/cluster.go
+++ b/internal/proctest/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -129,12 +130,15 @@
 func (c *Cluster) startStandins() error {
 	var s standin.Settings
 	var err error
+	listeners := make(map[string]net.Listener)
 	addr := func() string {
-		a, ferr := FreeAddr()
-		if ferr != nil {
-			err = ferr
+		ln, lerr := listenFree()
+		if lerr != nil {
+			err = lerr
+			return ""
 		}
-		return a
+		listeners[ln.Addr().String()] = ln
+		return ln.Addr().String()
 	}
 	s.Log.Retention = desired.Duration(c.opts.LogRetention)
 	s.Log.Listen, s.Instances.Listen = addr(), addr()
@@ -147,10 +151,14 @@
 		s.Plain = append(s.Plain, standin.PlainSettings{Listen: addr(), Delay: desired.Duration(c.opts.PlainDelay)})
 	}
 	if err != nil {
+		for _, ln := range listeners {
+			_ = ln.Close()
+		}
 		return err
 	}
 	c.logAddr, c.instancesAddr = s.Log.Listen, s.Instances.Listen
 	set := standin.New(s)
+	set.Listeners = listeners
 	c.Log, c.Instances = set.Log, set.Instances
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -24,6 +24,9 @@
 	Instances *InstanceList
 	Engines   []*Engine
 	Plain     []*PlainService
+	// Listeners, if set before Run, holds open listeners by address. An address without one is
+	// opened by Run.
+	Listeners map[string]net.Listener
 
 	settings Settings
 }
@@ -56,28 +59,36 @@
 		g.Go(func() error { s.Log.runRetention(ctx, retention); return nil })
 	}
 	if s.Log != nil {
-		g.Go(func() error { return serve(ctx, s.settings.Log.Listen, s.Log.Routes) })
+		g.Go(func() error { return s.serve(ctx, s.settings.Log.Listen, s.Log.Routes) })
 	}
 	if s.Instances != nil {
-		g.Go(func() error { return serve(ctx, s.settings.Instances.Listen, s.Instances.Routes) })
+		g.Go(func() error { return s.serve(ctx, s.settings.Instances.Listen, s.Instances.Routes) })
 	}
 	if s.settings.Weights.Listen != "" {
 		w := NewWeightStore(s.settings.Weights)
-		g.Go(func() error { return serve(ctx, s.settings.Weights.Listen, w.Routes) })
+		g.Go(func() error { return s.serve(ctx, s.settings.Weights.Listen, w.Routes) })
 	}
 	for i, e := range s.Engines {
 		g.Go(func() error { e.Run(ctx); return nil })
-		g.Go(func() error { return serve(ctx, s.settings.Engines[i].Listen, e.Routes) })
+		g.Go(func() error { return s.serve(ctx, s.settings.Engines[i].Listen, e.Routes) })
 	}
 	for i, p := range s.Plain {
-		g.Go(func() error { return serve(ctx, s.settings.Plain[i].Listen, p.Routes) })
+		g.Go(func() error { return s.serve(ctx, s.settings.Plain[i].Listen, p.Routes) })
 	}
 	return g.Wait()
 }
 
+// listen returns the listener of an address.
+func (s *Set) listen(addr string) (net.Listener, error) {
+	if ln := s.Listeners[addr]; ln != nil {
+		return ln, nil
+	}
+	return net.Listen("tcp", addr)
+}
+
 // serve runs one hertz server on addr until ctx is done.
-func serve(ctx context.Context, addr string, routes func(*server.Hertz)) error {
-	ln, err := net.Listen("tcp", addr)
+func (s *Set) serve(ctx context.Context, addr string, routes func(*server.Hertz)) error {
+	ln, err := s.listen(addr)
 	if err != nil {
 		return errors.Wrapf(err, "standin: listen %s", addr)
 	}
