--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -122,7 +123,7 @@
 // RunCompleted records a complete run with these suspects.
 func (g *Guard) RunCompleted(suspects []string) {
 	released, cleared := g.table.RecordCompleted(suspects, time.Now())
-	if innocent := append(released, cleared...); len(innocent) > 0 {
+	if innocent := slices.Concat(released, cleared); len(innocent) > 0 {
 		g.opts.Peers().BroadcastCompleted(innocent)
 	}
 	g.release(released)
