soak: servers that name limits, bytes without end, refused connections of ended servers

New kinds: a server names a limit of two a second for 3 to 6 s; what it gets while no gateway is disturbed is checked against one and a half times that + 5. Heads and bodies without end. Not in the soak: requests that crash servers. A process holds nothing in its first 5 s, and a round lasts 6 s.

--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -40,7 +40,7 @@
 // checkedBreaches are the breaches that a round on gateways checks for.
 var checkedBreaches = []chaos.Breach{
 	chaos.Duplicate, chaos.Lost, chaos.FalseNotRun, chaos.WrongResponse, chaos.Interrupted, chaos.RanAfterCancel,
-	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.MixedSoftware, chaos.NotRecovered, chaos.Crashed,
+	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.MixedSoftware, chaos.LimitExceeded, chaos.NotRecovered, chaos.Crashed,
 }
 
 // check checks a complete history.
@@ -68,6 +68,7 @@
 		c.checkJob(j)
 	}
 	c.checkDrains()
+	c.checkLimits()
 	c.checkVersions()
 	c.checkProcesses()
 }
--- a/internal/chaos/soak/check_test.go
+++ b/internal/chaos/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,15 @@
 	return arrival{platformtest.Request{ID: id, Started: f != platformtest.Full, At: at(s), Fault: f}, "i0", "v1"}
 }
 
+// manyArrivals returns n arrivals at one time.
+func manyArrivals(n int, s float64) []arrival {
+	var out []arrival
+	for i := range n {
+		out = append(out, newArrival(fmt.Sprint("many", i), s, platformtest.None))
+	}
+	return out
+}
+
 func completeRecord(op Op) Record {
 	return Record{Op: op, Gateway: "g0", Start: at(0), End: at(1), Status: 200, Backend: "i0", Complete: true, Body: wantBody(op)}
 }
@@ -123,6 +133,9 @@
 			profile: Backends, arrivals: []arrival{newArrival("s", drainTime.Seconds()+0.1, platformtest.None)},
 			history: &History{Drains: []Interval{{Target: "i0", Begin: at(0), End: at(9)}}},
 		}},
+		"more requests than the named limit": {chaos.LimitExceeded, syntheticHistory{
+			profile: Backends, arrivals: manyArrivals(12, 1.5), history: &History{Limits: []Interval{{Target: "i0", Begin: at(0), End: at(9)}}},
+		}},
 		"version no longer in force": {chaos.ConfigurationBreach, syntheticHistory{history: &History{Probes: []Probe{
 			{Gateway: "g0", Version: 2, InForce: true}, {Gateway: "g0", Version: 2},
 		}}}},
--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -60,6 +60,11 @@
 	BackendHangs               FaultKind = "backend_silent"
 	BackendLateRefusals        FaultKind = "backend_late_refusals"
 	BackendRepeatsRefusals     FaultKind = "backend_repeats_refusals"
+	BackendEndlessHead         FaultKind = "backend_endless_head"
+	BackendEndlessBody         FaultKind = "backend_endless_body"
+
+	// BackendNamesLimit: a backend server names a limit for the requests that it takes.
+	BackendNamesLimit FaultKind = "backend_names_limit"
 )
 
 var plannedFaults = []FaultKind{StopGateway, ReloadGateway, DrainBackend}
@@ -108,6 +113,19 @@
 	return out
 }
 
+// limits draws backend servers that name limits, and some that send bytes without end.
+func (g generator) limits() []Fault {
+	kinds := []FaultKind{BackendNamesLimit, BackendNamesLimit, BackendEndlessHead, BackendEndlessBody}
+	var out []Fault
+	for range g.IntN(4) {
+		out = append(out, Fault{
+			At: g.Within(workloadDuration / 4), For: g.Between(3*time.Second, 6*time.Second),
+			Kind: kinds[g.IntN(len(kinds))], Target: g.IntN(60), Share: 5 + g.IntN(20),
+		})
+	}
+	return out
+}
+
 // longFaultPercent is the percentage of faults that outlast leases, reports and registrations.
 const longFaultPercent = 15
 
--- a/internal/chaos/soak/history.go
+++ b/internal/chaos/soak/history.go
@@ -100,6 +100,8 @@
 	// Drains are the drains of backend servers, by id, from the store's acknowledgement
 	// of the notice to the end.
 	Drains []Interval
+	// Limits are the periods in which backend servers named a limit, by id.
+	Limits []Interval
 	// Injected counts the injected faults by kind.
 	Injected map[string]int
 	// Published is the number of the last published configuration.
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -43,6 +43,8 @@
 		r.killBackend(ctx, f, server)
 	case DrainBackend:
 		r.drainBackend(ctx, server)
+	case BackendNamesLimit:
+		r.limitBackend(ctx, f, server.current())
 	case CutBackend, ResetBackend, StallBackend, StallBackendResponses, SlowBackend:
 		r.injectLinkFault(ctx, f, server.current().link)
 	default:
@@ -58,6 +60,7 @@
 	BackendMismatchesResponses: platformtest.MismatchedResponse, BackendTrailingBytes: platformtest.TrailingBytes,
 	BackendCloseDelimited: platformtest.CloseDelimited, BackendResetsAfterRun: platformtest.ResetAfterRun, BackendHangs: platformtest.Hang,
 	BackendLateRefusals: platformtest.LateRefusal, BackendRepeatsRefusals: platformtest.RefuseTwice,
+	BackendEndlessHead: platformtest.EndlessHeader, BackendEndlessBody: platformtest.EndlessMismatch,
 }
 
 // recordDisturbance runs f and records the period as a disturbance of the target.
@@ -236,6 +239,16 @@
 	r.recordError(s.start())
 }
 
+// limitBackend makes a backend server name a limit.
+func (r *Round) limitBackend(ctx context.Context, f Fault, b *incarnation) {
+	named := Interval{Target: b.backend.ID, Begin: time.Now()}
+	b.addLimit(1)
+	delay.Wait(ctx, f.For)
+	b.addLimit(-1)
+	named.End = time.Now()
+	r.history.update(func(h *History) { h.Limits = append(h.Limits, named) })
+}
+
 // drainBackend drains a backend server and replaces it.
 func (r *Round) drainBackend(ctx context.Context, s *server) {
 	b := s.current()
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -120,6 +120,7 @@
 	if p.Profile != Planned {
 		// Drawn separately, so that the rest of the plan of a seed stays the same.
 		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 2)}.lateRefusals()...)
+		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 3)}.limits()...)
 	}
 	return p
 }
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +58,8 @@
 	state string
 	fault platformtest.Fault
 	share int
+	// limits is the number of faults in effect that make the server name a limit.
+	limits int
 }
 
 func newServer(name, zone string, log *keyedlogtest.Log) *server {
@@ -105,7 +108,7 @@
 // registrationTimeout.
 func (s *server) kill() {
 	b := s.current()
-	b.link.Cut()
+	b.link.Close() // later connections are refused, as the server has ended
 	b.backend.Kill()
 	b.stop()
 	<-b.done
@@ -198,6 +201,18 @@
 	i.fault, i.share = f, share
 }
 
+// addLimit adds n to the number of faults that make the server name a limit.
+func (i *incarnation) addLimit(n int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.limits += n
+	if i.limits > 0 {
+		i.backend.SetRateLimit(strconv.Itoa(namedLimit))
+		return
+	}
+	i.backend.SetRateLimit("")
+}
+
 // faultFor returns the fault of a request.
 func (i *incarnation) faultFor(a platformtest.Request) platformtest.Fault {
 	switch {
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -47,6 +47,8 @@
 	// MixedSoftware: an output was continued by another software version than the one that
 	// had written it.
 	MixedSoftware Breach = "mixed_software"
+	// LimitExceeded: a backend server got more requests than the limit that it named allows.
+	LimitExceeded Breach = "limit_exceeded"
 	// NotRecovered: requests still fail although every fault has ended.
 	NotRecovered Breach = "not_recovered"
 	// Crashed: a process exited that was neither stopped nor killed.
