--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -44,9 +44,7 @@
 // returns the status.
 func (c *crashDeployment) send(i int, id, parts string) int {
 	c.t.Helper()
-	resp := c.gateways[i%len(c.gateways)].streamRequest(c.t.Context(), c.t, id, map[string]string{
-		"Model": "m", "Token-Counts": "100,20", "Prompt-Prefix": parts,
-	})
+	resp := c.gateways[i%len(c.gateways)].streamRequest(c.t.Context(), c.t, id, platformtest.PromptHeader(parts))
 	defer func() { _ = resp.Body.Close() }()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		c.t.Logf("%s: %v", id, err) // a stream whose server has ended
@@ -110,7 +108,7 @@
 		pace.Reset(time.Second) // the gateways decide before the next one, also on a slow machine
 	}
 	assert.Assert(t, c.crashed.Load() <= 5, "%d servers have ended", c.crashed.Load())
-	resp := c.gateways[0].streamRequest(t.Context(), t, "bad", map[string]string{"Prompt-Prefix": "aa01:100,bad1:50,ff:10"})
+	resp := c.gateways[0].streamRequest(t.Context(), t, "bad", platformtest.PromptHeader("aa01:100,bad1:50,ff:10"))
 	body, err := io.ReadAll(resp.Body)
 	assert.NilError(t, err)
 	assert.NilError(t, resp.Body.Close())
--- a/jobs/quarantine_test.go
+++ b/jobs/quarantine_test.go
@@ -29,16 +29,16 @@
 	a := c.start("a")
 	sound := job("sound", 4)
 	for i := range sound.Items {
-		sound.Items[i].Header["Prompt-Prefix"] = "aa01:100,cc:10"
+		sound.Items[i].Header = platformtest.PromptHeader("aa01:100,cc:10")
 	}
 	assert.NilError(t, a.Submit(t.Context(), sound, 0))
 	c.checkComplete(sound, c.waitComplete(a, sound))
 	bad, later := job("bad", 2), job("later", 4)
 	for i := range bad.Items {
-		bad.Items[i].Header["Prompt-Prefix"] = "aa01:100,bad1:50,dd:10"
+		bad.Items[i].Header = platformtest.PromptHeader("aa01:100,bad1:50,dd:10")
 	}
 	for i := range later.Items {
-		later.Items[i].Header["Prompt-Prefix"] = "aa01:100,ee:10"
+		later.Items[i].Header = platformtest.PromptHeader("aa01:100,ee:10")
 	}
 	assert.NilError(t, a.Submit(t.Context(), bad, 0))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
