--- a/peering/evidence.go
+++ b/peering/evidence.go
@@ -3,12 +3,10 @@
 import (
 	"cmp"
 	"net"
-	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 
 	"github.com/catkinrudder/catkinrudder/quarantine"
 )
@@ -69,24 +67,7 @@
 }
 
 func (p *Peering) broadcastEvidence(r evidenceReport) {
-	p.mu.Lock()
-	var to []netip.AddrPort
-	for _, other := range p.peers {
-		to = append(to, other.addr)
-	}
-	p.mu.Unlock()
-	p.sendEvidence(r, to...)
-}
-
-func (p *Peering) sendEvidence(r evidenceReport, to ...netip.AddrPort) {
-	raw, err := cbor.Marshal(datagram{Evidence: &r})
-	if err != nil {
-		return // can't happen: all fields are numbers and strings
-	}
-	for _, addr := range to {
-		// A datagram that cannot be sent counts as lost.
-		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
-	}
+	p.sendDatagram(datagram{Evidence: &r}, p.allAddresses()...)
 }
 
 // applyEvidence applies a report about suspects. A report of a crash is answered with those that are
@@ -100,7 +81,7 @@
 	case len(r.Crashed) > 0:
 		completed := p.opts.Evidence.PeerCrash(r.Server, r.runs())
 		if sender, ok := from.(*net.UDPAddr); ok && len(completed) > 0 {
-			p.sendEvidence(evidenceReport{Completed: completed}, sender.AddrPort())
+			p.sendDatagram(datagram{Evidence: &evidenceReport{Completed: completed}}, sender.AddrPort())
 		}
 	}
 }
--- a/peering/limits.go
+++ b/peering/limits.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/ratelimit"
@@ -245,23 +244,6 @@
 	p.opts.Limits.HandleReply(m.Server, m.Batch, reply)
 }
 
-func (p *Peering) allAddresses() []netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []netip.AddrPort
-	for _, other := range p.peers {
-		out = append(out, other.addr)
-	}
-	return out
-}
-
-// sendLimits sends a message. A datagram that cannot be sent counts as lost.
 func (p *Peering) sendLimits(m limitMessage, to ...netip.AddrPort) {
-	raw, err := cbor.Marshal(datagram{Limits: &m})
-	if err != nil {
-		return // can't happen: all fields are numbers and strings
-	}
-	for _, addr := range to {
-		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
-	}
+	p.sendDatagram(datagram{Limits: &m}, to...)
 }
--- a/peering/origins.go
+++ b/peering/origins.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -50,14 +49,7 @@
 // chosen by its id. Lost datagrams are not repeated, since several gateways get one.
 func (p *Peering) AnnounceOrigin(id string, s catalog.Software) {
 	p.opts.Origins.Record(id, s, time.Now())
-	raw, err := cbor.Marshal(datagram{Origin: &streamOrigin{id, s.Service, s.Version}})
-	if err != nil {
-		return // can't happen: all fields are strings
-	}
-	for _, addr := range p.holders(id, nearHolders, farHolders) {
-		// A datagram that cannot be sent counts as lost.
-		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
-	}
+	p.sendDatagram(datagram{Origin: &streamOrigin{id, s.Service, s.Version}}, p.holders(id, nearHolders, farHolders)...)
 }
 
 // FindOrigin returns the software that began a stream, as recorded here or at another gateway.
--- a/peering/summary.go
+++ b/peering/summary.go
@@ -1,13 +1,10 @@
 package peering
 
 import (
-	"net"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/catkinrudder/catkinrudder/balance"
 )
 
@@ -46,7 +43,7 @@
 // sendSummary sends the summary of the own region to the other regions.
 func (p *Peering) sendSummary(now time.Time) {
 	if p.isReporter() {
-		p.broadcast(regionSummary{Region: p.opts.Region, Loads: encodeCounts(p.opts.Table.RegionCounts(now))}, p.summaryReceivers())
+		p.sendDatagram(datagram{Summary: &regionSummary{Region: p.opts.Region, Loads: encodeCounts(p.opts.Table.RegionCounts(now))}}, p.summaryReceivers()...)
 	}
 }
 
@@ -92,30 +89,7 @@
 	p.opts.Table.SetRegionSummary(s.Region, decodeCounts(s.Loads), now)
 	if !s.PassedOn && p.isReporter() {
 		s.PassedOn = true
-		p.broadcast(s, p.nearAddresses())
-	}
-}
-
-func (p *Peering) nearAddresses() []netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []netip.AddrPort
-	for _, other := range p.peers {
-		if !other.far {
-			out = append(out, other.addr)
-		}
-	}
-	return out
-}
-
-func (p *Peering) broadcast(s regionSummary, to []netip.AddrPort) {
-	raw, err := cbor.Marshal(datagram{Summary: &s})
-	if err != nil {
-		return
-	}
-	for _, addr := range to {
-		// A datagram that cannot be sent counts as lost.
-		_, _ = p.opts.Conn.WriteTo(raw, net.UDPAddrFromAddrPort(addr))
+		p.sendDatagram(datagram{Summary: &s}, p.nearAddresses()...)
 	}
 }
 
