--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -8,7 +8,6 @@
 package quarantine
 
 import (
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -74,39 +73,6 @@
 	immediate bool
 }
 
-// evidence are the crashes under runs with one suspect that count.
-type evidence []crash
-
-// crash is the end of a backend server, which is given by the hash of its id.
-type crash struct {
-	server uint32
-	at     time.Time
-}
-
-// covers reports whether the end of a server, where a run had begun at a time, adds nothing to the
-// evidence.
-func (e evidence) covers(server uint32, began time.Time, spacing time.Duration, now time.Time) bool {
-	return slices.ContainsFunc(e, func(c crash) bool {
-		age := now.Sub(c.at)
-		return age < spacing || spacing == 0 && began.Before(c.at) || c.server == server && age < sameCrash
-	})
-}
-
-// without returns the crashes that are not among those of other.
-func (e evidence) without(other evidence) evidence {
-	return slices.DeleteFunc(slices.Clone(e), func(c crash) bool {
-		return slices.ContainsFunc(other, func(o crash) bool { return o.server == c.server })
-	})
-}
-
-// hold is the state of a held suspect.
-type hold struct {
-	since                 time.Time
-	duration, maxDuration time.Duration
-	// triedAt is when a request was last tried; zero if none was.
-	triedAt time.Time
-}
-
 // NewTable returns an empty table of a process that has started at startedAt.
 func NewTable(startedAt time.Time) *Table {
 	return &Table{
@@ -165,13 +131,6 @@
 	return released, cleared
 }
 
-// Runs are the runs that the end of a backend server has broken off: how long they had lasted, by
-// suspect.
-type Runs map[string]time.Duration
-
-// Suspects returns the suspects of the runs in order.
-func (r Runs) Suspects() []string { return slices.Sorted(maps.Keys(r)) }
-
 // RecordCrash records that a backend server, given by the hash of its id, ended under these runs.
 func (t *Table) RecordCrash(server uint32, runs Runs, now time.Time) {
 	t.mu.Lock()
@@ -189,14 +148,6 @@
 	}
 }
 
-// failTrial extends the hold if a request with the suspect was being tried.
-func (h *hold) failTrial(now time.Time) {
-	if h.triedAt.IsZero() {
-		return
-	}
-	*h = hold{since: now, duration: min(2*h.duration, h.maxDuration), maxDuration: h.maxDuration}
-}
-
 // Completed returns those of the suspects with which a run has completed a short time ago.
 func (t *Table) Completed(suspects []string, now time.Time) []string {
 	t.mu.Lock()
@@ -283,15 +234,6 @@
 	return "", false
 }
 
-// startTrial reports whether the request that carries the suspect is tried.
-func (h *hold) startTrial(suspect string, mayTry func(string) bool, now time.Time) bool {
-	if now.Sub(h.since) < h.duration || now.Sub(h.triedAt) < trialTimeout || !mayTry(suspect) {
-		return false
-	}
-	h.triedAt = now
-	return true
-}
-
 // Suspected reports whether servers have ended under runs with one of the suspects more than once.
 // Such a request is not sent to a further server after its own run has broken off.
 func (t *Table) Suspected(suspects []string, now time.Time) bool {
