--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,7 +13,6 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
-	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -36,11 +34,6 @@
 	// elsewhere. It waits for minIdleTimeout at least.
 	idleTimeoutFactor = 2
 	minIdleTimeout    = 600 * time.Millisecond
-	// maxExaminationWait is how long a retry waits until it is known whether the server of the
-	// last attempt has ended: a connection to another region takes less.
-	maxExaminationWait = 100 * time.Millisecond
-	// eagerIdentityBytes is the size of the largest body whose digest is computed without need.
-	eagerIdentityBytes = 16 << 10
 )
 
 // onlineRequest is the state of one online request.
@@ -275,15 +268,6 @@
 	return o.route.Idempotent && o.attempts < o.route.MaxAttempts
 }
 
-// suspected waits until it is known whether the backend server of the last attempt has ended, and
-// reports whether a further attempt would probably end another server.
-func (o *onlineRequest) suspected(ctx context.Context, examination *quarantine.Examination) bool {
-	ctx, cancel := context.WithTimeout(ctx, maxExaminationWait)
-	defer cancel()
-	examination.Ended(ctx)
-	return o.g.Quarantine.Suspected(o.suspects())
-}
-
 // startIdleTimer starts a timer that fires once the backend server has sent nothing for
 // too long. It cancels an attempt that may be repeated. Other attempts continue, because
 // a missing response does not prove that the request did not run; instead it counts as a
@@ -358,37 +342,6 @@
 	return true, nil
 }
 
-// identify returns the identities of the request, whose digests are computed when they are first
-// needed.
-func (o *onlineRequest) identify() []string {
-	if o.identities == nil {
-		o.identities = quarantine.Identities(o.r)
-	}
-	return o.identities
-}
-
-// suspects returns what may crash a backend server that runs the request: the parts of its prompt and
-// the request itself.
-func (o *onlineRequest) suspects() []string { return append(slices.Clone(o.parts), o.identify()...) }
-
-// suspectsIfNeeded is suspects, but leaves the request itself out if its digest would be computed for
-// a body of more than eager bytes although no request is suspected.
-func (o *onlineRequest) suspectsIfNeeded(eager int) []string {
-	if o.identities == nil && len(o.r.Body) > eager && !o.g.Quarantine.SuspectsRequests() {
-		return o.parts
-	}
-	return o.suspects()
-}
-
-// loggedIdentity returns the identity for log lines, unless the digest of a large body would have to
-// be computed for it.
-func (o *onlineRequest) loggedIdentity() string {
-	if o.identities == nil && len(o.r.Body) > eagerIdentityBytes {
-		return ""
-	}
-	return o.identify()[0]
-}
-
 func (o *onlineRequest) reportFailure(b catalog.Backend, unreachable bool) {
 	ejection.Ejector{Table: o.g.Table, Pool: o.g.Pool, Log: o.g.Log}.RecordFailure(b, unreachable)
 }
