--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"runtime"
+	"net/http"
 	"testing"
 	"time"
 
@@ -10,17 +10,9 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
-// allocated returns the bytes that f allocates.
-func allocated(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
-
 func TestBytesWithoutEndBeforeTheResponseAreCutOff(t *testing.T) {
 	const maxAllocated = 8 << 20
 	for _, fault := range platformtest.Endless() {
@@ -29,7 +21,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
 		begin := time.Now()
 		var err error
-		used := allocated(func() { _, err = newPool().Do(ctx, request("1", "/call"), to(b)) }) //nolint:bodyclose // there is no response
+		used := platformtest.Allocated(func() { _, err = newPool().Do(ctx, request("1", "/call"), to(b)) }) //nolint:bodyclose // there is no response
 		assert.Assert(t, err != nil, "fault %d", fault)
 		assert.Assert(t, time.Since(begin) < time.Second, "fault %d: after %v", fault, time.Since(begin))
 		assert.Assert(t, used < maxAllocated, "fault %d: %d bytes", fault, used)
@@ -42,3 +34,15 @@
 		cancel()
 	}
 }
+
+func TestPeerClientReadsNoHeadWithoutEnd(t *testing.T) {
+	platformtest.CheckEndless(t, platformtest.EndlessHead, 4<<20, func(ctx context.Context, address string) error {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+		assert.NilError(t, err)
+		resp, err := upstream.PeerClient().Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+		}
+		return err
+	})
+}
