Messages between the system's own processes have bounds of bytes

Callers saw nothing yet; an entry, a sidecar or a gateway whose peer sends without end would have run out of memory. Cause: connect reads messages of any length, and a relay's response was bounded before it is decompressed only. Change: 64 MB for a message and for decompressed records, 64 KB for a head.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -146,7 +146,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewEntryHandler(e))
+	mux.Handle(peerv1connect.NewEntryHandler(e, peer.ReadLimit()))
 	g.Go(func() error { return peer.Serve(ctx, peers, mux) })
 	g.Go(func() error {
 		h := server.New(opts...)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/peer/v1/peerv1connect"
@@ -27,8 +28,15 @@
 	idleTimeout      = 90 * time.Second
 	headerTimeout    = 5 * time.Second
 	shutdownTimeout  = 5 * time.Second
+	// maxMessageBytes bounds a message of a peer after it is decompressed, maxHeadBytes the head of a
+	// response.
+	maxMessageBytes = 64 << 20
+	maxHeadBytes    = 64 << 10
 )
 
+// ReadLimit is an option of every client and handler: it bounds the messages that are read.
+func ReadLimit() connect.Option { return connect.WithReadMaxBytes(maxMessageBytes) }
+
 // Clients creates clients of peers. Each traffic class has its own connections.
 type Clients struct {
 	online, batch, control *http.Client
@@ -45,22 +53,22 @@
 
 // Online returns a client for online attempts.
 func (c *Clients) Online(addr string) peerv1connect.SidecarClient {
-	return peerv1connect.NewSidecarClient(c.online, "http://"+addr)
+	return peerv1connect.NewSidecarClient(c.online, "http://"+addr, ReadLimit())
 }
 
 // Batch returns a client for batch attempts.
 func (c *Clients) Batch(addr string) peerv1connect.SidecarClient {
-	return peerv1connect.NewSidecarClient(c.batch, "http://"+addr)
+	return peerv1connect.NewSidecarClient(c.batch, "http://"+addr, ReadLimit())
 }
 
 // Control returns a client for reports, vetoes and drains.
 func (c *Clients) Control(addr string) peerv1connect.SidecarClient {
-	return peerv1connect.NewSidecarClient(c.control, "http://"+addr)
+	return peerv1connect.NewSidecarClient(c.control, "http://"+addr, ReadLimit())
 }
 
 // Entry returns a client of the Entry service of another entry.
 func (c *Clients) Entry(addr string) peerv1connect.EntryClient {
-	return peerv1connect.NewEntryClient(c.control, "http://"+addr)
+	return peerv1connect.NewEntryClient(c.control, "http://"+addr, ReadLimit())
 }
 
 // Close closes idle connections.
@@ -78,7 +86,9 @@
 		Protocols:       &p,
 		DialContext:     dialer.DialContext,
 		IdleConnTimeout: idleTimeout,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -79,3 +80,39 @@
 		})
 	}
 }
+
+// longReportSidecar returns a report of many bytes, and reads reports of any length.
+type longReportSidecar struct {
+	peerv1connect.UnimplementedSidecarHandler
+	length int
+}
+
+func (s longReportSidecar) Report(context.Context, *connect.Request[peerv1.ReportRequest]) (*connect.Response[peerv1.ReportResponse], error) {
+	return connect.NewResponse(&peerv1.ReportResponse{Instance: strings.Repeat("x", s.length)}), nil
+}
+
+func (longReportSidecar) Veto(context.Context, *connect.Request[peerv1.VetoRequest]) (*connect.Response[peerv1.VetoResponse], error) {
+	return connect.NewResponse(&peerv1.VetoResponse{}), nil
+}
+
+// TestMessagesBeyondTheBoundAreNotRead covers both sides of a call between processes.
+func TestMessagesBeyondTheBoundAreNotRead(t *testing.T) {
+	const tooLong = 65 << 20
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewSidecarHandler(longReportSidecar{length: tooLong}, peer.ReadLimit()))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- peer.Serve(ctx, ln, mux) }()
+	clients := peer.NewClients()
+	client := clients.Control(ln.Addr().String())
+
+	_, err = client.Report(t.Context(), connect.NewRequest(&peerv1.ReportRequest{}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeResourceExhausted)
+	_, err = client.Veto(t.Context(), connect.NewRequest(&peerv1.VetoRequest{AttemptId: strings.Repeat("x", tooLong)}))
+	assert.Equal(t, connect.CodeOf(err), connect.CodeResourceExhausted)
+	clients.Close()
+	cancel()
+	assert.NilError(t, <-done)
+}
--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -85,7 +85,7 @@
 	srvCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	mux := http.NewServeMux()
-	mux.Handle(peerv1connect.NewSidecarHandler(s))
+	mux.Handle(peerv1connect.NewSidecarHandler(s, peer.ReadLimit()))
 	var g errgroup.Group
 	g.Go(func() error { defer stop(); return peer.Serve(srvCtx, ln, mux) })
 	if s.settings.OperatorListen != "" {
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -6,6 +6,7 @@
 	"compress/gzip"
 	"context"
 	"hash/fnv"
+	"io"
 	"net/url"
 	"slices"
 	"strconv"
@@ -45,6 +46,9 @@
 	relayRetry        = 50 * time.Millisecond
 	directoryTimeout  = 300 * time.Millisecond
 
+	// maxDecompressedBytes bounds the newest records of a relay.
+	maxDecompressedBytes = 64 << 20
+
 	changesPath = "/changes"
 	newestPath  = "/newest"
 )
@@ -236,7 +240,7 @@
 		return keyedlog.Page{}, errors.Wrap(err, "peering: decompress newest records")
 	}
 	var resp relayResponse
-	if err := cbor.NewDecoder(decoder).Decode(&resp); err != nil {
+	if err := cbor.NewDecoder(io.LimitReader(decoder, maxDecompressedBytes)).Decode(&resp); err != nil {
 		return keyedlog.Page{}, errors.Wrap(err, "peering: decode newest records")
 	}
 	return keyedlog.Page{Records: resp.Records, End: resp.Next}, nil
