--- a/internal/proctest/cluster_test.go
+++ b/internal/proctest/cluster_test.go
@@ -34,21 +34,32 @@
 	for range deployments {
 		c := &Cluster{opts: Options{Entries: 3, Engines: 6, Plain: 3, Model: "m", ModelService: "m", PlainService: "p", Dir: t.TempDir()}, standinsDone: make(chan error, 1)}
 		assert.NilError(t, c.startStandins())
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			select {
-			case err := <-c.standinsDone:
-				return poll.Error(err)
-			default:
-			}
-			conn, err := net.Dial("tcp", c.logAddr)
-			if err != nil {
-				return poll.Continue("%v", err)
-			}
-			_ = conn.Close()
-			return poll.Success()
-		}, poll.WithDelay(time.Millisecond))
-		time.Sleep(5 * time.Millisecond) // the others have listened by then, or have failed
+		addresses := []string{c.logAddr, c.instancesAddr}
+		for _, n := range c.Backends() {
+			addresses = append(addresses, n.backendAddr)
+		}
+		for _, address := range addresses {
+			c.waitListening(t, address)
+		}
 		assert.Equal(t, len(c.standinsDone), 0)
 		c.Close()
 	}
 }
+
+// waitListening waits until a stand-in listens on an address.
+func (c *Cluster) waitListening(t *testing.T, address string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case err := <-c.standinsDone:
+			return poll.Error(err)
+		default:
+		}
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return poll.Continue("%v", err)
+		}
+		_ = conn.Close()
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+}
--- a/peering/limits_test.go
+++ b/peering/limits_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/ratelimit"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
@@ -78,9 +81,10 @@
 // TestLimitOfOneResponseIsKnownEverywhere covers a limit that one gateway sees begin and end.
 func TestLimitOfOneResponseIsKnownEverywhere(t *testing.T) {
 	all := fleet(t, "near", "near", "far")
-	waitFor := func(admitted int) {
+	waitFor := func(admitted int, observe serving.RateLimit) {
 		t.Helper()
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			all[1].limits.Observe("i-1", observe) // one that contradicts another within a short time counts as reordered
 			n := 0
 			for _, g := range all {
 				if g.limits.Admit(t.Context(), "i-1", false) == nil {
@@ -93,11 +97,8 @@
 			return poll.Continue("%d gateways send to the server", n)
 		}, poll.WithTimeout(3*time.Second))
 	}
-	all[0].limits.Observe("i-1", serving.RateLimit{Named: true, PerSecond: 0})
-	waitFor(0)
-	time.Sleep(300 * time.Millisecond) // a contradiction within a shorter time counts as reordered
-	all[1].limits.Observe("i-1", serving.RateLimit{})
-	waitFor(3)
+	waitFor(0, serving.RateLimit{Named: true, PerSecond: 0})
+	waitFor(3, serving.RateLimit{})
 }
 
 // TestPermitsOfAllGatewaysStayWithinTheLimit has three gateways that always want to send: each one
@@ -109,14 +110,15 @@
 	begin := time.Now()
 	admitted := make(map[string]int)
 	total := 0
-	for time.Since(begin) < 2*time.Second {
+	pace := time.NewTicker(5 * time.Millisecond)
+	defer pace.Stop()
+	for now := begin; now.Sub(begin) < 2*time.Second; now = <-pace.C {
 		for _, g := range all {
 			if time.Now().After(g.deniedUntil()) && g.limits.Admit(t.Context(), "i-1", false) == nil {
 				admitted[g.name]++
 				total++
 			}
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
 	allowed := perSecond*time.Since(begin).Seconds() + perSecond + 1
 	assert.Assert(t, float64(total) <= allowed, "%d admitted", total)
@@ -132,3 +134,96 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, time.Since(begin) < 300*time.Millisecond)
 }
+
+// cutConn drops what is sent to some addresses.
+type cutConn struct {
+	net.PacketConn
+	mu   sync.Mutex
+	gone map[string]bool
+}
+
+// WriteTo implements net.PacketConn.
+func (c *cutConn) WriteTo(p []byte, to net.Addr) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.gone[to.String()] {
+		return len(p), nil
+	}
+	return c.PacketConn.WriteTo(p, to)
+}
+
+func (c *cutConn) cut(to ...*gateway) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.gone)
+	for _, g := range to {
+		c.gone[g.address] = true
+	}
+}
+
+// TestSumStaysWithinTheLimitWhileGatewaysAreCutOff has gateways that always want to send to one server,
+// while they are cut into two parts, joined again, stopped, started and listed although they are gone.
+func TestSumStaysWithinTheLimitWhileGatewaysAreCutOff(t *testing.T) {
+	const perSecond, window = 10.0, 4 * time.Second
+	const burst = 1 + perSecond // what the owner's bucket holds
+	var all []*gateway
+	var conns []*cutConn
+	for i := range 4 {
+		conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		conns = append(conns, &cutConn{PacketConn: conn, gone: make(map[string]bool)})
+		all = append(all, startGatewayOn(t, conns[i], fmt.Sprint("g", i), "near"))
+	}
+	for _, g := range all {
+		for _, other := range all {
+			g.addPeer(t, other, "near")
+		}
+		g.addRecord(t, "gone", peering.Peer{Address: "127.0.0.1:9", Region: "near"}) // a stale entry of the directory
+	}
+	all[0].limits.Observe("i-1", serving.RateLimit{Named: true, PerSecond: perSecond})
+	running := len(all)
+	steps := map[time.Duration]func(){
+		2 * time.Second: func() {
+			conns[0].cut(all[2], all[3])
+			conns[1].cut(all[2], all[3])
+			conns[2].cut(all[0], all[1])
+			conns[3].cut(all[0], all[1])
+		},
+		5 * time.Second: func() {
+			for _, c := range conns {
+				c.cut()
+			}
+		},
+		7 * time.Second: func() { running = 3; all[3].stop() },
+	}
+	var sent []time.Time
+	begin := time.Now()
+	pace := time.NewTicker(4 * time.Millisecond)
+	defer pace.Stop()
+	for now := begin; now.Sub(begin) < 10*time.Second; now = <-pace.C {
+		for at, step := range steps {
+			if now.Sub(begin) >= at {
+				step()
+				delete(steps, at)
+			}
+		}
+		for i, g := range all {
+			if i >= running {
+				continue
+			}
+			if now.After(g.deniedUntil()) && g.limits.Admit(t.Context(), "i-1", false) == nil {
+				sent = append(sent, time.Now())
+			}
+		}
+	}
+	for i, first := range sent {
+		n := 0
+		for _, at := range sent[i:] {
+			if at.Sub(first) < window {
+				n++
+			}
+		}
+		assert.Assert(t, float64(n) <= perSecond*window.Seconds()+burst, "%d requests in %v", n, window)
+	}
+	assert.Assert(t, float64(len(sent)) >= 3*perSecond, "%d requests in all", len(sent))
+}
