--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -104,7 +104,7 @@
 	if !o.RatiosOnly {
 		res.addBaselines(d, withBatch, o)
 	}
-	res.add(naiveLots, runPolicy(d, naiveLotsPolicy(lotSize(d, withBatch, o)), o), o)
+	res.add(naiveGroups, runPolicy(d, naiveGroupsPolicy(groupSize(d, withBatch, o)), o), o)
 	res.Ratios = res.ratios()
 	return res
 }
@@ -135,19 +135,19 @@
 	return best
 }
 
-// lotSize divides the batch items of a run evenly among its lots. Each feeder
-// sends one lot every lotInterval, the first at the start of the run. A lot that
+// groupSize divides the batch items of a run evenly among its groups. Each feeder
+// sends one group every groupInterval, the first at the start of the run. A group that
 // is due at the very end of the run is not counted.
-func lotSize(d Deployment, withBatch *stats, o Options) int {
+func groupSize(d Deployment, withBatch *stats, o Options) int {
 	regions := make(map[string]bool)
 	for _, z := range d.Zones {
 		regions[z.Region] = true
 	}
-	lots := (int(o.Duration/lotInterval) + 1) * len(regions)
-	if o.Duration%lotInterval == 0 {
-		lots -= len(regions)
+	groups := (int(o.Duration/groupInterval) + 1) * len(regions)
+	if o.Duration%groupInterval == 0 {
+		groups -= len(regions)
 	}
-	return max(withBatch.batchItems/lots, 1)
+	return max(withBatch.batchItems/groups, 1)
 }
 
 // maxNaiveItems is the maximum number of batch items that naive mixing keeps at
@@ -198,7 +198,7 @@
 }
 
 func (r *Result) ratios() Ratios {
-	withoutBatch, withBatch, naiveMix := r.figuresOf(noBatch), r.figuresOf(catkinrudder), r.figuresOf(naiveLots)
+	withoutBatch, withBatch, naiveMix := r.figuresOf(noBatch), r.figuresOf(catkinrudder), r.figuresOf(naiveGroups)
 	return Ratios{
 		OnlineP99TTFT: withBatch.TTFTp99 / withoutBatch.TTFTp99,
 		OnlineP95TBT:  withBatch.TBTp95 / withoutBatch.TBTp95,
--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -63,7 +63,7 @@
 	reportInterval     = 100 * time.Millisecond
 	feedInterval       = 5 * time.Millisecond
 	reportBytes        = 64
-	lotInterval        = time.Minute
+	groupInterval      = time.Minute
 )
 
 func llmModel() EngineModel {
--- a/internal/bench/entry.go
+++ b/internal/bench/entry.go
@@ -136,9 +136,9 @@
 }
 
 // feed sends as many items as there is room for and schedules its next call. If
-// the policy sends lots, it sends one whole lot at once instead.
+// the policy sends groups, it sends one whole group at once instead.
 func (f *feeder) feed() {
-	room, every := f.sim.policy.lotItems, lotInterval
+	room, every := f.sim.policy.groupItems, groupInterval
 	if room == 0 {
 		room, every = f.entry.batch.BatchRoom(f.sim.now, f.sim.dep.Services[f.service].Name), feedInterval
 	}
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -16,9 +16,9 @@
 	routers func(z Zone, seed uint64) (online, batch router)
 	// reserved reports whether a worker is reserved for batch.
 	reserved func(*worker) bool
-	// lotItems is the size of the lots, the groups in which batch items are sent
+	// groupItems is the size of the groups in which batch items are sent
 	// at once. If it is zero, items are sent as the router's batch room allows.
-	lotItems int
+	groupItems int
 }
 
 // The names of the policies, in the order of the report.
@@ -30,7 +30,7 @@
 	static       = "static"       // workers reserved for batch
 	naive        = "naive"        // mixing with the maximum number of batch items
 	naiveCapped  = "naive-capped" // mixing with just enough items for the same throughput
-	naiveLots    = "naive-lots"   // mixing with batch items that arrive in lots
+	naiveGroups  = "naive-lots"   // mixing with batch items that arrive in groups
 )
 
 // catkinrudderPolicy is this project's policy with a sidecar that can pause batch
@@ -97,11 +97,11 @@
 // unbounded is a limit that no run reaches.
 const unbounded = 1 << 20
 
-// naiveLotsPolicy mixes online and batch without priorities, in round-robin
-// order, and sends each lot of batch items to the engines when it arrives.
-func naiveLotsPolicy(items int) policy {
-	p := naivePolicy(naiveLots, unbounded)
-	p.lotItems = items
+// naiveGroupsPolicy mixes online and batch without priorities, in round-robin
+// order, and sends each group of batch items to the engines when it arrives.
+func naiveGroupsPolicy(items int) policy {
+	p := naivePolicy(naiveGroups, unbounded)
+	p.groupItems = items
 	return p
 }
 
