sidecar: an unframed response that ends with its server is interrupted, not complete

Callers of the product's own entry could get the first part of a plain service's response as a complete one. It now connects to the server after such an end; if that is refused, the attempt is interrupted.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -31,18 +31,20 @@
 // a new connection each, because the HTTP transport may retry a request on a
 // reused connection.
 type backend struct {
-	base   string
-	pooled *http.Client
-	fresh  *http.Client
+	address string
+	base    string
+	pooled  *http.Client
+	fresh   *http.Client
 }
 
 func newBackend(addr string) *backend {
 	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, IdleConnTimeout: backendIdleTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	fresh := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &backend{
-		base:   "http://" + addr,
-		pooled: &http.Client{Transport: pooled, CheckRedirect: noRedirect},
-		fresh:  &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+		address: addr,
+		base:    "http://" + addr,
+		pooled:  &http.Client{Transport: pooled, CheckRedirect: noRedirect},
+		fresh:   &http.Client{Transport: fresh, CheckRedirect: noRedirect},
 	}
 }
 
@@ -185,7 +187,14 @@
 	if !emit(&peerv1.RunEvent{Event: &peerv1.RunEvent_Head{Head: head}}) {
 		return nil, errors.New("attempt cancelled")
 	}
-	return copyBody(resp.Body, emit)
+	end, err := copyBody(resp.Body, emit)
+	if err != nil || !unframed(resp) {
+		return end, err
+	}
+	if err := b.checkEnd(ctx); err != nil {
+		return nil, err
+	}
+	return end, nil
 }
 
 func copyBody(r io.Reader, emit func(*peerv1.RunEvent) bool) (*peerv1.End, error) {
