quarantine: a second caller's request is held after one more crash

Each further caller of a request that crashes servers would have cost three more servers: what the first held caller explains counted no longer against the request. It now stays one crash short of being held for all, so that one end under another caller holds it; a complete run of another caller clears it. Tests: TestRepeatedRequestDoesNotCrashOneServerAfterTheOther with one caller, several in turn, and one after the other (at most 4 servers end each); TestRequestOfOneCallerIsNotHeldForOthers, which fails without the change.

--- a/internal/gatewayd/crash_request_test.go
+++ b/internal/gatewayd/crash_request_test.go
@@ -38,17 +38,28 @@
 // TestRepeatedRequestDoesNotCrashOneServerAfterTheOther sends one request again and again, with a
 // new id each time and at all gateways, and sound ones to the same path.
 func TestRepeatedRequestDoesNotCrashOneServerAfterTheOther(t *testing.T) {
+	for name, account := range map[string]func(i int) string{
+		"one caller":          func(int) string { return "" },
+		"several callers":     func(i int) string { return fmt.Sprint("account", i%3) },
+		"one after the other": func(i int) string { return fmt.Sprint("account", i/5) },
+	} {
+		t.Run(name, func(t *testing.T) { testRepeatedRequest(t, account) })
+	}
+}
+
+func testRepeatedRequest(t *testing.T, account func(i int) string) {
+	t.Helper()
 	c := newCrashingRequestDeployment(t, 14)
 	// Gateways judge no request in the first seconds after their start.
 	statuses := pacedCalls(c, "before", 54, 100*time.Millisecond)
 	assert.Equal(t, statuses[http.StatusOK], 54, "%v", statuses)
 	for i := range 8 {
-		c.gateways[i%3].send(t, http.MethodPost, "/safe/call/1", fmt.Sprint("crash", i), crashBody)
+		c.gateways[i%3].sendAs(t, account(i), http.MethodPost, "/safe/call/1", fmt.Sprint("crash", i), crashBody)
 		c.serveSound(fmt.Sprint("meanwhile", i))
 	}
 	assert.Assert(t, c.crashed.Load() <= 4, "%d servers have ended", c.crashed.Load())
 	for _, g := range c.gateways {
-		resp, body := g.send(t, http.MethodPost, "/safe/call/1", "again", crashBody)
+		resp, body := g.sendAs(t, account(0), http.MethodPost, "/safe/call/1", "again", crashBody)
 		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 		assert.Assert(t, strings.Contains(body, string(errkind.Quarantined)), "%s", body)
 	}
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -115,6 +115,10 @@
 		table.RecordCrash(uint32(10+i), runsOf(guilty, content), now.Add(time.Duration(i)*time.Second))
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{content}, now.Add(time.Minute))), 0)
+
+	another := callerPrefix + "another"
+	table.RecordCrash(20, runsOf(another, content), now.Add(2*time.Minute))
+	assert.DeepEqual(t, table.HoldSuspects([]string{another, content}, now.Add(2*time.Minute)), []string{content})
 }
 
 func TestRequestOfSeveralCallersIsHeldForAll(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -72,6 +72,8 @@
 	// immediate states that a suspect is held as soon as there is the evidence for it, before the
 	// other gateways have had time to object.
 	immediate bool
+	// sharedByCallers states that the suspects are requests whoever sends them.
+	sharedByCallers bool
 }
 
 // NewTable returns an empty table of a process that has started at startedAt.
@@ -83,17 +85,17 @@
 			crashes:   recent.New[string, evidence](partEvidenceTime, maxSuspects),
 			spacing:   partCrashSpacing, holdTime: partHoldTime, maxHoldTime: maxPartHoldTime,
 		},
-		callers:  newRequestRecords(true),
-		requests: newRequestRecords(false),
+		callers:  newRequestRecords(false),
+		requests: newRequestRecords(true),
 		held:     make(map[string]*hold),
 	}
 }
 
-func newRequestRecords(immediate bool) records {
+func newRequestRecords(sharedByCallers bool) records {
 	return records{
 		completed: recent.New[string, struct{}](completionMemory, maxSuspects),
 		crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
-		holdTime:  requestHoldTime, maxHoldTime: maxRequestHoldTime, immediate: immediate,
+		holdTime:  requestHoldTime, maxHoldTime: maxRequestHoldTime, immediate: !sharedByCallers, sharedByCallers: sharedByCallers,
 	}
 }
 
@@ -211,13 +213,23 @@
 	for _, others := range []*records{&t.callers, &t.parts, &t.requests} {
 		others.crashes.Update(func(other string, e evidence) (evidence, bool) {
 			if t.held[other] == nil {
-				e = e.without(explained)
+				e = others.unexplained(e, explained)
 			}
 			return e, len(e) > 0
 		})
 	}
 }
 
+// unexplained returns the evidence that is left once a held suspect explains some crashes. A request
+// under which no other caller has ended a server yet stays one crash short of being held for all.
+func (r *records) unexplained(e, explained evidence) evidence {
+	left := e.without(explained)
+	if r.sharedByCallers && len(left) == 0 && len(e) >= minCrashes {
+		return e[:minCrashes-1]
+	}
+	return left
+}
+
 // Hold holds a suspect that another gateway has found, and reports whether it was not held yet.
 func (t *Table) Hold(suspect string, now time.Time) bool {
 	t.mu.Lock()
