log service: a response without end is not parsed before it is discarded

Cause: 64 MiB of one JSON string passed through the decoder before the bound ended it. The race detector makes the decoder slow, about 14 MB a second, so the client's deadline of 5 s was as near as the bound. Change: the body is read as a whole up to the bound, and parsed only if it is within it.

--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -151,8 +151,25 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		return errors.Errorf("platform: %s %s: status %d: %s", method, path, resp.StatusCode, text)
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBodyBytes)).Decode(out); err != nil {
+	raw, err := readBody(resp.Body)
+	if err != nil {
+		return errors.Wrapf(err, "platform: %s %s", method, path)
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
 		return errors.Errorf("platform: decode response: %v", err)
 	}
 	return nil
 }
+
+// readBody returns the whole body, and an error if it is longer than maxBodyBytes: bytes without end
+// are discarded before they are parsed.
+func readBody(body io.Reader) ([]byte, error) {
+	raw, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "read response")
+	}
+	if len(raw) > maxBodyBytes {
+		return nil, errors.Errorf("response is longer than %d bytes", maxBodyBytes)
+	}
+	return raw, nil
+}
