gateway: a long response of a stated length is not cut off

Seen: in the read-through of the diff, not by a caller. A call whose response has 72 MiB and says so in its head reached its caller up to 64 MiB and then broke off; before it was passed on whole. Cause: the bound on responses without end was applied to every response that is not a stream. Change: a response whose head states its length has an end, and is passed on whole while its caller's time lasts. Test: TestLongResponseOfKnownLengthIsNotCutOff failed before ("the response is too long") and passes after; TestResponseWithoutEndIsCutOff passes before and after.

--- a/internal/gateway/interruption_test.go
+++ b/internal/gateway/interruption_test.go
@@ -1,13 +1,16 @@
 package gateway_test
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
@@ -33,6 +36,48 @@
 	assert.Equal(t, w.Body.String(), "answer 1")
 }
 
+// byteCounter counts the bytes of a response that is too long to record.
+type byteCounter struct {
+	header http.Header
+	n      int
+}
+
+// Header implements http.ResponseWriter.
+func (c *byteCounter) Header() http.Header { return c.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (*byteCounter) WriteHeader(int) {}
+
+// Write implements http.ResponseWriter.
+func (c *byteCounter) Write(p []byte) (int, error) {
+	c.n += len(p)
+	return len(p), nil
+}
+
+// callBytes serves a call whose backend server has a fault, and returns the length of the response.
+func callBytes(t *testing.T, fault platformtest.Fault) (int, error) {
+	t.Helper()
+	b := platformtest.NewBackend(t, "b")
+	b.SetFault(always(fault))
+	r := request("1", "/call")
+	r.Deadline = r.ReceivedAt.Add(time.Minute)
+	w := &byteCounter{header: make(http.Header)}
+	err := newFixture(t, b).ServeOnline(t.Context(), w, r, route(catalog.Call, nil))
+	return w.n, err
+}
+
+func TestLongResponseOfKnownLengthIsNotCutOff(t *testing.T) {
+	n, err := callBytes(t, platformtest.LongCall)
+	assert.NilError(t, err)
+	assert.Equal(t, n, platformtest.LongCallBytes)
+}
+
+func TestResponseWithoutEndIsCutOff(t *testing.T) {
+	n, err := callBytes(t, platformtest.EndlessCall)
+	assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
+	assert.Assert(t, n < platformtest.LongCallBytes, "%d bytes", n)
+}
+
 // TestServerThatSendsBytesWithoutEndIsReplaced covers bytes that are no response, in a head or a
 // body, and events without end.
 func TestServerThatSendsBytesWithoutEndIsReplaced(t *testing.T) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -22,7 +22,7 @@
 	// maxBufferedBytes bounds the responses that are buffered whole before they are
 	// sent, so that an attempt whose response is cut off can be repeated.
 	maxBufferedBytes = 64 << 10
-	// maxResponseBytes bounds a response that is not a stream of events.
+	// maxResponseBytes bounds a response that is not a stream of events and states no length.
 	maxResponseBytes = 64 << 20
 	eventStreamType  = "text/event-stream"
 )
@@ -65,11 +65,7 @@
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
-	n, err := io.Copy(o.w, io.LimitReader(response, maxResponseBytes))
-	if err == nil && n == maxResponseBytes {
-		err = errors.New("the response is too long")
-	}
-	if err != nil {
+	if err := o.copyRest(response); err != nil {
 		return o.handleInterruption(ctx, b, err)
 	}
 	proved, err := o.checkEnd(ctx, b, response)
@@ -80,6 +76,20 @@
 	return false, nil
 }
 
+// copyRest sends the rest of a response to the caller. If its head states no length, it may have no
+// end.
+func (o *onlineRequest) copyRest(response *upstream.Response) error {
+	if response.Length >= 0 {
+		_, err := io.Copy(o.w, response)
+		return errors.Wrap(err, "copy response")
+	}
+	n, err := io.Copy(o.w, io.LimitReader(response, maxResponseBytes))
+	if err == nil && n == maxResponseBytes {
+		return errors.Errorf("the response is longer than %d bytes", maxResponseBytes)
+	}
+	return errors.Wrap(err, "copy response")
+}
+
 // sendHead sends the head of the response. If whole is true, the body has n bytes.
 func (o *onlineRequest) sendHead(response *upstream.Response, whole bool, n int) {
 	h := o.w.Header()
