sidecar: the state that an engine reports has a bound of bytes

Seen: in a search for reads without a bound, not by an operator. An engine that answers the poll of its state, every 200 ms, with bytes without end costs its sidecar memory for the 2 s of the poll: 67 MB allocated in the test. Change: at most 64 KiB are read.

--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -26,6 +27,9 @@
 	// orderRetryInterval is the minimum time between two orders to the engine.
 	orderRetryInterval = time.Second
 
+	// maxStateBytes bounds the state that an engine reports.
+	maxStateBytes = 64 << 10
+
 	enginePath = "/v1/engine"
 )
 
@@ -181,7 +185,7 @@
 		return nil, nil
 	}
 	var state EngineState
-	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&state); err != nil {
 		return nil, errors.Wrap(err, "sidecar: decode engine state")
 	}
 	if state.Model == "" && !state.Loading {
