--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -17,10 +17,13 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/bounded"
 )
 
 const (
 	maxErrorBodyBytes   = 64 << 10
+	maxHeadBytes        = 64 << 10
+	maxBodyBytes        = 64 << 20
 	maxIdleConnsPerHost = 1024
 	idleConnTimeout     = 90 * time.Second
 )
@@ -66,7 +69,7 @@
 
 // NewClient returns a client with its own connection pool.
 func NewClient(base, key string) *Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: maxHeadBytes}
 	return &Client{Base: base, Key: key, HTTP: &http.Client{Transport: transport}}
 }
 
@@ -120,7 +123,11 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "decode response")
+	raw, err := bounded.ReadAll(resp.Body, maxBodyBytes)
+	if err != nil {
+		return errors.Wrap(err, "response")
+	}
+	return errors.Wrap(json.Unmarshal(raw, out), "decode response")
 }
 
 func readError(resp *http.Response) error {
--- a/internal/logservice/logservice.go
+++ b/internal/logservice/logservice.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/commitlog"
+	"github.com/catkinrudder/catkinrudder/internal/bounded"
 )
 
 const (
@@ -151,7 +152,7 @@
 		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 		return errors.Errorf("platform: %s %s: status %d: %s", method, path, resp.StatusCode, text)
 	}
-	raw, err := readBody(resp.Body)
+	raw, err := bounded.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return errors.Wrapf(err, "platform: %s %s", method, path)
 	}
@@ -160,16 +161,3 @@
 	}
 	return nil
 }
-
-// readBody returns the whole body, and an error if it is longer than maxBodyBytes: bytes without end
-// are discarded before they are parsed.
-func readBody(body io.Reader) ([]byte, error) {
-	raw, err := io.ReadAll(io.LimitReader(body, maxBodyBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read response")
-	}
-	if len(raw) > maxBodyBytes {
-		return nil, errors.Errorf("response is longer than %d bytes", maxBodyBytes)
-	}
-	return raw, nil
-}
