Names of the platform's pages leave the bench, the soak and the load report

Cause: they stood outside platform/, where they are to be decoded once. The path of a job's results is now platform.JobPath, and the soak uses it; the test of the daemon keeps the literal path, as the only check of it. Names only: no seed or decision depends on them. Checked: tests of platform, soak, load and bench, and the linter, pass.

--- a/internal/bench/deployment.go
+++ b/internal/bench/deployment.go
@@ -151,7 +151,7 @@
 		Phases: []Phase{
 			{Name: "morning", Share: 0.3, Intensity: 0.8, BurstEvery: 12 * time.Second, BurstSize: 40},
 			{Name: "port-call", Share: 0.2, Intensity: 1.8, BurstEvery: 6 * time.Second, BurstSize: 60},
-			{Name: "evening-lots", Share: 0.5, Intensity: 0.2, BurstEvery: 15 * time.Second, BurstSize: 40},
+			{Name: "evening-batch", Share: 0.5, Intensity: 0.2, BurstEvery: 15 * time.Second, BurstSize: 40},
 		},
 	}
 }
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -30,7 +30,7 @@
 	static       = "static"       // workers reserved for batch
 	naive        = "naive"        // mixing with the maximum number of batch items
 	naiveCapped  = "naive-capped" // mixing with just enough items for the same throughput
-	naiveGroups  = "naive-lots"   // mixing with batch items that arrive in groups
+	naiveGroups  = "naive-groups" // mixing with batch items that arrive in groups
 )
 
 // catkinrudderPolicy is this project's policy with a sidecar that can pause batch
--- a/internal/chaos/soak/job.go
+++ b/internal/chaos/soak/job.go
@@ -14,6 +14,7 @@
 
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/proctest"
+	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
@@ -165,7 +166,7 @@
 	if rec.EndRequested.IsZero() {
 		rec.EndRequested = time.Now()
 	}
-	status, _, err := r.jobCall(ctx, http.MethodDelete, r.rotation.pick(), "/api/lots/"+rec.Op.ID, "end", "", submitTimeout)
+	status, _, err := r.jobCall(ctx, http.MethodDelete, r.rotation.pick(), platform.JobPath+rec.Op.ID, "end", "", submitTimeout)
 	if err == nil && status == http.StatusOK {
 		rec.EndAcked = time.Now()
 	}
@@ -174,7 +175,7 @@
 // listResults reads a page of results.
 func (r *Round) listResults(ctx context.Context, rec *JobRecord, g *proctest.Gateway, after int) (Listing, bool) {
 	sent := time.Now()
-	path := fmt.Sprintf("/api/lots/%s?After=%d", rec.Op.ID, after)
+	path := fmt.Sprintf("%s%s?After=%d", platform.JobPath, rec.Op.ID, after)
 	status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "read", "", readTimeout)
 	if err != nil {
 		return Listing{}, false
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -218,7 +218,7 @@
 	}
 	writeCounts(w, "online", r.Online)
 	writeCounts(w, "batch", r.Batch)
-	writeCounts(w, "failed, told", r.Outcomes)
+	writeCounts(w, "failed, by outcome", r.Outcomes)
 	_, _ = fmt.Fprintf(w, "batch items per second: %.2f\n", r.BatchPerSecond)
 	for _, fault := range r.Faults {
 		_, _ = fmt.Fprintln(w, "fault:", fault)
