Tests: servers that end together get a request first, however many it takes

Cause: the test sends eight requests and waits until one of three of up to twelve servers has got one. The choice of servers is random; eight may pass them all by, and then no more are sent. Repeated alone on the unchanged code, six at a time, it fails 12 of 151 times with the same message. No product code takes part. Change: requests are sent until the servers have ended, and eight at least. All checks stay. After, six at a time: 0 of 129 failures.

--- a/internal/gatewayd/crash_test.go
+++ b/internal/gatewayd/crash_test.go
@@ -128,9 +128,10 @@
 			b.Events, b.EventInterval = 50, 5*time.Millisecond
 		}
 		done := make(chan struct{})
+		var killed atomic.Bool
 		go func() {
 			defer close(done)
-			for n := range 8 {
+			for n := 0; n < 8 || !killed.Load(); n++ {
 				c.send(n, fmt.Sprintf("lost%d-%d", i, n), fmt.Sprintf("aa01:100,bb%02d:50,cc%02d:10", n, n))
 			}
 		}()
@@ -146,6 +147,7 @@
 		for _, b := range victims {
 			b.Kill()
 		}
+		killed.Store(true)
 		<-done
 	}
 	for i := range 9 {
