Workspaces, their credentials and quotas are decoded; backend servers get the name, not the key

Cause: nothing outside the product's own entry knew a key.

Change: package catalog knows workspaces; a key leaves platform/ as a digest only. A request has an identity, from which the codec sets the workspace's name whatever the caller has sent. 401 follows from the configuration alone.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -46,6 +46,8 @@
 	Host   string
 	Prefix string
 	Kind   RouteKind
+	// Anonymous states that callers need not identify themselves.
+	Anonymous bool
 	// Idempotent states that requests may run more than once.
 	Idempotent bool
 	// Resumable states that another backend server can continue a stream after any
@@ -71,7 +73,8 @@
 	// JobRetention is the time from the submission of a batch job after which its
 	// unfinished items may be abandoned.
 	JobRetention time.Duration
-	// MaxJobTokens bounds the tokens of accepted, unfinished items; 0 is unlimited.
+	// MaxJobTokens bounds the tokens of accepted, unfinished items: those of each workspace, or
+	// of all callers if there are no workspaces; 0 is unlimited.
 	MaxJobTokens int64
 }
 
@@ -102,7 +105,9 @@
 	Services map[string]Service
 	Limits   Limits
 
-	byHost map[string][]*Route
+	byHost       map[string][]*Route
+	workspaces   map[string]*Workspace
+	byCredential map[Credential]*Workspace
 }
 
 // State is whether a backend server accepts new requests.
--- a/catalog/match.go
+++ b/catalog/match.go
@@ -6,10 +6,11 @@
 	"strings"
 )
 
-// NewConfig returns a configuration with an index of routes for Match. It does not
-// copy routes.
-func NewConfig(version int64, routes []Route, services map[string]Service, limits Limits) *Config {
+// NewConfig returns a configuration with an index of routes for Match and one of workspaces.
+// It does not copy routes and workspaces.
+func NewConfig(version int64, routes []Route, services map[string]Service, limits Limits, workspaces ...Workspace) *Config {
 	c := &Config{Version: version, Routes: routes, Services: services, Limits: limits, byHost: make(map[string][]*Route)}
+	c.indexWorkspaces(workspaces)
 	for i := range routes {
 		host := strings.ToLower(routes[i].Host)
 		c.byHost[host] = append(c.byHost[host], &routes[i])
--- a/serving/request.go
+++ b/serving/request.go
@@ -34,6 +34,15 @@
 	return ids
 }
 
+// Identity is what is known of the caller of a request.
+type Identity struct {
+	// Checked states that callers identify themselves. Backend servers then get the name of the
+	// workspace from this system only.
+	Checked bool
+	// Workspace is the name of the caller's workspace; it is empty for an anonymous caller.
+	Workspace string
+}
+
 // Request is one attempt of a caller. It is not modified after it has been decoded.
 type Request struct {
 	// ID is the id that the caller gave the attempt.
@@ -59,6 +68,8 @@
 	// stream; empty if the stream starts from the beginning or the caller does not say.
 	Resumes string
 	Prompt  Prompt
+	// Identity is the identity of the caller.
+	Identity Identity
 }
 
 // Attempt is one attempt to send a request to one backend server.
