egress: callers that do not read are cut off, before those that read slowly

Cause: nothing bounded a write to a caller. One that stopped reading held its goroutine, its buffers and the connection to the server; a blocked write does not end with the request's deadline.

Change: package internal/egress. The deadline of a write moves with each part that the caller takes; the bytes that wait for all callers have a bound, beyond which those that have taken nothing for longest go first.

Tests: 40 callers of 420 kB with 8 MiB, ten of which read nothing: just these ten are cut off. TestCallerThatReadsNothingIsCutOff does not end without the guard.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/internal/egress"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -71,6 +72,11 @@
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_failures_total{kind="` + string(kind) + `"}`).Inc()
 }
 
+// CallerCutOff counts a caller that was cut off because it did not read its response.
+func (m *Metrics) CallerCutOff(reason egress.CutReason) {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_callers_cut_off_total{reason="` + string(reason) + `"}`).Inc()
+}
+
 // ConnectionOpened counts a new connection to a backend server.
 func (m *Metrics) ConnectionOpened(string) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_connections_total`).Inc()
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/egress"
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -28,12 +29,23 @@
 	// exitMargin is the part of the grace period that is reserved for the exit itself.
 	exitMargin  = 700 * time.Millisecond
 	metricsPath = "/metrics"
+
+	// callerStall is how long a caller may read nothing of a response: longer than any caller waits
+	// for a request. minCallerStall is this time if the callers' responses need too much memory.
+	callerStall    = 10 * time.Second
+	minCallerStall = 500 * time.Millisecond
+	// unreadMemoryFraction is the part of the process's memory, as a divisor, that responses may
+	// hold that callers have not read yet; it is minUnreadBytes at least.
+	unreadMemoryFraction = 8
+	minUnreadBytes       = 4 << 20
 )
 
 // serve serves callers, readiness probes, metrics and peers until ctx ends, and then
 // completes the running requests.
 func (d *Daemon) serve(ctx context.Context) error {
-	callers := d.server(platform.NewHandler(d.gateway, d.settings.MemoryBytes))
+	responses := egress.NewGuard(d.responseLimits(), d.gateway.Metrics.CallerCutOff)
+	callers := d.server(platform.NewHandler(d.gateway, d.settings.MemoryBytes, responses))
+	callers.ConnState = responses.ConnState
 	ready := d.server(http.HandlerFunc(d.ready))
 	metricsServer := d.server(http.HandlerFunc(d.serveMetrics))
 	peers := d.server(peering.Handler(d.jobs, d.snapshot, d.relay, d.origins))
@@ -76,6 +88,14 @@
 	}
 }
 
+// responseLimits returns the limits of what callers have not read yet.
+func (d *Daemon) responseLimits() egress.Limits {
+	return egress.Limits{
+		Stall: callerStall, MinStall: minCallerStall,
+		Bytes: max(d.settings.MemoryBytes/unreadMemoryFraction, minUnreadBytes),
+	}
+}
+
 // drain hands over the shards of batch jobs, waits until the platform has stopped routing new
 // requests to this process, closes the listener and waits for the running requests.
 func (d *Daemon) drain(callers *http.Server) {
