--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -139,6 +139,17 @@
 	return dst, found
 }
 
+// HasData reports whether the event has any data. One without data is a comment, which only keeps the
+// connection alive.
+func (e Event) HasData() bool {
+	for line := range bytes.Lines(e.Raw) {
+		if _, ok := field(line, "data"); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // field returns the value of a line if the line sets the named field.
 func field(line []byte, name string) ([]byte, bool) {
 	line = bytes.TrimRight(line, "\r\n")
--- a/internal/gateway/interruption_test.go
+++ b/internal/gateway/interruption_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,13 @@
 		assert.Assert(t, len(a.Requests()) <= 3, "fault %d: %d requests reach the server", fault, len(a.Requests()))
 	}
 }
+
+// TestStreamThatGetsCommentsOnlyGoesOnElsewhere covers a stalled backend server that keeps the
+// connection alive: the caller used to wait until its deadline.
+func TestStreamThatGetsCommentsOnlyGoesOnElsewhere(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	faultOnFirstRun(platformtest.EndlessComments, a, b)
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(w.Body.String(), streamBody("1", 5)), "%d bytes", w.Body.Len())
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -126,7 +126,9 @@
 		if err != nil {
 			return o.handleInterruption(ctx, b, err)
 		}
-		idle.Reset()
+		if e.HasData() {
+			idle.Reset()
+		}
 		id := e.ID()
 		if !eventstream.Follows(o.lastEvent, id) {
 			return o.handleInterruption(ctx, b, errors.Errorf("event id %q does not follow %q", id, o.lastEvent))
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -136,7 +136,6 @@
 			s.ejector().RecordFailure(b, false)
 			return outcome{runInterrupted, p, err}
 		}
-		idle.Reset(itemIdleTimeout)
 		id := e.ID()
 		if !eventstream.Follows(p.LastEvent, id) {
 			return outcome{runInterrupted, p, errors.Errorf("event id %q does not follow %q", id, p.LastEvent)}
@@ -147,8 +146,9 @@
 		}
 		extended, found := e.Data(extended)
 		if !found {
-			continue // a comment, which keeps the connection alive
+			continue // a comment, which keeps the connection alive but is no progress
 		}
+		idle.Reset(itemIdleTimeout)
 		if len(extended) > maxOutputBytes {
 			s.ejector().RecordFailure(b, false)
 			return outcome{runInterrupted, p.withoutOutput(), errOutputTooLong}
