peering: malformed messages are dropped before they reach a decision

Cause: counts in a report were believed whatever they were. A limit that is no number made a bucket grant without end.

--- a/peering/peering.go
+++ b/peering/peering.go
@@ -266,7 +266,7 @@
 			continue
 		}
 		var d datagram
-		if err := cbor.Unmarshal(buf[:n], &d); err != nil {
+		if err := cbor.Unmarshal(buf[:n], &d); err != nil || !d.valid() {
 			continue // not sent by a gateway
 		}
 		switch now := time.Now(); {
