sidecar: a late copy of an answer is not read as the answer to the next call

Cause: the sidecar reused connections to its backend server, and answers of engines and plain services name no request.

Before: TestLateCopyOfAnAnswerReachesNobody: the second caller got the first one's answer. After: each call has a connection of its own. The sidecar runs beside its server, so a connection costs no round trip between machines. The gateway of the users' platform compares ids and is not affected (TestMismatchedResponseIsSkipped).

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 
 	"github.com/openai/openai-go/v3/packages/ssestream"
 	"github.com/pkg/errors"
@@ -21,30 +20,25 @@
 	plainChunkBytes = 32 << 10
 	maxErrorBytes   = 4 << 10
 	// maxHeadBytes bounds the head of a response, maxCompletionBytes the stream of a completion.
-	maxHeadBytes        = 64 << 10
-	maxCompletionBytes  = 16 << 20
-	backendIdleTimeout  = 60 * time.Second
-	maxIdleBackendConns = 256
+	maxHeadBytes       = 64 << 10
+	maxCompletionBytes = 16 << 20
 )
 
-// backend is the client of the sidecar's backend server. Non-idempotent calls use
-// a new connection each, because the HTTP transport may retry a request on a
-// reused connection.
+// backend is the client of the sidecar's backend server. Each call uses a connection of its own:
+// answers name no request, so a late second copy of one would be read as the answer to the next
+// call, and the HTTP transport may repeat a request on a reused connection.
 type backend struct {
 	address string
 	base    string
-	pooled  *http.Client
-	fresh   *http.Client
+	client  *http.Client
 }
 
 func newBackend(addr string) *backend {
-	pooled := &http.Transport{MaxIdleConnsPerHost: maxIdleBackendConns, IdleConnTimeout: backendIdleTimeout, MaxResponseHeaderBytes: maxHeadBytes}
-	fresh := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &backend{
 		address: addr,
 		base:    "http://" + addr,
-		pooled:  &http.Client{Transport: pooled, CheckRedirect: noRedirect},
-		fresh:   &http.Client{Transport: fresh, CheckRedirect: noRedirect},
+		client:  &http.Client{Transport: transport, CheckRedirect: noRedirect},
 	}
 }
 
@@ -71,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := b.send(ctx, b.pooled, http.MethodPost, "/v1/chat/completions", req, body)
+	resp, err := b.send(ctx, http.MethodPost, "/v1/chat/completions", req, body)
 	if err != nil {
 		return nil, err
 	}
@@ -169,11 +163,7 @@
 
 // callPlain makes one call to a plain service and streams its response.
 func (b *backend) callPlain(ctx context.Context, req *peerv1.RunRequest, emit func(*peerv1.RunEvent) bool) (*peerv1.End, error) {
-	client := b.pooled
-	if req.NonIdempotent {
-		client = b.fresh
-	}
-	resp, err := b.send(ctx, client, req.Method, req.Path, req, req.Body)
+	resp, err := b.send(ctx, req.Method, req.Path, req, req.Body)
 	if err != nil {
 		return nil, err
 	}
@@ -216,7 +206,7 @@
 	}
 }
 
-func (b *backend) send(ctx context.Context, client *http.Client, method, path string, req *peerv1.RunRequest, body []byte) (*http.Response, error) {
+func (b *backend) send(ctx context.Context, method, path string, req *peerv1.RunRequest, body []byte) (*http.Response, error) {
 	hr, err := http.NewRequestWithContext(ctx, method, b.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.BadRequest, "request can't be built")
@@ -229,7 +219,7 @@
 		hr.Header.Set("Accept", "text/event-stream")
 	}
 	hr.Header.Set(requestIDHeader, req.AttemptId)
-	resp, err := client.Do(hr)
+	resp, err := b.client.Do(hr)
 	return resp, errors.Wrap(err, "backend server")
 }
 
--- a/internal/sidecar/orders.go
+++ b/internal/sidecar/orders.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "sidecar: build engine state request")
 	}
-	resp, err := b.pooled.Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		return nil, errors.Wrap(err, "sidecar: request engine state")
 	}
@@ -208,7 +208,7 @@
 	if err != nil {
 		return errors.Wrap(err, "sidecar: build engine order request")
 	}
-	resp, err := b.fresh.Do(req)
+	resp, err := b.client.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "sidecar: send engine order")
 	}
