discovery: a server that has said that it leaves is not handed on to a starting gateway

Cause: a gateway that starts while the store is unavailable takes over the registrations that a peer has read.

Before: TestServerThatHasSaidThatItLeavesIsNotHandedOn counted two servers; after: one.

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -134,13 +134,14 @@
 	}
 }
 
-// Records returns the records of the backend servers that are registered.
+// Records returns the records of the backend servers that are registered and have not said that they
+// drain: their records may not say so.
 func (b *Backends) Records() []keyedlog.Record {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	var records []keyedlog.Record
 	for _, reg := range b.byID {
-		if reg.lapsedAt.IsZero() {
+		if reg.lapsedAt.IsZero() && !reg.leaving {
 			records = append(records, reg.record)
 		}
 	}
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -124,3 +124,15 @@
 	b.Apply([]keyedlog.Record{record("c", "odd")})
 	assert.Equal(t, b.Len(), 1)
 }
+
+// TestServerThatHasSaidThatItLeavesIsNotHandedOn covers a gateway that starts while the store is
+// unavailable: the registration of a server that leaves may still say that it is ready.
+func TestServerThatHasSaidThatItLeavesIsNotHandedOn(t *testing.T) {
+	b := discovery.NewBackends(decodeBackend, func(discovery.Change) {}, time.Now)
+	b.Apply([]keyedlog.Record{record("a", "ready"), record("b", "ready")})
+	b.SetLeaving("a")
+	started := discovery.NewBackends(decodeBackend, func(discovery.Change) {}, time.Now)
+	started.Apply(b.Records())
+	assert.Equal(t, len(started.OfService("s")), 1)
+	assert.Equal(t, started.OfService("s")[0].ID, "b")
+}
