jobs: a malformed result record can't end the process

Cause: a result names its item by a number that nothing checked; a listing of the job then panicked. Before: FuzzTable's first seed panics (index 150 of 2 items). After: 12 s of fuzzing find nothing.

--- a/jobs/query.go
+++ b/jobs/query.go
@@ -117,6 +117,9 @@
 	size := 0
 	for i := after; i >= 0 && i < len(ready); i++ {
 		r := ready[i]
+		if r.Item >= len(e.items) {
+			break // the record does not belong to this job
+		}
 		size += len(r.Text)
 		if size > maxListingBytes && len(listing.Results) > 0 {
 			break
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -218,6 +218,9 @@
 	if err := decode(value, result); err != nil {
 		return err
 	}
+	if result.Item < 0 || result.Item >= MaxItems {
+		return errors.Errorf("jobs: result %s is of item %d", name, result.Item)
+	}
 	e := t.entry(id)
 	e.resultChunks[position] = chunks
 	e.setResult(position, result)
