--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -105,9 +105,11 @@
 	Services map[string]Service
 	Limits   Limits
 
-	byHost       map[string][]*Route
-	workspaces   map[string]*Workspace
-	byCredential map[Credential]*Workspace
+	byHost map[string][]*Route
+	// workspaceList holds the workspaces as configured, of which two may have one name.
+	workspaceList []Workspace
+	workspaces    map[string]*Workspace
+	byCredential  map[Credential]*Workspace
 }
 
 // State is whether a backend server accepts new requests.
--- a/catalog/workspace.go
+++ b/catalog/workspace.go
@@ -56,6 +56,7 @@
 
 // indexWorkspaces sets the workspaces. If two of them hold a credential, it is the first one's.
 func (c *Config) indexWorkspaces(workspaces []Workspace) {
+	c.workspaceList = workspaces
 	c.workspaces = make(map[string]*Workspace, len(workspaces))
 	c.byCredential = make(map[Credential]*Workspace, len(workspaces))
 	for i := range workspaces {
--- a/internal/ctl/desired.go
+++ b/internal/ctl/desired.go
@@ -24,6 +24,7 @@
 func (t Tool) desiredCommands() []*cli.Command {
 	return []*cli.Command{
 		{Name: "check", Usage: "check desired state files", ArgsUsage: "FILE...", Action: t.check},
+		t.checkGatewayCommand(),
 		{Name: "diff", Usage: "compare a file with the version in force", ArgsUsage: "FILE", Action: withTimeout(t.diff)},
 		{
 			Name: "apply", Usage: "publish a complete desired state", ArgsUsage: "FILE", Action: withTimeout(t.apply),
