balance: servers' stated pace is believed and shared; requests leave their zone by expected time

Cause: a Server-Load header with a fourth figure was dropped whole, and fixed costs in slots decided about zones, in regions of 40 gateways and more only. Change: the pace is decoded, learned to age, and shared in the reports between gateways (field 18); the cost of a choice is a sum in milliseconds (cost.go); a zone keeps its requests unless leaving pays, by a share that follows from how much fuller it is (zones.go); metrics and log fields by zone; settings [Paths].

--- a/balance/headroom.go
+++ b/balance/headroom.go
@@ -23,21 +23,6 @@
 	return sum
 }
 
-// ownZoneFirst reports whether a request prefers the backend servers of the own zone: an
-// online one in a large region whose zone has several of them.
-func (t *Table) ownZoneFirst(candidates []catalog.Backend, req Requirements) bool {
-	if !t.zoneFirst || req.Class == Batch {
-		return false
-	}
-	n := 0
-	for _, b := range candidates {
-		if b.Zone == t.opts.Zone && b.State == catalog.Ready {
-			n++
-		}
-	}
-	return n >= minZoneServers
-}
-
 // unseenPerServer estimates how many attempts each backend server of the own region holds
 // that this gateway does not know of yet.
 func (t *Table) unseenPerServer(candidates []catalog.Backend, now time.Time) float64 {
--- a/balance/peers.go
+++ b/balance/peers.go
@@ -24,6 +24,16 @@
 	rates       map[uint32]startRate
 	otherRegion bool
 	otherZone   bool
+	// zone is the peer's zone; it is empty if it is not known.
+	zone string
+}
+
+// zoneOr returns the zone of a peer in the own region.
+func (r *storedReport) zoneOr(own string) string {
+	if r.otherZone {
+		return r.zone
+	}
+	return own
 }
 
 func newPeerTable(ttl time.Duration) peerTable {
@@ -45,7 +55,7 @@
 	for service, rate := range rates {
 		p.unseenAt(startsKey{service, r.OtherZone}).add(rate.perSecond, now)
 	}
-	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures, rates: rates, otherRegion: r.OtherRegion, otherZone: r.OtherZone}
+	p.peers[name] = &storedReport{reportedAt: now, counts: r.Counts, failures: r.Failures, rates: rates, otherRegion: r.OtherRegion, otherZone: r.OtherZone, zone: r.Zone}
 }
 
 // updatedRates returns the start rates of a peer after a report.
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -6,24 +6,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 )
 
-// The terms of a candidate's cost, in slots, and the limits on queues and free slots. A
-// candidate of cost 1 is equivalent to one of cost 0 with one more of its slots in use.
 const (
-	// otherRegionCost is the cost of the network path to another region.
-	otherRegionCost = 6.0
-	// otherZoneCost is the cost of a backend server in another zone of a large region, whose
-	// gateways report less often.
-	otherZoneCost = 5.0
-	// minZoneServers is the number of backend servers in a zone from which on its requests
-	// prefer them: a few servers do not even out the variation of a zone's requests.
-	minZoneServers = 8
-	// prefixBonus is subtracted if the backend server has recently processed the
-	// prompt part.
-	prefixBonus = 1.0
-	// ejectedCost is the cost of a backend server that is ejected after failures.
-	ejectedCost = 1000.0
-	// recentFailureCost is the cost of each recent failure that any gateway reports.
-	recentFailureCost = 3.0
 	// maxQueuedOnline is how many online requests may wait at an engine.
 	maxQueuedOnline = 2
 	// summaryAgeFactor is how many times older the loads in a summary of another region are
@@ -78,6 +61,8 @@
 	Backend catalog.Backend
 	Load    Counts
 	Reason  Reason
+	// Crossing is where the request goes as seen from its zone.
+	Crossing Crossing
 }
 
 // Pick chooses among candidates and counts the attempt at the chosen server. It
@@ -90,18 +75,21 @@
 	}
 	s := t.newSelection(candidates, req, now)
 	var choices []Choice
-	var costs []float64
+	var costs []cost
+	hasHome := false
 	for _, b := range candidates {
 		if choice, cost, ok := s.evaluate(b); ok {
 			choices = append(choices, choice)
 			costs = append(costs, cost)
+			hasHome = hasHome || b.Zone == t.opts.Zone
 		}
 	}
 	if len(choices) == 0 {
 		return Choice{}, false
 	}
-	chosen := choices[spread(t.rng, costs, t.unseen(candidates[0].Service, s.ownZoneFirst, now))]
-	t.countAttempt(chosen.Backend, req.Class)
+	chosen := choices[spread(t.rng, costs, t.unseen(candidates[0].Service, s.prefersHome && !s.leaves, now))]
+	chosen.Crossing = s.crossing(chosen.Backend, hasHome)
+	t.countAttempt(chosen.Backend, req.Class, now)
 	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
 	return chosen, true
 }
@@ -169,16 +157,6 @@
 // them have free slots by reports that are not quite up to date.
 var reasonRanks = map[Reason]int{FreeSlot: 0, PreemptsBatch: 0, Queued: 1, Overloaded: 2}
 
-// rankStep returns the cost that separates the ranks of reasons: more than candidates of
-// one rank differ by.
-func rankStep(candidates []catalog.Backend) float64 {
-	slots := 0
-	for _, b := range candidates {
-		slots = max(slots, b.Slots)
-	}
-	return float64(2*slots) + otherRegionCost + prefixBonus
-}
-
 // reserve returns how many free slots a batch attempt has to leave. Where online
 // requests are frequent, a batch attempt that takes the last slot is soon preempted.
 func reserve(b catalog.Backend, load Counts) int {
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,9 @@
 	gateways []*balance.Table
 	engines  []*engine
 	backends []catalog.Backend
-	rng      *rand.Rand
+	// candidates are the backend servers as gateways know them.
+	candidates []catalog.Backend
+	rng        *rand.Rand
 	// lastReport is when each gateway has last reported, reportDue whether a report is due.
 	lastReport []time.Time
 	reportDue  []bool
@@ -37,11 +40,16 @@
 	refused int
 	// busy is the total time that slots were in use, by both classes.
 	busy time.Duration
+	// crossed counts the online requests that left their zone, by the zone.
+	crossed, arrived map[string]int
 }
 
 type engine struct {
 	running int
 	queue   []*attempt
+	// phases are the ends of the spans in which the engine is at one pace: the usual one and the
+	// slow one by turns.
+	phases []time.Time
 }
 
 type attempt struct {
@@ -50,6 +58,7 @@
 	arrived         time.Time
 	started         time.Time // zero until it has a slot
 	ended           bool
+	choice          balance.Choice
 }
 
 type simEvent struct {
@@ -78,6 +87,9 @@
 
 const simSlots = 8
 
+// regionRoundTrip is the round trip to the far region.
+const regionRoundTrip = 60 * time.Millisecond
+
 // simConfig is the size and the load of a simulation.
 type simConfig struct {
 	numGateways, numEngines int
@@ -91,6 +103,23 @@
 	// reports. reportInterval is the least time between two reports of a gateway.
 	reportDelay, reportInterval time.Duration
 	length                      time.Duration
+	// zones is the number of zones that gateways and engines are spread over; 0 is one zone.
+	zones int
+	// weights are the relative rates of the zones' requests; without them, all are equal.
+	weights []float64
+	// far states that the last zone is in another region, regionRoundTrip away. paths are the costs
+	// of sending a request out of its zone; nil stands for the defaults.
+	far   bool
+	paths *balance.Paths
+	// lost lists the engines that are gone.
+	lost []int
+	// slowPace is the pace of an engine in its slow spans, which take slowTime on average and a
+	// part slowShare of the whole time. statesPace states that engines state it.
+	slowPace, slowShare float64
+	slowTime            time.Duration
+	statesPace          bool
+	// firstByte is the time until the first byte after an attempt has got its slot.
+	firstByte time.Duration
 }
 
 // smallFleet is a fleet in which each attempt is reported at once.
@@ -109,17 +138,85 @@
 }
 
 func newSim(seed uint64, c simConfig) *sim {
-	s := &sim{simConfig: c, lastReport: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
+	s := &sim{simConfig: c, crossed: make(map[string]int), arrived: make(map[string]int), lastReport: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
 	for i := range c.numGateways {
-		s.gateways = append(s.gateways, balance.New(balance.Options{Zone: "z", PeerTTL: time.Hour, Seed: seed + uint64(i)}))
+		s.gateways = append(s.gateways, balance.New(balance.Options{Zone: c.zoneOf(i), RegionOf: c.regionOf(), Paths: c.paths, PeerTTL: time.Hour, Seed: seed + uint64(i)}))
 	}
 	for i := range c.numEngines {
-		s.engines = append(s.engines, &engine{})
-		s.backends = append(s.backends, catalog.Backend{ID: fmt.Sprint("b", i), Zone: "z", Slots: simSlots, State: catalog.Ready})
+		s.engines = append(s.engines, &engine{phases: s.phases()})
+		s.backends = append(s.backends, catalog.Backend{ID: fmt.Sprint("b", i), Zone: c.zoneOf(i), Slots: simSlots, State: catalog.Ready})
+	}
+	s.candidates = slices.Clone(s.backends)
+	for _, i := range c.lost {
+		s.candidates[i].State = catalog.Draining
 	}
 	return s
 }
 
+// zoneOf returns the zone of a gateway or an engine.
+func (c simConfig) zoneOf(i int) string { return fmt.Sprint("z", i%max(c.zones, 1)) }
+
+func (c simConfig) regionOf() map[string]string {
+	regions := make(map[string]string)
+	for i := range max(c.zones, 1) {
+		regions[c.zoneOf(i)] = "r"
+	}
+	if c.far {
+		regions[c.zoneOf(c.zones-1)] = "q"
+	}
+	return regions
+}
+
+// phases returns the ends of the spans of an engine's paces; the first span is at the usual pace.
+func (s *sim) phases() []time.Time {
+	if s.slowShare == 0 {
+		return nil
+	}
+	usualTime := float64(s.slowTime) * (1 - s.slowShare) / s.slowShare
+	var ends []time.Time
+	for at := s.now; at.Before(s.now.Add(2 * s.length)); {
+		mean := usualTime
+		if len(ends)%2 == 1 {
+			mean = float64(s.slowTime)
+		}
+		at = at.Add(time.Duration(s.rng.ExpFloat64() * mean))
+		ends = append(ends, at)
+	}
+	return ends
+}
+
+// pace returns the pace of an engine at a time, and until when it stays.
+func (s *sim) pace(e *engine, at time.Time) (pace float64, until time.Time) {
+	i, _ := slices.BinarySearchFunc(e.phases, at, func(end, at time.Time) int {
+		if end.After(at) {
+			return 1
+		}
+		return -1
+	})
+	if i >= len(e.phases) {
+		return 1, at.Add(time.Hour)
+	}
+	if i%2 == 0 {
+		return 1, e.phases[i]
+	}
+	return s.slowPace, e.phases[i]
+}
+
+// timeFor returns how long an engine takes for work that begins now.
+func (s *sim) timeFor(e *engine, work time.Duration) time.Duration {
+	at := s.now
+	for {
+		pace, until := s.pace(e, at)
+		needed := time.Duration(float64(work) * pace)
+		if left := until.Sub(at); needed > left {
+			work -= time.Duration(float64(left) / pace)
+			at = until
+			continue
+		}
+		return at.Add(needed).Sub(s.now)
+	}
+}
+
 // random returns a random duration below d.
 func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
 
@@ -152,9 +249,13 @@
 func (s *sim) sendReport(gateway int) {
 	s.reportDue[gateway] = false
 	s.lastReport[gateway] = s.now
-	r := balance.PeerReport{Counts: s.gateways[gateway].LocalCounts(), Started: s.gateways[gateway].Started()}
+	base := balance.PeerReport{Counts: s.gateways[gateway].LocalCounts(), Started: s.gateways[gateway].Started(), Paces: s.gateways[gateway].FreshPaces(s.now)}
 	for i, other := range s.gateways {
 		if i != gateway {
+			r := base
+			r.Zone = s.zoneOf(gateway)
+			r.OtherRegion = s.regionOf()[s.zoneOf(i)] != s.regionOf()[r.Zone]
+			r.OtherZone = !r.OtherRegion && s.zoneOf(i) != r.Zone
 			s.after(s.reportDelay, func() {
 				other.SetPeer(fmt.Sprint(gateway), r, s.now)
 				s.stopExcess(i)
@@ -165,17 +266,22 @@
 
 // arrive sends an online request through a gateway.
 func (s *sim) arrive(gateway int) {
-	c, ok := s.gateways[gateway].Pick(s.backends, balance.Requirements{}, s.now)
+	zone := s.zoneOf(gateway)
+	s.arrived[zone]++
+	c, ok := s.gateways[gateway].Pick(s.candidates, balance.Requirements{}, s.now)
 	if !ok {
 		s.refused++
 		return
 	}
+	if c.Backend.Zone != zone {
+		s.crossed[zone]++
+	}
 	s.send(gateway, c, balance.Online)
 	s.stopExcess(gateway)
 }
 
 func (s *sim) send(gateway int, c balance.Choice, class balance.Class) {
-	a := &attempt{gateway: gateway, class: class, arrived: s.now}
+	a := &attempt{gateway: gateway, choice: c, class: class, arrived: s.now}
 	for i, b := range s.backends {
 		if b.ID == c.Backend.ID {
 			a.engine = i
@@ -201,10 +307,20 @@
 		e.running++
 		duration := s.batchTime
 		if a.class == balance.Online {
-			s.waits = append(s.waits, s.now.Sub(a.arrived))
+			pace, _ := s.pace(e, s.now)
+			first := time.Duration(float64(s.firstByte) * pace)
+			if regions := s.regionOf(); regions[s.zoneOf(a.gateway)] != regions[s.zoneOf(a.engine)] {
+				first += regionRoundTrip
+			}
+			s.waits = append(s.waits, s.now.Add(first).Sub(a.arrived))
+			s.gateways[a.gateway].ObserveFirstByte(a.choice, s.now.Add(first).Sub(a.arrived), s.now.Add(first))
 			duration = s.onlineTime/2 + s.random(s.onlineTime)
 		}
-		s.after(duration, func() { s.end(a) })
+		if pace, _ := s.pace(e, s.now); s.statesPace {
+			s.gateways[a.gateway].ObservePace(s.backends[a.engine].ID, pace, s.now)
+			s.report(a.gateway)
+		}
+		s.after(s.timeFor(e, duration), func() { s.end(a) })
 	}
 }
 
@@ -247,7 +363,7 @@
 // online generates requests at random gateways with bursts of almost twice the mean rate
 // for two of every five seconds.
 func (s *sim) online() {
-	s.arrive(s.rng.IntN(s.numGateways))
+	s.arrive(s.randomGateway())
 	rate := s.onlinePerSecond * 0.5
 	if s.now.Unix()%5 >= 3 {
 		rate = s.onlinePerSecond * 1.75
@@ -255,9 +371,19 @@
 	s.after(time.Duration(s.rng.ExpFloat64()/rate*float64(time.Second)), s.online)
 }
 
+// randomGateway returns the gateway of the next online request.
+func (s *sim) randomGateway() int {
+	for {
+		gateway := s.rng.IntN(s.numGateways)
+		if len(s.weights) == 0 || s.rng.Float64() < s.weights[gateway%s.zones]/slices.Max(s.weights) {
+			return gateway
+		}
+	}
+}
+
 // batchCycle starts an item at a gateway whenever a backend server has capacity for it.
 func (s *sim) batchCycle(gateway int) {
-	if c, ok := s.gateways[gateway].Pick(s.backends, balance.Requirements{Class: balance.Batch}, s.now); ok {
+	if c, ok := s.gateways[gateway].Pick(s.candidates, balance.Requirements{Class: balance.Batch}, s.now); ok {
 		s.send(gateway, c, balance.Batch)
 	}
 	s.after(10*time.Millisecond+s.random(10*time.Millisecond), func() { s.batchCycle(gateway) })
--- a/balance/spread.go
+++ b/balance/spread.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 )
@@ -9,15 +10,17 @@
 // costs differ by less share the requests.
 const minSpread = 0.9
 
-// waterLevel returns the cost up to which amount slots raise the cheapest candidates, if
-// they are used where they cost least. costs is sorted in place.
-func waterLevel(costs []float64, amount float64) float64 {
-	slices.Sort(costs)
-	sum := 0.0
+// waterLevel returns the cost up to which a number of attempts raises the cheapest candidates, if
+// each goes where it costs least. costs is sorted in place.
+func waterLevel(costs []cost, attempts float64) float64 {
+	slices.SortFunc(costs, func(a, b cost) int { return cmp.Compare(a.total, b.total) })
+	// The candidates below a level take the sum of (level - total) / step attempts.
+	inverse, sum := 0.0, 0.0
 	for i, c := range costs {
-		sum += c
-		level := (amount + sum) / float64(i+1)
-		if i+1 == len(costs) || level <= costs[i+1] {
+		inverse += 1 / c.step
+		sum += c.total / c.step
+		level := (attempts + sum) / inverse
+		if i+1 == len(costs) || level <= costs[i+1].total {
 			return level
 		}
 	}
@@ -29,19 +32,20 @@
 // that the others have probably started since they reported their loads. If all chose the
 // cheapest candidate of reports that are not quite up to date, they would overload it
 // ("load interpretation", M. Dahlin, Interpreting Stale Load Information, 1999). The
-// probability of a candidate is proportional to what it takes up to the common level.
-func spread(rng *rand.Rand, costs []float64, unseen float64) int {
+// probability of a candidate is proportional to the attempts that it takes up to the common level;
+// one whose cost rises faster with each of them takes fewer.
+func spread(rng *rand.Rand, costs []cost, unseen float64) int {
 	level := waterLevel(slices.Clone(costs), unseen+minSpread)
 	point := rng.Float64() * (unseen + minSpread)
 	cheapest := 0
 	for i, c := range costs {
-		if c < costs[cheapest] {
+		if c.total < costs[cheapest].total {
 			cheapest = i
 		}
-		if c >= level {
+		if c.total >= level {
 			continue
 		}
-		if point -= level - c; point < 0 {
+		if point -= (level - c.total) / c.step; point < 0 {
 			return i
 		}
 	}
--- a/balance/table.go
+++ b/balance/table.go
@@ -43,6 +43,8 @@
 	RegionOf map[string]string
 	// PeerTTL is how long a peer's report is valid.
 	PeerTTL time.Duration
+	// Paths are the costs of sending a request out of the zone; nil stands for DefaultPaths.
+	Paths *Paths
 	// Seed is the seed of the random numbers of choices.
 	Seed uint64
 }
@@ -65,8 +67,17 @@
 	prefix   prefixTable
 	// otherRegionsSilent states that the gateways of other regions do not report their loads.
 	otherRegionsSilent bool
-	// zoneFirst states that online requests prefer the own zone.
-	zoneFirst       bool
+	// zoneFirst states that the loads in other zones of the region are older than those in the
+	// own one.
+	zoneFirst bool
+	// paces are those that backend servers state, timings the times that they take.
+	paces   paceTable
+	timings timings
+	// plans are the decisions about leaving the own zone, and holds how long attempts hold their
+	// slots, by service. heardSince is since when the gateways of other zones report.
+	plans           map[string]*zonePlan
+	holds           map[string]*holdTime
+	heardSince      map[string]time.Time
 	unreportedLoads map[string]unreportedLoad
 	// denials are those of backend servers that name a limit.
 	denials map[denialKey]denial
@@ -77,7 +88,10 @@
 }
 
 // localCounts holds this gateway's attempts in progress at one backend server.
-type localCounts struct{ n [numClasses]int }
+type localCounts struct {
+	n       [numClasses]int
+	service string
+}
 
 // Key returns a short hash that identifies a backend server or a service in reports
 // between gateways. A collision of two ids only adds up their loads.
@@ -92,6 +106,9 @@
 
 // New returns an empty table.
 func New(opts Options) *Table {
+	if opts.Paths == nil {
+		opts.Paths = DefaultPaths()
+	}
 	return &Table{
 		opts:            opts,
 		rng:             rand.New(rand.NewPCG(opts.Seed, opts.Seed^0x9e3779b97f4a7c15)),
@@ -102,6 +119,11 @@
 		failures:        make(map[uint32]failureCount),
 		shared:          make(map[uint32]*sharedFailures),
 		prefix:          newPrefixTable(),
+		paces:           newPaceTable(),
+		timings:         newTimings(),
+		plans:           make(map[string]*zonePlan),
+		holds:           make(map[string]*holdTime),
+		heardSince:      make(map[string]time.Time),
 		unreportedLoads: make(map[string]unreportedLoad),
 		denials:         make(map[denialKey]denial),
 		changed:         make(chan struct{}),
@@ -141,17 +163,29 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *Table) countAttempt(b catalog.Backend, c Class) {
+func (t *Table) countAttempt(b catalog.Backend, c Class, now time.Time) {
 	counts := t.local[b.ID]
 	if counts == nil {
-		counts = &localCounts{}
+		counts = &localCounts{service: b.Service}
 		t.local[b.ID] = counts
 	}
 	counts.n[c]++
 	t.started[Key(b.Service)]++
+	if c == Online {
+		t.holdOf(b.Service).started(now)
+	}
 	t.notifyLocalChange()
 }
 
+func (t *Table) holdOf(service string) *holdTime {
+	h := t.holds[service]
+	if h == nil {
+		h = &holdTime{}
+		t.holds[service] = h
+	}
+	return h
+}
+
 // Release ends an attempt that Pick has counted.
 func (t *Table) Release(id string, c Class) {
 	t.mu.Lock()
@@ -161,6 +195,9 @@
 		return
 	}
 	counts.n[c]--
+	if c == Online {
+		t.holdOf(counts.service).inProgress--
+	}
 	if counts.n == [numClasses]int{} {
 		delete(t.local, id)
 	}
@@ -196,6 +233,10 @@
 	// OtherRegion states that the peer is in another region, OtherZone that it is in another
 	// zone of the own region.
 	OtherRegion, OtherZone bool
+	// Zone is the peer's zone if OtherZone is true.
+	Zone string
+	// Paces are those that backend servers have stated to the peer.
+	Paces map[uint32]Pace
 	// Failures are the counts of the peer's recent failures; nil if they are to be
 	// ignored.
 	Failures map[uint32]uint32
@@ -207,6 +248,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	ejections := t.recordPeerFailures(name, r.Failures, now)
+	t.recordPeerPaces(r.Paces, now)
 	t.peers.set(name, r, now)
 	t.wake()
 	return ejections
@@ -220,8 +262,8 @@
 	t.otherRegionsSilent = silent
 }
 
-// SetZoneFirst sets whether online requests prefer backend servers of the own zone, since
-// the gateways of other zones report less often.
+// SetZoneFirst sets whether the gateways of other zones of the region report less often than those
+// of the own one, so that their loads are known less well.
 func (t *Table) SetZoneFirst(on bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -280,6 +322,7 @@
 	defer t.mu.Unlock()
 	delete(t.health, id)
 	delete(t.unreportedLoads, id)
+	delete(t.timings.servers, id)
 	t.removeDenials(id)
 	delete(t.failures, Key(id))
 	delete(t.shared, Key(id))
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,9 @@
 	mu sync.Mutex
 	// backends holds the backend servers that may have series.
 	backends map[string]bool
+	// zone is the gateway's zone, and zones holds those that may have series.
+	zone  string
+	zones map[string]bool
 }
 
 // NewMetrics returns metrics that are registered in set.
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
@@ -32,6 +33,24 @@
 	assert.DeepEqual(t, set.ListMetricNames(), []string{`catkinrudder_gateway_backend_attempts_total{backend="i-1",outcome="not_run"}`})
 }
 
+// TestZoneSeriesAreBounded counts bytes of attempts in zones that the settings do not name.
+func TestZoneSeriesAreBounded(t *testing.T) {
+	set := metrics.NewSet()
+	m := gateway.NewMetrics(set)
+	m.SetZones("a", map[string]string{"a": "r", "b": "r"})
+	m.Transferred("b", string(balance.ZoneFuller), 10)
+	m.Transferred("b", "", 5)
+	for i := range 20 {
+		m.Transferred(strings.Repeat("x", i), string(balance.Home), 1)
+	}
+	assert.DeepEqual(t, set.ListMetricNames(), []string{
+		`catkinrudder_gateway_zone_bytes_total{from="a",to="b",reason="item"}`,
+		`catkinrudder_gateway_zone_bytes_total{from="a",to="b",reason="own_zone_fuller"}`,
+		`catkinrudder_gateway_zone_bytes_total{from="a",to="unknown",reason="own_zone"}`,
+	})
+	assert.Equal(t, set.GetOrCreateCounter(`catkinrudder_gateway_zone_bytes_total{from="a",to="unknown",reason="own_zone"}`).Get(), uint64(20))
+}
+
 func TestRequestsAreCountedByOutcome(t *testing.T) {
 	b := platformtest.NewBackend(t, "a")
 	f := newFixture(t, b)
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -236,7 +236,7 @@
 	idle := o.startIdleTimer(b, cancel)
 	o.attemptBegan = time.Now()
 	response, err := o.g.Pool.Do(actx, o.r, serving.Attempt{
-		BackendID: b.ID, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent,
+		BackendID: b.ID, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent, Crossing: string(choice.Crossing),
 	})
 	if err != nil {
 		idle.Stop()
@@ -246,6 +246,10 @@
 	if response.Info.HasLoad {
 		o.g.Table.ObserveLoad(b.ID, response.Info.Load, time.Now())
 	}
+	if !response.Info.NotRun {
+		now := time.Now()
+		o.g.Table.ObserveFirstByte(choice, now.Sub(o.attemptBegan), now)
+	}
 	if response.Info.NotRun {
 		idle.Stop()
 		return o.handleRefusal(b, response)
@@ -348,9 +352,10 @@
 
 func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
 	o.g.Metrics.routed(c.Reason)
+	o.g.Metrics.crossed(c.Backend.Zone, c.Crossing)
 	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "route", o.route.Name, "service", o.service,
 		"backend", c.Backend.ID, "reason", c.Reason, "online", c.Load.Online, "batch", c.Load.Batch, "slots", c.Backend.Slots,
-		"attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
+		"zone", c.Backend.Zone, "crossing", c.Crossing, "attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
 		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -112,6 +112,7 @@
 	}
 	d.store = platform.NewStore(s.Store.Address)
 	gatewayMetrics := gateway.NewMetrics(d.metrics)
+	gatewayMetrics.SetZones(s.Zone, s.RegionOf)
 	d.store.OnCall = func(call string, o platform.CallOutcome, took time.Duration) {
 		gatewayMetrics.StoreCalled(call, string(o), took)
 	}
@@ -119,9 +120,12 @@
 		Codec: platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
 		Admit:      func(ctx context.Context, a serving.Attempt) error { return d.limits.Admit(ctx, a.BackendID, a.Batch) },
 		OnResponse: d.responseReceived,
+		OnTransfer: func(a serving.Attempt, bytes int64) {
+			gatewayMetrics.Transferred(d.backends.Zone(a.BackendID), a.Crossing, bytes)
+		},
 	})
 	table := balance.New(balance.Options{
-		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.ReportTTL, Seed: uint64(time.Now().UnixNano()),
+		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.ReportTTL, Paths: paths(s.Paths), Seed: uint64(time.Now().UnixNano()),
 	})
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
@@ -290,6 +294,9 @@
 	if info.Leaving {
 		d.backends.SetLeaving(backendID)
 	}
+	if info.HasLoad && info.Load.HasPace {
+		d.gateway.Table.ObservePace(backendID, info.Load.Pace, time.Now())
+	}
 	d.limits.Observe(backendID, info.RateLimit)
 }
 
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -59,6 +59,9 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 	// Leaving states that the sender is about to stop.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
+	// Paces are those that backend servers have stated to the sender a short time ago; see
+	// encodePaces.
+	Paces map[uint32][2]int64 `cbor:"18,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -251,6 +254,7 @@
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
+		Paces:      encodePaces(p.opts.Table.FreshPaces(time.Now())),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
 }
@@ -313,7 +317,7 @@
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
 	p.mu.Unlock()
-	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone}
+	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone, Zone: r.Zone, Paces: decodePaces(r.Paces)}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
 		// servers fail there, but not here. What is started there goes to its own servers.
--- a/serving/request.go
+++ b/serving/request.go
@@ -83,11 +83,18 @@
 	// ResumeAfter is the id of the last event received; empty to start from the
 	// beginning.
 	ResumeAfter string
+	// Crossing states, for the metrics, why the attempt goes to the backend server's zone; it is
+	// empty for items.
+	Crossing string
 }
 
 // Load is the load that a backend server reports in a response.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes at the server at this moment, relative to the usual time: 2.5
+	// means two and a half times as long. It is only set if HasPace is true.
+	Pace    float64
+	HasPace bool
 }
 
 // RateLimit is what a response says about the requests that its backend server takes. The zero
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -79,6 +79,9 @@
 	// OnResponse, if set, is called with the head of each response of a backend server before
 	// the response is returned.
 	OnResponse func(backendID string, info serving.ResponseInfo)
+	// OnTransfer, if set, is called at the end of each response with the bytes of the bodies of
+	// the request and the response.
+	OnTransfer func(a serving.Attempt, bytes int64)
 }
 
 // Pool keeps idle connections to backend servers by address.
@@ -119,6 +122,8 @@
 	unwatch     func() bool
 	complete    bool
 	interrupted bool
+	// transferred counts the bytes of the bodies of the request and, so far, of the response.
+	transferred int64
 }
 
 // Do sends r to the backend server of a and returns the head of the response. The
@@ -149,7 +154,7 @@
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
-		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch,
+		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch, transferred: int64(len(r.Body)),
 	}, nil
 }
 
@@ -181,6 +186,7 @@
 // Read reads the body. It returns io.EOF only after a complete body.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	r.transferred += int64(n)
 	if errors.Is(err, io.EOF) {
 		r.complete = true
 		return n, io.EOF
@@ -203,6 +209,9 @@
 // and no bytes follow it.
 func (r *Response) Close() {
 	r.pool.ended(r.attempt.BackendID, r.outcome())
+	if r.pool.opts.OnTransfer != nil {
+		r.pool.opts.OnTransfer(r.attempt, r.transferred)
+	}
 	watching := r.unwatch()
 	c := r.exchange.conn
 	keep := watching && r.complete && !r.interrupted && r.Framed() && !r.resp.Close &&
