waiting: one order of those who wait, refusal at arrival by forecast, Retry-After by expected room

Cause: all waiters of a gateway woke at each change and raced; Priority was read by nobody; a request could be "in time" with no time left for its first byte; callers were told 0.3 to 0.8 s whatever the load.

Change: package waiting (order, forecast, decision, Retry-After; pure, played in load_test.go), the queue of gateways over it, waiting requests in reports (field 20), no more requests waiting at an engine than take two fifths of the objective.

queue_order_test.go tested the type that is replaced; the same statements are checked in waiting/line_test.go (TestLateWaitersYieldToThoseInTime), with the time of the first byte, and services stay apart by having a line each.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -24,8 +24,8 @@
 	ejectedCost = 1000.0
 	// recentFailureCost is the cost of each recent failure that any gateway reports.
 	recentFailureCost = 3.0
-	// maxQueuedOnline is how many online requests may wait at an engine.
-	maxQueuedOnline = 2
+	// MaxQueuedOnline is how many online requests may wait at an engine.
+	MaxQueuedOnline = 2
 	// summaryAgeFactor is how many times older the loads in a summary of another region are
 	// than those that gateways of the own region report.
 	summaryAgeFactor = 2
@@ -47,6 +47,9 @@
 	// Origin is the software that has begun the output; only servers that run it are chosen.
 	// It is zero for a request without any output.
 	Origin catalog.Software
+	// QueueCut is by how many the number of online requests that may wait at an engine is
+	// lowered.
+	QueueCut int
 	// AllowOverload selects the least loaded backend server even if none has free
 	// capacity.
 	AllowOverload bool
@@ -155,7 +158,7 @@
 		return FreeSlot, true
 	case load.Online < b.Slots:
 		return PreemptsBatch, true
-	case load.Online < b.Slots+maxQueuedOnline:
+	case load.Online < b.Slots+max(MaxQueuedOnline-req.QueueCut, 0):
 		return Queued, true
 	case req.AllowOverload:
 		return Overloaded, true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/upstream"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 // Gateway serves requests. Its fields are set once, before the first request.
@@ -35,9 +36,15 @@
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
 
+	// Crowd holds what waits at other gateways; nil if none reports it.
+	Crowd *waiting.Crowd
+
 	queue queue
 }
 
+// Waiting returns how many requests wait at this gateway by the key of their service.
+func (g *Gateway) Waiting() map[uint32]int { return g.queue.waitingByService() }
+
 // Origins knows which software began the streams of callers, also of those whose callers
 // reached other gateways. A stream is named by the id of the caller's attempt that brought its
 // first event.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/upstream"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 // Metrics holds the metrics of a gateway. Label values come from closed lists and
@@ -36,6 +37,22 @@
 	m.set.GetOrCreateHistogram(`catkinrudder_gateway_first_byte_seconds{route_kind="` + kind + `"}`).Update(seconds)
 }
 
+// waitingNow sets how many requests wait for a service. Services come from the configuration.
+func (m *Metrics) waitingNow(service string, n int) {
+	m.set.GetOrCreateGauge(`catkinrudder_gateway_waiting_requests{service="`+service+`"}`, nil).Set(float64(n))
+}
+
+// waited records a wait for a slot that has ended, and the refusal with which it ended if
+// there is a reason for one.
+func (m *Metrics) waited(refused waiting.Reason, d time.Duration) {
+	outcome := "slot"
+	if refused != waiting.None {
+		outcome = string(refused)
+		m.set.GetOrCreateCounter(`catkinrudder_gateway_refusals_total{reason="` + outcome + `"}`).Inc()
+	}
+	m.set.GetOrCreateHistogram(`catkinrudder_gateway_wait_seconds{outcome="` + outcome + `"}`).Update(d.Seconds())
+}
+
 // requestOutcome is the outcome of a request for its caller.
 type requestOutcome string
 
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -15,6 +15,7 @@
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 // ErrAborted reports that a response was cut off after a part of it was sent. The
@@ -25,10 +26,6 @@
 	// refusedRetryDelay is the maximum wait before a request that all backend servers
 	// have refused is tried again.
 	refusedRetryDelay = 20 * time.Millisecond
-	// overloadRetryAfter is the Retry-After of refused requests; overloadRetryJitter is
-	// a random addition that spreads the retries.
-	overloadRetryAfter  = 300 * time.Millisecond
-	overloadRetryJitter = 500 * time.Millisecond
 	// idleTimeoutFactor is the multiple of the route's FirstByteObjective for which an
 	// idempotent request waits for a response head or the next event before it is retried
 	// elsewhere. It waits for minIdleTimeout at least.
@@ -46,6 +43,13 @@
 	// deadline is when the caller or the route times out.
 	deadline time.Time
 
+	// priority is the rank of the request; 0 is the most urgent.
+	priority int
+	// spent is the time that the caller has probably spent at other gateways before.
+	spent time.Duration
+	// judged is what was last decided about the request when it found no slot.
+	judged judgement
+
 	// parts are the ids of the prompt parts that other requests share.
 	parts []string
 	// identities are those of the request; see identify.
@@ -86,6 +90,8 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(o.deadline) {
 		o.deadline = r.Deadline
 	}
+	o.priority = g.priority(r, route)
+	o.spent = g.queue.spent(route.Name, o.deadline.Sub(r.ReceivedAt), r.ReceivedAt)
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
 	err := o.run(ctx)
@@ -96,6 +102,18 @@
 	return err
 }
 
+// priority returns the rank of a request on a route: that of its workspace, if it has one.
+func (g *Gateway) priority(r *serving.Request, route *catalog.Route) int {
+	if r.Identity.Workspace == "" || g.Configs == nil {
+		return route.Priority
+	}
+	config := g.Configs.Current()
+	if config == nil {
+		return route.Priority
+	}
+	return config.Workspaces()[r.Identity.Workspace].PriorityOn(route)
+}
+
 func (o *onlineRequest) run(ctx context.Context) error {
 	if o.resumes() {
 		if err := o.findOrigin(ctx); err != nil {
@@ -119,9 +137,8 @@
 
 // pickBackend waits for a backend server with a free slot and counts the attempt there.
 func (o *onlineRequest) pickBackend(ctx context.Context) (balance.Choice, error) {
-	w := o.g.queue.waiter(o.service, o.r.ReceivedAt.Add(o.route.FirstByteObjective))
-	defer w.leave()
-	begin := time.Now()
+	p := o.g.queue.place(o.service, o.claim(), o.g.Metrics)
+	defer p.leave()
 	for {
 		changed := o.g.Table.CapacityChanged()
 		now := time.Now()
@@ -139,9 +156,12 @@
 		need := balance.Requirements{
 			Class: balance.Online, PromptPart: o.lastSharedPart(), Exclude: o.excluded,
 			RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(), Origin: o.origin,
+			QueueCut: p.engineQueueCut(candidates[0].Slots),
 		}
-		if !w.yields(now) {
+		if o.bypassesLine() || p.mayTry(now) {
 			if choice, ok := o.g.Table.Pick(candidates, need, now); ok {
+				p.served(now)
+				o.waitEnded(p, now)
 				o.logChoice(choice, now)
 				return choice, nil
 			}
@@ -149,27 +169,69 @@
 		if err := ctx.Err(); err != nil {
 			return balance.Choice{}, o.expiredError(err)
 		}
-		until := o.queueUntil(begin)
+		o.judged = p.judge(readySlots(candidates), o.elsewhere(now), o.refused, now)
 		permit, limited := o.g.Table.NextPermit(candidates, need, now)
-		if now.After(until) || limited && permit.After(until) {
-			return balance.Choice{}, o.overloadedError(o.g.Table.Availability(candidates, need, now), permit.Sub(now))
+		if limited && permit.After(o.judged.until) && o.judged.reason == waiting.None {
+			o.judged.reason = waiting.AtArrival
+		}
+		if o.judged.reason != waiting.None {
+			o.waitEnded(p, now)
+			return balance.Choice{}, o.overloadedError(p, o.g.Table.Availability(candidates, need, now), permit.Sub(now), now)
 		}
-		w.join(now)
-		o.waitForChange(ctx, changed, until.Sub(now))
+		if o.bypassesLine() {
+			o.waitForChange(ctx, changed, o.judged.until.Sub(now))
+			continue
+		}
+		p.wait(now)
+		p.await(ctx, changed, o.judged.until)
+		o.retryRefusing()
 	}
 }
 
-// queueUntil returns until when the request waits for a free slot, if it began to wait at
-// begin.
-func (o *onlineRequest) queueUntil(begin time.Time) time.Time {
-	if !o.mayHaveRun() {
-		begin = o.r.ReceivedAt
+// claim returns what the request brings into the line of its service.
+func (o *onlineRequest) claim() waiting.Claim {
+	limit := o.deadline.Sub(o.r.ReceivedAt)
+	arrived := o.r.ReceivedAt
+	if o.mayHaveRun() {
+		arrived = time.Now()
+	}
+	return waiting.Claim{
+		Workspace: o.r.Identity.Workspace, Priority: o.priority, Returned: o.spent > 0,
+		Arrived: arrived, Objective: o.route.FirstByteObjective, InTimeUntil: o.r.ReceivedAt.Add(o.route.FirstByteObjective - o.spent), Deadline: o.r.ReceivedAt.Add(limit),
 	}
-	return queueUntil(begin, o.deadline, o.route.FirstByteObjective, o.refused)
 }
 
-// waitForChange waits up to d for a change of the balance table. Unless the request may
-// have run already, backend servers that refused it may be tried again afterwards.
+// bypassesLine reports whether the request does not take turns with others: a backend server
+// may have run a part of it already, or only some backend servers can go on with its stream.
+func (o *onlineRequest) bypassesLine() bool { return o.mayHaveRun() || o.origin.Known() }
+
+// elsewhere returns what waits for the service at other gateways.
+func (o *onlineRequest) elsewhere(now time.Time) waiting.Elsewhere {
+	if o.g.Crowd == nil {
+		return waiting.Elsewhere{}
+	}
+	return o.g.Crowd.Of(balance.Key(o.service), now)
+}
+
+// waitEnded counts the end of a wait.
+func (o *onlineRequest) waitEnded(p *place, now time.Time) {
+	if p.w != nil || o.judged.reason != waiting.None {
+		o.g.Metrics.waited(o.judged.reason, now.Sub(o.r.ReceivedAt))
+	}
+}
+
+// readySlots returns the number of slots of the backend servers that take requests.
+func readySlots(candidates []catalog.Backend) int {
+	n := 0
+	for _, b := range candidates {
+		if b.State == catalog.Ready {
+			n += b.Slots
+		}
+	}
+	return n
+}
+
+// waitForChange waits up to d for a change of the balance table.
 func (o *onlineRequest) waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(min(d, refusedRetryDelay) + time.Millisecond)
 	defer t.Stop()
@@ -178,6 +240,12 @@
 	case <-changed:
 	case <-t.C:
 	}
+	o.retryRefusing()
+}
+
+// retryRefusing lets backend servers that refused the request be tried again, unless one may
+// have run it.
+func (o *onlineRequest) retryRefusing() {
 	if o.attempts == 0 {
 		clear(o.excluded)
 	}
@@ -197,10 +265,10 @@
 // overloadedError returns the error of a request that found no backend server with
 // capacity in time. untilPermit is the time until one that names a limit probably takes a request,
 // if nothing else stands in the way.
-func (o *onlineRequest) overloadedError(r balance.Availability, untilPermit time.Duration) *errkind.Error {
+func (o *onlineRequest) overloadedError(p *place, r balance.Availability, untilPermit time.Duration, now time.Time) *errkind.Error {
 	return errkind.New(errkind.Overloaded, "no backend server has room: %d known, %d leaving, %d tried, %d at their limits, %d avoided, least load %d online and %d batch",
 		r.Candidates, r.Draining, r.Excluded, r.Limited, r.Ejected, r.LeastLoaded.Online, r.LeastLoaded.Batch).
-		WithRetryAfter(max(overloadRetryAfter, untilPermit) + rand.N(overloadRetryJitter))
+		WithRetryAfter(max(p.comeBack(o.judged, now), untilPermit))
 }
 
 // expiredError returns the error of a request whose deadline has passed or whose caller
@@ -370,5 +438,7 @@
 	o.g.Metrics.requestFailed(e.Kind)
 	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
 		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
+		"workspace", o.r.Identity.Workspace, "priority", o.priority, "refused", o.judged.reason, "ahead", o.judged.forecast.Ahead,
+		"expected_wait", o.judged.forecast.Here, "expected_elsewhere", o.judged.forecast.Elsewhere, "spent_before", o.spent,
 		"parts", o.parts, "identity", o.loggedIdentity())
 }
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -1,87 +1,240 @@
 package gateway
 
 import (
+	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
-)
 
-const (
-	// queueTimeFraction is the fraction of its remaining time for which a request waits for
-	// a free slot. Callers honour a Retry-After of up to a third of their time, so one that
-	// is refused then can still be served by another gateway.
-	queueTimeFraction = 1.0 / 3
-	// refusedWaitFactor is the fraction of the route's FirstByteObjective for which a
-	// request that backend servers have refused is tried again: they are fuller than this
-	// gateway knows, and another gateway may know better.
-	refusedWaitFactor = 0.2
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
-// queueUntil returns until when a request waits for a free slot. It answers bursts that
-// exceed the slots for less than a second or two: a caller that is refused returns later
-// than the next slot becomes free.
-func queueUntil(received, deadline time.Time, objective time.Duration, refused bool) time.Time {
-	if refused {
-		return received.Add(time.Duration(float64(objective) * refusedWaitFactor))
+// recheckInterval is the time after which a request that waits behind others is judged again.
+const recheckInterval = 100 * time.Millisecond
+
+// queue holds the lines of those who wait at this gateway and what is measured of the
+// services. Its zero value is empty.
+type queue struct {
+	mu       sync.Mutex
+	services map[string]*serviceQueue
+	// limits are those of the callers of each route.
+	limits map[string]*waiting.Limits
+}
+
+// serviceQueue is the part of a queue that concerns one service.
+type serviceQueue struct {
+	line    waiting.Line
+	pace    waiting.Pace
+	returns waiting.Returns
+	// hold is how long requests hold a slot, start how long their first byte takes.
+	hold, start waiting.Mean
+	// turns has the channel of each request in the line; see place.turn.
+	turns map[*waiting.Waiter]chan struct{}
+}
+
+// service returns the part of a service. The caller holds mu.
+func (q *queue) service(name string) *serviceQueue {
+	if q.services == nil {
+		q.services = make(map[string]*serviceQueue)
+	}
+	s := q.services[name]
+	if s == nil {
+		s = &serviceQueue{turns: make(map[*waiting.Waiter]chan struct{})}
+		q.services[name] = s
 	}
-	return received.Add(time.Duration(float64(deadline.Sub(received)) * queueTimeFraction))
+	return s
 }
 
-// queue orders the requests that wait for a free slot. While a service has waiting requests
-// that can still be answered within their objective, those that can't yield to them, so
-// that a burst makes few requests late instead of all. Its zero value is empty.
-type queue struct {
-	mu sync.Mutex
-	// inTime counts the waiting requests by service that can meet their objective.
-	inTime map[string]int
+// spent returns the time that a caller has probably spent at other gateways before a request
+// on a route.
+func (q *queue) spent(route string, limit time.Duration, now time.Time) time.Duration {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.limits == nil {
+		q.limits = make(map[string]*waiting.Limits)
+	}
+	l := q.limits[route]
+	if l == nil {
+		l = &waiting.Limits{}
+		q.limits[route] = l
+	}
+	return l.Observe(limit, now)
 }
 
-// waiter is the place of one request in a queue.
-type waiter struct {
-	queue   *queue
-	service string
-	// objective is the time until which an answer is in time.
-	objective time.Time
-	counted   bool
+// completed records how long a request held its slot and how long its first byte took.
+func (q *queue) completed(service string, hold, start time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.service(service)
+	s.hold.Add(hold)
+	s.start.Add(start)
 }
 
-func (q *queue) waiter(service string, objective time.Time) *waiter {
-	return &waiter{queue: q, service: service, objective: objective}
+// waitingByService returns how many requests wait by the key of the service.
+func (q *queue) waitingByService() map[uint32]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var out map[uint32]int
+	for name, s := range q.services {
+		if n := s.line.Len(); n > 0 {
+			if out == nil {
+				out = make(map[uint32]int)
+			}
+			out[balance.Key(name)] = n
+		}
+	}
+	return out
 }
 
-// yields reports whether other requests go first.
-func (w *waiter) yields(now time.Time) bool {
-	if now.Before(w.objective) {
-		return false
+// place is the place of one request in the queue of its service.
+type place struct {
+	q       *queue
+	service *serviceQueue
+	claim   waiting.Claim
+	metrics *Metrics
+	name    string
+	// w is nil until the request waits.
+	w *waiting.Waiter
+	// turn receives a token when the request has become the head of the line.
+	turn chan struct{}
+}
+
+func (q *queue) place(service string, c waiting.Claim, m *Metrics) *place {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return &place{q: q, service: q.service(service), claim: c, metrics: m, name: service, turn: make(chan struct{}, 1)}
+}
+
+// mayTry reports whether the request goes before all that wait for the service. If others
+// wait, it joins them.
+func (p *place) mayTry(now time.Time) bool {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	if p.w == nil && p.service.line.Len() == 0 {
+		return true
+	}
+	p.join(now)
+	if p.service.head(now) == p.w {
+		return true
 	}
-	w.leave()
-	w.queue.mu.Lock()
-	defer w.queue.mu.Unlock()
-	return w.queue.inTime[w.service] > 0
+	p.service.passTurn(now)
+	return false
+}
+
+// wait makes the request wait in the line.
+func (p *place) wait(now time.Time) {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.join(now)
 }
 
-// join makes the request wait in the queue.
-func (w *waiter) join(now time.Time) {
-	if w.counted || !now.Before(w.objective) {
+// join adds the request to the line. The caller holds the queue's lock.
+func (p *place) join(now time.Time) {
+	if p.w != nil {
 		return
 	}
-	w.queue.mu.Lock()
-	defer w.queue.mu.Unlock()
-	if w.queue.inTime == nil {
-		w.queue.inTime = make(map[string]int)
+	p.w = p.service.line.Join(p.claim)
+	p.service.turns[p.w] = p.turn
+	p.service.pace.Observe(true, now)
+	p.metrics.waitingNow(p.name, p.service.line.Len())
+}
+
+// served records that the request was sent to a backend server.
+func (p *place) served(now time.Time) {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	p.service.line.Served(p.claim.Workspace, now)
+	if p.w != nil {
+		p.service.pace.Granted(now)
 	}
-	w.queue.inTime[w.service]++
-	w.counted = true
 }
 
-// leave ends the wait.
-func (w *waiter) leave() {
-	if !w.counted {
+// leave ends the wait; the next request gets its turn.
+func (p *place) leave() {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	if p.w == nil {
 		return
 	}
-	w.queue.mu.Lock()
-	defer w.queue.mu.Unlock()
-	w.counted = false
-	if w.queue.inTime[w.service]--; w.queue.inTime[w.service] == 0 {
-		delete(w.queue.inTime, w.service)
+	now := time.Now()
+	p.service.line.Leave(p.w)
+	delete(p.service.turns, p.w)
+	p.w = nil
+	p.service.pace.Observe(p.service.line.Len() > 0, now)
+	p.metrics.waitingNow(p.name, p.service.line.Len())
+	p.service.passTurn(now)
+}
+
+// head returns the request that goes first. The caller holds the queue's lock.
+func (s *serviceQueue) head(now time.Time) *waiting.Waiter {
+	return s.line.Head(now, s.start.Bound())
+}
+
+// passTurn wakes the head of the line. The caller holds the queue's lock.
+func (s *serviceQueue) passTurn(now time.Time) {
+	if head := s.head(now); head != nil {
+		select {
+		case s.turns[head] <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// engineQueueCut returns by how many the number of requests that may wait at an engine is lowered.
+func (p *place) engineQueueCut(slotsPerServer int) int {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	return balance.MaxQueuedOnline - waiting.EngineQueue(balance.MaxQueuedOnline, slotsPerServer, p.service.hold, p.claim.Objective)
+}
+
+// judgement is what was decided about a request that found no slot.
+type judgement struct {
+	reason   waiting.Reason
+	forecast waiting.Forecast
+	// until is until when the request waits if reason is waiting.None.
+	until time.Time
+}
+
+// judge decides whether the request goes on waiting for one of slots.
+func (p *place) judge(slots int, elsewhere waiting.Elsewhere, serversRefused bool, now time.Time) judgement {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	s := p.service
+	ahead := s.line.Len()
+	if p.w != nil {
+		ahead = s.line.Ahead(p.w, now, s.start.Bound())
+	}
+	f := waiting.Expect(ahead, waiting.Slots{Count: slots, Hold: s.hold, Start: s.start}, &s.pace, elsewhere, now)
+	reason, until := waiting.Decide(p.claim, f, serversRefused, now)
+	return judgement{reason: reason, forecast: f, until: until}
+}
+
+// comeBack returns when the caller of a refused request should come back.
+func (p *place) comeBack(j judgement, now time.Time) time.Duration {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	return p.service.returns.After(p.claim, j.reason, j.forecast, now, rand.Float64())
+}
+
+// await waits until the request should try again: the head of the line after each change of
+// the balance table, the others once they have become the head.
+func (p *place) await(ctx context.Context, changed <-chan struct{}, until time.Time) {
+	p.q.mu.Lock()
+	head := p.service.head(time.Now()) == p.w
+	p.q.mu.Unlock()
+	longest := recheckInterval
+	if head {
+		longest = refusedRetryDelay
+	} else {
+		changed = nil
+	}
+	t := time.NewTimer(min(time.Until(until), longest) + time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-p.turn:
+	case <-t.C:
 	}
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -207,6 +207,9 @@
 	} else {
 		o.g.Table.RecordSuccess(b.ID)
 	}
+	if status == http.StatusOK && o.firstByte.After(o.attemptBegan) {
+		o.g.queue.completed(o.service, time.Since(o.attemptBegan), o.firstByte.Sub(o.attemptBegan))
+	}
 	if status == http.StatusOK && proved {
 		o.g.Quarantine.RunCompleted(o.suspectsIfNeeded(eagerIdentityBytes))
 	}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -33,6 +33,7 @@
 	"github.com/catkinrudder/catkinrudder/ratelimit"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 const (
@@ -127,9 +128,11 @@
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
 	d.guard = quarantine.NewGuard(d.guardOptions(table))
+	crowd := waiting.NewCrowd(peering.ReportTTL)
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
 		Limits: d.limits, RegionOf: s.RegionOf,
+		Waiting: func() map[uint32]int { return d.gateway.Waiting() }, Crowd: crowd,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -145,7 +148,7 @@
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard,
+		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard, Crowd: crowd,
 	}
 	return d, nil
 }
--- a/peering/export_test.go
+++ b/peering/export_test.go
@@ -13,3 +13,6 @@
 	_, err := p.readNewest(ctx, address)
 	return err
 }
+
+// MaxWaitingServices is maxWaitingServices.
+const MaxWaitingServices = maxWaitingServices
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -22,6 +22,7 @@
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 const (
@@ -59,6 +60,8 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 	// Leaving states that the sender is about to stop.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
+	// Waiting counts the requests that wait at the sender, by service.
+	Waiting map[uint32]int `cbor:"20,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -101,6 +104,10 @@
 	Evidence Evidence
 	// Limits receives the messages of other gateways about the limits that backend servers name.
 	Limits Limits
+	// Waiting returns how many requests wait at this gateway by the key of their service, and
+	// Crowd receives those of other gateways. Both may be nil.
+	Waiting func() map[uint32]int
+	Crowd   *waiting.Crowd
 	// RegionOf maps availability zones to their regions.
 	RegionOf map[string]string
 	// Shards returns this gateway's reports on the shards that it owns.
@@ -252,6 +259,7 @@
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
+		Waiting: p.waiting(),
 	}
 }
 
@@ -313,6 +321,7 @@
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
 	p.mu.Unlock()
+	p.applyWaiting(r, now)
 	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -25,6 +26,7 @@
 	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/ratelimit"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 // gateway is one participant of the peering.
@@ -39,10 +41,13 @@
 	// evidence records the reports about prompt parts.
 	evidence *evidence
 	limits   *ratelimit.Limiter
-	// mu guards denied, the time until which requests were denied.
-	mu     sync.Mutex
-	denied time.Time
-	stop   func()
+	crowd    *waiting.Crowd
+	// mu guards denied, the time until which requests were denied, and waiting, the requests
+	// that wait here.
+	mu      sync.Mutex
+	denied  time.Time
+	waiting map[uint32]int
+	stop    func()
 }
 
 func startGateway(t *testing.T, name, address, region string, shards ...jobs.ShardReport) *gateway {
@@ -54,13 +59,14 @@
 
 func startGatewayOn(t *testing.T, conn net.PacketConn, name, region string, shards ...jobs.ShardReport) *gateway {
 	t.Helper()
-	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable(), evidence: &evidence{}}
+	g := &gateway{name: name, region: region, address: conn.LocalAddr().String(), shards: shards, origins: origins.NewTable(), evidence: &evidence{}, crowd: waiting.NewCrowd(peering.ReportTTL)}
 	g.table = balance.New(balance.Options{Zone: "z", PeerTTL: peering.ReportTTL, Seed: 1})
 	g.limits = ratelimit.NewLimiter(ratelimit.Options{
 		StartedAt: time.Now().Add(-time.Minute), Peers: func() ratelimit.Peers { return g }, Zone: func(string) string { return "z-near" }, Logger: log.New(io.Discard),
 		Denied: func(_ string, _ bool, until, _ time.Time) { g.setDenied(until) }, Freed: func(string, bool) { g.setDenied(time.Time{}) },
 	})
 	g.Peering = peering.New(peering.Options{
+		Waiting: g.waitingRequests, Crowd: g.crowd,
 		Limits: g.limits, RegionOf: map[string]string{"z-near": "near", "z-far": "far"},
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins, Evidence: g.evidence,
 		Shards: func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
@@ -73,6 +79,18 @@
 	return g
 }
 
+func (g *gateway) setWaiting(counts map[uint32]int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiting = counts
+}
+
+func (g *gateway) waitingRequests() map[uint32]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.waiting)
+}
+
 func (g *gateway) setDenied(until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/waiting/crowd.go
@@ -0,0 +1,58 @@
+package waiting
+
+import (
+	"sync"
+	"time"
+)
+
+// Crowd holds how many requests wait at the other gateways, by the key of the service, as
+// they report it. It is safe for concurrent use.
+type Crowd struct {
+	ttl time.Duration
+
+	mu      sync.Mutex
+	reports map[string]crowdReport
+}
+
+type crowdReport struct {
+	waiting map[uint32]int
+	at      time.Time
+}
+
+// NewCrowd returns a Crowd in which a report holds for ttl.
+func NewCrowd(ttl time.Duration) *Crowd {
+	return &Crowd{ttl: ttl, reports: make(map[string]crowdReport)}
+}
+
+// Set replaces the report of a gateway.
+func (c *Crowd) Set(gateway string, waiting map[uint32]int, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports[gateway] = crowdReport{waiting, now}
+}
+
+// Elsewhere is how many requests wait for a service at other gateways.
+type Elsewhere struct {
+	// Gateways is the number of other gateways that report, WaitingAt that of those where
+	// requests wait, and Waiting that of these requests.
+	Gateways, WaitingAt, Waiting int
+}
+
+// Of returns what waits for a service elsewhere.
+func (c *Crowd) Of(service uint32, now time.Time) Elsewhere {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var e Elsewhere
+	for gateway, r := range c.reports {
+		if now.Sub(r.at) > c.ttl {
+			delete(c.reports, gateway)
+			continue
+		}
+		e.Gateways++
+		if n := r.waiting[service]; n > 0 {
+			e.WaitingAt++
+			e.Waiting += n
+		}
+	}
+	return e
+}
