waiting: one of the gateways where requests wait takes a free slot

Change: the head tries with the chance of free slots over gateways where requests wait, once in 15 ms; a slot that its own gateway frees it takes at once. Where requests wait in another region too, it keeps to its own. None waits at an engine where holds exceed the objective.

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -50,6 +50,8 @@
 	// QueueCut is by how many the number of online requests that may wait at an engine is
 	// lowered.
 	QueueCut int
+	// OwnRegion excludes the backend servers of other regions.
+	OwnRegion bool
 	// AllowOverload selects the least loaded backend server even if none has free
 	// capacity.
 	AllowOverload bool
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -38,6 +38,9 @@
 	if b.State != catalog.Ready || s.req.excludes(b) || s.t.denied(b.ID, s.req.Class, s.now) || s.req.Class == Batch && s.t.unknownLoad(b) {
 		return Choice{}, 0, false
 	}
+	if s.req.OwnRegion && s.t.otherRegion(b) {
+		return Choice{}, 0, false
+	}
 	ejected := s.useHealth && s.t.ejected(b.ID, s.now)
 	if ejected && s.req.Class == Batch {
 		return Choice{}, 0, false
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -156,9 +156,9 @@
 		need := balance.Requirements{
 			Class: balance.Online, PromptPart: o.lastSharedPart(), Exclude: o.excluded,
 			RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(), Origin: o.origin,
-			QueueCut: p.engineQueueCut(candidates[0].Slots),
+			QueueCut: p.engineQueueCut(),
 		}
-		if o.bypassesLine() || p.mayTry(now) {
+		if o.bypassesLine() || p.mayTry(now) && o.hasChance(p, candidates, &need, now) {
 			if choice, ok := o.g.Table.Pick(candidates, need, now); ok {
 				p.served(now)
 				o.waitEnded(p, now)
@@ -205,6 +205,17 @@
 // may have run a part of it already, or only some backend servers can go on with its stream.
 func (o *onlineRequest) bypassesLine() bool { return o.mayHaveRun() || o.origin.Known() }
 
+// hasChance reports whether the request tries for a slot now. What other regions report of
+// their slots is old when requests wait there, so it then keeps to its own region.
+func (o *onlineRequest) hasChance(p *place, candidates []catalog.Backend, need *balance.Requirements, now time.Time) bool {
+	elsewhere := o.elsewhere(now)
+	if elsewhere.WaitingAt == 0 {
+		return true
+	}
+	need.OwnRegion = elsewhere.Far
+	return p.hasChance(o.g.Table.FreeSlots(candidates, *need, now), elsewhere, now)
+}
+
 // elsewhere returns what waits for the service at other gateways.
 func (o *onlineRequest) elsewhere(now time.Time) waiting.Elsewhere {
 	if o.g.Crowd == nil {
@@ -298,7 +309,10 @@
 // attempt may be made.
 func (o *onlineRequest) attempt(ctx context.Context, choice balance.Choice) (retry bool, err error) {
 	b := choice.Backend
-	defer o.g.Table.Release(b.ID, balance.Online)
+	defer func() {
+		o.g.queue.slotReleased(o.service)
+		o.g.Table.Release(b.ID, balance.Online)
+	}()
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := o.startIdleTimer(b, cancel)
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -29,6 +29,10 @@
 	returns waiting.Returns
 	// hold is how long requests hold a slot, start how long their first byte takes.
 	hold, start waiting.Mean
+	// released counts the slots that this gateway has freed since a request last tried, and
+	// nextChance is when the head may try for others.
+	released   int
+	nextChance time.Time
 	// turns has the channel of each request in the line; see place.turn.
 	turns map[*waiting.Waiter]chan struct{}
 }
@@ -62,6 +66,16 @@
 	return l.Observe(limit, now)
 }
 
+// slotReleased records that this gateway frees a slot of a service. The other gateways do not
+// know of it yet.
+func (q *queue) slotReleased(service string) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s := q.service(service); s.line.Len() > 0 {
+		s.released++
+	}
+}
+
 // completed records how long a request held its slot and how long its first byte took.
 func (q *queue) completed(service string, hold, start time.Duration) {
 	q.mu.Lock()
@@ -122,6 +136,27 @@
 	return false
 }
 
+// hasChance reports whether the request tries for a slot now, of free ones that other
+// gateways see as well.
+func (p *place) hasChance(free int, elsewhere waiting.Elsewhere, now time.Time) bool {
+	p.q.mu.Lock()
+	defer p.q.mu.Unlock()
+	s := p.service
+	chance := waiting.Chance(free, elsewhere)
+	switch {
+	case chance >= 1:
+		s.released = 0
+		return true
+	case s.released > 0:
+		s.released--
+		return true
+	case now.Before(s.nextChance):
+		return false
+	}
+	s.nextChance = now.Add(waiting.ChanceInterval)
+	return rand.Float64() < chance
+}
+
 // wait makes the request wait in the line.
 func (p *place) wait(now time.Time) {
 	p.q.mu.Lock()
@@ -182,10 +217,10 @@
 }
 
 // engineQueueCut returns by how many the number of requests that may wait at an engine is lowered.
-func (p *place) engineQueueCut(slotsPerServer int) int {
+func (p *place) engineQueueCut() int {
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
-	return balance.MaxQueuedOnline - waiting.EngineQueue(balance.MaxQueuedOnline, slotsPerServer, p.service.hold, p.claim.Objective)
+	return balance.MaxQueuedOnline - waiting.EngineQueue(balance.MaxQueuedOnline, p.service.hold, p.claim.Objective)
 }
 
 // judgement is what was decided about a request that found no slot.
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -321,7 +321,7 @@
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
 	p.mu.Unlock()
-	p.applyWaiting(r, now)
+	p.applyWaiting(r, far, now)
 	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
--- a/peering/waiting.go
+++ b/peering/waiting.go
@@ -27,8 +27,8 @@
 
 // applyWaiting passes on what waits at the sender of a report. One that waits for another
 // region's slots there competes for the same slots as one here.
-func (p *Peering) applyWaiting(r report, now time.Time) {
+func (p *Peering) applyWaiting(r report, far bool, now time.Time) {
 	if p.opts.Crowd != nil && len(r.Waiting) <= maxWaitingServices {
-		p.opts.Crowd.Set(r.From, r.Waiting, now)
+		p.opts.Crowd.Set(r.From, far, r.Waiting, now)
 	}
 }
--- a/waiting/crowd.go
+++ b/waiting/crowd.go
@@ -16,6 +16,7 @@
 
 type crowdReport struct {
 	waiting map[uint32]int
+	far     bool
 	at      time.Time
 }
 
@@ -24,11 +25,11 @@
 	return &Crowd{ttl: ttl, reports: make(map[string]crowdReport)}
 }
 
-// Set replaces the report of a gateway.
-func (c *Crowd) Set(gateway string, waiting map[uint32]int, now time.Time) {
+// Set replaces the report of a gateway; far states that it is in another region.
+func (c *Crowd) Set(gateway string, far bool, waiting map[uint32]int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reports[gateway] = crowdReport{waiting, now}
+	c.reports[gateway] = crowdReport{waiting, far, now}
 }
 
 // Elsewhere is how many requests wait for a service at other gateways.
@@ -36,6 +37,8 @@
 	// Gateways is the number of other gateways that report, WaitingAt that of those where
 	// requests wait, and Waiting that of these requests.
 	Gateways, WaitingAt, Waiting int
+	// Far states that some of these requests wait in another region.
+	Far bool
 }
 
 // Of returns what waits for a service elsewhere.
@@ -52,6 +55,7 @@
 		if n := r.waiting[service]; n > 0 {
 			e.WaitingAt++
 			e.Waiting += n
+			e.Far = e.Far || r.far
 		}
 	}
 	return e
--- a/waiting/decide.go
+++ b/waiting/decide.go
@@ -14,9 +14,6 @@
 	// promptFactor is the fraction of its time to be in time within which a refusal is early
 	// enough for a caller to be in time with its next attempt.
 	promptFactor = 0.25
-	// engineWaitFraction is the fraction of the objective for which a request may wait at an
-	// engine, where nobody can go before it any more.
-	engineWaitFraction = 0.4
 	// returnTrip is the least time in which a refused caller reaches another gateway.
 	returnTrip = 30 * time.Millisecond
 )
@@ -68,15 +65,15 @@
 	return float64(s.Count) / s.Hold.Value().Seconds()
 }
 
-// EngineQueue returns how many requests may wait at a backend server with some slots, at most
-// usual. It answers loads under which requests hold their slots for long: one that waits at
-// an engine then spends the time that it has to be in time, and no other can go before it.
-func EngineQueue(usual, slots int, hold Mean, objective time.Duration) int {
-	if hold.Value() <= 0 || slots <= 0 {
+// EngineQueue returns how many requests may wait at a backend server, at most usual. It
+// answers bursts in which requests hold their slots for longer than the objective: the slots
+// of a server fill together and become free together, so that one that waits at the engine
+// may spend a whole hold there, and no other can go before it.
+func EngineQueue(usual int, hold Mean, objective time.Duration) int {
+	if hold.Value() <= 0 {
 		return usual
 	}
-	perRelease := hold.Value() / time.Duration(slots)
-	return min(int(float64(objective)*engineWaitFraction/float64(perRelease)), usual)
+	return min(int(objective/hold.Value()), usual)
 }
 
 // Expect returns the forecast for a request with ahead others before it. A slot that becomes
