--- a/balance/pick.go
+++ b/balance/pick.go
@@ -62,6 +62,12 @@
 	return r.Exclude[b.ID] || r.Origin != catalog.Software{} && !b.Runs(r.Origin)
 }
 
+// onlineLimit returns how many online requests a backend server holds at most, those that wait
+// at its engine included.
+func (r Requirements) onlineLimit(b catalog.Backend) int {
+	return b.Slots + max(MaxQueuedOnline-r.QueueCut, 0)
+}
+
 // Reason is why a backend server was chosen.
 type Reason string
 
@@ -160,7 +166,7 @@
 		return FreeSlot, true
 	case load.Online < b.Slots:
 		return PreemptsBatch, true
-	case load.Online < b.Slots+max(MaxQueuedOnline-req.QueueCut, 0):
+	case load.Online < req.onlineLimit(b):
 		return Queued, true
 	case req.AllowOverload:
 		return Overloaded, true
