--- a/balance/pick.go
+++ b/balance/pick.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxQueuedOnline is how many online requests may wait at an engine.
-	maxQueuedOnline = 2
+	// MaxQueuedOnline is how many online requests may wait at an engine.
+	MaxQueuedOnline = 2
 	// summaryAgeFactor is how many times older the loads in a summary of another region are
 	// than those that gateways of the own region report.
 	summaryAgeFactor = 2
@@ -30,6 +30,11 @@
 	// Origin is the software that has begun the output; only servers that run it are chosen.
 	// It is zero for a request without any output.
 	Origin catalog.Software
+	// QueueCut is by how many the number of online requests that may wait at an engine is
+	// lowered.
+	QueueCut int
+	// OwnRegion excludes the backend servers of other regions.
+	OwnRegion bool
 	// AllowOverload selects the least loaded backend server even if none has free
 	// capacity.
 	AllowOverload bool
@@ -40,6 +45,12 @@
 	return r.Exclude[b.ID] || r.Origin != catalog.Software{} && !b.Runs(r.Origin)
 }
 
+// onlineLimit returns how many online requests a backend server holds at most, those that wait
+// at its engine included.
+func (r Requirements) onlineLimit(b catalog.Backend) int {
+	return b.Slots + max(MaxQueuedOnline-r.QueueCut, 0)
+}
+
 // Reason is why a backend server was chosen.
 type Reason string
 
@@ -143,7 +154,7 @@
 		return FreeSlot, true
 	case load.Online < b.Slots:
 		return PreemptsBatch, true
-	case load.Online < b.Slots+maxQueuedOnline:
+	case load.Online < req.onlineLimit(b):
 		return Queued, true
 	case req.AllowOverload:
 		return Overloaded, true
--- a/balance/selection.go
+++ b/balance/selection.go
@@ -47,6 +47,9 @@
 	if b.State != catalog.Ready || s.req.excludes(b) || s.t.denied(b.ID, s.req.Class, s.now) || s.req.Class == Batch && s.t.unknownLoad(b) {
 		return Choice{}, cost{}, false
 	}
+	if s.req.OwnRegion && s.t.otherRegion(b) {
+		return Choice{}, cost{}, false
+	}
 	ejected := s.useHealth && s.t.ejected(b.ID, s.now)
 	if ejected && s.req.Class == Batch {
 		return Choice{}, cost{}, false
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -22,6 +22,7 @@
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
+	"github.com/catkinrudder/catkinrudder/waiting"
 )
 
 const (
@@ -62,6 +63,8 @@
 	// Paces are those that backend servers have stated to the sender a short time ago; see
 	// encodePaces.
 	Paces map[uint32][2]int64 `cbor:"18,keyasint,omitempty"`
+	// Waiting counts the requests that wait at the sender, by service.
+	Waiting map[uint32]int `cbor:"20,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -104,6 +107,10 @@
 	Evidence Evidence
 	// Limits receives the messages of other gateways about the limits that backend servers name.
 	Limits Limits
+	// Waiting returns how many requests wait at this gateway by the key of their service, and
+	// Crowd receives those of other gateways. Both may be nil.
+	Waiting func() map[uint32]int
+	Crowd   *waiting.Crowd
 	// RegionOf maps availability zones to their regions.
 	RegionOf map[string]string
 	// Shards returns this gateway's reports on the shards that it owns.
@@ -256,6 +263,7 @@
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
 		Paces:      encodePaces(p.opts.Table.FreshPaces(time.Now())),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
+		Waiting: p.waiting(),
 	}
 }
 
@@ -317,6 +325,7 @@
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
 	p.mu.Unlock()
+	p.applyWaiting(r, far, now)
 	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone, Zone: r.Zone, Paces: decodePaces(r.Paces)}
 	if !far {
 		// A partition between regions makes attempts at the other region's backend
--- a/peering/validate.go
+++ b/peering/validate.go
@@ -27,7 +27,20 @@
 	case d.Limits != nil:
 		return d.Limits.valid()
 	}
-	return validLoads(d.Loads)
+	return validLoads(d.Loads) && validWaiting(d.Waiting)
+}
+
+// maxServiceWaiting bounds the requests that may wait at one gateway for one service in a report.
+const maxServiceWaiting = 1 << 20
+
+// validWaiting reports whether the numbers of waiting requests in a report are possible ones.
+func validWaiting(waiting map[uint32]int) bool {
+	for _, n := range waiting {
+		if n < 0 || n > maxServiceWaiting {
+			return false
+		}
+	}
+	return true
 }
 
 // valid reports whether all limits in a message are numbers: a bucket that is filled with anything
