jobs: batch items use the gaps of online requests

Half of all cuts ended a run within 0.25 s of its start, after 4 events or fewer: gateways took the last free slots of a rising load, and the run with the latest due time was stopped whether it had nearly ended or not. Package backfill forecasts the online load of a region from its last 10 s and decides which items start and which runs are stopped; a stopped run counts until it has ended. Estimates of what is left of an output come from the outputs seen, in place of their mean.

--- a/event/event.go
+++ b/event/event.go
@@ -37,6 +37,7 @@
 	ItemDone        ID = 302
 	JobAccepted     ID = 303
 	JobFinished     ID = 304
+	ItemsHeld       ID = 305
 	ItemRequeued    ID = 306
 	ModelAssigned   ID = 307
 	OrderSent       ID = 308
@@ -88,6 +89,7 @@
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
 	{JobFinished, "job_finished", log.InfoLevel, "every item of a batch job has its result"},
+	{ItemsHeld, "items_held", log.InfoLevel, "items of a service begin to wait until online requests leave slots"},
 	{ItemRequeued, "item_requeued", log.InfoLevel, "a batch item is returned to its job's queue"},
 	{ModelAssigned, "model_assigned", log.InfoLevel, "an entry selected the model for a backend server to load"},
 	{OrderSent, "order_sent", log.InfoLevel, "a sidecar sent its backend server an order to load a model"},
--- a/event/limiter.go
+++ b/event/limiter.go
@@ -40,7 +40,7 @@
 // rateLimited lists the events that a LineLimiter bounds. Every request and every
 // batch item logs some of them in normal operation.
 var rateLimited = map[ID]bool{
-	RequestRouted: true, RequestDone: true, ItemPlaced: true, ItemDone: true, ItemRequeued: true,
+	RequestRouted: true, RequestDone: true, ItemPlaced: true, ItemDone: true, ItemsHeld: true, ItemRequeued: true,
 	BatchPreempted: true, AttemptAdmitted: true,
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -106,6 +107,11 @@
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_attempts_total{backend="` + backendID + `",outcome="` + string(o) + `"}`).Inc()
 }
 
+// ItemDecided counts a decision on batch items.
+func (m *Metrics) ItemDecided(d jobs.Decision, reason string) {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_item_decisions_total{decision="` + string(d) + `",reason="` + reason + `"}`).Inc()
+}
+
 // StoreCalled counts a call to the store.
 func (m *Metrics) StoreCalled(call, outcome string, took time.Duration) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_store_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -134,7 +134,7 @@
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
 	d.relay = keyedlog.NewRelay(d.backends, platform.ComparableBackend)
-	d.jobs = jobs.New(d.jobOptions(configs, table))
+	d.jobs = jobs.New(d.jobOptions(configs, table, gatewayMetrics))
 	d.followers = []*keyedlog.Follower{
 		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
 			keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged),
@@ -181,7 +181,7 @@
 	return balance.Online
 }
 
-func (d *Daemon) jobOptions(configs *discovery.ConfigView, table *balance.Table) jobs.Options {
+func (d *Daemon) jobOptions(configs *discovery.ConfigView, table *balance.Table, m *gateway.Metrics) jobs.Options {
 	s := d.settings
 	return jobs.Options{
 		Log: d.store, Groups: d.store,
@@ -192,6 +192,7 @@
 		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
 		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
 		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
+		Decided: m.ItemDecided,
 	}
 }
 
--- a/jobs/estimator.go
+++ b/jobs/estimator.go
@@ -5,6 +5,11 @@
 const (
 	// estimateWeight is the weight of a new sample in the moving averages.
 	estimateWeight = 0.1
+	// outputSamples is the number of whole outputs of a route that are remembered.
+	outputSamples = 32
+	// overdueShare is the part of the mean output that is assumed to be left of one that is
+	// longer than all that are remembered.
+	overdueShare = 0.1
 	// minSampleEvents is the minimum number of events of a run that counts as a sample.
 	minSampleEvents = 16
 )
@@ -14,11 +19,13 @@
 	byRoute map[string]*routeEstimate
 }
 
-// routeEstimate holds the moving averages of one route.
+// routeEstimate is what is known of one route.
 type routeEstimate struct {
+	// perEvent is a moving average.
 	perEvent time.Duration
-	// outputEvents is the number of events of a whole output.
-	outputEvents float64
+	// outputs are the numbers of events of the last whole outputs, from next on.
+	outputs []int
+	next    int
 }
 
 func newEstimator() estimator { return estimator{make(map[string]*routeEstimate)} }
@@ -49,17 +56,43 @@
 // recordOutput records the number of events of a whole output.
 func (e estimator) recordOutput(route string, events int) {
 	r := e.route(route)
-	if r.outputEvents == 0 {
-		r.outputEvents = float64(events)
+	if len(r.outputs) < outputSamples {
+		r.outputs = append(r.outputs, events)
 		return
 	}
-	r.outputEvents += estimateWeight * (float64(events) - r.outputEvents)
+	r.outputs[r.next] = events
+	r.next = (r.next + 1) % outputSamples
+}
+
+// eventsLeft returns how many events are left on average of the outputs that are longer than
+// events.
+func (r *routeEstimate) eventsLeft(events int) float64 {
+	total, left, longer := 0, 0, 0
+	for _, n := range r.outputs {
+		total += n
+		if n > events {
+			left += n - events
+			longer++
+		}
+	}
+	switch {
+	case len(r.outputs) == 0:
+		return 0
+	case longer == 0:
+		return overdueShare * float64(total) / float64(len(r.outputs))
+	}
+	return float64(left) / float64(longer)
 }
 
 // meetsDeadline reports whether an item that has produced some events can be complete
 // within left. Without any samples it returns true as long as left is positive.
 func (e estimator) meetsDeadline(route string, events int, left time.Duration) bool {
+	return e.remaining(route, events) < left
+}
+
+// remaining returns how long the rest of the output probably takes of an item that has
+// produced some events; 0 if it is not known.
+func (e estimator) remaining(route string, events int) time.Duration {
 	r := e.route(route)
-	remaining := max(r.outputEvents-float64(events), 0)
-	return time.Duration(remaining*float64(r.perEvent)) < left
+	return time.Duration(r.eventsLeft(events) * float64(r.perEvent))
 }
--- a/jobs/pick.go
+++ b/jobs/pick.go
@@ -23,6 +23,8 @@
 	waitsForOrigin
 	// noSlot: no backend server has a free slot.
 	noSlot
+	// waitsForGap: online requests will probably need the free slots.
+	waitsForGap
 )
 
 // pickBackend chooses the backend server of an item's next run. An item that has output goes on
@@ -36,7 +38,11 @@
 		}
 	}
 	service := j.route.PickService(float64(u.ref.item%10) / 10)
-	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), balance.Requirements{Class: balance.Batch, Exclude: used}, now)
+	excluded, held := r.gaps.exclude(service, r.backfillItem(u, now), used, now)
+	if held {
+		return balance.Choice{}, waitsForGap
+	}
+	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), balance.Requirements{Class: balance.Batch, Exclude: excluded}, now)
 	if !ok {
 		return balance.Choice{}, noSlot
 	}
@@ -48,10 +54,14 @@
 }
 
 // pickOrigin chooses a backend server that runs origin, which has begun the item. It returns
-// noSlot if the item need not wait for one.
+// noSlot if the item need not wait for one. The time that an item waits for a gap does not count.
 func (r *runner) pickOrigin(u *run, origin catalog.Software, used map[string]bool, now time.Time) (balance.Choice, search) {
 	backends := r.s.opts.Backends(origin.Service)
-	need := balance.Requirements{Class: balance.Batch, Exclude: used, Origin: origin}
+	excluded, held := r.gaps.exclude(origin.Service, r.backfillItem(u, now), used, now)
+	if held {
+		return balance.Choice{}, waitsForGap
+	}
+	need := balance.Requirements{Class: balance.Batch, Exclude: excluded, Origin: origin}
 	if choice, ok := r.s.opts.Table.Pick(backends, need, now); ok {
 		u.originWaitSince = time.Time{}
 		return choice, slotFound
--- a/jobs/preempt_test.go
+++ b/jobs/preempt_test.go
@@ -1,6 +1,7 @@
 package jobs_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -83,3 +84,33 @@
 		}
 	}
 }
+
+// TestStoppedRunGoesOnAfterItsLastEvent checks that a run that is stopped for online requests
+// keeps each event that has been received, also those since the last report of progress.
+func TestStoppedRunGoesOnAfterItsLastEvent(t *testing.T) {
+	c := newCluster(t, 1)
+	server := c.backends[0]
+	server.Events, server.EventInterval = 1000, 40*time.Millisecond
+	j := job("j1", 1)
+	a := c.start("a")
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if r := server.Requests(); len(r) == 0 || r[0].Sent < 5 {
+			return poll.Continue("the item has no output yet")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	release := a.fillWithOnline(t)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if closedRuns(server, j.Items[0].ID) == 0 {
+			return poll.Continue("the run is not stopped")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	release()
+	waitForRuns(t, server, j.Items[0].ID, 2)
+	runs := server.Requests()
+	resumed, err := strconv.Atoi(runs[1].ResumeAfter)
+	assert.NilError(t, err)
+	assert.Assert(t, resumed >= runs[0].Sent-1, "%d events were sent, the next run goes on after %d", runs[0].Sent, resumed)
+}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -53,10 +52,14 @@
 	// does.
 	backend string
 	cancel  context.CancelFunc
-	// answered states that the backend server has sent a response head in this run.
-	answered bool
-	// due orders preemption: the run with the latest due time is stopped first.
-	due time.Time
+	// answered states that the backend server has sent a response head in this run, stopping
+	// that it was stopped for online requests.
+	answered, stopping bool
+	// placedBeside is the number of online requests at the backend server when the run began.
+	placedBeside int
+	// route is the name of the item's route; due is when its result is due.
+	route string
+	due   time.Time
 	// parts are the ids of the prompt parts that the item shares with others.
 	parts []string
 	// notBefore is the earliest time of the next attempt.
@@ -80,13 +83,15 @@
 	runs map[itemRef]*run
 	// estimates holds the estimated durations of items.
 	estimates estimator
+	// gaps decides when items start beside online requests.
+	gaps *gaps
 	// active counts the runs in progress.
 	active  sync.WaitGroup
 	stopped bool
 }
 
 func newRunner(s *Service) *runner {
-	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator()}
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s)}
 }
 
 // wake starts the next cycle early.
@@ -123,6 +128,7 @@
 	}
 	r.cancelStale()
 	r.preempt(now)
+	r.gaps.beginCycle(now)
 	config := r.s.opts.Config()
 	if config == nil {
 		return
@@ -153,37 +159,6 @@
 	}
 }
 
-// mayPreempt reports whether the item runs and may be stopped for online requests.
-func (u *run) mayPreempt() bool {
-	return u.backend != "" && (u.answered || u.progress.UnansweredStops < maxUnansweredStops)
-}
-
-// preempt stops batch runs at backend servers where online requests need more slots
-// than are left.
-func (r *runner) preempt(now time.Time) {
-	byBackend := make(map[string][]*run)
-	for _, u := range r.runs {
-		if u.mayPreempt() {
-			byBackend[u.backend] = append(byBackend[u.backend], u)
-		}
-	}
-	if len(byBackend) == 0 {
-		return
-	}
-	r.s.opts.AllBackends(func(b catalog.Backend) {
-		runs := byBackend[b.ID]
-		if len(runs) == 0 {
-			return
-		}
-		excess := r.s.opts.Table.ExcessBatch(r.s.opts.Instance, b, now)
-		slices.SortFunc(runs, func(x, y *run) int { return y.due.Compare(x.due) })
-		for _, u := range runs[:min(excess, len(runs))] {
-			event.Log(r.s.opts.Logger, event.BatchPreempted, "job", u.ref.job, "item", u.ref.item, "backend", b.ID, "excess", excess)
-			u.cancel()
-		}
-	})
-}
-
 // startItems starts the items of a job that find a slot, at most one at each backend
 // server in each cycle: used holds the backend servers that already got one. Over all
 // jobs, items that can be complete in time go first; inTime selects either those
@@ -218,7 +193,7 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, progress: j.progress[item], checkpointed: j.progress[item], due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
+		u = &run{ref: ref, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
 		r.runs[ref] = u
 	}
 	return u
@@ -234,19 +209,21 @@
 	return n
 }
 
-// startItem starts an item. It returns false if no backend server has a free slot.
+// startItem starts an item. It returns false if no backend server has a free slot for it.
 func (r *runner) startItem(ctx context.Context, j openJob, u *run, used map[string]bool, now time.Time) bool {
 	item := &j.content[u.ref.item]
 	choice, found := r.pickBackend(j, u, used, now)
 	switch found {
 	case waitsForOrigin:
 		return true
-	case noSlot:
+	case noSlot, waitsForGap:
 		return false
 	}
 	runCtx, cancel := context.WithCancel(ctx)
-	u.backend, u.cancel, u.answered = choice.Backend.ID, cancel, false
+	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
+	u.placedBeside = choice.Load.Online
 	used[u.backend] = true
+	r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(u, now), now)
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -64,6 +64,8 @@
 	Peers Peers
 	// Observer is called when a follower loses or regains the log.
 	Observer keyedlog.Observer
+	// Decided is called for each decision on batch items that is counted; nil ignores them.
+	Decided func(d Decision, reason string)
 }
 
 // ShardReport is the state of a shard as its owner reports it.
