Quotas of workspaces hold for the sum of all gateways

Change: package quota: one owner of a workspace in each region hands out permits from a token bucket; owners of the regions charge each other's grants. Hook in ServeOnline before a server is chosen. Status 429 with the time until the permit is there. Peering's choice of an owner and its table of pending replies are shared with ratelimit (peering/rank.go, pending.go). routing.Limiter uses quota.Bucket. docs/design/quotas.md says who decides, what passes, what happens on failures, what was weighed.

Tests: sums over ten gateways in two regions in any 5 s window under eleven faults, at 7.5 times the usual and with a first burst of 15 times; refusals below the quota under the same faults.

--- a/event/event.go
+++ b/event/event.go
@@ -33,6 +33,8 @@
 	RequestDone     ID = 204
 	StreamResumed   ID = 205
 	PermitDenied    ID = 206
+	QuotaRefused    ID = 207
+	QuotaUnanswered ID = 208
 	ItemPlaced      ID = 301
 	ItemDone        ID = 302
 	JobAccepted     ID = 303
@@ -70,6 +72,7 @@
 	PartReleased    ID = 712
 	BackendLimited  ID = 713
 	LimitMalformed  ID = 714
+	QuotaOwner      ID = 715
 )
 
 var catalogue = []Spec{
@@ -84,6 +87,8 @@
 	{RequestDone, "request_done", log.InfoLevel, "the response to an online request is complete"},
 	{StreamResumed, "stream_resumed", log.InfoLevel, "a caller resumes a stream; the line names the version that began it, if it is known"},
 	{PermitDenied, "permit_denied", log.InfoLevel, "the limit that a backend server names left no room for a request, which tries another one or waits"},
+	{QuotaRefused, "quota_refused", log.InfoLevel, "a request is beyond the quota of its workspace"},
+	{QuotaUnanswered, "quota_unanswered", log.InfoLevel, "the gateway that hands out the permits of a workspace did not answer in time"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
@@ -121,6 +126,7 @@
 	{PartReleased, "part_released", log.InfoLevel, "a request that was held, or one with a held prompt part, has completed, and others are served again"},
 	{BackendLimited, "backend_limited", log.InfoLevel, "a backend server names a limit for the requests a second that it takes from all gateways together, or another one, or none any more"},
 	{LimitMalformed, "limit_malformed", log.WarnLevel, "a backend server names a limit that cannot be read; the last one stays in force"},
+	{QuotaOwner, "quota_owner", log.InfoLevel, "a gateway begins to hand out the permits of a workspace, or another one takes over"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/chaos/soak/online.go
+++ b/internal/chaos/soak/online.go
@@ -174,6 +174,7 @@
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
+	req.Header.Set("X-Api-Key", keyFor(path))
 	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	return req, nil
 }
--- a/internal/chaos/soak/publish.go
+++ b/internal/chaos/soak/publish.go
@@ -52,7 +52,7 @@
 	}
 	return json.Marshal(map[string]any{
 		"Version": n, "Routes": routes, "Services": []any{map[string]any{"Name": service, "MaxConnections": 200}},
-		"Limits": map[string]any{"MaxBodyBytes": 1 << 20},
+		"Limits": map[string]any{"MaxBodyBytes": 1 << 20}, "Tenants": workspaces,
 	})
 }
 
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -49,6 +49,8 @@
 	MixedSoftware Breach = "mixed_software"
 	// LimitExceeded: a backend server got more requests than the limit that it named allows.
 	LimitExceeded Breach = "limit_exceeded"
+	// QuotaExceeded: more requests of a workspace ran than its quota allows.
+	QuotaExceeded Breach = "quota_exceeded"
 	// NotRecovered: requests still fail although every fault has ended.
 	NotRecovered Breach = "not_recovered"
 	// Crashed: a process exited that was neither stopped nor killed.
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -37,7 +37,7 @@
 var stateEvents = map[string]string{
 	"501": "", "502": "", "601": "", "602": "", "101": "", "102": "", "103": "", "104": "",
 	"701": "backend", "702": "backend", "703": "backend", "704": "backend", "705": "backend",
-	"311": "shard", "312": "shard", "313": "shard",
+	"311": "shard", "312": "shard", "313": "shard", "208": "workspace", "715": "workspace",
 }
 
 func (t Tool) explainCommand() *cli.Command {
@@ -46,8 +46,8 @@
 		Usage:     "show what happened to a request or a batch job from the log lines of several processes",
 		ArgsUsage: "ID [FILE ...], or --summary [FILE ...]",
 		Description: "Reads log files, or standard input if there are none. In addition to the lines with ID it shows the\n" +
-			"events that the processes involved logged shortly before and in the meantime about the backend servers\n" +
-			"and shards involved, the configuration and the store. With --summary it counts the requests that were not\n" +
+			"events that the processes involved logged shortly before and in the meantime about the backend servers,\n" +
+			"shards and workspaces involved, the configuration and the store. With --summary it counts the requests that were not\n" +
 			"answered by cause and by whether another decision could have served them.",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: flagAround, Value: defaultAround, Usage: "how long before the first line related events are shown"},
@@ -179,14 +179,14 @@
 	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
 	var own []logLine
 	// involved contains "NODE" for each process that logged the id, and
-	// "NODE/FIELD/VALUE" for each backend server and shard that it logged with the id.
+	// "NODE/FIELD/VALUE" for each backend server, shard and workspace that it logged with the id.
 	involved := make(map[string]bool)
 	for _, l := range lines {
 		if !l.hasID(id) {
 			continue
 		}
 		own = append(own, l)
-		for _, field := range []string{"backend", "shard"} {
+		for _, field := range []string{"backend", "shard", "workspace"} {
 			if v := l.fields[field]; v != "" {
 				involved[l.node+"/"+field+"/"+v] = true
 			}
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -30,6 +30,21 @@
 `)
 }
 
+// TestExplainShowsWhyARequestIsBeyondItsQuota has a workspace whose owner has not answered before.
+func TestExplainShowsWhyARequestIsBeyondItsQuota(t *testing.T) {
+	const text = `
+time=2026-12-03T10:00:00Z level=info msg=quota_unanswered event=208 node=n1 workspace=w owner=n2
+time=2026-12-03T10:00:00Z level=info msg=quota_unanswered event=208 node=n1 workspace=other owner=n2
+time=2026-12-03T10:00:01Z level=info msg=quota_refused event=207 node=n1 request=r1 workspace=w by=margin owner=n2 rate=5
+`
+	var out bytes.Buffer
+	code := Tool{Stdin: strings.NewReader(text), Stdout: &out, Stderr: &out}.Run(t.Context(), []string{"catkinrudderctl", "explain", "r1"})
+	assert.Equal(t, code, ExitOK, out.String())
+	assert.Equal(t, out.String(), `   -1.000s n1                     . quota_unanswered workspace=w owner=n2
+   +0.000s n1                   quota_refused request=r1 workspace=w by=margin owner=n2 rate=5
+`)
+}
+
 func TestExplainFailsForUnknownID(t *testing.T) {
 	var out bytes.Buffer
 	tool := Tool{Stdin: strings.NewReader(logText), Stdout: &out, Stderr: &out}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	Origins  Origins
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
+	// Quotas admits the requests of workspaces; it may be nil.
+	Quotas Quotas
 
 	queue queue
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strings"
 	"sync"
 	"time"
 
@@ -9,18 +8,21 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
-// Metrics holds the metrics of a gateway. Label values come from closed lists and
-// from the ids of the known backend servers only, which bounds the number of series.
+// Metrics holds the metrics of a gateway. Label values come from closed lists,
+// the ids of the known backend servers and the names of the configured workspaces only, which bounds the number of series.
 type Metrics struct {
 	set *metrics.Set
 
 	mu sync.Mutex
 	// backends holds the backend servers that may have series.
 	backends map[string]bool
+	// workspaces holds the workspaces that may have series.
+	workspaces map[string]*catalog.Workspace
 }
 
 // NewMetrics returns metrics that are registered in set.
@@ -88,12 +90,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.backends, id)
-	label := `{backend="` + id + `",`
-	for _, name := range m.set.ListMetricNames() {
-		if strings.Contains(name, label) {
-			m.set.UnregisterMetric(name)
-		}
-	}
+	m.removeSeries(`{backend="` + id + `",`)
 }
 
 // AttemptEnded counts an attempt at a backend server, unless the server was removed.
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -88,7 +88,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
-	err := o.run(ctx)
+	err := o.runWithinQuota(ctx)
 	g.Metrics.requestEnded(route.Kind.String(), err)
 	if err != nil {
 		o.logFailure(err)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/catkinrudder/catkinrudder/peering"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/quarantine"
+	"github.com/catkinrudder/catkinrudder/quota"
 	"github.com/catkinrudder/catkinrudder/ratelimit"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -85,6 +86,7 @@
 	origins  *origins.Table
 	guard    *quarantine.Guard
 	limits   *ratelimit.Limiter
+	quotas   *quota.Limiter
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
@@ -126,10 +128,11 @@
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
+	d.quotas = quota.NewLimiter(d.quotaOptions(configs, gatewayMetrics))
 	d.guard = quarantine.NewGuard(d.guardOptions(table))
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
-		Limits: d.limits, RegionOf: s.RegionOf,
+		Limits: d.limits, Quotas: d.quotas, RegionOf: s.RegionOf,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
@@ -145,7 +148,7 @@
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard,
+		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard, Quotas: d.quotas,
 	}
 	return d, nil
 }
@@ -174,6 +177,17 @@
 	}
 }
 
+func (d *Daemon) quotaOptions(configs *discovery.ConfigView, observer quota.Observer) quota.Options {
+	s := d.settings.Quotas
+	return quota.Options{
+		StartedAt: time.Now(), Bounds: quota.Bounds{Window: s.Window, Overshoot: s.Overshoot, Slack: s.Slack},
+		Peers: func() quota.Peers { return d.peering }, Observer: observer, Logger: d.log,
+		Configured: func(workspace string) (quota.Limit, int64, bool) {
+			return gateway.QuotaOf(configs.Current(), workspace)
+		},
+	}
+}
+
 func classOf(batch bool) balance.Class {
 	if batch {
 		return balance.Batch
@@ -210,6 +224,7 @@
 	wg.Go(func() { d.jobs.Run(work) })
 	wg.Go(func() { d.peering.Run(work) })
 	wg.Go(func() { d.limits.Run(work) })
+	wg.Go(func() { d.quotas.Run(work) })
 	wg.Go(func() { d.runExpiry(work) })
 	wg.Go(func() { d.reportDroppedLines(work) })
 	wg.Go(func() { d.watchSettings(work) })
@@ -309,6 +324,7 @@
 	if old != nil {
 		before = old.Version
 	}
+	d.gateway.Metrics.SetWorkspaces(current)
 	event.Log(d.log, event.ConfigInForce, "version", current.Version, "before", before, "routes", len(current.Routes))
 }
 
--- a/internal/proctest/gateway.go
+++ b/internal/proctest/gateway.go
@@ -30,6 +30,8 @@
 	// draining backend server still receives work. JobRetention is how long a job
 	// stays readable.
 	Grace, DrainTime, JobRetention time.Duration
+	// Quotas bound how far the quotas of workspaces may be exceeded.
+	Quotas platform.QuotaSettings
 }
 
 // Gateway is a gateway process on the platform, behind forwarders. Its process can be
@@ -82,6 +84,7 @@
 		"Limits": map[string]int{"MemoryMb": o.MemoryMB},
 		"Bounds": map[string]any{
 			"DrainMs": o.DrainTime.Milliseconds(), "GraceS": o.Grace.Seconds(), "StatusS": o.JobRetention.Seconds(),
+			"QuotaWindowS": o.Quotas.Window.Seconds(), "QuotaOvershoot": o.Quotas.Overshoot, "QuotaSlack": o.Quotas.Slack,
 		},
 		"Platform": map[string]any{
 			"Address": g.StoreLink.Addr, "parts": o.Shards, "RecordBytes": 100000, "CallBytes": 400000, "TtlMinMs": 500,
--- a/peering/limits.go
+++ b/peering/limits.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/ratelimit"
@@ -58,9 +57,6 @@
 	WaitUs  int64 `cbor:"6,keyasint,omitempty"`
 }
 
-// permitRequest is a request that waits for its reply.
-type permitRequest struct{ reply chan ratelimit.Reply }
-
 func encodeLimit(l ratelimit.Limit, now time.Time) limitRecord {
 	return limitRecord{Named: l.Named, PerSecond: l.PerSecond, AgeMs: now.Sub(l.At).Milliseconds()}
 }
@@ -88,44 +84,27 @@
 
 // limitOwner returns the owner of a server among the gateways of the regions that in selects.
 func (p *Peering) limitOwner(server string, in func(region string) bool) (owner ratelimit.Owner, found bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	farTTL := max(ReportTTL, 2*p.farIntervalLocked(false))
 	known, reached := 0, 0
-	lowest := uint64(0)
-	consider := func(name string, far bool) {
-		reached++
-		if rank := xxhash.Sum64String(name + "\x00" + server); !found || rank < lowest {
-			owner.Name, owner.Far, lowest, found = name, far, rank, true
-		}
-	}
-	if in(p.opts.Region) && !p.leaving.Load() {
-		known++
-		consider(p.opts.Name, false)
-	}
-	for name, other := range p.peers {
-		if !in(other.region) || other.leaving {
-			continue
+	var first first
+	p.eachGateway(time.Now(), func(g seenGateway) {
+		if !in(g.region) {
+			return
 		}
 		known++
-		ttl := ReportTTL
-		if other.far {
-			ttl = farTTL
+		if g.reached {
+			reached++
+			first.consider(server, g)
 		}
-		if other.reachable && now.Sub(other.lastReport) <= ttl {
-			consider(name, other.far)
-		}
-	}
-	if owner.Self = found && owner.Name == p.opts.Name; owner.Self {
+	})
+	owner.Name, owner.Far = first.gateway.name, first.gateway.far
+	if owner.Self = first.found && owner.Name == p.opts.Name; owner.Self {
 		owner.Share = float64(reached) / float64(known)
 	}
-	return owner, found
+	return owner, first.found
 }
 
 // RequestPermit implements ratelimit.Peers.
 func (p *Peering) RequestPermit(ctx context.Context, owner ratelimit.Owner, r ratelimit.Request) (ratelimit.Reply, error) {
-	reply := make(chan ratelimit.Reply, 1)
 	p.mu.Lock()
 	to := p.peers[owner.Name]
 	if to == nil {
@@ -136,32 +115,14 @@
 	if to.far {
 		timeout = farPermitTimeout
 	}
-	p.lastRequest++
-	id := p.lastRequest
-	p.permitRequests[id] = permitRequest{reply}
 	p.mu.Unlock()
+	id, reply := p.permitReplies.add()
 	message := permitMessage{ID: id, Server: r.Server, Limit: encodeLimit(r.Limit, time.Now()), Batch: r.Batch}
 	p.sendLimits(limitMessage{Request: &message}, address)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	select {
-	case answer := <-reply:
-		return answer, nil
-	case <-ctx.Done():
-	}
-	if _, waiting := p.takeRequest(id); !waiting {
-		return <-reply, nil // it has just been delivered
-	}
-	return ratelimit.Reply{}, errors.Wrap(ctx.Err(), "peering: request permit")
-}
-
-// takeRequest removes a request for a permit, unless its reply has removed it.
-func (p *Peering) takeRequest(id uint64) (r permitRequest, waiting bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	r, waiting = p.permitRequests[id]
-	delete(p.permitRequests, id)
-	return r, waiting
+	answer, err := p.permitReplies.await(ctx, id, reply)
+	return answer, errors.Wrap(err, "peering: request permit")
 }
 
 // ReportLimits implements ratelimit.Peers.
@@ -237,8 +198,7 @@
 // deliverPermitReply passes a reply to its request, or keeps its permits if the request has ended.
 func (p *Peering) deliverPermitReply(m permitMessage, now time.Time) {
 	reply := ratelimit.Reply{Granted: m.Granted, Wait: time.Duration(m.WaitUs) * time.Microsecond, Limit: m.Limit.decode(now)}
-	if request, waiting := p.takeRequest(m.ID); waiting {
-		request.reply <- reply
+	if p.permitReplies.deliver(m.ID, reply) {
 		return
 	}
 	p.opts.Limits.HandleReply(m.Server, m.Batch, reply)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -22,6 +22,8 @@
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
+	"github.com/catkinrudder/catkinrudder/quota"
+	"github.com/catkinrudder/catkinrudder/ratelimit"
 )
 
 const (
@@ -62,14 +64,15 @@
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
-// origin of a stream, a report about suspects or a message about limits. Gateways of older releases ignore these,
-// as they have no sender.
+// origin of a stream, a report about suspects or a message about limits or quotas. Gateways of older
+// releases ignore these, as they have no sender.
 type datagram struct {
 	report
 	Summary  *regionSummary  `cbor:"11,keyasint,omitempty"`
 	Origin   *streamOrigin   `cbor:"13,keyasint,omitempty"`
 	Evidence *evidenceReport `cbor:"14,keyasint,omitempty"`
 	Limits   *limitMessage   `cbor:"16,keyasint,omitempty"`
+	Quotas   *quotaMessage   `cbor:"17,keyasint,omitempty"`
 }
 
 // Peer is the record of a gateway in the directory.
@@ -101,6 +104,8 @@
 	Evidence Evidence
 	// Limits receives the messages of other gateways about the limits that backend servers name.
 	Limits Limits
+	// Quotas receives the messages of other gateways about the quotas of workspaces; it may be nil.
+	Quotas Quotas
 	// RegionOf maps availability zones to their regions.
 	RegionOf map[string]string
 	// Shards returns this gateway's reports on the shards that it owns.
@@ -118,8 +123,10 @@
 // of gateways.
 type Peering struct {
 	opts Options
-	// boot is the start time of this process, in Unix nanoseconds.
-	boot int64
+	// boot is the start time of this process, in Unix nanoseconds, and startedAt the same by a clock
+	// that does not jump.
+	boot      int64
+	startedAt time.Time
 
 	// directoryRead is closed once the directory has been read.
 	directoryRead chan struct{}
@@ -130,10 +137,11 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// permitRequests are those that wait for a reply, by their ids. The ids of two starts of a
-	// process differ.
-	permitRequests map[uint64]permitRequest
-	lastRequest    uint64
+	// lastLoss is when a gateway of the own region was last given up.
+	lastLoss time.Time
+
+	permitReplies *pendingReplies[ratelimit.Reply]
+	quotaReplies  *pendingReplies[quota.Reply]
 }
 
 type peer struct {
@@ -143,6 +151,7 @@
 	far       bool
 	otherZone bool
 	region    string
+	zone      string
 	// linkMbps is the bandwidth of the peer's link, from the directory.
 	linkMbps float64
 	// boot and seq order the reports: seq counts those of one start of the peer.
@@ -174,8 +183,13 @@
 
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
-	boot := time.Now().UnixNano()
-	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest)}
+	startedAt := time.Now()
+	boot := startedAt.UnixNano()
+	return &Peering{
+		opts: opts, boot: boot, startedAt: startedAt, directoryRead: make(chan struct{}), peers: make(map[string]*peer),
+		permitReplies: newPendingReplies[ratelimit.Reply](uint64(boot)),
+		quotaReplies:  newPendingReplies[quota.Reply](uint64(uint32(boot))), // short ones, as there are many
+	}
 }
 
 // EncodePeer returns the directory record of a gateway.
@@ -221,7 +235,7 @@
 		listed = &peer{lastReport: time.Now()}
 		p.peers[r.Key] = listed
 	}
-	listed.addr, listed.region, listed.linkMbps = addr, rec.Region, rec.LinkMbps
+	listed.addr, listed.region, listed.zone, listed.linkMbps = addr, rec.Region, rec.Zone, rec.LinkMbps
 	listed.far = rec.Region != p.opts.Region
 	listed.otherZone = !listed.far && rec.Zone != p.opts.Zone
 }
@@ -278,6 +292,8 @@
 			p.applyEvidence(*d.Evidence, from)
 		case d.Limits != nil:
 			p.applyLimits(*d.Limits, from, now)
+		case d.Quotas != nil:
+			p.applyQuotas(*d.Quotas, from)
 		default:
 			p.apply(d.report, from, now)
 		}
@@ -294,7 +310,7 @@
 	p.mu.Lock()
 	sender := p.peers[r.From]
 	if sender == nil {
-		sender = &peer{region: r.Region, far: r.Region != p.opts.Region, otherZone: r.Region == p.opts.Region && r.Zone != p.opts.Zone}
+		sender = &peer{region: r.Region, zone: r.Zone, far: r.Region != p.opts.Region, otherZone: r.Region == p.opts.Region && r.Zone != p.opts.Zone}
 		p.peers[r.From] = sender
 	}
 	if !sender.precedes(r, now) {
--- /dev/null
+++ b/peering/rank.go
@@ -0,0 +1,53 @@
+package peering
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// seenGateway is a gateway, this one or another, as this one sees it.
+type seenGateway struct {
+	name, region, zone string
+	far, reached       bool
+	// lastReport is when the last report was received.
+	lastReport time.Time
+}
+
+// eachGateway calls visit for this gateway and the others, except those that are about to stop. visit
+// must not call p.
+func (p *Peering) eachGateway(now time.Time, visit func(seenGateway)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	farTTL := max(ReportTTL, 2*p.farIntervalLocked(false))
+	if !p.leaving.Load() {
+		visit(seenGateway{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now})
+	}
+	for name, other := range p.peers {
+		if other.leaving {
+			continue
+		}
+		ttl := ReportTTL
+		if other.far {
+			ttl = farTTL
+		}
+		visit(seenGateway{
+			name: name, region: other.region, zone: other.zone, far: other.far,
+			reached: other.reachable && now.Sub(other.lastReport) <= ttl, lastReport: other.lastReport,
+		})
+	}
+}
+
+// first is the first gateway in an order that depends on a key: the owner of what the key names, which
+// all gateways choose alike (rendezvous hashing).
+type first struct {
+	gateway seenGateway
+	rank    uint64
+	found   bool
+}
+
+func (f *first) consider(key string, g seenGateway) {
+	if rank := xxhash.Sum64String(g.name + "\x00" + key); !f.found || rank < f.rank {
+		f.gateway, f.rank, f.found = g, rank, true
+	}
+}
--- a/routing/limiter.go
+++ b/routing/limiter.go
@@ -1,6 +1,10 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/quota"
+)
 
 // Limit bounds the usage of one workspace. A zero field is unlimited.
 type Limit struct {
@@ -22,7 +26,7 @@
 
 type workspaceState struct {
 	limit      Limit
-	tokens     float64
+	bucket     quota.Bucket
 	refilledAt time.Duration
 	running    int
 }
@@ -45,10 +49,10 @@
 	s := l.workspace(now, workspace)
 	s.refill(now)
 	if s.limit == (Limit{}) {
-		s.tokens = limit.burst()
+		s.bucket.Level = limit.burst()
 	}
 	s.limit = limit
-	s.tokens = min(s.tokens, limit.burst())
+	s.bucket.Level = min(s.bucket.Level, limit.burst())
 }
 
 // Remove drops the limit of a workspace.
@@ -71,11 +75,8 @@
 	if l.capacity > 0 && l.running >= l.capacity && s.running >= l.share(s) {
 		return false, retryDelay
 	}
-	if s.limit.RequestsPerSecond > 0 {
-		if s.tokens < 1 {
-			return false, time.Duration((1 - s.tokens) / s.limit.RequestsPerSecond * float64(time.Second))
-		}
-		s.tokens--
+	if rate := s.limit.RequestsPerSecond; rate > 0 && !s.bucket.Take() {
+		return false, s.bucket.UntilNext(rate)
 	}
 	s.running++
 	l.running++
@@ -122,7 +123,7 @@
 }
 
 func (s *workspaceState) refill(now time.Duration) {
-	s.tokens = min(s.tokens+(now-s.refilledAt).Seconds()*s.limit.RequestsPerSecond, s.limit.burst())
+	s.bucket.Refill(s.limit.RequestsPerSecond, s.limit.burst(), now-s.refilledAt)
 	s.refilledAt = now
 }
 
