--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,8 @@
 	Origins  Origins
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
+	// Quotas admits the requests of workspaces; it may be nil.
+	Quotas Quotas
 
 	// Crowd holds what waits at other gateways; nil if none reports it.
 	Crowd *waiting.Crowd
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -94,7 +94,7 @@
 	o.spent = g.queue.spent(route.Name, o.deadline.Sub(r.ReceivedAt), r.ReceivedAt)
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
-	err := o.run(ctx)
+	err := o.runWithinQuota(ctx)
 	g.Metrics.requestEnded(route.Kind.String(), err)
 	if err != nil {
 		o.logFailure(err)
--- a/peering/validate.go
+++ b/peering/validate.go
@@ -26,6 +26,8 @@
 		return validLoads(d.Summary.Loads)
 	case d.Limits != nil:
 		return d.Limits.valid()
+	case d.Quotas != nil:
+		return d.Quotas.valid()
 	}
 	return validLoads(d.Loads) && validWaiting(d.Waiting)
 }
@@ -56,6 +58,32 @@
 	return (m.Request == nil || m.Request.Limit.valid()) && (m.Reply == nil || m.Reply.Limit.valid())
 }
 
-func (r limitRecord) valid() bool {
-	return r.PerSecond >= 0 && !math.IsInf(r.PerSecond, 0)
+func (r limitRecord) valid() bool { return validRate(r.PerSecond) }
+
+func validRate(r float64) bool { return r >= 0 && !math.IsInf(r, 0) }
+
+// maxPermits bounds the permits of one message about quotas.
+const maxPermits = 1 << 20
+
+func validPermits(counts ...int) bool {
+	for _, n := range counts {
+		if n < 0 || n > maxPermits {
+			return false
+		}
+	}
+	return true
+}
+
+// valid reports whether the numbers of a message about quotas are possible ones: permits that are
+// granted or returned without end would let a workspace exceed its quota.
+func (m quotaMessage) valid() bool {
+	for _, e := range m.Exchanges {
+		if !validRate(e.PerSecond) || !validRate(e.Burst) {
+			return false
+		}
+	}
+	if r := m.Request; r != nil && !(validPermits(r.Want, r.Returned, r.Spent, r.Denied) && validRate(r.PerSecond) && validRate(r.Burst)) {
+		return false
+	}
+	return m.Reply == nil || validPermits(m.Reply.Granted) && m.Reply.WaitUs >= 0
 }
