keyedlog: a log that was set back is read again; how old a confirmation is

Cause: a follower whose log ends before the offset that it has reached got no further records, so a store that was set back hid every later configuration, withdrawn keys among them. And the age of the last response says nothing after a suspension: the response may have waited in the socket.

Change: a log that ends before the requested offset is rebuilt like one whose history is gone. ConfirmedAge counts from the start of the call whose response showed that nothing was missed.

Tests: TestLogThatWasSetBackIsReadAgain fails without the change (view holds a:3 b:1 for ever), TestOldResponseConfirmsNothingNew.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -27,6 +27,9 @@
 // Set records an event that happens now.
 func (s *Stamp) Set() { s.at.Store(int64(Now())) }
 
+// SetAt records an event that happened at a time of Now.
+func (s *Stamp) SetAt(at time.Duration) { s.at.Store(int64(at)) }
+
 // Age returns the time since the last event, and false if there was none.
 func (s *Stamp) Age() (age time.Duration, happened bool) {
 	at := s.at.Load()
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -48,7 +48,9 @@
 
 	next         atomic.Int64
 	lastResponse boottime.Stamp // not set before the first rebuild
-	failing      bool
+	// confirmed is when the last call began whose response has shown that the view is complete.
+	confirmed boottime.Stamp
+	failing   bool
 	// rebuiltOffsets holds the offsets of the rebuilt keys while the history is replayed
 	// from the end offset of the rebuild's first page.
 	rebuiltOffsets map[string]int64
@@ -84,6 +86,12 @@
 // never has.
 func (f *Follower) Age() (time.Duration, bool) { return f.lastResponse.Age() }
 
+// ConfirmedAge returns the time for which the view may have missed a record: that since the call
+// began whose response last showed that there was none. A response can be old when it is read, after
+// a suspension for example, so its own time proves nothing. It returns false if there was no such
+// response.
+func (f *Follower) ConfirmedAge() (time.Duration, bool) { return f.confirmed.Age() }
+
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	rebuild := true
@@ -135,6 +143,7 @@
 // rebuild reads all pages. The pages are not a snapshot, so the history is replayed
 // afterwards from the end offset of the first page.
 func (f *Follower) rebuild(ctx context.Context) error {
+	began := boottime.Now()
 	var all []Record
 	after, from := "", int64(-1)
 	for {
@@ -159,18 +168,28 @@
 	}
 	f.view.Rebuild(all)
 	f.next.Store(from)
+	f.confirmed.SetAt(began)
 	return nil
 }
 
+// read applies the records after those that the view holds. A log that ends before them was set back
+// to an earlier state: what follows is not in their order, and the view is rebuilt.
 func (f *Follower) read(ctx context.Context) error {
+	began := boottime.Now()
 	h, err := f.log.Read(ctx, f.part, f.next.Load(), f.poll.MaxWait)
 	if err != nil {
 		return err
 	}
+	if h.End < f.next.Load() {
+		return ErrTruncated
+	}
 	if len(h.Records) > 0 {
 		f.view.Apply(f.skipRebuilt(h.Records))
 	}
 	f.next.Store(h.Next)
+	if h.Next >= h.End {
+		f.confirmed.SetAt(began)
+	}
 	return nil
 }
 
--- a/keyedlog/follower_test.go
+++ b/keyedlog/follower_test.go
@@ -164,3 +164,93 @@
 	l.SetFault(func(string, keyedlog.Partition) keyedlogtest.Fault { return keyedlogtest.None })
 	assert.NilError(t, <-reported)
 }
+
+// replacedLog is a log that is replaced by an earlier state of itself.
+type replacedLog struct {
+	mu      sync.Mutex
+	current *keyedlogtest.Log
+}
+
+func (l *replacedLog) log() *keyedlogtest.Log {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.current
+}
+
+func (l *replacedLog) replace(by *keyedlogtest.Log) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.current = by
+}
+
+func (l *replacedLog) Append(ctx context.Context, p keyedlog.Partition, records []keyedlog.Record, c keyedlog.Condition) (keyedlog.AppendResult, error) {
+	return l.log().Append(ctx, p, records, c)
+}
+
+func (l *replacedLog) Newest(ctx context.Context, p keyedlog.Partition, after string) (keyedlog.Page, error) {
+	return l.log().Newest(ctx, p, after)
+}
+
+// Read returns nothing from an offset that the log has not reached, as the platform's store does.
+func (l *replacedLog) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	page, err := l.log().Newest(ctx, p, "")
+	if err != nil || page.End < from {
+		return keyedlog.History{Next: from, End: page.End}, err
+	}
+	return l.log().Read(ctx, p, from, wait)
+}
+
+// TestLogThatWasSetBackIsReadAgain sets a log back: the records that follow are not missed, although
+// they come before the offset that the follower had reached.
+func TestLogThatWasSetBackIsReadAgain(t *testing.T) {
+	l, v := &replacedLog{current: keyedlogtest.New()}, newMapView()
+	put(t, l.current, "a", "1", "a", "2", "a", "3", "b", "1")
+	follow(t, l, v, nil)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "3", "b": "1"}) })
+	past := keyedlogtest.New()
+	put(t, past, "a", "1")
+	l.replace(past)
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "1"}) })
+	put(t, past, "a", "4")
+	poll.WaitOn(t, func(poll.LogT) poll.Result { return v.holds(map[string]string{"a": "4"}) })
+}
+
+// lateLog holds back the responses of reads.
+type lateLog struct {
+	*keyedlogtest.Log
+	hold chan struct{}
+	held chan struct{}
+}
+
+func (l *lateLog) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
+	h, err := l.Log.Read(ctx, p, from, wait)
+	select {
+	case l.held <- struct{}{}:
+		<-l.hold
+	case <-ctx.Done():
+	}
+	return h, err
+}
+
+// TestOldResponseConfirmsNothingNew lets a response of the log arrive late, as after a suspension of
+// the process: what it shows is as old as the call.
+func TestOldResponseConfirmsNothingNew(t *testing.T) {
+	l := &lateLog{Log: keyedlogtest.New(), hold: make(chan struct{}), held: make(chan struct{})}
+	put(t, l.Log, "a", "1")
+	f := follow(t, l, newMapView(), nil)
+	t.Cleanup(func() { close(l.hold) })
+	<-l.held
+	const late = 200 * time.Millisecond
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if age, known := f.ConfirmedAge(); known && age > late {
+			return poll.Success()
+		}
+		return poll.Continue("the confirmation is not old enough")
+	}, poll.WithDelay(10*time.Millisecond))
+	l.hold <- struct{}{}
+	<-l.held // the next call has begun
+	age, known := f.Age()
+	assert.Assert(t, known && age < late, "%s", age)
+	age, known = f.ConfirmedAge()
+	assert.Assert(t, known && age > late, "%s", age)
+}
