Batch jobs belong to workspaces; withdrawn keys do not come back

Change: inside the system a job's id is WORKSPACE/ID, so another workspace's job does not exist: 404 for reading, ending and item bodies, and the same id of two workspaces names two jobs, at each hop. Records name the workspace in optional fields. Cap counts by workspace and route; owners report the sums by key, bounded, and what is left out counts as unfinished.

Keys: 401 for calls about jobs too, by the configuration alone. StrictRevocation refuses callers that need a key, not run, once the store has not confirmed the configuration in time. Refusals are counted by workspace, bounded; log lines name it.

--- a/catalog/match.go
+++ b/catalog/match.go
@@ -24,10 +24,7 @@
 // Match returns the route of host with the longest prefix that path starts with, or nil
 // if there is none.
 func (c *Config) Match(host, path string) *Route {
-	if name, _, found := strings.Cut(host, ":"); found {
-		host = name
-	}
-	for _, r := range c.byHost[strings.ToLower(host)] {
+	for _, r := range c.routesOf(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -35,6 +32,12 @@
 	return nil
 }
 
+// routesOf returns the routes of host, which may include a port.
+func (c *Config) routesOf(host string) []*Route {
+	name, _, _ := strings.Cut(host, ":")
+	return c.byHost[strings.ToLower(name)]
+}
+
 // PickService returns the service for a request: the one whose share of the weights
 // contains point, which is in [0,1). It returns an empty string if the route has no
 // service.
--- a/catalog/workspace.go
+++ b/catalog/workspace.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"slices"
 )
 
 // Credential is the digest of a key that a caller has sent. The key itself leaves the
@@ -48,6 +49,12 @@
 // HasWorkspaces reports whether callers have to identify themselves.
 func (c *Config) HasWorkspaces() bool { return len(c.workspaces) > 0 }
 
+// AllowsAnonymousJobs reports whether callers that do not identify themselves may submit batch jobs
+// on a route of host.
+func (c *Config) AllowsAnonymousJobs(host string) bool {
+	return slices.ContainsFunc(c.routesOf(host), func(r *Route) bool { return r.Kind == Batch && r.Anonymous })
+}
+
 // Workspaces returns the workspaces by name. The caller must not modify the map.
 func (c *Config) Workspaces() map[string]*Workspace { return c.workspaces }
 
--- a/event/event.go
+++ b/event/event.go
@@ -56,6 +56,7 @@
 	RenewalFailed   ID = 505
 	ConfigInForce   ID = 601
 	ConfigRefused   ID = 602
+	ConfigFromPeer  ID = 603
 	BackendSeen     ID = 701
 	BackendLeaving  ID = 702
 	BackendGone     ID = 703
@@ -107,6 +108,7 @@
 	{RenewalFailed, "renewal_failed", log.WarnLevel, "records that must outlive the log's retention could not be appended again; the append is retried"},
 	{ConfigInForce, "config_in_force", log.InfoLevel, "a configuration version is in force in this process"},
 	{ConfigRefused, "config_refused", log.WarnLevel, "a configuration record was refused"},
+	{ConfigFromPeer, "config_from_peer", log.WarnLevel, "a process has read from a peer a newer configuration than the one that it has from the store"},
 	{BackendSeen, "backend_seen", log.InfoLevel, "a backend server was added to the table"},
 	{BackendLeaving, "backend_leaving", log.InfoLevel, "a backend server is draining and receives no new work"},
 	{BackendGone, "backend_gone", log.InfoLevel, "a backend server was removed from the table"},
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"net/url"
 	"os"
 	"regexp"
 	"slices"
@@ -31,11 +32,11 @@
 
 // stateEvents holds the numbers of the events that report a change of a process's
 // own state (101 to 104), of its shards (311 to 313), of the log service (501 and
-// 502), of the configuration (601 and 602) or of a backend server (701 to 705). The
+// 502), of the configuration (601 to 603) or of a backend server (701 to 705). The
 // value is the field that relates the event to a request. An empty field relates it
 // to every request that the process handles.
 var stateEvents = map[string]string{
-	"501": "", "502": "", "601": "", "602": "", "101": "", "102": "", "103": "", "104": "",
+	"501": "", "502": "", "601": "", "602": "", "603": "", "101": "", "102": "", "103": "", "104": "",
 	"701": "backend", "702": "backend", "703": "backend", "704": "backend", "705": "backend",
 	"311": "shard", "312": "shard", "313": "shard",
 }
@@ -169,8 +170,13 @@
 	return line, true
 }
 
+// hasID reports whether the line is about a request or a batch job. The processes name a job of a
+// workspace by both.
 func (l logLine) hasID(id string) bool {
-	return slices.ContainsFunc(requestIDFields, func(f string) bool { return l.fields[f] == id })
+	scoped := "/" + url.PathEscape(id)
+	return slices.ContainsFunc(requestIDFields, func(f string) bool {
+		return l.fields[f] == id || strings.HasSuffix(l.fields[f], scoped)
+	})
 }
 
 // explain prints the lines with the id and the related state events around them,
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -30,6 +30,27 @@
 `)
 }
 
+// TestExplainFindsJobsOfWorkspaces asks for a job by the id that its caller chose, and for a request
+// without a known key.
+func TestExplainFindsJobsOfWorkspaces(t *testing.T) {
+	const lines = `time=2026-12-03T10:00:01Z level=info msg=job_accepted event=303 node=n1 job=one/a%2F1 workspace=one route=b
+time=2026-12-03T10:00:02Z level=info msg=job_accepted event=303 node=n1 job=one/1 workspace=one route=b
+time=2026-12-03T10:00:03Z level=info msg=request_refused event=202 node=n1 request=r1 workspace="" route=b kind=unauthorized cause="unauthorized: no workspace holds the key of the request"
+time=2026-12-03T10:00:02.5Z level=info msg=config_in_force event=601 node=n1 version=7 before=6 workspaces=2
+`
+	for id, want := range map[string]string{
+		"a/1": "   +0.000s n1                   job_accepted job=one/a%2F1 workspace=one route=b\n",
+		"r1": `   -0.500s n1                     . config_in_force version=7 before=6 workspaces=2
+   +0.000s n1                   request_refused request=r1 workspace= route=b kind=unauthorized cause=unauthorized: no workspace holds the key of the request
+`,
+	} {
+		var out bytes.Buffer
+		code := Tool{Stdin: strings.NewReader(lines), Stdout: &out, Stderr: &out}.Run(t.Context(), []string{"catkinrudderctl", "explain", id})
+		assert.Equal(t, code, ExitOK, out.String())
+		assert.Equal(t, out.String(), want)
+	}
+}
+
 func TestExplainFailsForUnknownID(t *testing.T) {
 	var out bytes.Buffer
 	tool := Tool{Stdin: strings.NewReader(logText), Stdout: &out, Stderr: &out}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,8 @@
 	Origins  Origins
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
+	// Revocation bounds how long withdrawn keys can be in use.
+	Revocation Revocation
 
 	queue queue
 }
@@ -49,14 +51,19 @@
 }
 
 // Ready reports whether the gateway can serve: it has a configuration and backend
-// servers, and it is not stopping. It stays ready while the store is unavailable.
+// servers, and it is not stopping. It stays ready while the store is unavailable, unless
+// Revocation forbids to serve callers.
 func (g *Gateway) Ready() bool {
 	select {
 	case <-g.Draining:
 		return false
 	default:
 	}
-	return g.Configs.Current() != nil && g.Backends.Len() > 0
+	config := g.Configs.Current()
+	if config == nil || config.HasWorkspaces() && g.Revocation.Check() != nil {
+		return false
+	}
+	return g.Backends.Len() > 0
 }
 
 // startupWait is how long a request waits at a process that has just started and has
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -18,8 +18,19 @@
 	confirmTimeout = 700 * time.Millisecond
 )
 
+// JobCall is a caller's call about a batch job that was submitted before.
+type JobCall struct {
+	Caller serving.Identity
+	// RequestID is the id of the call, which may be empty, JobID that of the job.
+	RequestID string
+	JobID     string
+}
+
 // SubmitJob accepts a batch job on a route.
 func (g *Gateway) SubmitJob(ctx context.Context, job *jobs.Job, route *catalog.Route, r *serving.Request) error {
+	if r.Identity.Checked && g.Jobs.Table().Known(jobs.UnscopedID(r.ID)) {
+		return nil // sent again after it was accepted while there were no workspaces
+	}
 	deadline := r.ReceivedAt.Add(submitTimeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(deadline) {
 		deadline = r.Deadline
@@ -31,7 +42,8 @@
 	if err != nil {
 		e := errkind.From(err)
 		g.Metrics.requestFailed(e.Kind)
-		event.Log(g.Log, event.RequestRefused, "request", job.ID, "route", route.Name, "kind", e.Kind, "cause", e,
+		g.Metrics.workspaceRefused(job.Workspace, e.Kind)
+		event.Log(g.Log, event.RequestRefused, "request", r.ID, "workspace", job.Workspace, "route", route.Name, "kind", e.Kind, "cause", e,
 			"after", time.Since(r.ReceivedAt), "retry_after", e.Response().RetryAfter)
 		return err
 	}
@@ -40,46 +52,69 @@
 }
 
 // ListJob returns the results of a job from a position on.
-func (g *Gateway) ListJob(ctx context.Context, id string, after int, wait time.Duration) (jobs.Listing, error) {
-	if err := g.requireJob(ctx, id); err != nil {
+func (g *Gateway) ListJob(ctx context.Context, c JobCall, after int, wait time.Duration) (jobs.Listing, error) {
+	id, err := g.findJob(ctx, c)
+	if err != nil {
 		return jobs.Listing{}, err
 	}
 	return g.Jobs.List(ctx, id, after, wait)
 }
 
 // CancelJob cancels a job.
-func (g *Gateway) CancelJob(ctx context.Context, id string) error {
-	if err := g.requireJob(ctx, id); err != nil {
+func (g *Gateway) CancelJob(ctx context.Context, c JobCall) error {
+	id, err := g.findJob(ctx, c)
+	if err != nil {
 		return err
 	}
 	return g.Jobs.Cancel(ctx, id)
 }
 
 // ItemBody returns the body of an item that has no result yet.
-func (g *Gateway) ItemBody(ctx context.Context, id, itemID string) ([]byte, error) {
-	if err := g.requireJob(ctx, id); err != nil {
+func (g *Gateway) ItemBody(ctx context.Context, c JobCall, itemID string) ([]byte, error) {
+	id, err := g.findJob(ctx, c)
+	if err != nil {
 		return nil, err
 	}
 	return g.Jobs.ItemBody(ctx, id, itemID)
 }
 
-// requireJob returns nil if the job is known, a not_found error if the store confirms
-// that it does not exist, and a log_unavailable error if neither can be determined.
-func (g *Gateway) requireJob(ctx context.Context, id string) error {
-	if g.Jobs.Table().Known(id) {
-		return nil
+// findJob returns the id of a caller's job in this system, a not_found error if the store confirms
+// that the caller's workspace has no such job, and a log_unavailable error if neither can be
+// determined.
+func (g *Gateway) findJob(ctx context.Context, c JobCall) (string, error) {
+	scoped := jobs.ScopedID(c.Caller, c.JobID)
+	if id, known := g.knownJob(scoped, c.JobID); known {
+		return id, nil
 	}
 	if !g.Jobs.Ready() {
-		return errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(time.Second)
+		return "", errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(time.Second)
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	known, err := g.Jobs.Exists(ctx, id)
-	switch {
-	case known:
-		return nil
-	case err != nil:
-		return errkind.Wrap(err, errkind.LogUnavailable, "batch job %s is not known here", id).WithRetryAfter(time.Second)
+	_, err := g.Jobs.Exists(ctx, scoped)
+	if id, known := g.knownJob(scoped, c.JobID); known {
+		return id, nil
 	}
-	return errkind.New(errkind.NotFound, "no batch job %s", id)
+	if err != nil {
+		return "", errkind.Wrap(err, errkind.LogUnavailable, "batch job %s is not known here", c.JobID).WithRetryAfter(time.Second)
+	}
+	return "", g.refuseCall(c, errkind.New(errkind.NotFound, "no batch job %s", c.JobID))
+}
+
+// knownJob returns the id of a job that is known: that of the caller's workspace, or that of one
+// which was accepted while there were no workspaces.
+func (g *Gateway) knownJob(scoped, id string) (string, bool) {
+	if g.Jobs.Table().Known(scoped) {
+		return scoped, true
+	}
+	unscoped := jobs.UnscopedID(id)
+	return unscoped, g.Jobs.Table().Known(unscoped)
+}
+
+// refuseCall records that a call about a job is refused.
+func (g *Gateway) refuseCall(c JobCall, err *errkind.Error) error {
+	g.Metrics.requestFailed(err.Kind)
+	g.Metrics.workspaceRefused(c.Caller.Workspace, err.Kind)
+	event.Log(g.Log, event.RequestRefused, "request", c.RequestID, "workspace", c.Caller.Workspace, "job", c.JobID, "kind", err.Kind, "cause", err)
+	return err
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -21,6 +21,8 @@
 	mu sync.Mutex
 	// backends holds the backend servers that may have series.
 	backends map[string]bool
+	// workspaces holds the workspaces that may have series.
+	workspaces map[string]bool
 }
 
 // NewMetrics returns metrics that are registered in set.
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -10,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
@@ -32,6 +34,44 @@
 	assert.DeepEqual(t, set.ListMetricNames(), []string{`catkinrudder_gateway_backend_attempts_total{backend="i-1",outcome="not_run"}`})
 }
 
+// TestWorkspaceSeriesAreBounded counts refusals of workspaces that come and go.
+func TestWorkspaceSeriesAreBounded(t *testing.T) {
+	b := platformtest.NewBackend(t, "a")
+	f := newFixture(t, b)
+	set := metrics.NewSet()
+	f.Metrics = gateway.NewMetrics(set)
+	refuse := func(workspace string) {
+		r := request("one", "/call/x")
+		r.Identity = serving.Identity{Checked: true, Workspace: workspace}
+		_, err := f.serve(r, route(catalog.Call, func(r *catalog.Route) { r.Splits = []catalog.Split{{Service: "none", Weight: 1}} }))
+		assert.Assert(t, err != nil)
+	}
+	refuse("unconfigured")
+	series := func() (n int) {
+		for _, name := range set.ListMetricNames() {
+			if strings.HasPrefix(name, "catkinrudder_gateway_workspace_refusals_total") {
+				n++
+			}
+		}
+		return n
+	}
+	assert.Equal(t, series(), 0)
+	for generation := range 3 {
+		var workspaces []catalog.Workspace
+		for i := range 300 {
+			workspaces = append(workspaces, catalog.Workspace{Name: fmt.Sprint(generation, `"`, i)})
+		}
+		f.Metrics.SetWorkspaces(catalog.NewConfig(1, nil, nil, catalog.Limits{}, workspaces...))
+		for _, w := range workspaces {
+			refuse(w.Name)
+		}
+		refuse("")
+		assert.Equal(t, series(), 256+2)
+	}
+	f.Metrics.SetWorkspaces(catalog.NewConfig(1, nil, nil, catalog.Limits{}))
+	assert.Equal(t, series(), 2)
+}
+
 func TestRequestsAreCountedByOutcome(t *testing.T) {
 	b := platformtest.NewBackend(t, "a")
 	f := newFixture(t, b)
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -348,7 +348,7 @@
 
 func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
 	o.g.Metrics.routed(c.Reason)
-	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "route", o.route.Name, "service", o.service,
+	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "service", o.service,
 		"backend", c.Backend.ID, "reason", c.Reason, "online", c.Load.Online, "batch", c.Load.Batch, "slots", c.Backend.Slots,
 		"attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
 		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
@@ -361,14 +361,15 @@
 
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
-		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", "aborted",
+		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", "aborted",
 			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
 			"parts", o.parts, "identity", o.loggedIdentity())
 		return
 	}
 	e := errkind.From(err)
 	o.g.Metrics.requestFailed(e.Kind)
-	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "route", o.route.Name, "kind", e.Kind,
+	o.g.Metrics.workspaceRefused(o.r.Identity.Workspace, e.Kind)
+	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", e.Kind,
 		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
 		"parts", o.parts, "identity", o.loggedIdentity())
 }
--- a/internal/gatewayd/bootstrap.go
+++ b/internal/gatewayd/bootstrap.go
@@ -7,6 +7,7 @@
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/peering"
+	"github.com/catkinrudder/catkinrudder/platform"
 )
 
 const (
@@ -14,15 +15,25 @@
 	// queries its peers, and the time between two rounds of queries.
 	bootstrapDelay   = 300 * time.Millisecond
 	bootstrapTimeout = 500 * time.Millisecond
+	// bootstrapSources is the number of peers that a starting process asks at the same time.
+	bootstrapSources = 2
 )
 
 // snapshot returns the state that a process which starts while the store is
 // unavailable can fetch from this one.
 func (d *Daemon) snapshot() peering.Snapshot {
 	s := peering.Snapshot{Backends: d.backends.Records()}
-	if r, known := d.gateway.Configs.Record(); known {
-		s.Config = []keyedlog.Record{r}
+	r, known := d.gateway.Configs.Record()
+	if !known {
+		return s
 	}
+	value, err := platform.WithoutKeys(r.Value)
+	if err != nil {
+		event.Log(d.log, event.RecordSkipped, "topic", platform.ConfigTopic, "offset", r.Offset, "cause", err)
+		return s
+	}
+	s.Config = []keyedlog.Record{{Key: r.Key, Value: value, Offset: r.Offset}}
+	s.ConfigVersion = d.configVersion()
 	return s
 }
 
@@ -41,7 +52,7 @@
 			return
 		}
 		fetch, cancel := context.WithTimeout(ctx, bootstrapTimeout)
-		s, ok := d.peering.FetchSnapshot(fetch)
+		s, ok := d.peering.FetchSnapshot(fetch, bootstrapSources)
 		cancel()
 		if !ok {
 			continue
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -129,16 +129,17 @@
 	d.guard = quarantine.NewGuard(d.guardOptions(table))
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
-		Limits: d.limits, RegionOf: s.RegionOf,
+		Limits: d.limits, RegionOf: s.RegionOf, ConfigVersion: d.peerConfigVersion,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
 	d.relay = keyedlog.NewRelay(d.backends, platform.ComparableBackend)
 	d.jobs = jobs.New(d.jobOptions(configs, table))
+	configFollower := d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay})
 	d.followers = []*keyedlog.Follower{
+		configFollower,
 		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
 			keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged),
-		d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.PollConfig{MaxWait: directoryMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(partTopic), d.guard, keyedlog.PollConfig{MaxWait: partMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 	}
@@ -146,6 +147,7 @@
 		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
 		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard,
+		Revocation: revocation(s, configFollower),
 	}
 	return d, nil
 }
@@ -215,6 +217,7 @@
 	wg.Go(func() { d.watchSettings(work) })
 	wg.Go(func() { d.register(work) })
 	wg.Go(func() { d.bootstrap(work) })
+	wg.Go(func() { d.catchUpConfig(work) })
 	stopLog, logDone := d.runSink()
 	err := d.serve(ctx)
 	stopWork()
@@ -309,7 +312,9 @@
 	if old != nil {
 		before = old.Version
 	}
-	event.Log(d.log, event.ConfigInForce, "version", current.Version, "before", before, "routes", len(current.Routes))
+	d.gateway.Metrics.SetWorkspaces(current)
+	event.Log(d.log, event.ConfigInForce, "version", current.Version, "before", before, "routes", len(current.Routes),
+		"workspaces", len(current.Workspaces()))
 }
 
 func (d *Daemon) configRefused(offset int64, err error) {
--- a/internal/gatewayd/daemon_test.go
+++ b/internal/gatewayd/daemon_test.go
@@ -67,9 +67,10 @@
 
 // gateway is a running gateway.
 type gateway struct {
-	address, ready string
-	stop           context.CancelFunc
-	done           chan error
+	address, ready, peers, metrics string
+
+	stop context.CancelFunc
+	done chan error
 }
 
 // freePorts returns ports that were free at the time of the call.
@@ -86,6 +87,12 @@
 }
 
 func (d *deployment) start(name string) *gateway {
+	d.t.Helper()
+	return d.startWith(name, io.Discard, func(*platform.Settings) {})
+}
+
+// startWith starts a gateway whose settings are changed by change and whose log goes to out.
+func (d *deployment) startWith(name string, out io.Writer, change func(*platform.Settings)) *gateway {
 	d.t.Helper()
 	ports := freePorts(d.t, 4)
 	s := platform.Settings{
@@ -95,11 +102,13 @@
 		Grace: 6 * time.Second, DrainTime: time.Second, JobRetention: time.Hour,
 		Store: platform.StoreSettings{Address: d.store.Address, Partitions: 4, RecordBytes: 100000, CallBytes: 400000, MinTTL: 100 * time.Millisecond},
 	}
-	sink := event.NewSink(io.Discard)
-	daemon, err := gatewayd.New(s, log.New(sink), sink)
+	change(&s)
+	sink := event.NewSink(out)
+	daemon, err := gatewayd.New(s, log.NewWithOptions(sink, log.Options{Level: log.DebugLevel}), sink)
 	assert.NilError(d.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	g := &gateway{address: s.CallerAddress, ready: s.ReadyAddress, stop: cancel, done: make(chan error, 1)}
+	g.peers, g.metrics = fmt.Sprint("127.0.0.1:", s.FirstPort), fmt.Sprint("127.0.0.1:", s.MetricsPort)
 	go func() { g.done <- daemon.Run(ctx) }()
 	d.t.Cleanup(func() { cancel() })
 	g.waitReady(d.t, http.StatusOK)
@@ -236,7 +245,9 @@
 		resp, _ := g.send(t, http.MethodPost, "/batch/j", "j-"+name, body)
 		assert.Equal(t, resp.StatusCode, http.StatusBadRequest, name)
 	}
-	resp, _ := g.send(t, http.MethodPost, "/batch/j", "big", strings.Repeat("x", 2<<20))
+	resp, _ := g.send(t, http.MethodPost, "/batch/j", strings.Repeat("%", 80), batchJob(1))
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	resp, _ = g.send(t, http.MethodPost, "/batch/j", "big", strings.Repeat("x", 2<<20))
 	assert.Equal(t, resp.StatusCode, http.StatusRequestEntityTooLarge)
 	resp, _ = g.send(t, http.MethodPost, "/batch/j", "many-tokens", strings.ReplaceAll(batchJob(2), `"Tokens":10`, `"Tokens":90000`))
 	assert.Equal(t, resp.StatusCode, http.StatusTooManyRequests)
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -110,7 +110,7 @@
 			return nil
 		}
 		end := s.jobs.Next()
-		waiting := s.waitingTokens(job.Route)
+		waiting := s.waitingTokens(account{job.Workspace, job.Route})
 		if quota > 0 && waiting+job.Tokens() > quota {
 			return s.refuseOverQuota(ctx, job, waiting, quota, unknownAppends > 0)
 		}
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -37,6 +37,7 @@
 
 // Job is an accepted batch job. It is immutable.
 type Job struct {
+	// ID is the id that ScopedID returns.
 	ID string `cbor:"1,keyasint"`
 	// Host and Route identify the route that accepted the job.
 	Host  string `cbor:"2,keyasint"`
@@ -44,6 +45,9 @@
 	// SubmittedMs is when the job was first received, in Unix milliseconds.
 	SubmittedMs int64  `cbor:"4,keyasint"`
 	Items       []Item `cbor:"5,keyasint"`
+	// Workspace is the name of the workspace that owns the job. It is empty for a job of an
+	// anonymous caller and for one that was accepted while there were no workspaces.
+	Workspace string `cbor:"6,keyasint,omitempty"`
 }
 
 // Tokens returns the total tokens of all items.
@@ -51,7 +55,7 @@
 
 // summary returns the part of the job that every process stores.
 func (j *Job) summary() *summary {
-	s := &summary{Host: j.Host, Route: j.Route, SubmittedMs: j.SubmittedMs, Tokens: make([]int64, len(j.Items))}
+	s := &summary{Host: j.Host, Route: j.Route, SubmittedMs: j.SubmittedMs, Workspace: j.Workspace, Tokens: make([]int64, len(j.Items))}
 	for i := range j.Items {
 		s.Tokens[i] = j.Items[i].Tokens
 	}
@@ -65,7 +69,8 @@
 	Route       string `cbor:"2,keyasint"`
 	SubmittedMs int64  `cbor:"3,keyasint"`
 	// Tokens holds the tokens of each item.
-	Tokens []int64 `cbor:"4,keyasint"`
+	Tokens    []int64 `cbor:"4,keyasint"`
+	Workspace string  `cbor:"5,keyasint,omitempty"`
 }
 
 // submitted returns when the job was first received.
--- a/jobs/open_jobs.go
+++ b/jobs/open_jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/serving"
 )
 
 // isOpen reports whether an item still needs a result.
@@ -22,6 +23,8 @@
 	job     *summary
 	content []Item
 	route   *catalog.Route
+	// identity is that of the caller, as it was accepted.
+	identity serving.Identity
 	// submitted is when the job was first received, due when its results are due.
 	submitted time.Time
 	due       time.Time
@@ -39,6 +42,7 @@
 			continue
 		}
 		j.route = route
+		j.identity = serving.Identity{Checked: j.job.Workspace != "" || config.HasWorkspaces(), Workspace: j.job.Workspace}
 		j.due = j.submitted.Add(route.JobCompletionTarget)
 		open = append(open, j)
 	}
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -188,22 +188,3 @@
 	}
 	return nil, false, true
 }
-
-// waitingTokens sums the tokens of unfinished items by route, for the jobs selected by
-// include whose summary has an offset in [from, to).
-func (t *Table) waitingTokens(include func(id string) bool, from, to int64) map[string]int64 {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	sums := make(map[string]int64)
-	for id, e := range t.byID {
-		if e.job == nil || e.cancelled || e.offset < from || e.offset >= to || !include(id) {
-			continue
-		}
-		for i, tokens := range e.job.Tokens {
-			if !e.done[i] {
-				sums[e.job.Route] += tokens
-			}
-		}
-	}
-	return sums
-}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -259,7 +259,7 @@
 func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
 	begin := time.Now()
-	out := r.s.runItem(ctx, itemRequest(j.job.Host, &j.content[u.ref.item]), b, p, runObserver{
+	out := r.s.runItem(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
@@ -306,11 +306,12 @@
 	}
 }
 
-// itemRequest returns the request of an item.
-func itemRequest(host string, item *Item) *serving.Request {
+// itemRequest returns the request of an item of a job.
+func itemRequest(j openJob, item *Item) *serving.Request {
 	r := &serving.Request{
-		ID: item.ID, Method: "POST", Host: host, Target: item.Target, Path: item.Target,
+		ID: item.ID, Method: "POST", Host: j.job.Host, Target: item.Target, Path: item.Target,
 		Header: make(map[string][]string, len(item.Header)), Body: item.Body, ReceivedAt: time.Now(),
+		Identity: j.identity,
 	}
 	for name, value := range item.Header {
 		r.Header.Set(name, value)
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,8 +72,12 @@
 	// Offset is the offset up to which the owner has followed the job topic.
 	Offset int64 `cbor:"3,keyasint"`
 	// Waiting holds the tokens of unfinished items by route, for the jobs before
-	// Offset.
+	// Offset that belong to no workspace.
 	Waiting map[string]int64 `cbor:"4,keyasint,omitempty"`
+	// WorkspaceWaiting holds the same for the jobs of workspaces, by accountKey. Partial states
+	// that accounts are left out; their jobs count as unfinished.
+	WorkspaceWaiting map[uint64]int64 `cbor:"5,keyasint,omitempty"`
+	Partial          bool             `cbor:"6,keyasint,omitempty"`
 }
 
 // Peers gives access to the other processes, as far as they are reachable.
@@ -188,36 +191,23 @@
 	s.reportedAt = now
 	s.reports = nil
 	offset := s.jobs.Next()
+	budget := maxReportedAccounts
 	for _, sh := range s.shards {
 		if epoch := sh.currentEpoch(); epoch > 0 {
-			waiting := s.table.waitingTokens(sh.contains, 0, offset)
-			s.reports = append(s.reports, ShardReport{Shard: sh.part.Index, Epoch: epoch, Offset: offset, Waiting: waiting})
+			report := ShardReport{Shard: sh.part.Index, Epoch: epoch, Offset: offset}
+			budget -= report.setWaiting(s.table.waitingTokens(sh.contains, 0, offset), budget)
+			s.reports = append(s.reports, report)
 		}
 	}
 	return s.reports
 }
 
-// waitingTokens sums the tokens of unfinished items on a route. Items that no owner
-// has reported count as unfinished.
-func (s *Service) waitingTokens(route string) int64 {
-	var sum int64
-	for _, sh := range s.shards {
-		from := int64(0)
-		if report, known := s.opts.Peers.ShardReport(sh.part.Index); known && !sh.owned() {
-			from = report.Offset
-			sum += report.Waiting[route]
-		}
-		sum += s.table.waitingTokens(sh.contains, from, math.MaxInt64)[route]
-	}
-	return sum
-}
-
 // Table returns the state of all jobs.
 func (s *Service) Table() *Table { return s.table }
 
 // jobAccepted logs a newly accepted job and wakes the runner.
 func (s *Service) jobAccepted(id string, j *summary) {
-	event.Log(s.opts.Logger, event.JobAccepted, "job", id, "route", j.Route, "items", len(j.Tokens), "tokens", j.totalTokens(),
+	event.Log(s.opts.Logger, event.JobAccepted, "job", id, "workspace", j.Workspace, "route", j.Route, "items", len(j.Tokens), "tokens", j.totalTokens(),
 		"shard", shardOf(id, s.opts.Shards))
 	if s.runner != nil {
 		s.runner.wake()
--- a/peering/calls.go
+++ b/peering/calls.go
@@ -14,7 +14,6 @@
 
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
-	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
 // List implements jobs.Peers.
@@ -84,29 +83,6 @@
 	return errkind.New(resp.Kind, "%s", resp.Message).WithOutcome(resp.Outcome).WithRetryAfter(time.Duration(resp.RetryMs) * time.Millisecond)
 }
 
-// Snapshot is a gateway's copy of the configuration and of the registered backend
-// servers. A gateway that starts while the store is unavailable fetches it from a peer.
-type Snapshot struct {
-	Config   []keyedlog.Record `cbor:"1,keyasint,omitempty"`
-	Backends []keyedlog.Record `cbor:"2,keyasint,omitempty"`
-}
-
-// FetchSnapshot requests the snapshot of the reachable peers, one after the other, and
-// returns the first one that holds a configuration.
-func (p *Peering) FetchSnapshot(ctx context.Context) (Snapshot, bool) {
-	for _, address := range p.reachableAddresses() {
-		raw, err := p.get(ctx, address, snapshotPath)
-		if err != nil {
-			continue // tries the next peer
-		}
-		var s Snapshot
-		if err := cbor.Unmarshal(raw, &s); err == nil && len(s.Config) > 0 {
-			return s, true
-		}
-	}
-	return Snapshot{}, false
-}
-
 // get sends a GET request to a peer. path includes the query.
 func (p *Peering) get(ctx context.Context, address, path string) ([]byte, error) {
 	return p.call(ctx, http.MethodGet, address, path, nil)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -59,6 +59,9 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 	// Leaving states that the sender is about to stop.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that is in force at the sender; 0 if it
+	// has none, or none with workspaces.
+	ConfigVersion int64 `cbor:"17,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -107,6 +110,9 @@
 	Shards func() []jobs.ShardReport
 	// BackendID returns the id of the backend server with the given balance.Key.
 	BackendID func(key uint32) string
+	// ConfigVersion returns the version of the configuration in force, 0 if there is none, and
+	// whether peers are told about it. Peers are told of none if it is nil.
+	ConfigVersion func() (version int64, told bool)
 	// StoreAge returns the time since this gateway's last contact with the store.
 	StoreAge func() time.Duration
 	// StoreRTT returns the round-trip time of a short call to the store; 0 if it is
@@ -127,6 +133,8 @@
 
 	// leaving states that this process is about to stop.
 	leaving atomic.Bool
+	// newerConfig holds a token while a peer may have a newer configuration than this gateway.
+	newerConfig chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -160,6 +168,8 @@
 	// last report.
 	storeAge time.Duration
 	storeRTT time.Duration
+	// configVersion is the version of the configuration in force there.
+	configVersion int64
 }
 
 // precedes reports whether r is newer than the peer's last report. The time of day may
@@ -174,8 +184,11 @@
 
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
+	if opts.ConfigVersion == nil {
+		opts.ConfigVersion = func() (int64, bool) { return 0, false }
+	}
 	boot := time.Now().UnixNano()
-	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest)}
+	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), newerConfig: make(chan struct{}, 1), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest)}
 }
 
 // EncodePeer returns the directory record of a gateway.
@@ -248,9 +261,13 @@
 }
 
 func (p *Peering) report(seq uint64) report {
+	version, told := p.opts.ConfigVersion()
+	if !told {
+		version = 0
+	}
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
-		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
+		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(), ConfigVersion: version,
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 	}
 }
@@ -309,6 +326,8 @@
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
 	sender.shards, sender.leaving = r.Shards, r.Leaving
+	sender.configVersion = r.ConfigVersion
+	p.noteConfigVersion(r.ConfigVersion)
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 	// evidence records the reports about prompt parts.
 	evidence *evidence
 	limits   *ratelimit.Limiter
+	// configVersion is the version of the configuration in force; peers are told of it.
+	configVersion atomic.Int64
 	// mu guards denied, the time until which requests were denied.
 	mu     sync.Mutex
 	denied time.Time
@@ -63,7 +66,8 @@
 	g.Peering = peering.New(peering.Options{
 		Limits: g.limits, RegionOf: map[string]string{"z-near": "near", "z-far": "far"},
 		Name: name, Region: region, Table: g.table, Logger: log.New(io.Discard), Conn: conn, Client: http.DefaultClient, Origins: g.origins, Evidence: g.evidence,
-		Shards: func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
+		ConfigVersion: func() (int64, bool) { return g.configVersion.Load(), true },
+		Shards:        func() []jobs.ShardReport { return g.shards }, StoreAge: func() time.Duration { return 0 }, StoreRTT: func() time.Duration { return time.Millisecond },
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -298,14 +302,14 @@
 	assert.Assert(t, !found)
 	_, _, err = a.ItemBody(t.Context(), address, "other", "i")
 	assert.ErrorContains(t, err, "not owned")
-	_, ok := a.FetchSnapshot(t.Context())
+	_, ok := a.FetchSnapshot(t.Context(), 3)
 	assert.Assert(t, !ok, "no peer is reachable")
 
 	b := startGateway(t, "b", address, "r")
 	a.addPeer(t, b, "r")
 	b.addPeer(t, a, "r")
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		got, ok := a.FetchSnapshot(t.Context())
+		got, ok := a.FetchSnapshot(t.Context(), 3)
 		if !ok {
 			return poll.Continue("no snapshot")
 		}
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -38,6 +38,9 @@
 	for _, name := range credentialHeaders {
 		writeField(h, r.Header.Get(name))
 	}
+	if r.Identity.Checked {
+		writeField(h, r.Identity.Workspace)
+	}
 	return []string{
 		requestPrefix + hex.EncodeToString(content[:identityBytes]),
 		callerPrefix + hex.EncodeToString(h.Sum(nil)[:identityBytes]),
--- a/quarantine/identity_test.go
+++ b/quarantine/identity_test.go
@@ -34,6 +34,7 @@
 		}, true, true},
 		"another caller":      {func(r *serving.Request) { r.Caller = "10.0.0.2" }, true, false},
 		"another account":     {func(r *serving.Request) { r.Header = http.Header{"Authorization": {"b"}} }, true, false},
+		"identified":          {func(r *serving.Request) { r.Identity = serving.Identity{Checked: true, Workspace: "w"} }, true, false},
 		"another body":        {func(r *serving.Request) { r.Body = []byte("other") }, false, false},
 		"another query":       {func(r *serving.Request) { r.Target = "/a?b=2" }, false, false},
 		"another method":      {func(r *serving.Request) { r.Method = http.MethodPut }, false, false},
