--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -70,6 +70,7 @@
 	c.checkDrains()
 	c.checkLimits()
 	c.checkVersions()
+	c.checkWorkspaces()
 	c.checkProcesses()
 }
 
@@ -123,8 +124,8 @@
 	if statusMeansNotRun(r.Status) && len(ran) > 0 {
 		v.AddFinding(chaos.FalseNotRun, "%s %s at %s: status %d, ran at %s (fault %d)", r.Op.Kind, id, r.Gateway, r.Status, ran[0].backend, ran[0].Fault)
 	}
-	if r.Status == http.StatusNotFound {
-		v.AddFinding(chaos.Lost, "%s %s at %s: not found although its route exists", r.Op.Kind, id, r.Gateway)
+	if r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized {
+		v.AddFinding(chaos.Lost, "%s %s at %s: status %d although its route and its key exist", r.Op.Kind, id, r.Gateway, r.Status)
 	}
 	c.checkInterrupted(r, ran)
 }
--- a/internal/chaos/soak/history.go
+++ b/internal/chaos/soak/history.go
@@ -59,6 +59,8 @@
 	// bodies that were not found.
 	WrongBodies   []string
 	MissingBodies []MissingBody
+	// ShownToOthers describes the successful responses to other workspaces.
+	ShownToOthers []string
 }
 
 // MissingBody is an item for whose body a gateway returned 404.
--- a/internal/chaos/soak/job.go
+++ b/internal/chaos/soak/job.go
@@ -101,7 +101,7 @@
 	}
 	rec.Refused = true
 	for range submitTries {
-		status, _, err := r.jobCall(ctx, http.MethodPost, r.rotation.pick(), "/batch/"+rec.Op.ID, rec.Op.ID, document, submitTimeout)
+		status, _, err := r.jobCall(ctx, http.MethodPost, r.rotation.pick(), "/batch/"+rec.Op.ID, rec.Op.ID, document, key(workspaceOf(rec.Op)), submitTimeout)
 		if err == nil && status == http.StatusAccepted {
 			rec.Accepted = time.Now()
 			rec.Refused = false
@@ -123,10 +123,10 @@
 }
 
 // jobCall sends a request about a job on a new connection.
-func (r *Round) jobCall(ctx context.Context, method string, g *proctest.Gateway, path, id, body string, timeout time.Duration) (int, []byte, error) {
+func (r *Round) jobCall(ctx context.Context, method string, g *proctest.Gateway, path, id, body, key string, timeout time.Duration) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	req, err := newRequest(ctx, method, g.CallerLink.Addr, path, id, body)
+	req, err := newRequest(ctx, method, g.CallerLink.Addr, path, id, body, key)
 	if err != nil {
 		return 0, nil, err
 	}
@@ -155,6 +155,7 @@
 			rec.Listings = append(rec.Listings, l)
 		}
 		r.readBody(ctx, rec, g)
+		r.readAsOther(ctx, rec, g)
 		if r.faultsEnded() && (after >= rec.Op.Items || !rec.EndAcked.IsZero()) {
 			return
 		}
@@ -166,7 +167,7 @@
 	if rec.EndRequested.IsZero() {
 		rec.EndRequested = time.Now()
 	}
-	status, _, err := r.jobCall(ctx, http.MethodDelete, r.rotation.pick(), platform.JobPath+rec.Op.ID, "end", "", submitTimeout)
+	status, _, err := r.jobCall(ctx, http.MethodDelete, r.rotation.pick(), platform.JobPath+rec.Op.ID, "end", "", key(workspaceOf(rec.Op)), submitTimeout)
 	if err == nil && status == http.StatusOK {
 		rec.EndAcked = time.Now()
 	}
@@ -176,7 +177,7 @@
 func (r *Round) listResults(ctx context.Context, rec *JobRecord, g *proctest.Gateway, after int) (Listing, bool) {
 	sent := time.Now()
 	path := fmt.Sprintf("%s%s?After=%d", platform.JobPath, rec.Op.ID, after)
-	status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "read", "", readTimeout)
+	status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "read", "", key(workspaceOf(rec.Op)), readTimeout)
 	if err != nil {
 		return Listing{}, false
 	}
@@ -220,7 +221,7 @@
 	i := len(rec.Listings) % rec.Op.Items
 	sent := time.Now()
 	path := fmt.Sprintf("/api/items/%s?Id=%s", rec.Op.ID, itemID(rec.Op, i))
-	status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "read", "", readTimeout)
+	status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "read", "", key(workspaceOf(rec.Op)), readTimeout)
 	switch {
 	case err != nil:
 	case status == http.StatusOK && string(raw) != itemBody(rec.Op, i):
@@ -230,6 +231,19 @@
 	}
 }
 
+// readAsOther reads the job with a key of another workspace.
+func (r *Round) readAsOther(ctx context.Context, rec *JobRecord, g *proctest.Gateway) {
+	if !r.plan.Workspaces {
+		return
+	}
+	for _, path := range []string{platform.JobPath + rec.Op.ID, fmt.Sprintf("/api/items/%s?Id=%s", rec.Op.ID, itemID(rec.Op, 0))} {
+		status, raw, err := r.jobCall(ctx, http.MethodGet, g, path, "other", "", otherKey(rec.Op), readTimeout)
+		if err == nil && status == http.StatusOK {
+			rec.ShownToOthers = append(rec.ShownToOthers, fmt.Sprintf("%s at %s: %q", path, g.Name, raw))
+		}
+	}
+}
+
 // readAll reads all results at one gateway after the faults.
 func (r *Round) readAll(ctx context.Context, rec *JobRecord, g *proctest.Gateway) {
 	whole := Listing{Gateway: g.Name}
--- a/internal/chaos/soak/online.go
+++ b/internal/chaos/soak/online.go
@@ -133,7 +133,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) { rec.Gateway = c.rotation.gatewayName(i.Conn.RemoteAddr()) },
 	})
-	req, err := newRequest(ctx, http.MethodPost, anyGateway, paths[rec.Op.Kind]+rec.Op.ID, rec.Op.ID, "body of "+rec.Op.ID)
+	req, err := newRequest(ctx, http.MethodPost, anyGateway, paths[rec.Op.Kind]+rec.Op.ID, rec.Op.ID, "body of "+rec.Op.ID, key(workspaceOf(rec.Op)))
 	if err != nil {
 		return err
 	}
@@ -167,13 +167,15 @@
 	return op, true
 }
 
-func newRequest(ctx context.Context, method, address, path, id, body string) (*http.Request, error) {
+func newRequest(ctx context.Context, method, address, path, id, body, key string) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	req.Host = host
 	req.Header.Set("Request-Id", id)
+	req.Header.Set("X-Api-Key", key)
+	req.Header.Set("Tenant", forgedWorkspace)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	return req, nil
 }
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -70,8 +70,10 @@
 	// Gateways is the number of gateways. In regions with many gateways, they read the
 	// store through relays.
 	Gateways int
-	Ops      []Op
-	Faults   []Fault
+	// Workspaces states that callers identify themselves by keys.
+	Workspaces bool
+	Ops        []Op
+	Faults     []Fault
 }
 
 // Sizes of a round.
@@ -103,6 +105,7 @@
 	case seed%backendsEvery == 1:
 		p.Profile = Backends
 	}
+	p.Workspaces = seed%workspacesEvery == 0
 	if seed%manyEvery == 2 {
 		p.Gateways = manyGateways
 	}
@@ -168,7 +171,7 @@
 
 // Print writes the plan with one line for each operation and fault.
 func (p Plan) Print(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "seed %d profile %s, %d gateways\n", p.Seed, p.Profile, p.Gateways)
+	_, _ = fmt.Fprintf(w, "seed %d profile %s, %d gateways, workspaces %t\n", p.Seed, p.Profile, p.Gateways, p.Workspaces)
 	for _, op := range p.Ops {
 		_, _ = fmt.Fprintf(w, "  %+v\n", op)
 	}
--- a/internal/chaos/soak/publish.go
+++ b/internal/chaos/soak/publish.go
@@ -28,7 +28,7 @@
 
 // configuration returns version n of the configuration: the routes of the round, and an
 // additional one for each version up to n.
-func configuration(n int) ([]byte, error) {
+func (p Plan) configuration(n int) ([]byte, error) {
 	type route map[string]any
 	online := func(kind OpKind, routeType string, resumable bool) route {
 		return route{
@@ -50,8 +50,12 @@
 		r["Name"], r["PathPrefix"], r["Service"] = fmt.Sprint("version-", i), versionPath(i), "nobody"
 		routes = append(routes, r)
 	}
+	var identified []any
+	if p.Workspaces {
+		identified = workspaces(n)
+	}
 	return json.Marshal(map[string]any{
-		"Version": n, "Routes": routes, "Services": []any{map[string]any{"Name": service, "MaxConnections": 200}},
+		"Tenants": identified, "Version": n, "Routes": routes, "Services": []any{map[string]any{"Name": service, "MaxConnections": 200}},
 		"Limits": map[string]any{"MaxBodyBytes": 1 << 20},
 	})
 }
@@ -64,7 +68,7 @@
 	r.publishing.Lock()
 	defer r.publishing.Unlock()
 	next := r.published + 1
-	value, err := configuration(next)
+	value, err := r.plan.configuration(next)
 	if err != nil {
 		r.recordError(err)
 		return
@@ -96,13 +100,23 @@
 }
 
 // probeVersion requests the route of a version from a gateway, without the forwarder. The
-// route has no backend server: every status but 404 shows that the version is in force.
+// route has no backend server: every status but 404 shows that the version is in force. With
+// workspaces, so does the refusal of the key that the version has withdrawn.
 func (r *Round) probeVersion(ctx context.Context, g *proctest.Gateway, version int) (inForce bool) {
+	inForce = r.probe(ctx, g, version, versionPath(version), key(workspaceName(0)), func(status int) bool { return status != http.StatusNotFound })
+	if r.plan.Workspaces {
+		r.probe(ctx, g, version, versionPath(1), versionKey(version-1), func(status int) bool { return status == http.StatusUnauthorized })
+	}
+	return inForce
+}
+
+// probe sends a request whose status shows whether a version is in force.
+func (r *Round) probe(ctx context.Context, g *proctest.Gateway, version int, path, key string, shows func(status int) bool) (inForce bool) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	starts := g.Starts()
 	sent := time.Now()
-	req, err := newRequest(ctx, http.MethodPost, g.CallerAddr, versionPath(version), fmt.Sprintf("look-%d", version), "")
+	req, err := newRequest(ctx, http.MethodPost, g.CallerAddr, path, fmt.Sprintf("look-%d", version), "", key)
 	if err != nil {
 		return false
 	}
@@ -116,7 +130,7 @@
 	if starts != g.Starts() || startingUp(resp) {
 		return false // the process was restarted meanwhile, or has no configuration yet
 	}
-	inForce = resp.StatusCode != http.StatusNotFound
+	inForce = shows(resp.StatusCode)
 	r.history.update(func(h *History) {
 		h.Probes = append(h.Probes, Probe{Gateway: g.Name, Starts: starts, At: sent, Version: version, InForce: inForce})
 	})
