--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -71,6 +71,7 @@
 	c.checkLimits()
 	c.checkQuota()
 	c.checkVersions()
+	c.checkWorkspaces()
 	c.checkProcesses()
 }
 
@@ -124,8 +125,8 @@
 	if statusMeansNotRun(r.Status) && len(ran) > 0 {
 		v.AddFinding(chaos.FalseNotRun, "%s %s at %s: status %d, ran at %s (fault %d)", r.Op.Kind, id, r.Gateway, r.Status, ran[0].backend, ran[0].Fault)
 	}
-	if r.Status == http.StatusNotFound {
-		v.AddFinding(chaos.Lost, "%s %s at %s: not found although its route exists", r.Op.Kind, id, r.Gateway)
+	if r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized {
+		v.AddFinding(chaos.Lost, "%s %s at %s: status %d although its route and its key exist", r.Op.Kind, id, r.Gateway, r.Status)
 	}
 	c.checkInterrupted(r, ran)
 }
@@ -144,7 +145,7 @@
 // may be retried, and one beyond its quota refused.
 func (c *checker) checkInterrupted(r Record, ran []arrival) {
 	raced := r.Status == 0 && len(ran) == 0 && r.End.Sub(r.Start) < timeoutSlack
-	overQuota := r.Op.Kind == UnsafeCall && r.Status == http.StatusTooManyRequests
+	overQuota := c.plan.Workspaces && r.Op.Kind == UnsafeCall && r.Status == http.StatusTooManyRequests
 	if c.plan.Profile != Planned || r.Complete && r.Status == http.StatusOK || raced || overQuota {
 		return
 	}
--- a/internal/chaos/soak/check_test.go
+++ b/internal/chaos/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -47,14 +48,15 @@
 }
 
 type syntheticHistory struct {
-	profile  Profile
-	history  *History
-	arrivals []arrival
+	profile    Profile
+	workspaces bool
+	history    *History
+	arrivals   []arrival
 }
 
 // check checks a synthetic history.
 func (s syntheticHistory) check() *chaos.Verdict {
-	c := &checker{plan: Plan{Profile: s.profile}, history: s.history, arrivals: make(map[string][]arrival), verdict: chaos.NewVerdict(checkedBreaches)}
+	c := &checker{plan: Plan{Profile: s.profile, Workspaces: s.workspaces}, history: s.history, arrivals: make(map[string][]arrival), verdict: chaos.NewVerdict(checkedBreaches)}
 	for _, r := range s.arrivals {
 		c.arrivals[r.ID] = append(c.arrivals[r.ID], r)
 	}
@@ -124,6 +126,18 @@
 			arrivals: tooManyAttempts("a", "b", "c", "d"),
 			history:  records(refused(Op{Kind: SafeCall, ID: "a"}, 502), refused(Op{Kind: SafeCall, ID: "b"}, 502), refused(Op{Kind: SafeCall, ID: "c"}, 502), refused(Op{Kind: SafeCall, ID: "d"}, 502)),
 		}},
+		"more calls than the quota of their workspace": {chaos.QuotaExceeded, syntheticHistory{
+			workspaces: true, arrivals: manyArrivals(12, 1.5), history: manyCalls(12),
+		}},
+		"another workspace's name": {chaos.WrongResponse, syntheticHistory{
+			workspaces: true, arrivals: []arrival{ofWorkspace("u", forgedWorkspace, "")}, history: records(completeRecord(unsafeCall)),
+		}},
+		"a key at a backend server": {chaos.WrongResponse, syntheticHistory{
+			workspaces: true, arrivals: []arrival{ofWorkspace("u", limitedWorkspace, key(limitedWorkspace))}, history: records(completeRecord(unsafeCall)),
+		}},
+		"job shown to another workspace": {chaos.WrongResponse, syntheticHistory{workspaces: true, history: jobs(func(j *JobRecord) {
+			j.ShownToOthers = []string{"results"}
+		})}},
 		"stream continued by another version": {chaos.MixedSoftware, syntheticHistory{profile: Mixed, arrivals: continued("s", "s", "v2"), history: records(completeRecord(stream))}},
 		"stream resumed by its caller at another version": {chaos.MixedSoftware, syntheticHistory{
 			profile: Mixed, arrivals: continued("s", "s"+resumedSuffix, "v2"), history: records(completeRecord(stream)),
@@ -190,6 +204,22 @@
 	}
 }
 
+// manyCalls returns the history of n calls that may run once.
+func manyCalls(n int) *History {
+	h := &History{}
+	for i := range n {
+		h.Records = append(h.Records, completeRecord(Op{Kind: UnsafeCall, ID: fmt.Sprint("many", i)}))
+	}
+	return h
+}
+
+// ofWorkspace returns an arrival with the name of a workspace and a key.
+func ofWorkspace(id, workspace, key string) arrival {
+	a := newArrival(id, 0, platformtest.None)
+	a.Workspace, a.Header = workspace, http.Header{"X-Api-Key": {key}}
+	return a
+}
+
 func tooManyAttempts(ids ...string) []arrival {
 	var out []arrival
 	for _, id := range ids {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -8,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/balance"
-	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/egress"
 	"github.com/catkinrudder/catkinrudder/jobs"
@@ -28,7 +28,7 @@
 	zone  string
 	zones map[string]bool
 	// workspaces holds the workspaces that may have series.
-	workspaces map[string]*catalog.Workspace
+	workspaces map[string]bool
 }
 
 // NewMetrics returns metrics that are registered in set.
@@ -148,3 +148,12 @@
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_log_lines_left_out_total{cause="budget"}`).AddInt64(budget)
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_log_lines_left_out_total{cause="reader"}`).AddInt64(reader)
 }
+
+// removeSeries removes the series that have a label. The caller holds mu.
+func (m *Metrics) removeSeries(label string) {
+	for _, name := range m.set.ListMetricNames() {
+		if strings.Contains(name, label) {
+			m.set.UnregisterMetric(name)
+		}
+	}
+}
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -73,7 +73,7 @@
 	assert.NilError(t, f.serveWorkspace("one", "/call/x"))
 }
 
-func TestWorkspaceSeriesAreBounded(t *testing.T) {
+func TestQuotaSeriesEndWithTheirWorkspace(t *testing.T) {
 	set := metrics.NewSet()
 	f := newFixture(t, platformtest.NewBackend(t, "a"))
 	f.Metrics = gateway.NewMetrics(set)
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -67,6 +67,9 @@
 	Paces map[uint32][2]int64 `cbor:"18,keyasint,omitempty"`
 	// Waiting counts the requests that wait at the sender, by service.
 	Waiting map[uint32]int `cbor:"20,keyasint,omitempty"`
+	// ConfigVersion is the version of the configuration that is in force at the sender; 0 if it
+	// has none, or none with workspaces.
+	ConfigVersion int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -122,6 +125,9 @@
 	Shards func() []jobs.ShardReport
 	// BackendID returns the id of the backend server with the given balance.Key.
 	BackendID func(key uint32) string
+	// ConfigVersion returns the version of the configuration in force, 0 if there is none, and
+	// whether peers are told about it. Peers are told of none if it is nil.
+	ConfigVersion func() (version int64, told bool)
 	// StoreAge returns the time since this gateway's last contact with the store.
 	StoreAge func() time.Duration
 	// StoreRTT returns the round-trip time of a short call to the store; 0 if it is
@@ -144,6 +150,8 @@
 
 	// leaving states that this process is about to stop.
 	leaving atomic.Bool
+	// newerConfig holds a token while a peer may have a newer configuration than this gateway.
+	newerConfig chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -179,6 +187,8 @@
 	// last report.
 	storeAge time.Duration
 	storeRTT time.Duration
+	// configVersion is the version of the configuration in force there.
+	configVersion int64
 }
 
 // precedes reports whether r is newer than the peer's last report. The time of day may
@@ -193,10 +203,13 @@
 
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
+	if opts.ConfigVersion == nil {
+		opts.ConfigVersion = func() (int64, bool) { return 0, false }
+	}
 	startedAt := time.Now()
 	boot := startedAt.UnixNano()
 	return &Peering{
-		opts: opts, boot: boot, startedAt: startedAt, directoryRead: make(chan struct{}), peers: make(map[string]*peer),
+		opts: opts, boot: boot, startedAt: startedAt, directoryRead: make(chan struct{}), newerConfig: make(chan struct{}, 1), peers: make(map[string]*peer),
 		permitReplies: newPendingReplies[ratelimit.Reply](uint64(boot)),
 		quotaReplies:  newPendingReplies[quota.Reply](uint64(uint32(boot))), // short ones, as there are many
 	}
@@ -272,9 +285,13 @@
 }
 
 func (p *Peering) report(seq uint64) report {
+	version, told := p.opts.ConfigVersion()
+	if !told {
+		version = 0
+	}
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
-		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
+		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(), ConfigVersion: version,
 		Paces:      encodePaces(p.opts.Table.FreshPaces(time.Now())),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
 		Waiting: p.waiting(),
@@ -337,6 +354,8 @@
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
 	sender.shards, sender.leaving = r.Shards, r.Leaving
+	sender.configVersion = r.ConfigVersion
+	p.noteConfigVersion(r.ConfigVersion)
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
