peering: attempts that do not concern other zones are reported to them within 60 ms

Cause: reports between gateways cross zones at each attempt, and are most of what crosses with some 20 gateways; since requests prefer their zone, most of these reports tell other zones of attempts in free slots that they would not choose. Change: attempts at their servers, items, and online requests in place of items are reported at once, the rest within 60 ms (Table.TakeChangeElsewhere, reporter.otherZonesDue).

--- a/balance/pick.go
+++ b/balance/pick.go
@@ -89,7 +89,7 @@
 	}
 	chosen := choices[spread(t.rng, costs, t.unseen(candidates[0].Service, s.prefersHome && !s.leaves, now))]
 	chosen.Crossing = s.crossing(chosen.Backend, hasHome)
-	t.countAttempt(chosen.Backend, req.Class, now)
+	t.countAttempt(chosen, req.Class, now)
 	t.prefix.record(req.PromptPart, chosen.Backend.ID, now)
 	return chosen, true
 }
--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -26,8 +26,9 @@
 	candidates []catalog.Backend
 	rng        *rand.Rand
 	// lastReport is when each gateway has last reported, reportDue whether a report is due.
-	lastReport []time.Time
-	reportDue  []bool
+	// lastWide is when it has last reported to other zones.
+	lastReport, lastWide []time.Time
+	reportDue            []bool
 
 	now    time.Time
 	events eventQueue
@@ -87,6 +88,9 @@
 
 const simSlots = 8
 
+// quietInterval is the least time between two reports to other zones about what does not concern them.
+const quietInterval = 60 * time.Millisecond
+
 // regionRoundTrip is the round trip to the far region.
 const regionRoundTrip = 60 * time.Millisecond
 
@@ -138,7 +142,7 @@
 }
 
 func newSim(seed uint64, c simConfig) *sim {
-	s := &sim{simConfig: c, crossed: make(map[string]int), arrived: make(map[string]int), lastReport: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
+	s := &sim{simConfig: c, crossed: make(map[string]int), arrived: make(map[string]int), lastReport: make([]time.Time, c.numGateways), lastWide: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
 	for i := range c.numGateways {
 		s.gateways = append(s.gateways, balance.New(balance.Options{Zone: c.zoneOf(i), RegionOf: c.regionOf(), Paths: c.paths, PeerTTL: time.Hour, Seed: seed + uint64(i)}))
 	}
@@ -249,9 +253,13 @@
 func (s *sim) sendReport(gateway int) {
 	s.reportDue[gateway] = false
 	s.lastReport[gateway] = s.now
+	elsewhere := s.gateways[gateway].TakeChangeElsewhere() || s.now.Sub(s.lastWide[gateway]) >= quietInterval
+	if elsewhere {
+		s.lastWide[gateway] = s.now
+	}
 	base := balance.PeerReport{Counts: s.gateways[gateway].LocalCounts(), Started: s.gateways[gateway].Started(), Paces: s.gateways[gateway].FreshPaces(s.now)}
 	for i, other := range s.gateways {
-		if i != gateway {
+		if i != gateway && (elsewhere || s.zoneOf(i) == s.zoneOf(gateway)) {
 			r := base
 			r.Zone = s.zoneOf(gateway)
 			r.OtherRegion = s.regionOf()[s.zoneOf(i)] != s.regionOf()[r.Zone]
--- a/balance/table.go
+++ b/balance/table.go
@@ -81,6 +81,8 @@
 	unreportedLoads map[string]unreportedLoad
 	// denials are those of backend servers that name a limit.
 	denials map[denialKey]denial
+	// changedElsewhere states that other zones of the region need to know a change at once.
+	changedElsewhere bool
 	// changed is closed and replaced at each change that may free capacity.
 	changed chan struct{}
 	// localChanged receives a token after this gateway has begun or ended an attempt.
@@ -91,6 +93,7 @@
 type localCounts struct {
 	n       [numClasses]int
 	service string
+	zone    string
 }
 
 // Key returns a short hash that identifies a backend server or a service in reports
@@ -135,6 +138,17 @@
 // changed.
 func (t *Table) LocalCountsChanged() <-chan struct{} { return t.localChanged }
 
+// TakeChangeElsewhere reports whether since its last call something has changed that the gateways of
+// other zones need to know at once: attempts at their backend servers, items of batch jobs, and
+// online attempts in place of them. Attempts in free slots of the own zone can wait.
+func (t *Table) TakeChangeElsewhere() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := t.changedElsewhere
+	t.changedElsewhere = false
+	return changed
+}
+
 func (t *Table) notifyLocalChange() {
 	select {
 	case t.localChanged <- struct{}{}:
@@ -163,10 +177,12 @@
 	t.changed = make(chan struct{})
 }
 
-func (t *Table) countAttempt(b catalog.Backend, c Class, now time.Time) {
+func (t *Table) countAttempt(choice Choice, c Class, now time.Time) {
+	b := choice.Backend
+	t.changedElsewhere = t.changedElsewhere || c == Batch || b.Zone != t.opts.Zone || choice.Reason != FreeSlot
 	counts := t.local[b.ID]
 	if counts == nil {
-		counts = &localCounts{service: b.Service}
+		counts = &localCounts{service: b.Service, zone: b.Zone}
 		t.local[b.ID] = counts
 	}
 	counts.n[c]++
@@ -195,6 +211,7 @@
 		return
 	}
 	counts.n[c]--
+	t.changedElsewhere = t.changedElsewhere || counts.zone != t.opts.Zone
 	if c == Online {
 		t.holdOf(counts.service).inProgress--
 	}
--- a/balance/zones_test.go
+++ b/balance/zones_test.go
@@ -165,3 +165,30 @@
 	}
 	assert.Assert(t, reasons[ZoneFuller] > 20, "%v", reasons)
 }
+
+// TestOtherZonesLearnOfWhatConcernsThem checks which attempts are reported to other zones at once.
+func TestOtherZonesLearnOfWhatConcernsThem(t *testing.T) {
+	now := time.Unix(100, 0)
+	for _, c := range []struct {
+		name  string
+		req   Requirements
+		batch int
+		zone  string
+		want  bool
+	}{
+		{"a free slot of the own zone", Requirements{}, 0, "a", false},
+		{"a server of another zone", Requirements{}, 0, "b", true},
+		{"an item", Requirements{Class: Batch}, 0, "a", true},
+		{"in place of an item", Requirements{}, 8, "a", true},
+	} {
+		table, _ := twoZones()
+		server := catalog.Backend{ID: "x", Service: "s", Zone: c.zone, Slots: 8, State: catalog.Ready}
+		table.SetPeer("peer", PeerReport{Counts: map[uint32]Counts{Key("x"): {Batch: c.batch}}}, now)
+		_, ok := table.Pick([]catalog.Backend{server}, c.req, now)
+		assert.Assert(t, ok, c.name)
+		assert.Equal(t, table.TakeChangeElsewhere(), c.want, c.name)
+		assert.Assert(t, !table.TakeChangeElsewhere(), c.name)
+		table.Release("x", c.req.Class)
+		assert.Equal(t, table.TakeChangeElsewhere(), c.zone != "a", c.name)
+	}
+}
--- a/peering/interval.go
+++ b/peering/interval.go
@@ -26,6 +26,9 @@
 	largeRegion           = 40
 	wideInterval          = 300 * time.Millisecond
 	largeReportsPerSecond = 500
+	// quietInterval is the least time between two reports to the other zones of a smaller region
+	// about attempts that do not concern them.
+	quietInterval = 60 * time.Millisecond
 	// idleInterval is the time between reports without a change.
 	idleInterval = 250 * time.Millisecond
 )
--- a/peering/recipients_test.go
+++ b/peering/recipients_test.go
@@ -53,6 +53,7 @@
 		{recipients{}, []int{1, 3}, 2},
 		{recipients{otherZones: true}, []int{1, 2, 3}, 3},
 		{recipients{far: true}, []int{1, 3, 4}, 2},
+		{recipients{ownersWait: true}, []int{1}, 1},
 	} {
 		conn.ports = nil
 		near := p.send(report{From: "self", Seq: 1}, c.to)
--- a/peering/reporter.go
+++ b/peering/reporter.go
@@ -32,7 +32,8 @@
 	p.opts.Table.SetOtherRegionsSilent(silent)
 	receivers := p.send(rep, recipients{
 		far:        due(&r.lastFar, now, p.farReportInterval(owner)),
-		otherZones: !large || owner || due(&r.lastWide, now, wideInterval),
+		otherZones: r.otherZonesDue(large, owner, now),
+		ownersWait: !large,
 	})
 	if silent && due(&r.lastSummary, now, summaryInterval(p.otherRegions())) {
 		p.sendSummary(now)
@@ -40,6 +41,20 @@
 	return p.interval(receivers, large)
 }
 
+// otherZonesDue reports whether the gateways of other zones of the region get a report. In a large
+// region that depends on the time and on whether this gateway owns shards, else on whether they need
+// to know at once what has changed.
+func (r *reporter) otherZonesDue(large, owner bool, now time.Time) bool {
+	interval, urgent := wideInterval, owner
+	if !large {
+		interval, urgent = quietInterval, r.p.opts.Table.TakeChangeElsewhere() || r.p.leaving.Load()
+	}
+	if urgent {
+		interval = 0
+	}
+	return due(&r.lastWide, now, interval)
+}
+
 // due reports whether interval has passed since last, and sets last to now if it has.
 func due(last *time.Time, now time.Time, interval time.Duration) bool {
 	if now.Sub(*last) < interval {
@@ -50,8 +65,8 @@
 }
 
 // recipients are the groups of peers that a report goes to, in addition to those of the own
-// zone and to the owners of shards in the own region.
-type recipients struct{ far, otherZones bool }
+// zone and, unless ownersWait is true, to the owners of shards in the own region.
+type recipients struct{ far, otherZones, ownersWait bool }
 
 // send sends a report and returns how many peers of the own region have got it.
 func (p *Peering) send(r report, to recipients) (near int) {
@@ -73,7 +88,7 @@
 			continue
 		}
 		switch {
-		case other.far && !to.far, other.otherZone && len(other.shards) == 0 && !to.otherZones:
+		case other.far && !to.far, other.otherZone && !to.otherZones && (len(other.shards) == 0 || to.ownersWait):
 			continue
 		case !other.far:
 			near++
