--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -37,9 +37,12 @@
 	m.set.GetOrCreateHistogram(`catkinrudder_gateway_first_byte_seconds{route_kind="` + kind + `"}`).Update(seconds)
 }
 
+// labelText replaces what would end the value of a label.
+var labelText = strings.NewReplacer(`"`, "_", `\`, "_", "\n", "_")
+
 // waitingNow sets how many requests wait for a service. Services come from the configuration.
 func (m *Metrics) waitingNow(service string, n int) {
-	m.set.GetOrCreateGauge(`catkinrudder_gateway_waiting_requests{service="`+service+`"}`, nil).Set(float64(n))
+	m.set.GetOrCreateGauge(`catkinrudder_gateway_waiting_requests{service="`+labelText.Replace(service)+`"}`, nil).Set(float64(n))
 }
 
 // waited records a wait for a slot that has ended, and the refusal with which it ended if
