--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,7 +43,7 @@
 }
 
 // Waiting returns how many requests wait at this gateway by the key of their service.
-func (g *Gateway) Waiting() map[uint32]int { return g.queue.waitingByService() }
+func (g *Gateway) Waiting() map[uint32]waiting.Count { return g.queue.waitingByService(time.Now()) }
 
 // Origins knows which software began the streams of callers, also of those whose callers
 // reached other gateways. A stream is named by the id of the caller's attempt that brought its
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -53,12 +53,13 @@
 	p.q.mu.Lock()
 	defer p.q.mu.Unlock()
 	s := p.service
-	chance := waiting.Chance(free, elsewhere)
+	late := !p.claim.CanBeInTime(now, s.start.Bound())
+	chance := waiting.Chance(free, late, elsewhere)
 	switch {
 	case chance >= 1:
 		s.released = 0
 		return true
-	case s.released > 0:
+	case s.released > 0 && (!late || elsewhere.InTimeAt == 0):
 		s.released--
 		return true
 	case now.Before(s.nextChance):
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -81,14 +81,14 @@
 }
 
 // waitingByService returns how many requests wait by the key of the service.
-func (q *queue) waitingByService() map[uint32]int {
+func (q *queue) waitingByService(now time.Time) map[uint32]waiting.Count {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var out map[uint32]int
+	var out map[uint32]waiting.Count
 	for name, s := range q.services {
-		if n := s.line.Len(); n > 0 {
+		if n := s.line.Count(now, s.start.Bound()); n.All > 0 {
 			if out == nil {
-				out = make(map[uint32]int)
+				out = make(map[uint32]waiting.Count)
 			}
 			out[balance.Key(name)] = n
 		}
--- a/internal/gateway/queue_order_test.go
+++ b/internal/gateway/queue_order_test.go
@@ -38,7 +38,7 @@
 func (f *fixture) waitFor(n int) {
 	f.t.Helper()
 	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
-		if got := f.Waiting()[balance.Key("s")]; got != n {
+		if got := f.Waiting()[balance.Key("s")].All; got != n {
 			return poll.Continue("%d requests wait, want %d", got, n)
 		}
 		return poll.Success()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -132,7 +132,7 @@
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
 		Limits: d.limits, RegionOf: s.RegionOf,
-		Waiting: func() map[uint32]int { return d.gateway.Waiting() }, Crowd: crowd,
+		Waiting: func() map[uint32]waiting.Count { return d.gateway.Waiting() }, Crowd: crowd,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
 	})
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -60,8 +60,9 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 	// Leaving states that the sender is about to stop.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
-	// Waiting counts the requests that wait at the sender, by service.
-	Waiting map[uint32]int `cbor:"20,keyasint,omitempty"`
+	// Waiting counts the requests that wait at the sender, by service: all of them, and those
+	// that can still be in time.
+	Waiting map[uint32][2]int `cbor:"20,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -106,7 +107,7 @@
 	Limits Limits
 	// Waiting returns how many requests wait at this gateway by the key of their service, and
 	// Crowd receives those of other gateways. Both may be nil.
-	Waiting func() map[uint32]int
+	Waiting func() map[uint32]waiting.Count
 	Crowd   *waiting.Crowd
 	// RegionOf maps availability zones to their regions.
 	RegionOf map[string]string
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -46,7 +46,7 @@
 	// that wait here.
 	mu      sync.Mutex
 	denied  time.Time
-	waiting map[uint32]int
+	waiting map[uint32]waiting.Count
 	stop    func()
 }
 
@@ -79,13 +79,13 @@
 	return g
 }
 
-func (g *gateway) setWaiting(counts map[uint32]int) {
+func (g *gateway) setWaiting(counts map[uint32]waiting.Count) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.waiting = counts
 }
 
-func (g *gateway) waitingRequests() map[uint32]int {
+func (g *gateway) waitingRequests() map[uint32]waiting.Count {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return maps.Clone(g.waiting)
--- a/waiting/crowd.go
+++ b/waiting/crowd.go
@@ -14,8 +14,14 @@
 	reports map[string]crowdReport
 }
 
+// Count is how many requests wait for a service at a gateway.
+type Count struct {
+	// All counts all of them, InTime those that can still be in time.
+	All, InTime int
+}
+
 type crowdReport struct {
-	waiting map[uint32]int
+	waiting map[uint32]Count
 	far     bool
 	at      time.Time
 }
@@ -26,7 +32,7 @@
 }
 
 // Set replaces the report of a gateway; far states that it is in another region.
-func (c *Crowd) Set(gateway string, far bool, waiting map[uint32]int, now time.Time) {
+func (c *Crowd) Set(gateway string, far bool, waiting map[uint32]Count, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reports[gateway] = crowdReport{waiting, far, now}
@@ -37,6 +43,8 @@
 	// Gateways is the number of other gateways that report, WaitingAt that of those where
 	// requests wait, and Waiting that of these requests.
 	Gateways, WaitingAt, Waiting int
+	// InTimeAt is the number of other gateways where requests wait that can still be in time.
+	InTimeAt int
 	// Far states that some of these requests wait in another region.
 	Far bool
 }
@@ -52,9 +60,13 @@
 			continue
 		}
 		e.Gateways++
-		if n := r.waiting[service]; n > 0 {
+		n := r.waiting[service]
+		if n.InTime > 0 {
+			e.InTimeAt++
+		}
+		if n.All > 0 {
 			e.WaitingAt++
-			e.Waiting += n
+			e.Waiting += n.All
 			e.Far = e.Far || r.far
 		}
 	}
--- a/waiting/decide.go
+++ b/waiting/decide.go
@@ -143,8 +143,8 @@
 
 // betterElsewhere reports whether a new request is late here and in time at another gateway.
 func (c Claim) betterElsewhere(f Forecast, now time.Time) bool {
-	if !f.Known || c.Returned || !c.prompt(now) || c.canBeInTime(now.Add(f.Here), f.Start) {
+	if !f.Known || c.Returned || !c.prompt(now) || c.CanBeInTime(now.Add(f.Here), f.Start) {
 		return false
 	}
-	return c.canBeInTime(now.Add(returnTrip+2*f.Elsewhere), f.Start)
+	return c.CanBeInTime(now.Add(returnTrip+2*f.Elsewhere), f.Start)
 }
--- a/waiting/decide_test.go
+++ b/waiting/decide_test.go
@@ -126,8 +126,8 @@
 
 func TestCrowdForgetsSilentGateways(t *testing.T) {
 	c := waiting.NewCrowd(time.Second)
-	c.Set("a", true, map[uint32]int{1: 5}, at(0))
+	c.Set("a", true, map[uint32]waiting.Count{1: {All: 5, InTime: 2}}, at(0))
 	c.Set("b", false, nil, at(500))
-	assert.Equal(t, c.Of(1, at(900)), waiting.Elsewhere{Gateways: 2, WaitingAt: 1, Waiting: 5, Far: true})
+	assert.Equal(t, c.Of(1, at(900)), waiting.Elsewhere{Gateways: 2, WaitingAt: 1, Waiting: 5, InTimeAt: 1, Far: true})
 	assert.Equal(t, c.Of(1, at(1200)), waiting.Elsewhere{Gateways: 1})
 }
--- a/waiting/line.go
+++ b/waiting/line.go
@@ -32,6 +32,17 @@
 // Len returns how many requests wait.
 func (l *Line) Len() int { return len(l.waiters) }
 
+// Count returns how many requests wait as of now.
+func (l *Line) Count(now time.Time, start time.Duration) Count {
+	c := Count{All: len(l.waiters)}
+	for _, w := range l.waiters {
+		if w.CanBeInTime(now, start) {
+			c.InTime++
+		}
+	}
+	return c
+}
+
 // Join adds a request.
 func (l *Line) Join(c Claim) *Waiter {
 	l.joined++
@@ -96,7 +107,7 @@
 }
 
 func (l *Line) position(w *Waiter, now time.Time, start time.Duration) position {
-	return position{w: w, late: !w.canBeInTime(now, start), share: l.shares.of(w.Workspace, now)}
+	return position{w: w, late: !w.CanBeInTime(now, start), share: l.shares.of(w.Workspace, now)}
 }
 
 // compare orders positions; the first one is served first.
--- a/waiting/play_test.go
+++ b/waiting/play_test.go
@@ -198,7 +198,7 @@
 	for i, from := range gateways {
 		for j, to := range gateways {
 			if i != j {
-				to.crowd.Set(string(rune('a'+i)), false, map[uint32]int{0: len(from.waiting)}, now)
+				to.crowd.Set(string(rune('a'+i)), false, map[uint32]waiting.Count{0: {All: len(from.waiting)}}, now)
 			}
 		}
 	}
--- a/waiting/waiting.go
+++ b/waiting/waiting.go
@@ -31,8 +31,8 @@
 	Deadline time.Time
 }
 
-// canBeInTime reports whether a request that is sent now, and whose first byte takes start,
+// CanBeInTime reports whether a request that is sent now, and whose first byte takes start,
 // is in time.
-func (c Claim) canBeInTime(now time.Time, start time.Duration) bool {
+func (c Claim) CanBeInTime(now time.Time, start time.Duration) bool {
 	return !now.Add(start).After(c.InTimeUntil)
 }
