--- a/peering/peering.go
+++ b/peering/peering.go
@@ -65,8 +65,9 @@
 	// Paces are those that backend servers have stated to the sender a short time ago; see
 	// encodePaces.
 	Paces map[uint32][2]int64 `cbor:"18,keyasint,omitempty"`
-	// Waiting counts the requests that wait at the sender, by service.
-	Waiting map[uint32]int `cbor:"20,keyasint,omitempty"`
+	// Waiting counts the requests that wait at the sender, by service: all of them, and those
+	// that can still be in time.
+	Waiting map[uint32][2]int `cbor:"20,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration that is in force at the sender; 0 if it
 	// has none, or none with workspaces.
 	ConfigVersion int64 `cbor:"21,keyasint,omitempty"`
@@ -115,7 +116,7 @@
 	Limits Limits
 	// Waiting returns how many requests wait at this gateway by the key of their service, and
 	// Crowd receives those of other gateways. Both may be nil.
-	Waiting func() map[uint32]int
+	Waiting func() map[uint32]waiting.Count
 	Crowd   *waiting.Crowd
 	// Quotas receives the messages of other gateways about the quotas of workspaces; it may be nil.
 	Quotas Quotas
--- a/peering/validate.go
+++ b/peering/validate.go
@@ -36,10 +36,12 @@
 const maxServiceWaiting = 1 << 20
 
 // validWaiting reports whether the numbers of waiting requests in a report are possible ones.
-func validWaiting(waiting map[uint32]int) bool {
-	for _, n := range waiting {
-		if n < 0 || n > maxServiceWaiting {
-			return false
+func validWaiting(waiting map[uint32][2]int) bool {
+	for _, counts := range waiting {
+		for _, n := range counts {
+			if n < 0 || n > maxServiceWaiting {
+				return false
+			}
 		}
 	}
 	return true
