jobs, peering: small gateways leave the shards of batch jobs to stronger ones

The group divides shards evenly, so a gateway of 0.144 cores and 30 Mbit/s ran as many items as one of 0.8 cores and 600 Mbit/s. Gateways state their capacity in the directory and report what is left of it when their timers fire late; one stays out of the group while others at least twice as able hold half of the capacity near the store. The number of concurrent runs follows from it. Among equals, and without settings, nothing changes.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -128,7 +128,7 @@
 	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
 	d.guard = quarantine.NewGuard(d.guardOptions(table))
 	d.peering = peering.New(peering.Options{
-		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
+		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps), Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
 		Limits: d.limits, RegionOf: s.RegionOf,
 		Shards: func() []jobs.ShardReport { return d.jobs.Reports() }, StoreAge: d.store.Age,
 		StoreRTT: func() time.Duration { return d.jobs.StoreRTT() }, BackendID: d.backendID,
@@ -192,7 +192,7 @@
 		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
 		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
 		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
-		Decided: m.ItemDecided,
+		Decided: m.ItemDecided, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps),
 	}
 }
 
@@ -230,7 +230,7 @@
 func (d *Daemon) register(ctx context.Context) {
 	value, err := peering.EncodePeer(peering.Peer{
 		Address: fmt.Sprintf("%s:%d", d.settings.IP, d.settings.FirstPort), Region: d.settings.Region,
-		LinkMbps: d.settings.LinkMbps, Zone: d.settings.Zone,
+		LinkMbps: d.settings.LinkMbps, Zone: d.settings.Zone, Capacity: peering.StatedCapacity(d.settings.CPUShare, d.settings.LinkMbps),
 	})
 	if err != nil {
 		event.Log(d.log, event.RecordSkipped, "topic", platform.KeyedTopic(directoryTopic), "cause", err)
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -38,6 +38,8 @@
 	backends []*platformtest.Backend
 	route    catalog.Route
 
+	// capacities are those of the processes, by their names.
+	capacities map[string]float64
 	// now is the clock of all processes; nil is the real one.
 	now func() time.Time
 
@@ -54,8 +56,10 @@
 	guard   *quarantine.Guard
 	// disconnected simulates that the process can't reach the log.
 	disconnected atomic.Bool
-	stop         context.CancelFunc
-	done         chan struct{}
+	// capacity is the process's capacity; 0 is unknown.
+	capacity float64
+	stop     context.CancelFunc
+	done     chan struct{}
 }
 
 func newCluster(t *testing.T, backends int) *cluster {
@@ -94,7 +98,7 @@
 
 func (c *cluster) startWithLog(name string, l keyedlog.Log) *node {
 	c.t.Helper()
-	n := &node{name: name, cluster: c, done: make(chan struct{}), guard: newGuard(), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
+	n := &node{name: name, cluster: c, capacity: c.capacities[name], done: make(chan struct{}), guard: newGuard(), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
 	config := catalog.NewConfig(1, []catalog.Route{c.route}, nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
@@ -209,6 +213,17 @@
 	return nearest, known
 }
 
+func (p clusterPeers) Capacities(time.Duration) (own float64, peers []float64) {
+	p.self.cluster.mu.Lock()
+	defer p.self.cluster.mu.Unlock()
+	for _, n := range p.self.cluster.nodes {
+		if n != p.self && !n.disconnected.Load() {
+			peers = append(peers, n.capacity)
+		}
+	}
+	return p.self.capacity, peers
+}
+
 func (p clusterPeers) ReachableCount() int {
 	p.self.cluster.mu.Lock()
 	defer p.self.cluster.mu.Unlock()
--- a/jobs/gaps.go
+++ b/jobs/gaps.go
@@ -98,7 +98,7 @@
 }
 
 // started counts a run that starts at a backend server, by the verdict on its item.
-func (g *gaps) started(service, backend string, item backfill.Item, now time.Time) {
+func (g *gaps) started(service, backend string, item backfill.Item, now time.Time) backfill.Verdict {
 	verdict := backfill.InGap
 	for _, room := range g.roomsOf(service, now) {
 		if slices.Contains(room.Servers, backend) {
@@ -107,4 +107,5 @@
 		}
 	}
 	g.s.count(ItemStarted, string(verdict))
+	return verdict
 }
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -62,6 +62,10 @@
 	// nearerPeerHeartbeats counts consecutive heartbeats at which another process was
 	// nearer.
 	nearerPeerHeartbeats int
+	// strongerPeerHeartbeats counts consecutive heartbeats at which others were stronger.
+	strongerPeerHeartbeats int
+	// leftToStronger states that this process has left the shards to stronger ones.
+	leftToStronger bool
 }
 
 // heartbeat joins the group or renews the membership, or leaves the group to processes
@@ -102,12 +106,32 @@
 	}
 	if own > 0 && own <= nearest+maxExtraRTT {
 		m.nearerPeerHeartbeats = 0
-		return true
+		return m.strongEnough(nearest + maxExtraRTT)
 	}
 	m.nearerPeerHeartbeats++
 	return m.joined && m.nearerPeerHeartbeats < maxNearerPeerHeartbeats
 }
 
+// strongEnough reports whether this process should own shards beside those near the log,
+// to which it answers within maxRTT. A member leaves only once stronger ones hold most of the
+// capacity at maxNearerPeerHeartbeats consecutive heartbeats.
+func (m *member) strongEnough(maxRTT time.Duration) bool {
+	own, peers := m.service.opts.Peers.Capacities(maxRTT)
+	if !leavesToStronger(own, peers, m.leftToStronger) {
+		m.strongerPeerHeartbeats, m.leftToStronger = 0, false
+		return true
+	}
+	m.strongerPeerHeartbeats++
+	if m.joined && m.strongerPeerHeartbeats < maxNearerPeerHeartbeats {
+		return true
+	}
+	if !m.leftToStronger {
+		event.Log(m.service.opts.Logger, event.ShardsLeft, "capacity", own, "peers", len(peers))
+	}
+	m.leftToStronger = true
+	return false
+}
+
 // measureRTT makes a short call to the log to measure the round-trip time.
 func (s *Service) measureRTT(ctx context.Context) {
 	begin := time.Now()
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -85,13 +85,15 @@
 	estimates estimator
 	// gaps decides when items start beside online requests.
 	gaps *gaps
+	// maxRuns bounds the runs in progress.
+	maxRuns int
 	// active counts the runs in progress.
 	active  sync.WaitGroup
 	stopped bool
 }
 
 func newRunner(s *Service) *runner {
-	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s)}
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s), maxRuns: concurrentRuns(s.opts.Capacity)}
 }
 
 // wake starts the next cycle early.
@@ -181,7 +183,7 @@
 		if _, held := r.s.opts.Quarantine.Held(u.parts); held {
 			continue // until it is released, or the retention is over
 		}
-		if r.runningCount() >= maxConcurrentRuns || !r.startItem(ctx, j, u, used, now) {
+		if r.runningCount() >= r.maxRuns || !r.startItem(ctx, j, u, used, now) {
 			return false
 		}
 	}
@@ -223,10 +225,10 @@
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
 	u.placedBeside = choice.Load.Online
 	used[u.backend] = true
-	r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(u, now), now)
+	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(u, now), now)
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
-		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now))
+		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
 	r.active.Add(1)
 	go r.execute(runCtx, j, u, choice.Backend, u.progress)
 	return true
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -62,6 +62,8 @@
 	StoreAge func() time.Duration
 	// Peers are the other processes.
 	Peers Peers
+	// Capacity is this process's capacity in cores by its settings; 0 if it is unknown.
+	Capacity float64
 	// Observer is called when a follower loses or regains the log.
 	Observer keyedlog.Observer
 	// Decided is called for each decision on batch items that is counted; nil ignores them.
@@ -91,6 +93,9 @@
 	// NearestRTT returns the shortest duration of a call to the log that a
 	// reachable process has reported.
 	NearestRTT() (rtt time.Duration, known bool)
+	// Capacities returns the present capacity of this process and those of the reachable
+	// processes to which the log answers a short call within maxRTT; 0 is unknown.
+	Capacities(maxRTT time.Duration) (own float64, peers []float64)
 	// ReachableCount returns the number of reachable processes.
 	ReachableCount() int
 	// Submit forwards a submission to another process.
--- a/peering/owners.go
+++ b/peering/owners.go
@@ -77,7 +77,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.peers {
-		if !peer.reachable || time.Since(peer.lastReport) > ReportTTL || peer.storeAge > maxStoreAge || peer.storeRTT <= 0 {
+		if !peer.storeConnected() {
 			continue
 		}
 		if !known || peer.storeRTT < rtt {
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -59,6 +59,8 @@
 	Zone string `cbor:"12,keyasint,omitempty"`
 	// Leaving states that the sender is about to stop.
 	Leaving bool `cbor:"15,keyasint,omitempty"`
+	// Capacity is what the sender can do at present, in cores; 0 if its settings do not say.
+	Capacity float64 `cbor:"19,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -80,6 +82,8 @@
 	LinkMbps float64 `cbor:"3,keyasint,omitempty"`
 	// Zone is the gateway's availability zone; it is empty in records of older releases.
 	Zone string `cbor:"4,keyasint,omitempty"`
+	// Capacity is the gateway's capacity in cores, by its settings; 0 if they do not say.
+	Capacity float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Options are the settings of Peering.
@@ -90,6 +94,8 @@
 	Zone   string
 	// LinkMbps is the bandwidth of this gateway's link; 0 if it is unknown.
 	LinkMbps float64
+	// Capacity is this gateway's stated capacity; 0 if it is unknown.
+	Capacity float64
 	Table    *balance.Table
 	Logger   *log.Logger
 	Conn     net.PacketConn
@@ -127,6 +133,8 @@
 
 	// leaving states that this process is about to stop.
 	leaving atomic.Bool
+	// measured is this gateway's present capacity.
+	measured *measuredCapacity
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -145,6 +153,9 @@
 	region    string
 	// linkMbps is the bandwidth of the peer's link, from the directory.
 	linkMbps float64
+	// capacity is the peer's stated capacity, from the directory, presentCapacity that of its
+	// last report.
+	capacity, presentCapacity float64
 	// boot and seq order the reports: seq counts those of one start of the peer.
 	// lastReport is when the last report was received, or when the record of a peer
 	// that has sent none was read.
@@ -175,7 +186,7 @@
 // New returns a Peering that sends and receives on opts.Conn.
 func New(opts Options) *Peering {
 	boot := time.Now().UnixNano()
-	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest)}
+	return &Peering{opts: opts, boot: boot, lastRequest: uint64(boot), directoryRead: make(chan struct{}), peers: make(map[string]*peer), permitRequests: make(map[uint64]permitRequest), measured: &measuredCapacity{stated: opts.Capacity}}
 }
 
 // EncodePeer returns the directory record of a gateway.
@@ -221,7 +232,7 @@
 		listed = &peer{lastReport: time.Now()}
 		p.peers[r.Key] = listed
 	}
-	listed.addr, listed.region, listed.linkMbps = addr, rec.Region, rec.LinkMbps
+	listed.addr, listed.region, listed.linkMbps, listed.capacity = addr, rec.Region, rec.LinkMbps, rec.Capacity
 	listed.far = rec.Region != p.opts.Region
 	listed.otherZone = !listed.far && rec.Zone != p.opts.Zone
 }
@@ -243,7 +254,10 @@
 		case <-p.opts.Table.LocalCountsChanged():
 		case <-idle.C:
 		}
-		delay.Wait(ctx, reporter.sendDue(time.Now()))
+		pause := reporter.sendDue(time.Now())
+		begin := time.Now()
+		delay.Wait(ctx, pause)
+		p.measured.record(time.Since(begin) - pause)
 	}
 }
 
@@ -251,7 +265,7 @@
 	return report{
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(),
-		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
+		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(), Capacity: p.measured.now(),
 	}
 }
 
@@ -308,7 +322,7 @@
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", sender.addr)
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
-	sender.shards, sender.leaving = r.Shards, r.Leaving
+	sender.shards, sender.leaving, sender.presentCapacity = r.Shards, r.Leaving, r.Capacity
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
 	far, otherZone := sender.far, sender.otherZone
