--- a/peering/peering.go
+++ b/peering/peering.go
@@ -71,6 +71,8 @@
 	// ConfigVersion is the version of the configuration that is in force at the sender; 0 if it
 	// has none, or none with workspaces.
 	ConfigVersion int64 `cbor:"21,keyasint,omitempty"`
+	// Capacity is what the sender can do at present, in cores; 0 if its settings do not say.
+	Capacity float64 `cbor:"19,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -93,6 +95,8 @@
 	LinkMbps float64 `cbor:"3,keyasint,omitempty"`
 	// Zone is the gateway's availability zone; it is empty in records of older releases.
 	Zone string `cbor:"4,keyasint,omitempty"`
+	// Capacity is the gateway's capacity in cores, by its settings; 0 if they do not say.
+	Capacity float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Options are the settings of Peering.
@@ -103,6 +107,8 @@
 	Zone   string
 	// LinkMbps is the bandwidth of this gateway's link; 0 if it is unknown.
 	LinkMbps float64
+	// Capacity is this gateway's stated capacity; 0 if it is unknown.
+	Capacity float64
 	Table    *balance.Table
 	Logger   *log.Logger
 	Conn     net.PacketConn
@@ -153,6 +159,8 @@
 	leaving atomic.Bool
 	// newerConfig holds a token while a peer may have a newer configuration than this gateway.
 	newerConfig chan struct{}
+	// measured is this gateway's present capacity.
+	measured *measuredCapacity
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -173,6 +181,9 @@
 	zone      string
 	// linkMbps is the bandwidth of the peer's link, from the directory.
 	linkMbps float64
+	// capacity is the peer's stated capacity, from the directory, presentCapacity that of its
+	// last report.
+	capacity, presentCapacity float64
 	// boot and seq order the reports: seq counts those of one start of the peer.
 	// lastReport is when the last report was received, or when the record of a peer
 	// that has sent none was read.
@@ -210,7 +221,7 @@
 	startedAt := time.Now()
 	boot := startedAt.UnixNano()
 	return &Peering{
-		opts: opts, boot: boot, startedAt: startedAt, directoryRead: make(chan struct{}), newerConfig: make(chan struct{}, 1), peers: make(map[string]*peer),
+		opts: opts, boot: boot, startedAt: startedAt, directoryRead: make(chan struct{}), newerConfig: make(chan struct{}, 1), peers: make(map[string]*peer), measured: &measuredCapacity{stated: opts.Capacity},
 		permitReplies: newPendingReplies[ratelimit.Reply](uint64(boot)),
 		quotaReplies:  newPendingReplies[quota.Reply](uint64(uint32(boot))), // short ones, as there are many
 	}
@@ -259,7 +270,7 @@
 		listed = &peer{lastReport: time.Now()}
 		p.peers[r.Key] = listed
 	}
-	listed.addr, listed.region, listed.zone, listed.linkMbps = addr, rec.Region, rec.Zone, rec.LinkMbps
+	listed.addr, listed.region, listed.zone, listed.linkMbps, listed.capacity = addr, rec.Region, rec.Zone, rec.LinkMbps, rec.Capacity
 	listed.far = rec.Region != p.opts.Region
 	listed.otherZone = !listed.far && rec.Zone != p.opts.Zone
 }
@@ -281,7 +292,10 @@
 		case <-p.opts.Table.LocalCountsChanged():
 		case <-idle.C:
 		}
-		delay.Wait(ctx, reporter.sendDue(time.Now()))
+		pause := reporter.sendDue(time.Now())
+		begin := time.Now()
+		delay.Wait(ctx, pause)
+		p.measured.record(time.Since(begin) - pause)
 	}
 }
 
@@ -294,7 +308,7 @@
 		From: p.opts.Name, Boot: p.boot, Seq: seq, Region: p.opts.Region, Zone: p.opts.Zone, Leaving: p.leaving.Load(),
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(), ConfigVersion: version,
 		Paces:      encodePaces(p.opts.Table.FreshPaces(time.Now())),
-		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(),
+		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(), Capacity: p.measured.now(),
 		Waiting: p.waiting(),
 	}
 }
@@ -354,7 +368,7 @@
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", sender.addr)
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
-	sender.shards, sender.leaving = r.Shards, r.Leaving
+	sender.shards, sender.leaving, sender.presentCapacity = r.Shards, r.Leaving, r.Capacity
 	sender.configVersion = r.ConfigVersion
 	p.noteConfigVersion(r.ConfigVersion)
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
--- a/peering/validate.go
+++ b/peering/validate.go
@@ -29,7 +29,7 @@
 	case d.Quotas != nil:
 		return d.Quotas.valid()
 	}
-	return validLoads(d.Loads) && validWaiting(d.Waiting)
+	return validLoads(d.Loads) && validWaiting(d.Waiting) && validRate(d.Capacity)
 }
 
 // maxServiceWaiting bounds the requests that may wait at one gateway for one service in a report.
