--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -36,7 +36,11 @@
 	causeNoStore cause = "store unavailable"
 	// causeCallerLeft: the caller closed its connection.
 	causeCallerLeft cause = "caller left"
-	causeOther      cause = "other"
+	// causeNoKey: the configuration does not hold the key of the caller; causeNoJob: the caller's
+	// workspace has no such batch job.
+	causeNoKey cause = "no key of a workspace"
+	causeNoJob cause = "no such batch job"
+	causeOther cause = "other"
 	// causeRunning: the logs end before the request does.
 	causeRunning cause = "still running"
 )
@@ -54,7 +58,7 @@
 var verdicts = map[cause]avoidable{
 	causeProcessLost: avoidableNo, causeProcessStopped: avoidableMaybe,
 	causeOnlyRunBrokenOff: avoidableNo, causeBrokenOff: avoidableMaybe, causeSilent: avoidableMaybe,
-	causeNoSlot: avoidableMaybe, causeNoStore: avoidableNo, causeCallerLeft: notOwed,
+	causeNoSlot: avoidableMaybe, causeNoStore: avoidableNo, causeCallerLeft: notOwed, causeNoKey: notOwed, causeNoJob: notOwed,
 	causeOther: avoidableMaybe, causeRunning: notOwed,
 }
 
@@ -153,6 +157,10 @@
 		return causeNoSlot
 	case f["kind"] == string(errkind.LogUnavailable):
 		return causeNoStore
+	case f["kind"] == string(errkind.Unauthorized):
+		return causeNoKey
+	case f["kind"] == string(errkind.NotFound):
+		return causeNoJob
 	case f["kind"] == string(errkind.Timeout):
 		return causeSilent
 	case f["repeatable"] == "false" && strings.Contains(f["cause"], string(errkind.BackendFailed)+":"):
