Quotas: owners that have just started, and regions that don't answer

Change: an owner hands out permits once the directory was read and it hears four fifths of its region (or 300 ms later most of all); requests wait meanwhile, and up to 150 ms for the next permit of an owner that knows nothing of earlier use. A gateway reports as soon as it has read the directory. Owners of regions that are reached and don't answer use their parts.

--- a/peering/limits.go
+++ b/peering/limits.go
@@ -85,7 +85,7 @@
 // limitOwner returns the owner of a server among the gateways of the regions that in selects.
 func (p *Peering) limitOwner(server string, in func(region string) bool) (owner ratelimit.Owner, found bool) {
 	known, reached := 0, 0
-	var first first
+	var first firstInOrder
 	p.eachGateway(time.Now(), func(g seenGateway) {
 		if !in(g.region) {
 			return
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -137,9 +137,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
-	// lastLoss is when a gateway of the own region was last given up.
-	lastLoss time.Time
 
+	quotaViews    quotaViews
 	permitReplies *pendingReplies[ratelimit.Reply]
 	quotaReplies  *pendingReplies[quota.Reply]
 }
@@ -250,10 +249,13 @@
 	idle := time.NewTicker(idleInterval)
 	defer idle.Stop()
 	reporter := &reporter{p: p}
+	directoryRead := p.directoryRead
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-directoryRead:
+			directoryRead = nil // others hear at once that this gateway runs
 		case <-p.opts.Table.LocalCountsChanged():
 		case <-idle.C:
 		}
--- a/peering/quotas.go
+++ b/peering/quotas.go
@@ -16,9 +16,6 @@
 	// more, and quotaTimeout bounds the wait for the reply.
 	quotaRepeat  = 30 * time.Millisecond
 	quotaTimeout = 80 * time.Millisecond
-	// unreadTime is the time after its start in which a gateway that can't read the directory
-	// takes the others that it hears for a part of all.
-	unreadTime = 2 * time.Second
 )
 
 // Quotas handles the messages of other gateways about the quotas of workspaces.
@@ -64,6 +61,7 @@
 	Version   int64  `cbor:"7,keyasint,omitempty"`
 	// Workspace is set if permits are granted, in case the reply is late.
 	Workspace string `cbor:"8,keyasint,omitempty"`
+	Fresh     bool   `cbor:"9,keyasint,omitempty"`
 }
 
 // permitsPerMilli is the unit of levels in messages.
@@ -87,92 +85,6 @@
 	Burst       float64 `cbor:"14,keyasint,omitempty"`
 }
 
-// QuotaView implements quota.Peers.
-func (p *Peering) QuotaView(workspace string) quota.View {
-	var c quotaCounts
-	now := time.Now()
-	p.eachGateway(now, func(g seenGateway) { c.add(workspace, g) })
-	if c.zones == nil {
-		// This gateway is the only one and about to stop.
-		c.add(workspace, seenGateway{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now})
-	}
-	v := quota.View{Owner: p.opts.Name, Since: p.noteLoss(c.lost), Gateways: c.known, WholeRegion: !c.nearSilent}
-	if own := c.owners[p.opts.Region]; own != nil {
-		v.Owner = own.gateway.name
-	}
-	v.Self = v.Owner == p.opts.Name
-	for region, owner := range c.owners {
-		if region != p.opts.Region {
-			v.Others = append(v.Others, owner.gateway.name)
-		}
-	}
-	reach := make([]quota.Reach, 0, len(c.zones))
-	for _, z := range c.zones {
-		reach = append(reach, *z)
-	}
-	v.Share, v.Wide = quota.Share(reach)
-	unread := now.Sub(p.startedAt) < unreadTime || c.known == 1
-	if unread && !p.directoryKnown() {
-		v.Gateways = 0
-	}
-	return v
-}
-
-// quotaCounts collects what a quota.View holds.
-type quotaCounts struct {
-	known  int
-	zones  map[[2]string]*quota.Reach
-	owners map[string]*first
-	// lost is when the last of the gateways of the own region that are out of reach was given up.
-	lost time.Time
-	// nearSilent states that there are some.
-	nearSilent bool
-}
-
-func (c *quotaCounts) add(workspace string, g seenGateway) {
-	if c.zones == nil {
-		c.zones, c.owners = make(map[[2]string]*quota.Reach), make(map[string]*first)
-	}
-	c.known++
-	key := [2]string{g.region, g.zone}
-	if c.zones[key] == nil {
-		c.zones[key] = &quota.Reach{}
-	}
-	c.zones[key].Known++
-	if !g.reached {
-		c.nearSilent = c.nearSilent || !g.far
-		if given := g.lastReport.Add(ReportTTL); !g.far && given.After(c.lost) {
-			c.lost = given
-		}
-		return
-	}
-	c.zones[key].Reached++
-	if c.owners[g.region] == nil {
-		c.owners[g.region] = &first{}
-	}
-	c.owners[g.region].consider(workspace, g)
-}
-
-// noteLoss records when a gateway of the own region was given up, and returns when the last one was.
-func (p *Peering) noteLoss(at time.Time) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if at.After(p.lastLoss) {
-		p.lastLoss = at
-	}
-	return p.lastLoss
-}
-
-// directoryKnown reports whether the directory of gateways has been read.
-func (p *Peering) directoryKnown() bool {
-	select {
-	case <-p.directoryRead:
-		return true
-	default:
-		return false
-	}
-}
-
 // RequestQuota implements quota.Peers.
 func (p *Peering) RequestQuota(ctx context.Context, owner string, r quota.Request) (quota.Reply, error) {
 	address, known := p.addressOf(owner)
@@ -266,7 +178,7 @@
 	r := p.opts.Quotas.HandleRequest(m.decode())
 	reply := quotaReply{
 		ID: m.ID, Granted: r.Granted, WaitUs: r.Denial.Wait.Microseconds(), NextUs: r.Denial.Next.Microseconds(),
-		Unsettled: r.Unsettled, Owner: r.Owner, Version: r.Version,
+		Unsettled: r.Unsettled, Owner: r.Owner, Version: r.Version, Fresh: r.Fresh,
 	}
 	if r.Granted > 0 {
 		reply.Workspace = m.Workspace
@@ -279,7 +191,7 @@
 	reply := quota.Reply{
 		Granted:   m.Granted,
 		Denial:    quota.Denial{Wait: time.Duration(m.WaitUs) * time.Microsecond, Next: time.Duration(m.NextUs) * time.Microsecond},
-		Unsettled: m.Unsettled, Owner: m.Owner, Version: m.Version,
+		Unsettled: m.Unsettled, Owner: m.Owner, Version: m.Version, Fresh: m.Fresh,
 	}
 	if !p.quotaReplies.deliver(m.ID, reply) && m.Granted > 0 {
 		p.opts.Quotas.HandleReply(m.Workspace, reply)
--- a/peering/rank.go
+++ b/peering/rank.go
@@ -38,16 +38,19 @@
 	}
 }
 
-// first is the first gateway in an order that depends on a key: the owner of what the key names, which
-// all gateways choose alike (rendezvous hashing).
-type first struct {
+// firstInOrder is the first gateway in an order that depends on a key: the owner of what the key names,
+// which all gateways choose alike (rendezvous hashing).
+type firstInOrder struct {
 	gateway seenGateway
 	rank    uint64
 	found   bool
 }
 
-func (f *first) consider(key string, g seenGateway) {
+func (f *firstInOrder) consider(key string, g seenGateway) {
 	if rank := xxhash.Sum64String(g.name + "\x00" + key); !f.found || rank < f.rank {
 		f.gateway, f.rank, f.found = g, rank, true
 	}
 }
+
+// hashName returns a number for the name of a gateway.
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
--- a/quota/account.go
+++ b/quota/account.go
@@ -15,6 +15,9 @@
 	debtTime = time.Second
 	// unheardTime is the time in which another owner answers a message that asks for it.
 	unheardTime = 300 * time.Millisecond
+	// deafTime is the time after which one that doesn't is given up: each region then uses its
+	// part, as if they didn't reach each other.
+	deafTime = time.Second
 	// freshTime is the time in which a new owner believes one that knew the use before it.
 	freshTime = 5 * time.Second
 	// leastRate is the least rate, in requests a second, by which waits are calculated.
@@ -62,9 +65,11 @@
 	charged, chargedBack uint64
 	// acked is how many of the permits granted here the other one knows of.
 	acked uint64
-	// lost states that it was out of reach. It has used a share of its own since, which is not
+	// lost states that it was out of reach or did not answer. It has used a share of its own since, which is not
 	// charged.
 	lost bool
+	// addedAt is when it became known.
+	addedAt time.Time
 	// heardAt is when its last message was received, and heardAge the age of its account there.
 	heardAt  time.Time
 	heardAge time.Duration
@@ -111,17 +116,25 @@
 // unheard reports whether another owner that should have answered hasn't. Either of the two may be cut
 // off, so the bucket gets no more than the part of this region.
 func (a *account) unheard(v View, now time.Time) bool {
-	return a.tight(v) && slices.ContainsFunc(v.Others, func(name string) bool {
+	return a.deaf(v) || a.tight(v) && slices.ContainsFunc(v.Others, func(name string) bool {
 		return now.Sub(a.source(name).heardAt) > unheardTime
 	})
 }
 
+// deaf reports whether another owner is reached, but not heard.
+func (a *account) deaf(v View) bool {
+	return slices.ContainsFunc(v.Others, func(name string) bool { return a.source(name).lost })
+}
+
 // size returns the size of the bucket. With several regions it makes up for what a full bucket doesn't
 // take in although another region has just used some of it.
 func (a *account) size(v View) float64 {
 	part := a.limit.scaled(v.Share)
-	if len(v.Others) == 0 {
+	switch {
+	case len(v.Others) == 0:
 		return part.size()
+	case a.deaf(v):
+		return part.scaled(1 / v.regions()).size()
 	}
 	return part.size() + min(part.RequestsPerSecond*calmInterval(v).Seconds(), sizePart*a.bounds.margin(a.limit))
 }
@@ -151,7 +164,7 @@
 func (a *account) source(name string) *source {
 	s := a.sources[name]
 	if s == nil {
-		s = &source{acked: a.granted}
+		s = &source{acked: a.granted, addedAt: a.at}
 		a.sources[name] = s
 	}
 	return s
--- a/quota/admit_test.go
+++ b/quota/admit_test.go
@@ -102,6 +102,21 @@
 	})
 }
 
+// TestRegionsThatDoNotAnswerUseTheirParts has owners that reach each other and don't exchange counts.
+func TestRegionsThatDoNotAnswerUseTheirParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := limitFor(70)
+		f := newFleet(t, 10, l)
+		f.deaf = true
+		time.Sleep(warmUp)
+		r := f.play(t, 10*time.Second, constant(70), nil)
+		assert.Assert(t, len(r.refused()) <= len(r.all)/20, "%d of %d refused", len(r.refused()), len(r.all))
+		r = f.play(t, 10*time.Second, constant(hot*70), nil)
+		n := most(r.admitted(), bounds.Window)
+		assert.Assert(t, float64(n) <= allowed(l), "%d in a window, %.0f allowed", n, allowed(l))
+	})
+}
+
 // TestUnlimitedWorkspacesCostNoMessages and no wait.
 func TestUnlimitedWorkspacesCostNoMessages(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/quota/exchange.go
+++ b/quota/exchange.go
@@ -169,10 +169,14 @@
 }
 
 // markLost records which other owners are out of reach. What is granted meanwhile is none of theirs.
-func (a *account) markLost(v View) {
+func (a *account) markLost(v View, now time.Time) {
+	tight := a.tight(v)
 	unseen := uint64(0)
 	for name, s := range a.sources {
 		if slices.Contains(v.Others, name) {
+			if tight && now.Sub(s.heardAt) > deafTime && now.Sub(s.addedAt) > deafTime {
+				s.lost, s.acked = true, a.granted
+			}
 			continue
 		}
 		if !s.lost {
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -38,14 +38,14 @@
 	return b.Overshoot*(l.RequestsPerSecond*b.Window.Seconds()+l.Burst) + b.Slack
 }
 
-// The margin is spent on four things: half of it on what the owners of several regions hand out before
-// they know of each other, as much on the permits with which owners start that don't know what was handed
-// out before them, an eighth on larger buckets at these owners, and what is left of these on requests
+// The margin is spent on four things: a quarter of it on what the owners of several regions hand out
+// before they know of each other, an eighth on larger buckets at these owners, and what is left of these
+// on the permits with which owners start that don't know what was handed out before them, or on requests
 // whose owner doesn't answer. Owners start, and owners don't answer, when permits have not been handed
 // out for a while.
 const (
-	unseenPart   = 0.5
-	startPart    = 0.5
+	unseenPart   = 0.25
+	startPart    = 0.75
 	sizePart     = 0.125
 	fallbackPart = 0.5
 )
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -19,6 +18,9 @@
 	// that has just started.
 	settleInterval = 25 * time.Millisecond
 	settleAttempts = 12
+	// freshWait is the longest time that a request waits for the next permit of an owner that has
+	// just started.
+	freshWait = 150 * time.Millisecond
 	// unansweredRetry and unansweredSpread are the least time and the random addition after
 	// which a request that found no owner may come back: by then another one has taken over.
 	unansweredRetry  = 500 * time.Millisecond
@@ -76,58 +78,8 @@
 	}
 }
 
-// Refusal is the error of a request beyond the quota of its workspace.
-type Refusal struct {
-	Workspace string
-	// Wait is the time after which the request may come back.
-	Wait time.Duration
-	// By is who decided.
-	By RefusedBy
-	// Owner is the gateway that hands out the permits.
-	Owner string
-	Limit Limit
-}
-
-// RefusedBy says who has refused a request.
-type RefusedBy string
-
-// The values of RefusedBy.
-const (
-	// ByOwner: the owner has denied a permit.
-	ByOwner RefusedBy = "owner"
-	// ByDenial: the owner has denied one to another request just before.
-	ByDenial RefusedBy = "denial"
-	// ByMargin: the owner does not answer, and this gateway has admitted what it may without it.
-	ByMargin RefusedBy = "margin"
-)
-
-// Error implements error.
-func (r *Refusal) Error() string {
-	return fmt.Sprintf("workspace %s is beyond its quota of %v requests a second and a burst of %v: next permit in %v (by %s, owner %s)",
-		r.Workspace, r.Limit.RequestsPerSecond, r.Limit.Burst, r.Wait, r.By, r.Owner)
-}
-
-// Permit is the right to run one request.
-type Permit struct {
-	limiter   *Limiter
-	workspace string
-}
-
-// Return gives back the permit of a request that has not run and never will. A nil permit is that of a
-// workspace without a limit.
-func (p *Permit) Return() {
-	if p == nil {
-		return
-	}
-	l := p.limiter
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
-	l.holding(p.workspace, now).add(1, now)
-}
-
-// Admit admits a request of a workspace, or returns a *Refusal or the error of ctx. limit is the quota in the version of
-// the configuration by which the request is served.
+// Admit admits a request of a workspace, or returns a *Refusal or the error of ctx. limit is the quota in
+// the version of the configuration by which the request is served. The permit is nil if there is no limit.
 func (l *Limiter) Admit(ctx context.Context, workspace string, limit Limit, version int64) (*Permit, error) {
 	if limit.RequestsPerSecond <= 0 {
 		return nil, nil
@@ -143,6 +95,9 @@
 	reply, err := l.requestSettled(ctx, workspace, limit, version, refusal)
 	switch {
 	case ctx.Err() != nil:
+		if reply.Granted > 0 {
+			permit.Return()
+		}
 		return nil, errors.WithStack(ctx.Err())
 	case err != nil:
 		return permit, l.admitByMargin(refusal)
@@ -180,14 +135,21 @@
 )
 
 // requestSettled requests permits. If the owner has just started, it is asked again after a short time,
-// in which it hears of the others: where all gateways start, requests wait rather than being refused.
+// in which it hears of the others or gets another permit: where all gateways start, requests wait rather
+// than being refused.
 func (l *Limiter) requestSettled(ctx context.Context, workspace string, limit Limit, version int64, refusal *Refusal) (Reply, error) {
+	denied := false
 	for range settleAttempts {
 		reply, err := l.request(ctx, workspace, limit, version, refusal)
-		if !errors.Is(err, errUnsettled) {
+		switch wait := reply.Denial.Wait; {
+		case errors.Is(err, errUnsettled):
+			delay.Wait(ctx, settleInterval)
+		case err == nil && reply.Fresh && reply.Granted == 0 && wait <= freshWait && !denied:
+			denied = true
+			delay.Wait(ctx, wait)
+		default:
 			return reply, err
 		}
-		delay.Wait(ctx, settleInterval)
 	}
 	return Reply{}, errUnsettled
 }
@@ -259,7 +221,9 @@
 	h.owner, h.ownerVersion = owner, reply.Version
 	h.unansweredUntil = time.Time{}
 	if reply.Granted == 0 {
-		h.denied(reply.Denial, now)
+		if !reply.Fresh {
+			h.denied(reply.Denial, now)
+		}
 		return
 	}
 	h.deniedUntil = time.Time{}
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -32,7 +32,7 @@
 	case running >= settleTime:
 		return true
 	}
-	return v.Wide && (v.WholeRegion || running >= reportTime)
+	return v.Wide && (v.MostOfRegion || running >= reportTime)
 }
 
 // HandleRequest decides on a request for permits as the owner.
@@ -58,7 +58,7 @@
 	}
 	a.settle(r.Usage, view, now)
 	granted, denial := a.take(r.Want, view, now)
-	return Reply{Granted: granted, Denial: denial, Version: a.version}
+	return Reply{Granted: granted, Denial: denial, Fresh: a.fresh(now), Version: a.version}
 }
 
 // newest returns the newer one of the quota that is configured here and that in a message, which may be
@@ -176,7 +176,7 @@
 		return
 	}
 	a.wide = v.Wide
-	a.markLost(v)
+	a.markLost(v, now)
 	for _, name := range v.Others {
 		if a.due(name, v, now) || !v.Self {
 			due[name] = append(due[name], a.message(workspace, name, v, now))
--- a/quota/usage.go
+++ b/quota/usage.go
@@ -23,6 +23,9 @@
 	// Granted is the number of permits; 0 is a denial.
 	Granted int
 	Denial  Denial
+	// Fresh states that the sender has just become the owner and may have denied a permit because
+	// it does not know what is left.
+	Fresh bool
 	// Unsettled states that the sender knows too little of the others to hand out permits yet.
 	Unsettled bool
 	// Owner names another gateway if the sender is not the owner.
--- a/quota/view.go
+++ b/quota/view.go
@@ -11,10 +11,10 @@
 	// Others are the owners in the other regions that are reached.
 	Others []string
 	// Gateways is the number of known gateways in all regions, this one included; it is 0 while
-	// the directory of gateways has not been read. WholeRegion states that all those of this
-	// region are reached.
-	Gateways    int
-	WholeRegion bool
+	// the directory of gateways has not been read. MostOfRegion states that nearly all
+	// those of this region are reached.
+	Gateways     int
+	MostOfRegion bool
 	// Share and Wide are those of package function Share.
 	Share float64
 	Wide  bool
