--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/quota"
 )
 
 const logText = `
@@ -45,6 +48,14 @@
 `)
 }
 
+func TestSummaryTellsQuotasFromOwnersThatDoNotAnswer(t *testing.T) {
+	for by, want := range map[quota.RefusedBy]cause{quota.ByOwner: causeQuota, quota.ByDenial: causeQuota, quota.ByMargin: causeNoQuotaOwner} {
+		refusal := &quota.Refusal{Workspace: "w", By: by, Owner: "n2"}
+		e := requestEnd{ended: true, last: logLine{fields: map[string]string{"kind": string(errkind.RateLimited), "cause": refusal.Error()}}}
+		assert.Equal(t, e.cause(nil, nil), want, by)
+	}
+}
+
 func TestExplainFailsForUnknownID(t *testing.T) {
 	var out bytes.Buffer
 	tool := Tool{Stdin: strings.NewReader(logText), Stdout: &out, Stderr: &out}
--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/quota"
 )
 
 // cause is why a request was not answered.
@@ -34,6 +35,10 @@
 	// causeNoSlot: no backend server had a free slot in time.
 	causeNoSlot  cause = "no free slot"
 	causeNoStore cause = "store unavailable"
+	// causeQuota: the workspace had used up its quota; causeNoQuotaOwner: the gateway that hands
+	// out its permits did not answer.
+	causeQuota        cause = "beyond the quota of the workspace"
+	causeNoQuotaOwner cause = "no permit, owner did not answer"
 	// causeCallerLeft: the caller closed its connection.
 	causeCallerLeft cause = "caller left"
 	causeOther      cause = "other"
@@ -55,6 +60,7 @@
 	causeProcessLost: avoidableNo, causeProcessStopped: avoidableMaybe,
 	causeOnlyRunBrokenOff: avoidableNo, causeBrokenOff: avoidableMaybe, causeSilent: avoidableMaybe,
 	causeNoSlot: avoidableMaybe, causeNoStore: avoidableNo, causeCallerLeft: notOwed,
+	causeQuota: notOwed, causeNoQuotaOwner: avoidableMaybe,
 	causeOther: avoidableMaybe, causeRunning: notOwed,
 }
 
@@ -151,6 +157,10 @@
 		return causeCallerLeft
 	case f["kind"] == string(errkind.Overloaded), f["kind"] == string(errkind.DeadlineTooShort), f["kind"] == string(errkind.NoBackend):
 		return causeNoSlot
+	case f["kind"] == string(errkind.RateLimited) && strings.Contains(f["cause"], "by "+string(quota.ByMargin)):
+		return causeNoQuotaOwner
+	case f["kind"] == string(errkind.RateLimited):
+		return causeQuota
 	case f["kind"] == string(errkind.LogUnavailable):
 		return causeNoStore
 	case f["kind"] == string(errkind.Timeout):
