--- a/internal/gatewayd/config_age.go
+++ b/internal/gatewayd/config_age.go
@@ -37,8 +37,8 @@
 }
 
 // peerConfigVersion returns the version of the configuration in force and whether it has workspaces.
-// Peers are then told about it, as a process that is behind could still accept withdrawn keys.
-func (d *Daemon) peerConfigVersion() (version int64, told bool) {
+// Peers are then informed of it, as a process that is behind could still accept withdrawn keys.
+func (d *Daemon) peerConfigVersion() (version int64, announced bool) {
 	config := d.gateway.Configs.Current()
 	if config == nil {
 		return 0, false
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -133,8 +133,8 @@
 	// BackendID returns the id of the backend server with the given balance.Key.
 	BackendID func(key uint32) string
 	// ConfigVersion returns the version of the configuration in force, 0 if there is none, and
-	// whether peers are told about it. Peers are told of none if it is nil.
-	ConfigVersion func() (version int64, told bool)
+	// whether peers are informed of it. Peers are informed of none if it is nil.
+	ConfigVersion func() (version int64, announced bool)
 	// StoreAge returns the time since this gateway's last contact with the store.
 	StoreAge func() time.Duration
 	// StoreRTT returns the round-trip time of a short call to the store; 0 if it is
@@ -302,8 +302,8 @@
 }
 
 func (p *Peering) report(seq uint64) report {
-	version, told := p.opts.ConfigVersion()
-	if !told {
+	version, announced := p.opts.ConfigVersion()
+	if !announced {
 		version = 0
 	}
 	return report{
