--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -142,6 +142,14 @@
 	return judgement{reason: reason, forecast: f, until: until}
 }
 
+// refusalReason returns why the request is refused if it can't go on waiting.
+func (p *place) refusalReason() waiting.Reason {
+	if p.w == nil {
+		return waiting.AtArrival
+	}
+	return waiting.AfterWait
+}
+
 // comeBack returns when the caller of a refused request should come back.
 func (p *place) comeBack(j judgement, now time.Time) time.Duration {
 	p.q.mu.Lock()
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -83,7 +83,7 @@
 	o.judged = p.judge(readySlots(candidates), o.elsewhere(now), o.refused, now)
 	permit, limited := o.g.Table.NextPermit(candidates, need, now)
 	if limited && permit.After(o.judged.until) && o.judged.reason == waiting.None {
-		o.judged.reason = waiting.AtArrival
+		o.judged.reason = p.refusalReason()
 	}
 	if o.judged.reason == waiting.None {
 		return nil
