waiting: a head that keeps to its region competes with the gateways there only

Cause: where requests wait in both regions, heads keep to the slots of their own, but their chance counted the gateways of both, and a late head left slots to gateways that would not take them.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -115,7 +115,10 @@
 	if elsewhere.WaitingAt == 0 {
 		return true
 	}
-	need.OwnRegion = elsewhere.Far
+	if elsewhere.Far {
+		need.OwnRegion = true
+		elsewhere = o.g.Crowd.InRegion(balance.Key(o.service), now)
+	}
 	return p.hasChance(o.g.Table.FreeSlots(candidates, *need, now), elsewhere, now)
 }
 
--- a/waiting/crowd.go
+++ b/waiting/crowd.go
@@ -50,7 +50,14 @@
 }
 
 // Of returns what waits for a service elsewhere.
-func (c *Crowd) Of(service uint32, now time.Time) Elsewhere {
+func (c *Crowd) Of(service uint32, now time.Time) Elsewhere { return c.count(service, false, now) }
+
+// InRegion returns what waits for a service elsewhere in the own region.
+func (c *Crowd) InRegion(service uint32, now time.Time) Elsewhere {
+	return c.count(service, true, now)
+}
+
+func (c *Crowd) count(service uint32, near bool, now time.Time) Elsewhere {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var e Elsewhere
@@ -59,6 +66,9 @@
 			delete(c.reports, gateway)
 			continue
 		}
+		if near && r.far {
+			continue
+		}
 		e.Gateways++
 		n := r.waiting[service]
 		if n.InTime > 0 {
--- a/waiting/decide_test.go
+++ b/waiting/decide_test.go
@@ -129,5 +129,6 @@
 	c.Set("a", true, map[uint32]waiting.Count{1: {All: 5, InTime: 2}}, at(0))
 	c.Set("b", false, nil, at(500))
 	assert.Equal(t, c.Of(1, at(900)), waiting.Elsewhere{Gateways: 2, WaitingAt: 1, Waiting: 5, InTimeAt: 1, Far: true})
+	assert.Equal(t, c.InRegion(1, at(900)), waiting.Elsewhere{Gateways: 1})
 	assert.Equal(t, c.Of(1, at(1200)), waiting.Elsewhere{Gateways: 1})
 }
