jobs: items start anyway while the backlog needs all slots

Gateways now estimate the unfinished items of all shards from the tokens that their owners report, and an item that would be late if free slots stayed unused starts.

--- a/backfill/decide_test.go
+++ b/backfill/decide_test.go
@@ -49,6 +49,9 @@
 	assert.Equal(t, backfill.NewRoom(load, full, now).Decide(calm), backfill.Held)
 	assert.Equal(t, backfill.NewRoom(load, full, now).Decide(backfill.Item{Remaining: 4 * time.Second, Left: 6 * time.Second}), backfill.DueSoon)
 	assert.Equal(t, backfill.NewRoom(load, full, now).Decide(backfill.Item{Remaining: 4 * time.Second, Left: 3 * time.Second}), backfill.Held, "it is late in any case")
+	waitsLong := calm
+	waitsLong.Backlog = 8 * time.Second
+	assert.Equal(t, backfill.NewRoom(load, full, now).Decide(waitsLong), backfill.DueSoon, "others before it need all slots")
 	load.Batch = 0
 	room := backfill.NewRoom(load, full, now)
 	for range 3 { // a quarter of 80 - 60 - 8
--- a/backfill/forecast.go
+++ b/backfill/forecast.go
@@ -113,6 +113,15 @@
 	return expected + math.Sqrt(expected)
 }
 
+// Mean returns how many slots online requests have used on average.
+func (f *Forecast) Mean() float64 {
+	sum := 0
+	for _, s := range f.samples {
+		sum += s.online
+	}
+	return float64(sum) / float64(max(len(f.samples), 1))
+}
+
 // trend returns by how many slots a second the load grows; 0 if it does not.
 func (f *Forecast) trend() float64 {
 	last := f.samples[len(f.samples)-1]
--- a/backfill/start.go
+++ b/backfill/start.go
@@ -9,6 +9,9 @@
 	// urgency is how many times an item's remaining run must fit into the time until it is due
 	// for the item to wait for a gap: items that only run in the gaps get about half of the time.
 	urgency = 2
+	// backlogMargin is how much longer the items that wait take if they leave slots free for
+	// online requests.
+	backlogMargin = 1.25
 	// startsPerCycle divides the free slots among the gateways that see them free at the same
 	// moment, and among the cycles until each knows what the others have started.
 	startsPerCycle = 4
@@ -25,11 +28,16 @@
 	Remaining time.Duration
 	// Left is the time until the item is due.
 	Left time.Duration
+	// Backlog is the time that all unfinished items take on the slots that online requests
+	// leave on average.
+	Backlog time.Duration
 }
 
-// urgent reports whether the item is late if it waits for gaps, but not if it starts now.
+// urgent reports whether the item is late if it waits for gaps, or others with it, but not if it
+// starts now.
 func (i Item) urgent() bool {
-	return i.Left > i.Remaining && i.Left < urgency*i.Remaining
+	backlog := time.Duration(backlogMargin * float64(i.Backlog))
+	return i.Left > i.Remaining && i.Left < i.Remaining+max((urgency-1)*i.Remaining, backlog)
 }
 
 // Verdict is the decision on the start of an item.
--- a/jobs/gaps.go
+++ b/jobs/gaps.go
@@ -58,6 +58,15 @@
 	return rooms
 }
 
+// meanFree returns how many slots of a service online requests have left on average.
+func (g *gaps) meanFree(service string, now time.Time) float64 {
+	free := 0.0
+	for region, room := range g.roomsOf(service, now) {
+		free += float64(room.Slots) - g.forecast(pool{service, region}).Mean()
+	}
+	return free
+}
+
 func (g *gaps) forecast(p pool) *backfill.Forecast {
 	if g.forecasts[p] == nil {
 		g.forecasts[p] = &backfill.Forecast{}
--- a/jobs/pick.go
+++ b/jobs/pick.go
@@ -32,13 +32,13 @@
 func (r *runner) pickBackend(j openJob, u *run, used map[string]bool, now time.Time) (balance.Choice, search) {
 	origin := u.progress.origin()
 	if u.progress.started() && r.servesRoute(j, origin) {
-		choice, found := r.pickOrigin(u, origin, used, now)
+		choice, found := r.pickOrigin(j, u, origin, used, now)
 		if found != noSlot {
 			return choice, found
 		}
 	}
 	service := j.route.PickService(float64(u.ref.item%10) / 10)
-	excluded, held := r.gaps.exclude(service, r.backfillItem(u, now), used, now)
+	excluded, held := r.gaps.exclude(service, r.backfillItem(j, u, service, now), used, now)
 	if held {
 		return balance.Choice{}, waitsForGap
 	}
@@ -55,9 +55,9 @@
 
 // pickOrigin chooses a backend server that runs origin, which has begun the item. It returns
 // noSlot if the item need not wait for one. The time that an item waits for a gap does not count.
-func (r *runner) pickOrigin(u *run, origin catalog.Software, used map[string]bool, now time.Time) (balance.Choice, search) {
+func (r *runner) pickOrigin(j openJob, u *run, origin catalog.Software, used map[string]bool, now time.Time) (balance.Choice, search) {
 	backends := r.s.opts.Backends(origin.Service)
-	excluded, held := r.gaps.exclude(origin.Service, r.backfillItem(u, now), used, now)
+	excluded, held := r.gaps.exclude(origin.Service, r.backfillItem(j, u, origin.Service, now), used, now)
 	if held {
 		return balance.Choice{}, waitsForGap
 	}
--- a/jobs/preempt.go
+++ b/jobs/preempt.go
@@ -44,7 +44,7 @@
 			continue
 		}
 		candidates = append(candidates, u)
-		described = append(described, backfill.Run{Answered: u.answered, Item: r.backfillItem(u, now)})
+		described = append(described, backfill.Run{Answered: u.answered, Item: r.describe(u, now)})
 	}
 	if excess <= 0 {
 		return
@@ -64,7 +64,7 @@
 	}
 }
 
-// backfillItem describes an item for a decision of package backfill.
-func (r *runner) backfillItem(u *run, now time.Time) backfill.Item {
+// describe describes an item for a decision of package backfill.
+func (r *runner) describe(u *run, now time.Time) backfill.Item {
 	return backfill.Item{Remaining: r.estimates.remaining(u.route, u.progress.Events), Left: u.due.Sub(now)}
 }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -85,6 +85,8 @@
 	estimates estimator
 	// gaps decides when items start beside online requests.
 	gaps *gaps
+	// backlog estimates the unfinished items of all processes.
+	backlog backlog
 	// maxRuns bounds the runs in progress.
 	maxRuns int
 	// active counts the runs in progress.
@@ -93,7 +95,7 @@
 }
 
 func newRunner(s *Service) *runner {
-	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s), maxRuns: concurrentRuns(s.opts.Capacity)}
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s), backlog: backlog{s: s}, maxRuns: concurrentRuns(s.opts.Capacity)}
 }
 
 // wake starts the next cycle early.
@@ -225,7 +227,7 @@
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
 	u.placedBeside = choice.Load.Online
 	used[u.backend] = true
-	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(u, now), now)
+	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(j, u, choice.Backend.Service, now), now)
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
