--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -13,21 +13,67 @@
 // it.
 type backlog struct {
 	s        *Service
-	byRoute  map[string]float64
+	byRoute  map[string]int64
 	measured time.Time
 }
 
 // items returns how many items of a route are unfinished, given the tokens of one of them.
 func (b *backlog) items(route string, tokens int64, now time.Time) float64 {
 	if now.Sub(b.measured) >= backlogInterval {
-		b.byRoute, b.measured = make(map[string]float64), now
+		b.byRoute, b.measured = b.s.waitingByRoute(), now
 	}
-	waiting, known := b.byRoute[route]
-	if !known {
-		waiting = float64(b.s.waitingTokens(route))
-		b.byRoute[route] = waiting
+	return float64(b.byRoute[route]) / float64(max(tokens, 1))
+}
+
+// waitingByRoute sums the tokens of unfinished items of all workspaces by route. Items that no owner
+// has reported count as unfinished.
+func (s *Service) waitingByRoute() map[string]int64 {
+	sums := make(map[string]int64)
+	from := make([]int64, len(s.shards))
+	reports := make([]ShardReport, 0, len(s.shards))
+	for i, sh := range s.shards {
+		report, known := s.opts.Peers.ShardReport(i)
+		if !known || sh.owned() || report.Partial {
+			continue
+		}
+		from[i] = report.Offset
+		reports = append(reports, report)
+	}
+	routes := s.table.addWaiting(sums, from)
+	for _, report := range reports {
+		for route, tokens := range report.Waiting {
+			sums[route] += tokens
+		}
+		for key, tokens := range report.WorkspaceWaiting {
+			sums[routes[key]] += tokens
+		}
+	}
+	return sums
+}
+
+// addWaiting adds the tokens of unfinished items by route, for the jobs whose summary has at least the
+// offset in from for its shard. It returns the routes of all jobs of workspaces by accountKey.
+func (t *Table) addWaiting(sums map[string]int64, from []int64) (routes map[uint64]string) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	routes = make(map[uint64]string)
+	for id, e := range t.byID {
+		if e.job == nil {
+			continue
+		}
+		if a := e.job.account(); a.workspace != "" {
+			routes[accountKey(a)] = a.route
+		}
+		if e.cancelled || e.offset < from[shardOf(id, len(from))] {
+			continue
+		}
+		for i, tokens := range e.job.Tokens {
+			if !e.done[i] {
+				sums[e.job.Route] += tokens
+			}
+		}
 	}
-	return waiting / float64(max(tokens, 1))
+	return routes
 }
 
 // backfillItem describes an item of a job for a decision on its start.
--- a/jobs/workspace_test.go
+++ b/jobs/workspace_test.go
@@ -5,8 +5,10 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/jobs"
@@ -81,3 +83,21 @@
 	err := nodes[0].Submit(t.Context(), workspaceJob("modest", "over", 1), quota)
 	assert.Assert(t, errkind.Is(err, errkind.RateLimited), "%v", err)
 }
+
+// TestBacklogCountsAllWorkspaces sums what wait on one route: jobs that this process knows of
+// itself, and those that the owner of their shard has reported.
+func TestBacklogCountsAllWorkspaces(t *testing.T) {
+	c := newCluster(t, 0)
+	a, b := c.start("a"), c.start("b")
+	for i, workspace := range []string{"one", "two", ""} {
+		assert.NilError(t, a.Submit(t.Context(), workspaceJob(workspace, fmt.Sprint("backlog-", i), 2), 0))
+	}
+	for _, n := range []*node{a, b} {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if got := n.WaitingByRoute()["b"]; got != 600 {
+				return poll.Continue("%d tokens wait, want 600", got)
+			}
+			return poll.Success()
+		}, poll.WithDelay(10*time.Millisecond))
+	}
+}
