--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -18,11 +18,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/balance"
-	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
-	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
@@ -162,63 +160,6 @@
 	return d, nil
 }
 
-func (d *Daemon) guardOptions(table *balance.Table) quarantine.Options {
-	ejector := ejection.Ejector{Table: table, Pool: d.pool, Log: d.log}
-	return quarantine.Options{
-		StartedAt: time.Now(),
-		Probe:     d.pool.Probe, Eject: func(b catalog.Backend) { ejector.RecordFailure(b, true) },
-		Peers: func() quarantine.Peers { return d.peering }, Logger: d.log,
-		Store: func(ctx context.Context, r keyedlog.Record) error {
-			part := keyedlog.Partition{Topic: platform.KeyedTopic(partTopic)}
-			_, err := d.store.Append(ctx, part, []keyedlog.Record{r}, keyedlog.Condition{})
-			return err
-		},
-	}
-}
-
-func (d *Daemon) limitOptions(table *balance.Table) ratelimit.Options {
-	return ratelimit.Options{
-		StartedAt: time.Now(), Peers: func() ratelimit.Peers { return d.peering }, Zone: d.backends.Zone, Logger: d.log,
-		Denied: func(server string, batch bool, until, expected time.Time) {
-			table.RecordDenial(server, classOf(batch), until, expected)
-		},
-		Freed: func(server string, batch bool) { table.ClearDenial(server, classOf(batch)) },
-	}
-}
-
-func (d *Daemon) quotaOptions(configs *discovery.ConfigView, observer quota.Observer) quota.Options {
-	s := d.settings.Quotas
-	return quota.Options{
-		StartedAt: time.Now(), Bounds: quota.Bounds{Window: s.Window, Overshoot: s.Overshoot, Slack: s.Slack},
-		Peers: func() quota.Peers { return d.peering }, Observer: observer, Logger: d.log,
-		Configured: func(workspace string) (quota.Limit, int64, bool) {
-			return gateway.QuotaOf(configs.Current(), workspace)
-		},
-	}
-}
-
-func classOf(batch bool) balance.Class {
-	if batch {
-		return balance.Batch
-	}
-	return balance.Online
-}
-
-func (d *Daemon) jobOptions(configs *discovery.ConfigView, table *balance.Table, m *gateway.Metrics) jobs.Options {
-	s := d.settings
-	return jobs.Options{
-		Log: d.store, Groups: d.store,
-		Member:   fmt.Sprintf("%s-%d", s.Instance, time.Now().UnixNano()),
-		Instance: s.Instance,
-		JobTopic: platform.KeyedTopic(jobTopic), ContentTopic: platform.KeyedTopic(contentTopic), ResultTopic: platform.KeyedTopic(resultTopic),
-		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
-		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
-		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
-		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
-		Decided: m.ItemDecided, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps),
-	}
-}
-
 func (d *Daemon) follow(topic string, view keyedlog.View, poll keyedlog.PollConfig) *keyedlog.Follower {
 	return keyedlog.NewFollower(d.store, keyedlog.Partition{Topic: topic}, view, poll, d.storeAvailabilityChanged)
 }
@@ -289,71 +230,3 @@
 		}
 	}
 }
-
-func (d *Daemon) backendChanged(c discovery.Change) {
-	b := c.Backend
-	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "version", b.Version, "slots", b.Slots}
-	switch c.Kind {
-	case discovery.DrainStarted:
-		event.Log(d.log, event.BackendLeaving, kv...)
-	case discovery.Lapsed:
-		event.Log(d.log, event.BackendLapsed, kv...)
-	case discovery.Removed:
-		event.Log(d.log, event.BackendGone, kv...)
-		d.pool.CloseIdle(b.Address)
-		d.gateway.Table.RemoveBackend(b.ID)
-		d.limits.Remove(b.ID)
-		d.gateway.Metrics.RemoveBackend(b.ID)
-	default:
-		d.gateway.Metrics.AddBackend(b.ID)
-		event.Log(d.log, event.BackendSeen, kv...)
-	}
-	d.gateway.Table.NotifyWaiters()
-}
-
-// responseReceived records what the head of a response says about its backend server.
-func (d *Daemon) responseReceived(backendID string, info serving.ResponseInfo) {
-	if info.Leaving {
-		d.backends.SetLeaving(backendID)
-	}
-	if info.HasLoad && info.Load.HasPace {
-		d.gateway.Table.ObservePace(backendID, info.Load.Pace, time.Now())
-	}
-	d.limits.Observe(backendID, info.RateLimit)
-}
-
-// backendID returns the id of the backend server with the given key of package
-// balance, or an empty string if it is no longer registered.
-func (d *Daemon) backendID(key uint32) (id string) {
-	d.backends.ForEach(func(b catalog.Backend) {
-		if balance.Key(b.ID) == key {
-			id = b.ID
-		}
-	})
-	return id
-}
-
-func (d *Daemon) configChanged(old, current *catalog.Config) {
-	before := int64(0)
-	if old != nil {
-		before = old.Version
-	}
-	d.gateway.Metrics.SetWorkspaces(current)
-	event.Log(d.log, event.ConfigInForce, "version", current.Version, "before", before, "routes", len(current.Routes),
-		"workspaces", len(current.Workspaces()))
-}
-
-func (d *Daemon) configRefused(offset int64, err error) {
-	event.Log(d.log, event.ConfigRefused, "offset", offset, "cause", err)
-}
-
-func (d *Daemon) storeAvailabilityChanged(p keyedlog.Partition, err error) {
-	if p.Topic == platform.BackendTopic {
-		d.backends.SetStoreUnavailable(err != nil)
-	}
-	if err != nil {
-		event.Log(d.log, event.LogDown, "topic", p.Topic, "part", p.Index, "cause", err)
-		return
-	}
-	event.Log(d.log, event.LogUp, "topic", p.Topic, "part", p.Index)
-}
