--- a/internal/gatewayd/changes.go
+++ b/internal/gatewayd/changes.go
@@ -7,7 +7,6 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/internal/gateway"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/serving"
