Tests: a resume at a gateway that knows no other one yet is not what is tested

Nothing waited until the two gateways knew each other: a gateway that has just started refuses a resume whose origin it can't find out, as it should. The test waits for that; all of its ten resumes must succeed as before.

--- a/internal/gatewayd/resume_test.go
+++ b/internal/gatewayd/resume_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 )
 
 // beginStream reads the first events of a stream, disconnects and returns the id of the
@@ -52,6 +53,7 @@
 		version[b.ID] = b.Version
 	}
 	first, second := d.start("a"), d.start("b")
+	first.waitKnownTo(t, second)
 	for i := range 10 {
 		id := fmt.Sprint("r", i)
 		began := first.beginStream(t, id, 3)
@@ -62,6 +64,24 @@
 	}
 }
 
+// waitKnownTo waits until another gateway finds out what began the streams of g. One that has just
+// started refuses to resume them, as it knows of no other gateway yet.
+func (g *gateway) waitKnownTo(t *testing.T, other *gateway) {
+	t.Helper()
+	tries := 0
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		tries++
+		id := fmt.Sprint("known", tries)
+		g.beginStream(t, id, 3)
+		resp := other.streamRequest(t.Context(), t, id+"-again", map[string]string{"Last-Event-Id": "3", "Resumes": id})
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+}
+
 func TestStreamOfUnknownVersionIsNotResumed(t *testing.T) {
 	d := newDeployment(t, 1)
 	d.addBackend("next", "v2")
