peering: gateways of other regions that report rarely count as reached

Beyond 800 pairs gateways report to other regions every 20 s, but counted as out of reach 0.9 s after each report. So the owners of quotas saw no other region and handed out their own region's share only; the owners of servers' limits too.

Change: one function says how long a gateway counts as reached. Fleets of up to 800 pairs are not affected.

Test: TestFarGatewaysThatReportRarelyAreReached failed first: a share of 0.0006 with 900 gateways elsewhere.

--- a/peering/quotas_test.go
+++ b/peering/quotas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -135,3 +136,25 @@
 		return poll.Continue("the directory is not used")
 	}, poll.WithDelay(5*time.Millisecond))
 }
+
+// TestFarGatewaysThatReportRarelyAreReached has so many gateways in another region that they report to
+// this one every 20 s only. Their workspaces' quotas are not halved in between.
+func TestFarGatewaysThatReportRarelyAreReached(t *testing.T) {
+	const far = 900
+	g := startGateway(t, "a", "127.0.0.1:0", "near")
+	for i := range far {
+		sendRaw(t, g, map[int]any{1: fmt.Sprint("far", i), 2: 1, 3: 1, 4: map[uint32][2]int{}, 6: "far", 12: "z-far"})
+	}
+	reached := func() quota.View { return g.QuotaView("w") }
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if v := reached(); v.Gateways < far*9/10 || v.Share < 0.9 {
+			return poll.Continue("%d gateways, share %v", v.Gateways, v.Share)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+	for deadline := time.Now().Add(2 * peering.ReportTTL); time.Now().Before(deadline); {
+		v := reached()
+		assert.Assert(t, v.Share > 0.9 && len(v.Others) == 1, "share %v, other owners %v", v.Share, v.Others)
+		<-time.After(50 * time.Millisecond)
+	}
+}
--- a/peering/rank.go
+++ b/peering/rank.go
@@ -19,7 +19,7 @@
 func (p *Peering) eachGateway(now time.Time, visit func(seenGateway)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	farTTL := max(ReportTTL, 2*p.farIntervalLocked(false))
+	farTTL := p.farTTLLocked()
 	if !p.leaving.Load() {
 		visit(seenGateway{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now})
 	}
@@ -27,17 +27,28 @@
 		if other.leaving {
 			continue
 		}
-		ttl := ReportTTL
-		if other.far {
-			ttl = farTTL
-		}
 		visit(seenGateway{
 			name: name, region: other.region, zone: other.zone, far: other.far,
-			reached: other.reachable && now.Sub(other.lastReport) <= ttl, lastReport: other.lastReport,
+			reached: other.reachable && now.Sub(other.lastReport) <= other.ttl(farTTL), lastReport: other.lastReport,
 		})
 	}
 }
 
+// farTTLLocked returns how long a gateway of another region counts as reached after a report: those of
+// large fleets report rarely. The caller holds mu.
+func (p *Peering) farTTLLocked() time.Duration {
+	return max(ReportTTL, 2*p.farIntervalLocked(false))
+}
+
+// ttl returns how long the peer counts as reached after a report, given the time for those of other
+// regions.
+func (s *peer) ttl(far time.Duration) time.Duration {
+	if s.far {
+		return far
+	}
+	return ReportTTL
+}
+
 // firstInOrder is the first gateway in an order that depends on a key: the owner of what the key names,
 // which all gateways choose alike (rendezvous hashing).
 type firstInOrder struct {
--- a/peering/reporter.go
+++ b/peering/reporter.go
@@ -77,8 +77,9 @@
 	now := time.Now()
 	p.mu.Lock()
 	var addresses []netip.AddrPort
+	farTTL := p.farTTLLocked()
 	for name, other := range p.peers {
-		if other.reachable && now.Sub(other.lastReport) > ReportTTL {
+		if other.reachable && now.Sub(other.lastReport) > other.ttl(farTTL) {
 			other.reachable = false
 			event.Log(p.opts.Logger, event.PeerGone, "peer", name, "silent_for", now.Sub(other.lastReport))
 		}
