--- a/peering/reporter.go
+++ b/peering/reporter.go
@@ -17,23 +17,6 @@
 	// lastFar, lastWide and lastSummary are when a report was last sent to other regions and
 	// to other zones of a large region, and when a summary was last sent.
 	lastFar, lastWide, lastSummary time.Time
-	// introduced counts the reports by which a gateway of a large fleet has introduced itself to
-	// other regions.
-	introduced int
-}
-
-// introductions are the times after its start at which a gateway of a large fleet reports to other
-// regions, apart from its rare reports there. If all gateways start together, those that have not
-// started yet get no first report, and would take the others for lost until the next one.
-var introductions = []time.Duration{time.Second, 3 * time.Second}
-
-// introductionDue reports whether an introduction is due.
-func (r *reporter) introductionDue(now time.Time) bool {
-	if r.introduced == len(introductions) || now.Sub(r.p.startedAt) < introductions[r.introduced] {
-		return false
-	}
-	r.introduced++
-	return true
 }
 
 // sendDue sends a report to the peers for which one is due. It returns the least time until
@@ -48,7 +31,7 @@
 	p.opts.Table.SetZoneFirst(large)
 	p.opts.Table.SetOtherRegionsSilent(silent)
 	receivers := p.send(rep, recipients{
-		far:        due(&r.lastFar, now, p.farReportInterval(owner)) || silent && r.introductionDue(now),
+		far:        due(&r.lastFar, now, p.farReportInterval(owner)),
 		otherZones: r.otherZonesDue(large, owner, now),
 		ownersWait: !large,
 	})
