--- a/peering/peering.go
+++ b/peering/peering.go
@@ -290,7 +290,7 @@
 		case <-ctx.Done():
 			return
 		case <-directoryRead:
-			directoryRead = nil // others hear at once that this gateway runs
+			directoryRead = nil // others learn at once that this gateway runs
 		case <-p.opts.Table.LocalCountsChanged():
 		case <-idle.C:
 		}
--- a/peering/quota_view.go
+++ b/peering/quota_view.go
@@ -11,7 +11,7 @@
 	// quotaViewTime is how long the view of the gateways is used for quotas before it is renewed.
 	quotaViewTime = 50 * time.Millisecond
 	// unreadTime is the time after its start in which a gateway that can't read the directory
-	// takes the others that it hears for a part of all.
+	// takes the others that report to it for a part of all.
 	unreadTime = 2 * time.Second
 	// mostOfRegion is the part of the known gateways of a region that are nearly all of them: some
 	// of the directory's are gone.
--- a/quota/account.go
+++ b/quota/account.go
@@ -52,7 +52,7 @@
 	regions int
 	share   float64
 	mix     mix
-	// nextDue is when the permit would be there that the next denied request is told to come back
+	// nextDue is when the permit would be there that the next denied request is asked to come back
 	// for, if the bucket had no debt.
 	nextDue time.Time
 	usedAt  time.Time
@@ -200,7 +200,7 @@
 // rate returns the rate of the bucket, for the calculation of waits.
 func (a *account) rate(v View) float64 { return max(a.limit.RequestsPerSecond*v.Share, leastRate) }
 
-// deny denies a request. It is told to come back after those that were denied before it; other regions
+// deny denies a request. It is asked to come back after those that were denied before it; other regions
 // tell theirs to come back in the same time.
 func (a *account) deny(next time.Duration, v View, now time.Time) Denial {
 	debt := permitsTime(max(-a.bucket.Level, 0), a.rate(v))
--- a/quota/holding.go
+++ b/quota/holding.go
@@ -44,7 +44,7 @@
 	ownerVersion int64
 
 	// deniedUntil is until when requests are denied without asking the owner, and due is when
-	// the next one of them is told to come back.
+	// the next one of them is asked to come back.
 	deniedUntil, due time.Time
 	// unansweredUntil is until when the owner is not waited for.
 	unansweredUntil time.Time
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -135,7 +135,7 @@
 )
 
 // requestSettled requests permits. If the owner has just started, it is asked again after a short time,
-// in which it hears of the others or gets another permit: where all gateways start, requests wait rather
+// in which it learns of the others or gets another permit: where all gateways start, requests wait rather
 // than being refused.
 func (l *Limiter) requestSettled(ctx context.Context, workspace string, limit Limit, version int64, refusal *Refusal) (Reply, error) {
 	denied := false
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -12,7 +12,7 @@
 	// Others may have taken over what it owned.
 	stallTime = 700 * time.Millisecond
 	// settleTime is the time after its start in which a process hands out permits only if it
-	// reaches most of the gateways that it knows, and reportTime that in which it hears of each
+	// reaches most of the gateways that it knows, and reportTime that in which it learns of each
 	// gateway that runs.
 	settleTime = time.Second
 	reportTime = 300 * time.Millisecond
@@ -23,7 +23,7 @@
 )
 
 // settled reports whether this process knows enough of the others to hand out permits. Of several that
-// have just started and don't hear each other yet, each one would take itself for the owner.
+// have just started and don't know each other yet, each one would take itself for the owner.
 func (l *Limiter) settled(v View, now time.Time) bool {
 	running := now.Sub(l.opts.StartedAt)
 	switch {
--- a/quota/share.go
+++ b/quota/share.go
@@ -4,8 +4,8 @@
 	// leastWidePart is the least part of the known gateways that a wide view reaches, if they are in
 	// several zones. Half of a single zone may be cut off from the other half.
 	leastWidePart = 1.0 / 3
-	// silentPart is the part of its even share that is left to a gateway that others don't
-	// hear, although they hear others of its zone. It has probably ended; if not, it is cut off
+	// silentPart is the part of its even share that is left to a gateway that reports to
+	// nobody, although others of its zone do. It has probably ended; if not, it is cut off
 	// and serves few.
 	silentPart = 0.5
 )
