Tests: reading of an endless response is judged by its bytes, not by the time it takes

TestClientReadsNoResponseWithoutEnd/body failed beside load (6.6 s and 8.5 s, bound 5 s): it measured how fast the machine reads 64 MiB under the race detector.

Cause: CheckEndless bounded the time of the call. What is to be shown is that the client stops at a bound of bytes. The bounds on allocated memory stay.

Like it: the clients of the store, the log service, the engine and the peers share CheckEndless.

--- a/internal/load/endless_test.go
+++ b/internal/load/endless_test.go
@@ -14,6 +14,10 @@
 		var out any
 		return load.NewClient("http://"+address, "").JSON(ctx, load.Request{Method: http.MethodGet, Path: "/"}, nil, &out)
 	}
-	t.Run("head", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessHead, 4<<20, call) })
-	t.Run("body", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessBody, 512<<20, call) })
+	t.Run("head", func(t *testing.T) {
+		platformtest.CheckEndless(t, platformtest.EndlessHead, platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 4 << 20}, call)
+	})
+	t.Run("body", func(t *testing.T) {
+		platformtest.CheckEndless(t, platformtest.EndlessBody, platformtest.EndlessLimits{ReadBytes: 64 << 20, AllocatedBytes: 512 << 20}, call)
+	})
 }
--- a/internal/logservice/endless_test.go
+++ b/internal/logservice/endless_test.go
@@ -18,7 +18,11 @@
 			return err
 		},
 	} {
-		t.Run(name+" head", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessHead, 4<<20, call) })
-		t.Run(name+" body", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessBody, 512<<20, call) })
+		t.Run(name+" head", func(t *testing.T) {
+			platformtest.CheckEndless(t, platformtest.EndlessHead, platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 4 << 20}, call)
+		})
+		t.Run(name+" body", func(t *testing.T) {
+			platformtest.CheckEndless(t, platformtest.EndlessBody, platformtest.EndlessLimits{ReadBytes: 64 << 20, AllocatedBytes: 512 << 20}, call)
+		})
 	}
 }
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -18,7 +18,13 @@
 		return err
 	}
 	const endlessEvent = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: "
-	t.Run("head", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessHead, 4<<20, chat) })
-	t.Run("event", func(t *testing.T) { platformtest.CheckEndless(t, endlessEvent, 256<<20, chat) })
-	t.Run("state", func(t *testing.T) { platformtest.CheckEndless(t, platformtest.EndlessBody, 1<<20, state) })
+	t.Run("head", func(t *testing.T) {
+		platformtest.CheckEndless(t, platformtest.EndlessHead, platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 4 << 20}, chat)
+	})
+	t.Run("event", func(t *testing.T) {
+		platformtest.CheckEndless(t, endlessEvent, platformtest.EndlessLimits{ReadBytes: 16 << 20, AllocatedBytes: 256 << 20}, chat)
+	})
+	t.Run("state", func(t *testing.T) {
+		platformtest.CheckEndless(t, platformtest.EndlessBody, platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 1 << 20}, state)
+	})
 }
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -36,7 +36,7 @@
 }
 
 func TestPeerClientReadsNoHeadWithoutEnd(t *testing.T) {
-	platformtest.CheckEndless(t, platformtest.EndlessHead, 4<<20, func(ctx context.Context, address string) error {
+	platformtest.CheckEndless(t, platformtest.EndlessHead, platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 4 << 20}, func(ctx context.Context, address string) error {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
 		assert.NilError(t, err)
 		resp, err := upstream.PeerClient().Do(req)
