A stream is not joined from two versions after all gateways were lost

Cause: a resume whose attempt is not named, or whose origin nobody knows, goes on if all servers of the service run one software (Backends.OnlySoftware). What other software has been removed lately was known to the process alone, so gateways that start after the last server of the old version has gone take the new one for the only one. A single restarted gateway does the same. Beside it: a server that returned under its id with another version left no trace of the old one.

Change: discovery.SoftwareHistory records the software in service in keyed.software, until 30 s after its last server has gone; the rule needs these records to have been read.

Ruled out: refusing all such resumes for 30 s after a start (callers lose streams of the only version); reading the retained history of registrations (a store may forget it; 600 kB a start on the large fleet).

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -113,6 +113,26 @@
 	return s, s.Known()
 }
 
+// RecentSoftware returns the software of all backend servers that are registered or have been removed
+// in the last window, as far as it is known.
+func (b *Backends) RecentSoftware(window time.Duration) map[catalog.Software]bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	recent := make(map[catalog.Software]bool)
+	for _, reg := range b.byID {
+		if s := reg.backend.Software(); s.Known() {
+			recent[s] = true
+		}
+	}
+	now := b.now()
+	for s, at := range b.removed {
+		if s.Known() && now.Sub(at) < window {
+			recent[s] = true
+		}
+	}
+	return recent
+}
+
 // Zone returns the availability zone of a backend server; it is empty if the server is not known.
 func (b *Backends) Zone(id string) string {
 	b.mu.RLock()
@@ -277,6 +297,9 @@
 	if leaving {
 		backend.State = catalog.Draining
 	}
+	if old != nil && old.backend.Software() != backend.Software() {
+		b.removed[old.backend.Software()] = b.now()
+	}
 	b.byID[r.Key] = &registration{backend: backend, record: r, leaving: leaving}
 	switch {
 	case old == nil:
--- a/event/event.go
+++ b/event/event.go
@@ -22,60 +22,61 @@
 // The events: 1xx lifecycle, 2xx routing, 3xx placement and batch,
 // 4xx admission, 5xx commit log, 6xx configuration, 7xx membership.
 const (
-	Started         ID = 101
-	Draining        ID = 102
-	Stopped         ID = 103
-	Reloaded        ID = 104
-	LinesLeftOut    ID = 105
-	RequestRouted   ID = 201
-	RequestRefused  ID = 202
-	RequestRetried  ID = 203
-	RequestDone     ID = 204
-	StreamResumed   ID = 205
-	PermitDenied    ID = 206
-	QuotaRefused    ID = 207
-	QuotaUnanswered ID = 208
-	ItemPlaced      ID = 301
-	ItemDone        ID = 302
-	JobAccepted     ID = 303
-	JobFinished     ID = 304
-	ItemsHeld       ID = 305
-	ItemRequeued    ID = 306
-	ModelAssigned   ID = 307
-	OrderSent       ID = 308
-	JobFailed       ID = 309
-	JobStepFailed   ID = 310
-	ShardAssigned   ID = 311
-	ShardOwned      ID = 312
-	ShardReleased   ID = 313
-	ShardsLeft      ID = 314
-	AttemptAdmitted ID = 401
-	AttemptRefused  ID = 402
-	BatchPreempted  ID = 403
-	AttemptVetoed   ID = 404
-	LogDown         ID = 501
-	LogUp           ID = 502
-	RecordSkipped   ID = 503
-	RetentionGap    ID = 504
-	RenewalFailed   ID = 505
-	ConfigInForce   ID = 601
-	ConfigRefused   ID = 602
-	ConfigFromPeer  ID = 603
-	BackendSeen     ID = 701
-	BackendLeaving  ID = 702
-	BackendGone     ID = 703
-	BackendEjected  ID = 704
-	BackendLapsed   ID = 705
-	PeerSeen        ID = 706
-	PeerGone        ID = 707
-	PeerSnapshot    ID = 708
-	SourceChanged   ID = 709
-	BackendCrashed  ID = 710
-	PartHeld        ID = 711
-	PartReleased    ID = 712
-	BackendLimited  ID = 713
-	LimitMalformed  ID = 714
-	QuotaOwner      ID = 715
+	Started          ID = 101
+	Draining         ID = 102
+	Stopped          ID = 103
+	Reloaded         ID = 104
+	LinesLeftOut     ID = 105
+	RequestRouted    ID = 201
+	RequestRefused   ID = 202
+	RequestRetried   ID = 203
+	RequestDone      ID = 204
+	StreamResumed    ID = 205
+	PermitDenied     ID = 206
+	QuotaRefused     ID = 207
+	QuotaUnanswered  ID = 208
+	ItemPlaced       ID = 301
+	ItemDone         ID = 302
+	JobAccepted      ID = 303
+	JobFinished      ID = 304
+	ItemsHeld        ID = 305
+	ItemRequeued     ID = 306
+	ModelAssigned    ID = 307
+	OrderSent        ID = 308
+	JobFailed        ID = 309
+	JobStepFailed    ID = 310
+	ShardAssigned    ID = 311
+	ShardOwned       ID = 312
+	ShardReleased    ID = 313
+	ShardsLeft       ID = 314
+	AttemptAdmitted  ID = 401
+	AttemptRefused   ID = 402
+	BatchPreempted   ID = 403
+	AttemptVetoed    ID = 404
+	LogDown          ID = 501
+	LogUp            ID = 502
+	RecordSkipped    ID = 503
+	RetentionGap     ID = 504
+	RenewalFailed    ID = 505
+	ConfigInForce    ID = 601
+	ConfigRefused    ID = 602
+	ConfigFromPeer   ID = 603
+	BackendSeen      ID = 701
+	BackendLeaving   ID = 702
+	BackendGone      ID = 703
+	BackendEjected   ID = 704
+	BackendLapsed    ID = 705
+	PeerSeen         ID = 706
+	PeerGone         ID = 707
+	PeerSnapshot     ID = 708
+	SourceChanged    ID = 709
+	BackendCrashed   ID = 710
+	PartHeld         ID = 711
+	PartReleased     ID = 712
+	BackendLimited   ID = 713
+	LimitMalformed   ID = 714
+	QuotaOwner       ID = 715
+	SoftwareRecorded ID = 716
 )
 
 var catalogue = []Spec{
@@ -133,6 +134,7 @@
 	{BackendLimited, "backend_limited", log.InfoLevel, "a backend server names a limit for the requests a second that it takes from all gateways together, or another one, or none any more"},
 	{LimitMalformed, "limit_malformed", log.WarnLevel, "a backend server names a limit that cannot be read; the last one stays in force"},
 	{QuotaOwner, "quota_owner", log.InfoLevel, "a gateway begins to hand out the permits of a workspace, or another one takes over"},
+	{SoftwareRecorded, "software_recorded", log.InfoLevel, "a gateway records in the store which software is in service, or that some has left"},
 }
 
 var byID = func() map[ID]Spec {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 type Gateway struct {
 	Configs  *discovery.ConfigView
 	Backends *discovery.Backends
+	Software *discovery.SoftwareHistory
 	Table    *balance.Table
 	Pool     *upstream.Pool
 	Jobs     *jobs.Service
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -44,8 +44,11 @@
 	}
 	discovered := discovery.NewBackends(decode, func(discovery.Change) {}, time.Now)
 	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: 200 * time.Millisecond})
+	software := discovery.NewSoftwareHistory(discovered, origins.Retention, time.Now)
+	software.Rebuild(nil)
 	f := &fixture{t: t, Gateway: &gateway.Gateway{
 		Backends: discovered,
+		Software: software,
 		Table:    balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
 		Pool:     pool,
 		Log:      log.New(io.Discard),
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -8,7 +8,6 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/origins"
 )
 
 // unknownOriginRetryAfter is the Retry-After of a resume whose origin is not known here. The
@@ -62,7 +61,7 @@
 	if len(o.route.Splits) != 1 || o.g.StoreAge() > maxRegistrationAge {
 		return catalog.Software{}, originUnknown
 	}
-	if origin, only := o.g.Backends.OnlySoftware(o.route.Splits[0].Service, origins.Retention); only {
+	if origin, only := o.g.Software.Only(o.route.Splits[0].Service); only {
 		return origin, originOnly
 	}
 	return catalog.Software{}, originUnknown
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -54,6 +54,7 @@
 	backendMinInterval   = 200 * time.Millisecond
 	directoryMaxWait     = 3 * time.Second
 	partMaxWait          = 5 * time.Second
+	softwareMaxWait      = 10 * time.Second
 	directoryMinInterval = 100 * time.Millisecond
 	followRetryDelay     = 150 * time.Millisecond
 
@@ -64,6 +65,8 @@
 	contentTopic   = "contents"
 	resultTopic    = "results"
 	directoryTopic = "gateways"
+	// softwareTopic holds the software that has been in service lately.
+	softwareTopic = "software"
 	// partTopic holds the prompt parts that are held.
 	partTopic = "held-parts"
 )
@@ -79,6 +82,7 @@
 	store    *platform.Store
 	gateway  *gateway.Gateway
 	backends *discovery.Backends
+	software *discovery.SoftwareHistory
 	pool     *upstream.Pool
 	jobs     *jobs.Service
 	peering  *peering.Peering
@@ -129,6 +133,7 @@
 		Zone: s.Zone, RegionOf: s.RegionOf, PeerTTL: peering.ReportTTL, Paths: paths(s.Paths), Seed: uint64(time.Now().UnixNano()),
 	})
 	d.backends = discovery.NewBackends(platform.DecodeBackend, d.backendChanged, time.Now)
+	d.software = discovery.NewSoftwareHistory(d.backends, origins.Retention, time.Now)
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
 	d.quotas = quota.NewLimiter(d.quotaOptions(configs, gatewayMetrics))
@@ -149,10 +154,11 @@
 		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
 			keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged),
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.PollConfig{MaxWait: directoryMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
+		d.follow(platform.KeyedTopic(softwareTopic), d.software, keyedlog.PollConfig{MaxWait: softwareMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(partTopic), d.guard, keyedlog.PollConfig{MaxWait: partMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 	}
 	d.gateway = &gateway.Gateway{
-		Configs: configs, Backends: d.backends, Table: table, Pool: d.pool, Jobs: d.jobs,
+		Configs: configs, Backends: d.backends, Software: d.software, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
 		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
 		Revocation: revocation(s, configFollower),
@@ -181,6 +187,7 @@
 	wg.Go(func() { d.watchSettings(work) })
 	wg.Go(func() { d.register(work) })
 	wg.Go(func() { d.bootstrap(work) })
+	wg.Go(func() { d.recordSoftware(work) })
 	wg.Go(func() { d.catchUpConfig(work) })
 	stopLog, logDone := d.runSink()
 	err := d.serve(ctx)
--- a/internal/gatewayd/resume_test.go
+++ b/internal/gatewayd/resume_test.go
@@ -5,12 +5,17 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
+
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/platform"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
 // beginStream reads the first events of a stream, disconnects and returns the id of the
@@ -95,3 +100,87 @@
 		assert.Equal(t, b.Runs("r"), 0)
 	}
 }
+
+// TestStreamIsNotJoinedAfterAllGatewaysWereLost covers gateways that are lost together while a
+// version leaves service: those that start know only the version that has stayed, and the callers
+// of the other one do not name the attempt that they resume.
+func TestStreamIsNotJoinedAfterAllGatewaysWereLost(t *testing.T) {
+	d := newDeployment(t, 0)
+	old := d.addSlowBackend("old", "v1")
+	gateways := []*gateway{d.start("a"), d.start("b")}
+	gateways[0].beginStream(t, "r", 3)
+	next := d.addSlowBackend("next", "v2")
+	gateways[1].waitServedBy(t, next.ID)
+	d.deregister(old)
+	for _, g := range gateways {
+		g.stop()
+		assert.NilError(t, <-g.done)
+	}
+	for _, name := range []string{"a", "b"} {
+		g := d.start(name)
+		resp := g.streamRequest(t.Context(), t, "r-again-"+name, map[string]string{"Last-Event-Id": "3"})
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, next.Runs("r-again-"+name), 0)
+	}
+}
+
+// TestStreamOfTheOnlyVersionIsResumedAfterAllGatewaysWereLost is the same without a second version.
+func TestStreamOfTheOnlyVersionIsResumedAfterAllGatewaysWereLost(t *testing.T) {
+	d := newDeployment(t, 0)
+	d.addSlowBackend("only", "v1")
+	g := d.start("a")
+	g.beginStream(t, "r", 3)
+	d.waitSoftwareRecorded("v1")
+	g.stop()
+	assert.NilError(t, <-g.done)
+	g = d.start("a")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		resp := g.streamRequest(t.Context(), t, "r-again", map[string]string{"Last-Event-Id": "3"})
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+}
+
+// addSlowBackend adds a backend server whose streams last long enough to be cut.
+func (d *deployment) addSlowBackend(id, version string) *platformtest.Backend {
+	d.t.Helper()
+	b := d.addBackend(id, version)
+	b.Events, b.EventInterval = 40, 10*time.Millisecond
+	return b
+}
+
+// deregister removes the registration of a backend server.
+func (d *deployment) deregister(b *platformtest.Backend) {
+	d.t.Helper()
+	_, err := d.store.Log.Append(d.t.Context(), keyedlog.Partition{Topic: platform.BackendTopic}, []keyedlog.Record{{Key: b.ID}}, keyedlog.Condition{})
+	assert.NilError(d.t, err)
+}
+
+// waitServedBy waits until a backend server begins streams of g.
+func (g *gateway) waitServedBy(t *testing.T, id string) {
+	t.Helper()
+	tries := 0
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		tries++
+		if by := g.beginStream(t, fmt.Sprint("probe", tries), 1); by != id {
+			return poll.Continue("served by %s", by)
+		}
+		return poll.Success()
+	}, poll.WithDelay(20*time.Millisecond))
+}
+
+// waitSoftwareRecorded waits until the store holds that a version has been in service.
+func (d *deployment) waitSoftwareRecorded(version string) {
+	d.t.Helper()
+	poll.WaitOn(d.t, func(poll.LogT) poll.Result {
+		page, err := d.store.Log.Newest(d.t.Context(), keyedlog.Partition{Topic: platform.KeyedTopic("software")}, "")
+		if err == nil && slices.ContainsFunc(page.Records, func(r keyedlog.Record) bool { return strings.Contains(string(r.Value), version) }) {
+			return poll.Success()
+		}
+		return poll.Continue("%d records, %v", len(page.Records), err)
+	})
+}
--- a/internal/gatewayd/workspace_test.go
+++ b/internal/gatewayd/workspace_test.go
@@ -273,7 +273,7 @@
 			_, _ = fmt.Fprintf(&out, "%v %s %s\n", r.Header, r.Path, r.Body)
 		}
 	}
-	for _, topic := range []string{"jobs", "contents", "results", "gateways", "held-parts"} {
+	for _, topic := range []string{"jobs", "contents", "results", "gateways", "held-parts", "software"} {
 		for i := range keyedlogtest.Shards {
 			page, err := d.store.Log.Newest(t.Context(), keyedlog.Partition{Topic: platform.KeyedTopic(topic), Index: i}, "")
 			assert.NilError(t, err)
