quarantine: delayed reports of crashes are counted in the order of their gateway

Cause: a request that ends two servers in a row at one gateway is reported twice, with how long each run had lasted. Another gateway counts the second crash only if its run began after the first crash; if the first report is delayed by more than the pause between them (20 ms here), the run seems to have begun before. That gateway is one crash short and serves the request once more, and only the gateway of the last crash would have announced the hold. Ruled out: a late examination (the log shows no retry after the second crash); a lost datagram.

Change: a report names the crashes that count at its sender, which knows their order. Test that failed first: TestDelayedReportsAreCountedInTheirOrder.

--- a/peering/evidence.go
+++ b/peering/evidence.go
@@ -14,9 +14,9 @@
 // Evidence receives what other gateways report about what may crash servers: the parts of prompts
 // and the identities of requests.
 type Evidence interface {
-	// PeerCrash records the end of a backend server, given by balance.Key of its id, under these
-	// runs. It returns the suspects with which a run has completed here.
-	PeerCrash(server uint32, runs quarantine.Runs) (completed []string)
+	// PeerCrash records the end of a backend server. It returns the suspects with which a run has
+	// completed here.
+	PeerCrash(r quarantine.CrashReport) (completed []string)
 	// PeerCompleted records suspects with which a run has completed.
 	PeerCompleted(suspects []string)
 	// PeerHeld records suspects that are held from now on.
@@ -32,26 +32,31 @@
 	Completed []string `cbor:"3,keyasint,omitempty"`
 	Held      []string `cbor:"4,keyasint,omitempty"`
 	LastedMs  []int64  `cbor:"5,keyasint,omitempty"`
+	// Counted holds, in the same order, the servers that count against the suspects at the sender.
+	Counted [][]uint32 `cbor:"6,keyasint,omitempty"`
 }
 
-// runs returns the runs that have been broken off.
-func (r evidenceReport) runs() quarantine.Runs {
-	runs := make(quarantine.Runs, len(r.Crashed))
+// crash returns the end of a server that is reported. Lists may be short in reports of older releases.
+func (r evidenceReport) crash() quarantine.CrashReport {
+	out := quarantine.CrashReport{Server: r.Server, Runs: make(quarantine.Runs, len(r.Crashed)), Counted: make(map[string][]uint32)}
 	for i, suspect := range r.Crashed {
+		out.Runs[suspect] = 0
 		if i < len(r.LastedMs) {
-			runs[suspect] = time.Duration(r.LastedMs[i]) * time.Millisecond
-			continue
+			out.Runs[suspect] = time.Duration(r.LastedMs[i]) * time.Millisecond
+		}
+		if i < len(r.Counted) {
+			out.Counted[suspect] = r.Counted[i]
 		}
-		runs[suspect] = 0
 	}
-	return runs
+	return out
 }
 
 // BroadcastCrash implements quarantine.Peers.
-func (p *Peering) BroadcastCrash(server uint32, runs quarantine.Runs) {
-	r := evidenceReport{Server: server, Crashed: runs.Suspects()}
+func (p *Peering) BroadcastCrash(crash quarantine.CrashReport) {
+	r := evidenceReport{Server: crash.Server, Crashed: crash.Runs.Suspects()}
 	for _, suspect := range r.Crashed {
-		r.LastedMs = append(r.LastedMs, runs[suspect].Milliseconds())
+		r.LastedMs = append(r.LastedMs, crash.Runs[suspect].Milliseconds())
+		r.Counted = append(r.Counted, crash.Counted[suspect])
 	}
 	p.broadcastEvidence(r)
 }
@@ -79,7 +84,7 @@
 	case len(r.Held) > 0:
 		p.opts.Evidence.PeerHeld(r.Held)
 	case len(r.Crashed) > 0:
-		completed := p.opts.Evidence.PeerCrash(r.Server, r.runs())
+		completed := p.opts.Evidence.PeerCrash(r.crash())
 		if sender, ok := from.(*net.UDPAddr); ok && len(completed) > 0 {
 			p.sendDatagram(datagram{Evidence: &evidenceReport{Completed: completed}}, sender.AddrPort())
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -13,6 +13,16 @@
 // Suspects returns the suspects of the runs in order.
 func (r Runs) Suspects() []string { return slices.Sorted(maps.Keys(r)) }
 
+// CrashReport is what a gateway reports about the end of a backend server.
+type CrashReport struct {
+	// Server is the hash of the server's id.
+	Server uint32
+	Runs   Runs
+	// Counted are the hashes of the servers whose ends count against a suspect at the gateway that
+	// reports, which knows the order of its own crashes and runs. Reports may be delayed.
+	Counted map[string][]uint32
+}
+
 // evidence are the crashes under runs with one suspect that count.
 type evidence []crash
 
@@ -31,9 +41,34 @@
 	})
 }
 
+// has reports whether the end of a server is part of the evidence.
+func (e evidence) has(server uint32) bool {
+	return slices.ContainsFunc(e, func(c crash) bool { return c.server == server })
+}
+
+// with returns the evidence with the ends of further servers, minCrashes at most.
+func (e evidence) with(servers []uint32, now time.Time) evidence {
+	merged := slices.Clone(e)
+	for _, server := range servers {
+		if len(merged) < minCrashes && !merged.has(server) {
+			merged = append(merged, crash{server, now})
+		}
+	}
+	return merged
+}
+
+// servers returns the hashes of the servers that have ended.
+func (e evidence) servers() []uint32 {
+	servers := make([]uint32, len(e))
+	for i, c := range e {
+		servers[i] = c.server
+	}
+	return servers
+}
+
 // without returns the crashes that are not among those of other.
 func (e evidence) without(other evidence) evidence {
 	return slices.DeleteFunc(slices.Clone(e), func(c crash) bool {
-		return slices.ContainsFunc(other, func(o crash) bool { return o.server == c.server })
+		return other.has(c.server)
 	})
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -36,9 +36,9 @@
 
 // Peers are the other gateways.
 type Peers interface {
-	// BroadcastCrash reports the end of a backend server, given by the hash of its id, under
-	// these runs. Gateways that have seen runs with some of their suspects complete respond.
-	BroadcastCrash(server uint32, runs Runs)
+	// BroadcastCrash reports the end of a backend server. Gateways that have seen runs with some
+	// of the suspects complete respond.
+	BroadcastCrash(r CrashReport)
 	// BroadcastHeld reports suspects that are held from now on.
 	BroadcastHeld(suspects []string)
 	// BroadcastCompleted reports suspects with which a run has completed.
@@ -193,8 +193,9 @@
 // reportCrash records the end of a server here and at the other gateways, and decides later, when
 // they have had time to object.
 func (g *Guard) reportCrash(server uint32, runs Runs) {
-	g.table.RecordCrash(server, runs, time.Now())
-	g.opts.Peers().BroadcastCrash(server, runs)
+	now := time.Now()
+	g.table.RecordCrash(server, runs, now)
+	g.opts.Peers().BroadcastCrash(CrashReport{Server: server, Runs: runs, Counted: g.table.Counted(runs.Suspects(), now)})
 	time.AfterFunc(objectionTime, func() { g.holdSuspects(runs.Suspects()) })
 }
 
@@ -241,10 +242,10 @@
 
 // PeerCrash records the report of another gateway, and returns the suspects with which a run has
 // completed here, for the reply.
-func (g *Guard) PeerCrash(server uint32, runs Runs) (completed []string) {
+func (g *Guard) PeerCrash(r CrashReport) (completed []string) {
 	now := time.Now()
-	g.table.RecordCrash(server, runs, now)
-	return g.table.Completed(runs.Suspects(), now)
+	g.table.RecordReport(r, now)
+	return g.table.Completed(r.Runs.Suspects(), now)
 }
 
 // PeerCompleted records runs that have completed at another gateway.
--- a/quarantine/quarantinetest/guard.go
+++ b/quarantine/quarantinetest/guard.go
@@ -26,7 +26,7 @@
 // noPeers implements quarantine.Peers for a gateway that is alone.
 type noPeers struct{}
 
-func (noPeers) BroadcastCrash(uint32, quarantine.Runs) {}
+func (noPeers) BroadcastCrash(quarantine.CrashReport) {}
 
 func (noPeers) BroadcastHeld([]string) {}
 
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -129,3 +129,31 @@
 	assert.DeepEqual(t, table.HoldSuspects([]string{content, callerPrefix + "2"}, after(time.Minute)), []string{content})
 	assert.Assert(t, isHeld(table, content, after(time.Minute)))
 }
+
+// TestDelayedReportsAreCountedInTheirOrder covers two servers that end one after the other under a
+// request at one gateway, whose first report reaches another gateway as late as the second one. The
+// second run then seems to have begun before the first server ended.
+func TestDelayedReportsAreCountedInTheirOrder(t *testing.T) {
+	reporter, other := NewTable(start), NewTable(start)
+	var reports []CrashReport
+	for i := range 2 {
+		now := after(time.Duration(i) * 25 * time.Millisecond)
+		runs := Runs{guilty: 20 * time.Millisecond}
+		reporter.RecordCrash(uint32(i), runs, now)
+		reports = append(reports, CrashReport{Server: uint32(i), Runs: runs, Counted: reporter.Counted(runs.Suspects(), now)})
+	}
+	for _, r := range reports {
+		other.RecordReport(r, after(100*time.Millisecond))
+	}
+	other.RecordCrash(2, Runs{guilty: 10 * time.Millisecond}, after(time.Second))
+	assert.Assert(t, isHeld(other, guilty, after(time.Second)))
+}
+
+// TestReportsOfAnInnocentRequestAddNothing covers a report that was sent before the sender learned of
+// a complete run.
+func TestReportsOfAnInnocentRequestAddNothing(t *testing.T) {
+	table := NewTable(start)
+	table.RecordCompleted([]string{innocent}, after(0))
+	table.RecordReport(CrashReport{Server: 3, Runs: runsOf(innocent), Counted: map[string][]uint32{innocent: {1, 2, 3}}}, after(time.Second))
+	assert.Assert(t, !isHeld(table, innocent, after(2*time.Second)))
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -153,6 +153,37 @@
 	}
 }
 
+// RecordReport records the end of a server that another gateway reports.
+func (t *Table) RecordReport(report CrashReport, now time.Time) {
+	t.RecordCrash(report.Server, report.Runs, now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for suspect, servers := range report.Counted {
+		if t.held[suspect] != nil || t.completedLately(suspect, now) {
+			continue
+		}
+		r := t.records(suspect)
+		e, _ := r.crashes.Get(suspect, now)
+		merged := e.with(servers, now)
+		if len(merged) > len(e) {
+			r.crashes.Put(suspect, merged, now)
+		}
+	}
+}
+
+// Counted returns the hashes of the servers whose ends count against suspects.
+func (t *Table) Counted(suspects []string, now time.Time) map[string][]uint32 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counted := make(map[string][]uint32)
+	for _, suspect := range suspects {
+		if e, _ := t.records(suspect).crashes.Get(suspect, now); len(e) > 0 {
+			counted[suspect] = e.servers()
+		}
+	}
+	return counted
+}
+
 // explained reports whether a held suspect is among the runs, whose trial has failed then. The caller
 // holds mu.
 func (t *Table) explained(runs Runs, now time.Time) bool {
