A stream that is resumed waits for a gateway that has just started

A gateway that has not read yet which software serves refused them (origin unknown, 503): lost streams that any gateway could have continued. Hypothesis: waiting for the first read, tens of milliseconds, serves them.

Change: a resume waits up to 0.5 s while the process does not know the servers and the software in service; afterwards it decides as before, without a wait. A process that can't read them refuses after that time (tested). Test that failed first: TestResumeWaitsForAGatewayThatStarts.

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -51,6 +51,9 @@
 	decode  func(id string, raw []byte) (catalog.Backend, error)
 	changed func(Change)
 	now     func() time.Time
+	// loaded is closed once a backend server is known.
+	loaded   chan struct{}
+	loadOnce sync.Once
 
 	mu        sync.RWMutex
 	byID      map[string]*registration
@@ -79,12 +82,15 @@
 // follower or from Expire.
 func NewBackends(decode func(id string, raw []byte) (catalog.Backend, error), changed func(Change), now func() time.Time) *Backends {
 	return &Backends{
-		decode: decode, changed: changed, now: now,
+		decode: decode, changed: changed, now: now, loaded: make(chan struct{}),
 		byID: make(map[string]*registration), byService: make(map[string][]catalog.Backend),
 		removed: make(map[catalog.Software]time.Time),
 	}
 }
 
+// Loaded returns a channel that is closed once a backend server is known.
+func (b *Backends) Loaded() <-chan struct{} { return b.loaded }
+
 // OfService returns the backend servers of a service. The caller must not modify the
 // slice.
 func (b *Backends) OfService(service string) []catalog.Backend {
@@ -275,6 +281,7 @@
 	changes := f()
 	if len(changes) > 0 {
 		b.index()
+		b.loadOnce.Do(func() { close(b.loaded) })
 	}
 	b.mu.Unlock()
 	for _, c := range changes {
--- a/discovery/software.go
+++ b/discovery/software.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -31,9 +32,11 @@
 	window   time.Duration
 	now      func() time.Time
 
+	// loaded is closed once the records have been read.
+	loaded   chan struct{}
+	loadOnce sync.Once
+
 	mu sync.Mutex
-	// loaded states that the records have been read.
-	loaded bool
 	// byKey holds the recorded software, and by the time from which this process has known it.
 	byKey map[string]recordedSoftware
 	// due is when the outdated record under a key is to be appended.
@@ -49,7 +52,7 @@
 // backend server has been removed.
 func NewSoftwareHistory(backends *Backends, window time.Duration, now func() time.Time) *SoftwareHistory {
 	return &SoftwareHistory{
-		backends: backends, window: window, now: now,
+		backends: backends, window: window, now: now, loaded: make(chan struct{}),
 		byKey: make(map[string]recordedSoftware), due: make(map[string]time.Time),
 	}
 }
@@ -66,7 +69,26 @@
 			h.byKey[r.Key] = before
 		}
 	}
-	h.loaded = true
+	h.loadOnce.Do(func() { close(h.loaded) })
+}
+
+// AwaitLoaded waits until the records and the backend servers are known, or until ctx ends.
+func (h *SoftwareHistory) AwaitLoaded(ctx context.Context) {
+	for _, loaded := range []<-chan struct{}{h.loaded, h.backends.Loaded()} {
+		select {
+		case <-ctx.Done():
+		case <-loaded:
+		}
+	}
+}
+
+func (h *SoftwareHistory) isLoaded() bool {
+	select {
+	case <-h.loaded:
+		return true
+	default:
+		return false
+	}
 }
 
 // Apply implements keyedlog.View.
@@ -101,11 +123,11 @@
 	if !only {
 		return catalog.Software{}, false
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.loaded {
+	if !h.isLoaded() {
 		return catalog.Software{}, false
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for _, r := range h.byKey {
 		if r.software.Service == service && r.software != s {
 			return catalog.Software{}, false
@@ -118,12 +140,12 @@
 // tombstones of software that has been out of service for the window. The caller needn't know whether
 // an append took effect: what remains outdated is returned again later.
 func (h *SoftwareHistory) Outdated() []keyedlog.Record {
+	if !h.isLoaded() {
+		return nil
+	}
 	recent := h.backends.RecentSoftware(h.window)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.loaded {
-		return nil
-	}
 	now := h.now()
 	var out []keyedlog.Record
 	for s := range recent {
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -18,6 +18,9 @@
 // serve that this gateway does not know of. It exceeds the longest read of the store.
 const maxRegistrationAge = 1500 * time.Millisecond
 
+// maxSoftwareWait is how long a resume waits at a gateway that has just started.
+const maxSoftwareWait = 500 * time.Millisecond
+
 // resumes reports whether the caller has a part of the stream already.
 func (o *onlineRequest) resumes() bool {
 	return o.route.Kind == catalog.Stream && o.r.LastEventID != ""
@@ -58,7 +61,11 @@
 		return origin, originRecorded
 	}
 	// A caller may not name the attempt, and gateways may be lost with what they recorded.
-	if len(o.route.Splits) != 1 || o.g.StoreAge() > maxRegistrationAge {
+	if len(o.route.Splits) != 1 {
+		return catalog.Software{}, originUnknown
+	}
+	o.awaitSoftware(ctx)
+	if o.g.StoreAge() > maxRegistrationAge {
 		return catalog.Software{}, originUnknown
 	}
 	if origin, only := o.g.Software.Only(o.route.Splits[0].Service); only {
@@ -67,6 +74,14 @@
 	return catalog.Software{}, originUnknown
 }
 
+// awaitSoftware waits while the process has just started and does not know yet which software has
+// been in service. Callers whose gateways were lost come back at once and have one attempt left.
+func (o *onlineRequest) awaitSoftware(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxSoftwareWait)
+	defer cancel()
+	o.g.Software.AwaitLoaded(ctx)
+}
+
 // recordOrigin records the software that sends the first event of a stream. Other gateways
 // learn it before the caller can come back.
 func (o *onlineRequest) recordOrigin(b catalog.Backend) {
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -10,8 +10,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/discovery"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/origins"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 	"github.com/catkinrudder/catkinrudder/quarantine/quarantinetest"
 	"github.com/catkinrudder/catkinrudder/serving"
@@ -121,3 +123,24 @@
 	assert.NilError(t, err)
 	assert.Assert(t, time.Since(begin) < 200*time.Millisecond, "%s", time.Since(begin))
 }
+
+// TestResumeWaitsForAGatewayThatStarts covers callers that come back to a gateway before it has read
+// which software has been in service, and one that can't read it.
+func TestResumeWaitsForAGatewayThatStarts(t *testing.T) {
+	const readTime = 100 * time.Millisecond
+	a := platformtest.NewBackend(t, "a")
+	f := newFixture(t, a)
+	resume := func() error {
+		r := request("1", "/stream")
+		r.LastEventID = "3"
+		_, err := f.serve(r, route(catalog.Stream, resumable))
+		return err
+	}
+	f.Software = discovery.NewSoftwareHistory(f.Backends, origins.Retention, time.Now)
+	begin := time.Now()
+	assert.Equal(t, errkind.From(resume()).Response().Outcome, errkind.NotRun)
+	assert.Assert(t, time.Since(begin) < time.Second, "refused after %v", time.Since(begin))
+	time.AfterFunc(readTime, func() { f.Software.Rebuild(nil) })
+	assert.NilError(t, resume())
+	assert.Equal(t, a.Requests()[0].ResumeAfter, "3")
+}
