peering: a gateway that starts is told the limits of backend servers at once

KNOWN-RED TestLimitOfAServerHoldsForTheSumOfAllGateways, traced: 36 copies at once fail 6 of 72 times in the case with restarts (14 and 15 requests in 4 s, 13 allowed); the logs show requests that a gateway sends without a permit in the first half second after its start (r54, r166 in one run). Cause: it knows no limit; the owner announces it once a second, and nobody does if the new gateway is the owner itself. Ruled out: two owners at once, a slow machine (stalls of 0.14 s).

Change: a gateway that sees another one of its region for the first time sends it the limits in force. One datagram for each pair at a start, and only while servers name limits. Test that failed first: TestStartingGatewayLearnsTheLimits (0 limits known after 10 s).

--- a/peering/limits.go
+++ b/peering/limits.go
@@ -28,6 +28,8 @@
 	HandleReply(server string, batch bool, r ratelimit.Reply)
 	// HandleLimits records limits. reported states that this gateway tells the others.
 	HandleLimits(limits map[string]ratelimit.Limit, reported bool)
+	// Known returns the limits that are in force.
+	Known() map[string]ratelimit.Limit
 }
 
 // limitMessage is a message about limits. Only one of Announced, Reported, Request and Reply is set.
@@ -141,6 +143,14 @@
 	if all {
 		addresses = p.allAddresses()
 	}
+	p.announceLimits(limits, addresses...)
+}
+
+// introduceLimits tells a gateway of the own region that has started which limits are in force. It may
+// be the one that hands out their permits from now on.
+func (p *Peering) introduceLimits(to netip.AddrPort) { p.announceLimits(p.opts.Limits.Known(), to) }
+
+func (p *Peering) announceLimits(limits map[string]ratelimit.Limit, addresses ...netip.AddrPort) {
 	part := make(map[string]ratelimit.Limit, min(len(limits), maxLimitsPerMessage))
 	for server, l := range limits {
 		part[server] = l
--- a/peering/limits_test.go
+++ b/peering/limits_test.go
@@ -227,3 +227,35 @@
 	}
 	assert.Assert(t, float64(len(sent)) >= 3*perSecond, "%d requests in all", len(sent))
 }
+
+// TestStartingGatewayLearnsTheLimits covers a gateway that starts while limits are in force: it sends
+// nothing without a permit, also to the servers whose permits it hands out from now on.
+func TestStartingGatewayLearnsTheLimits(t *testing.T) {
+	all := fleet(t, "near", "near", "near")
+	const servers = 20
+	for i := range servers {
+		for _, g := range all {
+			g.limits.Observe(fmt.Sprint("i-", i), serving.RateLimit{Named: true, PerSecond: 0})
+		}
+	}
+	late := startGateway(t, "late", "127.0.0.1:0", "near")
+	for _, g := range all {
+		g.addPeer(t, late, "near")
+		late.addPeer(t, g, "near")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if known := late.limits.Known(); len(known) < servers {
+			return poll.Continue("%d limits are known", len(known))
+		}
+		return poll.Success()
+	})
+	owned := 0
+	for i := range servers {
+		server := fmt.Sprint("i-", i)
+		assert.Assert(t, late.limits.Admit(t.Context(), server, false) != nil)
+		if late.LimitOwner(server, "z-near").Self {
+			owned++
+		}
+	}
+	assert.Assert(t, owned > 0)
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -366,7 +366,8 @@
 	if udp, ok := from.(*net.UDPAddr); ok && r.Boot != sender.boot {
 		sender.addr = udp.AddrPort()
 	}
-	if !sender.reachable {
+	seen := !sender.reachable
+	if seen {
 		event.Log(p.opts.Logger, event.PeerSeen, "peer", r.From, "address", sender.addr)
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
@@ -375,8 +376,11 @@
 	p.noteConfigVersion(r.ConfigVersion)
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
-	far, otherZone := sender.far, sender.otherZone
+	far, otherZone, address := sender.far, sender.otherZone, sender.addr
 	p.mu.Unlock()
+	if seen && !far && p.opts.Limits != nil {
+		p.introduceLimits(address)
+	}
 	p.applyWaiting(r, far, now)
 	peerReport := balance.PeerReport{Counts: decodeCounts(r.Loads), OtherRegion: far, OtherZone: otherZone, Zone: r.Zone, Paces: decodePaces(r.Paces)}
 	if !far {
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -268,6 +268,9 @@
 	}
 }
 
+// Known returns the limits that are in force.
+func (l *Limiter) Known() map[string]Limit { return l.table.Named(time.Now()) }
+
 // Remove drops the state of a backend server that is no longer registered.
 func (l *Limiter) Remove(server string) { l.table.Remove(server) }
 
