--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -21,6 +21,7 @@
 	flagAround    = "around"
 	flagSummary   = "summary"
 	flagIDs       = "ids"
+	flagPer       = "per"
 	defaultAround = 3 * time.Second
 	// maxLogLine is the maximum length of a log line in bytes.
 	maxLogLine = 1 << 20
@@ -49,15 +50,16 @@
 		Description: "Reads log files, or standard input if there are none. In addition to the lines with ID it shows the\n" +
 			"events that the processes involved logged shortly before and in the meantime about the backend servers,\n" +
 			"shards and workspaces involved, the configuration and the store. With --summary it counts the requests that were not\n" +
-			"answered by cause and by whether another decision could have served them.",
+			"answered by cause and by whether another decision could have served them; with --per also in each window of time.",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: flagAround, Value: defaultAround, Usage: "how long before the first line related events are shown"},
 			&cli.BoolFlag{Name: flagSummary, Usage: "count all requests by how they ended"},
+			&cli.DurationFlag{Name: flagPer, Usage: "with --summary, count also in each window of `DURATION`"},
 			&cli.StringFlag{Name: flagIDs, Usage: "count only the requests whose ids are in `FILE`, one in each line"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if c.Bool(flagSummary) {
-				return t.explainAll(c.Args().Slice(), c.String(flagIDs), c.Bool(flagJSON))
+				return t.explainAll(c.Args().Slice(), c.String(flagIDs), c.Duration(flagPer), c.Bool(flagJSON))
 			}
 			if !c.Args().Present() {
 				return withCode(ExitUsage, errors.New("explain: ID is missing"))
@@ -72,7 +74,7 @@
 }
 
 // explainAll prints how the requests in the logs ended.
-func (t Tool) explainAll(paths []string, idFile string, asJSON bool) error {
+func (t Tool) explainAll(paths []string, idFile string, per time.Duration, asJSON bool) error {
 	var ids map[string]bool
 	if idFile != "" {
 		var err error
@@ -84,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	s := summarize(lines, ids)
+	s := summarize(lines, ids, per)
 	if asJSON {
 		return t.writeJSON(s)
 	}
--- a/internal/ctl/summary.go
+++ b/internal/ctl/summary.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"cmp"
+	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strconv"
@@ -84,6 +86,21 @@
 	Requests int          `json:"requests"`
 	Answered int          `json:"answered"`
 	Rows     []summaryRow `json:"unanswered"`
+	// Windows are those in which requests began.
+	Windows []*summaryWindow `json:"windows,omitempty"`
+}
+
+// summaryWindow counts the requests that began in a window of time.
+type summaryWindow struct {
+	// From is the time from the first request of all to the begin of the window, in nanoseconds.
+	From       time.Duration `json:"from_ns"`
+	Requests   int           `json:"requests"`
+	Answered   int           `json:"answered"`
+	Unanswered map[cause]int `json:"unanswered"`
+}
+
+func newSummaryWindow(from time.Duration) *summaryWindow {
+	return &summaryWindow{From: from, Unanswered: make(map[cause]int)}
 }
 
 // requestAt identifies an attempt of a caller at one process. Repeated attempts at several
@@ -92,53 +109,77 @@
 
 // requestEnd is the last known state of a request.
 type requestEnd struct {
+	requestAt
+	first time.Time
 	last  logLine
 	ended bool
 }
 
-// summarize counts the requests by how they ended. If ids is not nil, it counts only those
-// of these requests.
-func summarize(lines []logLine, ids map[string]bool) summary {
-	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+// requestEnds returns the requests of the log lines and how they ended, in the order of their first
+// lines. If ids is not nil, it returns only those of these requests. The lines are sorted by time.
+func requestEnds(lines []logLine, ids map[string]bool) []*requestEnd {
 	ends := make(map[requestAt]*requestEnd)
-	var order []requestAt
-	starts, stops := make(map[string][]time.Time), make(map[string][]time.Time)
+	var order []*requestEnd
 	for _, l := range lines {
 		switch l.msg {
-		case "started":
-			starts[l.node] = append(starts[l.node], l.at)
-		case "draining":
-			stops[l.node] = append(stops[l.node], l.at)
 		case "request_routed", "request_retried", "request_done", "request_refused":
-			key := requestAt{l.fields["request"], l.node}
-			if key.id == "" || ids != nil && !ids[key.id] {
-				continue
-			}
-			e := ends[key]
-			if e == nil {
-				e = &requestEnd{}
-				ends[key] = e
-				order = append(order, key)
-			}
-			e.last, e.ended = l, l.msg == "request_done" || l.msg == "request_refused"
+		default:
+			continue
 		}
+		key := requestAt{l.fields["request"], l.node}
+		if key.id == "" || ids != nil && !ids[key.id] {
+			continue
+		}
+		e := ends[key]
+		if e == nil {
+			e = &requestEnd{requestAt: key, first: l.at}
+			ends[key] = e
+			order = append(order, e)
+		}
+		e.last, e.ended = l, l.msg == "request_done" || l.msg == "request_refused"
 	}
-	out := summary{Requests: len(order)}
+	return order
+}
+
+// processTimes are when processes were started or stopped, by name.
+type processTimes map[string][]time.Time
+
+// timesOf returns when processes logged an event.
+func timesOf(lines []logLine, msg string) processTimes {
+	times := make(processTimes)
+	for _, l := range lines {
+		if l.msg == msg {
+			times[l.node] = append(times[l.node], l.at)
+		}
+	}
+	return times
+}
+
+// summarize counts the requests by how they ended. If ids is not nil, it counts only those
+// of these requests; if per is not 0, it counts them also by the window in which they began.
+func summarize(lines []logLine, ids map[string]bool, per time.Duration) summary {
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	starts, stops := timesOf(lines, "started"), timesOf(lines, "draining")
+	ends := requestEnds(lines, ids)
+	out := summary{Requests: len(ends)}
 	rows := make(map[summaryRow]*summaryRow)
-	for _, key := range order {
-		e := ends[key]
+	for _, e := range ends {
+		w := out.window(e.first, ends[0].first, per)
+		w.Requests++
 		if e.last.msg == "request_done" {
 			out.Answered++
+			w.Answered++
 			continue
 		}
-		row := summaryRow{Cause: e.cause(starts[key.node], stops[key.node]), Kind: e.last.fields["kind"]}
+		row := summaryRow{Cause: e.cause(starts[e.node], stops[e.node]), Kind: e.last.fields["kind"]}
 		row.Avoidable = verdicts[row.Cause]
 		counted := rows[row]
 		if counted == nil {
-			counted = &summaryRow{row.Cause, row.Kind, row.Avoidable, 0, key.id}
+			counted = &summaryRow{row.Cause, row.Kind, row.Avoidable, 0, e.id}
 			rows[row] = counted
 		}
 		counted.Requests++
+		w.Unanswered[row.Cause]++
 	}
 	for _, row := range rows {
 		out.Rows = append(out.Rows, *row)
@@ -149,6 +190,19 @@
 	return out
 }
 
+// window returns the window in which a request began whose first line is from at, if the first of all
+// is from begin. Requests are added in the order of their first lines.
+func (s *summary) window(at, begin time.Time, per time.Duration) *summaryWindow {
+	if per <= 0 {
+		return newSummaryWindow(0)
+	}
+	from := at.Sub(begin).Truncate(per)
+	if n := len(s.Windows); n == 0 || s.Windows[n-1].From != from {
+		s.Windows = append(s.Windows, newSummaryWindow(from))
+	}
+	return s.Windows[len(s.Windows)-1]
+}
+
 // cause returns why the request was not answered, given when its process was started and
 // stopped.
 func (e *requestEnd) cause(starts, stops []time.Time) cause {
@@ -201,11 +255,34 @@
 	if len(s.Rows) == 0 {
 		return
 	}
-	w := tabwriter.NewWriter(t.Stdout, 0, 0, 2, ' ', 0)
-	writeRow := func(cells ...string) { _, _ = io.WriteString(w, strings.Join(cells, "\t")+"\n") } // Flush reports errors
-	writeRow("requests", "cause", "answer", "avoidable", "example")
+	rows := [][]string{{"requests", "cause", "answer", "avoidable", "example"}}
 	for _, r := range s.Rows {
-		writeRow(strconv.Itoa(r.Requests), string(r.Cause), cmp.Or(r.Kind, "none"), string(r.Avoidable), r.Example)
+		rows = append(rows, []string{strconv.Itoa(r.Requests), string(r.Cause), cmp.Or(r.Kind, "none"), string(r.Avoidable), r.Example})
+	}
+	t.printTable(rows)
+	if len(s.Windows) == 0 {
+		return
+	}
+	rows = [][]string{{"from", "requests", "answered", "unanswered"}}
+	for _, w := range s.Windows {
+		rows = append(rows, []string{w.From.String(), strconv.Itoa(w.Requests), strconv.Itoa(w.Answered), w.causes()})
+	}
+	t.printTable(rows)
+}
+
+// causes lists the causes for which requests were not answered.
+func (w *summaryWindow) causes() string {
+	var out []string
+	for _, c := range slices.Sorted(maps.Keys(w.Unanswered)) {
+		out = append(out, fmt.Sprintf("%d %s", w.Unanswered[c], c))
+	}
+	return strings.Join(out, ", ")
+}
+
+func (t Tool) printTable(rows [][]string) {
+	w := tabwriter.NewWriter(t.Stdout, 0, 0, 2, ' ', 0)
+	for _, cells := range rows {
+		_, _ = io.WriteString(w, strings.Join(cells, "\t")+"\n") // Flush reports errors
 	}
 	_ = w.Flush() // as for every output of the tool
 }
--- a/internal/ctl/summary_test.go
+++ b/internal/ctl/summary_test.go
@@ -66,3 +66,13 @@
 	assert.NilError(t, json.Unmarshal([]byte(explainSummary(t, "--json", "explain", "--summary", "--ids", ids)), &got))
 	assert.DeepEqual(t, got, summary{Requests: 2, Answered: 1, Rows: []summaryRow{{causeProcessLost, "", avoidableNo, 1, "lost"}}})
 }
+
+func TestExplainSummaryCountsByWindow(t *testing.T) {
+	out := explainSummary(t, "explain", "--summary", "--per", "2s")
+	_, windows, found := strings.Cut(out, "\nfrom")
+	assert.Assert(t, found, out)
+	assert.Equal(t, "from"+windows, `from  requests  answered  unanswered
+0s    3         1         1 process lost, 1 process stopped
+2s    11        0         1 backend server did not answer in time, 1 backend server failed, 2 backend server failed the only permitted run, 1 caller left, 2 no free slot, 1 no key of a workspace, 1 no such batch job, 1 still running, 1 store unavailable
+`)
+}
