--- a/balance/simulation_test.go
+++ b/balance/simulation_test.go
@@ -1,7 +1,6 @@
 package balance_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -45,102 +44,6 @@
 	crossed, arrived map[string]int
 }
 
-type engine struct {
-	running int
-	queue   []*attempt
-	// phases are the ends of the spans in which the engine is at one pace: the usual one and the
-	// slow one by turns.
-	phases []time.Time
-}
-
-type attempt struct {
-	gateway, engine int
-	class           balance.Class
-	arrived         time.Time
-	started         time.Time // zero until it has a slot
-	ended           bool
-	choice          balance.Choice
-}
-
-type simEvent struct {
-	at  time.Time
-	seq int
-	run func()
-}
-
-type eventQueue []simEvent
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	if q[i].at.Equal(q[j].at) {
-		return q[i].seq < q[j].seq
-	}
-	return q[i].at.Before(q[j].at)
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
-const simSlots = 8
-
-// quietInterval is the least time between two reports to other zones about what does not concern them.
-const quietInterval = 60 * time.Millisecond
-
-// regionRoundTrip is the round trip to the far region.
-const regionRoundTrip = 60 * time.Millisecond
-
-// simConfig is the size and the load of a simulation.
-type simConfig struct {
-	numGateways, numEngines int
-	// onlineTime and batchTime are how long an attempt holds its slot on average.
-	onlineTime, batchTime time.Duration
-	// onlinePerSecond is the mean rate of online requests. If batch is set, there is always
-	// more batch work than fits.
-	onlinePerSecond float64
-	batch           bool
-	// reportDelay is the latency of a report between gateways; a negative value disables
-	// reports. reportInterval is the least time between two reports of a gateway.
-	reportDelay, reportInterval time.Duration
-	length                      time.Duration
-	// zones is the number of zones that gateways and engines are spread over; 0 is one zone.
-	zones int
-	// weights are the relative rates of the zones' requests; without them, all are equal.
-	weights []float64
-	// far states that the last zone is in another region, regionRoundTrip away. paths are the costs
-	// of sending a request out of its zone; nil stands for the defaults.
-	far   bool
-	paths *balance.Paths
-	// lost lists the engines that are gone.
-	lost []int
-	// slowPace is the pace of an engine in its slow spans, which take slowTime on average and a
-	// part slowShare of the whole time. statesPace states that engines state it.
-	slowPace, slowShare float64
-	slowTime            time.Duration
-	statesPace          bool
-	// firstByte is the time until the first byte after an attempt has got its slot.
-	firstByte time.Duration
-}
-
-// smallFleet is a fleet in which each attempt is reported at once.
-var smallFleet = simConfig{
-	numGateways: 8, numEngines: 9, onlineTime: 750 * time.Millisecond, batchTime: 5 * time.Second,
-	onlinePerSecond: 45, batch: true, reportDelay: 4 * time.Millisecond, length: time.Minute,
-}
-
-// largeRegion has the load and the report interval of one of two regions of a fleet of 133
-// gateways, and half of its size. Online requests use a fifth of the slots on average and
-// a third in bursts.
-var largeRegion = simConfig{
-	numGateways: 33, numEngines: 36, onlineTime: 330 * time.Millisecond, batchTime: 2200 * time.Millisecond,
-	onlinePerSecond: 168, batch: true, reportDelay: 4 * time.Millisecond, reportInterval: 176 * time.Millisecond,
-	length: 6 * time.Second,
-}
-
 func newSim(seed uint64, c simConfig) *sim {
 	s := &sim{simConfig: c, crossed: make(map[string]int), arrived: make(map[string]int), lastReport: make([]time.Time, c.numGateways), lastWide: make([]time.Time, c.numGateways), reportDue: make([]bool, c.numGateways), rng: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(0, 0), batchAttempts: make(map[int][]*attempt)}
 	for i := range c.numGateways {
@@ -157,20 +60,6 @@
 	return s
 }
 
-// zoneOf returns the zone of a gateway or an engine.
-func (c simConfig) zoneOf(i int) string { return fmt.Sprint("z", i%max(c.zones, 1)) }
-
-func (c simConfig) regionOf() map[string]string {
-	regions := make(map[string]string)
-	for i := range max(c.zones, 1) {
-		regions[c.zoneOf(i)] = "r"
-	}
-	if c.far {
-		regions[c.zoneOf(c.zones-1)] = "q"
-	}
-	return regions
-}
-
 // phases returns the ends of the spans of an engine's paces; the first span is at the usual pace.
 func (s *sim) phases() []time.Time {
 	if s.slowShare == 0 {
@@ -189,57 +78,6 @@
 	return ends
 }
 
-// pace returns the pace of an engine at a time, and until when it stays.
-func (s *sim) pace(e *engine, at time.Time) (pace float64, until time.Time) {
-	i, _ := slices.BinarySearchFunc(e.phases, at, func(end, at time.Time) int {
-		if end.After(at) {
-			return 1
-		}
-		return -1
-	})
-	if i >= len(e.phases) {
-		return 1, at.Add(time.Hour)
-	}
-	if i%2 == 0 {
-		return 1, e.phases[i]
-	}
-	return s.slowPace, e.phases[i]
-}
-
-// timeFor returns how long an engine takes for work that begins now.
-func (s *sim) timeFor(e *engine, work time.Duration) time.Duration {
-	at := s.now
-	for {
-		pace, until := s.pace(e, at)
-		needed := time.Duration(float64(work) * pace)
-		if left := until.Sub(at); needed > left {
-			work -= time.Duration(float64(left) / pace)
-			at = until
-			continue
-		}
-		return at.Add(needed).Sub(s.now)
-	}
-}
-
-// random returns a random duration below d.
-func (s *sim) random(d time.Duration) time.Duration { return time.Duration(s.rng.Int64N(int64(d))) }
-
-func (s *sim) after(d time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.events, simEvent{s.now.Add(d), s.seq, run})
-}
-
-func (s *sim) until(end time.Duration) {
-	for len(s.events) > 0 {
-		e := heap.Pop(&s.events).(simEvent)
-		if e.at.After(time.Unix(0, 0).Add(end)) {
-			return
-		}
-		s.now = e.at
-		e.run()
-	}
-}
-
 // report makes a gateway send a report as soon as reportInterval allows.
 func (s *sim) report(gateway int) {
 	if s.reportDelay < 0 || s.reportDue[gateway] {
@@ -304,48 +142,6 @@
 	s.admit(e)
 }
 
-func (s *sim) admit(e *engine) {
-	for e.running < simSlots && len(e.queue) > 0 {
-		a := e.queue[0]
-		e.queue = e.queue[1:]
-		if a.ended {
-			continue
-		}
-		a.started = s.now
-		e.running++
-		duration := s.batchTime
-		if a.class == balance.Online {
-			pace, _ := s.pace(e, s.now)
-			first := time.Duration(float64(s.firstByte) * pace)
-			if regions := s.regionOf(); regions[s.zoneOf(a.gateway)] != regions[s.zoneOf(a.engine)] {
-				first += regionRoundTrip
-			}
-			s.waits = append(s.waits, s.now.Add(first).Sub(a.arrived))
-			s.gateways[a.gateway].ObserveFirstByte(a.choice, s.now.Add(first).Sub(a.arrived), s.now.Add(first))
-			duration = s.onlineTime/2 + s.random(s.onlineTime)
-		}
-		if pace, _ := s.pace(e, s.now); s.statesPace {
-			s.gateways[a.gateway].ObservePace(s.backends[a.engine].ID, pace, s.now)
-			s.report(a.gateway)
-		}
-		s.after(s.timeFor(e, duration), func() { s.end(a) })
-	}
-}
-
-func (s *sim) end(a *attempt) {
-	if a.ended {
-		return
-	}
-	a.ended = true
-	if !a.started.IsZero() {
-		s.engines[a.engine].running--
-		s.busy += s.now.Sub(a.started)
-	}
-	s.gateways[a.gateway].Release(s.backends[a.engine].ID, a.class)
-	s.report(a.gateway)
-	s.admit(s.engines[a.engine])
-}
-
 // stopExcess stops the excess batch attempts of a gateway.
 func (s *sim) stopExcess(gateway int) {
 	if len(s.batchAttempts[gateway]) == 0 {
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -21,14 +21,6 @@
 // response must not look complete to the caller.
 var ErrAborted = errors.New("gateway: response aborted")
 
-const (
-	// idleTimeoutFactor is the multiple of the route's FirstByteObjective for which an
-	// idempotent request waits for a response head or the next event before it is retried
-	// elsewhere. It waits for minIdleTimeout at least.
-	idleTimeoutFactor = 2
-	minIdleTimeout    = 600 * time.Millisecond
-)
-
 // onlineRequest is the state of one online request.
 type onlineRequest struct {
 	g       *Gateway
@@ -202,36 +194,6 @@
 	return o.route.Idempotent && o.attempts < o.route.MaxAttempts
 }
 
-// startIdleTimer starts a timer that fires once the backend server has sent nothing for
-// too long. It cancels an attempt that may be repeated. Other attempts continue, because
-// a missing response does not prove that the request did not run; instead it counts as a
-// failure of the backend server, unless the server is known to be full and the request
-// waits for a slot.
-func (o *onlineRequest) startIdleTimer(b catalog.Backend, cancel context.CancelFunc) *idleTimer {
-	limit := max(idleTimeoutFactor*o.route.FirstByteObjective, minIdleTimeout)
-	if !o.route.Idempotent || o.attempts+1 >= o.route.MaxAttempts {
-		recordFailure := func() {
-			if !o.g.Table.Full(b, time.Now()) {
-				o.reportFailure(b, false)
-			}
-		}
-		return &idleTimer{timer: time.AfterFunc(limit, recordFailure), limit: limit}
-	}
-	return &idleTimer{timer: time.AfterFunc(limit, cancel), limit: limit}
-}
-
-// idleTimer is the idle timer of an attempt.
-type idleTimer struct {
-	timer *time.Timer
-	limit time.Duration
-}
-
-// Stop stops the timer.
-func (t *idleTimer) Stop() { t.timer.Stop() }
-
-// Reset restarts the timer after data was received.
-func (t *idleTimer) Reset() { t.timer.Reset(t.limit) }
-
 // handleNoResponse handles an attempt that ended without a response head.
 func (o *onlineRequest) handleNoResponse(ctx context.Context, b catalog.Backend, err error) (retry bool, _ error) {
 	notPermitted := errors.Is(err, upstream.ErrNoPermit)
@@ -279,34 +241,3 @@
 func (o *onlineRequest) reportFailure(b catalog.Backend, unreachable bool) {
 	ejection.Ejector{Table: o.g.Table, Pool: o.g.Pool, Log: o.g.Log}.RecordFailure(b, unreachable)
 }
-
-func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
-	o.g.Metrics.routed(c.Reason)
-	o.g.Metrics.crossed(c.Backend.Zone, c.Crossing)
-	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "service", o.service,
-		"backend", c.Backend.ID, "reason", c.Reason, "online", c.Load.Online, "batch", c.Load.Batch, "slots", c.Backend.Slots,
-		"zone", c.Backend.Zone, "crossing", c.Crossing, "attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
-		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
-}
-
-func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
-	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
-		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts, "identity", o.loggedIdentity())
-}
-
-func (o *onlineRequest) logFailure(err error) {
-	if errors.Is(err, ErrAborted) {
-		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", "aborted",
-			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
-			"parts", o.parts, "identity", o.loggedIdentity())
-		return
-	}
-	e := errkind.From(err)
-	o.g.Metrics.requestFailed(e.Kind)
-	o.g.Metrics.workspaceRefused(o.r.Identity.Workspace, e.Kind)
-	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", e.Kind,
-		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
-		"priority", o.priority, "refused", o.judged.reason, "ahead", o.judged.forecast.Ahead,
-		"expected_wait", o.judged.forecast.Here, "expected_elsewhere", o.judged.forecast.Elsewhere, "spent_before", o.spent,
-		"parts", o.parts, "identity", o.loggedIdentity())
-}
--- /dev/null
+++ b/internal/gateway/online_log.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
+)
+
+func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
+	o.g.Metrics.routed(c.Reason)
+	o.g.Metrics.crossed(c.Backend.Zone, c.Crossing)
+	event.Log(o.g.Log, event.RequestRouted, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "service", o.service,
+		"backend", c.Backend.ID, "reason", c.Reason, "online", c.Load.Online, "batch", c.Load.Batch, "slots", c.Backend.Slots,
+		"zone", c.Backend.Zone, "crossing", c.Crossing, "attempt", o.attempts+1, "waited", now.Sub(o.r.ReceivedAt), "store_age", o.g.StoreAge(),
+		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
+}
+
+func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
+	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
+		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts, "identity", o.loggedIdentity())
+}
+
+func (o *onlineRequest) logFailure(err error) {
+	if errors.Is(err, ErrAborted) {
+		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", "aborted",
+			"cause", err, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "last_event", o.lastEvent,
+			"parts", o.parts, "identity", o.loggedIdentity())
+		return
+	}
+	e := errkind.From(err)
+	o.g.Metrics.requestFailed(e.Kind)
+	o.g.Metrics.workspaceRefused(o.r.Identity.Workspace, e.Kind)
+	event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", e.Kind,
+		"cause", e, "repeatable", o.route.Idempotent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt), "retry_after", e.Response().RetryAfter,
+		"priority", o.priority, "refused", o.judged.reason, "ahead", o.judged.forecast.Ahead,
+		"expected_wait", o.judged.forecast.Here, "expected_elsewhere", o.judged.forecast.Elsewhere, "spent_before", o.spent,
+		"parts", o.parts, "identity", o.loggedIdentity())
+}
