gateway, jobs: count and log what shows that a response is complete

Callers may take a cut answer for a whole one, and nothing told how an answer had ended: no line and no metric named its framing, nor what was concluded about a server that ended it by closing the connection.

Each response that has ended is now counted by its evidence (catkinrudder_gateway_response_ends_total: length, last_chunk, reachable, server_ended, unproved), for calls, streams and items, and event 209 end_unproved names the request, the server, its version and the last event if nothing shows that the response is complete. No decision changes: an unproved end still counts as complete.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -133,6 +133,11 @@
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_attempts_total{backend="` + backendID + `",outcome="` + string(o) + `"}`).Inc()
 }
 
+// ResponseEnded counts a response of a backend server that has ended, by what shows that it is complete.
+func (m *Metrics) ResponseEnded(routeKind string, evidence upstream.Evidence) {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_response_ends_total{route_kind="` + routeKind + `",evidence="` + string(evidence) + `"}`).Inc()
+}
+
 // ItemDecided counts a decision on batch items.
 func (m *Metrics) ItemDecided(d jobs.Decision, reason string) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_item_decisions_total{decision="` + string(d) + `",reason="` + reason + `"}`).Inc()
--- a/internal/gateway/online_log.go
+++ b/internal/gateway/online_log.go
@@ -9,6 +9,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
 func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
@@ -20,6 +21,16 @@
 		"version", c.Backend.Version, "resumes", o.r.Resumes, "resume_after", o.lastEvent)
 }
 
+// logEnd counts a response that has ended, and logs one whose end does not show that it is complete.
+func (o *onlineRequest) logEnd(b catalog.Backend, evidence upstream.Evidence) {
+	o.g.Metrics.ResponseEnded(o.route.Kind.String(), evidence)
+	if evidence.Proves() {
+		return
+	}
+	event.Log(o.g.Log, event.EndUnproved, "request", o.r.ID, "backend", b.ID, "version", b.Version, "evidence", evidence,
+		"last_event", o.lastEvent, "attempts", o.attempts, "after", time.Since(o.r.ReceivedAt))
+}
+
 func (o *onlineRequest) logRetry(b catalog.Backend, cause error) {
 	event.Log(o.g.Log, event.RequestRetried, "request", o.r.ID, "backend", b.ID, "cause", cause,
 		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts, "identity", o.loggedIdentity())
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -149,14 +149,20 @@
 // connection only, it may be the end of the backend server, which is an error. proved states that the
 // response is certainly complete.
 func (o *onlineRequest) checkEnd(ctx context.Context, b catalog.Backend, response *upstream.Response) (proved bool, err error) {
-	if response.Framed() {
+	evidence := response.FramingEvidence()
+	defer func() { o.logEnd(b, evidence) }()
+	if evidence != upstream.Unproved {
 		return true, nil
 	}
 	examination := o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
 	if examination.Ended(ctx) {
+		evidence = upstream.ServerEnded
 		return false, errUnframedCut
 	}
-	return examination.Lives(ctx), nil
+	if examination.Lives(ctx) {
+		evidence = upstream.ByReachability
+	}
+	return evidence == upstream.ByReachability, nil
 }
 
 // endOfEvents handles the end of a stream.
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -85,8 +85,6 @@
 // progressInterval is the number of events between two reports of progress.
 const progressInterval = 8
 
-var errUnframedCut = errors.New("jobs: the backend server has ended with the stream")
-
 var errOutputTooLong = errors.New("jobs: the output of the item is too long")
 
 var errIdle = errors.New("jobs: no event from the backend server in time")
@@ -123,7 +121,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if !response.Framed() && s.opts.Quarantine.Examine(b, nil, time.Time{}).Ended(ctx) {
+			if s.examineEnd(ctx, response, b, p) == upstream.ServerEnded {
 				return outcome{runInterrupted, p, errUnframedCut}
 			}
 			s.opts.Table.RecordSuccess(b.ID)
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -67,6 +67,8 @@
 	Observer keyedlog.Observer
 	// Decided is called for each decision on batch items that is counted; nil ignores them.
 	Decided func(d Decision, reason string)
+	// ResponseEnded is called for each response that has ended; nil ignores them.
+	ResponseEnded func(routeKind string, evidence upstream.Evidence)
 }
 
 // ShardReport is the state of a shard as its owner reports it.
--- /dev/null
+++ b/upstream/evidence.go
@@ -0,0 +1,40 @@
+package upstream
+
+// Evidence is what shows that a response which has ended is complete.
+type Evidence string
+
+// The kinds of evidence.
+const (
+	// ByLength: the body has the length that the head states.
+	ByLength Evidence = "length"
+	// ByLastChunk: the body ended with its last chunk.
+	ByLastChunk Evidence = "last_chunk"
+	// ByReachability: the connection was closed, and the backend server accepts connections.
+	ByReachability Evidence = "reachable"
+	// ServerEnded: the connection was closed, and the backend server has ended.
+	ServerEnded Evidence = "server_ended"
+	// Unproved: the connection was closed, which the end of the backend server does too.
+	Unproved Evidence = "unproved"
+)
+
+// Evidences lists every kind of evidence.
+func Evidences() []Evidence {
+	return []Evidence{ByLength, ByLastChunk, ByReachability, ServerEnded, Unproved}
+}
+
+// Proves reports whether the response is complete.
+func (e Evidence) Proves() bool { return e != ServerEnded && e != Unproved }
+
+// FramingEvidence returns what the framing of the response shows about its end.
+func (r *Response) FramingEvidence() Evidence {
+	switch {
+	case r.resp.ContentLength >= 0:
+		return ByLength
+	case len(r.resp.TransferEncoding) > 0:
+		return ByLastChunk
+	}
+	return Unproved
+}
+
+// RequestID returns the id of the request that the response belongs to.
+func (r *Response) RequestID() string { return r.requestID }
