An answer that ended by closing is complete only if its process serves on

Cause: a response without length and chunks ends when its connection is closed. The kernel closes the connections of a process that ends in the same way. The gateway then connected to the address and took every result but a refused connection for 'complete': a process that had started again there, a server that did not answer in time, one that drains. Class of fault: absence of evidence of a failure was taken for evidence of success, in three places.

Fix: the server is asked who it is after the end. Only the process that sent the response (start time as registered; or the id, if no start is stated) proves the end. Anything else is an interruption: repeat or resume where the route allows it, an honest break otherwise. One rule (upstream.Evidence) for calls, streams and items. An end that falls into a running probe gets another probe: the first one may have found the process before its end (TestEndDuringAProbeNeedsAnotherProbe). The end of a process is now also seen by the quarantine if another one serves at the address.

The fixture registers start times.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -84,6 +84,8 @@
 	// MaxConnections bounds the connections of all callers together to one backend
 	// server; 0 is unknown.
 	MaxConnections int
+	// HealthPath is the path of a backend server's health check; empty if there is none.
+	HealthPath string
 	// Slots is how many requests an engine processes concurrently; 0 is unknown.
 	Slots int
 	// KVCacheTokens is the size of an engine's KV cache; 0 for plain services.
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -39,8 +40,9 @@
 func newFixture(t *testing.T, backends ...*platformtest.Backend) *fixture {
 	t.Helper()
 	decode := func(id string, value []byte) (catalog.Backend, error) {
-		address, version, _ := strings.Cut(string(value), " ")
-		return catalog.Backend{ID: id, Service: "s", Address: address, Zone: "z", Version: version, State: catalog.Ready, Slots: 2}, nil
+		b := catalog.Backend{ID: id, Service: "s", Zone: "z", State: catalog.Ready, Slots: 2}
+		_, err := fmt.Sscan(string(value), &b.Address, &b.Version, &b.StartedMs)
+		return b, errors.Wrap(err, "test registration")
 	}
 	discovered := discovery.NewBackends(decode, func(discovery.Change) {}, time.Now)
 	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: 200 * time.Millisecond})
@@ -57,7 +59,7 @@
 		StoreAge: func() time.Duration { return 0 },
 		Origins:  localOrigins{origins.NewTable()},
 
-		Quarantine: quarantinetest.NewGuard(pool.Probe),
+		Quarantine: quarantinetest.NewGuard(pool),
 	}}
 	f.register(backends...)
 	return f
@@ -78,7 +80,7 @@
 func (f *fixture) register(backends ...*platformtest.Backend) {
 	var records []keyedlog.Record
 	for _, b := range backends {
-		records = append(records, keyedlog.Record{Key: b.ID, Value: []byte(b.Address + " " + b.Version)})
+		records = append(records, keyedlog.Record{Key: b.ID, Value: fmt.Appendf(nil, "%s %s %d", b.Address, b.Version, b.Born)})
 	}
 	f.Backends.Rebuild(records)
 }
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
-	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -47,15 +46,14 @@
 	if len(body) == maxBufferedBytes {
 		return o.relayLong(ctx, b, response, body)
 	}
-	proved, err := o.checkEnd(ctx, b, response)
-	if err != nil {
-		return o.handleInterruption(ctx, b, err)
+	if examination, err := o.checkEnd(ctx, b, response); err != nil {
+		return o.handleUnprovedEnd(ctx, b, err, examination)
 	}
 	o.sendHead(response, true, len(body))
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
-	o.succeeded(b, response.Status, proved)
+	o.succeeded(b, response.Status)
 	return false, nil
 }
 
@@ -68,11 +66,10 @@
 	if err := o.copyRest(response); err != nil {
 		return o.handleInterruption(ctx, b, err)
 	}
-	proved, err := o.checkEnd(ctx, b, response)
-	if err != nil {
-		return o.handleInterruption(ctx, b, err)
+	if examination, err := o.checkEnd(ctx, b, response); err != nil {
+		return o.handleUnprovedEnd(ctx, b, err, examination)
 	}
-	o.succeeded(b, response.Status, proved)
+	o.succeeded(b, response.Status)
 	return false, nil
 }
 
@@ -143,38 +140,15 @@
 	}
 }
 
-var errUnframedCut = errors.New("the backend server has ended with the response")
-
-// checkEnd checks that a response that has ended is complete. If its end is marked by closing the
-// connection only, it may be the end of the backend server, which is an error. proved states that the
-// response is certainly complete.
-func (o *onlineRequest) checkEnd(ctx context.Context, b catalog.Backend, response *upstream.Response) (proved bool, err error) {
-	evidence := response.FramingEvidence()
-	defer func() { o.logEnd(b, evidence) }()
-	if evidence != upstream.Unproved {
-		return true, nil
-	}
-	examination := o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
-	if examination.Ended(ctx) {
-		evidence = upstream.ServerEnded
-		return false, errUnframedCut
-	}
-	if examination.Lives(ctx) {
-		evidence = upstream.ByReachability
-	}
-	return evidence == upstream.ByReachability, nil
-}
-
 // endOfEvents handles the end of a stream.
 func (o *onlineRequest) endOfEvents(ctx context.Context, b catalog.Backend, response *upstream.Response) (retry bool, err error) {
-	proved, err := o.checkEnd(ctx, b, response)
-	if err != nil {
-		return o.handleInterruption(ctx, b, err)
+	if examination, err := o.checkEnd(ctx, b, response); err != nil {
+		return o.handleUnprovedEnd(ctx, b, err, examination)
 	}
 	if !o.headSent {
 		o.sendHead(response, true, 0)
 	}
-	o.succeeded(b, response.Status, proved)
+	o.succeeded(b, response.Status)
 	return false, nil
 }
 
@@ -191,25 +165,9 @@
 	return http.NewResponseController(o.w).Flush()
 }
 
-// handleInterruption handles a response that was cut off.
-func (o *onlineRequest) handleInterruption(ctx context.Context, b catalog.Backend, err error) (retry bool, _ error) {
-	if ctx.Err() != nil {
-		return false, o.finalError(o.expiredError(ctx.Err()))
-	}
-	o.reportFailure(b, false)
-	examination := o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
-	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s broke off", b.ID)
-	if !o.mayRepeat() || o.headSent && !o.mayContinue() || o.suspected(ctx, examination) {
-		return false, o.finalError(o.lastFailure)
-	}
-	o.logRetry(b, err)
-	return true, nil
-}
-
 // succeeded completes a request whose caller has the complete response. A server
-// error is a complete response too, but it counts as a failure of the backend server. proved
-// states that the response is certainly complete.
-func (o *onlineRequest) succeeded(b catalog.Backend, status int, proved bool) {
+// error is a complete response too, but it counts as a failure of the backend server.
+func (o *onlineRequest) succeeded(b catalog.Backend, status int) {
 	if status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout {
 		o.reportFailure(b, false)
 	} else {
@@ -218,7 +176,7 @@
 	if status == http.StatusOK && o.firstByte.After(o.attemptBegan) {
 		o.g.queue.completed(o.service, time.Since(o.attemptBegan), o.firstByte.Sub(o.attemptBegan))
 	}
-	if status == http.StatusOK && proved {
+	if status == http.StatusOK {
 		o.g.Quarantine.RunCompleted(o.suspectsIfNeeded(eagerIdentityBytes))
 	}
 	event.Log(o.g.Log, event.RequestDone, "request", o.r.ID, "backend", b.ID, "status", status,
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -112,7 +112,7 @@
 	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
 	faultOnFirstRun(platformtest.ResetAfterRun, a, b)
 	f := newFixture(t, a, b)
-	f.Quarantine = quarantinetest.NewGuard(func(ctx context.Context, _ string) error {
+	f.Quarantine = quarantinetest.NewGuardWithProbe(func(ctx context.Context, _ catalog.Backend, _ bool) error {
 		<-ctx.Done()
 		return ctx.Err()
 	})
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -137,7 +137,7 @@
 	configs := discovery.NewConfigView(platform.ConfigKey, platform.DecodeConfig, d.configChanged, d.configRefused)
 	d.limits = ratelimit.NewLimiter(d.limitOptions(table))
 	d.quotas = quota.NewLimiter(d.quotaOptions(configs, gatewayMetrics))
-	d.guard = quarantine.NewGuard(d.guardOptions(table))
+	d.guard = quarantine.NewGuard(d.guardOptions(configs, table))
 	crowd := waiting.NewCrowd(peering.ReportTTL)
 	d.peering = peering.New(peering.Options{
 		Name: s.Instance, Region: s.Region, Zone: s.Zone, LinkMbps: s.LinkMbps, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps), Table: table, Logger: logger, Conn: conn, Client: upstream.PeerClient(), Origins: d.origins, Evidence: d.guard,
--- a/internal/gatewayd/options.go
+++ b/internal/gatewayd/options.go
@@ -17,13 +17,21 @@
 	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/quota"
 	"github.com/catkinrudder/catkinrudder/ratelimit"
+	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
-func (d *Daemon) guardOptions(table *balance.Table) quarantine.Options {
+func (d *Daemon) guardOptions(configs *discovery.ConfigView, table *balance.Table) quarantine.Options {
 	ejector := ejection.Ejector{Table: table, Pool: d.pool, Log: d.log}
 	return quarantine.Options{
 		StartedAt: time.Now(),
-		Probe:     d.pool.Probe, Eject: func(b catalog.Backend) { ejector.RecordFailure(b, true) },
+		Probe: func(ctx context.Context, b catalog.Backend, useHealth bool) error {
+			expected := upstream.Expected{BackendID: b.ID, Address: b.Address, StartedMs: b.StartedMs}
+			if config := configs.Current(); useHealth && config != nil {
+				expected.HealthPath = config.Services[b.Service].HealthPath
+			}
+			return d.pool.Probe(ctx, expected)
+		},
+		Eject: func(b catalog.Backend) { ejector.RecordFailure(b, true) },
 		Peers: func() quarantine.Peers { return d.peering }, Logger: d.log,
 		Store: func(ctx context.Context, r keyedlog.Record) error {
 			part := keyedlog.Partition{Topic: platform.KeyedTopic(partTopic)}
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -131,7 +131,7 @@
 
 // newGuard returns the quarantine of a process without other gateways.
 func newGuard() *quarantine.Guard {
-	return quarantinetest.NewGuard(upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}).Probe)
+	return quarantinetest.NewGuard(upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}))
 }
 
 func each(backends []catalog.Backend, f func(catalog.Backend)) {
--- a/jobs/end.go
+++ b/jobs/end.go
@@ -11,19 +11,13 @@
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
-var errUnframedCut = errors.New("jobs: the backend server has ended with the stream")
+var errEndUnproved = errors.New("jobs: nothing shows that the response is complete")
 
 // examineEnd returns what shows that the response of a run, which has ended, is complete.
 func (s *Service) examineEnd(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress) upstream.Evidence {
 	evidence := response.FramingEvidence()
 	if evidence == upstream.Unproved {
-		examination := s.opts.Quarantine.Examine(b, nil, time.Time{})
-		switch {
-		case examination.Ended(ctx):
-			evidence = upstream.ServerEnded
-		case examination.Lives(ctx):
-			evidence = upstream.ByReachability
-		}
+		evidence = s.opts.Quarantine.Examine(b, nil, time.Time{}).Evidence(ctx)
 	}
 	if s.opts.ResponseEnded != nil {
 		s.opts.ResponseEnded(catalog.Batch.String(), evidence)
@@ -34,3 +28,15 @@
 	}
 	return evidence
 }
+
+// endUnproved returns the outcome of a run whose response may have been cut off by the end of its
+// backend server. Another run goes on after the events received.
+func (s *Service) endUnproved(ctx context.Context, b catalog.Backend, p Progress, evidence upstream.Evidence) outcome {
+	if cancelledHere(ctx) {
+		return outcome{runCancelled, p, ctx.Err()}
+	}
+	if evidence == upstream.ServerEnded {
+		s.ejector().RecordFailure(b, false)
+	}
+	return outcome{runInterrupted, p, errors.Wrap(errEndUnproved, string(evidence))}
+}
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -121,8 +121,8 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			if s.examineEnd(ctx, response, b, p) == upstream.ServerEnded {
-				return outcome{runInterrupted, p, errUnframedCut}
+			if evidence := s.examineEnd(ctx, response, b, p); !evidence.Proves() {
+				return s.endUnproved(ctx, b, p, evidence)
 			}
 			s.opts.Table.RecordSuccess(b.ID)
 			return outcome{runComplete, p, nil}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -4,13 +4,10 @@
 	"context"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/pkg/errors"
 
-	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
@@ -18,11 +15,6 @@
 )
 
 const (
-	// gatherTime is the time after the first interrupted run at a server in which the others
-	// that its end interrupts are noticed.
-	gatherTime = 20 * time.Millisecond
-	// probeTimeout bounds the connection that shows whether a server has ended.
-	probeTimeout = 300 * time.Millisecond
 	// objectionTime is how long other gateways may report complete runs before a suspect is held.
 	objectionTime = 250 * time.Millisecond
 	// storeTimeout bounds one attempt to store a held suspect; storeRetryDelay is the delay
@@ -51,8 +43,10 @@
 type Options struct {
 	// StartedAt is when the process has started.
 	StartedAt time.Time
-	// Probe connects to an address to show whether a server listens there.
-	Probe func(ctx context.Context, address string) error
+	// Probe returns nil if the process of a backend server serves on, an error that wraps
+	// upstream.ErrProcessEnded if it has ended, and another one if nothing is known of it. It may use
+	// the health check, which may wait for a slot, only if useHealth is true.
+	Probe func(ctx context.Context, b catalog.Backend, useHealth bool) error
 	// Eject is called for a backend server that has ended.
 	Eject func(b catalog.Backend)
 	// Peers returns the other gateways.
@@ -69,40 +63,10 @@
 	table *Table
 
 	mu sync.Mutex
-	// examinations are those in progress, by the id of the backend server.
+	// examinations are those whose probe has not begun, by the id of the backend server.
 	examinations map[string]*Examination
 }
 
-// Examination finds out whether a backend server that has broken off runs has ended.
-type Examination struct {
-	// began holds when these runs began, by suspect.
-	began map[string]time.Time
-	// done is closed once ended and lives are set. Both are false if the server can't be reached.
-	done         chan struct{}
-	ended, lives bool
-}
-
-// Ended waits for the result, and reports whether the server has ended. It returns false if ctx
-// ends first.
-func (e *Examination) Ended(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-e.done:
-		return e.ended
-	}
-}
-
-// Lives waits for the result, and reports whether the server is known to serve.
-func (e *Examination) Lives(ctx context.Context) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-e.done:
-		return e.lives
-	}
-}
-
 // NewGuard returns a guard that holds nothing.
 func NewGuard(opts Options) *Guard {
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
@@ -132,62 +96,10 @@
 // RunInterrupted records that b has broken off a run with these suspects that began at the time
 // began. If b turns out to have ended, this counts as evidence against them.
 func (g *Guard) RunInterrupted(b catalog.Backend, suspects []string, began time.Time) *Examination {
-	if len(suspects) == 0 {
+	if len(suspects) == 0 || b.State != catalog.Ready {
 		return noExamination()
 	}
-	return g.Examine(b, suspects, began)
-}
-
-// noExamination returns an examination whose result is that nothing is known.
-func noExamination() *Examination {
-	e := &Examination{done: make(chan struct{})}
-	close(e.done)
-	return e
-}
-
-// Examine finds out whether b has ended, which counts as evidence against the suspects of a run that
-// began at the time began. A server that drains may end at any time.
-func (g *Guard) Examine(b catalog.Backend, suspects []string, began time.Time) *Examination {
-	if b.State != catalog.Ready {
-		return noExamination()
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	e := g.examinations[b.ID]
-	if e == nil {
-		e = &Examination{began: make(map[string]time.Time), done: make(chan struct{})}
-		g.examinations[b.ID] = e
-		time.AfterFunc(gatherTime, func() { g.probe(b, e) })
-	}
-	for _, suspect := range suspects {
-		e.began[suspect] = began
-	}
-	return e
-}
-
-// probe connects to a server and reports the runs that it has broken off if it has ended.
-func (g *Guard) probe(b catalog.Backend, e *Examination) {
-	defer close(e.done)
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-	defer cancel()
-	err := g.opts.Probe(ctx, b.Address)
-	g.mu.Lock()
-	delete(g.examinations, b.ID)
-	runs := make(Runs, len(e.began))
-	for suspect, began := range e.began {
-		runs[suspect] = time.Since(began)
-	}
-	g.mu.Unlock()
-	e.lives = err == nil
-	if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
-		return
-	}
-	e.ended = true
-	event.Log(g.opts.Logger, event.BackendCrashed, "backend", b.ID, "service", b.Service, "suspects", runs.Suspects())
-	g.opts.Eject(b)
-	if len(runs) > 0 {
-		g.reportCrash(balance.Key(b.ID), runs)
-	}
+	return g.examine(b, suspects, began, false)
 }
 
 // reportCrash records the end of a server here and at the other gateways, and decides later, when
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
 // fakePeers records what a guard broadcasts.
@@ -58,14 +59,14 @@
 	f := &guardFixture{peers: &fakePeers{}, probeErr: probeErr, stored: make(chan keyedlog.Record, 10)}
 	f.Guard = NewGuard(Options{
 		StartedAt: time.Now().Add(-time.Minute),
-		Probe:     func(context.Context, string) error { return f.probeErr }, Eject: func(catalog.Backend) {},
+		Probe:     func(context.Context, catalog.Backend, bool) error { return f.probeErr }, Eject: func(catalog.Backend) {},
 		Peers: func() Peers { return f.peers }, Logger: log.New(io.Discard),
 		Store: func(_ context.Context, r keyedlog.Record) error { f.stored <- r; return nil },
 	})
 	return f
 }
 
-var refused = errors.Wrap(syscall.ECONNREFUSED, "dial")
+var refused = errors.Wrap(upstream.ErrProcessEnded, "dial")
 
 func TestOnlyEndedServersAreEvidence(t *testing.T) {
 	ready := catalog.Backend{ID: "i", State: catalog.Ready}
@@ -89,6 +90,24 @@
 	}
 }
 
+func TestEndDuringAProbeNeedsAnotherProbe(t *testing.T) {
+	f := newGuardFixture(nil)
+	b := catalog.Backend{ID: "i", State: catalog.Ready}
+	probing, answer := make(chan struct{}), make(chan error)
+	f.opts.Probe = func(context.Context, catalog.Backend, bool) error {
+		probing <- struct{}{}
+		return <-answer
+	}
+	first := f.Examine(b, nil, time.Now())
+	<-probing
+	second := f.Examine(b, nil, time.Now())
+	answer <- nil
+	assert.Equal(t, first.Evidence(t.Context()), upstream.ByProcess)
+	<-probing
+	answer <- upstream.ErrProcessEnded
+	assert.Equal(t, second.Evidence(t.Context()), upstream.ServerEnded)
+}
+
 func TestRunsThatEndTogetherAreOneReport(t *testing.T) {
 	f := newGuardFixture(refused)
 	b := catalog.Backend{ID: "i", State: catalog.Ready}
--- a/serving/request.go
+++ b/serving/request.go
@@ -140,10 +140,26 @@
 	Body   []byte
 }
 
+// Process identifies a process that serves at an address. Fields that are zero are not known.
+type Process struct {
+	// ID is the id of the backend server, which may start again under it.
+	ID string
+	// StartedMs is when the process has started, in Unix milliseconds.
+	StartedMs int64
+	// Another states that the process is not the one that was asked for.
+	Another bool
+}
+
 // Codec converts requests and responses to and from a backend server's protocol.
 type Codec interface {
 	// Encode returns the request to send.
 	Encode(r *Request, a Attempt) OutgoingRequest
 	// Decode reads the head of a response.
 	Decode(resp *http.Response) ResponseInfo
+	// EncodeIdentityRequests returns the requests whose responses identify the process that serves
+	// at an address, the most exact first. healthPath is the path of the service's health check; it
+	// may be empty.
+	EncodeIdentityRequests(backendID, address, healthPath string) []OutgoingRequest
+	// DecodeProcess reads what a response to such a request says about the process.
+	DecodeProcess(resp *http.Response) Process
 }
--- a/upstream/evidence.go
+++ b/upstream/evidence.go
@@ -9,17 +9,18 @@
 	ByLength Evidence = "length"
 	// ByLastChunk: the body ended with its last chunk.
 	ByLastChunk Evidence = "last_chunk"
-	// ByReachability: the connection was closed, and the backend server accepts connections.
-	ByReachability Evidence = "reachable"
-	// ServerEnded: the connection was closed, and the backend server has ended.
+	// ByProcess: the connection was closed, and the process that sent the response serves on. The end
+	// of a process closes its connections too.
+	ByProcess Evidence = "same_process"
+	// ServerEnded: the connection was closed, and the process no longer serves at its address.
 	ServerEnded Evidence = "server_ended"
-	// Unproved: the connection was closed, which the end of the backend server does too.
+	// Unproved: the connection was closed, and nothing is known of the process.
 	Unproved Evidence = "unproved"
 )
 
 // Evidences lists every kind of evidence.
 func Evidences() []Evidence {
-	return []Evidence{ByLength, ByLastChunk, ByReachability, ServerEnded, Unproved}
+	return []Evidence{ByLength, ByLastChunk, ByProcess, ServerEnded, Unproved}
 }
 
 // Proves reports whether the response is complete.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -166,9 +166,9 @@
 
 // Framed reports whether the end of the body is marked by its length or its last chunk, and not
 // by closing the connection.
-func (r *Response) Framed() bool {
-	return r.resp.ContentLength >= 0 || len(r.resp.TransferEncoding) > 0
-}
+func (r *Response) Framed() bool { return isFramed(r.resp) }
+
+func isFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
 
 // outcome returns the outcome of the attempt.
 func (r *Response) outcome() Outcome {
@@ -264,18 +264,6 @@
 	return newConn(raw), nil
 }
 
-// Probe connects to a backend server and keeps the connection for the next request. The error
-// wraps the one of the system call.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	c, err := p.dial(ctx, address)
-	if err != nil {
-		return err
-	}
-	c.idleUntil = time.Now().Add(defaultIdleTime)
-	p.put(address, c)
-	return nil
-}
-
 // pop removes the most recently used idle connection on which the request id was not refused.
 // It is the least likely to have been closed by the other side.
 func (p *Pool) pop(address, id string) *conn {
