A stream is not resumed on a stale view of the backend servers

What callers may see: a stream whose attempt is not named, or whose origin no gateway knows, goes on at the only version that a gateway knows, although another gateway has begun it at a newer one.

Cause: the rule asks that the view of the registrations is at most 1.5 s old, but was given the age of the last response of the store to any call. A gateway whose heartbeats reach the store while its reads of the registrations fail passed for up to date for as long as that lasts. The comment of Gateway.StoreAge said what the wiring did not do.

Evidence: TestStreamIsNotResumedOnAStaleViewOfTheServers lets all reads of the registrations fail.

Change: Gateway.RegistrationAge is Follower.ConfirmedAge of the registrations: the time since the call began whose response last showed that nothing was missing. A view that is being read for the first time wakes a waiting resume shortly before it is confirmed, so the resume waits up to 20 ms for that.

Changed tests: TestStreamOfTheOnlyVersionIsResumed sets the age of the registrations in place of that of the store (3 s, as before), and also requires a refusal if the view has never been complete.

Open: within 1.5 s, and longer at readers of a relay whose own read hangs, a view may still lack a version.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,10 +30,12 @@
 	Metrics  *Metrics
 	// Draining is closed when the process is about to stop.
 	Draining <-chan struct{}
-	// StoreAge returns the time since the store last confirmed the state of the
-	// backend servers.
+	// StoreAge returns the time since the store last responded to a call of this process.
 	StoreAge func() time.Duration
-	Origins  Origins
+	// RegistrationAge returns the time for which the view of the backend servers may have missed
+	// a registration, and false if it has never been complete.
+	RegistrationAge func() (age time.Duration, known bool)
+	Origins         Origins
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
 	// Revocation bounds how long withdrawn keys can be in use.
--- a/internal/gateway/online_test.go
+++ b/internal/gateway/online_test.go
@@ -47,15 +47,16 @@
 	software := discovery.NewSoftwareHistory(discovered, origins.Retention, time.Now)
 	software.Rebuild(nil)
 	f := &fixture{t: t, Gateway: &gateway.Gateway{
-		Backends: discovered,
-		Software: software,
-		Table:    balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
-		Pool:     pool,
-		Log:      log.New(io.Discard),
-		Metrics:  gateway.NewMetrics(metrics.NewSet()),
-		Draining: make(chan struct{}),
-		StoreAge: func() time.Duration { return 0 },
-		Origins:  localOrigins{origins.NewTable()},
+		Backends:        discovered,
+		Software:        software,
+		Table:           balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1}),
+		Pool:            pool,
+		Log:             log.New(io.Discard),
+		Metrics:         gateway.NewMetrics(metrics.NewSet()),
+		Draining:        make(chan struct{}),
+		StoreAge:        func() time.Duration { return 0 },
+		RegistrationAge: func() (time.Duration, bool) { return 0, true },
+		Origins:         localOrigins{origins.NewTable()},
 
 		Quarantine: quarantinetest.NewGuard(pool.Probe),
 	}}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -8,16 +8,24 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 // unknownOriginRetryAfter is the Retry-After of a resume whose origin is not known here. The
 // caller's next attempt may reach a gateway that knows it.
 const unknownOriginRetryAfter = 200 * time.Millisecond
 
-// maxRegistrationAge is the time since the store last responded beyond which a new version may
-// serve that this gateway does not know of. It exceeds the longest read of the store.
+// maxRegistrationAge is the age of the view of the backend servers beyond which a new version may
+// serve that this gateway does not know of. It exceeds the longest read of the registrations.
 const maxRegistrationAge = 1500 * time.Millisecond
 
+// A view that has just been read becomes complete within completionWait, of which the gateway learns
+// by asking every completionPoll.
+const (
+	completionWait = 20 * time.Millisecond
+	completionPoll = 2 * time.Millisecond
+)
+
 // maxSoftwareWait is how long a resume waits at a gateway that has just started.
 const maxSoftwareWait = 500 * time.Millisecond
 
@@ -65,7 +73,7 @@
 		return catalog.Software{}, originUnknown
 	}
 	o.awaitSoftware(ctx)
-	if o.g.StoreAge() > maxRegistrationAge {
+	if !o.knowsServers() {
 		return catalog.Software{}, originUnknown
 	}
 	if origin, only := o.g.Software.Only(o.route.Splits[0].Service); only {
@@ -80,6 +88,18 @@
 	ctx, cancel := context.WithTimeout(ctx, maxSoftwareWait)
 	defer cancel()
 	o.g.Software.AwaitLoaded(ctx)
+	for waited := time.Duration(0); waited < completionWait && !o.knowsServers(); waited += completionPoll {
+		if !delay.Wait(ctx, completionPoll) {
+			return
+		}
+	}
+}
+
+// knowsServers reports whether the view of the backend servers is as new as a stream requires whose
+// origin is concluded from it.
+func (o *onlineRequest) knowsServers() bool {
+	age, known := o.g.RegistrationAge()
+	return known && age <= maxRegistrationAge
 }
 
 // recordOrigin records the software that sends the first event of a stream. Other gateways
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -81,10 +81,12 @@
 	split := func(r *catalog.Route) { r.Splits = append(r.Splits, catalog.Split{Service: "other", Weight: 1}) }
 	assert.Equal(t, errkind.From(resume(split)).Response().Outcome, errkind.NotRun)
 
-	f.StoreAge = func() time.Duration { return 3 * time.Second }
+	f.RegistrationAge = func() (time.Duration, bool) { return 3 * time.Second, true }
+	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
+	f.RegistrationAge = func() (time.Duration, bool) { return 0, false }
 	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
 
-	f.StoreAge = func() time.Duration { return 0 }
+	f.RegistrationAge = func() (time.Duration, bool) { return 0, true }
 	b.Version = "v2"
 	f.register(a, b)
 	assert.Equal(t, errkind.From(resume(unchanged)).Response().Outcome, errkind.NotRun)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -93,7 +93,9 @@
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
-	draining  chan struct{}
+	// registrations follows the registrations of backend servers.
+	registrations *keyedlog.Follower
+	draining      chan struct{}
 	// hup receives SIGHUP from the start, because an unhandled SIGHUP would
 	// terminate the process.
 	hup chan os.Signal
@@ -149,10 +151,11 @@
 	d.relay = keyedlog.NewRelay(d.backends, platform.ComparableBackend)
 	d.jobs = jobs.New(d.jobOptions(configs, table, gatewayMetrics))
 	configFollower := d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay})
+	d.registrations = keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
+		keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged)
 	d.followers = []*keyedlog.Follower{
 		configFollower,
-		keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
-			keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged),
+		d.registrations,
 		d.follow(platform.KeyedTopic(directoryTopic), d.peering, keyedlog.PollConfig{MaxWait: directoryMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(softwareTopic), d.software, keyedlog.PollConfig{MaxWait: softwareMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
 		d.follow(platform.KeyedTopic(partTopic), d.guard, keyedlog.PollConfig{MaxWait: partMaxWait, MinInterval: directoryMinInterval, RetryDelay: followRetryDelay}),
@@ -160,7 +163,7 @@
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Software: d.software, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
+		StoreAge: d.store.Age, RegistrationAge: d.registrations.ConfirmedAge, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
 		Revocation: revocation(s, configFollower),
 	}
 	return d, nil
--- a/internal/gatewayd/resume_test.go
+++ b/internal/gatewayd/resume_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -184,3 +185,31 @@
 		return poll.Continue("%d records, %v", len(page.Records), err)
 	})
 }
+
+// TestStreamIsNotResumedOnAStaleViewOfTheServers covers a gateway that reaches the store but does not
+// read the registrations: another gateway may have begun the stream at a version it does not know.
+func TestStreamIsNotResumedOnAStaleViewOfTheServers(t *testing.T) {
+	d := newDeployment(t, 0)
+	known := d.addSlowBackend("known", "v1")
+	g := d.start("a")
+	g.beginStream(t, "r", 3)
+	d.waitSoftwareRecorded("v1")
+	d.store.Log.SetFault(func(_ string, p keyedlog.Partition) keyedlogtest.Fault {
+		if p.Topic == platform.BackendTopic {
+			return keyedlogtest.DropRequest
+		}
+		return keyedlogtest.None
+	})
+	tries := 0
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		tries++
+		id := fmt.Sprint("again", tries)
+		resp := g.streamRequest(t.Context(), t, id, map[string]string{"Last-Event-Id": "3"})
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusServiceUnavailable {
+			return poll.Continue("status %d", resp.StatusCode)
+		}
+		assert.Equal(t, known.Runs(id), 0)
+		return poll.Success()
+	}, poll.WithDelay(100*time.Millisecond), poll.WithTimeout(6*time.Second))
+}
