soak: servers that are back at once, and a check that tells how the order was broken (partial)

What callers saw: streams and texts of items that end as complete before their last event.

New faults: series of restarts of backend servers at their address (same id, new id, or new id and version), overlapping with pauses, drains, and kills, stops and reloads of gateways; half of the servers end their responses by closing. Two versions in one output stay with mixed_software.

--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -40,7 +40,7 @@
 // checkedBreaches are the breaches that a round on gateways checks for.
 var checkedBreaches = []chaos.Breach{
 	chaos.Duplicate, chaos.Lost, chaos.FalseNotRun, chaos.WrongResponse, chaos.Interrupted, chaos.RanAfterCancel,
-	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.MixedSoftware, chaos.LimitExceeded, chaos.QuotaExceeded, chaos.NotRecovered, chaos.Crashed,
+	chaos.WorkWhileDraining, chaos.ConfigurationBreach, chaos.Hung, chaos.AttemptLimitExceeded, chaos.WorkAfterDisconnect, chaos.MixedSoftware, chaos.LimitExceeded, chaos.QuotaExceeded, chaos.OutOfOrder, chaos.NotRecovered, chaos.Crashed,
 }
 
 // check checks a complete history.
@@ -128,6 +128,7 @@
 	if r.Status == http.StatusNotFound || r.Status == http.StatusUnauthorized {
 		v.AddFinding(chaos.Lost, "%s %s at %s: status %d although its route and its key exist", r.Op.Kind, id, r.Gateway, r.Status)
 	}
+	c.checkStreamOrder(r)
 	c.checkInterrupted(r, ran)
 }
 
--- a/internal/chaos/soak/check_job.go
+++ b/internal/chaos/soak/check_job.go
@@ -78,6 +78,7 @@
 		if !read {
 			known[at] = result
 			c.checkResult(j, result)
+			c.checkTextOrder(result, l.Gateway)
 		}
 	}
 }
--- a/internal/chaos/soak/check_test.go
+++ b/internal/chaos/soak/check_test.go
@@ -106,6 +106,7 @@
 		"truncated stream marked complete": {chaos.WrongResponse, syntheticHistory{arrivals: ran, history: records(with(completeRecord(stream), func(r *Record) {
 			r.Body = r.Body[:strings.LastIndex(r.Body, "id:")]
 		}))}},
+		"stream with an event twice": {chaos.OutOfOrder, syntheticHistory{arrivals: ran, history: records(streamOf(false, 1, 2, 2))}},
 		"response of another request": {chaos.WrongResponse, syntheticHistory{arrivals: ran, history: records(with(completeRecord(unsafeCall), func(r *Record) {
 			r.Body = wantBody(Op{Kind: UnsafeCall, ID: "v"})
 		}))}},
--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -63,6 +63,11 @@
 	BackendEndlessHead         FaultKind = "backend_endless_head"
 	BackendEndlessBody         FaultKind = "backend_endless_body"
 
+	// RestartBackend kills a backend server, which is back at its address at once; Share is its
+	// identity. PauseBackend suspends its process.
+	RestartBackend FaultKind = "restart_backend"
+	PauseBackend   FaultKind = "pause_backend"
+
 	// BackendNamesLimit: a backend server names a limit for the requests that it takes.
 	BackendNamesLimit FaultKind = "backend_names_limit"
 )
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -43,6 +43,10 @@
 		r.killBackend(ctx, f, server)
 	case DrainBackend:
 		r.drainBackend(ctx, server)
+	case RestartBackend:
+		r.recordError(server.restart(identity(f.Share)))
+	case PauseBackend:
+		server.current().backend.Pause(min(f.For, maxPause))
 	case BackendNamesLimit:
 		r.limitBackend(ctx, f, server.current())
 	case CutBackend, ResetBackend, StallBackend, StallBackendResponses, SlowBackend:
@@ -252,6 +256,9 @@
 // drainBackend drains a backend server and replaces it.
 func (r *Round) drainBackend(ctx context.Context, s *server) {
 	b := s.current()
+	if !b.leave(stateDraining, stateReady, stateDraining, stateKilled) {
+		return // it has just been restarted
+	}
 	notice := Interval{Target: b.backend.ID, Begin: b.drain(ctx, r.store.Log)}
 	r.recordError(s.start())
 	delay.Wait(ctx, drainTime+lingerTime)
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -72,8 +72,10 @@
 	Gateways int
 	// Workspaces states that callers identify themselves by keys.
 	Workspaces bool
-	Ops        []Op
-	Faults     []Fault
+	// Closes states which servers end their responses by closing the connection.
+	Closes []bool
+	Ops    []Op
+	Faults []Fault
 }
 
 // Sizes of a round.
@@ -124,6 +126,7 @@
 		// Drawn separately, so that the rest of the plan of a seed stays the same.
 		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 2)}.lateRefusals()...)
 		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 3)}.limits()...)
+		p.drawRestarts()
 	}
 	return p
 }
--- a/internal/chaos/soak/round.go
+++ b/internal/chaos/soak/round.go
@@ -89,7 +89,7 @@
 	r.links = &peerLinks{}
 	r.rotation = &rotation{missed: make(map[*proctest.Gateway]int)}
 	for i := range servers {
-		r.servers = append(r.servers, newServer(fmt.Sprintf("i%d", i), zoneOf(i), r.store.Log))
+		r.servers = append(r.servers, newServer(fmt.Sprintf("i%d", i), zoneOf(i), i < len(p.Closes) && p.Closes[i], r.store.Log))
 	}
 	for i := range p.Gateways {
 		g, err := proctest.NewGateway(fmt.Sprintf("g%d", i), proctest.GatewayOptions{
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -34,12 +34,22 @@
 	callDuration  = 20 * time.Millisecond
 )
 
+// The states of an incarnation. Only those that are ready or draining are registered.
+const (
+	stateReady     = "ready"
+	stateDraining  = "draining"
+	stateKilled    = "killed"
+	stateRestarted = "restarted"
+)
+
 // server is a backend server that can be killed or drained and started again. Each start
-// creates an incarnation with a new id and address.
+// creates an incarnation with a new id and address; a restart keeps the address.
 type server struct {
 	name string
 	zone string
 	log  *keyedlogtest.Log
+	// closes states that the server ends its responses by closing the connection.
+	closes bool
 
 	mu           sync.Mutex
 	incarnations []*incarnation
@@ -62,8 +72,8 @@
 	limits int
 }
 
-func newServer(name, zone string, log *keyedlogtest.Log) *server {
-	return &server{name: name, zone: zone, log: log}
+func newServer(name, zone string, closes bool, log *keyedlogtest.Log) *server {
+	return &server{name: name, zone: zone, closes: closes, log: log}
 }
 
 // start starts a new incarnation.
@@ -74,20 +84,31 @@
 	if err != nil {
 		return err
 	}
-	// Each start is a release of the other one of two software versions.
-	backend.Version = fmt.Sprintf("v%d", 1+len(s.incarnations)%2)
+	backend.Version = versionName(len(s.incarnations))
+	if s.closes {
+		backend.SetCloses()
+	}
 	backend.Events, backend.EventInterval, backend.CallDuration = streamEvents, eventInterval, callDuration
 	link, err := proctest.NewForwarder(backend.Address)
 	if err != nil {
 		backend.Kill()
 		return err
 	}
+	s.add(backend, link)
+	return nil
+}
+
+// versionName returns the version of the n-th incarnation, each of which is a release of the other one
+// of two software versions.
+func versionName(n int) string { return fmt.Sprintf("v%d", 1+n%2) }
+
+// add adds the incarnation of a backend server that has just started. The caller holds mu.
+func (s *server) add(backend *platformtest.Backend, link *proctest.Forwarder) {
 	ctx, stop := context.WithCancel(context.Background())
-	b := &incarnation{backend: backend, link: link, zone: s.zone, stop: stop, done: make(chan struct{}), state: "ready"}
+	b := &incarnation{backend: backend, link: link, zone: s.zone, stop: stop, done: make(chan struct{}), state: stateReady}
 	backend.SetFault(b.faultFor)
 	s.incarnations = append(s.incarnations, b)
 	go b.heartbeat(ctx, s.log)
-	return nil
 }
 
 // current returns the current incarnation.
@@ -107,7 +128,10 @@
 // kill kills the current incarnation. Its registration is removed after
 // registrationTimeout.
 func (s *server) kill() {
-	b := s.current()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.incarnations[len(s.incarnations)-1]
+	b.leave(stateKilled, stateReady, stateDraining)
 	b.link.Close() // later connections are refused, as the server has ended
 	b.backend.Kill()
 	b.stop()
@@ -128,11 +152,8 @@
 // drain sends the drain notice of the incarnation. It returns the time at which the store
 // acknowledged the notice.
 func (i *incarnation) drain(ctx context.Context, log *keyedlogtest.Log) (notice time.Time) {
-	i.mu.Lock()
-	i.state = "draining"
-	i.mu.Unlock()
 	i.backend.SetLeaving()
-	for i.register(log, "draining", 0) != nil && ctx.Err() == nil {
+	for i.register(log, stateDraining, 0) != nil && ctx.Err() == nil {
 		delay.Wait(ctx, heartbeatInterval)
 	}
 	return time.Now()
@@ -153,7 +174,9 @@
 	for seq := 1; ctx.Err() == nil; seq++ {
 		i.mu.Lock()
 		// An unavailable store refuses the write. The next heartbeat retries it.
-		_ = i.registerLocked(log, i.state, seq)
+		if i.state == stateReady || i.state == stateDraining {
+			_ = i.registerLocked(log, i.state, seq)
+		}
 		i.mu.Unlock()
 		delay.Wait(ctx, heartbeatInterval)
 	}
@@ -170,7 +193,7 @@
 func (i *incarnation) registerLocked(log *keyedlogtest.Log, state string, seq int) error {
 	value, err := json.Marshal(map[string]any{
 		"Service": service, "Address": i.link.Addr, "Zone": i.zone, "Version": i.backend.Version, "Slots": serverSlots,
-		"State": state, "ColdRemainingMs": 0, "Seq": seq,
+		"State": state, "ColdRemainingMs": 0, "Seq": seq, "born": i.backend.Born,
 	})
 	if err != nil {
 		return err
--- a/internal/chaos/verdict.go
+++ b/internal/chaos/verdict.go
@@ -51,6 +51,9 @@
 	LimitExceeded Breach = "limit_exceeded"
 	// QuotaExceeded: more requests of a workspace ran than its quota allows.
 	QuotaExceeded Breach = "quota_exceeded"
+	// OutOfOrder: a stream or the text of an item lacks an event, has one twice or a foreign one, or
+	// ends as complete before its last event.
+	OutOfOrder Breach = "out_of_order"
 	// NotRecovered: requests still fail although every fault has ended.
 	NotRecovered Breach = "not_recovered"
 	// Crashed: a process exited that was neither stopped nor killed.
