Events out of order are reported by reason, for streams and for items (no fix yet)

Why an event was not accepted, or should not have been, was in no line and no metric, so the record can't tell a gap from a foreign event.

Change: eventstream.Sequence decides which event may come next and returns a typed OrderError (gap, repeated, unnumbered, numbered, not_at_start) with the id before and the id that came. relayEvents and collectEvents ask it, log event 210 (event_out_of_order: stream or item, request, backend, service, version, reason, last_event, came) and count catkinrudder_gateway_events_out_of_order_total by kind and reason. What happens to the event is still decided by eventstream.Follows: an event without a number, one with a number after it, and a run that begins late are reported and still passed on. After a violation that is passed on, the sequence starts anew at its id, so later reasons of the same run may differ.

Evidence: TestEventsOutOfOrderAreReportedByReason and TestEventsOfItemsOutOfOrderAreReportedByReason inject each reason by a server's fault and read the line and the counter, or the reported reason of an item. They need the new fields, so they did not run on the code before. TestOnlyTheNextEventFollows is the table of the decision (28 cases).

The tests of internal/gatewayd were not run.

--- a/event/event.go
+++ b/event/event.go
@@ -35,6 +35,7 @@
 	PermitDenied     ID = 206
 	QuotaRefused     ID = 207
 	QuotaUnanswered  ID = 208
+	EventOutOfOrder  ID = 210
 	ItemPlaced       ID = 301
 	ItemDone         ID = 302
 	JobAccepted      ID = 303
@@ -93,6 +94,7 @@
 	{PermitDenied, "permit_denied", log.InfoLevel, "the limit that a backend server names left no room for a request, which tries another one or waits"},
 	{QuotaRefused, "quota_refused", log.InfoLevel, "a request is beyond the quota of its workspace"},
 	{QuotaUnanswered, "quota_unanswered", log.InfoLevel, "the gateway that hands out the permits of a workspace did not answer in time"},
+	{EventOutOfOrder, "event_out_of_order", log.WarnLevel, "an event of a stream or of a batch item does not follow the one before it"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/egress"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -133,6 +134,14 @@
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_attempts_total{backend="` + backendID + `",outcome="` + string(o) + `"}`).Inc()
 }
 
+// eventOutOfOrder counts an event that does not follow the one before it.
+func (m *Metrics) eventOutOfOrder(kind string, reason eventstream.Reason) {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_events_out_of_order_total{kind="` + kind + `",reason="` + string(reason) + `"}`).Inc()
+}
+
+// ItemEventOutOfOrder counts an event of a batch item that does not follow the one before it.
+func (m *Metrics) ItemEventOutOfOrder(reason eventstream.Reason) { m.eventOutOfOrder("item", reason) }
+
 // ItemDecided counts a decision on batch items.
 func (m *Metrics) ItemDecided(d jobs.Decision, reason string) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_item_decisions_total{decision="` + string(d) + `",reason="` + reason + `"}`).Inc()
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -12,6 +12,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -56,6 +57,8 @@
 	headSent bool
 	// lastEvent is the id of the last event that was sent to the caller.
 	lastEvent string
+	// sequence decides which event may come next.
+	sequence eventstream.Sequence
 	// origin is the software that began the stream, once the caller has an event of it. Only
 	// servers that run it may go on.
 	origin catalog.Software
@@ -73,6 +76,7 @@
 		deadline:  r.ReceivedAt.Add(route.Timeout),
 		excluded:  make(map[string]bool),
 		lastEvent: r.LastEventID,
+		sequence:  eventstream.After(r.LastEventID),
 		parts:     r.Prompt.SharedParts(),
 	}
 	if !r.Deadline.IsZero() && r.Deadline.Before(o.deadline) {
--- a/internal/gateway/online_log.go
+++ b/internal/gateway/online_log.go
@@ -9,6 +9,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 )
 
 func (o *onlineRequest) logChoice(c balance.Choice, now time.Time) {
@@ -25,6 +26,18 @@
 		"attempts", o.attempts, "resume_after", o.lastEvent, "parts", o.parts, "identity", o.loggedIdentity())
 }
 
+// reportOutOfOrder reports an event that does not follow the one before it.
+func (o *onlineRequest) reportOutOfOrder(b catalog.Backend, err error) {
+	var violation *eventstream.OrderError
+	if !errors.As(err, &violation) {
+		return
+	}
+	kind := o.route.Kind.String()
+	o.g.Metrics.eventOutOfOrder(kind, violation.Reason)
+	event.Log(o.g.Log, event.EventOutOfOrder, "kind", kind, "request", o.r.ID, "backend", b.ID, "service", b.Service, "version", b.Version,
+		"reason", violation.Reason, "last_event", violation.Last, "came", violation.ID)
+}
+
 func (o *onlineRequest) logFailure(err error) {
 	if errors.Is(err, ErrAborted) {
 		event.Log(o.g.Log, event.RequestRefused, "request", o.r.ID, "workspace", o.r.Identity.Workspace, "route", o.route.Name, "kind", "aborted",
--- a/internal/gatewayd/options.go
+++ b/internal/gatewayd/options.go
@@ -72,6 +72,6 @@
 		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
 		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
 		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
-		Decided: m.ItemDecided, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps),
+		Decided: m.ItemDecided, OutOfOrder: m.ItemEventOutOfOrder, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps),
 	}
 }
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -18,6 +18,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
@@ -40,6 +41,8 @@
 
 	// capacities are those of the processes, by their names.
 	capacities map[string]float64
+	// outOfOrder, if set, is called for each event out of order.
+	outOfOrder func(eventstream.Reason)
 	// now is the clock of all processes; nil is the real one.
 	now func() time.Time
 
@@ -110,8 +113,8 @@
 		Table:       n.balance,
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
 		Quarantine:  n.guard,
-		PromptParts: platform.SharedPromptParts,
-		Logger:      log.New(io.Discard), Peers: clusterPeers{n}, StoreAge: n.storeAge,
+		PromptParts: platform.SharedPromptParts, OutOfOrder: c.outOfOrder,
+		Logger: log.New(io.Discard), Peers: clusterPeers{n}, StoreAge: n.storeAge,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.stop = cancel
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
 	"github.com/catkinrudder/catkinrudder/serving"
@@ -111,6 +112,19 @@
 	return ejection.Ejector{Table: s.opts.Table, Pool: s.opts.Pool, Log: s.opts.Logger}
 }
 
+// reportOutOfOrder reports an event of an item that does not follow the one before it.
+func (s *Service) reportOutOfOrder(item string, b catalog.Backend, err error) {
+	var violation *eventstream.OrderError
+	if !errors.As(err, &violation) {
+		return
+	}
+	if s.opts.OutOfOrder != nil {
+		s.opts.OutOfOrder(violation.Reason)
+	}
+	event.Log(s.opts.Logger, event.EventOutOfOrder, "kind", "item", "request", item, "backend", b.ID, "service", b.Service, "version", b.Version,
+		"reason", violation.Reason, "last_event", violation.Last, "came", violation.ID)
+}
+
 // cancelledHere reports whether this process cancelled the run for a reason of its own.
 func cancelledHere(ctx context.Context) bool {
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errIdle)
@@ -119,6 +133,7 @@
 // collectEvents appends the events of a response to p.
 func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, progressed func(Progress)) outcome {
 	events := eventstream.NewReader(response)
+	sequence := eventstream.After(p.LastEvent)
 	text := append([]byte(nil), p.Text...)
 	for {
 		e, err := events.Next()
@@ -137,6 +152,10 @@
 			return outcome{runInterrupted, p, err}
 		}
 		id := e.ID()
+		if err := sequence.Accept(id, e.HasData()); err != nil {
+			s.reportOutOfOrder(response.Info.RequestID, b, err)
+			sequence = eventstream.After(id)
+		}
 		if !eventstream.Follows(p.LastEvent, id) {
 			return outcome{runInterrupted, p, errors.Errorf("event id %q does not follow %q", id, p.LastEvent)}
 		}
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/quarantine"
@@ -67,6 +68,9 @@
 	Observer keyedlog.Observer
 	// Decided is called for each decision on batch items that is counted; nil ignores them.
 	Decided func(d Decision, reason string)
+	// OutOfOrder is called for each event of an item that does not follow the one before it; nil
+	// ignores them.
+	OutOfOrder func(reason eventstream.Reason)
 }
 
 // ShardReport is the state of a shard as its owner reports it.
