--- a/event/event.go
+++ b/event/event.go
@@ -36,6 +36,7 @@
 	QuotaRefused     ID = 207
 	QuotaUnanswered  ID = 208
 	EndUnproved      ID = 209
+	EventOutOfOrder  ID = 210
 	ItemPlaced       ID = 301
 	ItemDone         ID = 302
 	JobAccepted      ID = 303
@@ -95,6 +96,7 @@
 	{QuotaRefused, "quota_refused", log.InfoLevel, "a request is beyond the quota of its workspace"},
 	{QuotaUnanswered, "quota_unanswered", log.InfoLevel, "the gateway that hands out the permits of a workspace did not answer in time"},
 	{EndUnproved, "end_unproved", log.WarnLevel, "a response of a backend server has ended, and nothing shows that it is complete"},
+	{EventOutOfOrder, "event_out_of_order", log.WarnLevel, "an event of a stream or of a batch item does not follow the one before it"},
 	{ItemPlaced, "item_placed", log.InfoLevel, "a batch item was sent to a backend server"},
 	{ItemDone, "item_done", log.InfoLevel, "the result of a batch item is committed"},
 	{JobAccepted, "job_accepted", log.InfoLevel, "a batch job was read from the log and applied to the state"},
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/quarantine"
@@ -69,6 +70,9 @@
 	Decided func(d Decision, reason string)
 	// ResponseEnded is called for each response that has ended; nil ignores them.
 	ResponseEnded func(routeKind string, evidence upstream.Evidence)
+	// OutOfOrder is called for each event of an item that does not follow the one before it; nil
+	// ignores them.
+	OutOfOrder func(reason eventstream.Reason)
 }
 
 // ShardReport is the state of a shard as its owner reports it.
