An event that does not follow the one before it reaches no caller and no item

What callers saw: with a server that skips or repeats an event, sends the event of an error in the middle, or begins a run at a later number, the stream was ended in order or held foreign events; a stream without numbers that broke off was continued by a run from the start, joined to the first part.

Cause: Follows was true if either id was no number, and for any number at the start. An event without a number let every later one through, and set the item's last event to empty, so the next run was asked from the start. Class: an unknown was taken for a match.

Evidence: TestEventOutOfOrderReachesNoCaller, TestStreamWithoutNumbersIsNotContinued and TestEventOutOfOrderReachesNoItem fail on (a stream without numbers that broke off: error <nil> instead of aborted).

Fix: eventstream.Sequence decides for streams and items. A run from the start begins with 0 or 1 or has no numbers at all; then only the next number, or no number, follows. A violation is an interruption. A stream without numbers is not continued, and the progress of such an item is dropped when its run ends early and never handed over.

Test replaced: TestFollows, of the function that is gone, held that an event without a number follows everything, which is the fault.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
 
 	"github.com/pkg/errors"
 )
@@ -109,18 +108,6 @@
 	return ""
 }
 
-// Follows reports whether an event with the given id may directly follow the event
-// with the id last: its number is the next one, or at least one of the two ids is
-// not a number.
-func Follows(last, id string) bool {
-	before, err := strconv.ParseInt(last, 10, 64)
-	if err != nil {
-		return true
-	}
-	n, err := strconv.ParseInt(id, 10, 64)
-	return err != nil || n == before+1
-}
-
 // Data appends the data of the event to dst, with its lines separated by line
 // feeds, and reports whether the event has any data.
 func (e Event) Data(dst []byte) ([]byte, bool) {
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -56,13 +56,6 @@
 	assert.Equal(t, eventstream.Event{Raw: []byte("data: a\n\n")}.ID(), "")
 }
 
-func TestFollows(t *testing.T) {
-	for last, want := range map[string]bool{"": true, "1": true, "2": false, "0": false, "x": true} {
-		assert.Equal(t, eventstream.Follows(last, "2"), want, last)
-		assert.Assert(t, eventstream.Follows(last, ""))
-	}
-}
-
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nx")
 	f.Fuzz(func(t *testing.T, s string) {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -129,10 +129,7 @@
 		id := e.ID()
 		if err := o.sequence.Accept(id, e.HasData()); err != nil {
 			o.reportOutOfOrder(b, err)
-			o.sequence = eventstream.After(id)
-		}
-		if !eventstream.Follows(o.lastEvent, id) {
-			return o.handleInterruption(ctx, b, errors.Errorf("event id %q does not follow %q", id, o.lastEvent))
+			return o.handleInterruption(ctx, b, err)
 		}
 		if !o.headSent {
 			o.recordOrigin(b)
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -112,8 +112,11 @@
 	o.g.Origins.AnnounceOrigin(o.r.ID, o.origin)
 }
 
-// mayContinue reports whether another backend server may go on with the stream.
-func (o *onlineRequest) mayContinue() bool { return o.route.Resumable && o.origin.Known() }
+// mayContinue reports whether another backend server may go on with the stream. It is asked to by the
+// number of the last event.
+func (o *onlineRequest) mayContinue() bool {
+	return o.route.Resumable && o.origin.Known() && !o.sequence.Unnumbered()
+}
 
 // anyReady reports whether a backend server that runs s takes requests.
 func anyReady(candidates []catalog.Backend, s catalog.Software) bool {
--- a/internal/gateway/sequence_test.go
+++ b/internal/gateway/sequence_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/assert/cmp"
 
@@ -39,3 +40,25 @@
 		})
 	}
 }
+
+func TestEventOutOfOrderReachesNoCaller(t *testing.T) {
+	for fault, want := range disorders {
+		a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+		faultOnFirstRun(fault, a, b)
+		f := newFixture(t, a, b)
+		w, err := f.serve(request("1", "/stream"), route(catalog.Stream, resumable))
+		if fault == platformtest.NumberLater {
+			assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%s: %v", want.reason, err)
+			continue
+		}
+		assert.NilError(t, err, want.reason)
+		assert.Equal(t, w.Body.String(), streamBody("1", 5), want.reason)
+	}
+}
+
+func TestStreamWithoutNumbersIsNotContinued(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	faultOnFirstRun(platformtest.NoNumbersCut, a, b)
+	_, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
+}
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -128,6 +128,15 @@
 	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), errIdle)
 }
 
+// continuable returns the progress after which another run can go on: events without numbers are
+// dropped, as no run can be asked to go on after them.
+func continuable(p Progress) Progress {
+	if p.Events > 0 && p.LastEvent == "" {
+		return p.withoutOutput()
+	}
+	return p
+}
+
 // collectEvents appends the events of a response to p.
 func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, progressed func(Progress)) outcome {
 	events := eventstream.NewReader(response)
@@ -137,25 +146,22 @@
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			if evidence := s.examineEnd(ctx, response, b, p); !evidence.Proves() {
-				return s.endUnproved(ctx, b, p, evidence)
+				return s.endUnproved(ctx, b, continuable(p), evidence)
 			}
 			s.opts.Table.RecordSuccess(b.ID)
 			return outcome{runComplete, p, nil}
 		}
 		if err != nil {
 			if cancelledHere(ctx) {
-				return outcome{runCancelled, p, ctx.Err()}
+				return outcome{runCancelled, continuable(p), ctx.Err()}
 			}
 			s.ejector().RecordFailure(b, false)
-			return outcome{runInterrupted, p, err}
+			return outcome{runInterrupted, continuable(p), err}
 		}
 		id := e.ID()
 		if err := sequence.Accept(id, e.HasData()); err != nil {
 			s.reportOutOfOrder(response.Info.RequestID, b, err)
-			sequence = eventstream.After(id)
-		}
-		if !eventstream.Follows(p.LastEvent, id) {
-			return outcome{runInterrupted, p, errors.Errorf("event id %q does not follow %q", id, p.LastEvent)}
+			return outcome{runInterrupted, continuable(p), err}
 		}
 		extended := text
 		if p.Events > 0 {
@@ -174,7 +180,7 @@
 		p.Text, p.LastEvent = text, id
 		p.Service, p.Version = b.Service, b.Version
 		p.Events++
-		if p.Events%progressInterval == 0 {
+		if p.Events%progressInterval == 0 && !sequence.Unnumbered() {
 			progressed(p)
 		}
 	}
--- a/jobs/sequence_test.go
+++ b/jobs/sequence_test.go
@@ -47,3 +47,16 @@
 		})
 	}
 }
+
+func TestEventOutOfOrderReachesNoItem(t *testing.T) {
+	for _, fault := range []platformtest.Fault{
+		platformtest.SkipEvent, platformtest.RepeatEvent, platformtest.ErrorEvent, platformtest.LateStart, platformtest.NumberLater, platformtest.NoNumbersCut,
+	} {
+		c := newCluster(t, 1)
+		faultOnFirstRuns(c.backends[0], fault)
+		a := c.start("a")
+		j := job("j1", 1)
+		assert.NilError(t, a.Submit(t.Context(), j, 0))
+		c.checkComplete(j, c.waitComplete(a, j))
+	}
+}
