A stream that goes on elsewhere is not bound to the length of its first part

Cause: the head of the first server was sent with its Content-Length, though the rest may be shorter or longer. Evidence: TestContinuedStreamIsNotBoundToTheLengthOfItsFirstPart fails on (Content-Length 85). Fix: a relayed stream of events never states a length (sendHead takes the length, or unknownLength).

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -49,7 +49,7 @@
 	if examination, err := o.checkEnd(ctx, b, response); err != nil {
 		return o.handleUnprovedEnd(ctx, b, err, examination)
 	}
-	o.sendHead(response, true, len(body))
+	o.sendHead(response, int64(len(body)))
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
@@ -59,7 +59,7 @@
 
 // relayLong sends a response that begins with body as it arrives.
 func (o *onlineRequest) relayLong(ctx context.Context, b catalog.Backend, response *upstream.Response, body []byte) (retry bool, err error) {
-	o.sendHead(response, false, 0)
+	o.sendHead(response, response.Length)
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 	}
@@ -87,8 +87,11 @@
 	return errors.Wrap(err, "copy response")
 }
 
-// sendHead sends the head of the response. If whole is true, the body has n bytes.
-func (o *onlineRequest) sendHead(response *upstream.Response, whole bool, n int) {
+// unknownLength is the length of a body that more than one backend server may send.
+const unknownLength = -1
+
+// sendHead sends the head of the response, whose body has length bytes, or unknownLength.
+func (o *onlineRequest) sendHead(response *upstream.Response, length int64) {
 	h := o.w.Header()
 	for name, values := range response.Header {
 		if !slices.Contains(hopByHopHeaders, name) {
@@ -98,11 +101,8 @@
 	if _, set := h["Content-Type"]; !set {
 		h["Content-Type"] = nil // keeps net/http from detecting one
 	}
-	switch {
-	case whole:
-		h.Set("Content-Length", strconv.Itoa(n))
-	case response.Length >= 0:
-		h.Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	o.w.WriteHeader(response.Status)
 	o.headSent = true
@@ -133,7 +133,7 @@
 		}
 		if !o.headSent {
 			o.recordOrigin(b)
-			o.sendHead(response, false, 0)
+			o.sendHead(response, unknownLength)
 		}
 		if err := o.sendEvent(e, id, !events.Buffered()); err != nil {
 			return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
@@ -147,7 +147,7 @@
 		return o.handleUnprovedEnd(ctx, b, err, examination)
 	}
 	if !o.headSent {
-		o.sendHead(response, true, 0)
+		o.sendHead(response, 0)
 	}
 	o.succeeded(b, response.Status)
 	return false, nil
--- a/internal/gateway/sequence_test.go
+++ b/internal/gateway/sequence_test.go
@@ -62,3 +62,11 @@
 	_, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
 	assert.Assert(t, errors.Is(err, gateway.ErrAborted), "%v", err)
 }
+func TestContinuedStreamIsNotBoundToTheLengthOfItsFirstPart(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	faultOnFirstRun(platformtest.StatedLengthCut, a, b)
+	b.Events, a.Events = 7, 5
+	w, err := newFixture(t, a, b).serve(request("1", "/stream"), route(catalog.Stream, resumable))
+	assert.NilError(t, err)
+	assert.Equal(t, w.Header().Get("Content-Length"), "")
+}
