A repeated or cut refusal on a kept connection is not the answer to another run

Causes: a connection remembered 16 refused ids only, and no failed ones, so that a later run of the id could be sent on it and read the repeated 503 or 500 as its answer; a refusal whose head was cut off took the next head as its rest (status text or a header value), with the request id of that one.

Fix: the ids of refused and failed requests of a connection are remembered, and a connection with more than 64 is not kept; a head that holds the status line of another one is an error with unknown outcome. A response without a body (to HEAD) counts as framed, so that its end is proved.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,8 +26,8 @@
 	inlineBodyBytes = 8 << 10
 	// maxMismatched bounds the responses to other requests that are skipped.
 	maxMismatched = 2
-	// maxRefusals bounds the refused requests that a connection remembers.
-	maxRefusals = 16
+	// maxRejected bounds the requests that a connection remembers; then it is not reused.
+	maxRejected = 64
 )
 
 // conn is one connection to a backend server. It carries one request at a time.
@@ -39,8 +41,9 @@
 	idleUntil time.Time
 	// reused states that the connection has carried another request before.
 	reused bool
-	// refused holds the ids of the last requests that were refused on the connection.
-	refused []string
+	// rejected holds the ids of the requests that were refused or have failed on the connection. They
+	// may be sent again, and a repetition of that response would be read as the answer.
+	rejected []string
 }
 
 func newConn(c net.Conn) *conn {
@@ -48,14 +51,6 @@
 	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
-// recordRefusal records that the request id was refused.
-func (c *conn) recordRefusal(id string) {
-	if len(c.refused) == maxRefusals {
-		c.refused = c.refused[1:]
-	}
-	c.refused = append(c.refused, id)
-}
-
 // usable reports whether the idle connection may be reused for another request.
 func (c *conn) usable(now time.Time) bool {
 	return now.Before(c.idleUntil) && c.r.Buffered() == 0 && idleOpen(c.Conn)
@@ -123,6 +118,9 @@
 		if err != nil {
 			return nil, serving.ResponseInfo{}, errors.Wrap(err, "read response")
 		}
+		if joinsHeads(resp) {
+			return nil, serving.ResponseInfo{}, errors.New("upstream: a head was cut off and another one follows")
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -138,6 +136,23 @@
 	return nil, serving.ResponseInfo{}, ErrMismatchedResponse
 }
 
+// statusLine is the begin of the first line of a response.
+const statusLine = "HTTP/1."
+
+// joinsHeads reports whether the head of a response was cut off and the one of another response was
+// read as its rest.
+func joinsHeads(resp *http.Response) bool {
+	if strings.Contains(resp.Status, statusLine) {
+		return true
+	}
+	for name, values := range resp.Header {
+		if strings.Contains(name, statusLine) || slices.ContainsFunc(values, func(v string) bool { return strings.Contains(v, statusLine) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // closeOnDone closes the connection when ctx ends. The returned function stops the
 // watch of ctx; it returns false if ctx has already ended.
 func closeOnDone(ctx context.Context, c net.Conn) (stop func() bool) {
--- a/upstream/evidence.go
+++ b/upstream/evidence.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "net/http"
+
 // Evidence is what shows that a response which has ended is complete.
 type Evidence string
 
@@ -29,7 +31,7 @@
 // FramingEvidence returns what the framing of the response shows about its end.
 func (r *Response) FramingEvidence() Evidence {
 	switch {
-	case r.resp.ContentLength >= 0:
+	case r.resp.ContentLength >= 0, r.resp.Body == http.NoBody:
 		return ByLength
 	case len(r.resp.TransferEncoding) > 0:
 		return ByLastChunk
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -168,7 +168,9 @@
 // by closing the connection.
 func (r *Response) Framed() bool { return isFramed(r.resp) }
 
-func isFramed(r *http.Response) bool { return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 }
+func isFramed(r *http.Response) bool {
+	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0 || r.Body == http.NoBody
+}
 
 // outcome returns the outcome of the attempt.
 func (r *Response) outcome() Outcome {
@@ -226,14 +228,18 @@
 	}
 	c.idleUntil = time.Now().Add(idle)
 	c.reused = true
-	if r.Info.NotRun {
-		c.recordRefusal(r.requestID)
+	if r.Info.NotRun || r.Status != http.StatusOK {
+		c.rejected = append(c.rejected, r.requestID)
+	}
+	if len(c.rejected) > maxRejected {
+		_ = c.Close()
+		return
 	}
 	r.pool.put(r.attempt.Address, c)
 }
 
 // get returns a connection for the request id, an idle one if possible. It is not one on which
-// the same request was refused: a repetition of that refusal would be read as the answer.
+// the same request was refused or has failed: a repetition of that response would be read as the answer.
 func (p *Pool) get(ctx context.Context, address, id string) (*conn, error) {
 	now := time.Now()
 	for {
@@ -264,14 +270,14 @@
 	return newConn(raw), nil
 }
 
-// pop removes the most recently used idle connection on which the request id was not refused.
+// pop removes the most recently used idle connection on which the request id was not rejected.
 // It is the least likely to have been closed by the other side.
 func (p *Pool) pop(address, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	for i, c := range slices.Backward(list) {
-		if !slices.Contains(c.refused, id) {
+		if !slices.Contains(c.rejected, id) {
 			p.idle[address] = slices.Delete(list, i, i+1)
 			return c
 		}
