--- a/internal/chaos/soak/check.go
+++ b/internal/chaos/soak/check.go
@@ -215,7 +215,7 @@
 		for _, a := range runs {
 			for _, d := range c.history.Drains {
 				if a.backend == d.Target && a.At.After(d.Begin.Add(drainTime)) {
-					c.verdict.AddFinding(chaos.WorkWhileDraining, "%s reached %s %s after its drain notice", id, a.backend, a.At.Sub(d.Begin))
+					c.verdict.AddFinding(chaos.WorkWhileDraining, "%s reached %s %s after its drain notice, fault %d", id, a.backend, a.At.Sub(d.Begin), a.Fault)
 				}
 			}
 		}
--- a/internal/gatewayd/daemon_test.go
+++ b/internal/gatewayd/daemon_test.go
@@ -29,7 +29,7 @@
 	{"Name":"c","Host":"h.example","PathPrefix":"/call/","RouteType":"unsafe","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"svc","MaxAttempts":1},
 	{"Name":"p","Host":"h.example","PathPrefix":"/safe/","RouteType":"safe","TimeoutMs":2000,"TargetLatencyMs":200,"Service":"svc","MaxAttempts":3},
 	{"Name":"b","Host":"h.example","PathPrefix":"/batch/","RouteType":"batch","TargetLatencyMs":400,"CompletionTargetMs":18000,"RetentionS":60,"Service":"svc","MaxAttempts":3,"Cap":100000}],
-	"Services":[{"Name":"svc","MaxConnections":100}],"Limits":{"MaxBodyBytes":1048576}}`
+	"Services":[{"Name":"svc","HealthPath":"/health","MaxConnections":100}],"Limits":{"MaxBodyBytes":1048576}}`
 
 // deployment is a store, backend servers and gateways on the loopback interface.
 type deployment struct {
@@ -55,7 +55,7 @@
 	b.Version = version
 	d.backends = append(d.backends, b)
 	d.write(platform.BackendTopic, b.ID, fmt.Sprintf(
-		`{"Service":"svc","Address":"%s","Zone":"z","Version":"%s","Slots":4,"State":"ready","ColdRemainingMs":0,"Seq":1}`, b.Address, version))
+		`{"Service":"svc","Address":"%s","Zone":"z","Version":"%s","Slots":4,"State":"ready","ColdRemainingMs":0,"Seq":1,"born":%d}`, b.Address, version, b.Born))
 	return b
 }
 
