--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -15,6 +15,7 @@
 	"long":     playLongResult,
 	"added":    playRouteAdded,
 	"removed":  playRouteRemoved,
+	"slow":     playSlowClients,
 	"smuggled": playSmuggled,
 }
 
@@ -97,7 +98,7 @@
 	serve := func(w http.ResponseWriter, req *http.Request, body []byte) string {
 		if strings.HasSuffix(req.RequestURI, "-long") {
 			filler := strings.Repeat("x", eventBytes-20)
-			return sendEvents(w, req, events, 0, func(n int) string { return fmt.Sprintf("{\"token\":%d,%q:1}", n, filler) })
+			return sendEvents(w, req, events, time.Millisecond, func(n int) string { return fmt.Sprintf("{\"token\":%d,%q:1}", n, filler) })
 		}
 		return shortRun(w, req, body)
 	}
@@ -106,7 +107,7 @@
 	long.Headers["Token-Counts"], long.Tokens = fmt.Sprintf("350,%d", events), 350+events
 	if r.trouble {
 		r.submit(g, "7c41e09b52d6a000", []item{long})
-		time.Sleep(4 * time.Second)
+		time.Sleep(15 * time.Second) // its run takes about ten
 	}
 	jobs := make(map[string][]item)
 	var all, missing []string
