--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -14,6 +14,7 @@
 	"crashes":  playCrashes,
 	"long":     playLongResult,
 	"added":    playRouteAdded,
+	"outside":  playPathOutside,
 	"removed":  playRouteRemoved,
 	"slow":     playSlowClients,
 	"smuggled": playSmuggled,
@@ -129,6 +130,20 @@
 	r.finish(describe("LOST", r.leftLying(missing, time.Now())))
 }
 
+// playPathOutside submits a batch job whose items have paths that do not begin with the prefix of its route.
+func playPathOutside(r *rig) {
+	g, _ := startFleet(r, 3, shortRun)
+	items := sharedItems(6)
+	if r.trouble {
+		for i := range items {
+			items[i].Path = "/v1/generate"
+		}
+	}
+	r.submit(g, job, items)
+	missing := r.awaitResults(g, job, items, time.Now().Add(18*time.Second+finishTime))
+	r.finish(describe("LOST", r.leftLying(missing, time.Now())))
+}
+
 // playRouteRemoved removes the route of a batch job that has been accepted, and keeps another route of
 // the same service.
 func playRouteRemoved(r *rig) {
