review: case 3, the loss of one service stops the batch jobs of another

LOST: the runner ends its loop over all open jobs at the first item that finds no backend server, whichever service the item needs.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -14,6 +14,7 @@
 	"crashes":  playCrashes,
 	"long":     playLongResult,
 	"added":    playRouteAdded,
+	"blocked":  playBlocked,
 	"entry":    playForeignEntry,
 	"outside":  playPathOutside,
 	"removed":  playRouteRemoved,
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -349,13 +349,16 @@
 }
 
 // submit sends a batch job until it is accepted.
-func (r *rig) submit(g *gateway, id string, items []item) {
+func (r *rig) submit(g *gateway, id string, items []item) { r.submitAt(g, "/pule252/", id, items) }
+
+// submitAt is submit on the route with the given prefix.
+func (r *rig) submitAt(g *gateway, prefix, id string, items []item) {
 	raw, err := json.Marshal(map[string]any{"Items": items})
 	if err != nil {
 		fail("%v", err)
 	}
 	for range 20 {
-		status, _ := r.call(g, http.MethodPost, "/pule252/"+id, id, raw, map[string]string{"Content-Type": "application/json", "Deadline-Ms": "4000"})
+		status, _ := r.call(g, http.MethodPost, prefix+id, id, raw, map[string]string{"Content-Type": "application/json", "Deadline-Ms": "4000"})
 		if status == http.StatusAccepted {
 			return
 		}
