--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -15,6 +15,7 @@
 	"long":     playLongResult,
 	"added":    playRouteAdded,
 	"blocked":  playBlocked,
+	"empty":    playEmpty,
 	"entry":    playForeignEntry,
 	"outside":  playPathOutside,
 	"removed":  playRouteRemoved,
