--- a/review/rig/entry.go
+++ b/review/rig/entry.go
@@ -57,8 +57,8 @@
 	return e
 }
 
-// playForeignEntry lets another writer write one entry beside those of the workers. Its fields are those of
-// a worker, its id has a quotation mark.
+// playForeignEntry lets another writer write one entry beside those of the workers. Fields
+// of it are missing (ColdRemainingMs, Seq, born), and its id has a quotation mark.
 func playForeignEntry(r *rig) {
 	const foreignID = `i-5"2e`
 	call := map[string]any{
@@ -209,10 +209,9 @@
 
 // writeForeignEntry writes an entry again and again, as a worker does, until stop is closed.
 func (r *rig) writeForeignEntry(id, address string, stop <-chan struct{}) {
-	for seq := 1; ; seq++ {
+	for {
 		raw, _ := json.Marshal(map[string]any{
-			"Service": "llm", "Address": address, "Zone": "charlotte", "Version": "v1", "Slots": 8, "State": "ready",
-			"ColdRemainingMs": 0, "Seq": seq, "born": 1_790_000_000_000,
+			"Service": "llm", "Address": address, "Zone": "charlotte", "Version": "v1", "Slots": slots, "State": "ready",
 		})
 		r.store.put("keyed.servers", id, raw)
 		select {
--- a/review/rig/slowread.go
+++ b/review/rig/slowread.go
@@ -6,8 +6,12 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -42,7 +46,8 @@
 	return runComplete
 }
 
-// playSlowClients lets clients read long answers of a safe route slowly, but well within their time limit.
+// playSlowClients changes the settings of one gateway of four, and lets clients that come right after it read
+// long answers of a safe route slowly, but well within their time limit.
 func playSlowClients(r *rig) {
 	r.publish(7, []map[string]any{safeRoute()}, []map[string]any{{"Name": "app", "HealthPath": "/health", "MaxConnections": 110, "Protocol": "h1", "Tls": false}})
 	for i := range 3 {
@@ -52,21 +57,49 @@
 		}
 	}
 	g := r.startGateway("front-charlotte-1")
+	for i := 2; i <= 4; i++ {
+		r.startGateway(fmt.Sprintf("front-charlotte-%d", i))
+	}
 	r.awaitReady()
-	cut := []string{}
+	time.Sleep(contactTime + time.Second) // the start of the processes must be over for the rule
+	r.changeSettings(g)
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	var cut []string
 	for i := range slowClients {
-		if what := r.readSlowly(g, fmt.Sprintf("9c41d07be2a35f%02d", i)); what != "" {
-			cut = append(cut, what)
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	const allowed = 3
-	if len(cut) <= allowed {
-		cut = nil
+		callers.Go(func() {
+			time.Sleep(time.Duration(i) * 50 * time.Millisecond)
+			if what := r.readSlowly(g, fmt.Sprintf("9c41d07be2a35f%02d", i)); what != "" {
+				mu.Lock()
+				defer mu.Unlock()
+				cut = append(cut, what)
+			}
+		})
 	}
+	callers.Wait()
 	r.finish(cut)
 }
 
+// contactTime is the platform's ContactMs.
+const contactTime = 4 * time.Second
+
+// changeSettings changes the settings file of a gateway in a way that changes nothing for it, and sends
+// SIGHUP.
+func (r *rig) changeSettings(g *gateway) {
+	f, err := os.OpenFile(filepath.Join(r.dir, g.name+".toml"), os.O_APPEND|os.O_WRONLY, 0o600)
+	if err == nil {
+		_, err = f.WriteString("# changed\n")
+		_ = f.Close()
+	}
+	if err == nil {
+		err = g.cmd.Process.Signal(syscall.SIGHUP)
+	}
+	if err != nil {
+		fail("%v", err)
+	}
+	r.note("the settings of %s have changed, SIGHUP is sent", g.name)
+}
+
 // readSlowly sends a short request and then a long one on the same channel, and returns what is wrong with
 // the answer to the second.
 func (r *rig) readSlowly(g *gateway, id string) string {
@@ -96,7 +129,7 @@
 		got, err := readAtPace(resp.Body, pause)
 		r.note("client: request %s: %d, %d of %d bytes after %s, error %v", request, resp.StatusCode, got, bytes, time.Since(begin), err)
 		if err != nil || resp.StatusCode == http.StatusOK && got != int64(bytes) {
-			return fmt.Sprintf("LOST: request %s on a kept channel was run by a sound worker, and the channel ends after %d of %d bytes and %s: %v", request, got, bytes, time.Since(begin).Round(time.Millisecond), err)
+			return fmt.Sprintf("LOST: request %s was sent right after the SIGHUP and run by a worker, and its channel ends without a complete answer, after %d of %d bytes and %s: %v", request, got, bytes, time.Since(begin).Round(time.Millisecond), err)
 		}
 	}
 	return ""
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -36,8 +36,17 @@
 	server *http.Server
 	seq    int
 	stop   context.CancelFunc
+	// running and waiting count the requests that have a slot and those that wait for one.
+	running, waiting int
+	free             chan struct{}
 }
 
+// The requests that a worker processes at once, and those that may wait for a slot.
+const (
+	slots    = 8
+	maxQueue = 24
+)
+
 func newWorker(r *rig, name, service string, serve func(http.ResponseWriter, *http.Request, []byte) string) *worker {
 	w := &worker{rig: r, service: service, zone: "charlotte", serve: serve, id: name}
 	w.address = r.ip + ":" + strconv.Itoa(freePort(r.ip))
@@ -56,6 +65,7 @@
 	if w.boots > 1 {
 		w.id = fmt.Sprintf("%.10s-b%d", w.id, w.boots)
 	}
+	w.running, w.waiting, w.free = 0, 0, make(chan struct{}, slots)
 	w.born, w.stop = time.Now().UnixMilli(), cancel
 	w.server = &http.Server{Handler: http.HandlerFunc(w.handle)}
 	server := w.server
@@ -98,7 +108,7 @@
 		w.mu.Lock()
 		w.seq++
 		raw, _ := json.Marshal(map[string]any{
-			"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready",
+			"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": slots, "State": "ready",
 			"ColdRemainingMs": 0, "Stage": "both", "Models": []any{}, "Seq": w.seq, "born": w.born,
 		})
 		id := w.id
@@ -113,12 +123,12 @@
 
 func (w *worker) handle(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
-	id, born := w.id, w.born
+	id, born, running, waiting := w.id, w.born, w.running, w.waiting
 	w.mu.Unlock()
 	h := rw.Header()
 	h.Set("Instance-Id", id)
 	if r.Method == http.MethodGet && (r.URL.Path == "/api/report" || r.URL.Path == "/health") {
-		writeJSON(rw, http.StatusOK, map[string]any{"Stage": "both", "Busy": false, "Seq": 0, "Waiting": 0, "Running": 0, "KvUsed": 0, "KvTotal": 100000, "born": born})
+		writeJSON(rw, http.StatusOK, map[string]any{"Stage": "both", "Busy": false, "Seq": 0, "Waiting": waiting, "Running": running, "KvUsed": 0, "KvTotal": 100000, "born": born})
 		return
 	}
 	request := r.Header.Get("Request-Id")
@@ -138,13 +148,62 @@
 		return
 	}
 	h.Set("Request-Id", request)
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+		defer cancel()
+		r = r.WithContext(ctx)
+	}
+	release, ok := w.admit(r.Context())
+	w.mu.Lock()
+	h.Set("Server-Load", fmt.Sprintf("%d,%d,%d", w.running, w.waiting, slots))
+	w.mu.Unlock()
+	if !ok {
+		w.rig.note("worker %s is full and doesn't run request %s", id, request)
+		h.Set("Not-Run", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer release()
 	h.Set("Response-Stamp", "stamp-"+request)
-	h.Set("Server-Load", "1,0,8")
 	w.rig.arrived(id, request, r, body)
 	end := w.serve(rw, r, body)
 	w.rig.ended(id, request, end)
 }
 
+// admit waits for a slot. It returns false if too many requests wait already, or if the caller's time is
+// over first.
+func (w *worker) admit(ctx context.Context) (release func(), ok bool) {
+	w.mu.Lock()
+	free := w.free
+	if w.waiting >= maxQueue {
+		w.mu.Unlock()
+		return nil, false
+	}
+	w.waiting++
+	w.mu.Unlock()
+	select {
+	case free <- struct{}{}:
+		ok = true
+	case <-ctx.Done():
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if free == w.free { // the counts are those of this boot
+		w.waiting--
+		if ok {
+			w.running++
+		}
+	}
+	return func() {
+		<-free
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if free == w.free {
+			w.running--
+		}
+	}, ok
+}
+
 // sendEvents sends the events after Last-Event-Id, one at a time with a pause after each.
 func sendEvents(w http.ResponseWriter, r *http.Request, events int, pause time.Duration, data func(n int) string) string {
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
