gateway: text from outside is escaped in the names of series

Cause: the id of a backend server went into the name of a series as it was, in AttemptEnded and RemoveBackend, and the metrics library panics on a name that it can't read. An item of a batch job runs in a goroutine without a recover, so the process ended. Which other series took text from outside: the zone of the settings (from, to), the service of waiting requests (replaced, so two services could share a series) and workspaces (escaped by a second replacer).

Evidence: TestTextFromOutsideMakesValidSeries failed before with panic: BUG: invalid metric name "catkinrudder_gateway_backend_attempts_total{backend=\"i-5\"2e\",outcome=\"whole\"}" and passes now.

Why it works: one function builds all names, and escapes each value. A removal compares whole labels, which no escaped value can contain.

--- a/internal/gateway/crossing.go
+++ b/internal/gateway/crossing.go
@@ -23,7 +23,7 @@
 
 // crossed counts an attempt that goes to a backend server in a zone.
 func (m *Metrics) crossed(to string, reason balance.Crossing) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_zone_attempts_total{from="` + m.zone + `",to="` + m.known(to) + `",reason="` + string(reason) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_zone_attempts_total", label{"from", m.zone}, label{"to", m.known(to)}, label{"reason", string(reason)})).Inc()
 }
 
 // Transferred counts the bytes of the bodies of a request, which went to a backend server in a zone,
@@ -32,7 +32,7 @@
 	if reason == "" {
 		reason = itemCrossing
 	}
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_zone_bytes_total{from="` + m.zone + `",to="` + m.known(to) + `",reason="` + reason + `"}`).AddInt64(bytes)
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_zone_bytes_total", label{"from", m.zone}, label{"to", m.known(to)}, label{"reason", reason})).AddInt64(bytes)
 }
 
 // known returns a zone that may have series.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strings"
 	"sync"
 	"time"
 
@@ -38,19 +37,16 @@
 }
 
 func (m *Metrics) routed(reason balance.Reason) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_attempts_total{reason="` + string(reason) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_attempts_total", label{"reason", string(reason)})).Inc()
 }
 
 func (m *Metrics) firstByte(kind string, seconds float64) {
-	m.set.GetOrCreateHistogram(`catkinrudder_gateway_first_byte_seconds{route_kind="` + kind + `"}`).Update(seconds)
+	m.set.GetOrCreateHistogram(series("catkinrudder_gateway_first_byte_seconds", label{"route_kind", kind})).Update(seconds)
 }
 
-// labelText replaces what would end the value of a label.
-var labelText = strings.NewReplacer(`"`, "_", `\`, "_", "\n", "_")
-
 // waitingNow sets how many requests wait for a service. Services come from the configuration.
 func (m *Metrics) waitingNow(service string, n int) {
-	m.set.GetOrCreateGauge(`catkinrudder_gateway_waiting_requests{service="`+labelText.Replace(service)+`"}`, nil).Set(float64(n))
+	m.set.GetOrCreateGauge(series("catkinrudder_gateway_waiting_requests", label{"service", service}), nil).Set(float64(n))
 }
 
 // waited records a wait for a slot that has ended, and the refusal with which it ended if
@@ -59,9 +55,9 @@
 	outcome := "slot"
 	if refused != waiting.None {
 		outcome = string(refused)
-		m.set.GetOrCreateCounter(`catkinrudder_gateway_refusals_total{reason="` + outcome + `"}`).Inc()
+		m.set.GetOrCreateCounter(series("catkinrudder_gateway_refusals_total", label{"reason", outcome})).Inc()
 	}
-	m.set.GetOrCreateHistogram(`catkinrudder_gateway_wait_seconds{outcome="` + outcome + `"}`).Update(d.Seconds())
+	m.set.GetOrCreateHistogram(series("catkinrudder_gateway_wait_seconds", label{"outcome", outcome})).Update(d.Seconds())
 }
 
 // requestOutcome is the outcome of a request for its caller.
@@ -92,16 +88,16 @@
 }
 
 func (m *Metrics) requestEnded(routeKind string, err error) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_requests_total{route_kind="` + routeKind + `",outcome="` + string(outcomeOf(err)) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_requests_total", label{"route_kind", routeKind}, label{"outcome", string(outcomeOf(err))})).Inc()
 }
 
 func (m *Metrics) requestFailed(kind errkind.Kind) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_failures_total{kind="` + string(kind) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_failures_total", label{"kind", string(kind)})).Inc()
 }
 
 // CallerCutOff counts a caller that was cut off because it did not read its response.
 func (m *Metrics) CallerCutOff(reason egress.CutReason) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_callers_cut_off_total{reason="` + string(reason) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_callers_cut_off_total", label{"reason", string(reason)})).Inc()
 }
 
 // ConnectionOpened counts a new connection to a backend server.
@@ -121,7 +117,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.backends, id)
-	m.removeSeries(`{backend="` + id + `",`)
+	m.removeSeries(label{"backend", id})
 }
 
 // AttemptEnded counts an attempt at a backend server, unless the server was removed.
@@ -131,17 +127,17 @@
 	if !m.backends[backendID] {
 		return
 	}
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_attempts_total{backend="` + backendID + `",outcome="` + string(o) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_backend_attempts_total", label{"backend", backendID}, label{"outcome", string(o)})).Inc()
 }
 
 // ResponseEnded counts a response of a backend server that has ended, by what shows that it is complete.
 func (m *Metrics) ResponseEnded(routeKind string, evidence upstream.Evidence) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_response_ends_total{route_kind="` + routeKind + `",evidence="` + string(evidence) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_response_ends_total", label{"route_kind", routeKind}, label{"evidence", string(evidence)})).Inc()
 }
 
 // eventOutOfOrder counts an event that does not follow the one before it.
 func (m *Metrics) eventOutOfOrder(kind string, reason eventstream.Reason) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_events_out_of_order_total{kind="` + kind + `",reason="` + string(reason) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_events_out_of_order_total", label{"kind", kind}, label{"reason", string(reason)})).Inc()
 }
 
 // ItemEventOutOfOrder counts an event of a batch item that does not follow the one before it.
@@ -149,27 +145,27 @@
 
 // ItemDecided counts a decision on batch items.
 func (m *Metrics) ItemDecided(d jobs.Decision, reason string) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_item_decisions_total{decision="` + string(d) + `",reason="` + reason + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_item_decisions_total", label{"decision", string(d)}, label{"reason", reason})).Inc()
 }
 
 // StoreCalled counts a call to the store.
 func (m *Metrics) StoreCalled(call, outcome string, took time.Duration) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_store_calls_total{call="` + call + `",outcome="` + outcome + `"}`).Inc()
-	m.set.GetOrCreateHistogram(`catkinrudder_gateway_store_call_seconds{call="` + call + `"}`).Update(took.Seconds())
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_store_calls_total", label{"call", call}, label{"outcome", outcome})).Inc()
+	m.set.GetOrCreateHistogram(series("catkinrudder_gateway_store_call_seconds", label{"call", call})).Update(took.Seconds())
 }
 
 // LinesSuppressed counts log lines that were dropped: budget is the number of ordinary
 // lines that exceeded the budget, reader the number of lines that were dropped because
 // the output was read too slowly.
 func (m *Metrics) LinesSuppressed(budget, reader int64) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_log_lines_left_out_total{cause="budget"}`).AddInt64(budget)
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_log_lines_left_out_total{cause="reader"}`).AddInt64(reader)
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_log_lines_left_out_total", label{"cause", "budget"})).AddInt64(budget)
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_log_lines_left_out_total", label{"cause", "reader"})).AddInt64(reader)
 }
 
 // removeSeries removes the series that have a label. The caller holds mu.
-func (m *Metrics) removeSeries(label string) {
+func (m *Metrics) removeSeries(l label) {
 	for _, name := range m.set.ListMetricNames() {
-		if strings.Contains(name, label) {
+		if hasLabel(name, l) {
 			m.set.UnregisterMetric(name)
 		}
 	}
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -107,3 +107,36 @@
 		assert.Equal(t, set.GetOrCreateCounter(name).Get(), want, outcome)
 	}
 }
+
+// TestTextFromOutsideMakesValidSeries guards against an id, a service or a workspace that ends the process:
+// the library panics on a name that it can't read.
+func TestTextFromOutsideMakesValidSeries(t *testing.T) {
+	for _, text := range []string{`i-5"2e`, `i-5\`, `i-5\"`, "i-5\n2e", `"} 1`, `a="b",`, "\xff\x00", "i-é", ""} {
+		set := metrics.NewSet()
+		m := gateway.NewMetrics(set)
+		m.AddBackend(text)
+		m.AttemptEnded(text, upstream.Complete)
+		assert.Equal(t, len(set.ListMetricNames()), 1, "%q", text)
+		m.RemoveBackend(text)
+		assert.Equal(t, len(set.ListMetricNames()), 0, "%q", text)
+		m.SetZones(text, map[string]string{text: "r"})
+		m.Transferred(text, "", 1)
+		m.SetWorkspaces(catalog.NewConfig(1, nil, nil, catalog.Limits{}, catalog.Workspace{Name: text}))
+		m.SetWorkspaces(catalog.NewConfig(2, nil, nil, catalog.Limits{}))
+		for _, name := range set.ListMetricNames() {
+			assert.NilError(t, metrics.ValidateMetric(name), "%q", text)
+		}
+	}
+}
+
+// TestRemovalOfOneBackendKeepsTheSeriesOfOthers guards against ids that contain the label of another.
+func TestRemovalOfOneBackendKeepsTheSeriesOfOthers(t *testing.T) {
+	set := metrics.NewSet()
+	m := gateway.NewMetrics(set)
+	for _, id := range []string{"i-1", `x{backend="i-1`, `,backend="i-1"`, "i-12"} {
+		m.AddBackend(id)
+		m.AttemptEnded(id, upstream.Complete)
+	}
+	m.RemoveBackend("i-1")
+	assert.Equal(t, len(set.ListMetricNames()), 3)
+}
--- a/internal/gateway/quota_metrics.go
+++ b/internal/gateway/quota_metrics.go
@@ -5,13 +5,13 @@
 // Permits implements quota.Observer.
 func (m *Metrics) Permits(o quota.PermitOutcome, n int) {
 	if n > 0 {
-		m.set.GetOrCreateCounter(`catkinrudder_gateway_quota_permits_total{outcome="` + string(o) + `"}`).Add(n)
+		m.set.GetOrCreateCounter(series("catkinrudder_gateway_quota_permits_total", label{"outcome", string(o)})).Add(n)
 	}
 }
 
 // Asked implements quota.Observer.
 func (m *Metrics) Asked(o quota.AskOutcome) {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_quota_requests_total{outcome="` + string(o) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_quota_requests_total", label{"outcome", string(o)})).Inc()
 }
 
 // quotaRefused counts a request beyond the quota of its workspace.
@@ -19,6 +19,6 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(m.workspaces) > 0 {
-		m.set.GetOrCreateCounter(`catkinrudder_gateway_quota_refusals_total{workspace="` + m.workspaceLabel(workspace) + `"}`).Inc()
+		m.set.GetOrCreateCounter(series("catkinrudder_gateway_quota_refusals_total", label{"workspace", m.workspaceLabel(workspace)})).Inc()
 	}
 }
--- a/internal/gateway/workspace_metrics.go
+++ b/internal/gateway/workspace_metrics.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"strings"
-
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 )
@@ -15,9 +13,6 @@
 	noWorkspace        = "(none)"
 )
 
-// labelEscaper escapes the value of a label.
-var labelEscaper = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
-
 // SetWorkspaces sets the workspaces that may have series, and ends the series of the others.
 func (m *Metrics) SetWorkspaces(c *catalog.Config) {
 	m.mu.Lock()
@@ -43,7 +38,7 @@
 
 // removeWorkspace ends the series of a workspace.
 func (m *Metrics) removeWorkspace(name string) {
-	m.removeSeries(`workspace="` + labelEscaper.Replace(name) + `"`)
+	m.removeSeries(label{"workspace", name})
 }
 
 // workspaceLabel returns the value of the label of a workspace, which may share its series with
@@ -55,7 +50,7 @@
 	case !m.workspaces[workspace]:
 		workspace = otherWorkspaces
 	}
-	return labelEscaper.Replace(workspace)
+	return workspace
 }
 
 // workspaceRefused counts a request of a workspace that ended with an error of this system.
@@ -65,5 +60,5 @@
 	if len(m.workspaces) == 0 {
 		return
 	}
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_workspace_refusals_total{workspace="` + m.workspaceLabel(workspace) + `",kind="` + string(kind) + `"}`).Inc()
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_workspace_refusals_total", label{"workspace", m.workspaceLabel(workspace)}, label{"kind", string(kind)})).Inc()
 }
