--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -13,8 +13,10 @@
 // Change is a change of the registration of one backend server.
 type Change struct {
 	Backend catalog.Backend
-	// Kind is one of Registered, DrainStarted, Lapsed, Returned and Removed.
+	// Kind is one of Registered, DrainStarted, Lapsed, Returned, Removed and Refused.
 	Kind string
+	// Cause is why a record was refused. Backend then holds only its key as the id.
+	Cause error
 }
 
 // The kinds of changes.
@@ -30,8 +32,13 @@
 	Returned = "returned"
 	// Removed: the grace period has ended without a new registration.
 	Removed = "gone"
+	// Refused: a record names no backend server to use.
+	Refused = "refused"
 )
 
+// maxRefused bounds the memory for keys whose records were refused.
+const maxRefused = 1 << 10
+
 const (
 	// OutageGrace is how long a backend server may still receive requests after its
 	// registration has disappeared in a store outage: the servers that are still
@@ -60,6 +67,9 @@
 	byService map[string][]catalog.Backend
 	// removed is when the last backend server with a software was removed.
 	removed map[catalog.Software]time.Time
+	// refused holds the keys whose newest record was refused, so that a record that is written again
+	// and again is reported once.
+	refused map[string]bool
 	// unavailable states that the store does not respond; availableAt is when it last
 	// became available again.
 	unavailable bool
@@ -84,7 +94,7 @@
 	return &Backends{
 		decode: decode, changed: changed, now: now, loaded: make(chan struct{}),
 		byID: make(map[string]*registration), byService: make(map[string][]catalog.Backend),
-		removed: make(map[catalog.Software]time.Time),
+		removed: make(map[catalog.Software]time.Time), refused: make(map[string]bool),
 	}
 }
 
@@ -226,7 +236,7 @@
 			return nil
 		}
 		reg.backend.State = catalog.Draining
-		return []Change{{reg.backend, DrainStarted}}
+		return []Change{{Backend: reg.backend, Kind: DrainStarted}}
 	})
 }
 
@@ -267,7 +277,7 @@
 			if !reg.lapsedAt.IsZero() && !now.Before(reg.removeAt) {
 				delete(b.byID, id)
 				b.removed[reg.backend.Software()] = now
-				changes = append(changes, Change{reg.backend, Removed})
+				changes = append(changes, Change{Backend: reg.backend, Kind: Removed})
 			}
 		}
 		return changes
@@ -281,7 +291,9 @@
 	changes := f()
 	if len(changes) > 0 {
 		b.index()
-		b.loadOnce.Do(func() { close(b.loaded) })
+		if len(b.byID) > 0 {
+			b.loadOnce.Do(func() { close(b.loaded) })
+		}
 	}
 	b.mu.Unlock()
 	for _, c := range changes {
@@ -293,12 +305,14 @@
 // The caller holds the lock.
 func (b *Backends) put(r keyedlog.Record) []Change {
 	if r.Value == nil {
+		delete(b.refused, r.Key)
 		return b.lapse(r.Key)
 	}
 	backend, err := b.decode(r.Key, r.Value)
 	if err != nil {
-		return b.lapse(r.Key) // the record describes no usable backend server
+		return append(b.lapse(r.Key), b.refuse(r.Key, err)...)
 	}
+	delete(b.refused, r.Key)
 	old := b.byID[r.Key]
 	leaving := old != nil && old.leaving && old.backend.StartedMs == backend.StartedMs
 	if leaving {
@@ -310,17 +324,27 @@
 	b.byID[r.Key] = &registration{backend: backend, record: r, leaving: leaving}
 	switch {
 	case old == nil:
-		return []Change{{backend, Registered}}
+		return []Change{{Backend: backend, Kind: Registered}}
 	case !old.lapsedAt.IsZero():
-		return []Change{{backend, Returned}}
+		return []Change{{Backend: backend, Kind: Returned}}
 	case old.backend.State != backend.State && backend.State == catalog.Draining:
-		return []Change{{backend, DrainStarted}}
+		return []Change{{Backend: backend, Kind: DrainStarted}}
 	case old.backend != backend:
-		return []Change{{backend, Registered}}
+		return []Change{{Backend: backend, Kind: Registered}}
 	}
 	return nil
 }
 
+// refuse returns the change for a record that names no backend server to use. The caller holds the
+// lock.
+func (b *Backends) refuse(key string, cause error) []Change {
+	if b.refused[key] || len(b.refused) >= maxRefused {
+		return nil
+	}
+	b.refused[key] = true
+	return []Change{{Backend: catalog.Backend{ID: key}, Kind: Refused, Cause: cause}}
+}
+
 // lapse starts the grace period of a registration that has disappeared. The caller holds
 // the lock.
 func (b *Backends) lapse(id string) []Change {
@@ -330,7 +354,7 @@
 	}
 	reg.lapsedAt = b.now()
 	reg.removeAt = reg.lapsedAt.Add(b.grace(reg.lapsedAt))
-	return []Change{{reg.backend, Lapsed}}
+	return []Change{{Backend: reg.backend, Kind: Lapsed}}
 }
 
 // index rebuilds byService from byID. The caller holds the lock.
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -136,3 +136,16 @@
 	assert.Equal(t, len(started.OfService("s")), 1)
 	assert.Equal(t, started.OfService("s")[0].ID, "b")
 }
+
+// TestRefusedRecordIsReportedOnce guards against a record without any trace in the log, and one that fills it.
+func TestRefusedRecordIsReportedOnce(t *testing.T) {
+	b, _, changes := newBackends()
+	b.Apply([]keyedlog.Record{record("a", "odd"), record("a", "odder")})
+	select {
+	case <-b.Loaded():
+		t.Fatal("no backend server is known")
+	default:
+	}
+	b.Apply([]keyedlog.Record{record("a", "ready"), record("a", "odd"), record("a", ""), record("a", "odd")})
+	assert.DeepEqual(t, *changes, []string{"a refused", "a seen", "a lapsed", "a refused", "a refused"})
+}
--- a/internal/gatewayd/changes.go
+++ b/internal/gatewayd/changes.go
@@ -14,6 +14,10 @@
 
 func (d *Daemon) backendChanged(c discovery.Change) {
 	b := c.Backend
+	if c.Kind == discovery.Refused {
+		event.Log(d.log, event.RecordSkipped, "topic", platform.BackendTopic, "key", b.ID, "cause", c.Cause)
+		return
+	}
 	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "version", b.Version, "slots", b.Slots}
 	switch c.Kind {
 	case discovery.DrainStarted:
