--- a/internal/gatewayd/entries_test.go
+++ b/internal/gatewayd/entries_test.go
@@ -76,3 +76,13 @@
 	assert.Equal(t, len(foreign.Requests()), 0)
 	assert.Equal(t, strings.Count(lines.String(), "record_skipped"), 13, "each entry is named once")
 }
+
+// TestHugeNumberOfSlotsStopsNoItems guards against sums over slots that overflow: all servers together seem to
+// have none.
+func TestHugeNumberOfSlotsStopsNoItems(t *testing.T) {
+	d := newDeployment(t, 2)
+	b := platformtest.NewBackend(t, "huge")
+	d.write(platform.BackendTopic, b.ID, fmt.Sprintf(
+		`{"Service":"svc","Address":"%s","Zone":"z","Version":"v1","Slots":9223372036854775807,"State":"ready","ColdRemainingMs":0,"Seq":1,"born":%d}`, b.Address, b.Born))
+	d.start("a").serveAll(t, "job")
+}
