jobs: a panic in the run of one item ends no process

Cause: items run in goroutines of the runner without a recover, unlike the requests of callers, which net/http recovers. The item is run again after the restart, so one item could end process after process.

Why it works: a panic is the end of its run. No run's panic is hidden: it is logged as an error each time.

--- a/event/event.go
+++ b/event/event.go
@@ -51,6 +51,7 @@
 	ShardOwned       ID = 312
 	ShardReleased    ID = 313
 	ShardsLeft       ID = 314
+	ItemPanicked     ID = 315
 	AttemptAdmitted  ID = 401
 	AttemptRefused   ID = 402
 	BatchPreempted   ID = 403
@@ -111,6 +112,7 @@
 	{ShardOwned, "shard_owned", log.InfoLevel, "this process is the only writer of a shard's results and has read all earlier writes"},
 	{ShardReleased, "shard_released", log.InfoLevel, "this process no longer owns a shard"},
 	{ShardsLeft, "shards_left", log.InfoLevel, "this process leaves the shards of batch jobs to stronger ones"},
+	{ItemPanicked, "item_panicked", log.ErrorLevel, "a fault of this process ended a run of a batch item, which is run again"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an arriving online request"},
--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -29,7 +29,7 @@
 func (r *runner) requeue(u *run, out outcome) {
 	switch out.end {
 	case runCancelled:
-	case runInterrupted:
+	case runInterrupted, runPanicked:
 		u.notBefore = time.Now().Add(interruptedRetryDelay)
 	default:
 		u.notBefore = time.Now().Add(itemRetryDelay)
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -32,6 +32,8 @@
 	runFailed
 	// runRejected: the backend server reported that the item can never succeed.
 	runRejected
+	// runPanicked: a fault of this process ended the run.
+	runPanicked
 )
 
 // outcome is the end of a run with the item's output so far.
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -240,7 +240,7 @@
 func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
 	begin := time.Now()
-	out := r.s.runItem(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
+	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
