quarantine: servers that end together count once at all gateways together

Cause: servers that end within 250 ms count once at each gateway, but a gateway adds the servers that the others have counted to its own without that check. Three gateways that each notice another server of one crash first make three crashes of it.

Why it works: a report says when each server has ended and how long its run had lasted. A gateway puts all crashes that it knows in the order of their times and counts by the rule that holds for its own: apart in time for a part, begun after the end before for a request. Of two times for one crash the earlier counts, as the other was delayed. Reports of older releases lack the times; their crashes count as one.

In two tests the form of CrashReport.Counted changed, with what they assert as it was.

--- a/peering/evidence.go
+++ b/peering/evidence.go
@@ -32,35 +32,70 @@
 	Completed []string `cbor:"3,keyasint,omitempty"`
 	Held      []string `cbor:"4,keyasint,omitempty"`
 	LastedMs  []int64  `cbor:"5,keyasint,omitempty"`
-	// Counted holds, in the same order, the servers that count against the suspects at the sender.
-	Counted [][]uint32 `cbor:"6,keyasint,omitempty"`
+	// Counted holds, in the same order, the servers that count against the suspects at the sender, and
+	// AgesMs and CountedLastedMs when they have ended and how long the runs had lasted; reports of older
+	// releases lack these two.
+	Counted         [][]uint32 `cbor:"6,keyasint,omitempty"`
+	AgesMs          [][]int64  `cbor:"7,keyasint,omitempty"`
+	CountedLastedMs [][]int64  `cbor:"8,keyasint,omitempty"`
 }
 
 // crash returns the end of a server that is reported. Lists may be short in reports of older releases.
 func (r evidenceReport) crash() quarantine.CrashReport {
-	out := quarantine.CrashReport{Server: r.Server, Runs: make(quarantine.Runs, len(r.Crashed)), Counted: make(map[string][]uint32)}
+	out := quarantine.CrashReport{Server: r.Server, Runs: make(quarantine.Runs, len(r.Crashed)), Counted: make(map[string][]quarantine.CountedCrash)}
 	for i, suspect := range r.Crashed {
-		out.Runs[suspect] = 0
-		if i < len(r.LastedMs) {
-			out.Runs[suspect] = time.Duration(r.LastedMs[i]) * time.Millisecond
-		}
-		if i < len(r.Counted) {
-			out.Counted[suspect] = r.Counted[i]
+		out.Runs[suspect] = durationAt(r.LastedMs, i)
+		ages, lasted := listAt(r.AgesMs, i), listAt(r.CountedLastedMs, i)
+		for n, server := range listAt(r.Counted, i) {
+			out.Counted[suspect] = append(out.Counted[suspect], quarantine.CountedCrash{
+				Server: server, Age: durationAt(ages, n), Lasted: durationAt(lasted, n),
+			})
 		}
 	}
 	return out
 }
 
+// listAt returns a list of a report, which may be missing.
+func listAt[T any](lists [][]T, i int) []T {
+	if i >= len(lists) {
+		return nil
+	}
+	return lists[i]
+}
+
+// maxReported bounds a duration that is reported.
+const maxReported = 24 * time.Hour
+
+// durationAt returns a duration of a report, which may be missing.
+func durationAt(ms []int64, i int) time.Duration {
+	if i >= len(ms) {
+		return 0
+	}
+	return time.Duration(min(max(ms[i], 0), maxReported.Milliseconds())) * time.Millisecond
+}
+
 // BroadcastCrash implements quarantine.Peers.
 func (p *Peering) BroadcastCrash(crash quarantine.CrashReport) {
 	r := evidenceReport{Server: crash.Server, Crashed: crash.Runs.Suspects()}
 	for _, suspect := range r.Crashed {
 		r.LastedMs = append(r.LastedMs, crash.Runs[suspect].Milliseconds())
-		r.Counted = append(r.Counted, crash.Counted[suspect])
+		r.addCounted(crash.Counted[suspect])
 	}
 	p.broadcastEvidence(r)
 }
 
+// addCounted adds the crashes that count against the next suspect.
+func (r *evidenceReport) addCounted(crashes []quarantine.CountedCrash) {
+	var servers []uint32
+	var ages, lasted []int64
+	for _, c := range crashes {
+		servers = append(servers, c.Server)
+		ages = append(ages, c.Age.Milliseconds())
+		lasted = append(lasted, c.Lasted.Milliseconds())
+	}
+	r.Counted, r.AgesMs, r.CountedLastedMs = append(r.Counted, servers), append(r.AgesMs, ages), append(r.CountedLastedMs, lasted)
+}
+
 // BroadcastHeld implements quarantine.Peers.
 func (p *Peering) BroadcastHeld(suspects []string) {
 	p.broadcastEvidence(evidenceReport{Held: suspects})
--- a/peering/evidence_test.go
+++ b/peering/evidence_test.go
@@ -58,7 +58,7 @@
 
 func TestReportOfACrashIsAnsweredWithInnocentParts(t *testing.T) {
 	all := fleet(t, "near", "near", "far")
-	all[0].BroadcastCrash(quarantine.CrashReport{Server: 7, Runs: quarantine.Runs{"bad": time.Second, "sound": 0}, Counted: map[string][]uint32{"bad": {5, 7}}})
+	all[0].BroadcastCrash(quarantine.CrashReport{Server: 7, Runs: quarantine.Runs{"bad": time.Second, "sound": 0}, Counted: map[string][]quarantine.CountedCrash{"bad": {{Server: 5, Age: time.Second, Lasted: 20 * time.Millisecond}, {Server: 7}}}})
 	for _, other := range all[1:] {
 		other.evidence.waitFor(t, &other.evidence.crashed, 2)
 	}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -18,27 +18,35 @@
 	// Server is the hash of the server's id.
 	Server uint32
 	Runs   Runs
-	// Counted are the hashes of the servers whose ends count against a suspect at the gateway that
-	// reports, which knows the order of its own crashes and runs. Reports may be delayed.
-	Counted map[string][]uint32
+	// Counted are the ends of servers that count against a suspect at the gateway that reports, which
+	// knows the order of its own crashes and runs. Reports may be delayed.
+	Counted map[string][]CountedCrash
 }
 
-// evidence are the crashes under runs with one suspect that count.
+// CountedCrash is the end of a backend server as a gateway reports it.
+type CountedCrash struct {
+	// Server is the hash of the server's id.
+	Server uint32
+	// Age is how long before the report the server has ended, and Lasted how long the run had lasted.
+	Age, Lasted time.Duration
+}
+
+// evidence are the crashes under runs with one suspect that count, in the order of their times.
 type evidence []crash
 
-// crash is the end of a backend server, which is given by the hash of its id.
+// crash is the end of a backend server, which is given by the hash of its id, under a run.
 type crash struct {
-	server uint32
-	at     time.Time
+	server    uint32
+	at, began time.Time
 }
 
-// covers reports whether the end of a server, where a run had begun at a time, adds nothing to the
-// evidence.
-func (e evidence) covers(server uint32, began time.Time, spacing time.Duration, now time.Time) bool {
-	return slices.ContainsFunc(e, func(c crash) bool {
-		age := now.Sub(c.at)
-		return age < spacing || spacing == 0 && began.Before(c.at) || c.server == server && age < sameCrash
-	})
+// follows reports whether the crash adds to the evidence of an earlier one: the two are spacing apart
+// or, if spacing is 0, the run began after the earlier server had ended.
+func (c crash) follows(earlier crash, spacing time.Duration) bool {
+	if spacing == 0 {
+		return !c.began.Before(earlier.at)
+	}
+	return c.at.Sub(earlier.at) >= spacing
 }
 
 // has reports whether the end of a server is part of the evidence.
@@ -46,24 +54,55 @@
 	return slices.ContainsFunc(e, func(c crash) bool { return c.server == server })
 }
 
-// with returns the evidence with the ends of further servers, minCrashes at most.
-func (e evidence) with(servers []uint32, now time.Time) evidence {
-	merged := slices.Clone(e)
-	for _, server := range servers {
-		if len(merged) < minCrashes && !merged.has(server) {
-			merged = append(merged, crash{server, now})
+// with returns the evidence that all crashes together are, minCrashes at most. Several gateways may have
+// counted different servers that have ended together.
+func (e evidence) with(crashes []crash, spacing time.Duration) evidence {
+	all := slices.Clone(e)
+	for _, c := range crashes {
+		all = all.add(c)
+	}
+	slices.SortStableFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
+	var counted evidence
+	for _, c := range all {
+		if len(counted) == 0 || len(counted) < minCrashes && c.follows(counted[len(counted)-1], spacing) {
+			counted = append(counted, c)
 		}
 	}
-	return merged
+	return counted
 }
 
-// servers returns the hashes of the servers that have ended.
-func (e evidence) servers() []uint32 {
-	servers := make([]uint32, len(e))
+// add adds a crash, unless it is known. Of two times for one crash the earlier one counts: the other
+// was delayed.
+func (e evidence) add(c crash) evidence {
+	i := slices.IndexFunc(e, func(known crash) bool {
+		return known.server == c.server && c.at.Sub(known.at).Abs() < sameCrash
+	})
+	switch {
+	case i < 0:
+		return append(e, c)
+	case c.at.Before(e[i].at):
+		e[i] = c
+	}
+	return e
+}
+
+// counted returns the evidence as it is reported.
+func (e evidence) counted(now time.Time) []CountedCrash {
+	out := make([]CountedCrash, len(e))
 	for i, c := range e {
-		servers[i] = c.server
+		out[i] = CountedCrash{Server: c.server, Age: now.Sub(c.at), Lasted: c.at.Sub(c.began)}
+	}
+	return out
+}
+
+// reported returns crashes that another gateway has counted.
+func reported(counted []CountedCrash, now time.Time) []crash {
+	out := make([]crash, len(counted))
+	for i, c := range counted {
+		at := now.Add(-c.Age)
+		out[i] = crash{c.Server, at, at.Add(-c.Lasted)}
 	}
-	return servers
+	return out
 }
 
 // without returns the crashes that are not among those of other.
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -154,6 +154,6 @@
 func TestReportsOfAnInnocentRequestAddNothing(t *testing.T) {
 	table := NewTable(start)
 	table.RecordCompleted([]string{innocent}, after(0))
-	table.RecordReport(CrashReport{Server: 3, Runs: runsOf(innocent), Counted: map[string][]uint32{innocent: {1, 2, 3}}}, after(time.Second))
+	table.RecordReport(CrashReport{Server: 3, Runs: runsOf(innocent), Counted: map[string][]CountedCrash{innocent: {{Server: 1, Age: 2 * time.Second}, {Server: 2, Age: time.Second}, {Server: 3}}}}, after(time.Second))
 	assert.Assert(t, !isHeld(table, innocent, after(2*time.Second)))
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -146,10 +146,7 @@
 	}
 	for suspect, lasted := range runs {
 		r := t.records(suspect)
-		e, _ := r.crashes.Get(suspect, now)
-		if len(e) < minCrashes && !e.covers(server, now.Add(-lasted), r.spacing, now) {
-			r.crashes.Put(suspect, append(slices.Clone(e), crash{server, now}), now)
-		}
+		r.count(suspect, []crash{{server, now, now.Add(-lasted)}}, now)
 	}
 }
 
@@ -158,32 +155,43 @@
 	t.RecordCrash(report.Server, report.Runs, now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for suspect, servers := range report.Counted {
-		if t.held[suspect] != nil || t.completedLately(suspect, now) {
-			continue
-		}
-		r := t.records(suspect)
-		e, _ := r.crashes.Get(suspect, now)
-		merged := e.with(servers, now)
-		if len(merged) > len(e) {
-			r.crashes.Put(suspect, merged, now)
+	for suspect, counted := range report.Counted {
+		if t.held[suspect] == nil && !t.completedLately(suspect, now) {
+			t.records(suspect).count(suspect, reported(counted, now), now)
 		}
 	}
 }
 
-// Counted returns the hashes of the servers whose ends count against suspects.
-func (t *Table) Counted(suspects []string, now time.Time) map[string][]uint32 {
+// count adds crashes to the evidence against a suspect.
+func (r *records) count(suspect string, crashes []crash, now time.Time) {
+	e, _ := r.crashes.Get(suspect, now)
+	if merged := e.with(crashes, r.spacing); !slices.Equal(merged, e) {
+		r.crashes.Put(suspect, merged, now)
+	}
+}
+
+// Counted returns the ends of servers that count against suspects.
+func (t *Table) Counted(suspects []string, now time.Time) map[string][]CountedCrash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counted := make(map[string][]uint32)
+	counted := make(map[string][]CountedCrash)
 	for _, suspect := range suspects {
 		if e, _ := t.records(suspect).crashes.Get(suspect, now); len(e) > 0 {
-			counted[suspect] = e.servers()
+			counted[suspect] = e.counted(now)
 		}
 	}
 	return counted
 }
 
+// crashAges returns how long ago the servers have ended that count against a suspect.
+func (t *Table) crashAges(suspect string, now time.Time) []time.Duration {
+	var ages []time.Duration
+	for _, c := range t.Counted([]string{suspect}, now)[suspect] {
+		ages = append(ages, c.Age.Round(time.Millisecond))
+	}
+	return ages
+}
+
 // explained reports whether a held suspect is among the runs, whose trial has failed then. The caller
 // holds mu.
 func (t *Table) explained(runs Runs, now time.Time) bool {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -135,3 +135,53 @@
 	assert.Assert(t, table.parts.crashes.Len() <= maxSuspects)
 	assert.Assert(t, table.parts.completed.Len() <= maxSuspects)
 }
+
+// TestOneEndOfManyServersCountsOnce guards against gateways that add up what each of them has counted: servers that
+// end together have one cause, whichever of them a gateway notices first.
+func TestOneEndOfManyServersCountsOnce(t *testing.T) {
+	for _, suspect := range []string{"part", content} {
+		var gateways []*Table
+		for range 4 {
+			gateways = append(gateways, NewTable(start))
+		}
+		for moment := range 2 {
+			var reports []CrashReport
+			for i, g := range gateways {
+				noticed := after(time.Duration(moment)*8*time.Second + time.Duration(i)*10*time.Millisecond)
+				runs := Runs{suspect: 2 * time.Second}
+				g.RecordCrash(uint32(10*moment+i), runs, noticed)
+				reports = append(reports, CrashReport{Server: uint32(10*moment + i), Runs: runs, Counted: g.Counted([]string{suspect}, noticed)})
+			}
+			for _, g := range gateways {
+				for _, r := range reports {
+					g.RecordReport(r, after(time.Duration(moment)*8*time.Second+50*time.Millisecond))
+				}
+			}
+		}
+		for _, g := range gateways {
+			assert.Equal(t, len(g.HoldSuspects([]string{suspect}, after(time.Minute/2))), 0, suspect)
+			assert.Equal(t, len(g.Counted([]string{suspect}, after(time.Minute/2))[suspect]), 2, suspect)
+		}
+	}
+}
+
+// TestServersThatEndApartCountAtEveryGateway guards against evidence that is lost as gateways exchange it.
+func TestServersThatEndApartCountAtEveryGateway(t *testing.T) {
+	var gateways []*Table
+	for range minCrashes {
+		gateways = append(gateways, NewTable(start))
+	}
+	for i, g := range gateways {
+		at := after(time.Duration(i) * time.Second)
+		g.RecordCrash(uint32(i), runsOf("bad"), at)
+		r := CrashReport{Server: uint32(i), Runs: runsOf("bad"), Counted: g.Counted([]string{"bad"}, at)}
+		for _, other := range gateways {
+			if other != g {
+				other.RecordReport(r, at.Add(40*time.Millisecond))
+			}
+		}
+	}
+	for _, g := range gateways {
+		assert.DeepEqual(t, g.HoldSuspects([]string{"bad"}, after(4*time.Second)), []string{"bad"})
+	}
+}
