quarantine: a gateway that knows better objects to a hold

Cause: a gateway asks the others once, in datagrams that may be lost, before it holds a suspect. One that had just seen runs with it complete accepted the hold all the same, from its peer and from the store.

Why it works: it objects now: it does not hold the suspect, says so to the others, which release it, and stores the tombstone, so that gateways that start later do not hold it either. A guilty suspect has no complete run, so nobody objects. part_held names the ages of the crashes that count (crash_ages), which tells a series of crashes from a single one.

Test: TestGatewayThatKnowsBetterObjectsToAHold failed before (the suspect was held and nothing was broadcast).

--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -119,7 +119,7 @@
 	}
 	g.opts.Peers().BroadcastHeld(found)
 	for _, suspect := range found {
-		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own")
+		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own", "crash_ages", g.table.crashAges(suspect, time.Now()))
 		g.store(suspect, []byte{1})
 	}
 }
@@ -164,12 +164,22 @@
 func (g *Guard) PeerCompleted(suspects []string) { g.table.RecordCompleted(suspects, time.Now()) }
 
 // PeerHeld records suspects that another gateway has found.
-func (g *Guard) PeerHeld(suspects []string) {
+func (g *Guard) PeerHeld(suspects []string) { g.holdFound(suspects, "peer") }
+
+// holdFound holds suspects that have been found elsewhere. It objects to those with which a run has
+// completed here a short time ago: the gateway that found them may have missed that.
+func (g *Guard) holdFound(suspects []string, by string) {
+	now := time.Now()
+	innocent := g.table.Completed(suspects, now)
 	for _, suspect := range suspects {
-		if g.table.Hold(suspect, time.Now()) {
-			event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "peer")
+		if !slices.Contains(innocent, suspect) && g.table.Hold(suspect, now) {
+			event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", by)
 		}
 	}
+	if len(innocent) > 0 {
+		g.opts.Peers().BroadcastCompleted(innocent)
+		g.release(innocent)
+	}
 }
 
 // Rebuild implements keyedlog.View. A suspect that another gateway has announced may not be
@@ -179,11 +189,10 @@
 // Apply implements keyedlog.View.
 func (g *Guard) Apply(records []keyedlog.Record) {
 	for _, r := range records {
-		switch {
-		case r.Value == nil:
+		if r.Value == nil {
 			g.table.Release(r.Key)
-		case g.table.Hold(r.Key, time.Now()):
-			event.Log(g.opts.Logger, event.PartHeld, "suspect", r.Key, "by", "store")
+		} else {
+			g.holdFound([]string{r.Key}, "store")
 		}
 	}
 }
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -158,3 +158,19 @@
 		return poll.Success()
 	})
 }
+
+// TestGatewayThatKnowsBetterObjectsToAHold guards against a part that stays held because the gateway that found it has
+// missed the runs that speak for it.
+func TestGatewayThatKnowsBetterObjectsToAHold(t *testing.T) {
+	f := newGuardFixture(nil)
+	f.RunCompleted([]string{"sound"})
+	f.PeerHeld([]string{"sound", "bad"})
+	assert.DeepEqual(t, f.peers.completed, []string{"sound"})
+	_, held := f.Held([]string{"sound"})
+	assert.Assert(t, !held)
+	_, held = f.Held([]string{"bad"})
+	assert.Assert(t, held)
+	r := <-f.stored
+	assert.Equal(t, r.Key, "sound")
+	assert.Assert(t, r.Value == nil, "gateways that start later must not hold it")
+}
