quarantine: a run that a server has worked on for a second speaks for its parts

Cause: only a complete run speaks for a part, within 30 s. Items run for seconds, so between crashes some seconds apart none completes, though each run shows that servers bear the part. The hold then keeps any from completing.

A run that goes on for a second after its first event has done no harm, so it counts as a complete one: it clears the part, releases it and is an objection at other gateways. This holds for items and for streams of callers. A run that waits in a queue proves nothing: the time counts from the first event.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,6 +115,7 @@
 func (o *onlineRequest) relayEvents(ctx context.Context, b catalog.Backend, response *upstream.Response, idle *idleTimer) (retry bool, err error) {
 	defer idle.Stop()
 	events := eventstream.NewReader(response)
+	progress := o.g.Quarantine.Follow(func() []string { return o.suspectsIfNeeded(eagerIdentityBytes) })
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -125,6 +126,7 @@
 		}
 		if e.HasData() {
 			idle.Reset()
+			progress.Event()
 		}
 		id := e.ID()
 		if err := o.sequence.Accept(id, e.HasData()); err != nil {
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -54,6 +54,8 @@
 	// answered is called once the backend server that runs the item has sent a response
 	// head.
 	answered func()
+	// event is called for every event of the output.
+	event func()
 	// progressed is called with the progress after every progressInterval events.
 	progressed func(Progress)
 }
@@ -82,7 +84,7 @@
 		response.Discard()
 		return outcome{runFailed, p, errors.Errorf("backend server responded with status %d", response.Status)}
 	}
-	return s.collectEvents(ctx, response, b, p, idle, o.progressed)
+	return s.collectEvents(ctx, response, b, p, idle, o)
 }
 
 // progressInterval is the number of events between two reports of progress.
@@ -140,7 +142,7 @@
 }
 
 // collectEvents appends the events of a response to p.
-func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, progressed func(Progress)) outcome {
+func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, o runObserver) outcome {
 	events := eventstream.NewReader(response)
 	sequence := eventstream.After(p.LastEvent)
 	text := append([]byte(nil), p.Text...)
@@ -182,8 +184,9 @@
 		p.Text, p.LastEvent = text, id
 		p.Service, p.Version = b.Service, b.Version
 		p.Events++
+		o.event()
 		if p.Events%progressInterval == 0 && !sequence.Unnumbered() {
-			progressed(p)
+			o.progressed(p)
 		}
 	}
 }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -242,6 +242,7 @@
 	begin := time.Now()
 	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
+		event: r.s.opts.Quarantine.Follow(func() []string { return u.parts }).Event,
 	})
 	r.s.opts.Table.Release(b.ID, balance.Batch)
 	r.recordRunEnd(b, u.parts, begin, out.end)
