quarantine: the loss of many servers at once proves nothing against a part

Whatever ran on the nine servers that were lost together was charged with it. And under load, runs of items are stopped for requests of callers before they are a second old, so no single run speaks for its part.

Why it works: a guilty part was running on each server that it ends. Where three or more servers end within 250 ms without a run of it, and more than with one, the moment has another cause and doesn't count against it, now or later. The time that servers have worked on runs which were stopped adds up to the second that one long run needs. A part that most requests share, and that ends many servers at once, is still held (TestPartThatEndsManyServersAtOnceIsHeld).

The last 8 crashes are kept for a suspect instead of the first 3, as some of them may turn out to count no more.

--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -240,10 +240,14 @@
 func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
 	defer r.active.Done()
 	begin := time.Now()
+	progress := r.s.opts.Quarantine.Follow(func() []string { return u.parts })
 	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
-		event: r.s.opts.Quarantine.Follow(func() []string { return u.parts }).Event,
+		event: progress.Event,
 	})
+	if out.end == runCancelled {
+		progress.Stopped()
+	}
 	r.s.opts.Table.Release(b.ID, balance.Batch)
 	r.recordRunEnd(b, u.parts, begin, out.end)
 	r.mu.Lock()
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -54,7 +54,10 @@
 	return slices.ContainsFunc(e, func(c crash) bool { return c.server == server })
 }
 
-// with returns the evidence that all crashes together are, minCrashes at most. Several gateways may have
+// maxCounted bounds the crashes that are kept for one suspect.
+const maxCounted = 8
+
+// with returns the evidence that all crashes together are, the last maxCounted. Several gateways may have
 // counted different servers that have ended together.
 func (e evidence) with(crashes []crash, spacing time.Duration) evidence {
 	all := slices.Clone(e)
@@ -64,11 +67,11 @@
 	slices.SortStableFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
 	var counted evidence
 	for _, c := range all {
-		if len(counted) == 0 || len(counted) < minCrashes && c.follows(counted[len(counted)-1], spacing) {
+		if len(counted) == 0 || c.follows(counted[len(counted)-1], spacing) {
 			counted = append(counted, c)
 		}
 	}
-	return counted
+	return counted[max(len(counted)-maxCounted, 0):]
 }
 
 // add adds a crash, unless it is known. Of two times for one crash the earlier one counts: the other
--- a/quarantine/progress.go
+++ b/quarantine/progress.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// harmlessTime is how long a backend server works on a run, from its first event on, before the run
-// speaks for its suspects as a complete one does: a guilty run ends the server as it begins.
+// harmlessTime is how long backend servers work on runs with a suspect, from the first event of each on,
+// before these speak for it as a complete one does: a guilty run ends the server as it begins.
 const harmlessTime = time.Second
 
 // Progress follows the events of one run. It is not safe for concurrent use.
@@ -14,7 +14,7 @@
 	harmless bool
 }
 
-// Follow returns the progress of a run without any event. suspects is called at most once.
+// Follow returns the progress of a run without any event. suspects is called once at most for each call of a method.
 func (g *Guard) Follow(suspects func() []string) *Progress {
 	return &Progress{guard: g, suspects: suspects}
 }
@@ -33,3 +33,14 @@
 		p.guard.RunCompleted(p.suspects())
 	}
 }
+
+// Stopped records that this process has stopped the run while its server worked on. Runs that are stopped
+// early speak for their suspects together.
+func (p *Progress) Stopped() {
+	if p.harmless || p.first.IsZero() {
+		return
+	}
+	if suspects := p.guard.table.recordServed(p.suspects(), time.Since(p.first), time.Now()); len(suspects) > 0 {
+		p.guard.RunCompleted(suspects)
+	}
+}
--- a/quarantine/progress_test.go
+++ b/quarantine/progress_test.go
@@ -43,3 +43,25 @@
 		})
 	}
 }
+
+// TestRunsThatAreStoppedEarlySpeakTogether guards against a part that is held because each of its runs had to make
+// room for requests of callers within its first second.
+func TestRunsThatAreStoppedEarlySpeakTogether(t *testing.T) {
+	for runs, found := range map[int]int{2: 1, 8: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newGuardFixture(nil)
+			f.table = NewTable(time.Now().Add(-time.Minute))
+			for range runs {
+				progress := f.Follow(func() []string { return []string{"part"} })
+				progress.Event()
+				time.Sleep(150 * time.Millisecond)
+				progress.Stopped()
+			}
+			for i := range minCrashes {
+				f.table.RecordCrash(uint32(i), runsOf("part"), time.Now())
+				time.Sleep(time.Second)
+			}
+			assert.Equal(t, len(f.table.HoldSuspects([]string{"part"}, time.Now())), found, "%d runs", runs)
+		})
+	}
+}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -23,7 +23,7 @@
 	// end together have a common cause, such as a lost rack, and say nothing about the requests.
 	// Against a request, the end of a server counts if the run there began after the last crash that
 	// counts.
-	partCrashSpacing = 250 * time.Millisecond
+	partCrashSpacing = momentWidth
 	// sameCrash is the time in which reports on one server are about the same crash. A server
 	// takes longer to start again.
 	sameCrash = 1500 * time.Millisecond
@@ -58,12 +58,16 @@
 	// parts of prompts, and requests whoever sends them.
 	callers, parts, requests records
 	held                     map[string]*hold
+	// endings are the last ends of backend servers under runs.
+	endings endings
 }
 
 // records are the runs that speak for suspects of one kind, or against them.
 type records struct {
 	completed *recent.Map[string, struct{}]
 	crashes   *recent.Map[string, evidence]
+	// served is how long servers have worked on runs that were stopped early.
+	served *recent.Map[string, time.Duration]
 	// spacing is the least time between two crashes that count; if it is 0, the run has to begin
 	// after the last one.
 	spacing time.Duration
@@ -83,6 +87,7 @@
 		parts: records{
 			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
 			crashes:   recent.New[string, evidence](partEvidenceTime, maxSuspects),
+			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
 			spacing:   partCrashSpacing, holdTime: partHoldTime, maxHoldTime: maxPartHoldTime,
 		},
 		callers:  newRequestRecords(false),
@@ -95,6 +100,7 @@
 	return records{
 		completed: recent.New[string, struct{}](completionMemory, maxSuspects),
 		crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
+		served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
 		holdTime:  requestHoldTime, maxHoldTime: maxRequestHoldTime, immediate: !sharedByCallers, sharedByCallers: sharedByCallers,
 	}
 }
@@ -137,10 +143,27 @@
 	return released, cleared
 }
 
+// recordServed adds the time for which a server has worked on a run that was stopped, and returns the
+// suspects that servers have borne for long enough by now.
+func (t *Table) recordServed(suspects []string, d time.Duration, now time.Time) (harmless []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, suspect := range suspects {
+		served := t.records(suspect).served
+		sum, _ := served.Get(suspect, now)
+		served.Put(suspect, sum+d, now)
+		if sum+d >= harmlessTime {
+			harmless = append(harmless, suspect)
+		}
+	}
+	return harmless
+}
+
 // RecordCrash records that a backend server, given by the hash of its id, ended under these runs.
 func (t *Table) RecordCrash(server uint32, runs Runs, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.endings = t.endings.record(server, runs, now)
 	if t.explained(runs, now) {
 		return
 	}
@@ -222,8 +245,13 @@
 	if now.Sub(t.startedAt) < minObservation {
 		return false
 	}
+	return len(t.against(suspect, now)) >= minCrashes && !t.completedLately(suspect, now)
+}
+
+// against returns the crashes that a suspect may have caused. The caller holds mu.
+func (t *Table) against(suspect string, now time.Time) evidence {
 	e, _ := t.records(suspect).crashes.Get(suspect, now)
-	return len(e) >= minCrashes && !t.completedLately(suspect, now)
+	return slices.DeleteFunc(slices.Clone(e), func(c crash) bool { return !t.endings.explains(suspect, c.at) })
 }
 
 // HoldSuspects holds those of the suspects that are proved to crash servers, and returns them. A
@@ -311,7 +339,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.ContainsFunc(suspects, func(suspect string) bool {
-		e, _ := t.records(suspect).crashes.Get(suspect, now)
-		return len(e) >= minCrashes-1 && !t.completedLately(suspect, now)
+		return len(t.against(suspect, now)) >= minCrashes-1 && !t.completedLately(suspect, now)
 	})
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -185,3 +185,39 @@
 		assert.DeepEqual(t, g.HoldSuspects([]string{"bad"}, after(4*time.Second)), []string{"bad"})
 	}
 }
+
+// TestLossOfAWholeServiceProvesNothingAgainstAPart guards against a part that is held because its runs were among
+// those that several losses of many servers at once have broken off.
+func TestLossOfAWholeServiceProvesNothingAgainstAPart(t *testing.T) {
+	table := NewTable(start)
+	lose := func(at time.Time, moment, servers, under int) {
+		for i := range servers {
+			runs := runsOf(fmt.Sprint("other", moment, i))
+			if i < under {
+				runs["part"] = 0
+			}
+			table.RecordCrash(uint32(100*moment+i), runs, at.Add(time.Duration(i)*10*time.Millisecond))
+		}
+	}
+	for moment := range 3 {
+		lose(after(time.Duration(moment)*8*time.Second), moment, 9, 3)
+	}
+	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, after(17*time.Second))), 0)
+	assert.Assert(t, !table.Suspected([]string{"part"}, after(17*time.Second)))
+	for moment := range 3 { // it ends servers after all
+		lose(after(time.Duration(20+moment)*time.Second), 10+moment, 1, 1)
+	}
+	assert.DeepEqual(t, table.HoldSuspects([]string{"part"}, after(23*time.Second)), []string{"part"})
+}
+
+// TestPartThatEndsManyServersAtOnceIsHeld guards against a part that most requests share and that passes for a loss
+// of many servers: each of them has run it.
+func TestPartThatEndsManyServersAtOnceIsHeld(t *testing.T) {
+	table := NewTable(start)
+	for moment := range 3 {
+		for i := range 6 {
+			table.RecordCrash(uint32(100*moment+i), runsOf("bad", fmt.Sprint("other", moment, i)), after(time.Duration(moment)*time.Second))
+		}
+	}
+	assert.DeepEqual(t, table.HoldSuspects([]string{"bad"}, after(3*time.Second)), []string{"bad"})
+}
