jobs: a service without room stops no jobs of other services

An item that waited for a gap between requests of callers delayed others alike, and jobs behind it were not given up when their retention was over.

Cause: startItems gave one answer for "this service has no room" and "this process runs no more items", and the cycle ended its loop over all jobs at either.

Why it works: a pass remembers the services that are full and leaves their items out; within a service the order is as before. Only the bound of the process ends the loop. Expired jobs are given up, and results passed to their writers, before any item is started, so neither depends on room.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -38,6 +38,8 @@
 	log      *keyedlogtest.Log
 	backends []*platformtest.Backend
 	route    catalog.Route
+	// otherRoutes are further routes, whose services have no backend servers.
+	otherRoutes []catalog.Route
 
 	// capacities are those of the processes, by their names.
 	capacities map[string]float64
@@ -94,6 +96,14 @@
 	return out
 }
 
+// backendsOf returns the backend servers of a service.
+func (c *cluster) backendsOf(service string) []catalog.Backend {
+	if service != c.route.Splits[0].Service {
+		return nil
+	}
+	return c.registrations()
+}
+
 func (c *cluster) start(name string) *node {
 	c.t.Helper()
 	return c.startWithLog(name, c.log)
@@ -102,13 +112,13 @@
 func (c *cluster) startWithLog(name string, l keyedlog.Log) *node {
 	c.t.Helper()
 	n := &node{name: name, cluster: c, capacity: c.capacities[name], done: make(chan struct{}), guard: newGuard(), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
-	config := catalog.NewConfig(1, []catalog.Route{c.route}, nil, catalog.Limits{})
+	config := catalog.NewConfig(1, append([]catalog.Route{c.route}, c.otherRoutes...), nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
 		JobTopic: "keyed.jobs", ContentTopic: "keyed.contents", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
 		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Retention: time.Hour, Now: c.now,
 		Config:      func() *catalog.Config { return config },
-		Backends:    func(string) []catalog.Backend { return c.registrations() },
+		Backends:    c.backendsOf,
 		AllBackends: func(g func(catalog.Backend)) { each(c.registrations(), g) },
 		Table:       n.balance,
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
--- a/jobs/pick.go
+++ b/jobs/pick.go
@@ -37,7 +37,7 @@
 			return choice, found
 		}
 	}
-	service := j.route.PickService(float64(u.ref.item%10) / 10)
+	service := configuredService(j, u)
 	excluded, held := r.gaps.exclude(service, r.backfillItem(j, u, service, now), used, now)
 	if held {
 		return balance.Choice{}, waitsForGap
@@ -53,6 +53,20 @@
 	return choice, slotFound
 }
 
+// configuredService returns the service that the route chooses for an item.
+func configuredService(j openJob, u *run) string {
+	return j.route.PickService(float64(u.ref.item%10) / 10)
+}
+
+// serviceOf returns the service that an item is sent to next: that which has begun its output, or the
+// one that the route chooses.
+func (r *runner) serviceOf(j openJob, u *run) string {
+	if origin := u.progress.origin(); u.progress.started() && r.servesRoute(j, origin) {
+		return origin.Service
+	}
+	return configuredService(j, u)
+}
+
 // pickOrigin chooses a backend server that runs origin, which has begun the item. It returns
 // noSlot if the item need not wait for one. The time that an item waits for a gap does not count.
 func (r *runner) pickOrigin(j openJob, u *run, origin catalog.Software, used map[string]bool, now time.Time) (balance.Choice, search) {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -132,16 +132,18 @@
 	}
 	r.cancelStale()
 	r.preempt(now)
+	r.enqueueResults()
 	r.gaps.beginCycle(now)
 	config := r.s.opts.Config()
 	if config == nil {
 		return
 	}
+	open := r.giveUpExpired(r.openJobs(config), now)
 	used := make(map[string]bool)
-	open := r.openJobs(config)
 	for _, inTime := range []bool{true, false} {
+		p := &pass{inTime: inTime, used: used, full: make(map[string]bool)}
 		for _, j := range open {
-			if !r.startItems(ctx, j, inTime, used, now) {
+			if !r.startItems(ctx, j, p, now) {
 				break
 			}
 		}
@@ -163,35 +165,6 @@
 	}
 }
 
-// startItems starts the items of a job that find a slot, at most one at each backend
-// server in each cycle: used holds the backend servers that already got one. Over all
-// jobs, items that can be complete in time go first; inTime selects either those
-// or the others. It returns false if no backend server takes more items.
-func (r *runner) startItems(ctx context.Context, j openJob, inTime bool, used map[string]bool, now time.Time) bool {
-	retained := j.route.JobRetention <= 0 || now.Before(j.submitted.Add(j.route.JobRetention+clockSkewMargin))
-	for _, item := range j.items {
-		u := r.runFor(j, item)
-		if u.result != nil {
-			r.enqueueResult(u)
-			continue
-		}
-		if u.backend != "" || now.Before(u.notBefore) || inTime != r.estimates.meetsDeadline(j.job.Route, u.progress.Events, j.due.Sub(now)) {
-			continue
-		}
-		if !retained {
-			r.setResult(u, Result{Item: item, Text: u.progress.Text}, "retention is over")
-			continue
-		}
-		if _, held := r.s.opts.Quarantine.Held(u.parts); held {
-			continue // until it is released, or the retention is over
-		}
-		if r.runningCount() >= r.maxRuns || !r.startItem(ctx, j, u, used, now) {
-			return false
-		}
-	}
-	return true
-}
-
 // runFor returns the run of an item, and creates it if there is none.
 func (r *runner) runFor(j openJob, item int) *run {
 	ref := itemRef{j.id, item}
@@ -213,27 +186,27 @@
 	return n
 }
 
-// startItem starts an item. It returns false if no backend server has a free slot for it.
-func (r *runner) startItem(ctx context.Context, j openJob, u *run, used map[string]bool, now time.Time) bool {
+// startItem starts an item if there is a slot for it.
+func (r *runner) startItem(ctx context.Context, j openJob, u *run, p *pass, now time.Time) {
 	item := &j.content[u.ref.item]
-	choice, found := r.pickBackend(j, u, used, now)
+	choice, found := r.pickBackend(j, u, p.used, now)
 	switch found {
 	case waitsForOrigin:
-		return true
+		return
 	case noSlot, waitsForGap:
-		return false
+		p.full[r.serviceOf(j, u)] = true
+		return
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
 	u.placedBeside = choice.Load.Online
-	used[u.backend] = true
+	p.used[u.backend] = true
 	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(j, u, choice.Backend.Service, now), now)
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
 	r.active.Add(1)
 	go r.execute(runCtx, j, u, choice.Backend, u.progress)
-	return true
 }
 
 // execute runs an item once and handles the outcome.
