jobs: the route of an item is the one that has accepted its job

Cause: routeOf matched the path of the job's first item anew in each cycle, though the job names the route that accepted it. A job that matched another kind of route, or none, was skipped without a log line.

Why it works: the route is found by its name. If no batch route has it any more, the batch route that matches the path is taken, as before, so that a renamed route costs no items. A job without a route is logged (316) and given up after 10 s: a process that has not read the newest configuration yet must not give up what it allows, and neither must one that does not reach the log service.

--- a/catalog/match.go
+++ b/catalog/match.go
@@ -32,6 +32,23 @@
 	return nil
 }
 
+// BatchRoute returns the route of the jobs that a batch route of host has accepted under a name. Where no
+// batch route has that name any more, it returns the one with the longest prefix that path starts with, or
+// nil if there is none. A route of another kind whose prefix is longer has no part in it.
+func (c *Config) BatchRoute(host, name, path string) *Route {
+	var byPath *Route
+	for _, r := range c.routesOf(host) {
+		switch {
+		case r.Kind != Batch:
+		case r.Name == name:
+			return r
+		case byPath == nil && strings.HasPrefix(path, r.Prefix):
+			byPath = r
+		}
+	}
+	return byPath
+}
+
 // routesOf returns the routes of host, which may include a port.
 func (c *Config) routesOf(host string) []*Route {
 	name, _, _ := strings.Cut(host, ":")
--- a/event/event.go
+++ b/event/event.go
@@ -52,6 +52,7 @@
 	ShardReleased    ID = 313
 	ShardsLeft       ID = 314
 	ItemPanicked     ID = 315
+	JobWithoutRoute  ID = 316
 	AttemptAdmitted  ID = 401
 	AttemptRefused   ID = 402
 	BatchPreempted   ID = 403
@@ -113,6 +114,7 @@
 	{ShardReleased, "shard_released", log.InfoLevel, "this process no longer owns a shard"},
 	{ShardsLeft, "shards_left", log.InfoLevel, "this process leaves the shards of batch jobs to stronger ones"},
 	{ItemPanicked, "item_panicked", log.ErrorLevel, "a fault of this process ended a run of a batch item, which is run again"},
+	{JobWithoutRoute, "job_without_route", log.WarnLevel, "the configuration has no route for the items of an accepted batch job"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an arriving online request"},
--- a/jobs/open_jobs.go
+++ b/jobs/open_jobs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
 
@@ -34,36 +35,55 @@
 }
 
 // openJobs returns the jobs to run, ordered by due time.
-func (r *runner) openJobs(config *catalog.Config) []openJob {
-	var open []openJob
+func (r *runner) openJobs(config *catalog.Config, now time.Time) []openJob {
+	var open, withoutRoute []openJob
 	for _, j := range r.s.table.openJobs(r.ownsJob) {
-		route := routeOf(config, j)
-		if route == nil {
+		j.route = routeOf(config, j)
+		if j.route == nil {
+			withoutRoute = append(withoutRoute, j)
 			continue
 		}
-		j.route = route
 		j.identity = serving.Identity{Checked: j.job.Workspace != "" || config.HasWorkspaces(), Workspace: j.job.Workspace}
-		j.due = j.submitted.Add(route.JobCompletionTarget)
+		j.due = j.submitted.Add(j.route.JobCompletionTarget)
 		open = append(open, j)
 	}
+	r.giveUpWithoutRoute(withoutRoute, config.Version, now)
 	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
 	return open
 }
 
+// routeGrace is how long a job whose route the configuration does not hold is kept: the process may not
+// have read the configuration under which the job was accepted.
+const routeGrace = 10 * time.Second
+
+// giveUpWithoutRoute gives up jobs whose route has been removed. Such a job can't be run any more.
+func (r *runner) giveUpWithoutRoute(withoutRoute []openJob, version int64, now time.Time) {
+	since := make(map[string]time.Time, len(withoutRoute))
+	for _, j := range withoutRoute {
+		at, known := r.withoutRoute[j.id]
+		if !known {
+			at = now
+			event.Log(r.s.opts.Logger, event.JobWithoutRoute, "job", j.id, "route", j.job.Route, "host", j.job.Host, "items", len(j.items), "version", version)
+		}
+		since[j.id] = at
+		if now.Sub(at) >= routeGrace && r.s.opts.StoreAge() < storeUnreachableAfter {
+			r.giveUp(j, "its route has been removed")
+		}
+	}
+	r.withoutRoute = since
+}
+
 func (r *runner) ownsJob(id string) bool {
 	return r.s.shards[shardOf(id, len(r.s.shards))].owned()
 }
 
-// routeOf returns the route that a job's items belong to.
+// routeOf returns the route that a job's items belong to, whatever their paths: the one that has accepted
+// the job. It returns nil if there is none any more.
 func routeOf(config *catalog.Config, j openJob) *catalog.Route {
 	if len(j.content) == 0 {
 		return nil
 	}
-	route := config.Match(j.job.Host, j.content[0].Target)
-	if route == nil || route.Kind != catalog.Batch {
-		return nil
-	}
-	return route
+	return config.BatchRoute(j.job.Host, j.job.Route, j.content[0].Target)
 }
 
 // openJobs returns the jobs selected by include that have items without a result.
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -87,6 +87,8 @@
 	gaps *gaps
 	// backlog estimates the unfinished items of all processes.
 	backlog backlog
+	// withoutRoute holds since when the configuration has had no route for an open job.
+	withoutRoute map[string]time.Time
 	// maxRuns bounds the runs in progress.
 	maxRuns int
 	// active counts the runs in progress.
@@ -138,7 +140,7 @@
 	if config == nil {
 		return
 	}
-	open := r.giveUpExpired(r.openJobs(config), now)
+	open := r.giveUpExpired(r.openJobs(config, now), now)
 	used := make(map[string]bool)
 	for _, inTime := range []bool{true, false} {
 		p := &pass{inTime: inTime, used: used, full: make(map[string]bool)}
