gateway: the origin of a stream is concluded from a view that is newer than the resume

Callers saw, by the report of other operators: a stream that began at a server of a new version went on at a server of another one (ORDER), at a gateway that was out of step for a few seconds.

Cause: a gateway that finds no record of a stream's origin concludes it if all servers run one software, from a view of the servers that could be 1.5 s old. One that is cut off from the others has missed the announcement, and may have missed the registration in that time too.

Why it works: the server registered before it sent the first event, so a read that begins after the resume came can't miss it. Follower.Confirm makes this read at the log service itself, and not at a relay, cuts a waiting read short, and is shared by all resumes that wait. Without an answer the resume is refused as not run. The read is made only where no gateway knows the origin.

A read from a relay that is cut short this way no longer counts as a failure of the relay.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,7 +35,10 @@
 	// RegistrationAge returns the time for which the view of the backend servers may have missed
 	// a registration, and false if it has never been complete.
 	RegistrationAge func() (age time.Duration, known bool)
-	Origins         Origins
+	// ConfirmRegistrations returns once the view holds all registrations that the store held when it
+	// was called.
+	ConfirmRegistrations func(ctx context.Context) error
+	Origins              Origins
 	// Quarantine holds back requests that crash backend servers.
 	Quarantine *quarantine.Guard
 	// Revocation bounds how long withdrawn keys can be in use.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -8,27 +8,19 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
-	"github.com/catkinrudder/catkinrudder/internal/delay"
 )
 
 // unknownOriginRetryAfter is the Retry-After of a resume whose origin is not known here. The
 // caller's next attempt may reach a gateway that knows it.
 const unknownOriginRetryAfter = 200 * time.Millisecond
 
-// maxRegistrationAge is the age of the view of the backend servers beyond which a new version may
-// serve that this gateway does not know of. It exceeds the longest read of the registrations.
-const maxRegistrationAge = 1500 * time.Millisecond
-
-// A view that has just been read becomes complete within completionWait, of which the gateway learns
-// by asking every completionPoll.
 const (
-	completionWait = 20 * time.Millisecond
-	completionPoll = 2 * time.Millisecond
+	// maxSoftwareWait is how long a resume waits at a gateway that has just started.
+	maxSoftwareWait = 500 * time.Millisecond
+	// maxConfirmationWait is how long a resume waits for a read of the registrations.
+	maxConfirmationWait = 400 * time.Millisecond
 )
 
-// maxSoftwareWait is how long a resume waits at a gateway that has just started.
-const maxSoftwareWait = 500 * time.Millisecond
-
 // resumes reports whether the caller has a part of the stream already.
 func (o *onlineRequest) resumes() bool {
 	return o.route.Kind == catalog.Stream && o.r.LastEventID != ""
@@ -73,7 +65,7 @@
 		return catalog.Software{}, originUnknown
 	}
 	o.awaitSoftware(ctx)
-	if !o.knowsServers() {
+	if !o.knowsServers() && !o.confirmServers(ctx) {
 		return catalog.Software{}, originUnknown
 	}
 	if origin, only := o.g.Software.Only(o.route.Splits[0].Service); only {
@@ -88,18 +80,24 @@
 	ctx, cancel := context.WithTimeout(ctx, maxSoftwareWait)
 	defer cancel()
 	o.g.Software.AwaitLoaded(ctx)
-	for waited := time.Duration(0); waited < completionWait && !o.knowsServers(); waited += completionPoll {
-		if !delay.Wait(ctx, completionPoll) {
-			return
-		}
-	}
 }
 
-// knowsServers reports whether the view of the backend servers is as new as a stream requires whose
-// origin is concluded from it.
+// knowsServers reports whether the view of the backend servers was read after the request had arrived. The
+// server that began the stream was registered before, so it can't be missing; an older view may lack it,
+// and the software that it runs.
 func (o *onlineRequest) knowsServers() bool {
 	age, known := o.g.RegistrationAge()
-	return known && age <= maxRegistrationAge
+	return known && age <= time.Since(o.r.ReceivedAt)
+}
+
+// confirmServers has the registrations read, and reports whether the view is known to be complete.
+func (o *onlineRequest) confirmServers(ctx context.Context) bool {
+	if o.g.ConfirmRegistrations == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxConfirmationWait)
+	defer cancel()
+	return o.g.ConfirmRegistrations(ctx) == nil && o.knowsServers()
 }
 
 // recordOrigin records the software that sends the first event of a stream. Other gateways
--- a/internal/gateway/version_test.go
+++ b/internal/gateway/version_test.go
@@ -93,6 +93,39 @@
 	assert.Equal(t, a.Runs("1"), 1)
 }
 
+// TestVersionThatJoinedAMomentAgoIsKnownToAResume guards against a resume that is joined to another version: the
+// server that began the stream has registered after the gateway's last read, and its announcement is lost.
+func TestVersionThatJoinedAMomentAgoIsKnownToAResume(t *testing.T) {
+	a, b := platformtest.NewBackend(t, "a"), platformtest.NewBackend(t, "b")
+	b.Version = "v2"
+	f := newFixture(t, a)
+	resume := func(id string) error {
+		r := request(id, "/stream")
+		r.LastEventID = "3"
+		_, err := f.serve(r, route(catalog.Stream, resumable))
+		return err
+	}
+	age := time.Second // less than the longest read of the registrations
+	f.RegistrationAge = func() (time.Duration, bool) { return age, true }
+	assert.Equal(t, errkind.From(resume("1")).Response().Outcome, errkind.NotRun)
+	f.ConfirmRegistrations = func(context.Context) error { return errors.New("the store does not answer") }
+	assert.Equal(t, errkind.From(resume("2")).Response().Outcome, errkind.NotRun)
+	f.ConfirmRegistrations = func(context.Context) error {
+		f.register(a, b)
+		age = 0
+		return nil
+	}
+	assert.Equal(t, errkind.From(resume("3")).Response().Outcome, errkind.NotRun)
+	assert.Equal(t, len(a.Requests()), 0)
+
+	f = newFixture(t, a)
+	age = time.Second
+	f.RegistrationAge = func() (time.Duration, bool) { return age, true }
+	f.ConfirmRegistrations = func(context.Context) error { age = 0; return nil }
+	assert.NilError(t, resume("4"))
+	assert.Equal(t, a.Requests()[0].ResumeAfter, "3")
+}
+
 // TestUnframedStreamOfAnEndedServerIsInterrupted covers a stream whose end is marked by closing
 // the connection: if the server has ended, the stream is not complete.
 func TestUnframedStreamOfAnEndedServerIsInterrupted(t *testing.T) {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -151,7 +151,7 @@
 	d.relay = keyedlog.NewRelay(d.backends, platform.ComparableBackend)
 	d.jobs = jobs.New(d.jobOptions(configs, table, gatewayMetrics))
 	configFollower := d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay})
-	d.registrations = keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
+	d.registrations = keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), d.store, keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
 		keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged)
 	d.followers = []*keyedlog.Follower{
 		configFollower,
@@ -163,7 +163,7 @@
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Software: d.software, Table: table, Pool: d.pool, Jobs: d.jobs,
 		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
-		StoreAge: d.store.Age, RegistrationAge: d.registrations.ConfirmedAge, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
+		StoreAge: d.store.Age, RegistrationAge: d.registrations.ConfirmedAge, ConfirmRegistrations: d.registrations.Confirm, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
 		Revocation: revocation(s, configFollower),
 	}
 	return d, nil
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -54,6 +54,8 @@
 	// rebuiltOffsets holds the offsets of the rebuilt keys while the history is replayed
 	// from the end offset of the rebuild's first page.
 	rebuiltOffsets map[string]int64
+
+	confirmations confirmations
 }
 
 // NewFollower returns a follower of a partition; observe may be nil.
@@ -61,14 +63,15 @@
 	if observe == nil {
 		observe = func(Partition, error) {}
 	}
-	return &Follower{log: log, part: part, view: view, poll: poll, observe: observe}
+	return &Follower{log: log, part: part, view: view, poll: poll, observe: observe, confirmations: confirmations{log: log}}
 }
 
 // NewRelayedFollower returns a follower that maintains the view of a relay and reads
-// from source, which may be another relay.
-func NewRelayedFollower(source Source, part Partition, relay *Relay, poll PollConfig, observe Observer) *Follower {
+// from source, which may be another relay. Confirm reads from log.
+func NewRelayedFollower(source Source, log Reader, part Partition, relay *Relay, poll PollConfig, observe Observer) *Follower {
 	f := NewFollower(source, part, relay, poll, observe)
 	f.relay, f.source = relay, source
+	f.confirmations.log = log
 	return f
 }
 
@@ -96,21 +99,39 @@
 func (f *Follower) Run(ctx context.Context) {
 	rebuild := true
 	for ctx.Err() == nil {
-		var err error
-		if rebuild {
-			err = f.rebuild(ctx)
-			rebuild = err != nil
-		} else {
-			err = f.read(ctx)
-			rebuild = errors.Is(err, ErrTruncated)
-		}
+		rebuild = f.step(ctx, rebuild)
+	}
+}
+
+// step makes one read, or a rebuild, and waits until the next is due. It reports whether the view has to be
+// rebuilt. A confirmation that is asked for cuts a read and the wait short.
+func (f *Follower) step(ctx context.Context, rebuild bool) bool {
+	if rebuild {
+		err := f.rebuild(ctx)
 		f.report(err)
-		pause := f.minInterval()
-		if err != nil && !errors.Is(err, ErrTruncated) {
-			pause = f.poll.RetryDelay
-		}
-		delay.Wait(ctx, pause)
+		delay.Wait(ctx, f.pauseAfter(err))
+		return err != nil
+	}
+	stepCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := f.confirmations.begin(cancel)
+	var err error
+	if asked != nil {
+		err = f.confirm(ctx)
+		asked.finish(err)
+	} else if err = f.read(stepCtx); stepCtx.Err() != nil {
+		return false // a confirmation is asked for, or the process stops
 	}
+	f.report(err)
+	delay.Wait(stepCtx, f.pauseAfter(err))
+	return errors.Is(err, ErrTruncated)
+}
+
+func (f *Follower) pauseAfter(err error) time.Duration {
+	if err != nil && !errors.Is(err, ErrTruncated) {
+		return f.poll.RetryDelay
+	}
+	return f.minInterval()
 }
 
 // relayMinInterval is the minimum time between two reads from a relay, which responds
@@ -172,25 +193,33 @@
 	return nil
 }
 
-// read applies the records after those that the view holds. A log that ends before them was set back
-// to an earlier state: what follows is not in their order, and the view is rebuilt.
+// read applies the records after those that the view holds.
 func (f *Follower) read(ctx context.Context) error {
 	began := boottime.Now()
 	h, err := f.log.Read(ctx, f.part, f.next.Load(), f.poll.MaxWait)
 	if err != nil {
 		return err
 	}
+	_, err = f.apply(h, began)
+	return err
+}
+
+// apply applies what a call that began at a time has read, and reports whether the view is complete up to
+// that time. A log that ends before the view was set back to an earlier state: what follows is not in
+// their order, and the view is rebuilt.
+func (f *Follower) apply(h History, began time.Duration) (complete bool, err error) {
 	if h.End < f.next.Load() {
-		return ErrTruncated
+		return false, ErrTruncated
 	}
 	if len(h.Records) > 0 {
 		f.view.Apply(f.skipRebuilt(h.Records))
 	}
 	f.next.Store(h.Next)
-	if h.Next >= h.End {
-		f.confirmed.SetAt(began)
+	if h.Next < h.End {
+		return false, nil
 	}
-	return nil
+	f.confirmed.SetAt(began)
+	return true, nil
 }
 
 // skipRebuilt removes records that are not newer than those of the rebuild.
--- a/peering/relay.go
+++ b/peering/relay.go
@@ -85,6 +85,9 @@
 			s.setSource(relay, nil)
 			return h, err
 		}
+		if ctx.Err() != nil {
+			return keyedlog.History{}, errors.Wrap(ctx.Err(), "peering: read from a relay")
+		}
 		s.pauseRelays(err)
 		s.setSource("", err)
 	}
--- a/peering/relay_test.go
+++ b/peering/relay_test.go
@@ -141,7 +141,7 @@
 	t.Helper()
 	r.service = &countingReader{Reader: log}
 	r.source = r.NewSource(r.service)
-	f := keyedlog.NewRelayedFollower(r.source, registrations, r.relay,
+	f := keyedlog.NewRelayedFollower(r.source, r.service, registrations, r.relay,
 		keyedlog.PollConfig{MaxWait: 300 * time.Millisecond, MinInterval: time.Millisecond, RetryDelay: 10 * time.Millisecond}, nil)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
