gatewayd: requests without an answer get one before the process ends

Callers saw: in a planned stop, requests that still ran or waited at the end of the grace were closed without an answer, among them ones that may run once, so that their callers could not know whether they had run.

Cause: the server was closed 0.7 s before the end of the grace with whatever was open, and requests that arrived during the stop kept their own deadlines.

Now those that have not run get 503 and those that may have run 502 or 504.

Why it works: the end of the grace is a deadline of every request, 0.25 s before the server is closed. Requests that arrive during the stop have it from the start, so they are refused as soon as it is known that they can't be served by then. An answer that has begun is released from it and goes on until the close, as before. With a grace of 8 s the answers come at 7.05 s, in its last sixth.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -30,6 +30,8 @@
 	Metrics  *Metrics
 	// Draining is closed when the process is about to stop.
 	Draining <-chan struct{}
+	// Shutdown ends the requests that are not answered when the process has to end.
+	Shutdown *Shutdown
 	// StoreAge returns the time since the store last responded to a call of this process.
 	StoreAge func() time.Duration
 	// RegistrationAge returns the time for which the view of the backend servers may have missed
--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -35,7 +35,7 @@
 // closing the connection.
 func (o *onlineRequest) handleUnprovedEnd(ctx context.Context, b catalog.Backend, err error, examination *quarantine.Examination) (retry bool, _ error) {
 	if ctx.Err() != nil {
-		return false, o.finalError(o.expiredError(ctx.Err()))
+		return false, o.finalError(o.expiredError(ctx))
 	}
 	if examination.Ended(ctx) {
 		o.reportFailure(b, false)
@@ -46,7 +46,7 @@
 // handleInterruption handles a response that was cut off.
 func (o *onlineRequest) handleInterruption(ctx context.Context, b catalog.Backend, err error) (retry bool, _ error) {
 	if ctx.Err() != nil {
-		return false, o.finalError(o.expiredError(ctx.Err()))
+		return false, o.finalError(o.expiredError(ctx))
 	}
 	o.reportFailure(b, false)
 	return o.tryElsewhere(ctx, b, err, o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan))
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -64,6 +64,8 @@
 	origin catalog.Software
 	// lastFailure is the last failure; it is returned if no attempt is left.
 	lastFailure *errkind.Error
+	// outliveShutdown keeps the end of the grace period from ending the request.
+	outliveShutdown func() bool
 }
 
 // ServeOnline serves an online request. It returns nil if the caller has received the
@@ -82,10 +84,13 @@
 	if !r.Deadline.IsZero() && r.Deadline.Before(o.deadline) {
 		o.deadline = r.Deadline
 	}
+	o.deadline = g.Shutdown.limit(o.deadline)
 	o.priority = g.priority(r, route)
 	o.spent = g.queue.spent(route.Name, o.deadline.Sub(r.ReceivedAt), r.ReceivedAt)
 	ctx, cancel := context.WithDeadline(ctx, o.deadline)
 	defer cancel()
+	ctx, o.outliveShutdown = g.Shutdown.bind(ctx)
+	defer o.outliveShutdown()
 	err := o.runWithinQuota(ctx)
 	g.Metrics.requestEnded(route.Kind.String(), err)
 	if err != nil {
@@ -126,18 +131,25 @@
 	return o.parts[len(o.parts)-1]
 }
 
-// expiredError returns the error of a request whose deadline has passed or whose caller
-// has disconnected.
-func (o *onlineRequest) expiredError(err error) *errkind.Error {
-	if errors.Is(err, context.Canceled) {
-		return errkind.Wrap(err, errkind.Cancelled, "the caller has gone")
+// expiredError returns the error of a request whose ctx has ended: its deadline has passed, its caller
+// has disconnected, or this process stops.
+func (o *onlineRequest) expiredError(ctx context.Context) *errkind.Error {
+	cause := context.Cause(ctx)
+	stopping := errors.Is(cause, errStopping)
+	switch {
+	case errors.Is(cause, context.Canceled):
+		return errkind.Wrap(cause, errkind.Cancelled, "the caller has gone")
+	case o.mayHaveRun():
+		return errkind.Wrap(cause, errkind.Timeout, "no answer in time")
+	case stopping || o.g.Stopping():
+		return errkind.Wrap(cause, errkind.Draining, "no backend server had room before this process stops").WithRetryAfter(stoppingRetryAfter)
 	}
-	if o.mayHaveRun() {
-		return errkind.Wrap(err, errkind.Timeout, "no answer in time")
-	}
-	return errkind.Wrap(err, errkind.DeadlineTooShort, "no backend server had room in time")
+	return errkind.Wrap(cause, errkind.DeadlineTooShort, "no backend server had room in time")
 }
 
+// stoppingRetryAfter is the Retry-After of a request that another gateway may still serve.
+const stoppingRetryAfter = 50 * time.Millisecond
+
 // finalError returns the error for the caller after the last attempt.
 func (o *onlineRequest) finalError(err error) error {
 	if o.headSent {
@@ -203,7 +215,7 @@
 	notPermitted := errors.Is(err, upstream.ErrNoPermit)
 	if notPermitted || errors.Is(err, upstream.ErrNotSent) {
 		if ctx.Err() != nil {
-			return false, o.finalError(o.expiredError(ctx.Err()))
+			return false, o.finalError(o.expiredError(ctx))
 		}
 		if notPermitted {
 			event.Log(o.g.Log, event.PermitDenied, "request", o.r.ID, "backend", b.ID, "cause", err)
@@ -217,7 +229,7 @@
 	o.attempts++
 	o.excluded[b.ID] = true
 	if ctx.Err() != nil {
-		return false, o.finalError(o.expiredError(ctx.Err()))
+		return false, o.finalError(o.expiredError(ctx))
 	}
 	o.reportFailure(b, false)
 	examination := o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -56,7 +56,7 @@
 	}
 	var refusal *quota.Refusal
 	if !errors.As(err, &refusal) {
-		return nil, o.expiredError(ctx.Err())
+		return nil, o.expiredError(ctx)
 	}
 	o.g.Metrics.quotaRefused(workspace)
 	event.Log(o.g.Log, event.QuotaRefused, "request", o.r.ID, "workspace", workspace, "by", refusal.By, "owner", refusal.Owner,
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -106,6 +106,7 @@
 	}
 	o.w.WriteHeader(response.Status)
 	o.headSent = true
+	o.outliveShutdown() // an answer that has begun may still be complete before the process ends
 	o.firstByte = time.Now()
 	o.g.Metrics.firstByte(o.route.Kind.String(), o.firstByte.Sub(o.r.ReceivedAt).Seconds())
 }
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -39,8 +39,8 @@
 				return choice, nil
 			}
 		}
-		if err := ctx.Err(); err != nil {
-			return balance.Choice{}, o.expiredError(err)
+		if ctx.Err() != nil {
+			return balance.Choice{}, o.expiredError(ctx)
 		}
 		if err := o.judge(p, candidates, need, now); err != nil {
 			o.waitEnded(p, now)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -162,7 +162,7 @@
 	}
 	d.gateway = &gateway.Gateway{
 		Configs: configs, Backends: d.backends, Software: d.software, Table: table, Pool: d.pool, Jobs: d.jobs,
-		Log: logger, Metrics: gatewayMetrics, Draining: d.draining,
+		Log: logger, Metrics: gatewayMetrics, Draining: d.draining, Shutdown: gateway.NewShutdown(),
 		StoreAge: d.store.Age, RegistrationAge: d.registrations.ConfirmedAge, ConfirmRegistrations: d.registrations.Confirm, Origins: d.peering, Quarantine: d.guard, Crowd: crowd, Quotas: d.quotas,
 		Revocation: revocation(s, configFollower),
 	}
--- a/internal/gatewayd/serve.go
+++ b/internal/gatewayd/serve.go
@@ -27,8 +27,10 @@
 	// reported that it is not ready.
 	drainWait = 2800 * time.Millisecond
 	// exitMargin is the part of the grace period that is reserved for the exit itself.
-	exitMargin  = 700 * time.Millisecond
-	metricsPath = "/metrics"
+	exitMargin = 700 * time.Millisecond
+	// answerMargin is the time before that in which requests without an answer get one.
+	answerMargin = 250 * time.Millisecond
+	metricsPath  = "/metrics"
 
 	// callerStall is how long a caller may read nothing of a response: longer than any caller waits
 	// for a request. minCallerStall is this time if the callers' responses need too much memory.
@@ -101,10 +103,12 @@
 func (d *Daemon) drain(callers *http.Server) {
 	begin := time.Now()
 	event.Log(d.log, event.Draining, "instance", d.settings.Instance, "grace", d.settings.Grace)
+	end := begin.Add(d.settings.Grace - exitMargin)
+	d.gateway.Shutdown.Begin(end.Add(-answerMargin))
 	close(d.draining)
 	d.peering.SetLeaving()
 	d.jobs.Stop(context.Background())
-	ctx, cancel := context.WithDeadline(context.Background(), begin.Add(d.settings.Grace-exitMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	time.Sleep(time.Until(begin.Add(drainWait)))
 	if err := callers.Shutdown(ctx); err != nil {
