platform, upstream: an item carries no second request

Cause: the path went into the first line of the request as it stood in the JSON of the job. Fields such as Transfer-Encoding were dropped from items of identified callers only.

Items that were accepted earlier are given up, since they can never be sent.

--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -30,7 +30,7 @@
 	runInterrupted
 	// runFailed: the backend server responded with an error.
 	runFailed
-	// runRejected: the backend server reported that the item can never succeed.
+	// runRejected: the item can never succeed: the backend server has reported that, or the item can't be sent.
 	runRejected
 	// runPanicked: a fault of this process ended the run.
 	runPanicked
@@ -99,6 +99,9 @@
 	if cancelledHere(ctx) {
 		return outcome{runCancelled, p, ctx.Err()}
 	}
+	if errors.Is(err, upstream.ErrMalformed) {
+		return outcome{runRejected, p, err}
+	}
 	if errors.Is(err, upstream.ErrNoPermit) {
 		return outcome{runNotStarted, p, err}
 	}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -81,6 +81,17 @@
 	e.writeErr = writeRequest(e.conn.w, out)
 }
 
+// checkRequest returns ErrMalformed if the first lines of a request would not be read as this one request.
+// Its target may come from a caller's data.
+func checkRequest(r *serving.Request) error {
+	for _, part := range []string{r.Method, r.Target, r.Host} {
+		if strings.ContainsFunc(part, func(c rune) bool { return c <= ' ' || c == 0x7f }) {
+			return errors.Wrapf(ErrMalformed, "%.40q", part)
+		}
+	}
+	return nil
+}
+
 // writeRequest writes a request with a body of known length.
 func writeRequest(w *bufio.Writer, out serving.OutgoingRequest) error {
 	_, _ = fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\n", out.Method, out.Target, out.Host)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotSent is returned if no byte of the request reached the backend server.
 	ErrNotSent = errors.New("upstream: not sent")
+	// ErrMalformed is returned for a request that can't be sent to any backend server. Nothing was sent.
+	ErrMalformed = errors.New("upstream: malformed request")
 	// ErrNoPermit is returned if the backend server names a limit that leaves no room for the
 	// request now. Nothing was sent.
 	ErrNoPermit = errors.New("upstream: no permit")
@@ -129,6 +131,10 @@
 // Do sends r to the backend server of a and returns the head of the response. The
 // connection is closed when ctx ends, even while the body is read.
 func (p *Pool) Do(ctx context.Context, r *serving.Request, a serving.Attempt) (*Response, error) {
+	if err := checkRequest(r); err != nil {
+		p.ended(a.BackendID, NotSent)
+		return nil, err
+	}
 	if p.opts.Admit != nil {
 		if err := p.opts.Admit(ctx, a); err != nil {
 			p.ended(a.BackendID, NotPermitted)
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -163,3 +163,18 @@
 	assert.Equal(t, b.Connections(), 0)
 	assert.DeepEqual(t, outcomes, []upstream.Outcome{upstream.NotPermitted})
 }
+
+// TestMalformedRequestIsNotSent guards against a target that holds a second request.
+func TestMalformedRequestIsNotSent(t *testing.T) {
+	b := platformtest.NewBackend(t, "b")
+	pool := newPool()
+	for _, r := range []*serving.Request{
+		{ID: "1", Method: "POST", Host: "h", Target: "/a HTTP/1.1\r\n\r\nPOST /b"},
+		{ID: "2", Method: "POST", Host: "h\r\nX: y", Target: "/a"},
+		{ID: "3", Method: "POST x", Host: "h", Target: "/a"},
+	} {
+		_, err := pool.Do(t.Context(), r, to(b)) //nolint:bodyclose // there is no response
+		assert.ErrorIs(t, err, upstream.ErrMalformed)
+	}
+	assert.Equal(t, b.Connections(), 0)
+}
