gateway: the idle timer bounds the silence of a server, not the reading of a caller

Cause: the idle timer of the attempt was not stopped while an answer was sent on, and ran during the writes of events.

Evidence: TestSlowCallerGetsTheWholeOfALongResponse and TestSlowCallerKeepsItsStream failed before ("use of closed network connection", "response aborted") and pass now.

Why it works: an answer whose head is sent can't be replaced by another attempt, so nothing is gained by ending it before its deadline. For streams the timer runs only while the gateway waits for the server.

--- a/internal/gateway/interruption_test.go
+++ b/internal/gateway/interruption_test.go
@@ -41,6 +41,8 @@
 type byteCounter struct {
 	header http.Header
 	n      int
+	// delay is how long the caller takes to read what is written at once.
+	delay time.Duration
 }
 
 // Header implements http.ResponseWriter.
@@ -49,25 +51,62 @@
 // WriteHeader implements http.ResponseWriter.
 func (*byteCounter) WriteHeader(int) {}
 
+// Flush implements http.Flusher.
+func (*byteCounter) Flush() {}
+
 // Write implements http.ResponseWriter.
 func (c *byteCounter) Write(p []byte) (int, error) {
+	<-time.After(c.delay)
 	c.n += len(p)
 	return len(p), nil
 }
 
 // callBytes serves a call whose backend server has a fault, and returns the length of the response.
 func callBytes(t *testing.T, fault platformtest.Fault) (int, error) {
+	t.Helper()
+	return slowCallBytes(t, fault, 0)
+}
+
+// slowCallBytes is callBytes with a caller that takes delay for each write. The request may be repeated.
+func slowCallBytes(t *testing.T, fault platformtest.Fault, delay time.Duration) (int, error) {
 	t.Helper()
 	b := platformtest.NewBackend(t, "b")
 	b.SetFault(always(fault))
 	r := request("1", "/call")
 	r.Deadline = r.ReceivedAt.Add(time.Minute)
-	w := &byteCounter{header: make(http.Header)}
-	rt := route(catalog.Call, func(rt *catalog.Route) { rt.Timeout = time.Minute })
+	w := &byteCounter{header: make(http.Header), delay: delay}
+	rt := route(catalog.Call, func(rt *catalog.Route) {
+		rt.Timeout = time.Minute
+		if delay > 0 {
+			idempotent(rt)
+		}
+	})
 	err := newFixture(t, b).ServeOnline(t.Context(), w, r, rt)
 	return w.n, err
 }
 
+// TestSlowCallerGetsTheWholeOfALongResponse guards against a response that is cut off while its caller reads it, by
+// a timer that is meant for servers that send nothing.
+func TestSlowCallerGetsTheWholeOfALongResponse(t *testing.T) {
+	n, err := slowCallBytes(t, platformtest.LongCall, time.Millisecond)
+	assert.NilError(t, err)
+	assert.Equal(t, n, platformtest.LongCallBytes)
+}
+
+// TestSlowCallerKeepsItsStream guards against a stream that goes on elsewhere, and a sound server that counts as
+// failed, while the caller has yet to read an event.
+func TestSlowCallerKeepsItsStream(t *testing.T) {
+	b := platformtest.NewBackend(t, "b")
+	f := newFixture(t, b)
+	r := request("1", "/stream")
+	r.Deadline = r.ReceivedAt.Add(time.Minute)
+	w := &byteCounter{header: make(http.Header), delay: 800 * time.Millisecond}
+	rt := route(catalog.Stream, func(rt *catalog.Route) { resumable(rt); rt.Timeout = time.Minute })
+	assert.NilError(t, f.ServeOnline(t.Context(), w, r, rt))
+	assert.Equal(t, w.n, len(streamBody("1", 5)))
+	assert.Equal(t, len(b.Requests()), 1)
+}
+
 func TestLongResponseOfKnownLengthIsNotCutOff(t *testing.T) {
 	n, err := callBytes(t, platformtest.LongCall)
 	assert.NilError(t, err)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -44,7 +44,7 @@
 		return o.handleInterruption(ctx, b, err)
 	}
 	if len(body) == maxBufferedBytes {
-		return o.relayLong(ctx, b, response, body)
+		return o.relayLong(ctx, b, response, body, idle)
 	}
 	if examination, err := o.checkEnd(ctx, b, response); err != nil {
 		return o.handleUnprovedEnd(ctx, b, err, examination)
@@ -57,8 +57,10 @@
 	return false, nil
 }
 
-// relayLong sends a response that begins with body as it arrives.
-func (o *onlineRequest) relayLong(ctx context.Context, b catalog.Backend, response *upstream.Response, body []byte) (retry bool, err error) {
+// relayLong sends a response that begins with body as it arrives. No other attempt can replace it once its
+// head is sent, so it has until the deadline, however slowly its caller reads.
+func (o *onlineRequest) relayLong(ctx context.Context, b catalog.Backend, response *upstream.Response, body []byte, idle *idleTimer) (retry bool, err error) {
+	idle.Stop()
 	o.sendHead(response, response.Length)
 	if _, err := o.w.Write(body); err != nil {
 		return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
@@ -126,7 +128,7 @@
 			return o.handleInterruption(ctx, b, err)
 		}
 		if e.HasData() {
-			idle.Reset()
+			idle.Stop() // the caller may read slowly
 			progress.Event()
 		}
 		id := e.ID()
@@ -141,6 +143,9 @@
 		if err := o.sendEvent(e, id, !events.Buffered()); err != nil {
 			return false, errors.Wrap(ErrAborted, "write to the caller: "+err.Error())
 		}
+		if e.HasData() {
+			idle.Reset()
+		}
 	}
 }
 
