jobs: a result may be longer than one append

Cause: the writer put all chunks of a result into one append, which the store refuses above CallBytes, and repeated that without end.

The stand-in took appends of any length before, which is why no test saw this; it is bounded in all tests of jobs now.

Why it works: records beyond one append follow in further ones under their own sequence numbers, and are dropped with the ownership. First chunks go first, so a value that was cut off by the loss of an owner is replaced from its first chunk on before it can be whole.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -29,6 +29,9 @@
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
+// maxAppendBytes is the length of the longest append to the log.
+const maxAppendBytes = 20000
+
 // clusterSlots is the number of slots of a backend server.
 const clusterSlots = 4
 
@@ -76,6 +79,7 @@
 	for i := range backends {
 		c.backends = append(c.backends, platformtest.NewBackend(t, fmt.Sprint("backend-", i)))
 	}
+	c.log.SetMaxAppendBytes(maxAppendBytes)
 	return c
 }
 
@@ -116,7 +120,7 @@
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
 		JobTopic: "keyed.jobs", ContentTopic: "keyed.contents", ResultTopic: "keyed.results", Shards: keyedlogtest.Shards,
-		RecordBytes: 2000, CallBytes: 20000, MinTTL: time.Millisecond, Retention: time.Hour, Now: c.now,
+		RecordBytes: 2000, CallBytes: maxAppendBytes, MinTTL: time.Millisecond, Retention: time.Hour, Now: c.now,
 		Config:      func() *catalog.Config { return config },
 		Backends:    c.backendsOf,
 		AllBackends: func(g func(catalog.Backend)) { each(c.registrations(), g) },
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -50,7 +50,9 @@
 	stopContent context.CancelFunc
 	// pending holds the results to append. checkpoint requests that progress is
 	// appended too, and checkpointAll that of all items.
-	pending       []pendingResult
+	pending []pendingResult
+	// unsent holds the rest of records that are too long for one append.
+	unsent        [][]keyedlog.Record
 	checkpoint    bool
 	checkpointAll bool
 	// flushed is closed when everything that was pending has been appended.
@@ -115,7 +117,7 @@
 	sh.mu.Lock()
 	previous := sh.phase
 	sh.phase = notOwned
-	sh.pending = nil
+	sh.pending, sh.unsent = nil, nil
 	sh.nextPositions = nil
 	if sh.stopContent != nil {
 		sh.stopContent()
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -89,8 +89,9 @@
 	}
 }
 
-// nextBatch returns the records to append next: results, and progress if a
-// checkpoint is due.
+// nextBatch returns the records to append next: results, and progress if a checkpoint is due. Records that are
+// too long for one append follow in further ones, first chunks first: those of an owner that was lost in
+// between are replaced in that order before the value is whole.
 func (sh *shard) nextBatch() ([]keyedlog.Record, keyedlog.Condition, bool) {
 	progress := sh.progressRecords()
 	sh.mu.Lock()
@@ -98,10 +99,15 @@
 	if sh.phase != owning {
 		return nil, keyedlog.Condition{}, false
 	}
-	records := append(sh.resultRecords(), progress...)
-	if len(records) == 0 {
+	records := progress
+	if len(sh.unsent) == 0 {
+		records = append(sh.resultRecords(), progress...)
+	}
+	sh.unsent = append(sh.unsent, batchRecords(records, sh.s.opts.CallBytes)...)
+	if len(sh.unsent) == 0 {
 		return nil, keyedlog.Condition{}, false
 	}
+	records, sh.unsent = sh.unsent[0], sh.unsent[1:]
 	cond := keyedlog.Condition{Producer: producerName, Epoch: sh.epoch, Sequence: sh.sequence}
 	sh.sequence++
 	return records, cond, true
--- a/keyedlog/keyedlogtest/log.go
+++ b/keyedlog/keyedlogtest/log.go
@@ -47,6 +47,27 @@
 	changed      chan struct{}
 	group        group
 	calls        map[string]int
+	// maxAppendBytes bounds the keys and values of one append; 0 is no bound.
+	maxAppendBytes int
+}
+
+// ErrTooLong is the error of an append that is longer than the log takes at once.
+var ErrTooLong = errors.New("keyedlogtest: the append is too long")
+
+// SetMaxAppendBytes bounds the keys and values of one append.
+func (l *Log) SetMaxAppendBytes(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.maxAppendBytes = n
+}
+
+// tooLong reports whether records exceed the bound of one append. The caller holds mu.
+func (l *Log) tooLong(records []keyedlog.Record) bool {
+	n := 0
+	for _, r := range records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return l.maxAppendBytes > 0 && n > l.maxAppendBytes
 }
 
 type partition struct {
@@ -155,6 +176,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	records = slices.Clone(records)
+	if l.tooLong(records) {
+		return keyedlog.AppendResult{}, ErrTooLong
+	}
 	fault := l.recordCall("append", id)
 	if id.Topic == l.delayedTopic && onlyTombstones(records) {
 		fault = Delay
