jobs: a run without events is no output until a second one confirms it

Cause: a complete frame was taken for a complete output, whatever it held.

Evidence: TestResponseWithoutEventsIsNoOutput failed before; it passes now.

Why it works: a fault of one server is not repeated by the next run, and an output that is really empty is (TestEmptyOutputIsComplete), at the cost of one more run.

--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -6,10 +6,19 @@
 	"github.com/catkinrudder/catkinrudder/event"
 )
 
+// maxUnconfirmedEmptyRuns is how many runs without any event are no output yet: a server that fails before its
+// first event may end its response as a complete one does. A further run confirms that the output is empty.
+const maxUnconfirmedEmptyRuns = 1
+
 // handleOutcome handles the outcome of a run.
 func (r *runner) handleOutcome(j openJob, u *run, out outcome) {
 	switch out.end {
 	case runComplete:
+		if out.progress.Events == 0 && u.emptyRuns < maxUnconfirmedEmptyRuns {
+			u.emptyRuns++
+			r.requeue(u, out)
+			return
+		}
 		r.estimates.recordOutput(j.job.Route, out.progress.Events)
 		r.setResult(u, Result{Item: u.ref.item, Completed: true, Text: out.progress.Text}, "complete")
 	case runRejected:
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -64,6 +64,8 @@
 	parts []string
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
+	// emptyRuns is how many runs have ended as complete without any event.
+	emptyRuns int
 	// originWaitSince is when the item first found no slot at the software that has begun it;
 	// zero if it does not wait for one.
 	originWaitSince time.Time
