gateway: tests of slow callers leave a busy machine its time

The stand-in had not sent its head yet; the fault that they guard against was not there. Servers may now be silent for 2 s in them, and the callers take longer than that (2.5 s an event, about 5 s a response), so they still fail on the code before the fix: "use of closed network connection" after 2.00 s, and no answer after 21 s.

--- a/internal/gateway/interruption_test.go
+++ b/internal/gateway/interruption_test.go
@@ -79,16 +79,20 @@
 		rt.Timeout = time.Minute
 		if delay > 0 {
 			idempotent(rt)
+			rt.FirstByteObjective = slowCallerObjective
 		}
 	})
 	err := newFixture(t, b).ServeOnline(t.Context(), w, r, rt)
 	return w.n, err
 }
 
+// slowCallerObjective keeps a busy machine from counting as a silent server. Servers may be silent for twice as long.
+const slowCallerObjective = time.Second
+
 // TestSlowCallerGetsTheWholeOfALongResponse guards against a response that is cut off while its caller reads it, by
 // a timer that is meant for servers that send nothing.
 func TestSlowCallerGetsTheWholeOfALongResponse(t *testing.T) {
-	n, err := slowCallBytes(t, platformtest.LongCall, time.Millisecond)
+	n, err := slowCallBytes(t, platformtest.LongCall, 2*time.Millisecond)
 	assert.NilError(t, err)
 	assert.Equal(t, n, platformtest.LongCallBytes)
 }
@@ -97,13 +101,17 @@
 // failed, while the caller has yet to read an event.
 func TestSlowCallerKeepsItsStream(t *testing.T) {
 	b := platformtest.NewBackend(t, "b")
+	b.Events = 2
 	f := newFixture(t, b)
 	r := request("1", "/stream")
 	r.Deadline = r.ReceivedAt.Add(time.Minute)
-	w := &byteCounter{header: make(http.Header), delay: 800 * time.Millisecond}
-	rt := route(catalog.Stream, func(rt *catalog.Route) { resumable(rt); rt.Timeout = time.Minute })
+	w := &byteCounter{header: make(http.Header), delay: 5 * slowCallerObjective / 2}
+	rt := route(catalog.Stream, func(rt *catalog.Route) {
+		resumable(rt)
+		rt.Timeout, rt.FirstByteObjective = time.Minute, slowCallerObjective
+	})
 	assert.NilError(t, f.ServeOnline(t.Context(), w, r, rt))
-	assert.Equal(t, w.n, len(streamBody("1", 5)))
+	assert.Equal(t, w.n, len(streamBody("1", 2)))
 	assert.Equal(t, len(b.Requests()), 1)
 }
 
