--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -50,11 +50,11 @@
 	stopContent context.CancelFunc
 	// pending holds the results to append. checkpoint requests that progress is
 	// appended too, and checkpointAll that of all items.
-	pending []pendingResult
-	// unsent holds the rest of records that are too long for one append.
-	unsent        [][]keyedlog.Record
+	pending       []pendingResult
 	checkpoint    bool
 	checkpointAll bool
+	// unsent holds the rest of records that are too long for one append.
+	unsent [][]keyedlog.Record
 	// flushed is closed when everything that was pending has been appended.
 	flushed chan struct{}
 	wakeup  chan struct{}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -3,8 +3,9 @@
 //
 // A suspect is a part of prompts, which many requests may share, or one request that is sent again
 // and again. Every run with a guilty one ends the server that begins it, so a suspect is innocent as
-// soon as any run with it completes. It is held if servers end under runs with it several times and
-// no gateway has seen a run with it complete.
+// soon as any run with it completes, or servers have worked on runs with it for some time. It is held if
+// servers end under runs with it several times and no gateway has seen such a run. The loss of many
+// servers at once, most of which ran nothing with the suspect, does not count.
 package quarantine
 
 import (
