--- a/internal/ops/docs_test.go
+++ b/internal/ops/docs_test.go
@@ -71,6 +71,9 @@
 // leadingLiteral returns the string literal that an expression begins with, and the
 // concatenated text of all string literals in the expression.
 func leadingLiteral(e ast.Expr) (first *ast.BasicLit, text string, ok bool) {
+	if call, isCall := e.(*ast.CallExpr); isCall {
+		return seriesLiteral(call)
+	}
 	if b, joined := e.(*ast.BinaryExpr); joined {
 		left, text, ok := leadingLiteral(b.X)
 		_, right, _ := leadingLiteral(b.Y)
@@ -84,6 +87,30 @@
 	return lit, text, err == nil
 }
 
+// seriesLiteral returns the name in a call of series with its labels, in the form in which other literals
+// hold them. Each label has to be a literal of the type label whose name is a string literal.
+func seriesLiteral(call *ast.CallExpr) (first *ast.BasicLit, text string, ok bool) {
+	f, isIdent := call.Fun.(*ast.Ident)
+	if !isIdent || f.Name != "series" || len(call.Args) == 0 {
+		return nil, "", false
+	}
+	first, text, ok = leadingLiteral(call.Args[0])
+	separator := "{"
+	for _, arg := range call.Args[1:] {
+		l, isLabel := arg.(*ast.CompositeLit)
+		if !isLabel || len(l.Elts) != 2 {
+			return nil, "", false
+		}
+		_, name, isName := leadingLiteral(l.Elts[0])
+		if !isName {
+			return nil, "", false
+		}
+		text += separator + name + `="`
+		separator = ","
+	}
+	return first, text, ok
+}
+
 // splitLiteral separates a metric's literal into its name and its label names.
 func splitLiteral(literal string) (name, labels string) {
 	name, _, _ = strings.Cut(literal, "{")
