jobs: why an open item has no run, as gauges and as log lines

An open item of a batch job that was not started left no trace: item_placed and item_requeued show runs, and nothing showed the time between them.

Twice a second the runner's cycle now decides for each open item of an owned shard without a run which of nine reasons holds (jobs/waits.go): held, retry_delay, origin, gap, no_slot, run_limit, result_pending, no_route, no_content. No decision of the scheduler has changed: the passes record what they have found, and the quarantine is asked where and when it was asked before, last in mayStart. (mayStart checks the pass before the full services, not after them; both checks only read.)

What can be told apart now: - A hold: item_waits (317) with reason=held names the suspect and the age of the wait; the gauges count held items and the age of the oldest hold. An item that the quarantine has refused stays held until it is asked about again, though its service is full in between. - An owner that does not take items up: they wait for another reason, among them no_content, items that are accepted and that the owner has not read. The ages are computed when the gauges are read and grow on if the runner hangs. catkinrudder_gateway_shards shows shards that are owned or being taken over; items of a shard without an owner count nowhere. - A run that is not at work: item_runs_silent_seconds and reason=silent_run give the time since the last event of a run (a run ends itself after 8 s), and the line names the backend server and whether it has answered or is being stopped.

A line comes after 5 s for one reason, or without any run whatever the reasons, then at 10 s, 20 s and so on; at most two a reason and survey, the oldest first, so that thousands of items that wait for a gap hide no held one. It carries the item's id as request=, by which records are cut.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -148,6 +148,32 @@
 	m.set.GetOrCreateCounter(series("catkinrudder_gateway_item_decisions_total", label{"decision", string(d)}, label{"reason", reason})).Inc()
 }
 
+// ObserveWork adds the gauges of what the process does with open batch items.
+func (m *Metrics) ObserveWork(work func() jobs.Work) {
+	for _, reason := range jobs.WaitReasons() {
+		m.set.GetOrCreateGauge(series("catkinrudder_gateway_items_waiting", label{"reason", reason.String()}), func() float64 {
+			w := work()
+			return float64(w.Waiting(reason))
+		})
+		m.set.GetOrCreateGauge(series("catkinrudder_gateway_items_waiting_oldest_seconds", label{"reason", reason.String()}), func() float64 {
+			w := work()
+			return age(w.OldestSince(reason))
+		})
+	}
+	m.set.GetOrCreateGauge("catkinrudder_gateway_item_runs", func() float64 { return float64(work().Runs) })
+	m.set.GetOrCreateGauge("catkinrudder_gateway_item_runs_silent_seconds", func() float64 { return age(work().OldestEvent) })
+	m.set.GetOrCreateGauge(series("catkinrudder_gateway_shards", label{"phase", "owned"}), func() float64 { return float64(work().OwnedShards) })
+	m.set.GetOrCreateGauge(series("catkinrudder_gateway_shards", label{"phase", "claimed"}), func() float64 { return float64(work().ClaimedShards) })
+}
+
+// age returns the seconds since at, and 0 for the zero time.
+func age(at time.Time) float64 {
+	if at.IsZero() {
+		return 0
+	}
+	return time.Since(at).Seconds()
+}
+
 // StoreCalled counts a call to the store.
 func (m *Metrics) StoreCalled(call, outcome string, took time.Duration) {
 	m.set.GetOrCreateCounter(series("catkinrudder_gateway_store_calls_total", label{"call", call}, label{"outcome", outcome})).Inc()
--- a/internal/gateway/metrics_test.go
+++ b/internal/gateway/metrics_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
@@ -11,6 +12,7 @@
 	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -140,3 +142,21 @@
 	m.RemoveBackend("i-1")
 	assert.Equal(t, len(set.ListMetricNames()), 3)
 }
+
+// TestGaugesOfOpenItemsCoverEveryReason exports the gauges of a process that has seen nothing yet.
+func TestGaugesOfOpenItemsCoverEveryReason(t *testing.T) {
+	set := metrics.NewSet()
+	gateway.NewMetrics(set).ObserveWork(func() jobs.Work { return jobs.Work{Runs: 2, OldestEvent: time.Now().Add(-time.Hour), OwnedShards: 3} })
+	var out strings.Builder
+	set.WritePrometheus(&out)
+	for _, reason := range jobs.WaitReasons() {
+		for _, name := range []string{"catkinrudder_gateway_items_waiting", "catkinrudder_gateway_items_waiting_oldest_seconds"} {
+			line := fmt.Sprintf("%s{reason=%q} 0\n", name, reason)
+			assert.Assert(t, strings.Contains(out.String(), line), "%s is missing in\n%s", line, &out)
+		}
+	}
+	for _, line := range []string{"catkinrudder_gateway_item_runs 2\n", "catkinrudder_gateway_item_runs_silent_seconds 3600",
+		"catkinrudder_gateway_shards{phase=\"owned\"} 3\n", "catkinrudder_gateway_shards{phase=\"claimed\"} 0\n"} {
+		assert.Assert(t, strings.Contains(out.String(), line), "%s is missing in\n%s", line, &out)
+	}
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -150,6 +150,7 @@
 	})
 	d.relay = keyedlog.NewRelay(d.backends, platform.ComparableBackend)
 	d.jobs = jobs.New(d.jobOptions(configs, table, gatewayMetrics))
+	gatewayMetrics.ObserveWork(d.jobs.Work)
 	configFollower := d.follow(platform.ConfigTopic, configs, keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: configMinInterval, RetryDelay: followRetryDelay})
 	d.registrations = keyedlog.NewRelayedFollower(d.peering.NewSource(d.store), d.store, keyedlog.Partition{Topic: platform.BackendTopic}, d.relay,
 		keyedlog.PollConfig{MaxWait: followMaxWait, MinInterval: backendMinInterval, RetryDelay: followRetryDelay}, d.storeAvailabilityChanged)
--- a/jobs/open_jobs.go
+++ b/jobs/open_jobs.go
@@ -34,9 +34,8 @@
 	progress map[int]Progress
 }
 
-// openJobs returns the jobs to run, ordered by due time.
-func (r *runner) openJobs(config *catalog.Config, now time.Time) []openJob {
-	var open, withoutRoute []openJob
+// openJobs returns the jobs to run, ordered by due time, and those for which the configuration has no route.
+func (r *runner) openJobs(config *catalog.Config, now time.Time) (open, withoutRoute []openJob) {
 	for _, j := range r.s.table.openJobs(r.ownsJob) {
 		j.route = routeOf(config, j)
 		if j.route == nil {
@@ -49,7 +48,7 @@
 	}
 	r.giveUpWithoutRoute(withoutRoute, config.Version, now)
 	slices.SortFunc(open, func(a, b openJob) int { return a.due.Compare(b.due) })
-	return open
+	return open, withoutRoute
 }
 
 // routeGrace is how long a job whose route the configuration does not hold is kept: the process may not
@@ -105,3 +104,20 @@
 	}
 	return open
 }
+
+// withoutContent calls f for the open items of the jobs selected by include that are not in the content that has
+// been read.
+func (t *Table) withoutContent(include func(id string) bool, f func(ref itemRef)) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for id, e := range t.byID {
+		if !e.open() || len(e.items) >= len(e.job.Tokens) || !include(id) {
+			continue
+		}
+		for i := len(e.items); i < len(e.job.Tokens); i++ {
+			if !e.done[i] {
+				f(itemRef{id, i})
+			}
+		}
+	}
+}
--- a/jobs/pass.go
+++ b/jobs/pass.go
@@ -46,13 +46,17 @@
 	inTime bool
 	// used holds the backend servers that already got an item in this cycle: each gets one at most.
 	used map[string]bool
-	// full holds the services that take no more items in this pass.
-	full map[string]bool
+	// full holds the services that take no more items in this pass, and why.
+	full map[string]WaitReason
+}
+
+func newPass(inTime bool, used map[string]bool) *pass {
+	return &pass{inTime: inTime, used: used, full: make(map[string]WaitReason)}
 }
 
 // allFull reports whether no service of a route takes more items.
 func (p *pass) allFull(route *catalog.Route) bool {
-	return !slices.ContainsFunc(route.Splits, func(s catalog.Split) bool { return !p.full[s.Service] })
+	return !slices.ContainsFunc(route.Splits, func(s catalog.Split) bool { return p.full[s.Service] == notWaiting })
 }
 
 // startItems starts the items of a job that find a slot. It returns false if this process runs no more
@@ -63,25 +67,39 @@
 			return true
 		}
 		u := r.runFor(j, item)
-		if !r.mayStart(j, u, p, now) {
-			continue
+		reason, may := r.mayStart(j, u, p, now)
+		if may {
+			if r.runningCount() >= r.maxRuns {
+				u.lookedAt(WaitRunLimit, r.cycles)
+				return false
+			}
+			reason = r.startItem(ctx, j, u, p, now)
 		}
-		if r.runningCount() >= r.maxRuns {
-			return false
+		if may || reason != notWaiting {
+			u.lookedAt(reason, r.cycles)
 		}
-		r.startItem(ctx, j, u, p, now)
 	}
 	return true
 }
 
-// mayStart reports whether an item may start in a pass if there is a slot for it.
-func (r *runner) mayStart(j openJob, u *run, p *pass, now time.Time) bool {
-	if u.result != nil || u.backend != "" || now.Before(u.notBefore) {
-		return false
+// mayStart reports whether an item may start in a pass if there is a slot for it, and if not, why; there is no reason
+// if it runs, or belongs to the other pass.
+func (r *runner) mayStart(j openJob, u *run, p *pass, now time.Time) (WaitReason, bool) {
+	if own := u.ownWait(now); own != notWaiting || u.backend != "" {
+		return own, false
+	}
+	if p.inTime != r.estimates.meetsDeadline(j.job.Route, u.progress.Events, j.due.Sub(now)) {
+		return notWaiting, false
+	}
+	if len(p.full) > 0 {
+		if reason := p.full[r.serviceOf(j, u)]; reason != notWaiting {
+			return u.unlessHeld(reason), false
+		}
 	}
-	if len(p.full) > 0 && p.full[r.serviceOf(j, u)] || p.inTime != r.estimates.meetsDeadline(j.job.Route, u.progress.Events, j.due.Sub(now)) {
-		return false
+	suspect, held := r.s.opts.Quarantine.Held(u.parts)
+	if held { // it waits until it is released, or the retention is over
+		u.suspect = suspect
+		return WaitHeld, false
 	}
-	_, held := r.s.opts.Quarantine.Held(u.parts)
-	return !held // a held one waits until it is released, or the retention is over
+	return notWaiting, true
 }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/balance"
@@ -66,6 +67,16 @@
 	notBefore time.Time
 	// emptyRuns is how many runs have ended as complete without any event.
 	emptyRuns int
+	// wait is why the item was not started when the runner last looked at it, in the cycle looked, and
+	// suspect is what the quarantine held then.
+	wait    WaitReason
+	looked  uint64
+	suspect string
+	// request is the item's id. began is when the run in progress began, and lastEvent the time from then to
+	// its last event, in nanoseconds.
+	request   string
+	began     time.Time
+	lastEvent atomic.Int64
 	// originWaitSince is when the item first found no slot at the software that has begun it;
 	// zero if it does not wait for one.
 	originWaitSince time.Time
@@ -91,6 +102,10 @@
 	backlog backlog
 	// withoutRoute holds since when the configuration has had no route for an open job.
 	withoutRoute map[string]time.Time
+	// waits follows why open items have no run.
+	waits *waits
+	// cycles counts the cycles.
+	cycles uint64
 	// maxRuns bounds the runs in progress.
 	maxRuns int
 	// active counts the runs in progress.
@@ -99,7 +114,7 @@
 }
 
 func newRunner(s *Service) *runner {
-	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s), backlog: backlog{s: s}, maxRuns: concurrentRuns(s.opts.Capacity)}
+	return &runner{s: s, wakeups: make(chan struct{}, 1), runs: make(map[itemRef]*run), estimates: newEstimator(), gaps: newGaps(s), backlog: backlog{s: s}, waits: newWaits(), maxRuns: concurrentRuns(s.opts.Capacity)}
 }
 
 // wake starts the next cycle early.
@@ -134,24 +149,28 @@
 	if r.stopped {
 		return
 	}
+	r.cycles++
 	r.cancelStale()
 	r.preempt(now)
 	r.enqueueResults()
 	r.gaps.beginCycle(now)
 	config := r.s.opts.Config()
 	if config == nil {
+		r.surveyWaits(nil, r.s.table.openJobs(r.ownsJob), [2]*pass{}, now)
 		return
 	}
-	open := r.giveUpExpired(r.openJobs(config, now), now)
+	open, withoutRoute := r.openJobs(config, now)
+	open = r.giveUpExpired(open, now)
 	used := make(map[string]bool)
-	for _, inTime := range []bool{true, false} {
-		p := &pass{inTime: inTime, used: used, full: make(map[string]bool)}
+	passes := [...]*pass{newPass(true, used), newPass(false, used)}
+	for _, p := range passes {
 		for _, j := range open {
 			if !r.startItems(ctx, j, p, now) {
 				break
 			}
 		}
 	}
+	r.surveyWaits(open, withoutRoute, passes, now)
 }
 
 // cancelStale stops runs of items that need no result any more and of shards that are
@@ -174,7 +193,7 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
+		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
 		r.runs[ref] = u
 	}
 	return u
@@ -190,20 +209,22 @@
 	return n
 }
 
-// startItem starts an item if there is a slot for it.
-func (r *runner) startItem(ctx context.Context, j openJob, u *run, p *pass, now time.Time) {
+// startItem starts an item if there is a slot for it. It returns why it does not.
+func (r *runner) startItem(ctx context.Context, j openJob, u *run, p *pass, now time.Time) WaitReason {
 	item := &j.content[u.ref.item]
 	choice, found := r.pickBackend(j, u, p.used, now)
 	switch found {
 	case waitsForOrigin:
-		return
+		return WaitOrigin
 	case noSlot, waitsForGap:
-		p.full[r.serviceOf(j, u)] = true
-		return
+		p.full[r.serviceOf(j, u)] = found.reason()
+		return found.reason()
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
 	u.placedBeside = choice.Load.Online
+	u.beginRun(now)
+	delete(r.waits.items, u.ref)
 	p.used[u.backend] = true
 	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(j, u, choice.Backend.Service, now), now)
 	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
@@ -211,6 +232,7 @@
 		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
 	r.active.Add(1)
 	go r.execute(runCtx, j, u, choice.Backend, u.progress)
+	return notWaiting
 }
 
 // execute runs an item once and handles the outcome.
@@ -220,7 +242,7 @@
 	progress := r.s.opts.Quarantine.Follow(func() []string { return u.parts })
 	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
-		event: progress.Event,
+		event: func() { progress.Event(); u.recordEvent() },
 	})
 	if out.end == runCancelled {
 		progress.Stopped()
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -215,6 +215,20 @@
 	return s.reports
 }
 
+// Work returns what this process does with the open items of its shards.
+func (s *Service) Work() Work {
+	w := s.runner.waits.published()
+	for _, sh := range s.shards {
+		switch {
+		case sh.owned():
+			w.OwnedShards++
+		case sh.claimed():
+			w.ClaimedShards++
+		}
+	}
+	return w
+}
+
 // Table returns the state of all jobs.
 func (s *Service) Table() *Table { return s.table }
 
