jobs: shard_owned and shard_released count the open items of the shard

Through a rolling stop nothing showed whether the next owner of a shard found the items that the last one had: shard_released had no counts, was not written at all when a process stopped, and shard_owned had the end of the partition only.

An item that is lost in a hand-over shows as a difference between the two lines of its shard, one that is found and not taken up in the item_waits lines and gauges of the new owner.

All five callers of release log through it, so that none can leave the line out. The count is taken before the shard is given up, which makes no step of the hand-over longer.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -48,6 +48,8 @@
 	capacities map[string]float64
 	// outOfOrder, if set, is called for each event out of order.
 	outOfOrder func(eventstream.Reason)
+	// logs, if set, receives the log lines of all processes.
+	logs io.Writer
 	// now is the clock of all processes; nil is the real one.
 	now func() time.Time
 
@@ -128,7 +130,7 @@
 		Pool:        upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}),
 		Quarantine:  n.guard,
 		PromptParts: platform.SharedPromptParts, OutOfOrder: c.outOfOrder,
-		Logger: log.New(io.Discard), Peers: clusterPeers{n}, StoreAge: n.storeAge,
+		Logger: c.logger(name), Peers: clusterPeers{n}, StoreAge: n.storeAge,
 	})
 	ctx, cancel := context.WithCancel(c.t.Context())
 	n.stop = cancel
@@ -146,6 +148,14 @@
 	return n
 }
 
+// logger returns the logger of a process, whose lines name it.
+func (c *cluster) logger(name string) *log.Logger {
+	if c.logs == nil {
+		return log.New(io.Discard)
+	}
+	return log.New(c.logs).With("process", name)
+}
+
 // newGuard returns the quarantine of a process without other gateways.
 func newGuard() *quarantine.Guard {
 	return quarantinetest.NewGuard(upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}))
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -179,9 +179,8 @@
 	for i, sh := range s.shards {
 		epoch := sh.currentEpoch()
 		report, known := s.opts.Peers.ShardReport(i)
-		if epoch > 0 && known && report.Epoch > epoch && sh.release() {
-			event.Log(s.opts.Logger, event.ShardReleased, "shard", i, "generation", 0, "cause", "a peer reports a higher epoch",
-				"epoch", epoch, "peer_epoch", report.Epoch)
+		if epoch > 0 && known && report.Epoch > epoch {
+			sh.release(0, "a peer reports a higher epoch", "epoch", epoch, "peer_epoch", report.Epoch)
 		}
 	}
 }
@@ -200,8 +199,8 @@
 		case owned[i] && sh.claim(ctx):
 			event.Log(s.opts.Logger, event.ShardAssigned, "shard", i, "generation", generation)
 			go sh.takeOver(ctx)
-		case !owned[i] && sh.release():
-			event.Log(s.opts.Logger, event.ShardReleased, "shard", i, "generation", generation, "cause", "assigned elsewhere")
+		case !owned[i]:
+			sh.release(generation, "assigned elsewhere")
 		}
 	}
 	s.runner.wake()
@@ -221,6 +220,6 @@
 		event.Log(s.opts.Logger, event.LogDown, "call", "leave", "cause", err)
 	}
 	for _, sh := range s.shards {
-		sh.release()
+		sh.release(0, "stopped")
 	}
 }
--- a/jobs/open_jobs.go
+++ b/jobs/open_jobs.go
@@ -121,3 +121,33 @@
 		}
 	}
 }
+
+// openWork counts open jobs and their items.
+type openWork struct {
+	jobs, items int
+	// begun is the number of open items that have output on the log.
+	begun int
+}
+
+// fields returns the fields of a log line.
+func (w openWork) fields() []any { return []any{"jobs", w.jobs, "items", w.items, "begun", w.begun} }
+
+// openWork counts the open jobs selected by include.
+func (t *Table) openWork(include func(id string) bool) openWork {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var w openWork
+	for id, e := range t.byID {
+		if !e.open() || !include(id) {
+			continue
+		}
+		w.jobs++
+		w.items += len(e.job.Tokens) - len(e.done)
+		for _, p := range e.progress {
+			if p.started() {
+				w.begun++
+			}
+		}
+	}
+	return w
+}
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -112,8 +112,13 @@
 	v.sh.s.runner.wake()
 }
 
-// release gives up the shard. It returns false if the shard was not claimed or owned.
-func (sh *shard) release() bool {
+// release gives up the shard, unless it was neither claimed nor owned, and logs the cause, further fields and the
+// open work that the shard has.
+func (sh *shard) release(generation int64, cause any, kv ...any) {
+	var open openWork
+	if sh.owned() || sh.claimed() {
+		open = sh.s.table.openWork(sh.contains)
+	}
 	sh.mu.Lock()
 	previous := sh.phase
 	sh.phase = notOwned
@@ -125,10 +130,12 @@
 	}
 	sh.mu.Unlock()
 	sh.s.shardsChanged.Store(true)
-	if previous != notOwned {
-		sh.s.table.clearJobs(sh.contains)
+	if previous == notOwned {
+		return
 	}
-	return previous != notOwned
+	sh.s.table.clearJobs(sh.contains)
+	kv = append([]any{"shard", sh.part.Index, "generation", generation, "cause", cause, "owned", previous == owning}, kv...)
+	event.Log(sh.s.opts.Logger, event.ShardReleased, append(kv, open.fields()...)...)
 }
 
 // contains reports whether a job belongs to the shard.
@@ -243,7 +250,8 @@
 	if !claimed {
 		return
 	}
-	event.Log(sh.s.opts.Logger, event.ShardOwned, "shard", sh.part.Index, "epoch", epoch, "end", end)
+	kv := []any{"shard", sh.part.Index, "epoch", epoch, "end", end, "jobs_read", sh.s.Ready()}
+	event.Log(sh.s.opts.Logger, event.ShardOwned, append(kv, sh.s.table.openWork(sh.contains).fields()...)...)
 	sh.s.shardsChanged.Store(true)
 	sh.s.runner.wake()
 }
@@ -263,8 +271,8 @@
 	sh.mu.Lock()
 	stale := sh.phase == owning && sh.epoch == epoch && sh.end == end && (err != nil || h.End > end)
 	sh.mu.Unlock()
-	if stale && sh.release() {
-		event.Log(sh.s.opts.Logger, event.ShardReleased, "shard", sh.part.Index, "generation", 0, "cause", "another owner has written")
+	if stale {
+		sh.release(0, "another owner has written")
 	}
 	return nil
 }
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -185,8 +185,7 @@
 			return true
 		}
 		if errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence) {
-			sh.release()
-			event.Log(sh.s.opts.Logger, event.ShardReleased, "shard", sh.part.Index, "generation", 0, "cause", err)
+			sh.release(0, err)
 			return false
 		}
 		if cond.Epoch != sh.currentEpoch() {
