jobs: a failing test of items that stay held after crashes under young runs

The processes of the cluster fixture now report to each other's quarantine (crashes, holds, complete runs), as gateways do; before, no test of this package had a quarantine with peers.

--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -117,7 +119,8 @@
 
 func (c *cluster) startWithLog(name string, l keyedlog.Log) *node {
 	c.t.Helper()
-	n := &node{name: name, cluster: c, capacity: c.capacities[name], done: make(chan struct{}), guard: newGuard(), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
+	n := &node{name: name, cluster: c, capacity: c.capacities[name], done: make(chan struct{}), balance: balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})}
+	n.guard = newGuard(guardPeers{n})
 	config := catalog.NewConfig(1, append([]catalog.Route{c.route}, c.otherRoutes...), nil, catalog.Limits{})
 	n.Service = jobs.New(jobs.Options{
 		Log: l, Groups: l.(keyedlog.Groups), Member: fmt.Sprint(name, rand.Uint64()), Instance: name,
@@ -156,9 +159,44 @@
 	return log.New(c.logs).With("process", name)
 }
 
-// newGuard returns the quarantine of a process without other gateways.
-func newGuard() *quarantine.Guard {
-	return quarantinetest.NewGuard(upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second}))
+// newGuard returns the quarantine of a process that has run for some time.
+func newGuard(peers quarantine.Peers) *quarantine.Guard {
+	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second})
+	return quarantinetest.NewGuardWithPeers(pool, peers)
+}
+
+// guardPeers implements quarantine.Peers over the other processes of a cluster.
+type guardPeers struct{ self *node }
+
+func (p guardPeers) others() []*node {
+	p.self.cluster.mu.Lock()
+	defer p.self.cluster.mu.Unlock()
+	others := maps.Clone(p.self.cluster.nodes)
+	delete(others, p.self.name)
+	return slices.Collect(maps.Values(others))
+}
+
+func (p guardPeers) BroadcastCrash(r quarantine.CrashReport) {
+	for _, n := range p.others() {
+		p.self.guard.PeerCompleted(n.guard.PeerCrash(r))
+	}
+}
+
+func (p guardPeers) BroadcastHeld(suspects []string) {
+	for _, n := range p.others() {
+		n.guard.PeerHeld(suspects)
+	}
+}
+
+func (p guardPeers) BroadcastCompleted(suspects []string) {
+	for _, n := range p.others() {
+		n.guard.PeerCompleted(suspects)
+	}
+}
+
+// FirstFor returns true at the process whose name is the first one.
+func (p guardPeers) FirstFor(string) bool {
+	return !slices.ContainsFunc(p.others(), func(n *node) bool { return n.name < p.self.name })
 }
 
 func each(backends []catalog.Backend, f func(catalog.Backend)) {
@@ -306,6 +344,12 @@
 
 // waitComplete reads a job through n until it is complete and returns the results.
 func (c *cluster) waitComplete(n *node, j *jobs.Job) []jobs.ListedResult {
+	c.t.Helper()
+	return c.waitCompleteUntil(n, j, time.Now().Add(20*time.Second))
+}
+
+// waitCompleteUntil is waitComplete with the time by which the job must be complete.
+func (c *cluster) waitCompleteUntil(n *node, j *jobs.Job, deadline time.Time) []jobs.ListedResult {
 	c.t.Helper()
 	var results []jobs.ListedResult
 	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
@@ -315,7 +359,7 @@
 		}
 		results = l.Results
 		return poll.Success()
-	}, poll.WithTimeout(20*time.Second))
+	}, poll.WithTimeout(time.Until(deadline)))
 	return results
 }
 
--- a/jobs/export_test.go
+++ b/jobs/export_test.go
@@ -2,3 +2,6 @@
 
 // WaitingByRoute returns the tokens of unfinished items of all workspaces by route.
 func (s *Service) WaitingByRoute() map[string]int64 { return s.waitingByRoute() }
+
+// ShardOf returns the shard of a job.
+func ShardOf(id string, shards int) int { return shardOf(id, shards) }
--- a/jobs/quarantine_test.go
+++ b/jobs/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,9 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/internal/delay"
+	"github.com/catkinrudder/catkinrudder/jobs"
+	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
@@ -108,3 +112,111 @@
 	assert.Assert(t, !held, "the part is held")
 	c.checkComplete(j, c.waitComplete(a, j))
 }
+
+// finishTime is how long the platform waits for items once all servers are back and idle.
+const finishTime = 18 * time.Second
+
+// awaitRunOf waits until a run that has sent an event is of an age, at the given backend server, or at any if it is negative.
+func (c *cluster) awaitRunOf(age time.Duration, backend int) {
+	c.t.Helper()
+	poll.WaitOn(c.t, func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for i, b := range c.backends {
+			for _, r := range b.Requests() {
+				if (backend < 0 || i == backend) && r.Sent > 0 && time.Since(r.At) >= age {
+					return poll.Success()
+				}
+			}
+		}
+		return poll.Continue("no run is %s old at the backend server %d", age, backend)
+	}, poll.WithDelay(5*time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+// crashInTurn ends the backend servers one after another, and starts them again some time after the last one.
+func (c *cluster) crashInTurn() {
+	const first, gap, down = 200 * time.Millisecond, 300 * time.Millisecond, time.Second
+	for i, b := range c.backends {
+		c.awaitRunOf(first+time.Duration(i)*gap, i)
+		b.Kill()
+	}
+	delay.Wait(c.t.Context(), down)
+	c.restartAll(0)
+}
+
+// crashTogether ends all backend servers at once, several times before a run is a second old, and starts them again.
+func (c *cluster) crashTogether() {
+	const first, down = 100 * time.Millisecond, 500 * time.Millisecond
+	for round := range 3 {
+		c.awaitRunOf(first, -1)
+		var ends sync.WaitGroup
+		for _, b := range c.backends {
+			ends.Go(b.Kill)
+		}
+		ends.Wait()
+		delay.Wait(c.t.Context(), down)
+		c.restartAll(round)
+	}
+}
+
+// startBalanced starts processes and waits until they divide the shards evenly.
+func (c *cluster) startBalanced(names []string) []*node {
+	c.t.Helper()
+	var nodes []*node
+	for _, name := range names {
+		nodes = append(nodes, c.start(name))
+	}
+	for _, n := range nodes {
+		waitForShards(c.t, n, keyedlogtest.Shards/len(nodes))
+	}
+	return nodes
+}
+
+// ownJobID returns the id of a job in a shard that the process owns.
+func (n *node) ownJobID() string {
+	owned := make(map[int]bool)
+	for _, r := range n.Reports() {
+		owned[r.Shard] = true
+	}
+	id := "j"
+	for i := 0; !owned[jobs.ShardOf(id, keyedlogtest.Shards)]; i++ {
+		id = fmt.Sprint("j", i)
+	}
+	return id
+}
+
+// TestItemsGoOnAfterCrashesUnderYoungRuns guards against items that are held for longer than they live although all servers are back.
+func TestItemsGoOnAfterCrashesUnderYoungRuns(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		processes []string
+		crash     func(*cluster)
+	}{
+		{"in turn", []string{"a"}, (*cluster).crashInTurn},
+		{"together", []string{"a"}, (*cluster).crashTogether},
+		{"in turn, two processes", []string{"a", "b"}, (*cluster).crashInTurn},
+		{"together, two processes", []string{"a", "b"}, (*cluster).crashTogether},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, 3)
+			for _, b := range c.backends {
+				b.Events, b.EventInterval = 130, 25*time.Millisecond
+			}
+			var submitted []*jobs.Job
+			for _, n := range c.startBalanced(test.processes) {
+				j := job(n.ownJobID(), 9/len(test.processes))
+				for i := range j.Items {
+					j.Items[i].Header = platformtest.PromptHeader(fmt.Sprintf("aa01:100,cc%s%d:10", n.name, i))
+				}
+				assert.NilError(t, n.Submit(t.Context(), j, 0))
+				submitted = append(submitted, j)
+			}
+			test.crash(c)
+			deadline := time.Now().Add(finishTime)
+			for _, j := range submitted {
+				c.checkComplete(j, c.waitCompleteUntil(c.nodes[test.processes[0]], j, deadline))
+			}
+		})
+	}
+}
--- a/quarantine/quarantinetest/guard.go
+++ b/quarantine/quarantinetest/guard.go
@@ -1,4 +1,4 @@
-// Package quarantinetest provides a quarantine for tests of a single process.
+// Package quarantinetest provides a quarantine for tests.
 package quarantinetest
 
 import (
@@ -17,23 +17,30 @@
 // healthPath is where the backend servers of tests state their health.
 const healthPath = "/health"
 
-// NewGuard returns a guard that probes backend servers by a pool.
-func NewGuard(pool *upstream.Pool) *quarantine.Guard {
-	return NewGuardWithProbe(func(ctx context.Context, b catalog.Backend, useHealth bool) error {
+// NewGuard returns a guard without peers that probes backend servers by a pool.
+func NewGuard(pool *upstream.Pool) *quarantine.Guard { return NewGuardWithPeers(pool, noPeers{}) }
+
+// NewGuardWithPeers returns a guard that probes backend servers by a pool.
+func NewGuardWithPeers(pool *upstream.Pool, peers quarantine.Peers) *quarantine.Guard {
+	return newGuard(func(ctx context.Context, b catalog.Backend, useHealth bool) error {
 		expected := upstream.Expected{BackendID: b.ID, Address: b.Address, StartedMs: b.StartedMs}
 		if useHealth {
 			expected.HealthPath = healthPath
 		}
 		return pool.Probe(ctx, expected)
-	})
+	}, peers)
 }
 
-// NewGuardWithProbe returns a guard without peers and without a store, of a process that has run for
-// some time.
+// NewGuardWithProbe returns a guard without peers.
 func NewGuardWithProbe(probe func(ctx context.Context, b catalog.Backend, useHealth bool) error) *quarantine.Guard {
+	return newGuard(probe, noPeers{})
+}
+
+// newGuard returns a guard without a store, of a process that has run for some time.
+func newGuard(probe func(ctx context.Context, b catalog.Backend, useHealth bool) error, peers quarantine.Peers) *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Options{
 		StartedAt: time.Now().Add(-time.Minute),
-		Probe:     probe, Eject: func(catalog.Backend) {}, Peers: func() quarantine.Peers { return noPeers{} },
+		Probe:     probe, Eject: func(catalog.Backend) {}, Peers: func() quarantine.Peers { return peers },
 		Logger: log.New(io.Discard), Store: func(context.Context, keyedlog.Record) error { return nil },
 	})
 }
