jobs: claim a shard again only once its release has cleared the jobs

What callers saw: nothing so far. If it happens, all open items of a shard are neither completed nor given up until the shard's next release, and new results may take positions that hold others.

Cause: release set the shard free and cleared the state of its jobs afterwards, outside the lock. A heartbeat that claimed the shard in between started to read the content and the results, and the late clearing removed what it had read. The new owner then has jobs without content, which it never runs; it does not read the content again. The release comes from another goroutine than the claim when the log has fenced the owner, or when a listing found it superseded.

Fix: a shard has the state releasing from the end of its ownership until the jobs are cleared. The table's lock can't be taken inside the shard's, as the table asks shards for their state.

--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -16,9 +16,10 @@
 type phase uint8
 
 const (
-	notOwned phase = iota // the shard is not owned by this process
-	claiming              // the group has assigned the shard; the epoch is not set yet
-	owning                // only this process can write, and it has applied all that was written
+	notOwned  phase = iota // the shard is not owned by this process
+	claiming               // the group has assigned the shard; the epoch is not set yet
+	owning                 // only this process can write, and it has applied all that was written
+	releasing              // the shard is given up; the state of its jobs is still to be cleared
 )
 
 const (
@@ -113,31 +114,42 @@
 }
 
 // release gives up the shard, unless it was neither claimed nor owned, and logs the cause, further fields and the
-// open work that the shard has.
+// open work that the shard has. The shard can be claimed again only once the state of its jobs is cleared, because a
+// new claim reads that state anew.
 func (sh *shard) release(generation int64, cause any, kv ...any) {
 	var open openWork
 	if sh.owned() || sh.claimed() {
 		open = sh.s.table.openWork(sh.contains)
 	}
+	previous, released := sh.beginRelease()
+	if !released {
+		return
+	}
+	sh.s.table.clearJobs(sh.contains)
 	sh.mu.Lock()
-	previous := sh.phase
 	sh.phase = notOwned
-	sh.pending, sh.unsent = nil, nil
-	sh.nextPositions = nil
-	if sh.stopContent != nil {
-		sh.stopContent()
-		sh.stopContent = nil
-	}
 	sh.mu.Unlock()
 	sh.s.shardsChanged.Store(true)
-	if previous == notOwned {
-		return
-	}
-	sh.s.table.clearJobs(sh.contains)
 	kv = append([]any{"shard", sh.part.Index, "generation", generation, "cause", cause, "owned", previous == owning}, kv...)
 	event.Log(sh.s.opts.Logger, event.ShardReleased, append(kv, open.fields()...)...)
 }
 
+// beginRelease ends the claim or the ownership, and returns which of them it was. It returns false if there was none.
+func (sh *shard) beginRelease() (previous phase, released bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.phase != claiming && sh.phase != owning {
+		return sh.phase, false
+	}
+	previous = sh.phase
+	sh.phase = releasing
+	sh.pending, sh.unsent = nil, nil
+	sh.nextPositions = nil
+	sh.stopContent()
+	sh.stopContent = nil
+	return previous, true
+}
+
 // contains reports whether a job belongs to the shard.
 func (sh *shard) contains(id string) bool { return shardOf(id, len(sh.s.shards)) == sh.part.Index }
 
