jobs: no lock of a shard inside that of the table

What callers saw: nothing that is proved. If it happens (by reading), the table of jobs of a process is locked for ever: the process answers no submission, listing or item body any more, starts no item, and renews no membership. Others take over its shards after the membership has lapsed; requests about jobs that it receives end without an answer.

Cause: two orders of locks. The writer of a shard takes the shard's lock and then reads the table (the next position, the chunks of an item's progress). A cycle of the runner reads the table and asks inside it whether a shard is owned, which took the shard's lock. Two readers of the table don't exclude each other, but a record that a follower applies in between does: it waits for the cycle, and new readers wait behind it. Then the cycle waits for the writer, the writer for the follower and the follower for the cycle.

Fix: whether a shard is owned is an atomic flag, which is set under the shard's lock and read without it, so the table's lock is always the inner one. The flag is cleared before the jobs are, so a cycle that sees an owned shard under the table's lock still sees its jobs, as before.

--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,10 @@
 	part    keyedlog.Partition
 	content keyedlog.Partition
 
+	// owns states that the phase is owning. It is set under mu, and read without it: the table asks for it under
+	// its own lock, which the writer takes under mu.
+	owns atomic.Bool
+
 	mu       sync.Mutex
 	phase    phase
 	epoch    int64
@@ -143,6 +148,7 @@
 	}
 	previous = sh.phase
 	sh.phase = releasing
+	sh.owns.Store(false)
 	sh.pending, sh.unsent = nil, nil
 	sh.nextPositions = nil
 	sh.stopContent()
@@ -153,11 +159,7 @@
 // contains reports whether a job belongs to the shard.
 func (sh *shard) contains(id string) bool { return shardOf(id, len(sh.s.shards)) == sh.part.Index }
 
-func (sh *shard) owned() bool {
-	sh.mu.Lock()
-	defer sh.mu.Unlock()
-	return sh.phase == owning
-}
+func (sh *shard) owned() bool { return sh.owns.Load() }
 
 func (sh *shard) claimed() bool {
 	sh.mu.Lock()
@@ -257,6 +259,7 @@
 	if claimed {
 		sh.phase, sh.epoch, sh.sequence, sh.end = owning, epoch, claimSequence+1, end
 		sh.nextPositions = make(map[string]int)
+		sh.owns.Store(true)
 	}
 	sh.mu.Unlock()
 	if !claimed {
