--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -381,3 +381,23 @@
 	<-table.LocalCountsChanged()
 	assert.Equal(t, len(table.LocalCounts()), 0)
 }
+
+// TestLeastLoadedServerIsChosen guards against an attempt that may end its server and is sent to a busy one.
+func TestLeastLoadedServerIsChosen(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, class := range []balance.Class{balance.Online, balance.Batch} {
+		table := balance.New(balance.Options{Zone: "z", PeerTTL: time.Second, Seed: 1})
+		var servers []catalog.Backend
+		for i := range 6 {
+			servers = append(servers, catalog.Backend{ID: fmt.Sprint(i), Service: "s", Zone: "z", State: catalog.Ready, Slots: 8})
+			if i != 4 {
+				_, ok := table.Pick(servers[i:], balance.Requirements{}, now)
+				assert.Assert(t, ok)
+			}
+		}
+		choice, ok := table.Pick(servers, balance.Requirements{Class: class, LeastLoaded: true}, now)
+		assert.Assert(t, ok)
+		assert.Equal(t, choice.Backend.ID, "4")
+		assert.Equal(t, choice.Load, balance.Counts{})
+	}
+}
--- a/balance/pick.go
+++ b/balance/pick.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
@@ -33,6 +34,8 @@
 	// QueueCut is by how many the number of online requests that may wait at an engine is
 	// lowered.
 	QueueCut int
+	// LeastLoaded selects the backend server with the fewest attempts: the attempt may end its server.
+	LeastLoaded bool
 	// OwnRegion excludes the backend servers of other regions.
 	OwnRegion bool
 	// AllowOverload selects the least loaded backend server even if none has free
@@ -98,6 +101,9 @@
 	if len(choices) == 0 {
 		return Choice{}, false
 	}
+	if req.LeastLoaded {
+		choices, costs = leastLoaded(choices, costs)
+	}
 	chosen := choices[spread(t.rng, costs, t.unseen(candidates[0].Service, s.prefersHome && !s.leaves, now))]
 	chosen.Crossing = s.crossing(chosen.Backend, hasHome)
 	t.countAttempt(chosen, req.Class, now)
@@ -105,6 +111,19 @@
 	return chosen, true
 }
 
+// leastLoaded returns the choices with the fewest attempts, and their costs.
+func leastLoaded(choices []Choice, costs []cost) ([]Choice, []cost) {
+	least := slices.MinFunc(choices, func(a, b Choice) int { return a.Load.total() - b.Load.total() }).Load.total()
+	var fewest []Choice
+	var theirs []cost
+	for i, c := range choices {
+		if c.Load.total() == least {
+			fewest, theirs = append(fewest, c), append(theirs, costs[i])
+		}
+	}
+	return fewest, theirs
+}
+
 // Availability describes why no candidate had capacity, for a log line.
 type Availability struct {
 	// Candidates is the number of all candidates. Draining, Excluded and Limited count those
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -91,7 +91,7 @@
 	Timeout:          {http.StatusGatewayTimeout, typeServer, time.Second, Unknown},
 	NoBackend:        {http.StatusServiceUnavailable, typeServer, 2 * time.Second, NotRun},
 	Draining:         {http.StatusServiceUnavailable, typeServer, time.Second, NotRun},
-	Quarantined:      {http.StatusServiceUnavailable, typeServer, 5 * time.Minute, NotRun},
+	Quarantined:      {http.StatusServiceUnavailable, typeServer, 30 * time.Second, NotRun},
 	BackendFailed:    {http.StatusBadGateway, typeServer, time.Second, Unknown},
 	BackendRefused:   {http.StatusBadGateway, typeServer, 0, Complete},
 	OutcomeUnknown:   {http.StatusBadGateway, typeServer, 0, Unknown},
--- a/internal/gateway/interruption.go
+++ b/internal/gateway/interruption.go
@@ -21,6 +21,7 @@
 	var examination *quarantine.Examination
 	if evidence == upstream.Unproved {
 		examination = o.g.Quarantine.Examine(b, o.suspects(), o.attemptBegan)
+		o.examination = examination
 		evidence = examination.Evidence(ctx)
 	}
 	o.logEnd(b, evidence)
@@ -49,7 +50,13 @@
 		return false, o.finalError(o.expiredError(ctx))
 	}
 	o.reportFailure(b, false)
-	return o.tryElsewhere(ctx, b, err, o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan))
+	return o.tryElsewhere(ctx, b, err, o.examineInterruption(b))
+}
+
+// examineInterruption begins to find out whether a backend server that has broken off the attempt has ended.
+func (o *onlineRequest) examineInterruption(b catalog.Backend) *quarantine.Examination {
+	o.examination = o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
+	return o.examination
 }
 
 // tryElsewhere decides whether another backend server may repeat a run that has broken off, or go on
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -13,7 +13,9 @@
 	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/eventstream"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/ejection"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
@@ -64,6 +66,10 @@
 	origin catalog.Software
 	// lastFailure is the last failure; it is returned if no attempt is left.
 	lastFailure *errkind.Error
+	// onTrial states that the next attempt is one with a held suspect, and examination is that of the
+	// backend server that has broken off the last attempt; nil if none has.
+	onTrial     bool
+	examination *quarantine.Examination
 	// outliveShutdown keeps the end of the grace period from ending the request.
 	outliveShutdown func() bool
 }
@@ -106,14 +112,24 @@
 		}
 	}
 	for {
-		if suspect, held := o.g.Quarantine.Held(o.suspectsIfNeeded(0)); held {
-			return o.finalError(errkind.New(errkind.Quarantined, "backend servers end under requests with the prompt part or identity %s", suspect))
+		verdict := o.g.Quarantine.Check(o.suspectsIfNeeded(0), balance.Online)
+		if verdict.Soon() && delay.Wait(ctx, verdict.Wait) {
+			continue
 		}
+		if verdict.Refuses() {
+			return o.finalError(quarantinedError(verdict))
+		}
+		o.onTrial = verdict.Held()
 		choice, err := o.pickBackend(ctx)
 		if err != nil {
 			return o.finalError(err)
 		}
-		retry, err := o.attempt(ctx, choice)
+		trial, ok := o.g.Quarantine.Begin(o.suspectsIfNeeded(0), choice.Backend, balance.Online)
+		if !ok {
+			o.releaseSlot(choice.Backend)
+			continue // another run is tried
+		}
+		retry, err := o.tryOnce(ctx, choice, trial)
 		if !retry {
 			return err
 		}
@@ -161,14 +177,29 @@
 	return err
 }
 
+// tryOnce makes an attempt and ends its trial.
+func (o *onlineRequest) tryOnce(ctx context.Context, choice balance.Choice, trial *quarantine.Trial) (retry bool, err error) {
+	o.examination = nil
+	before := o.attempts
+	retry, err = o.attempt(ctx, choice)
+	if o.attempts == before {
+		trial.NotRun()
+	} else {
+		trial.End(o.examination)
+	}
+	return retry, err
+}
+
+func (o *onlineRequest) releaseSlot(b catalog.Backend) {
+	o.g.queue.slotReleased(o.service)
+	o.g.Table.Release(b.ID, balance.Online)
+}
+
 // attempt sends the request to the chosen backend server. It returns true if another
 // attempt may be made.
 func (o *onlineRequest) attempt(ctx context.Context, choice balance.Choice) (retry bool, err error) {
 	b := choice.Backend
-	defer func() {
-		o.g.queue.slotReleased(o.service)
-		o.g.Table.Release(b.ID, balance.Online)
-	}()
+	defer o.releaseSlot(b)
 	actx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	idle := o.startIdleTimer(b, cancel)
@@ -232,7 +263,7 @@
 		return false, o.finalError(o.expiredError(ctx))
 	}
 	o.reportFailure(b, false)
-	examination := o.g.Quarantine.RunInterrupted(b, o.suspects(), o.attemptBegan)
+	examination := o.examineInterruption(b)
 	o.lastFailure = errkind.Wrap(err, errkind.BackendFailed, "backend server %s gave no answer", b.ID)
 	if !o.mayRepeat() || o.suspected(ctx, examination) {
 		return false, o.finalError(o.lastFailure)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/errkind"
 	"github.com/catkinrudder/catkinrudder/quarantine"
 )
 
@@ -25,6 +26,15 @@
 	return o.g.Quarantine.Suspected(o.suspects())
 }
 
+// quarantinedError returns the error of a request that must not be sent to a backend server for now.
+func quarantinedError(v quarantine.Verdict) *errkind.Error {
+	return errkind.New(errkind.Quarantined, "backend servers end under requests with the prompt part or identity %s", v.Suspect).
+		WithRetryAfter(max(v.Wait, minQuarantinedRetryAfter))
+}
+
+// minQuarantinedRetryAfter is the shortest Retry-After of such a request.
+const minQuarantinedRetryAfter = time.Second
+
 // identify returns the identities of the request, whose digests are computed when they are first
 // needed.
 func (o *onlineRequest) identify() []string {
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -73,7 +73,7 @@
 	return balance.Requirements{
 		Class: balance.Online, PromptPart: o.lastSharedPart(), Exclude: o.excluded,
 		RunsOnce: !o.route.Idempotent, AllowOverload: o.mayHaveRun(), Origin: o.origin,
-		QueueCut: p.engineQueueCut(),
+		QueueCut: p.engineQueueCut(), LeastLoaded: o.onTrial,
 	}
 }
 
--- a/internal/gatewayd/options.go
+++ b/internal/gatewayd/options.go
@@ -31,8 +31,9 @@
 			}
 			return d.pool.Probe(ctx, expected)
 		},
-		Eject: func(b catalog.Backend) { ejector.RecordFailure(b, true) },
-		Peers: func() quarantine.Peers { return d.peering }, Logger: d.log,
+		Eject:    func(b catalog.Backend) { ejector.RecordFailure(b, true) },
+		Backends: d.backends.OfService,
+		Peers:    func() quarantine.Peers { return d.peering }, Logger: d.log,
 		Store: func(ctx context.Context, r keyedlog.Record) error {
 			part := keyedlog.Partition{Topic: platform.KeyedTopic(partTopic)}
 			_, err := d.store.Append(ctx, part, []keyedlog.Record{r}, keyedlog.Condition{})
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -194,11 +194,15 @@
 	}
 }
 
-// FirstFor returns true at the process whose name is the first one.
-func (p guardPeers) FirstFor(string) bool {
-	return !slices.ContainsFunc(p.others(), func(n *node) bool { return n.name < p.self.name })
+func (p guardPeers) BroadcastHolds(states []quarantine.HoldState) {
+	for _, n := range p.others() {
+		n.guard.PeerHolds(states)
+	}
 }
 
+// Priority gives each process another place.
+func (p guardPeers) Priority(string) uint64 { return uint64(balance.Key(p.self.name)) }
+
 func each(backends []catalog.Backend, f func(catalog.Backend)) {
 	for _, b := range backends {
 		f(b)
--- a/jobs/pass.go
+++ b/jobs/pass.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 )
 
@@ -96,9 +97,8 @@
 			return u.unlessHeld(reason), false
 		}
 	}
-	suspect, held := r.s.opts.Quarantine.Held(u.parts)
-	if held { // it waits until it is released, or the retention is over
-		u.suspect = suspect
+	if v := r.s.opts.Quarantine.Check(u.suspects, balance.Batch); v.Refuses() { // it waits for its trial
+		u.suspect = v.Suspect
 		return WaitHeld, false
 	}
 	return notWaiting, true
--- a/jobs/pick.go
+++ b/jobs/pick.go
@@ -42,7 +42,7 @@
 	if held {
 		return balance.Choice{}, waitsForGap
 	}
-	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), balance.Requirements{Class: balance.Batch, Exclude: excluded}, now)
+	choice, ok := r.s.opts.Table.Pick(r.s.opts.Backends(service), r.requirements(u, excluded), now)
 	if !ok {
 		return balance.Choice{}, noSlot
 	}
@@ -53,6 +53,12 @@
 	return choice, slotFound
 }
 
+// requirements returns the criteria of an item for its backend server. A run that may end its server goes to
+// the least loaded one.
+func (r *runner) requirements(u *run, excluded map[string]bool) balance.Requirements {
+	return balance.Requirements{Class: balance.Batch, Exclude: excluded, LeastLoaded: r.s.opts.Quarantine.Check(u.suspects, balance.Batch).Held()}
+}
+
 // configuredService returns the service that the route chooses for an item.
 func configuredService(j openJob, u *run) string {
 	return j.route.PickService(float64(u.ref.item%10) / 10)
@@ -75,7 +81,8 @@
 	if held {
 		return balance.Choice{}, waitsForGap
 	}
-	need := balance.Requirements{Class: balance.Batch, Exclude: excluded, Origin: origin}
+	need := r.requirements(u, excluded)
+	need.Origin = origin
 	if choice, ok := r.s.opts.Table.Pick(backends, need, now); ok {
 		u.originWaitSince = time.Time{}
 		return choice, slotFound
--- a/jobs/quarantine_test.go
+++ b/jobs/quarantine_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
@@ -47,7 +48,7 @@
 	}
 	assert.NilError(t, a.Submit(t.Context(), bad, 0))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, held := a.guard.Held([]string{"bad1"}); !held {
+		if !a.guard.Check([]string{"bad1"}, balance.Batch).Held() {
 			return poll.Continue("%d servers have ended, the part is not held", crashed.Load())
 		}
 		return poll.Success()
@@ -108,8 +109,7 @@
 		c.awaitEvents((round + 1) * 40)
 		c.restartAll(round)
 	}
-	_, held := a.guard.Held([]string{"aa01"})
-	assert.Assert(t, !held, "the part is held")
+	assert.Assert(t, !a.guard.Check([]string{"aa01"}, balance.Batch).Held(), "the part is held")
 	c.checkComplete(j, c.waitComplete(a, j))
 }
 
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
+	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
 
@@ -61,8 +62,8 @@
 	// route is the name of the item's route; due is when its result is due.
 	route string
 	due   time.Time
-	// parts are the ids of the prompt parts that the item shares with others.
-	parts []string
+	// suspects are the ids of the prompt parts that the item shares with others.
+	suspects []string
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
 	// emptyRuns is how many runs have ended as complete without any event.
@@ -193,7 +194,7 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, parts: r.s.opts.PromptParts(j.content[item].Header)}
+		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, suspects: r.s.opts.PromptParts(j.content[item].Header)}
 		r.runs[ref] = u
 	}
 	return u
@@ -220,6 +221,10 @@
 		p.full[r.serviceOf(j, u)] = found.reason()
 		return found.reason()
 	}
+	trial, reason := r.beginTrial(u, choice)
+	if reason != notWaiting {
+		return reason
+	}
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
 	u.placedBeside = choice.Load.Online
@@ -231,15 +236,15 @@
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
 		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
 	r.active.Add(1)
-	go r.execute(runCtx, j, u, choice.Backend, u.progress)
+	go r.execute(runCtx, j, u, choice.Backend, u.progress, trial)
 	return notWaiting
 }
 
 // execute runs an item once and handles the outcome.
-func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress) {
+func (r *runner) execute(ctx context.Context, j openJob, u *run, b catalog.Backend, p Progress, trial *quarantine.Trial) {
 	defer r.active.Done()
 	begin := time.Now()
-	progress := r.s.opts.Quarantine.Follow(func() []string { return u.parts })
+	progress := r.s.opts.Quarantine.Follow(func() []string { return u.suspects })
 	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 		event: func() { progress.Event(); u.recordEvent() },
@@ -248,7 +253,12 @@
 		progress.Stopped()
 	}
 	r.s.opts.Table.Release(b.ID, balance.Batch)
-	r.recordRunEnd(b, u.parts, begin, out.end)
+	examination := r.recordRunEnd(b, u.suspects, begin, out.end)
+	if out.end == runNotStarted {
+		trial.NotRun()
+	} else {
+		trial.End(examination)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
@@ -263,14 +273,30 @@
 	r.wake()
 }
 
-// recordRunEnd records what a run's end says about the prompt parts of its item.
-func (r *runner) recordRunEnd(b catalog.Backend, parts []string, began time.Time, end runEnd) {
+// beginTrial begins the trial of an item with held suspects at a chosen backend server. It returns why there is none
+// now, and nothing for an item without any.
+func (r *runner) beginTrial(u *run, choice balance.Choice) (*quarantine.Trial, WaitReason) {
+	verdict := r.s.opts.Quarantine.Check(u.suspects, balance.Batch)
+	if !verdict.WantsIdle() || choice.Load == (balance.Counts{}) {
+		if trial, ok := r.s.opts.Quarantine.Begin(u.suspects, choice.Backend, balance.Batch); ok {
+			return trial, notWaiting
+		}
+	}
+	u.suspect = verdict.Suspect
+	r.s.opts.Table.Release(choice.Backend.ID, balance.Batch)
+	return nil, WaitHeld
+}
+
+// recordRunEnd records what a run's end says about the suspects of its item. It returns the examination of the
+// backend server if that has broken off the run, and nil otherwise.
+func (r *runner) recordRunEnd(b catalog.Backend, suspects []string, began time.Time, end runEnd) *quarantine.Examination {
 	switch end {
 	case runComplete:
-		r.s.opts.Quarantine.RunCompleted(parts)
+		r.s.opts.Quarantine.RunCompleted(suspects)
 	case runInterrupted:
-		_ = r.s.opts.Quarantine.RunInterrupted(b, parts, began) // the next run is later than the decision
+		return r.s.opts.Quarantine.RunInterrupted(b, suspects, began) // the next run is later than the decision
 	}
+	return nil
 }
 
 // stop cancels all runs and waits until their outcomes are handled.
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -122,14 +122,11 @@
 // open work that the shard has. The shard can be claimed again only once the state of its jobs is cleared, because a
 // new claim reads that state anew.
 func (sh *shard) release(generation int64, cause any, kv ...any) {
-	var open openWork
-	if sh.owned() || sh.claimed() {
-		open = sh.s.table.openWork(sh.contains)
-	}
 	previous, released := sh.beginRelease()
 	if !released {
 		return
 	}
+	open := sh.s.table.openWork(sh.contains)
 	sh.s.table.clearJobs(sh.contains)
 	sh.mu.Lock()
 	sh.phase = notOwned
--- a/jobs/waits_test.go
+++ b/jobs/waits_test.go
@@ -92,7 +92,10 @@
 }
 
 // ownAll makes the runner's process the owner of its shard.
-func ownAll(r *runner) { r.s.shards[0].phase = owning }
+func ownAll(r *runner) {
+	r.s.shards[0].phase = owning
+	r.s.shards[0].owns.Store(true)
+}
 
 // addJob adds an accepted job with two items to the table, with the content of the first ones only.
 func addJob(r *runner, id string, content int) {
--- a/peering/evidence.go
+++ b/peering/evidence.go
@@ -1,9 +1,7 @@
 package peering
 
 import (
-	"cmp"
 	"net"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +19,8 @@
 	PeerCompleted(suspects []string)
 	// PeerHeld records suspects that are held from now on.
 	PeerHeld(suspects []string)
+	// PeerHolds records the states of held suspects.
+	PeerHolds(states []quarantine.HoldState)
 }
 
 // evidenceReport is what a gateway reports about suspects. Only one of the lists is set.
@@ -38,6 +38,31 @@
 	Counted         [][]uint32 `cbor:"6,keyasint,omitempty"`
 	AgesMs          [][]int64  `cbor:"7,keyasint,omitempty"`
 	CountedLastedMs [][]int64  `cbor:"8,keyasint,omitempty"`
+	// Holds are the states of held suspects; older releases ignore them.
+	Holds []holdReport `cbor:"9,keyasint,omitempty"`
+}
+
+// holdReport is the state of a held suspect.
+type holdReport struct {
+	Suspect  string `cbor:"1,keyasint"`
+	Failures int    `cbor:"2,keyasint,omitempty"`
+	NextInMs int64  `cbor:"3,keyasint,omitempty"`
+	Phase    uint8  `cbor:"4,keyasint,omitempty"`
+	Priority uint64 `cbor:"5,keyasint,omitempty"`
+	Server   uint32 `cbor:"6,keyasint,omitempty"`
+}
+
+// holdStates returns the states of held suspects that are reported.
+func (r evidenceReport) holdStates() []quarantine.HoldState {
+	states := make([]quarantine.HoldState, len(r.Holds))
+	for i, h := range r.Holds {
+		states[i] = quarantine.HoldState{
+			Suspect: h.Suspect, Failures: max(h.Failures, 0),
+			NextIn: time.Duration(min(max(h.NextInMs, 0), maxReported.Milliseconds())) * time.Millisecond,
+			Phase:  quarantine.Phase(h.Phase), Priority: h.Priority, Server: h.Server,
+		}
+	}
+	return states
 }
 
 // crash returns the end of a server that is reported. Lists may be short in reports of older releases.
@@ -101,6 +126,15 @@
 	p.broadcastEvidence(evidenceReport{Held: suspects})
 }
 
+// BroadcastHolds implements quarantine.Peers.
+func (p *Peering) BroadcastHolds(states []quarantine.HoldState) {
+	var r evidenceReport
+	for _, s := range states {
+		r.Holds = append(r.Holds, holdReport{Suspect: s.Suspect, Failures: s.Failures, NextInMs: s.NextIn.Milliseconds(), Phase: uint8(s.Phase), Priority: s.Priority, Server: s.Server})
+	}
+	p.broadcastEvidence(r)
+}
+
 // BroadcastCompleted implements quarantine.Peers.
 func (p *Peering) BroadcastCompleted(suspects []string) {
 	p.broadcastEvidence(evidenceReport{Completed: suspects})
@@ -118,6 +152,8 @@
 		p.opts.Evidence.PeerCompleted(r.Completed)
 	case len(r.Held) > 0:
 		p.opts.Evidence.PeerHeld(r.Held)
+	case len(r.Holds) > 0:
+		p.opts.Evidence.PeerHolds(r.holdStates())
 	case len(r.Crashed) > 0:
 		completed := p.opts.Evidence.PeerCrash(r.crash())
 		if sender, ok := from.(*net.UDPAddr); ok && len(completed) > 0 {
@@ -126,15 +162,7 @@
 	}
 }
 
-// FirstFor implements quarantine.Peers: one of all known gateways is the first for each key.
-func (p *Peering) FirstFor(key string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	names := []string{p.opts.Name}
-	for name := range p.peers {
-		names = append(names, name)
-	}
-	rank := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + key) }
-	first := slices.MinFunc(names, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return first == p.opts.Name
+// Priority implements quarantine.Peers. Gateways have different orders for different suspects.
+func (p *Peering) Priority(suspect string) uint64 {
+	return xxhash.Sum64String(p.opts.Name + "\x00" + suspect)
 }
--- a/peering/evidence_test.go
+++ b/peering/evidence_test.go
@@ -17,6 +17,18 @@
 type evidence struct {
 	mu                       sync.Mutex
 	crashed, completed, held []string
+	// tried are the suspects of states.
+	tried  []string
+	states []quarantine.HoldState
+}
+
+func (e *evidence) PeerHolds(states []quarantine.HoldState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.states = append(e.states, states...)
+	for _, s := range states {
+		e.tried = append(e.tried, s.Suspect)
+	}
 }
 
 func (e *evidence) PeerCrash(r quarantine.CrashReport) []string {
@@ -72,15 +84,24 @@
 	all[1].evidence.waitFor(t, &all[1].evidence.completed, 1)
 }
 
+// TestOneGatewayIsTheFirstForAPart guards against a suspect that several gateways try at the same moment, or none.
 func TestOneGatewayIsTheFirstForAPart(t *testing.T) {
 	all := fleet(t, "near", "near", "far")
 	for _, part := range []string{"a", "b", "c", "d"} {
-		first := 0
+		priorities := make(map[uint64]bool)
 		for _, g := range all {
-			if g.FirstFor(part) {
-				first++
-			}
+			priorities[g.Priority(part)] = true
 		}
-		assert.Equal(t, first, 1, part)
+		assert.Equal(t, len(priorities), len(all), part)
+	}
+}
+
+func TestStatesOfHeldSuspectsAreReported(t *testing.T) {
+	all := fleet(t, "near", "near", "far")
+	states := []quarantine.HoldState{{Suspect: "bad", Failures: 2, NextIn: 1500 * time.Millisecond, Phase: quarantine.Trying, Priority: 1 << 63, Server: 9}, {Suspect: "other"}}
+	all[0].BroadcastHolds(states)
+	for _, other := range all[1:] {
+		other.evidence.waitFor(t, &other.evidence.tried, 2)
+		assert.DeepEqual(t, other.evidence.states, states)
 	}
 }
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
@@ -15,6 +17,8 @@
 )
 
 const (
+	// decisionTime is how long runs with a suspect wait for the decision of the gateways.
+	decisionTime = objectionTime + 50*time.Millisecond
 	// objectionTime is how long other gateways may report complete runs before a suspect is held.
 	objectionTime = 250 * time.Millisecond
 	// storeTimeout bounds one attempt to store a held suspect; storeRetryDelay is the delay
@@ -33,10 +37,13 @@
 	BroadcastCrash(r CrashReport)
 	// BroadcastHeld reports suspects that are held from now on.
 	BroadcastHeld(suspects []string)
+	// BroadcastHolds reports the states of held suspects when a trial begins or ends.
+	BroadcastHolds(states []HoldState)
 	// BroadcastCompleted reports suspects with which a run has completed.
 	BroadcastCompleted(suspects []string)
-	// FirstFor reports whether this gateway is the one that tries a held suspect again.
-	FirstFor(suspect string) bool
+	// Priority returns the place of this gateway among those that want to try a held suspect; the lowest goes
+	// first.
+	Priority(suspect string) uint64
 }
 
 // Options are the settings of a Guard.
@@ -49,6 +56,8 @@
 	Probe func(ctx context.Context, b catalog.Backend, useHealth bool) error
 	// Eject is called for a backend server that has ended.
 	Eject func(b catalog.Backend)
+	// Backends returns the backend servers of a service.
+	Backends func(service string) []catalog.Backend
 	// Peers returns the other gateways.
 	Peers  func() Peers
 	Logger *log.Logger
@@ -72,9 +81,21 @@
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
 }
 
-// Held returns the suspect for which a request must not be sent, if there is one.
-func (g *Guard) Held(suspects []string) (suspect string, held bool) {
-	return g.table.Held(suspects, g.opts.Peers().FirstFor, time.Now())
+// Check returns whether a run of a class with these suspects, which is ready to start, may do so; it is then started with
+// Begin. A trial is announced as soon as this gateway may try the suspects.
+func (g *Guard) Check(suspects []string, class balance.Class) Verdict {
+	v := g.table.Check(suspects, class, time.Now())
+	if v.Proved {
+		g.holdSuspects([]string{v.Suspect})
+	}
+	if v.Step != Announce {
+		return v
+	}
+	if announced := g.table.Claim(suspects, class, time.Now()); len(announced) > 0 {
+		g.broadcast(announced)
+	}
+	v.Step = AwaitTurn
+	return v
 }
 
 // SuspectsRequests reports whether the identities of requests matter at present.
@@ -120,7 +141,7 @@
 	g.opts.Peers().BroadcastHeld(found)
 	for _, suspect := range found {
 		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own", "crash_ages", g.table.crashAges(suspect, time.Now()))
-		g.store(suspect, []byte{1})
+		g.store(suspect, holdValue(0))
 	}
 }
 
@@ -164,15 +185,15 @@
 func (g *Guard) PeerCompleted(suspects []string) { g.table.RecordCompleted(suspects, time.Now()) }
 
 // PeerHeld records suspects that another gateway has found.
-func (g *Guard) PeerHeld(suspects []string) { g.holdFound(suspects, "peer") }
+func (g *Guard) PeerHeld(suspects []string) { g.holdFound(suspects, 0, "peer") }
 
-// holdFound holds suspects that have been found elsewhere. It objects to those with which a run has
-// completed here a short time ago: the gateway that found them may have missed that.
-func (g *Guard) holdFound(suspects []string, by string) {
+// holdFound holds suspects that have been found elsewhere, after a number of failed trials. It objects to
+// those with which a run has completed here a short time ago: the gateway that found them may have missed that.
+func (g *Guard) holdFound(suspects []string, failures int, by string) {
 	now := time.Now()
 	innocent := g.table.Completed(suspects, now)
 	for _, suspect := range suspects {
-		if !slices.Contains(innocent, suspect) && g.table.Hold(suspect, now) {
+		if !slices.Contains(innocent, suspect) && g.table.Hold(suspect, failures, now) {
 			event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", by)
 		}
 	}
@@ -192,7 +213,22 @@
 		if r.Value == nil {
 			g.table.Release(r.Key)
 		} else {
-			g.holdFound([]string{r.Key}, "store")
+			g.holdFound([]string{r.Key}, failuresOf(r.Value), "store")
 		}
 	}
 }
+
+// heldMark is the first byte of the record of a held suspect. A second one holds the number of failed trials; records
+// of older releases lack it.
+const heldMark = 1
+
+// holdValue returns the value of the record of a held suspect.
+func holdValue(failures int) []byte { return []byte{heldMark, byte(min(failures, math.MaxUint8))} }
+
+// failuresOf returns the number of failed trials in the record of a held suspect.
+func failuresOf(value []byte) int {
+	if len(value) < 2 {
+		return 0
+	}
+	return int(value[1])
+}
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/balance"
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -23,6 +24,7 @@
 	mu                       sync.Mutex
 	crashes                  int
 	crashed, held, completed []string
+	states                   []HoldState
 }
 
 func (p *fakePeers) BroadcastCrash(r CrashReport) {
@@ -45,14 +47,22 @@
 	p.completed = append(p.completed, parts...)
 }
 
-func (*fakePeers) FirstFor(string) bool { return false }
+func (p *fakePeers) BroadcastHolds(states []HoldState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.states = append(p.states, states...)
+}
+
+func (*fakePeers) Priority(string) uint64 { return 1 }
 
 // guardFixture is a guard of a process that has run for a minute, whose probes return probeErr.
 type guardFixture struct {
 	*Guard
 	peers    *fakePeers
 	probeErr error
-	stored   chan keyedlog.Record
+	// others are the backend servers of the service.
+	others []catalog.Backend
+	stored chan keyedlog.Record
 }
 
 func newGuardFixture(probeErr error) *guardFixture {
@@ -60,7 +70,8 @@
 	f.Guard = NewGuard(Options{
 		StartedAt: time.Now().Add(-time.Minute),
 		Probe:     func(context.Context, catalog.Backend, bool) error { return f.probeErr }, Eject: func(catalog.Backend) {},
-		Peers: func() Peers { return f.peers }, Logger: log.New(io.Discard),
+		Backends: func(string) []catalog.Backend { return f.others },
+		Peers:    func() Peers { return f.peers }, Logger: log.New(io.Discard),
 		Store: func(_ context.Context, r keyedlog.Record) error { f.stored <- r; return nil },
 	})
 	return f
@@ -127,9 +138,7 @@
 	f.RunInterrupted(catalog.Backend{ID: "i", State: catalog.Ready}, []string{"bad", "shared"}, time.Now()).Ended(t.Context())
 	f.PeerCompleted([]string{"shared"}) // the objection of another gateway
 	assert.Equal(t, (<-f.stored).Key, "bad")
-	part, held := f.Held([]string{"shared", "bad"})
-	assert.Assert(t, held)
-	assert.Equal(t, part, "bad")
+	assert.Equal(t, f.Check([]string{"shared", "bad"}, balance.Batch).Suspect, "bad")
 	f.peers.mu.Lock()
 	assert.DeepEqual(t, f.peers.held, []string{"bad"})
 	f.peers.mu.Unlock()
@@ -138,21 +147,18 @@
 	r := <-f.stored
 	assert.Equal(t, r.Key, "bad")
 	assert.Assert(t, r.Value == nil)
-	_, held = f.Held([]string{"bad"})
-	assert.Assert(t, !held)
+	assert.Assert(t, !f.Check([]string{"bad"}, balance.Batch).Held())
 }
 
 func TestStartingGatewayKnowsStoredParts(t *testing.T) {
 	f := newGuardFixture(refused)
 	f.Rebuild([]keyedlog.Record{{Key: "bad", Value: []byte{1}}})
-	_, held := f.Held([]string{"bad"})
-	assert.Assert(t, held)
+	assert.Assert(t, f.Check([]string{"bad"}, balance.Batch).Refuses())
 	f.Apply([]keyedlog.Record{{Key: "bad"}})
-	_, held = f.Held([]string{"bad"})
-	assert.Assert(t, !held)
+	assert.Assert(t, !f.Check([]string{"bad"}, balance.Batch).Held())
 	f.PeerHeld([]string{"bad"})
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if _, held := f.Held([]string{"bad"}); !held {
+		if !f.Check([]string{"bad"}, balance.Batch).Held() {
 			return poll.Continue("not held")
 		}
 		return poll.Success()
@@ -166,10 +172,8 @@
 	f.RunCompleted([]string{"sound"})
 	f.PeerHeld([]string{"sound", "bad"})
 	assert.DeepEqual(t, f.peers.completed, []string{"sound"})
-	_, held := f.Held([]string{"sound"})
-	assert.Assert(t, !held)
-	_, held = f.Held([]string{"bad"})
-	assert.Assert(t, held)
+	assert.Assert(t, !f.Check([]string{"sound"}, balance.Batch).Held())
+	assert.Assert(t, f.Check([]string{"bad"}, balance.Batch).Refuses())
 	r := <-f.stored
 	assert.Equal(t, r.Key, "sound")
 	assert.Assert(t, r.Value == nil, "gateways that start later must not hold it")
--- a/quarantine/moments.go
+++ b/quarantine/moments.go
@@ -42,6 +42,14 @@
 	return e
 }
 
+// last returns when a server has last ended; zero if none has.
+func (e endings) last() time.Time {
+	if len(e) == 0 {
+		return time.Time{}
+	}
+	return e[len(e)-1].at
+}
+
 // explains reports whether a suspect may have caused what happened at the time of a crash. It has not if
 // several servers were lost at that moment, and most of them ran nothing with the suspect.
 func (e endings) explains(suspect string, at time.Time) bool {
--- /dev/null
+++ b/quarantine/play_test.go
@@ -0,0 +1,322 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/keyedlog"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+// play is a fleet in virtual time: gateways that run items of one service, whose backend servers end.
+type play struct {
+	rng      *rand.Rand
+	gateways []*playGateway
+	// restart is how long a server that has ended is away, eventInterval the time between the events of a run and
+	// events their number.
+	restart, eventInterval time.Duration
+	events                 int
+	// guilty is the part that ends each server which has run it for guiltyAfter; empty if none does.
+	guilty      string
+	guiltyAfter time.Duration
+
+	mu sync.Mutex
+	// servers holds by id those that serve, with the function that ends them.
+	servers map[string]context.CancelFunc
+	done    map[string]context.Context
+	boots   int
+	// ended counts the servers that have ended under runs of the guilty part, endedBefore those of them under runs
+	// that had begun before the part was held.
+	ended, endedBefore int
+}
+
+// playGateway is a gateway of a play. It implements Peers.
+type playGateway struct {
+	*Guard
+	p    *play
+	rank int
+}
+
+// peerDelay is the time that a message between gateways of a play takes.
+const peerDelay = 5 * time.Millisecond
+
+func newPlay(gateways, servers int, seed uint64) *play {
+	p := &play{
+		rng: rand.New(rand.NewPCG(seed, seed)), restart: 3 * time.Second, eventInterval: 40 * time.Millisecond, events: 100,
+		servers: make(map[string]context.CancelFunc), done: make(map[string]context.Context),
+	}
+	for range servers {
+		p.boot()
+	}
+	for i := range gateways {
+		g := &playGateway{p: p, rank: i}
+		g.Guard = NewGuard(Options{
+			StartedAt: time.Now().Add(-time.Minute), Probe: p.probe, Eject: func(catalog.Backend) {}, Backends: p.backends,
+			Peers: func() Peers { return g }, Logger: log.New(io.Discard), Store: func(context.Context, keyedlog.Record) error { return nil },
+		})
+		p.gateways = append(p.gateways, g)
+	}
+	return p
+}
+
+func (p *play) boot() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.boots++
+	id := fmt.Sprint("i-", p.boots)
+	p.done[id], p.servers[id] = context.WithCancel(context.Background())
+}
+
+func (p *play) backends(string) []catalog.Backend {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []catalog.Backend
+	for id := range p.servers {
+		out = append(out, catalog.Backend{ID: id, Service: "s", State: catalog.Ready})
+	}
+	slices.SortFunc(out, func(a, b catalog.Backend) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (p *play) probe(_ context.Context, b catalog.Backend, _ bool) error {
+	time.Sleep(time.Millisecond)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.servers[b.ID] == nil {
+		return upstream.ErrProcessEnded
+	}
+	return nil
+}
+
+// crash ends servers; they start again under other ids.
+func (p *play) crash(ids ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, id := range ids {
+		if end := p.servers[id]; end != nil {
+			end()
+			delete(p.servers, id)
+			time.AfterFunc(p.restart, p.boot)
+		}
+	}
+}
+
+// crashAll ends all servers at once.
+func (p *play) crashAll() {
+	for _, b := range p.backends("s") {
+		p.crash(b.ID)
+	}
+}
+
+// crashOne ends the server that has served for the longest time.
+func (p *play) crashOne() {
+	if all := p.backends("s"); len(all) > 0 {
+		p.crash(all[0].ID)
+	}
+}
+
+// recordHeld records that the guilty part is held at all gateways, and that the runs which had begun before are over.
+func (p *play) recordHeld() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endedBefore = max(p.endedBefore, p.ended)
+}
+
+// send passes a message to the other gateways.
+func (g *playGateway) send(deliver func(to *playGateway)) {
+	for _, other := range g.p.gateways {
+		if other != g {
+			time.AfterFunc(peerDelay, func() { deliver(other) })
+		}
+	}
+}
+
+func (g *playGateway) BroadcastCrash(r CrashReport) {
+	g.send(func(to *playGateway) {
+		if completed := to.PeerCrash(r); len(completed) > 0 {
+			time.AfterFunc(peerDelay, func() { g.PeerCompleted(completed) })
+		}
+	})
+}
+
+func (g *playGateway) BroadcastHeld(suspects []string) {
+	time.AfterFunc(g.p.guiltyAfter+2*peerDelay, g.p.recordHeld)
+	g.send(func(to *playGateway) { to.PeerHeld(suspects) })
+}
+
+func (g *playGateway) BroadcastHolds(states []HoldState) {
+	g.send(func(to *playGateway) { to.PeerHolds(states) })
+}
+
+func (g *playGateway) BroadcastCompleted(suspects []string) {
+	g.send(func(to *playGateway) { to.PeerCompleted(suspects) })
+}
+
+func (g *playGateway) Priority(string) uint64 { return uint64(g.rank) }
+
+// runItem runs an item with a part until it is complete, as the owner of its job does.
+func (g *playGateway) runItem(ctx context.Context, part string) (complete bool) {
+	for from := 0; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+		all := g.p.backends("s")
+		if len(all) == 0 || g.Check([]string{part}, balance.Batch).Refuses() {
+			continue
+		}
+		g.p.mu.Lock()
+		b := all[g.p.rng.IntN(len(all))]
+		g.p.mu.Unlock()
+		trial, ok := g.Begin([]string{part}, b, balance.Batch)
+		if !ok {
+			continue
+		}
+		began := time.Now()
+		progress := g.Follow(func() []string { return []string{part} })
+		from = g.p.serve(b.ID, part, from, progress)
+		if from == g.p.events {
+			g.RunCompleted([]string{part})
+			trial.End(nil)
+			return true
+		}
+		trial.End(g.RunInterrupted(b, []string{part}, began))
+		time.Sleep(400 * time.Millisecond)
+	}
+	return false
+}
+
+// serve is a run at a server. It returns how many events of the item have been sent.
+func (p *play) serve(id, part string, from int, progress *Progress) int {
+	p.mu.Lock()
+	done := p.done[id]
+	p.mu.Unlock()
+	if part == p.guilty {
+		time.AfterFunc(p.guiltyAfter, func() {
+			if done.Err() == nil {
+				p.mu.Lock()
+				p.ended++
+				p.mu.Unlock()
+			}
+			p.crash(id)
+		})
+	}
+	for n := from; n < p.events; n++ {
+		select {
+		case <-done.Done():
+			return n
+		case <-time.After(p.eventInterval):
+			progress.Event()
+		}
+	}
+	return p.events
+}
+
+// runItems lets each gateway run items with a part until ctx ends, and returns how many did not complete.
+func (p *play) runItems(ctx context.Context, part string, each int) (open int) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for _, g := range p.gateways {
+		for range each {
+			wg.Go(func() {
+				if !g.runItem(ctx, part) {
+					mu.Lock()
+					open++
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	return open
+}
+
+// TestItemsOfAnInnocentPartGoOnAfterCrashes guards against items that wait longer than they live, because servers have
+// ended by chance under young runs of a part that they share.
+func TestItemsOfAnInnocentPartGoOnAfterCrashes(t *testing.T) {
+	const finishTime = 18 * time.Second
+	for name, c := range map[string]struct {
+		times         int
+		first, period time.Duration
+		down          time.Duration
+		all           bool
+	}{
+		"one after another, 0.35 s apart": {3, 200 * time.Millisecond, 350 * time.Millisecond, 3 * time.Second, false},
+		"all at once, 0.6 s apart":        {6, 100 * time.Millisecond, 600 * time.Millisecond, 200 * time.Millisecond, true},
+		"all at once, 2.1 s apart":        {3, 300 * time.Millisecond, 2100 * time.Millisecond, 600 * time.Millisecond, true},
+		"all at once, 3.9 s apart":        {5, 300 * time.Millisecond, 3900 * time.Millisecond, 3200 * time.Millisecond, true},
+		"one after another for long":      {12, 200 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second, false},
+	} {
+		for _, fleet := range []struct{ gateways, servers int }{{1, 3}, {3, 3}, {8, 9}} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s/%d gateways/seed %d", name, fleet.gateways, seed), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						p := newPlay(fleet.gateways, fleet.servers, seed)
+						p.restart = c.down
+						ctx, cancel := context.WithTimeout(t.Context(), c.first+time.Duration(c.times)*c.period+c.down+finishTime)
+						defer cancel()
+						for i := range c.times {
+							time.AfterFunc(c.first+time.Duration(i)*c.period, func() {
+								if c.all {
+									p.crashAll()
+								} else {
+									p.crashOne()
+								}
+							})
+						}
+						assert.Equal(t, p.runItems(ctx, "part", 6), 0)
+					})
+				})
+			}
+		}
+	}
+}
+
+// TestGuiltyPartEndsFewServers guards against trials of a held part that end one server after the other.
+func TestGuiltyPartEndsFewServers(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 100 * time.Millisecond, 600 * time.Millisecond} {
+		for _, c := range []struct {
+			gateways, servers int
+			length            time.Duration
+			trials            int
+		}{
+			{1, 3, 8 * time.Second, 1}, {1, 3, 5 * time.Minute, 3},
+			{8, 9, 8 * time.Second, 1}, {8, 9, 40 * time.Second, 2}, {8, 9, 5 * time.Minute, 3},
+			{37, 40, 40 * time.Second, 2},
+		} {
+			t.Run(fmt.Sprintf("%v/%d gateways/%v", after, c.gateways, c.length), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					p := newPlay(c.gateways, c.servers, 1)
+					p.guilty, p.guiltyAfter = "bad", after
+					ctx, cancel := context.WithTimeout(t.Context(), c.length)
+					defer cancel()
+					var items sync.WaitGroup
+					for i, g := range p.gateways {
+						items.Go(func() {
+							time.Sleep(time.Duration(i) * time.Second)
+							assert.Check(t, !g.runItem(ctx, "bad"))
+						})
+					}
+					items.Wait()
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					assert.Assert(t, p.endedBefore >= minCrashes)
+					assert.Assert(t, p.ended <= p.endedBefore+c.trials, "%d servers have ended, %d before the part was held", p.ended, p.endedBefore)
+				})
+			})
+		}
+	}
+}
--- a/quarantine/quarantinetest/guard.go
+++ b/quarantine/quarantinetest/guard.go
@@ -40,7 +40,7 @@
 func newGuard(probe func(ctx context.Context, b catalog.Backend, useHealth bool) error, peers quarantine.Peers) *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.Options{
 		StartedAt: time.Now().Add(-time.Minute),
-		Probe:     probe, Eject: func(catalog.Backend) {}, Peers: func() quarantine.Peers { return peers },
+		Probe:     probe, Eject: func(catalog.Backend) {}, Backends: func(string) []catalog.Backend { return nil }, Peers: func() quarantine.Peers { return peers },
 		Logger: log.New(io.Discard), Store: func(context.Context, keyedlog.Record) error { return nil },
 	})
 }
@@ -54,4 +54,6 @@
 
 func (noPeers) BroadcastCompleted([]string) {}
 
-func (noPeers) FirstFor(string) bool { return true }
+func (noPeers) BroadcastHolds([]quarantine.HoldState) {}
+
+func (noPeers) Priority(string) uint64 { return 0 }
--- a/quarantine/request_test.go
+++ b/quarantine/request_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/balance"
 )
 
 // guilty and innocent are identities of requests of one caller, and content that of the guilty one
@@ -29,9 +31,8 @@
 	now := after(requestEvidenceTime)
 	assert.Assert(t, isHeld(table, guilty, now), "before the gateways agree")
 	assert.DeepEqual(t, table.HoldSuspects([]string{guilty}, now), []string{guilty})
-	assert.Assert(t, isHeld(table, guilty, now.Add(requestHoldTime-time.Second)))
-	_, held := table.Held([]string{guilty}, func(string) bool { return true }, now.Add(requestHoldTime))
-	assert.Assert(t, !held, "one is tried after the hold time")
+	assert.Assert(t, table.Check([]string{guilty}, balance.Online, now.Add(requestBackoff.first-time.Millisecond)).Refuses())
+	assert.Assert(t, table.Check([]string{guilty}, balance.Online, now.Add(requestBackoff.first)).Step == Announce, "one is tried after the delay")
 }
 
 func TestPartIsNotHeldBeforeTheOthersCouldObject(t *testing.T) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,11 +1,14 @@
 // Package quarantine finds what makes backend servers crash one after the other, and holds back the
 // requests that do.
 //
-// A suspect is a part of prompts, which many requests may share, or one request that is sent again
-// and again. Every run with a guilty one ends the server that begins it, so a suspect is innocent as
-// soon as any run with it completes, or servers have worked on runs with it for some time. It is held if
+// A suspect is a part of prompts, which many requests may share, or one request that is sent again and again. Every run with a guilty one ends the server that begins it, so a suspect is innocent
+// as soon as any run with it completes, or servers have worked on runs with it for some time. It is held if
 // servers end under runs with it several times and no gateway has seen such a run. The loss of many
 // servers at once, most of which ran nothing with the suspect, does not count.
+//
+// Chance may end servers under runs of an innocent suspect too, and only its own runs can show that. So one run
+// at a time, at all gateways together, is tried while a suspect is held: soon at first, and after a longer delay with
+// each trial that ends its server alone.
 package quarantine
 
 import (
@@ -37,15 +40,6 @@
 	// minObservation is the time after its start in which a process holds nothing: it has not
 	// seen enough runs complete.
 	minObservation = 5 * time.Second
-	// The hold times are the times after which one request with a held suspect is tried. They
-	// double with each try that ends a server, up to the maximum.
-	partHoldTime       = 5 * time.Minute
-	maxPartHoldTime    = time.Hour
-	requestHoldTime    = 24 * time.Hour
-	maxRequestHoldTime = 30 * 24 * time.Hour
-	// trialTimeout is the time after which another request may be tried if the outcome of the
-	// last one is not known.
-	trialTimeout = time.Minute
 	// maxSuspects bounds the memory for suspects of each kind.
 	maxSuspects = 1 << 14
 )
@@ -72,8 +66,8 @@
 	// spacing is the least time between two crashes that count; if it is 0, the run has to begin
 	// after the last one.
 	spacing time.Duration
-	// holdTime and maxHoldTime are those of suspects of this kind.
-	holdTime, maxHoldTime time.Duration
+	// backoff is when held suspects of this kind are tried.
+	backoff backoff
 	// immediate states that a suspect is held as soon as there is the evidence for it, before the
 	// other gateways have had time to object.
 	immediate bool
@@ -89,7 +83,7 @@
 			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
 			crashes:   recent.New[string, evidence](partEvidenceTime, maxSuspects),
 			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
-			spacing:   partCrashSpacing, holdTime: partHoldTime, maxHoldTime: maxPartHoldTime,
+			spacing:   partCrashSpacing, backoff: partBackoff,
 		},
 		callers:  newRequestRecords(false),
 		requests: newRequestRecords(true),
@@ -102,7 +96,7 @@
 		completed: recent.New[string, struct{}](completionMemory, maxSuspects),
 		crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
 		served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
-		holdTime:  requestHoldTime, maxHoldTime: maxRequestHoldTime, immediate: !sharedByCallers, sharedByCallers: sharedByCallers,
+		backoff:   requestBackoff, immediate: !sharedByCallers, sharedByCallers: sharedByCallers,
 	}
 }
 
@@ -165,7 +159,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.endings = t.endings.record(server, runs, now)
-	if t.explained(runs, now) {
+	if t.explained(runs) {
 		return
 	}
 	for suspect, lasted := range runs {
@@ -216,17 +210,14 @@
 	return ages
 }
 
-// explained reports whether a held suspect is among the runs, whose trial has failed then. The caller
-// holds mu.
-func (t *Table) explained(runs Runs, now time.Time) bool {
-	found := false
+// explained reports whether a held suspect is among the runs. The caller holds mu.
+func (t *Table) explained(runs Runs) bool {
 	for suspect := range runs {
-		if h := t.held[suspect]; h != nil {
-			h.failTrial(now)
-			found = true
+		if t.held[suspect] != nil {
+			return true
 		}
 	}
-	return found
+	return false
 }
 
 // Completed returns those of the suspects with which a run has completed a short time ago.
@@ -265,18 +256,18 @@
 			return t.records(suspect) != kind || t.held[suspect] != nil || !t.proved(suspect, now)
 		})
 		for _, suspect := range proved {
-			t.hold(suspect, now)
+			t.hold(suspect, 0, now)
 		}
 		found = append(found, proved...)
 	}
 	return found
 }
 
-// hold holds a suspect. The crashes that it explains no longer count against others. The caller
-// holds mu.
-func (t *Table) hold(suspect string, now time.Time) {
+// hold holds a suspect with this number of failed trials. The crashes that it explains no longer count
+// against others. The caller holds mu.
+func (t *Table) hold(suspect string, failures int, now time.Time) {
 	r := t.records(suspect)
-	t.held[suspect] = &hold{since: now, duration: r.holdTime, maxDuration: r.maxHoldTime}
+	t.held[suspect] = newHold(r.backoff, failures, now)
 	explained, _ := r.crashes.Get(suspect, now)
 	for _, others := range []*records{&t.callers, &t.parts, &t.requests} {
 		others.crashes.Update(func(other string, e evidence) (evidence, bool) {
@@ -298,14 +289,15 @@
 	return left
 }
 
-// Hold holds a suspect that another gateway has found, and reports whether it was not held yet.
-func (t *Table) Hold(suspect string, now time.Time) bool {
+// Hold holds a suspect that another gateway has found, after this number of failed trials. It reports
+// whether the suspect was not held yet.
+func (t *Table) Hold(suspect string, failures int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.held[suspect] != nil {
 		return false
 	}
-	t.hold(suspect, now)
+	t.hold(suspect, failures, now)
 	return true
 }
 
@@ -318,22 +310,6 @@
 	return found
 }
 
-// Held returns the first of the suspects that is held. After its hold time, one request is let
-// through at the gateway for which mayTry returns true.
-func (t *Table) Held(suspects []string, mayTry func(suspect string) bool, now time.Time) (suspect string, held bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, suspect := range suspects {
-		if h := t.held[suspect]; h != nil && !h.startTrial(suspect, mayTry, now) {
-			return suspect, true
-		}
-		if t.held[suspect] == nil && t.records(suspect).immediate && t.proved(suspect, now) {
-			return suspect, true
-		}
-	}
-	return "", false
-}
-
 // Suspected reports whether servers have ended under runs with one of the suspects more than once.
 // Such a request is not sent to a further server after its own run has broken off.
 func (t *Table) Suspected(suspects []string, now time.Time) bool {
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/catkinrudder/catkinrudder/balance"
 )
 
 var start = time.Unix(5000, 0)
@@ -24,13 +26,9 @@
 	return runs
 }
 
-func never(string) bool { return false }
-
-func always(string) bool { return true }
-
+// isHeld reports whether a part is held, whether or not it may be tried.
 func isHeld(t *Table, part string, now time.Time) bool {
-	_, held := t.Held([]string{part}, never, now)
-	return held
+	return t.Check([]string{part}, balance.Batch, now).Held()
 }
 
 func TestPartThatCrashesServersIsHeld(t *testing.T) {
@@ -44,9 +42,9 @@
 	}
 	assert.Assert(t, table.Suspected(parts, at(2)))
 	assert.DeepEqual(t, table.HoldSuspects(parts, at(3)), []string{"bad"})
-	part, held := table.Held(parts, never, at(4))
-	assert.Assert(t, held)
-	assert.Equal(t, part, "bad")
+	v := table.Check(parts, balance.Batch, at(3.5))
+	assert.Assert(t, v.Refuses())
+	assert.Equal(t, v.Suspect, "bad")
 	assert.Assert(t, !isHeld(table, "shared", at(4)))
 }
 
@@ -98,32 +96,45 @@
 	}
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation-1))), 0)
 	assert.Equal(t, len(table.HoldSuspects([]string{"part"}, start.Add(minObservation))), 1)
-	assert.Assert(t, table.Hold("of another gateway", start))
-	assert.Assert(t, !table.Hold("of another gateway", start))
+	assert.Assert(t, table.Hold("of another gateway", 0, start))
+	assert.Assert(t, !table.Hold("of another gateway", 0, start))
 }
 
-func TestHeldPartIsTriedOnceInAHoldTime(t *testing.T) {
-	table := NewTable(start)
-	table.Hold("bad", at(0))
-	tries := func(from, to time.Duration) int {
+// TestGuiltySuspectIsTriedLessAndLessOften guards against trials that end one server after the other.
+func TestGuiltySuspectIsTriedLessAndLessOften(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for suspect, limits := range map[string]map[time.Duration]int{
+		"part": {time.Second - step: 0, 10 * time.Second: 1, time.Minute: 2, 7 * time.Minute: 3, time.Hour: 5, 24 * time.Hour: 28},
+		guilty: {30*time.Second - step: 0, time.Minute: 1, 5 * time.Minute: 1, 30 * time.Minute: 2, 24 * time.Hour: 26},
+	} {
+		table := NewTable(start)
+		table.Hold(suspect, 0, at(0))
+		trials := make(map[time.Duration]int)
 		n := 0
-		for d := from; d < to; d += time.Second {
-			if _, held := table.Held([]string{"bad"}, always, at(0).Add(d)); !held {
+		for d := time.Duration(0); d <= 24*time.Hour; d += step {
+			now := at(0).Add(d)
+			table.Claim([]string{suspect}, balance.Batch, now)
+			if tried, ok := table.StartTrial([]string{suspect}, balance.Batch, 1, now); ok {
+				assert.DeepEqual(t, tried, []string{suspect})
 				n++
-				table.RecordCrash(1, runsOf("bad"), at(0).Add(d))
+				_, again := table.StartTrial([]string{suspect}, balance.Batch, 1, now.Add(step/2))
+				assert.Assert(t, !again, "one at a time")
+				table.RecordCrash(uint32(n), runsOf(suspect), now.Add(step/2))
+				table.EndTrial(tried, TrialFailed, now.Add(step/2))
 			}
+			if _, listed := limits[d]; listed {
+				trials[d] = n
+			}
+		}
+		for d, limit := range limits {
+			assert.Assert(t, trials[d] <= limit, "%s: %d trials in %v", suspect, trials[d], d)
 		}
-		return n
+		assert.Assert(t, n >= 3, "%s: it is tried again, since it may be innocent", suspect)
+		released, _ := table.RecordCompleted([]string{suspect}, at(0))
+		assert.DeepEqual(t, released, []string{suspect})
+		assert.Assert(t, !isHeld(table, suspect, at(0)))
+		assert.Assert(t, !table.Release(suspect))
 	}
-	assert.Equal(t, tries(0, partHoldTime), 0)
-	assert.Equal(t, tries(partHoldTime, 3*partHoldTime), 1)
-	assert.Equal(t, tries(3*partHoldTime, 4*partHoldTime), 1, "the next hold takes twice as long")
-	assert.Assert(t, isHeld(table, "bad", at(0).Add(100*partHoldTime)), "other gateways do not try")
-
-	released, _ := table.RecordCompleted([]string{"bad"}, at(0))
-	assert.DeepEqual(t, released, []string{"bad"})
-	assert.Assert(t, !isHeld(table, "bad", at(0)))
-	assert.Assert(t, !table.Release("bad"))
 }
 
 func TestMemoryOfPartsIsBounded(t *testing.T) {
--- /dev/null
+++ b/quarantine/trial.go
@@ -0,0 +1,141 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/upstream"
+)
+
+// maxControls is how many other servers of the service a trial is compared with.
+const maxControls = 8
+
+// Trial is one run with held suspects. A nil Trial is a run without any.
+type Trial struct {
+	guard    *Guard
+	suspects []string
+	backend  catalog.Backend
+
+	// sound receives the controls once they are known: servers of the same service that were alive as
+	// the trial began.
+	sound chan []catalog.Backend
+}
+
+// Begin starts a run of a class with these suspects at a backend server. It returns false if one of the suspects is held and
+// must not be tried now. The caller ends the trial with the run.
+func (g *Guard) Begin(suspects []string, b catalog.Backend, class balance.Class) (*Trial, bool) {
+	now := time.Now()
+	tried, ok := g.table.StartTrial(suspects, class, balance.Key(b.ID), now)
+	if !ok {
+		return nil, false
+	}
+	if len(tried) == 0 {
+		return nil, true
+	}
+	t := &Trial{guard: g, suspects: tried, backend: b, sound: make(chan []catalog.Backend, 1)}
+	event.Log(g.opts.Logger, event.TrialStarted, "suspects", tried, "backend", b.ID, "service", b.Service)
+	g.broadcast(tried)
+	go func() { t.sound <- g.alive(g.controls(b)) }()
+	return t, true
+}
+
+// End ends the trial. examination is that of the server if the run has broken off, and nil otherwise. The outcome
+// is recorded later if it has to be found out.
+func (t *Trial) End(examination *Examination) {
+	if t == nil {
+		return
+	}
+	go t.guard.endTrial(t, examination)
+}
+
+// NotRun ends a trial that no server has run.
+func (t *Trial) NotRun() {
+	if t == nil {
+		return
+	}
+	g := t.guard
+	g.broadcast(g.table.EndTrial(t.suspects, TrialNotRun, time.Now()))
+}
+
+func (g *Guard) endTrial(t *Trial, examination *Examination) {
+	ended := time.Now()
+	shared := g.table.OthersTried(t.suspects, balance.Key(t.backend.ID), ended)
+	outcome := TrialUndecided
+	if examination != nil && examination.Ended(context.Background()) && !shared && !g.endedTogether(t, ended) {
+		outcome = TrialFailed
+	}
+	now := time.Now()
+	held := g.table.EndTrial(t.suspects, outcome, now)
+	if len(held) == 0 {
+		return // the run speaks for its suspects
+	}
+	for _, s := range g.broadcast(held) {
+		event.Log(g.opts.Logger, event.TrialEnded, "suspect", s.Suspect, "backend", t.backend.ID, "failed", outcome == TrialFailed,
+			"failures", s.Failures, "next_in", s.NextIn)
+		if outcome == TrialFailed {
+			g.store(s.Suspect, holdValue(s.Failures))
+		}
+	}
+}
+
+// endedTogether reports whether servers that have not run the suspects have ended together with that of the trial.
+func (g *Guard) endedTogether(t *Trial, at time.Time) bool {
+	if g.table.OthersEnded(t.suspects, at) {
+		return true
+	}
+	controls := <-t.sound
+	return len(g.alive(controls)) < len(controls)
+}
+
+// controls returns some other backend servers of the service of b.
+func (g *Guard) controls(b catalog.Backend) []catalog.Backend {
+	var others []catalog.Backend
+	for _, other := range g.opts.Backends(b.Service) {
+		if other.ID != b.ID && other.State == catalog.Ready {
+			others = append(others, other)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return others[:min(len(others), maxControls)]
+}
+
+// alive returns those of the backend servers whose processes have not ended, as far as that is known.
+func (g *Guard) alive(backends []catalog.Backend) []catalog.Backend {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	ended := make([]bool, len(backends))
+	var wg sync.WaitGroup
+	for i, b := range backends {
+		wg.Go(func() { ended[i] = errors.Is(g.opts.Probe(ctx, b, false), upstream.ErrProcessEnded) })
+	}
+	wg.Wait()
+	var alive []catalog.Backend
+	for i, b := range backends {
+		if !ended[i] {
+			alive = append(alive, b)
+		}
+	}
+	return alive
+}
+
+// broadcast reports the states of held suspects to the other gateways, and returns them.
+func (g *Guard) broadcast(suspects []string) []HoldState {
+	peers := g.opts.Peers()
+	states := g.table.States(suspects, peers.Priority, time.Now())
+	if len(states) > 0 {
+		peers.BroadcastHolds(states)
+	}
+	return states
+}
+
+// PeerHolds records what another gateway reports about held suspects.
+func (g *Guard) PeerHolds(states []HoldState) {
+	g.table.Merge(states, g.opts.Peers().Priority, time.Now())
+}
--- /dev/null
+++ b/quarantine/verdict.go
@@ -0,0 +1,204 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/catkinrudder/catkinrudder/balance"
+)
+
+// Verdict is whether a run with some suspects may start.
+type Verdict struct {
+	// Suspect is the suspect that keeps the run longest; empty if none is held or about to be.
+	Suspect string
+	// Step is what may be done now.
+	Step Step
+	// Wait is the time until that may change.
+	Wait time.Duration
+	// Failures is how many trials of Suspect have ended their servers.
+	Failures int
+	// Due is for how long a trial of Suspect has been due.
+	Due time.Duration
+	// Proved states that Suspect has to be held at once, as the evidence needs no agreement of other gateways.
+	Proved bool
+}
+
+// Step is what may be done with a run.
+type Step uint8
+
+// The steps.
+const (
+	// Start: no suspect is held.
+	Start Step = iota
+	// Try: the run may start as the trial of all suspects that are held.
+	Try
+	// Announce: this gateway may announce a trial.
+	Announce
+	// AwaitTurn: this gateway has announced a trial, which may start after Wait.
+	AwaitTurn
+	// AwaitDecision: the gateways are about to hold a suspect.
+	AwaitDecision
+	// AwaitTrial: a suspect is held, and no trial may start before Wait.
+	AwaitTrial
+)
+
+// Held reports whether any of the suspects is held.
+func (v Verdict) Held() bool { return v.Step != Start && v.Step != AwaitDecision }
+
+// Refuses reports whether a run must not start now.
+func (v Verdict) Refuses() bool { return v.Step != Start && v.Step != Try }
+
+// WantsIdle reports whether the run may start at a backend server that runs nothing else only.
+func (v Verdict) WantsIdle() bool { return v.Held() && v.Due < idleWait }
+
+// Soon reports whether a run that must not start now may do so in a moment.
+func (v Verdict) Soon() bool { return v.Step == AwaitTurn || v.Step == AwaitDecision }
+
+// Check returns the verdict on a run of a class with these suspects. It changes nothing.
+func (t *Table) Check(suspects []string, class balance.Class, now time.Time) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.check(suspects, class, now)
+}
+
+// check implements Check. The caller holds mu. A run waits for the suspect that keeps it longest.
+func (t *Table) check(suspects []string, class balance.Class, now time.Time) Verdict {
+	var longest Verdict
+	for _, suspect := range suspects {
+		if v := t.checkOne(suspect, class, now); v.Step > longest.Step || v.Step == longest.Step && v.Wait > longest.Wait {
+			longest = v
+		}
+	}
+	return longest
+}
+
+func (t *Table) checkOne(suspect string, class balance.Class, now time.Time) Verdict {
+	h := t.held[suspect]
+	if h == nil {
+		return t.checkEvidence(suspect, now)
+	}
+	v := Verdict{Suspect: suspect, Failures: h.failures, Due: now.Sub(h.due(class))}
+	at := h.claimable(class, t.endings.last())
+	switch {
+	case now.Before(at):
+		v.Step, v.Wait = AwaitTrial, at.Sub(now)
+	case !h.claimed(now):
+		v.Step, v.Wait = Announce, claimTime
+	case now.Sub(h.claimedAt) < claimTime:
+		v.Step, v.Wait = AwaitTurn, claimTime-now.Sub(h.claimedAt)
+	default:
+		v.Step = Try
+	}
+	return v
+}
+
+// checkEvidence returns the verdict on a suspect that is not held: no run starts while the gateways decide.
+func (t *Table) checkEvidence(suspect string, now time.Time) Verdict {
+	if !t.proved(suspect, now) {
+		return Verdict{}
+	}
+	if r := t.records(suspect); r.immediate {
+		return Verdict{Suspect: suspect, Step: AwaitTrial, Wait: r.backoff.first, Proved: true}
+	}
+	against := t.against(suspect, now)
+	if wait := against[len(against)-1].at.Add(decisionTime).Sub(now); wait > 0 {
+		return Verdict{Suspect: suspect, Step: AwaitDecision, Wait: wait}
+	}
+	return Verdict{}
+}
+
+// Claim announces a trial of the held suspects among these, and returns those that are announced anew.
+func (t *Table) Claim(suspects []string, class balance.Class, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.check(suspects, class, now).Step != Announce {
+		return nil
+	}
+	announced := slices.DeleteFunc(t.heldAmong(suspects), func(suspect string) bool { return t.held[suspect].claimed(now) })
+	for _, suspect := range announced {
+		t.held[suspect].claimedAt = now
+	}
+	return announced
+}
+
+// StartTrial starts the trial of all held suspects among these at a server, given by the hash of its id. It returns
+// false if the run must not start there now. Nothing is tried if none is held.
+func (t *Table) StartTrial(suspects []string, class balance.Class, server uint32, now time.Time) (tried []string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.check(suspects, class, now).Refuses() {
+		return nil, false
+	}
+	tried = t.heldAmong(suspects)
+	if len(tried) > 0 && t.othersTried(tried, server, now) {
+		return nil, false
+	}
+	for _, suspect := range tried {
+		t.held[suspect].start(server, now)
+	}
+	return tried, true
+}
+
+// othersTried reports whether other suspects are tried at a server. The caller holds mu.
+func (t *Table) othersTried(suspects []string, server uint32, now time.Time) bool {
+	for suspect, h := range t.held {
+		if h.triedAtServer(server, now) && !slices.Contains(suspects, suspect) {
+			return true
+		}
+	}
+	return false
+}
+
+// OthersTried reports whether other suspects are tried at a server, given by the hash of its id.
+func (t *Table) OthersTried(suspects []string, server uint32, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.othersTried(suspects, server, now)
+}
+
+// heldAmong returns those of the suspects that are held. The caller holds mu.
+func (t *Table) heldAmong(suspects []string) []string {
+	return slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool { return t.held[suspect] == nil })
+}
+
+// EndTrial records the outcome of a trial for those of the suspects that are still held, and returns them.
+func (t *Table) EndTrial(suspects []string, outcome Outcome, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.heldAmong(suspects)
+	for _, suspect := range held {
+		t.held[suspect].end(outcome, now)
+	}
+	return held
+}
+
+// States returns the states of those of the suspects that are held, with the priorities of this gateway.
+func (t *Table) States(suspects []string, priority func(suspect string) uint64, now time.Time) []HoldState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var states []HoldState
+	for _, suspect := range t.heldAmong(suspects) {
+		states = append(states, t.held[suspect].state(suspect, priority(suspect), now))
+	}
+	return states
+}
+
+// Merge adopts what another gateway reports about suspects that are held here too.
+func (t *Table) Merge(states []HoldState, priority func(suspect string) uint64, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range states {
+		if h := t.held[s.Suspect]; h != nil {
+			h.merge(s, priority(s.Suspect), now)
+		}
+	}
+}
+
+// OthersEnded reports whether servers that ran nothing with the suspects have ended at the moment at.
+func (t *Table) OthersEnded(suspects []string, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.endings, func(known ending) bool {
+		return known.at.Sub(at).Abs() < momentWidth && !slices.ContainsFunc(suspects, func(s string) bool { return known.suspects[s] })
+	})
+}
