quarantine: an item of a batch job is a suspect by itself

Cause: items were judged by the prompt parts that they share, never by themselves.

Why this works: job and index of an item are a suspect like the identity of a caller's request: three ends, each under a run that began after the last one, hold it, and its trials come after 2 s, 15 s, 90 s and so on. Sound items of the job go on. Ends that an item explains still count against its part and the other way round, as only their trials tell which of them is guilty.

TestItemThatEndsServersIsHeldByItself can't be compiled on the code before.

--- a/event/event.go
+++ b/event/event.go
@@ -141,7 +141,7 @@
 	{PeerSnapshot, "peer_snapshot", log.InfoLevel, "a starting process loaded configuration and backend servers from a peer"},
 	{SourceChanged, "source_changed", log.InfoLevel, "a gateway reads the registrations of backend servers from another source"},
 	{BackendCrashed, "backend_crashed", log.WarnLevel, "a backend server has ended under running requests; the line names the parts of their prompts and their identities"},
-	{PartHeld, "part_held", log.WarnLevel, "requests with a prompt part, or the repetitions of one request, are held, because backend servers end under them"},
+	{PartHeld, "part_held", log.WarnLevel, "requests with a prompt part, the repetitions of one request, or an item of a batch job, are held, because backend servers end under them"},
 	{PartReleased, "part_released", log.InfoLevel, "a request that was held, or one with a held prompt part, has completed, and others are served again"},
 	{BackendLimited, "backend_limited", log.InfoLevel, "a backend server names a limit for the requests a second that it takes from all gateways together, or another one, or none any more"},
 	{LimitMalformed, "limit_malformed", log.WarnLevel, "a backend server names a limit that cannot be read; the last one stays in force"},
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -62,7 +62,7 @@
 	// route is the name of the item's route; due is when its result is due.
 	route string
 	due   time.Time
-	// suspects are the ids of the prompt parts that the item shares with others.
+	// suspects are the ids of the prompt parts that the item shares with others, and that of the item itself.
 	suspects []string
 	// notBefore is the earliest time of the next attempt.
 	notBefore time.Time
@@ -194,7 +194,7 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, suspects: r.s.opts.PromptParts(j.content[item].Header)}
+		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, suspects: append(r.s.opts.PromptParts(j.content[item].Header), quarantine.ItemSuspect(ref.job, ref.item))}
 		r.runs[ref] = u
 	}
 	return u
--- a/quarantine/identity.go
+++ b/quarantine/identity.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"hash"
 	"io"
+	"strconv"
 
 	"github.com/catkinrudder/catkinrudder/serving"
 )
@@ -15,6 +16,8 @@
 	// contain no colon.
 	requestPrefix = "request:"
 	callerPrefix  = "caller:"
+	// itemPrefix begins the identities of items of batch jobs.
+	itemPrefix = "item:"
 	// identityBytes is the length of the digest in an identity.
 	identityBytes = 16
 )
@@ -22,6 +25,9 @@
 // credentialHeaders lists the header fields that tell callers behind one address apart.
 var credentialHeaders = []string{"Authorization", "Cookie", "X-Api-Key"}
 
+// ItemSuspect returns the identity of an item of a batch job, given by the job's id and the index of the item.
+func ItemSuspect(job string, item int) string { return itemPrefix + job + "/" + strconv.Itoa(item) }
+
 // Identities returns the identities of a request, which are the same for each time that its caller
 // sends it, at any gateway: that of its method, host, target and body, and that of the same from this
 // caller. They are digests, as they go into logs and the store. Ids of attempts, deadlines and other
--- a/quarantine/schedule.go
+++ b/quarantine/schedule.go
@@ -44,6 +44,8 @@
 var (
 	// partBackoff lets the items that share an innocent part go on within seconds.
 	partBackoff = backoff{first: time.Second, failed: 10 * time.Second}
+	// itemBackoff is that of an item by itself.
+	itemBackoff = backoff{first: 2 * time.Second, failed: 15 * time.Second}
 	// requestBackoff is longer: requests of callers run beside others, which a trial may break off, and a caller
 	// is told when to return.
 	requestBackoff = backoff{first: 30 * time.Second, failed: 5 * time.Minute}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -1,7 +1,8 @@
 // Package quarantine finds what makes backend servers crash one after the other, and holds back the
 // requests that do.
 //
-// A suspect is a part of prompts, which many requests may share, or one request that is sent again and again. Every run with a guilty one ends the server that begins it, so a suspect is innocent
+// A suspect is a part of prompts, which many requests may share, one request that is sent again and again, or
+// one item of a batch job. Every run with a guilty one ends the server that begins it, so a suspect is innocent
 // as soon as any run with it completes, or servers have worked on runs with it for some time. It is held if
 // servers end under runs with it several times and no gateway has seen such a run. The loss of many
 // servers at once, most of which ran nothing with the suspect, does not count.
@@ -49,10 +50,10 @@
 	startedAt time.Time
 
 	mu sync.Mutex
-	// callers, parts and requests are the records of the kinds of suspects: requests of one caller,
-	// parts of prompts, and requests whoever sends them.
-	callers, parts, requests records
-	held                     map[string]*hold
+	// callers, items, parts and requests are the records of the kinds of suspects: requests of one caller,
+	// items of batch jobs, parts of prompts, and requests whoever sends them.
+	callers, items, parts, requests records
+	held                            map[string]*hold
 	// endings are the last ends of backend servers under runs.
 	endings endings
 }
@@ -85,6 +86,12 @@
 			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
 			spacing:   partCrashSpacing, backoff: partBackoff,
 		},
+		items: records{
+			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
+			crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
+			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
+			backoff:   itemBackoff,
+		},
 		callers:  newRequestRecords(false),
 		requests: newRequestRecords(true),
 		held:     make(map[string]*hold),
@@ -106,6 +113,8 @@
 		return &t.callers
 	case strings.HasPrefix(suspect, requestPrefix):
 		return &t.requests
+	case strings.HasPrefix(suspect, itemPrefix):
+		return &t.items
 	}
 	return &t.parts
 }
@@ -251,7 +260,7 @@
 func (t *Table) HoldSuspects(suspects []string, now time.Time) (found []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, kind := range []*records{&t.callers, &t.parts, &t.requests} {
+	for _, kind := range []*records{&t.callers, &t.items, &t.parts, &t.requests} {
 		proved := slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool {
 			return t.records(suspect) != kind || t.held[suspect] != nil || !t.proved(suspect, now)
 		})
@@ -269,7 +278,10 @@
 	r := t.records(suspect)
 	t.held[suspect] = newHold(r.backoff, failures, now)
 	explained, _ := r.crashes.Get(suspect, now)
-	for _, others := range []*records{&t.callers, &t.parts, &t.requests} {
+	for _, others := range []*records{&t.callers, &t.items, &t.parts, &t.requests} {
+		if others != r && t.ofItems(others) && t.ofItems(r) {
+			continue // the trials show whether an item is guilty or its part
+		}
 		others.crashes.Update(func(other string, e evidence) (evidence, bool) {
 			if t.held[other] == nil {
 				e = others.unexplained(e, explained)
@@ -279,6 +291,9 @@
 	}
 }
 
+// ofItems reports whether the suspects of a kind are items or parts of their prompts.
+func (t *Table) ofItems(r *records) bool { return r == &t.items || r == &t.parts }
+
 // unexplained returns the evidence that is left once a held suspect explains some crashes. A request
 // under which no other caller has ended a server yet stays one crash short of being held for all.
 func (r *records) unexplained(e, explained evidence) evidence {
--- a/quarantine/trial_test.go
+++ b/quarantine/trial_test.go
@@ -270,3 +270,29 @@
 	assert.Equal(t, table.Check([]string{"bad"}, balance.Batch, at(10).Add(trialTimeout-1)).Step, AwaitTrial)
 	assert.Equal(t, table.Check([]string{"bad"}, balance.Batch, at(10).Add(trialTimeout)).Step, Announce)
 }
+
+// TestItemThatEndsServersIsHeldByItself guards against an item that ends one server after the other, because the part
+// that it shares with sound items is innocent.
+func TestItemThatEndsServersIsHeldByItself(t *testing.T) {
+	table := NewTable(start)
+	bad, sound := ItemSuspect("job", 1), ItemSuspect("job", 2)
+	for i := range minCrashes {
+		now := at(float64(i))
+		table.RecordCrash(uint32(i), runsOf("part", bad), now)
+		table.RecordCompleted([]string{"part", sound}, now)
+	}
+	assert.DeepEqual(t, table.HoldSuspects([]string{"part", bad, sound}, at(4)), []string{bad})
+	assert.Assert(t, !table.Check([]string{"part", sound}, balance.Batch, at(4)).Refuses())
+	assert.Assert(t, table.Check([]string{"part", bad}, balance.Batch, at(4)).Refuses())
+}
+
+// TestItemsOfAGuiltyPartAreNotJudgedOneByOne guards against a part that ends servers under each of its items, as the
+// items are held by themselves.
+func TestItemsOfAGuiltyPartAreNotJudgedOneByOne(t *testing.T) {
+	table := NewTable(start)
+	items := []string{ItemSuspect("job", 0), ItemSuspect("job", 1)}
+	for i := range minCrashes + 1 {
+		table.RecordCrash(uint32(i), runsOf("bad", items[i%2]), at(float64(i)))
+	}
+	assert.DeepEqual(t, table.HoldSuspects(append(items, "bad"), at(4)), []string{"bad"})
+}
