peering: while all gateways stop, one of them owns a limit

What callers saw: a backend server that names a limit gets up to its limit from each gateway, as long as all of them are about to stop at the same time (overlapping stops of the whole fleet, in which requests still come on open connections).

Cause: a gateway that is about to stop counts as an owner for nobody, not even for itself. If none is left, each one fell back to itself with the whole share. The same for workspace quotas, where each counted itself as the only gateway.

Evidence: the test, with four gateways that are all about to stop, fails before: "owners [g0 g1 g2 g3] with a share of 4".

Fix: if all are about to stop, all count, so the choice and the shares are those of a fleet that stays. The special case of the quotas goes. What remains: if all gateways of one region stop and another region stays, each takes a quota of a workspace in its region for its own.

--- a/peering/limits_test.go
+++ b/peering/limits_test.go
@@ -78,6 +78,21 @@
 	})
 }
 
+func TestLimitHasOneOwnerWhileAllGatewaysStop(t *testing.T) {
+	all := fleet(t, "near", "near", "near", "far")
+	for _, g := range all {
+		g.SetLeaving()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i := range 20 {
+			if names, share := owners(all, fmt.Sprint("i-", i), "z-near"); len(names) != 1 || share != 1 {
+				return poll.Continue("owners %v with a share of %v", names, share)
+			}
+		}
+		return poll.Success()
+	})
+}
+
 // TestLimitOfOneResponseIsKnownEverywhere covers a limit that one gateway sees begin and end.
 func TestLimitOfOneResponseIsKnownEverywhere(t *testing.T) {
 	all := fleet(t, "near", "near", "far")
--- a/peering/quota_view.go
+++ b/peering/quota_view.go
@@ -114,10 +114,6 @@
 func (p *Peering) quotaMembers(now time.Time) quotaMembers {
 	m := quotaMembers{directory: p.directoryKnown(), at: now, zones: make(map[[2]string]*quota.Reach), reached: make(map[string][]seenGateway)}
 	p.eachGateway(now, m.add)
-	if m.known == 0 {
-		// This gateway is the only one and about to stop.
-		m.add(seenGateway{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now})
-	}
 	m.share, m.wide = quota.Share(m.reach())
 	return m
 }
--- a/peering/rank.go
+++ b/peering/rank.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,28 +11,37 @@
 type seenGateway struct {
 	name, region, zone string
 	far, reached       bool
+	// leaving states that the gateway is about to stop.
+	leaving bool
 	// lastReport is when the last report was received.
 	lastReport time.Time
 }
 
-// eachGateway calls visit for this gateway and the others, except those that are about to stop. visit
-// must not call p.
+// eachGateway calls visit for this gateway and the others, except those that are about to stop; if all are, it calls
+// visit for all. visit must not call p.
 func (p *Peering) eachGateway(now time.Time, visit func(seenGateway)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	farTTL := p.farTTLLocked()
-	if !p.leaving.Load() {
-		visit(seenGateway{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now})
+	all := p.gatewaysLocked(now)
+	none := !slices.ContainsFunc(all, func(g seenGateway) bool { return !g.leaving })
+	for _, g := range all {
+		if none || !g.leaving {
+			visit(g)
+		}
 	}
+}
+
+// gatewaysLocked returns this gateway and the others. The caller holds mu.
+func (p *Peering) gatewaysLocked(now time.Time) []seenGateway {
+	farTTL := p.farTTLLocked()
+	all := []seenGateway{{name: p.opts.Name, region: p.opts.Region, zone: p.opts.Zone, reached: true, lastReport: now, leaving: p.leaving.Load()}}
 	for name, other := range p.peers {
-		if other.leaving {
-			continue
-		}
-		visit(seenGateway{
-			name: name, region: other.region, zone: other.zone, far: other.far,
+		all = append(all, seenGateway{
+			name: name, region: other.region, zone: other.zone, far: other.far, leaving: other.leaving,
 			reached: other.reachable && now.Sub(other.lastReport) <= other.ttl(farTTL), lastReport: other.lastReport,
 		})
 	}
+	return all
 }
 
 // farTTLLocked returns how long a gateway of another region counts as reached after a report: those of
