jobs: an item that another server refuses at an address ejects the one that was there

What callers saw: items came later after backend servers had started again under other ids, and trials of held items were used up: for as long as the old registration stood, every open item went to it again, each 150 ms.

Cause: a refusal with 421 says that the server which is registered no longer serves at its address. For requests of callers it ejects the server (handleRefusal); for items it counted as any refusal of a full server.

Seen in the logs of real processes, where the trial of an item was refused by a server that had ended before.

Why it works: items and requests of callers use the same ejector, which lets a server alone for 0.5 s and then longer.

--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -73,6 +73,9 @@
 	}
 	defer response.Close()
 	if response.Info.NotRun {
+		if response.Info.Misdirected {
+			s.ejector().RecordFailure(b, true)
+		}
 		response.Discard()
 		return outcome{runNotStarted, p, errors.Errorf("backend server refused the item with status %d", response.Status)}
 	}
