upstream: bound the lines of a head, not only its bytes

What callers saw: a faulty backend server answered with heads of lines as short as "a:". Each kept some 40 times its bytes, so a few hundred of them ended the gateway's machine and the requests of all its callers.

Cause: a head is bounded in bytes (64 KiB), but each of its lines becomes an entry of a map with a slice of its own: 12 000 lines of 5 bytes keep up to 2 MB, for as long as the head or the response lasts.

Evidence: TestHeadOfManyLinesIsNotRead on the code before: a whole head of 9000 lines was read without an error; for one without end "1969016 bytes allocated".

Fix: the reader of a connection counts the lines up to the empty one that ends the head and stops at 512, before the parser sees the next one.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -51,6 +51,12 @@
 	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
+// beginHead bounds the next n bytes, which begin with a head.
+func (c *conn) beginHead(n int64) {
+	buffered, _ := c.r.Peek(c.r.Buffered()) // no more than is buffered
+	c.bounded.beginHead(n, buffered)
+}
+
 // usable reports whether the idle connection may be reused for another request.
 func (c *conn) usable(now time.Time) bool {
 	return now.Before(c.idleUntil) && c.r.Buffered() == 0 && idleOpen(c.Conn)
@@ -124,7 +130,7 @@
 func (e *exchange) readHead(id, method string, codec serving.Codec) (*http.Response, serving.ResponseInfo, error) {
 	defer e.conn.bounded.removeBound()
 	for range maxMismatched + 1 {
-		e.conn.bounded.setBound(maxHeadBytes)
+		e.conn.beginHead(maxHeadBytes)
 		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: method})
 		if err != nil {
 			return nil, serving.ResponseInfo{}, errors.Wrap(err, "read response")
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,9 +12,54 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
+	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
 )
 
+// manyLines returns a head of n short lines that responds to the request id.
+func manyLines(id string, n int) string {
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\n")
+	for i := range n {
+		fmt.Fprintf(&head, "%x:\r\n", i)
+	}
+	return head.String()
+}
+
+// TestHeadOfManyLinesIsNotRead covers lines that need many times the memory of their bytes.
+func TestHeadOfManyLinesIsNotRead(t *testing.T) {
+	const lines = 9000
+	do := func(ctx context.Context, address string) error {
+		resp, err := newPool().Do(ctx, request("1", "/call"), serving.Attempt{BackendID: "b", Address: address})
+		if err == nil {
+			resp.Close()
+		}
+		return err
+	}
+	for name, end := range map[string]string{"whole": "\r\n", "without end": "X-Long: "} {
+		t.Run(name, func(t *testing.T) {
+			limits := platformtest.EndlessLimits{ReadBytes: 64 << 10, AllocatedBytes: 512 << 10}
+			platformtest.CheckEndless(t, manyLines("1", lines)+end, limits, do)
+		})
+	}
+}
+
+// TestHeadsOfSomeLinesAreRead covers heads of several responses on one connection, and informational ones.
+func TestHeadsOfSomeLinesAreRead(t *testing.T) {
+	const lines = 200
+	b := platformtest.NewBackend(t, "b")
+	b.SetHeader(strings.Repeat("X-Many: x\r\n", lines))
+	pool := newPool()
+	for _, id := range []string{"1", "2", "3"} {
+		resp, err := pool.Do(t.Context(), request(id, "/call"), to(b))
+		assert.NilError(t, err)
+		assert.Equal(t, len(resp.Header["X-Many"]), lines)
+		resp.Discard()
+		resp.Close()
+	}
+	assert.Equal(t, b.Connections(), 1)
+}
+
 func TestBytesWithoutEndBeforeTheResponseAreCutOff(t *testing.T) {
 	const maxAllocated = 8 << 20
 	for _, fault := range platformtest.Endless() {
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -80,7 +80,7 @@
 	if err := writeRequest(c.w, out); err != nil {
 		return serving.Process{}, false, err
 	}
-	c.bounded.setBound(maxIdentityBytes)
+	c.beginHead(maxIdentityBytes)
 	defer c.bounded.removeBound()
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: out.Method})
 	if err != nil {
