gateway: bound what is kept of all responses together

What callers saw: a backend server that sent an event, a head or an answer without end, each within its own bound, to many requests at once used up the memory of the gateway's machine; the requests of all its callers ended with it.

Cause: heads (64 KiB), events (256 KiB) and buffered answers (64 KiB) have bounds of their own only. 1500 requests with an event of 255 KiB in progress keep 390 MB; the smallest machines that carry a gateway have 314 or 184 MB.

Fix: a budget of the process, an eighth of its memory (package intake). Each response may keep 16 KiB freely, so ordinary ones need none of it; the rest is reserved before it is read. When the budget is exceeded, the response that keeps the most is dropped and its connection closed, since one without end outgrows the others; the newest of equals goes. Answers that could be buffered are passed on unbuffered instead. A drop is an interruption as any other: a failure of the server, a repetition where the route allows it, or backend_failed.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -27,14 +27,19 @@
 
 // Reader reads events from an io.Reader.
 type Reader struct {
-	r   io.Reader
+	r io.Reader
+	// keep states how many bytes are buffered; it may be nil.
+	keep func(bytes int64) error
 	buf []byte
 	// buf[start:end] holds the bytes that Next has not returned yet.
 	start, end int
 }
 
-// NewReader returns a Reader that reads from r.
-func NewReader(r io.Reader) *Reader { return &Reader{r: r, buf: make([]byte, 2<<10)} }
+// NewReader returns a Reader that reads from r. If keep is set, it is called before the buffer grows, with its
+// new size; an error of it ends the stream.
+func NewReader(r io.Reader, keep func(bytes int64) error) *Reader {
+	return &Reader{r: r, keep: keep, buf: make([]byte, 2<<10)}
+}
 
 // Next returns the next complete event. It returns io.EOF at the end of the
 // stream, ErrPartial if the stream ends inside an event, ErrTooLong for an event
@@ -72,6 +77,11 @@
 		if len(r.buf) >= maxEventBytes {
 			return ErrTooLong
 		}
+		if r.keep != nil {
+			if err := r.keep(int64(2 * len(r.buf))); err != nil {
+				return err
+			}
+		}
 		r.buf = append(r.buf, make([]byte, len(r.buf))...)
 	}
 	n, err := r.r.Read(r.buf[r.end:])
--- a/eventstream/reader_test.go
+++ b/eventstream/reader_test.go
@@ -13,7 +13,7 @@
 )
 
 func readAll(r io.Reader) (events []string, err error) {
-	reader := eventstream.NewReader(r)
+	reader := eventstream.NewReader(r, nil)
 	for {
 		e, err := reader.Next()
 		if err != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -100,6 +100,16 @@
 	m.set.GetOrCreateCounter(series("catkinrudder_gateway_callers_cut_off_total", label{"reason", string(reason)})).Inc()
 }
 
+// ObserveKept shows what is kept of responses beyond what each may keep for free.
+func (m *Metrics) ObserveKept(kept func() int64) {
+	m.set.GetOrCreateGauge(`catkinrudder_gateway_kept_response_bytes`, func() float64 { return float64(kept()) })
+}
+
+// ResponseDropped counts a response that was dropped because too much was kept of responses.
+func (m *Metrics) ResponseDropped() {
+	m.set.GetOrCreateCounter(`catkinrudder_gateway_responses_dropped_total`).Inc()
+}
+
 // ConnectionOpened counts a new connection to a backend server.
 func (m *Metrics) ConnectionOpened(string) {
 	m.set.GetOrCreateCounter(`catkinrudder_gateway_backend_connections_total`).Inc()
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,6 +21,8 @@
 	// maxBufferedBytes bounds the responses that are buffered whole before they are
 	// sent, so that an attempt whose response is cut off can be repeated.
 	maxBufferedBytes = 64 << 10
+	// freelyBufferedBytes bounds them when there is no room for more.
+	freelyBufferedBytes = 8 << 10
 	// maxResponseBytes bounds a response that is not a stream of events and states no length.
 	maxResponseBytes = 64 << 20
 	eventStreamType  = "text/event-stream"
@@ -39,11 +41,11 @@
 	if o.headSent {
 		return o.handleInterruption(ctx, b, errors.Errorf("resumed response has status %d", response.Status))
 	}
-	body, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes))
+	body, long, err := readShort(response)
 	if err != nil {
 		return o.handleInterruption(ctx, b, err)
 	}
-	if len(body) == maxBufferedBytes {
+	if long {
 		return o.relayLong(ctx, b, response, body, idle)
 	}
 	if examination, err := o.checkEnd(ctx, b, response); err != nil {
@@ -57,6 +59,20 @@
 	return false, nil
 }
 
+// readShort reads a response, or its begin if it is too long to be buffered whole.
+func readShort(response *upstream.Response) (body []byte, long bool, err error) {
+	body, err = io.ReadAll(io.LimitReader(response, freelyBufferedBytes))
+	if err != nil || len(body) < freelyBufferedBytes {
+		return body, false, err
+	}
+	if !response.TryKeep(maxBufferedBytes) {
+		return body, true, nil
+	}
+	rest, err := io.ReadAll(io.LimitReader(response, maxBufferedBytes-freelyBufferedBytes))
+	body = append(body, rest...)
+	return body, len(body) == maxBufferedBytes, err
+}
+
 // relayLong sends a response that begins with body as it arrives. No other attempt can replace it once its
 // head is sent, so it has until the deadline, however slowly its caller reads.
 func (o *onlineRequest) relayLong(ctx context.Context, b catalog.Backend, response *upstream.Response, body []byte, idle *idleTimer) (retry bool, err error) {
@@ -117,7 +133,7 @@
 // event, so that an attempt without any event can be repeated.
 func (o *onlineRequest) relayEvents(ctx context.Context, b catalog.Backend, response *upstream.Response, idle *idleTimer) (retry bool, err error) {
 	defer idle.Stop()
-	events := eventstream.NewReader(response)
+	events := eventstream.NewReader(response, response.Keep)
 	progress := o.g.Quarantine.Follow(func() []string { return o.suspectsIfNeeded(eagerIdentityBytes) })
 	for {
 		e, err := events.Next()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/internal/gateway"
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/jobs"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/origins"
@@ -83,13 +84,15 @@
 	gateway  *gateway.Gateway
 	backends *discovery.Backends
 	software *discovery.SoftwareHistory
-	pool     *upstream.Pool
-	jobs     *jobs.Service
-	peering  *peering.Peering
-	origins  *origins.Table
-	guard    *quarantine.Guard
-	limits   *ratelimit.Limiter
-	quotas   *quota.Limiter
+	// intake bounds what is kept of the responses of backend servers.
+	intake  *intake.Budget
+	pool    *upstream.Pool
+	jobs    *jobs.Service
+	peering *peering.Peering
+	origins *origins.Table
+	guard   *quarantine.Guard
+	limits  *ratelimit.Limiter
+	quotas  *quota.Limiter
 	// relay serves the registrations of backend servers to other gateways.
 	relay     *keyedlog.Relay
 	followers []*keyedlog.Follower
@@ -123,8 +126,11 @@
 	d.store.OnCall = func(call string, o platform.CallOutcome, took time.Duration) {
 		gatewayMetrics.StoreCalled(call, string(o), took)
 	}
+	d.intake = intake.NewBudget(s.MemoryBytes, gatewayMetrics.ResponseDropped)
+	gatewayMetrics.ObserveKept(d.intake.Kept)
 	d.pool = upstream.NewPool(upstream.Options{
-		Codec: platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
+		Memory: d.intake,
+		Codec:  platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
 		Admit:      func(ctx context.Context, a serving.Attempt) error { return d.limits.Admit(ctx, a.BackendID, a.Batch) },
 		OnResponse: d.responseReceived,
 		OnTransfer: func(a serving.Attempt, bytes int64) {
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -149,7 +149,7 @@
 
 // collectEvents appends the events of a response to p.
 func (s *Service) collectEvents(ctx context.Context, response *upstream.Response, b catalog.Backend, p Progress, idle *time.Timer, o runObserver) outcome {
-	events := eventstream.NewReader(response)
+	events := eventstream.NewReader(response, response.Keep)
 	sequence := eventstream.After(p.LastEvent)
 	text := append([]byte(nil), p.Text...)
 	for {
--- a/upstream/bounded.go
+++ b/upstream/bounded.go
@@ -13,6 +13,8 @@
 	maxHeadBytes = 64 << 10
 	// maxHeadLines bounds the lines of a head: a short one needs many times the memory of its bytes.
 	maxHeadLines = 512
+	// headCopies is how many times the bytes of a head are kept while its response is handled.
+	headCopies = 4
 	// maxMismatchedBytes bounds the body of a response to another request.
 	maxMismatchedBytes = 64 << 10
 )
@@ -25,6 +27,8 @@
 	r    io.Reader
 	left int64
 	head headMeter
+	// keep states how much is kept of a head while it is read; it may be nil.
+	keep func(bytes int64) error
 }
 
 // Read implements io.Reader.
@@ -32,6 +36,9 @@
 	if b.left <= 0 {
 		return 0, errTooLong
 	}
+	if err := b.keepHead(); err != nil {
+		return 0, err
+	}
 	n, err := b.r.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
 	if b.head.add(p[:n]); b.head.lines > maxHeadLines {
@@ -40,6 +47,14 @@
 	return n, err //nolint:wrapcheck // io.EOF must stay as it is
 }
 
+// keepHead states what is kept of the head so far, before more of it is read.
+func (b *boundedReader) keepHead() error {
+	if b.head.ended || b.head.bytes == 0 || b.keep == nil {
+		return nil
+	}
+	return b.keep(headCopies * b.head.bytes)
+}
+
 // beginHead makes the next n bytes readable, which begin with a head. The first ones of them are
 // buffered already.
 func (b *boundedReader) beginHead(n int64, buffered []byte) {
@@ -54,20 +69,23 @@
 // removeBound makes all later bytes readable: the reader of a body bounds it.
 func (b *boundedReader) removeBound() { b.left, b.head.ended = math.MaxInt64, true }
 
-// headMeter counts the lines of a head up to the empty one that ends it.
+// headMeter counts the lines and the bytes of a head up to the empty line that ends it.
 type headMeter struct {
 	lines int
+	bytes int64
 	// lineBytes is the length of the line in progress, without carriage returns.
 	lineBytes int
 	ended     bool
 }
 
-// add counts the lines that p ends.
+// add counts p, as far as it belongs to the head.
 func (m *headMeter) add(p []byte) {
 	for _, c := range p {
-		switch {
-		case m.ended:
+		if m.ended {
 			return
+		}
+		m.bytes++
+		switch {
 		case c == '\n':
 			m.ended = m.lineBytes == 0 && m.lines > 0
 			m.lines++
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
 
@@ -36,6 +37,8 @@
 	// r reads from bounded, which reads from Conn.
 	r       *bufio.Reader
 	bounded *boundedReader
+	// account is what is kept of the response in progress; nil between two requests.
+	account *intake.Account
 	w       *bufio.Writer
 	// idleUntil is when the connection is too old to be reused.
 	idleUntil time.Time
@@ -51,6 +54,26 @@
 	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
+// open begins to account for what is kept of a response. The connection is closed if the response is dropped.
+func (c *conn) open(memory *intake.Budget) {
+	c.account = memory.Open(func() { _ = c.Close() })
+	c.bounded.keep = c.account.Keep
+}
+
+// closeAccount ends the account of a response.
+func (c *conn) closeAccount() {
+	c.bounded.keep = nil
+	c.account.Close()
+}
+
+// explain returns why a read has failed: an error of the connection, unless the response was dropped.
+func (c *conn) explain(err error) error {
+	if c.account != nil && c.account.Dropped() {
+		return errors.Wrap(intake.ErrDropped, err.Error())
+	}
+	return err
+}
+
 // beginHead bounds the next n bytes, which begin with a head.
 func (c *conn) beginHead(n int64) {
 	buffered, _ := c.r.Peek(c.r.Buffered()) // no more than is buffered
@@ -133,7 +156,7 @@
 		e.conn.beginHead(maxHeadBytes)
 		resp, err := http.ReadResponse(e.conn.r, &http.Request{Method: method})
 		if err != nil {
-			return nil, serving.ResponseInfo{}, errors.Wrap(err, "read response")
+			return nil, serving.ResponseInfo{}, errors.Wrap(e.conn.explain(err), "read response")
 		}
 		if joinsHeads(resp) {
 			return nil, serving.ResponseInfo{}, errors.New("upstream: a head was cut off and another one follows")
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -3,14 +3,21 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/internal/intake"
+	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 	"github.com/catkinrudder/catkinrudder/serving"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -44,6 +51,57 @@
 	}
 }
 
+// TestHeadsWithoutEndMakeRoomForOthers covers many requests at once at a server that stops within a long head.
+func TestHeadsWithoutEndMakeRoomForOthers(t *testing.T) {
+	const stalled, budgetBytes = 200, 8 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = ln.Close() }()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 50<<10)) // a dropped connection is closed
+				_, _ = io.Copy(io.Discard, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	dropped := atomic.Int64{}
+	budget := intake.NewBudget(0, func() { dropped.Add(1) })
+	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second, Memory: budget})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var wg sync.WaitGroup
+	var asDropped atomic.Int64
+	for i := range stalled {
+		wg.Go(func() {
+			_, err := pool.Do(ctx, request(fmt.Sprint("s", i), "/call"), serving.Attempt{BackendID: "x", Address: ln.Addr().String()}) //nolint:bodyclose // there is no response
+			assert.Check(t, err != nil)
+			if errors.Is(err, intake.ErrDropped) {
+				asDropped.Add(1)
+			}
+		})
+	}
+	const keptEach = 4*50<<10 - intake.FreeBytes
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := dropped.Load(); n < stalled-budgetBytes/keptEach {
+			return poll.Continue("%d are dropped", n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
+	assert.Assert(t, budget.Kept() <= budgetBytes)
+	b := platformtest.NewBackend(t, "b")
+	assert.Equal(t, fetch(t, pool, request("1", "/call"), to(b)), "answer 1")
+	cancel()
+	wg.Wait()
+	assert.Equal(t, asDropped.Load(), dropped.Load())
+	assert.Equal(t, budget.Kept(), int64(0))
+}
+
 // TestHeadsOfSomeLinesAreRead covers heads of several responses on one connection, and informational ones.
 func TestHeadsOfSomeLinesAreRead(t *testing.T) {
 	const lines = 200
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
 
@@ -72,6 +73,8 @@
 type Options struct {
 	Codec       serving.Codec
 	DialTimeout time.Duration
+	// Memory bounds what is kept of all responses together; nil is unbounded.
+	Memory *intake.Budget
 	// OnConnect, if set, is called for each new connection. OnAttemptEnd, if set, is
 	// called at the end of each attempt.
 	OnConnect    func(address string)
@@ -97,6 +100,9 @@
 
 // NewPool returns an empty pool.
 func NewPool(opts Options) *Pool {
+	if opts.Memory == nil {
+		opts.Memory = intake.Unbounded()
+	}
 	return &Pool{
 		opts:   opts,
 		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAliveConfig: KeepAlive, Control: SetUserTimeout},
@@ -124,6 +130,8 @@
 	unwatch     func() bool
 	complete    bool
 	interrupted bool
+	// headBytes is what is kept of the head.
+	headBytes int64
 	// transferred counts the bytes of the bodies of the request and, so far, of the response.
 	transferred int64
 }
@@ -147,11 +155,13 @@
 		return nil, err
 	}
 	unwatch := closeOnDone(ctx, c)
+	c.open(p.opts.Memory)
 	e := c.start(p.opts.Codec.Encode(r, a))
 	resp, info, err := e.readHead(r.ID, r.Method, p.opts.Codec) //nolint:bodyclose // Response.Close ends the connection
 	if err != nil {
 		unwatch()
 		_ = c.Close()
+		c.closeAccount()
 		p.ended(a.BackendID, NoResponse)
 		return nil, err
 	}
@@ -161,6 +171,7 @@
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
 		body: resp.Body, pool: p, attempt: a, exchange: e, resp: resp, unwatch: unwatch, transferred: int64(len(r.Body)),
+		headBytes: headCopies * c.bounded.head.bytes,
 	}, nil
 }
 
@@ -201,11 +212,18 @@
 	}
 	if err != nil {
 		r.interrupted = true
-		return n, errors.Wrap(err, "read response")
+		return n, errors.Wrap(r.exchange.conn.explain(err), "read response")
 	}
 	return n, nil
 }
 
+// Keep states that the reader of the body keeps n bytes of it from now on. It returns an error if the
+// response is dropped to make room for others.
+func (r *Response) Keep(n int64) error { return r.exchange.conn.account.Keep(r.headBytes + n) }
+
+// TryKeep is Keep, but returns false if there is no room.
+func (r *Response) TryKeep(n int64) bool { return r.exchange.conn.account.TryKeep(r.headBytes + n) }
+
 // discardBytes bounds the bytes that Discard reads.
 const discardBytes = 8 << 10
 
@@ -222,6 +240,7 @@
 	}
 	watching := r.unwatch()
 	c := r.exchange.conn
+	c.closeAccount()
 	keep := watching && r.complete && !r.interrupted && r.Framed() && !r.resp.Close &&
 		r.exchange.finishedWriting() && c.r.Buffered() == 0
 	if !keep {
