jobs: bound the outputs of all items together

What callers saw: a backend server that sent output without end to batch items used up the memory of the gateway's machine.

Cause: an item's output has a bound of 4 MiB of its own; 256 items run at once, the output of one that was stopped stays, and so did the text of the last saved progress. Nothing bounded the sum.

Fix: a budget for outputs that are not stored yet, beside that for responses in progress. The newest run goes first, so that older ones come to an end. A run of more than 30 s goes before newer ones, as it may grow a little now and then for ever. The item starts again once a quarter of the budget is free, after 5 s at the latest: as the newest it takes room from no other, so no item is held for longer. A drop is no failure of the server. Complete outputs can't be dropped. The text of the last saved progress is no longer kept.

The race tests of jobs, internal/gatewayd, internal/gateway and platform pass.

--- a/eventstream/reader.go
+++ b/eventstream/reader.go
@@ -30,7 +30,7 @@
 	r io.Reader
 	// keep states how many bytes are buffered; it may be nil.
 	keep func(bytes int64) error
-	buf []byte
+	buf  []byte
 	// buf[start:end] holds the bytes that Next has not returned yet.
 	start, end int
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -45,7 +45,7 @@
 	b := platformtest.NewBackend(t, "a")
 	b.Address = ln.Addr().String()
 	f := newFixture(t, b)
-	budget := intake.NewBudget(0, nil)
+	budget := intake.NewBudget(intake.LargestFirst, 0, nil)
 	other := budget.Open(nil)
 	assert.NilError(t, other.Keep(8<<20+intake.FreeBytes))
 	other.Pin()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -100,14 +100,25 @@
 	m.set.GetOrCreateCounter(series("catkinrudder_gateway_callers_cut_off_total", label{"reason", string(reason)})).Inc()
 }
 
-// ObserveKept shows what is kept of responses beyond what each may keep for free.
-func (m *Metrics) ObserveKept(kept func() int64) {
-	m.set.GetOrCreateGauge(`catkinrudder_gateway_kept_response_bytes`, func() float64 { return float64(kept()) })
+// Kept is what a process keeps of backend servers.
+type Kept string
+
+// What is kept.
+const (
+	// KeptResponses: heads, events in progress and buffered answers.
+	KeptResponses Kept = "response"
+	// KeptOutputs: the outputs of batch items that are not stored yet.
+	KeptOutputs Kept = "output"
+)
+
+// ObserveKept shows what is kept beyond what each response or output may keep for free.
+func (m *Metrics) ObserveKept(what Kept, kept func() int64) {
+	m.set.GetOrCreateGauge(series("catkinrudder_gateway_kept_bytes", label{"what", string(what)}), func() float64 { return float64(kept()) })
 }
 
-// ResponseDropped counts a response that was dropped because too much was kept of responses.
-func (m *Metrics) ResponseDropped() {
-	m.set.GetOrCreateCounter(`catkinrudder_gateway_responses_dropped_total`).Inc()
+// ResponseDropped counts a response or an output that was dropped because too much was kept.
+func (m *Metrics) ResponseDropped(what Kept) {
+	m.set.GetOrCreateCounter(series("catkinrudder_gateway_responses_dropped_total", label{"what", string(what)})).Inc()
 }
 
 // ConnectionOpened counts a new connection to a backend server.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -84,8 +84,10 @@
 	gateway  *gateway.Gateway
 	backends *discovery.Backends
 	software *discovery.SoftwareHistory
-	// intake bounds what is kept of the responses of backend servers.
+	// intake bounds what is kept of the responses of backend servers in progress, outputs what is kept of the
+	// outputs of items.
 	intake  *intake.Budget
+	outputs *intake.Budget
 	pool    *upstream.Pool
 	jobs    *jobs.Service
 	peering *peering.Peering
@@ -126,8 +128,10 @@
 	d.store.OnCall = func(call string, o platform.CallOutcome, took time.Duration) {
 		gatewayMetrics.StoreCalled(call, string(o), took)
 	}
-	d.intake = intake.NewBudget(s.MemoryBytes, gatewayMetrics.ResponseDropped)
-	gatewayMetrics.ObserveKept(d.intake.Kept)
+	d.intake = intake.NewBudget(intake.LargestFirst, s.MemoryBytes, func() { gatewayMetrics.ResponseDropped(gateway.KeptResponses) })
+	d.outputs = intake.NewBudget(intake.NewestFirst, s.MemoryBytes, func() { gatewayMetrics.ResponseDropped(gateway.KeptOutputs) })
+	gatewayMetrics.ObserveKept(gateway.KeptResponses, d.intake.Kept)
+	gatewayMetrics.ObserveKept(gateway.KeptOutputs, d.outputs.Kept)
 	d.pool = upstream.NewPool(upstream.Options{
 		Memory: d.intake,
 		Codec:  platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
--- a/internal/gatewayd/endless_test.go
+++ b/internal/gatewayd/endless_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -14,7 +16,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/platform"
 	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
@@ -136,3 +140,79 @@
 		_, err = c.Read(buf)
 	}
 }
+
+// manyEvents returns n events of eventBytes bytes of data.
+func manyEvents(n, eventBytes int) []byte {
+	var out bytes.Buffer
+	data := strings.Repeat("x", eventBytes)
+	for i := range n {
+		_, _ = fmt.Fprintf(&out, "id: %d\ndata: %s\n\n", i+1, data)
+	}
+	return out.Bytes()
+}
+
+// TestItemsWithoutEndUseABoundedMemoryTogether covers faulty servers that send output without end to many items, and
+// the items once the servers have gone.
+func TestItemsWithoutEndUseABoundedMemoryTogether(t *testing.T) {
+	const (
+		items = 40
+		// budget is that of a process of unknown memory. itemBytes is what an item needs otherwise, with its
+		// progress on the log, which is in this process.
+		budget    = 8 << 20
+		itemBytes = 512 << 10
+		head      = "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: text/event-stream\r\n\r\n"
+	)
+	output := manyEvents(3800, 1000)
+	d := newDeployment(t, 0)
+	d.addOther()
+	d.addStalling("i-0", head, output)
+	d.addStalling("i-1", head, output)
+	g := d.startWith("front-1", io.Discard, func(*platform.Settings) {})
+	kept := keptHeap(func() {
+		resp, _ := g.send(t, http.MethodPost, "/batch/j", "job-1", batchJob(items))
+		assert.Check(t, resp.StatusCode == http.StatusAccepted)
+		begin := time.Now()
+		for i := 0; time.Since(begin) < 6*time.Second; i++ {
+			id := fmt.Sprint("other-", i)
+			resp, body := g.send(t, http.MethodPost, "/other/1", id, "")
+			assert.Check(t, resp.StatusCode == http.StatusOK && strings.Contains(body, platformtest.EventData(id, 5)), "%d %s", resp.StatusCode, body)
+		}
+	})
+	assert.Check(t, kept <= budget+items*itemBytes, "%d bytes", kept)
+	sound := d.addBackend("i-2", "v1")
+	d.remove("i-0")
+	d.remove("i-1")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := g.countComplete(t, "job-1"); n < items {
+			return poll.Continue("%d items are complete", n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(30*time.Second))
+	assert.Assert(t, len(sound.Requests()) >= items)
+}
+
+// countComplete returns how many items of a job are complete, from all pages of its listing.
+func (g *gateway) countComplete(t *testing.T, job string) int {
+	t.Helper()
+	complete := 0
+	for after := 0; ; {
+		var l listing
+		resp, body := g.send(t, http.MethodGet, fmt.Sprintf("/api/lots/%s?After=%d", job, after), "read", "")
+		if resp.StatusCode != http.StatusOK || json.Unmarshal([]byte(body), &l) != nil || len(l.Results) == 0 {
+			return complete
+		}
+		for _, r := range l.Results {
+			if r.State == "completed" {
+				complete++
+			}
+		}
+		after += len(l.Results)
+	}
+}
+
+// remove removes the registration of a backend server.
+func (d *deployment) remove(id string) {
+	d.t.Helper()
+	_, err := d.store.Log.Append(d.t.Context(), keyedlog.Partition{Topic: platform.BackendTopic}, []keyedlog.Record{{Key: id}}, keyedlog.Condition{})
+	assert.NilError(d.t, err)
+}
--- a/internal/gatewayd/options.go
+++ b/internal/gatewayd/options.go
@@ -80,7 +80,7 @@
 		Shards: s.Store.Partitions, RecordBytes: s.Store.RecordBytes, CallBytes: s.Store.CallBytes,
 		MinTTL: s.Store.MinTTL, Retention: s.JobRetention,
 		Config: configs.Current, Backends: d.backends.OfService, AllBackends: d.backends.ForEach,
-		Table: table, Pool: d.pool, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
+		Table: table, Pool: d.pool, Memory: d.outputs, Quarantine: d.guard, PromptParts: platform.SharedPromptParts, Logger: d.log, Peers: d.peering, StoreAge: d.store.Age, Observer: d.storeAvailabilityChanged,
 		Decided: m.ItemDecided, ResponseEnded: m.ResponseEnded, OutOfOrder: m.ItemEventOutOfOrder, Capacity: peering.StatedCapacity(s.CPUShare, s.LinkMbps),
 	}
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -2,13 +2,13 @@
 //
 // Each response has a bound of its own, but many that reach it at once can exceed the memory of the
 // process together. A response keeps a little for free. What it keeps beyond that counts toward a budget
-// of the process; when the budget is exceeded, the response that keeps the most is dropped first. One
-// without end keeps more than the others, so it makes room for them.
+// of the process; when the budget is exceeded, responses are dropped in an order.
 package intake
 
 import (
 	"math"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -20,6 +20,21 @@
 	// minBudgetBytes at least.
 	memoryFraction = 8
 	minBudgetBytes = 8 << 20
+	// seniorFor is how long an old response goes before newer ones by NewestFirst. One without end may send a little
+	// now and then for ever.
+	seniorFor = 30 * time.Second
+)
+
+// Order is the order in which responses are dropped.
+type Order uint8
+
+const (
+	// LargestFirst drops the response that keeps the most. It suits responses of which little is kept at a
+	// time, as one without end keeps more than the others.
+	LargestFirst Order = iota
+	// NewestFirst drops the response that began last, so that older ones come to an end. It suits responses
+	// that are kept whole.
+	NewestFirst
 )
 
 // ErrDropped is returned for a response that was dropped to make room for others.
@@ -27,6 +42,7 @@
 
 // Budget bounds the bytes that all accounts together keep. It is safe for concurrent use.
 type Budget struct {
+	order     Order
 	limit     int64
 	onDropped func()
 
@@ -39,19 +55,19 @@
 
 // NewBudget returns the budget of a process with processBytes of memory. It calls onDropped, if it is set,
 // for each account that is dropped.
-func NewBudget(processBytes int64, onDropped func()) *Budget {
-	return newBudget(max(processBytes/memoryFraction, minBudgetBytes), onDropped)
+func NewBudget(order Order, processBytes int64, onDropped func()) *Budget {
+	return newBudget(order, max(processBytes/memoryFraction, minBudgetBytes), onDropped)
 }
 
-func newBudget(limit int64, onDropped func()) *Budget {
+func newBudget(order Order, limit int64, onDropped func()) *Budget {
 	if onDropped == nil {
 		onDropped = func() {}
 	}
-	return &Budget{limit: limit, onDropped: onDropped, counted: make(map[*Account]struct{})}
+	return &Budget{order: order, limit: limit, onDropped: onDropped, counted: make(map[*Account]struct{})}
 }
 
 // Unbounded returns a budget that drops nothing.
-func Unbounded() *Budget { return newBudget(math.MaxInt64, nil) }
+func Unbounded() *Budget { return newBudget(LargestFirst, math.MaxInt64, nil) }
 
 // Kept returns the bytes that count toward the budget.
 func (b *Budget) Kept() int64 {
@@ -60,11 +76,15 @@
 	return b.total
 }
 
+// HasRoom reports whether a quarter of the budget is free.
+func (b *Budget) HasRoom() bool { return b.Kept() <= b.limit-b.limit/4 }
+
 // Account is what a process keeps of one response.
 type Account struct {
 	budget *Budget
-	id     uint64
-	// The fields below are guarded by the budget's lock.
+	// The fields below are guarded by the budget's lock. A response that began later has a higher id.
+	id      uint64
+	began   time.Time
 	counted int64
 	pinned  bool
 	dropped bool
@@ -78,7 +98,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.last++
-	return &Account{budget: b, id: b.last, release: release}
+	return &Account{budget: b, id: b.last, began: time.Now(), release: release}
 }
 
 // Keep states that n bytes of the response are kept from now on. It returns ErrDropped if the account
@@ -91,11 +111,11 @@
 	}
 	a.budget.count(a, max(n-FreeBytes, 0))
 	for a.budget.total > a.budget.limit {
-		largest := a.budget.largest()
-		if largest == nil {
+		next := a.budget.next(time.Now())
+		if next == nil {
 			break
 		}
-		a.budget.drop(largest)
+		a.budget.drop(next)
 	}
 	if a.dropped {
 		return ErrDropped
@@ -122,11 +142,13 @@
 	a.pinned = true
 }
 
-// Reopen lets a dropped account keep bytes again, with another release function. Its holder has let
-// go of all that it kept before.
+// Reopen states that another response goes on with what the account keeps, with another release function. If the
+// account was dropped, its holder has let go of all that it kept before.
 func (a *Account) Reopen(release func()) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
+	a.budget.last++
+	a.id, a.began = a.budget.last, time.Now()
 	a.dropped, a.release = false, release
 }
 
@@ -156,21 +178,33 @@
 	delete(b.counted, a)
 }
 
-// largest returns the account that keeps the most and may be dropped, the newest one of equals, or nil
-// if there is none. The caller holds mu.
-func (b *Budget) largest() *Account {
+// next returns the account to drop next, or nil if there is none that may be dropped. The caller holds mu.
+func (b *Budget) next(now time.Time) *Account {
 	var found *Account
 	for a := range b.counted {
-		if a.pinned {
-			continue
-		}
-		if found == nil || a.counted > found.counted || a.counted == found.counted && a.id > found.id {
+		if !a.pinned && (found == nil || b.precedes(a, found, now)) {
 			found = a
 		}
 	}
 	return found
 }
 
+// precedes reports whether x is dropped before y.
+func (b *Budget) precedes(x, y *Account, now time.Time) bool {
+	bySize := b.order == LargestFirst
+	if b.order == NewestFirst {
+		oldX, oldY := now.Sub(x.began) >= seniorFor, now.Sub(y.began) >= seniorFor
+		if oldX != oldY {
+			return oldX
+		}
+		bySize = oldX
+	}
+	if bySize && x.counted != y.counted {
+		return x.counted > y.counted
+	}
+	return x.id > y.id
+}
+
 // drop drops an account. The caller holds mu.
 func (b *Budget) drop(a *Account) {
 	b.count(a, 0)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/pkg/errors"
 	"gotest.tools/v3/assert"
@@ -12,7 +14,7 @@
 
 func TestLargestResponseMakesRoomForOthers(t *testing.T) {
 	released := 0
-	b := newBudget(4*mib, nil)
+	b := newBudget(LargestFirst, 4*mib, nil)
 	endless := b.Open(func() { released++ })
 	for n := int64(0); n <= 3*mib; n += mib / 4 {
 		assert.NilError(t, endless.Keep(n))
@@ -27,7 +29,7 @@
 }
 
 func TestShortResponsesCountNothing(t *testing.T) {
-	b := newBudget(1, nil)
+	b := newBudget(LargestFirst, 1, nil)
 	for range 10000 {
 		assert.NilError(t, b.Open(nil).Keep(FreeBytes))
 	}
@@ -35,7 +37,7 @@
 }
 
 func TestPinnedResponseIsNotDropped(t *testing.T) {
-	b := newBudget(4*mib, nil)
+	b := newBudget(LargestFirst, 4*mib, nil)
 	complete, running := b.Open(nil), b.Open(nil)
 	assert.NilError(t, complete.Keep(3*mib))
 	complete.Pin()
@@ -46,12 +48,58 @@
 	assert.NilError(t, running.Keep(2*mib))
 }
 
+// TestOldOutputsComeToAnEndBesideNewOnes plays many equal outputs that together need far more than the budget. If the
+// largest went first, none would ever be complete.
+func TestOldOutputsComeToAnEndBesideNewOnes(t *testing.T) {
+	const outputs, whole, step = 40, mib, 64 << 10
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(NewestFirst, 4*mib, nil)
+		accounts, kept, open := make([]*Account, outputs), make([]int64, outputs), outputs
+		for i := range accounts {
+			accounts[i] = b.Open(nil)
+		}
+		for range 2000 {
+			time.Sleep(10 * time.Millisecond)
+			for i, a := range accounts {
+				if a == nil {
+					continue
+				}
+				if a.Dropped() {
+					kept[i] = 0
+					a.Reopen(nil)
+				}
+				if kept[i] += step; a.Keep(kept[i]) == nil && kept[i] >= whole {
+					a.Close()
+					accounts[i] = nil
+					open--
+				}
+			}
+		}
+		assert.Equal(t, open, 0)
+	})
+}
+
+// TestOutputThatLastsForEverMakesRoom covers one that grows by a little now and then.
+func TestOutputThatLastsForEverMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget(NewestFirst, 4*mib, nil)
+		endless := b.Open(nil)
+		assert.NilError(t, endless.Keep(4*mib))
+		sound := b.Open(nil)
+		assert.Assert(t, errors.Is(sound.Keep(mib), ErrDropped))
+		time.Sleep(seniorFor)
+		sound.Reopen(nil)
+		assert.NilError(t, sound.Keep(mib))
+		assert.Assert(t, endless.Dropped())
+	})
+}
+
 // TestNoSequenceOfCallsExceedsTheBudget plays random calls and compares the sum with a model of it.
 func TestNoSequenceOfCallsExceedsTheBudget(t *testing.T) {
 	const limit = 8 * mib
 	for seed := range uint64(50) {
 		r := rand.New(rand.NewPCG(seed, 1))
-		b := newBudget(limit, nil)
+		b := newBudget(Order(seed%2), limit, nil)
 		accounts, kept := make([]*Account, 40), make([]int64, 40)
 		for i := range accounts {
 			accounts[i] = b.Open(nil)
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -126,6 +126,12 @@
 	return Progress{Failures: p.Failures, UnansweredStops: p.UnansweredStops}
 }
 
+// withoutText returns the state of the progress without the text.
+func (p Progress) withoutText() Progress {
+	p.Text = nil
+	return p
+}
+
 // equalState reports whether a record of q would add nothing to one of p.
 func (p Progress) equalState(q Progress) bool {
 	return p.Events == q.Events && p.Failures == q.Failures && p.UnansweredStops == q.UnansweredStops
--- a/jobs/outcome.go
+++ b/jobs/outcome.go
@@ -49,6 +49,7 @@
 
 func (r *runner) setResult(u *run, result Result, cause string) {
 	u.result = &result
+	u.memory.Pin()
 	r.enqueueResult(u)
 	event.Log(r.s.opts.Logger, event.ItemDone, "job", u.ref.job, "item", u.ref.item, "completed", result.Completed,
 		"cause", cause, "events", u.progress.Events, "epoch", u.epoch)
@@ -75,7 +76,7 @@
 		if !all && u.checkpointed.Events > 0 {
 			continue
 		}
-		u.checkpointed = p
+		u.checkpointed = p.withoutText()
 		out[progressKey(ref.job, ref.item)] = p
 	}
 	return out
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -56,6 +56,9 @@
 	answered func()
 	// event is called for every event of the output.
 	event func()
+	// keep is called with the length of the output before an event is added. An error ends the run
+	// without output.
+	keep func(bytes int) error
 	// progressed is called with the progress after every progressInterval events.
 	progressed func(Progress)
 }
@@ -186,6 +189,9 @@
 			s.ejector().RecordFailure(b, false)
 			return outcome{runInterrupted, p.withoutOutput(), errOutputTooLong}
 		}
+		if err := o.keep(len(extended)); err != nil {
+			return outcome{runCancelled, p.withoutOutput(), err}
+		}
 		text = extended
 		p.Text, p.LastEvent = text, id
 		p.Service, p.Version = b.Service, b.Version
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -11,6 +11,7 @@
 	"github.com/catkinrudder/catkinrudder/catalog"
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
@@ -48,7 +49,7 @@
 type run struct {
 	ref      itemRef
 	progress Progress
-	// checkpointed is the progress that was last passed to the shard's writer.
+	// checkpointed is the progress that was last passed to the shard's writer, without its text.
 	checkpointed Progress
 	// backend is the id of the backend server that runs the item, empty if none
 	// does.
@@ -81,6 +82,10 @@
 	// originWaitSince is when the item first found no slot at the software that has begun it;
 	// zero if it does not wait for one.
 	originWaitSince time.Time
+	// memory is what is kept of the item's output. When it is dropped, the run is cancelled.
+	memory *intake.Account
+	// roomBy is until when the item waits for room after its output was dropped.
+	roomBy time.Time
 	// result is set once the item is done. It was passed to the shard's writer under
 	// epoch, and is passed again under a later epoch if it was lost in between.
 	result *Result
@@ -151,7 +156,7 @@
 		return
 	}
 	r.cycles++
-	r.cancelStale()
+	r.cancelStale(now)
 	r.preempt(now)
 	r.enqueueResults()
 	r.gaps.beginCycle(now)
@@ -175,16 +180,19 @@
 }
 
 // cancelStale stops runs of items that need no result any more and of shards that are
-// not owned, and removes those runs once they have ended.
-func (r *runner) cancelStale() {
+// not owned, and removes those runs once they have ended. The others drop output that there is no room for.
+func (r *runner) cancelStale(now time.Time) {
 	for ref, u := range r.runs {
 		if r.s.shards[shardOf(ref.job, len(r.s.shards))].owned() && r.s.table.isOpen(ref) {
+			u.dropOutput(now)
+			u.awaitRoom(r.s.opts.Memory, now)
 			continue
 		}
 		if u.backend != "" {
 			u.cancel()
 			continue
 		}
+		u.memory.Close()
 		delete(r.runs, ref)
 	}
 }
@@ -194,7 +202,11 @@
 	ref := itemRef{j.id, item}
 	u := r.runs[ref]
 	if u == nil {
-		u = &run{ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item], route: j.job.Route, due: j.due, suspects: append(r.s.opts.PromptParts(j.content[item].Header), quarantine.ItemSuspect(ref.job, ref.item))}
+		u = &run{
+			ref: ref, request: j.content[item].ID, progress: j.progress[item], checkpointed: j.progress[item].withoutText(), route: j.job.Route, due: j.due,
+			suspects: append(r.s.opts.PromptParts(j.content[item].Header), quarantine.ItemSuspect(ref.job, ref.item)),
+		}
+		u.openMemory(r.s.opts.Memory)
 		r.runs[ref] = u
 	}
 	return u
@@ -227,6 +239,7 @@
 	}
 	runCtx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
+	u.memory.Reopen(cancel)
 	u.placedBeside = choice.Load.Online
 	u.beginRun(now)
 	delete(r.waits.items, u.ref)
@@ -247,8 +260,9 @@
 	progress := r.s.opts.Quarantine.Follow(func() []string { return u.suspects })
 	out := r.s.runItemIsolated(ctx, itemRequest(j, &j.content[u.ref.item]), b, p, runObserver{
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
-		event: func() { progress.Event(); u.recordEvent() },
+		event: func() { progress.Event(); u.recordEvent() }, keep: u.keepOutput,
 	})
+	out = u.explainDrop(out)
 	if out.end == runCancelled {
 		progress.Stopped()
 	}
@@ -269,6 +283,7 @@
 		out.progress.UnansweredStops++
 	}
 	u.progress = out.progress
+	u.endMemory(out.end, time.Now())
 	r.handleOutcome(j, u, out)
 	r.wake()
 }
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -13,6 +13,7 @@
 	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/eventstream"
 	"github.com/catkinrudder/catkinrudder/internal/boottime"
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/quarantine"
 	"github.com/catkinrudder/catkinrudder/upstream"
@@ -52,6 +53,8 @@
 	AllBackends func(f func(catalog.Backend))
 	Table       *balance.Table
 	Pool        *upstream.Pool
+	// Memory bounds what is kept of the outputs of items together; nil is unbounded.
+	Memory *intake.Budget
 	// Quarantine holds back items that crash backend servers. PromptParts returns the ids of
 	// the prompt parts that an item with these header fields shares with others.
 	Quarantine  *quarantine.Guard
@@ -157,6 +160,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.Memory == nil {
+		opts.Memory = intake.Unbounded()
+	}
 	s := &Service{opts: opts}
 	s.table = newTable(opts.Now, s.jobAccepted, s.logUnreadable)
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -71,7 +71,7 @@
 		}
 	}()
 	dropped := atomic.Int64{}
-	budget := intake.NewBudget(0, func() { dropped.Add(1) })
+	budget := intake.NewBudget(intake.LargestFirst, 0, func() { dropped.Add(1) })
 	pool := upstream.NewPool(upstream.Options{Codec: platform.Codec{}, DialTimeout: time.Second, Memory: budget})
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
