upstream: bound the time in which the body of a refusal is dropped

What callers saw: a request that a backend server had refused, stating that it had not run it, was held until its deadline and refused then, though another server was idle, if the server sent the body of its refusal a byte at a time or without an end.

Cause: the body of a refusal is read so that its connection can be reused. At most 8 KiB are read, but nothing bounded the time: the idle timer of the attempt has been stopped by then.

Evidence: TestRefusalWhoseBodyDoesNotEndIsRepeatedAtOnce on the code before: "deadline_too_short: no backend server had room in time: context deadline exceeded" after 2 s.

Fix: 50 ms for the rest of a refusal, then the connection is closed. A body that comes with its head is there already.

--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -224,12 +224,21 @@
 // TryKeep is Keep, but returns false if there is no room.
 func (r *Response) TryKeep(n int64) bool { return r.exchange.conn.account.TryKeep(r.headBytes + n) }
 
-// discardBytes bounds the bytes that Discard reads.
-const discardBytes = 8 << 10
+// discardBytes bounds the bytes that Discard reads, discardTime the time that it takes: a new connection
+// costs less than waiting longer.
+const (
+	discardBytes = 8 << 10
+	discardTime  = 50 * time.Millisecond
+)
 
 // Discard reads and drops a short body, so that its connection can be reused. After an
-// error the connection is closed instead.
-func (r *Response) Discard() { _, _ = io.Copy(io.Discard, io.LimitReader(r, discardBytes)) }
+// error, or if the body does not end soon, the connection is closed instead.
+func (r *Response) Discard() {
+	c := r.exchange.conn
+	_ = c.SetReadDeadline(time.Now().Add(discardTime)) // fails on a closed connection only, as below
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, discardBytes))
+	_ = c.SetReadDeadline(time.Time{})
+}
 
 // Close ends the exchange. The connection is kept if the response was read completely
 // and no bytes follow it.
