--- a/jobs/waits_test.go
+++ b/jobs/waits_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
+	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/quarantine/quarantinetest"
 )
@@ -34,7 +35,7 @@
 	guard := quarantinetest.NewGuardWithProbe(func(context.Context, catalog.Backend, bool) error { return nil })
 	guard.PeerHeld([]string{"bad"})
 	s := &Service{opts: Options{
-		Quarantine: guard, Logger: log.New(out),
+		Quarantine: guard, Logger: log.New(out), Memory: intake.Unbounded(),
 		Backends:    func(string) []catalog.Backend { return nil },
 		PromptParts: func(header map[string]string) []string { return strings.Fields(header["parts"]) },
 	}}
