--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -127,7 +127,8 @@
 		trial, ok := o.g.Quarantine.Begin(o.suspectsIfNeeded(0), choice.Backend, balance.Online)
 		if !ok {
 			o.releaseSlot(choice.Backend)
-			continue // another run is tried
+			delay.Wait(ctx, trialPollInterval) // it is announced, or another run is tried
+			continue
 		}
 		retry, err := o.tryOnce(ctx, choice, trial)
 		if !retry {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -32,6 +32,9 @@
 		WithRetryAfter(max(v.Wait, minQuarantinedRetryAfter))
 }
 
+// trialPollInterval is the time after which a request that has announced its trial asks again for its turn.
+const trialPollInterval = 50 * time.Millisecond
+
 // minQuarantinedRetryAfter is the shortest Retry-After of such a request.
 const minQuarantinedRetryAfter = time.Second
 
--- a/jobs/pass.go
+++ b/jobs/pass.go
@@ -47,6 +47,8 @@
 	inTime bool
 	// used holds the backend servers that already got an item in this cycle: each gets one at most.
 	used map[string]bool
+	// tried states that a server was chosen for the trial of a held item in this pass.
+	tried bool
 	// full holds the services that take no more items in this pass, and why.
 	full map[string]WaitReason
 }
@@ -97,7 +99,7 @@
 			return u.unlessHeld(reason), false
 		}
 	}
-	if v := r.s.opts.Quarantine.Check(u.suspects, balance.Batch); v.Refuses() { // it waits for its trial
+	if v := r.s.opts.Quarantine.Check(u.suspects, balance.Batch); v.Refuses() || v.Held() && p.tried { // it waits for its trial
 		u.suspect = v.Suspect
 		return WaitHeld, false
 	}
--- a/jobs/quarantine_test.go
+++ b/jobs/quarantine_test.go
@@ -220,3 +220,34 @@
 		})
 	}
 }
+
+// TestSoundItemsGoOnThoughAGuiltyOneSharesTheirHeldPart guards against items that wait for the trials of their part, which the first item of the job always gets and fails.
+func TestSoundItemsGoOnThoughAGuiltyOneSharesTheirHeldPart(t *testing.T) {
+	c := newCluster(t, 12)
+	var crashed atomic.Int64
+	for _, b := range c.backends {
+		b.Events, b.EventInterval = 80, 25*time.Millisecond
+		b.SetFault(func(r platformtest.Request) platformtest.Fault {
+			if !strings.Contains(r.Prompt, "bad1") {
+				return platformtest.None
+			}
+			crashed.Add(1)
+			return platformtest.Crash
+		})
+	}
+	a := c.start("a")
+	a.guard.PeerHeld([]string{"aa01"}) // as after three ends by chance
+	j := job("j", 6)
+	for i := range j.Items {
+		j.Items[i].Header = platformtest.PromptHeader(fmt.Sprintf("aa01:100,cc%02d:10", i))
+	}
+	j.Items[0].Header = platformtest.PromptHeader("aa01:100,bad1:10")
+	assert.NilError(t, a.Submit(t.Context(), j, 0))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		l, err := a.List(t.Context(), j.ID, 0, 0)
+		if v := a.guard.Check([]string{"aa01"}, balance.Batch); err != nil || len(l.Results) < 5 {
+			return poll.Continue("%d of 5 sound results, %d servers ended, the part has failed %d trials, next in %v, %v", len(l.Results), crashed.Load(), v.Failures, v.Wait, err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(finishTime+2*time.Second))
+}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -194,6 +194,9 @@
 		}
 		u.memory.Close()
 		delete(r.runs, ref)
+		if !r.s.table.isOpen(ref) {
+			r.s.opts.Quarantine.Forget([]string{quarantine.ItemSuspect(ref.job, ref.item)})
+		}
 	}
 }
 
@@ -233,7 +236,7 @@
 		p.full[r.serviceOf(j, u)] = found.reason()
 		return found.reason()
 	}
-	trial, reason := r.beginTrial(u, choice)
+	trial, reason := r.beginTrial(u, choice, p)
 	if reason != notWaiting {
 		return reason
 	}
@@ -290,8 +293,9 @@
 
 // beginTrial begins the trial of an item with held suspects at a chosen backend server. It returns why there is none
 // now, and nothing for an item without any.
-func (r *runner) beginTrial(u *run, choice balance.Choice) (*quarantine.Trial, WaitReason) {
+func (r *runner) beginTrial(u *run, choice balance.Choice, p *pass) (*quarantine.Trial, WaitReason) {
 	verdict := r.s.opts.Quarantine.Check(u.suspects, balance.Batch)
+	p.tried = p.tried || verdict.Held()
 	if !verdict.WantsIdle() || choice.Load == (balance.Counts{}) {
 		if trial, ok := r.s.opts.Quarantine.Begin(u.suspects, choice.Backend, balance.Batch); ok {
 			return trial, notWaiting
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -81,20 +81,12 @@
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
 }
 
-// Check returns whether a run of a class with these suspects, which is ready to start, may do so; it is then started with
-// Begin. A trial is announced as soon as this gateway may try the suspects.
+// Check returns whether a run of a class with these suspects may start. Begin starts it once it has a slot.
 func (g *Guard) Check(suspects []string, class balance.Class) Verdict {
 	v := g.table.Check(suspects, class, time.Now())
 	if v.Proved {
 		g.holdSuspects([]string{v.Suspect})
 	}
-	if v.Step != Announce {
-		return v
-	}
-	if announced := g.table.Claim(suspects, class, time.Now()); len(announced) > 0 {
-		g.broadcast(announced)
-	}
-	v.Step = AwaitTurn
 	return v
 }
 
@@ -173,6 +165,15 @@
 	}()
 }
 
+// Forget stops holding suspects of which no run will come any more.
+func (g *Guard) Forget(suspects []string) {
+	ended := slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool { return !g.table.Release(suspect) })
+	if len(ended) > 0 {
+		g.opts.Peers().BroadcastCompleted(ended)
+		g.release(ended)
+	}
+}
+
 // PeerCrash records the report of another gateway, and returns the suspects with which a run has
 // completed here, for the reply.
 func (g *Guard) PeerCrash(r CrashReport) (completed []string) {
--- a/quarantine/schedule.go
+++ b/quarantine/schedule.go
@@ -105,8 +105,10 @@
 	server  uint32
 	// claimedAt is when this gateway has announced a trial that has not started; zero if it has not.
 	claimedAt time.Time
-	// yieldUntil is until when another gateway that has announced a trial goes first.
+	// yieldUntil is until when another gateway that has announced a trial goes first, and yielded states that
+	// one has since the last trial: a gateway that announces and does not start holds up no other again.
 	yieldUntil time.Time
+	yielded    bool
 }
 
 func newHold(b backoff, failures int, now time.Time) *hold {
@@ -148,9 +150,12 @@
 	return !h.claimedAt.IsZero() && now.Sub(h.claimedAt) < claimTime+claimValidity
 }
 
+// claim records that this gateway announces a trial. The outcome of an earlier one is lost, if there was any.
+func (h *hold) claim(now time.Time) { h.claimedAt, h.triedAt = now, time.Time{} }
+
 // start records that a trial has started here, at a server given by the hash of its id.
 func (h *hold) start(server uint32, now time.Time) {
-	h.triedAt, h.server, h.claimedAt = now, server, time.Time{}
+	h.triedAt, h.server, h.claimedAt, h.yielded = now, server, time.Time{}, false
 }
 
 // triedAtServer reports whether a trial is in progress at a server.
@@ -179,8 +184,8 @@
 	case s.Failures < h.failures:
 		return // it has missed a trial
 	case s.Phase == Claiming:
-		if s.Priority < priority {
-			h.claimedAt, h.yieldUntil = time.Time{}, now.Add(yieldTime)
+		if s.Priority < priority && !h.yielded {
+			h.claimedAt, h.yieldUntil, h.yielded = time.Time{}, now.Add(yieldTime), true
 		}
 		return
 	case s.Phase == Trying:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -276,6 +276,9 @@
 // against others. The caller holds mu.
 func (t *Table) hold(suspect string, failures int, now time.Time) {
 	r := t.records(suspect)
+	if len(t.held) >= maxSuspects {
+		t.forgetOldest()
+	}
 	t.held[suspect] = newHold(r.backoff, failures, now)
 	explained, _ := r.crashes.Get(suspect, now)
 	for _, others := range []*records{&t.callers, &t.items, &t.parts, &t.requests} {
@@ -294,6 +297,17 @@
 // ofItems reports whether the suspects of a kind are items or parts of their prompts.
 func (t *Table) ofItems(r *records) bool { return r == &t.items || r == &t.parts }
 
+// forgetOldest forgets the held suspect whose trial has been due for the longest time. The caller holds mu.
+func (t *Table) forgetOldest() {
+	oldest := ""
+	for suspect, h := range t.held {
+		if oldest == "" || h.dueAt.Before(t.held[oldest].dueAt) {
+			oldest = suspect
+		}
+	}
+	delete(t.held, oldest)
+}
+
 // unexplained returns the evidence that is left once a held suspect explains some crashes. A request
 // under which no other caller has ended a server yet stays one crash short of being held for all.
 func (r *records) unexplained(e, explained evidence) evidence {
@@ -309,11 +323,15 @@
 func (t *Table) Hold(suspect string, failures int, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.held[suspect] != nil {
-		return false
+	h := t.held[suspect]
+	if h == nil {
+		t.hold(suspect, failures, now)
+		return true
 	}
-	t.hold(suspect, failures, now)
-	return true
+	if failures > h.failures { // the report of a trial was lost
+		h.merge(HoldState{Failures: failures, NextIn: h.backoff.delay(failures)}, 0, now)
+	}
+	return false
 }
 
 // Release stops holding a suspect, and reports whether it was held.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -32,7 +32,7 @@
 	Start Step = iota
 	// Try: the run may start as the trial of all suspects that are held.
 	Try
-	// Announce: this gateway may announce a trial.
+	// Announce: a run that has a slot may announce its trial.
 	Announce
 	// AwaitTurn: this gateway has announced a trial, which may start after Wait.
 	AwaitTurn
@@ -45,8 +45,8 @@
 // Held reports whether any of the suspects is held.
 func (v Verdict) Held() bool { return v.Step != Start && v.Step != AwaitDecision }
 
-// Refuses reports whether a run must not start now.
-func (v Verdict) Refuses() bool { return v.Step != Start && v.Step != Try }
+// Refuses reports whether a run need not look for a slot now.
+func (v Verdict) Refuses() bool { return v.Step > Announce }
 
 // WantsIdle reports whether the run may start at a backend server that runs nothing else only.
 func (v Verdict) WantsIdle() bool { return v.Held() && v.Due < idleWait }
@@ -116,7 +116,7 @@
 	}
 	announced := slices.DeleteFunc(t.heldAmong(suspects), func(suspect string) bool { return t.held[suspect].claimed(now) })
 	for _, suspect := range announced {
-		t.held[suspect].claimedAt = now
+		t.held[suspect].claim(now)
 	}
 	return announced
 }
@@ -126,7 +126,7 @@
 func (t *Table) StartTrial(suspects []string, class balance.Class, server uint32, now time.Time) (tried []string, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.check(suspects, class, now).Refuses() {
+	if v := t.check(suspects, class, now); v.Step != Start && v.Step != Try {
 		return nil, false
 	}
 	tried = t.heldAmong(suspects)
@@ -194,11 +194,31 @@
 	}
 }
 
-// OthersEnded reports whether servers that ran nothing with the suspects have ended at the moment at.
-func (t *Table) OthersEnded(suspects []string, at time.Time) bool {
+// OthersEnded reports whether servers that ran nothing with any held suspect have ended at the moment at.
+func (t *Table) OthersEnded(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return slices.ContainsFunc(t.endings, func(known ending) bool {
-		return known.at.Sub(at).Abs() < momentWidth && !slices.ContainsFunc(suspects, func(s string) bool { return known.suspects[s] })
+		return known.at.Sub(at).Abs() < momentWidth && !t.underHeld(known)
 	})
 }
+
+// EndedUnderHeld reports whether a server, given by the hash of its id, has ended at the moment at under a run with a
+// held suspect, which may explain its end.
+func (t *Table) EndedUnderHeld(server uint32, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.endings, func(known ending) bool {
+		return known.server == server && known.at.Sub(at).Abs() < sameCrash && t.underHeld(known)
+	})
+}
+
+// underHeld reports whether a server has ended under a run with a held suspect. The caller holds mu.
+func (t *Table) underHeld(known ending) bool {
+	for suspect := range known.suspects {
+		if t.held[suspect] != nil {
+			return true
+		}
+	}
+	return false
+}
