quarantine: a test of gateways that announce trials and never start them

The test asks for 18 s; without the rule that a gateway yields once for each trial it fails with 8 and 36 of them.

--- a/quarantine/play_test.go
+++ b/quarantine/play_test.go
@@ -474,3 +474,33 @@
 			"sound items; failures %d, next in %v, ended %d, item held %v", v.Failures, v.Wait, p.ended, g.table.held[ItemSuspect("j", 0)] != nil)
 	})
 }
+
+// TestGatewaysThatNeverStartTheirTrialsDoNotBlockOthers guards against items that wait for ever for gateways which
+// announce trials and find no slot again.
+func TestGatewaysThatNeverStartTheirTrialsDoNotBlockOthers(t *testing.T) {
+	const items, finishTime = 2, 18 * time.Second
+	for _, never := range []int{1, 8, 36} {
+		t.Run(fmt.Sprint(never), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlay(never+items, 6, 1)
+				for _, g := range p.gateways {
+					g.PeerHeld([]string{"part"})
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), finishTime)
+				defer cancel()
+				var all sync.WaitGroup
+				for _, g := range p.gateways[:never] {
+					all.Go(func() {
+						for ; ctx.Err() == nil; time.Sleep(100 * time.Millisecond) {
+							g.broadcast(g.table.Claim([]string{"part"}, balance.Batch, time.Now()))
+						}
+					})
+				}
+				for _, g := range p.gateways[never:] {
+					all.Go(func() { assert.Check(t, g.runItem(ctx, "part")) })
+				}
+				all.Wait()
+			})
+		})
+	}
+}
