--- a/quarantine/schedule.go
+++ b/quarantine/schedule.go
@@ -46,8 +46,8 @@
 	partBackoff = backoff{first: time.Second, failed: 10 * time.Second}
 	// itemBackoff is that of an item by itself.
 	itemBackoff = backoff{first: 2 * time.Second, failed: 15 * time.Second}
-	// requestBackoff is longer: requests of callers run beside others, which a trial may break off, and a caller
-	// is told when to return.
+	// requestBackoff is longer: requests of callers run beside others, which a trial may break off, and their
+	// refusals state the delay.
 	requestBackoff = backoff{first: 30 * time.Second, failed: 5 * time.Minute}
 )
 
