gateway: a request whose time is over stops waiting for its trial

What callers saw: nothing proved on real connections. A request with a held part that found another suspect tried at the only server was kept beyond its deadline, for up to three seconds, and chose and left the server without a pause meanwhile.

The clock of the quarantine is an option for that (Options.Now).

--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -127,8 +127,10 @@
 		trial, ok := o.g.Quarantine.Begin(o.suspectsIfNeeded(0), choice.Backend, balance.Online)
 		if !ok {
 			o.releaseSlot(choice.Backend)
-			delay.Wait(ctx, trialPollInterval) // it is announced, or another run is tried
-			continue
+			if !delay.Wait(ctx, trialPollInterval) {
+				return o.finalError(o.expiredError(ctx))
+			}
+			continue // the trial is announced, or another run is tried
 		}
 		retry, err := o.tryOnce(ctx, choice, trial)
 		if !retry {
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -48,8 +48,9 @@
 
 // Options are the settings of a Guard.
 type Options struct {
-	// StartedAt is when the process has started.
+	// StartedAt is when the process has started, and Now the clock; nil stands for time.Now.
 	StartedAt time.Time
+	Now       func() time.Time
 	// Probe returns nil if the process of a backend server serves on, an error that wraps
 	// upstream.ErrProcessEnded if it has ended, and another one if nothing is known of it. It may use
 	// the health check, which may wait for a slot, only if useHealth is true.
@@ -78,12 +79,15 @@
 
 // NewGuard returns a guard that holds nothing.
 func NewGuard(opts Options) *Guard {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	return &Guard{opts: opts, table: NewTable(opts.StartedAt), examinations: make(map[string]*Examination)}
 }
 
 // Check returns whether a run of a class with these suspects may start. Begin starts it once it has a slot.
 func (g *Guard) Check(suspects []string, class balance.Class) Verdict {
-	v := g.table.Check(suspects, class, time.Now())
+	v := g.table.Check(suspects, class, g.opts.Now())
 	if v.Proved {
 		g.holdSuspects([]string{v.Suspect})
 	}
@@ -95,11 +99,11 @@
 
 // Suspected reports whether a request with these suspects, whose run has broken off, must not be
 // sent to another server.
-func (g *Guard) Suspected(suspects []string) bool { return g.table.Suspected(suspects, time.Now()) }
+func (g *Guard) Suspected(suspects []string) bool { return g.table.Suspected(suspects, g.opts.Now()) }
 
 // RunCompleted records a complete run with these suspects.
 func (g *Guard) RunCompleted(suspects []string) {
-	released, cleared := g.table.RecordCompleted(suspects, time.Now())
+	released, cleared := g.table.RecordCompleted(suspects, g.opts.Now())
 	if innocent := slices.Concat(released, cleared); len(innocent) > 0 {
 		g.opts.Peers().BroadcastCompleted(innocent)
 	}
@@ -118,7 +122,7 @@
 // reportCrash records the end of a server here and at the other gateways, and decides later, when
 // they have had time to object.
 func (g *Guard) reportCrash(server uint32, runs Runs) {
-	now := time.Now()
+	now := g.opts.Now()
 	g.table.RecordCrash(server, runs, now)
 	g.opts.Peers().BroadcastCrash(CrashReport{Server: server, Runs: runs, Counted: g.table.Counted(runs.Suspects(), now)})
 	time.AfterFunc(objectionTime, func() { g.holdSuspects(runs.Suspects()) })
@@ -126,13 +130,13 @@
 
 // holdSuspects holds those that are proved to crash servers.
 func (g *Guard) holdSuspects(suspects []string) {
-	found := g.table.HoldSuspects(suspects, time.Now())
+	found := g.table.HoldSuspects(suspects, g.opts.Now())
 	if len(found) == 0 {
 		return
 	}
 	g.opts.Peers().BroadcastHeld(found)
 	for _, suspect := range found {
-		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own", "crash_ages", g.table.crashAges(suspect, time.Now()))
+		event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "own", "crash_ages", g.table.crashAges(suspect, g.opts.Now()))
 		g.store(suspect, holdValue(0))
 	}
 }
@@ -177,13 +181,13 @@
 // PeerCrash records the report of another gateway, and returns the suspects with which a run has
 // completed here, for the reply.
 func (g *Guard) PeerCrash(r CrashReport) (completed []string) {
-	now := time.Now()
+	now := g.opts.Now()
 	g.table.RecordReport(r, now)
 	return g.table.Completed(r.Runs.Suspects(), now)
 }
 
 // PeerCompleted records runs that have completed at another gateway.
-func (g *Guard) PeerCompleted(suspects []string) { g.table.RecordCompleted(suspects, time.Now()) }
+func (g *Guard) PeerCompleted(suspects []string) { g.table.RecordCompleted(suspects, g.opts.Now()) }
 
 // PeerHeld records suspects that another gateway has found.
 func (g *Guard) PeerHeld(suspects []string) { g.holdFound(suspects, 0, "peer") }
@@ -191,7 +195,7 @@
 // holdFound holds suspects that have been found elsewhere, after a number of failed trials. It objects to
 // those with which a run has completed here a short time ago: the gateway that found them may have missed that.
 func (g *Guard) holdFound(suspects []string, failures int, by string) {
-	now := time.Now()
+	now := g.opts.Now()
 	innocent := g.table.Completed(suspects, now)
 	for _, suspect := range suspects {
 		if !slices.Contains(innocent, suspect) && g.table.Hold(suspect, failures, now) {
--- a/quarantine/progress.go
+++ b/quarantine/progress.go
@@ -24,7 +24,7 @@
 	if p.harmless {
 		return
 	}
-	now := time.Now()
+	now := p.guard.opts.Now()
 	if p.first.IsZero() {
 		p.first = now
 	}
@@ -40,7 +40,8 @@
 	if p.harmless || p.first.IsZero() {
 		return
 	}
-	if suspects := p.guard.table.recordServed(p.suspects(), time.Since(p.first), time.Now()); len(suspects) > 0 {
+	now := p.guard.opts.Now()
+	if suspects := p.guard.table.recordServed(p.suspects(), now.Sub(p.first), now); len(suspects) > 0 {
 		p.guard.RunCompleted(suspects)
 	}
 }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -36,7 +36,7 @@
 // suspects is held and must not be tried now; it then announces the trial if that is due, and the run comes back with a slot
 // when its turn has come. The caller ends the trial with the run.
 func (g *Guard) Begin(suspects []string, b catalog.Backend, class balance.Class) (*Trial, bool) {
-	now := time.Now()
+	now := g.opts.Now()
 	tried, ok := g.table.StartTrial(suspects, class, balance.Key(b.ID), now)
 	if !ok {
 		g.broadcast(g.table.Claim(suspects, class, now))
@@ -67,20 +67,20 @@
 		return
 	}
 	g := t.guard
-	g.broadcast(g.table.EndTrial(t.suspects, TrialNotRun, time.Now()))
+	g.broadcast(g.table.EndTrial(t.suspects, TrialNotRun, g.opts.Now()))
 }
 
 func (g *Guard) endTrial(t *Trial, examination *Examination) {
-	ended := time.Now()
+	ended := g.opts.Now()
 	shared := g.table.OthersTried(t.suspects, balance.Key(t.backend.ID), ended)
 	outcome := TrialUndecided
 	if examination != nil && examination.Ended(context.Background()) && !shared {
-		delay.Wait(context.Background(), momentWidth-time.Since(ended)) // other servers may end in the same moment
+		delay.Wait(context.Background(), momentWidth-g.opts.Now().Sub(ended)) // other servers may end in the same moment
 		if !g.endedTogether(t, ended) {
 			outcome = TrialFailed
 		}
 	}
-	held := g.table.EndTrial(t.suspects, outcome, time.Now())
+	held := g.table.EndTrial(t.suspects, outcome, g.opts.Now())
 	if len(held) == 0 {
 		return // the run speaks for its suspects
 	}
@@ -100,7 +100,7 @@
 // item.
 func (g *Guard) holdFailedItem(run []string) {
 	for _, suspect := range run {
-		if strings.HasPrefix(suspect, itemPrefix) && g.table.Hold(suspect, 1, time.Now()) {
+		if strings.HasPrefix(suspect, itemPrefix) && g.table.Hold(suspect, 1, g.opts.Now()) {
 			event.Log(g.opts.Logger, event.PartHeld, "suspect", suspect, "by", "trial")
 			g.opts.Peers().BroadcastHeld([]string{suspect})
 			g.broadcast([]string{suspect})
@@ -156,7 +156,7 @@
 // broadcast reports the states of held suspects to the other gateways, and returns them.
 func (g *Guard) broadcast(suspects []string) []HoldState {
 	peers := g.opts.Peers()
-	states := g.table.States(suspects, peers.Priority, time.Now())
+	states := g.table.States(suspects, peers.Priority, g.opts.Now())
 	if len(states) > 0 {
 		peers.BroadcastHolds(states)
 	}
@@ -165,5 +165,5 @@
 
 // PeerHolds records what another gateway reports about held suspects.
 func (g *Guard) PeerHolds(states []HoldState) {
-	g.table.Merge(states, g.opts.Peers().Priority, time.Now())
+	g.table.Merge(states, g.opts.Peers().Priority, g.opts.Now())
 }
