jobs: startItem chooses, launch begins the run; execute runs it, endRun records the end

startItem chose a server, began a trial, set the state of the run, logged and started it, and beginTrial noted the reason, released the slot and marked the pass besides. Each of them does one thing now: startItem decides and gives the slot back, beginTrial begins the trial or not, launch begins the run. The locked second half of execute is endRun.

No behaviour changes: the same calls in the same order, but for the wake-up of the runner after the lock is released and not before.

--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -172,33 +172,41 @@
 
 // startItem starts an item if there is a slot for it. It returns why it does not.
 func (r *runner) startItem(ctx context.Context, j openJob, u *run, p *pass, now time.Time) WaitReason {
-	item := &j.content[u.ref.item]
 	choice, found := r.pickBackend(j, u, p.used, now)
 	switch found {
 	case waitsForOrigin:
-		return WaitOrigin
+		return found.reason()
 	case noSlot, waitsForGap:
 		p.full[r.serviceOf(j, u)] = found.reason()
 		return found.reason()
 	}
-	trial, reason := r.beginTrial(u, choice, p)
-	if reason != notWaiting {
-		return reason
+	verdict := r.s.opts.Quarantine.Check(u.suspects, balance.Batch)
+	p.tried = p.tried || verdict.Held()
+	trial, ok := r.beginTrial(u.suspects, verdict, choice)
+	if !ok {
+		u.suspect = verdict.Suspect
+		r.s.opts.Table.Release(choice.Backend.ID, balance.Batch)
+		return WaitHeld
 	}
-	runCtx, cancel := context.WithCancel(ctx)
+	p.used[choice.Backend.ID] = true
+	r.launch(ctx, j, u, choice, trial, now)
+	return notWaiting
+}
+
+// launch begins a run of an item at the chosen backend server.
+func (r *runner) launch(ctx context.Context, j openJob, u *run, choice balance.Choice, trial *quarantine.Trial, now time.Time) {
+	ctx, cancel := context.WithCancel(ctx)
 	u.backend, u.cancel, u.answered, u.stopping = choice.Backend.ID, cancel, false, false
-	u.memory.Reopen(cancel)
 	u.placedBeside = choice.Load.Online
+	u.memory.Reopen(cancel)
 	u.beginRun(now)
 	delete(r.waits.items, u.ref)
-	p.used[u.backend] = true
-	verdict := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(j, u, choice.Backend.Service, now), now)
-	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", item.ID, "backend", u.backend,
+	start := r.gaps.started(choice.Backend.Service, u.backend, r.backfillItem(j, u, choice.Backend.Service, now), now)
+	event.Log(r.s.opts.Logger, event.ItemPlaced, "job", u.ref.job, "item", u.ref.item, "request", u.request, "backend", u.backend,
 		"online", choice.Load.Online, "batch", choice.Load.Batch, "slots", choice.Backend.Slots,
-		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", verdict)
+		"version", choice.Backend.Version, "resume_after", u.progress.LastEvent, "due_in", j.due.Sub(now), "start", start)
 	r.active.Add(1)
-	go r.execute(runCtx, j, u, choice.Backend, u.progress, trial)
-	return notWaiting
+	go r.execute(ctx, j, u, choice.Backend, u.progress, trial)
 }
 
 // execute runs an item once and handles the outcome.
@@ -221,11 +229,17 @@
 	} else {
 		trial.End(examination)
 	}
+	r.endRun(j, u, out, p, begin)
+	r.wake()
+}
+
+// endRun records the end of a run that began with the progress before at the time begin, and handles the outcome.
+func (r *runner) endRun(j openJob, u *run, out outcome, before Progress, begin time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	u.cancel()
 	u.backend = ""
-	r.estimates.recordRun(j.job.Route, out.progress.Events-p.Events, time.Since(begin))
+	r.estimates.recordRun(j.job.Route, out.progress.Events-before.Events, time.Since(begin))
 	out.progress.UnansweredStops = u.progress.UnansweredStops
 	if out.end == runCancelled && !u.answered {
 		out.progress.UnansweredStops++
@@ -233,22 +247,15 @@
 	u.progress = out.progress
 	u.endMemory(out.end, time.Now())
 	r.handleOutcome(j, u, out)
-	r.wake()
 }
 
-// beginTrial begins the trial of an item with held suspects at a chosen backend server. It returns why there is none
-// now, and nothing for an item without any.
-func (r *runner) beginTrial(u *run, choice balance.Choice, p *pass) (*quarantine.Trial, WaitReason) {
-	verdict := r.s.opts.Quarantine.Check(u.suspects, balance.Batch)
-	p.tried = p.tried || verdict.Held()
-	if !verdict.WantsIdle() || choice.Load == (balance.Counts{}) {
-		if trial, ok := r.s.opts.Quarantine.Begin(u.suspects, choice.Backend, balance.Batch); ok {
-			return trial, notWaiting
-		}
+// beginTrial begins the trial of held suspects at the chosen backend server; the trial is nil if none is held. It
+// returns false if the run must not start there now.
+func (r *runner) beginTrial(suspects []string, verdict quarantine.Verdict, choice balance.Choice) (trial *quarantine.Trial, ok bool) {
+	if verdict.WantsIdle() && choice.Load != (balance.Counts{}) {
+		return nil, false
 	}
-	u.suspect = verdict.Suspect
-	r.s.opts.Table.Release(choice.Backend.ID, balance.Batch)
-	return nil, WaitHeld
+	return r.s.opts.Quarantine.Begin(suspects, choice.Backend, balance.Batch)
 }
 
 // recordRunEnd records what a run's end says about the suspects of its item. It returns the examination of the
