jobs: plainer words about waits, and the fields of their lines once

waitOf took passes by their places in an array; it now looks for the pass that the item belongs to. The fields that any line about an item has were built twice. Comments that had to be read twice are rewritten. No change of behaviour.

--- a/jobs/item_waits.go
+++ b/jobs/item_waits.go
@@ -49,6 +49,7 @@
 
 // waits follows why open items have no run. The runner's lock guards it, except for work.
 type waits struct {
+	// survey is the number of the last survey, surveyed its time.
 	survey   uint64
 	surveyed time.Time
 	items    map[itemRef]itemWait
@@ -57,6 +58,7 @@
 	lines   [silentRun + 1][]waitLine
 	current Work
 
+	// mu guards work, which is what the last complete survey has found.
 	mu   sync.Mutex
 	work Work
 }
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -38,11 +38,11 @@
 	notBefore time.Time
 	// emptyRuns is how many runs have ended as complete without any event.
 	emptyRuns int
-	// wait is why the item was not started when the runner last looked at it, in the cycle looked, and
+	// wait is why the item was not started when the runner last looked at it, in the cycle lookedIn, and
 	// suspect is what the quarantine held then.
-	wait    WaitReason
-	looked  uint64
-	suspect string
+	wait     WaitReason
+	lookedIn uint64
+	suspect  string
 	// request is the item's id. began is when the run in progress began, and lastEvent the time from then to
 	// its last event, in nanoseconds.
 	request   string
--- a/jobs/wait_lines.go
+++ b/jobs/wait_lines.go
@@ -16,7 +16,7 @@
 	u    *run
 }
 
-// before reports whether a line is written rather than another one of the same reason.
+// before reports whether an item has waited longer than another one for the same reason, so that its line goes first.
 func (l *waitLine) before(m *waitLine) bool {
 	return cmp.Or(l.wait.idle.Compare(m.wait.idle), cmp.Compare(l.ref.job, m.ref.job), cmp.Compare(l.ref.item, m.ref.item)) < 0
 }
@@ -60,10 +60,7 @@
 func (l *waitLine) itemFields(now time.Time) []any {
 	switch {
 	case l.u != nil:
-		kv := []any{"request", l.u.request, "route", l.u.route, "events", l.u.progress.Events}
-		if !l.u.due.IsZero() {
-			kv = append(kv, "due_in", l.u.due.Sub(now))
-		}
+		kv := describeItem(l.u.request, l.u.route, l.u.progress.Events, l.u.due, now)
 		switch l.wait.reason {
 		case WaitHeld:
 			kv = append(kv, "suspect", l.u.suspect)
@@ -72,11 +69,16 @@
 		}
 		return kv
 	case l.j != nil:
-		kv := []any{"request", l.j.content[l.ref.item].ID, "route", l.j.job.Route, "events", l.j.progress[l.ref.item].Events}
-		if !l.j.due.IsZero() {
-			kv = append(kv, "due_in", l.j.due.Sub(now))
-		}
-		return kv
+		return describeItem(l.j.content[l.ref.item].ID, l.j.job.Route, l.j.progress[l.ref.item].Events, l.j.due, now)
 	}
 	return nil
 }
+
+// describeItem returns the fields that any line about an item has; due may be zero.
+func describeItem(request, route string, events int, due, now time.Time) []any {
+	kv := []any{"request", request, "route", route, "events", events}
+	if !due.IsZero() {
+		kv = append(kv, "due_in", due.Sub(now))
+	}
+	return kv
+}
--- a/jobs/wait_reason.go
+++ b/jobs/wait_reason.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"github.com/catkinrudder/catkinrudder/catalog"
@@ -52,8 +53,8 @@
 	return all
 }
 
-// ownWait returns the reason that an item itself has not to be started: it has a result, or its last run has
-// just ended.
+// ownWait returns why an item must not start whatever slots are free: it has a result, or its last run has
+// just ended. It returns notWaiting if neither is so.
 func (u *run) ownWait(now time.Time) WaitReason {
 	switch {
 	case u.result != nil:
@@ -64,8 +65,8 @@
 	return notWaiting
 }
 
-// unlessHeld returns WaitHeld for an item that the quarantine has refused and that it has not been asked about
-// again, and reason for others.
+// unlessHeld returns reason, or WaitHeld if the quarantine refused the item when it was last asked: a pass that has
+// no slot does not ask again.
 func (u *run) unlessHeld(reason WaitReason) WaitReason {
 	if u != nil && u.wait == WaitHeld {
 		return WaitHeld
@@ -74,7 +75,7 @@
 }
 
 // lookedAt records why the runner has not started an item in a cycle.
-func (u *run) lookedAt(reason WaitReason, cycle uint64) { u.wait, u.looked = reason, cycle }
+func (u *run) lookedAt(reason WaitReason, cycle uint64) { u.wait, u.lookedIn = reason, cycle }
 
 // reason returns why a search has not found a backend server.
 func (s search) reason() WaitReason {
@@ -90,7 +91,7 @@
 	}
 }
 
-// skipReason returns why a pass has not looked at the items of a route that are left.
+// skipReason returns why a pass has ended before it looked at all items of a route.
 func (p *pass) skipReason(route *catalog.Route) WaitReason {
 	if !p.allFull(route) {
 		return WaitRunLimit
@@ -109,17 +110,15 @@
 		if u.backend != "" {
 			return notWaiting
 		}
-		if own := u.ownWait(now); own != notWaiting {
-			return own
+		if reason := u.ownWait(now); reason != notWaiting {
+			return reason
 		}
-		if u.looked == r.cycles {
+		if u.lookedIn == r.cycles {
 			return u.wait
 		}
 		events = u.progress.Events
 	}
-	p := passes[1]
-	if r.estimates.meetsDeadline(j.job.Route, events, j.due.Sub(now)) {
-		p = passes[0]
-	}
-	return u.unlessHeld(p.skipReason(j.route))
+	inTime := r.estimates.meetsDeadline(j.job.Route, events, j.due.Sub(now))
+	own := slices.IndexFunc(passes[:], func(p *pass) bool { return p.inTime == inTime })
+	return u.unlessHeld(passes[own].skipReason(j.route))
 }
