jobs: cancelStale cancels; what there is no room for is discarded by boundOutputs

cancelStale discarded dropped outputs and delayed items besides, and dropOutput and explainDrop did not say on what they depend. No change of behaviour: items that are needed are visited in a second loop of the same cycle, which does nothing for those that run.

--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -101,7 +101,8 @@
 		return
 	}
 	r.cycles++
-	r.cancelStale(now)
+	r.cancelStale()
+	r.boundOutputs(now)
 	r.preempt(now)
 	r.enqueueResults()
 	r.gaps.beginCycle(now)
@@ -125,12 +126,10 @@
 }
 
 // cancelStale stops runs of items that need no result any more and of shards that are
-// not owned, and removes those runs once they have ended. The others drop output that there is no room for.
-func (r *runner) cancelStale(now time.Time) {
+// not owned, and removes those runs once they have ended.
+func (r *runner) cancelStale() {
 	for ref, u := range r.runs {
-		if r.s.shards[shardOf(ref.job, len(r.s.shards))].owned() && r.s.table.isOpen(ref) {
-			u.dropOutput(now)
-			u.awaitRoom(r.s.opts.Memory, now)
+		if r.ownsJob(ref.job) && r.s.table.isOpen(ref) {
 			continue
 		}
 		if u.backend != "" {
@@ -218,7 +217,7 @@
 		answered: func() { r.recordAnswer(u) }, progressed: func(p Progress) { r.recordProgress(u, p) },
 		event: func() { progress.Event(); u.recordEvent() }, keep: u.keepOutput,
 	})
-	out = u.explainDrop(out)
+	out = u.withoutDropped(out)
 	if out.end == runCancelled {
 		progress.Stopped()
 	}
