intake: names for the fraction that must be free and for the response to drop first

HasRoom had a bare 4, next and last did not say of what, and the order of old responses was told at a private constant only. "Let go" and "for free" are replaced by what happens. upstream's conn.open is openAccount, beside closeAccount. No change of behaviour.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -21,7 +21,7 @@
 	// maxBufferedBytes bounds the responses that are buffered whole before they are
 	// sent, so that an attempt whose response is cut off can be repeated.
 	maxBufferedBytes = 64 << 10
-	// freelyBufferedBytes bounds them when there is no room for more.
+	// freelyBufferedBytes bounds them while the budget of the process has no room for more.
 	freelyBufferedBytes = 8 << 10
 	// maxResponseBytes bounds a response that is not a stream of events and states no length.
 	maxResponseBytes = 64 << 20
@@ -59,7 +59,7 @@
 	return false, nil
 }
 
-// readShort reads a response, or its begin if it is too long to be buffered whole.
+// readShort reads a response, or its first part if it is too long to be buffered whole.
 func readShort(response *upstream.Response) (body []byte, long bool, err error) {
 	body, err = io.ReadAll(io.LimitReader(response, freelyBufferedBytes))
 	if err != nil || len(body) < freelyBufferedBytes {
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -133,8 +133,7 @@
 	gatewayMetrics.ObserveKept(gateway.KeptResponses, d.intake.Kept)
 	gatewayMetrics.ObserveKept(gateway.KeptOutputs, d.outputs.Kept)
 	d.pool = upstream.NewPool(upstream.Options{
-		Memory: d.intake,
-		Codec:  platform.Codec{}, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
+		Codec: platform.Codec{}, Memory: d.intake, DialTimeout: dialTimeout, OnConnect: gatewayMetrics.ConnectionOpened, OnAttemptEnd: gatewayMetrics.AttemptEnded,
 		Admit:      func(ctx context.Context, a serving.Attempt) error { return d.limits.Admit(ctx, a.BackendID, a.Batch) },
 		OnResponse: d.responseReceived,
 		OnTransfer: func(a serving.Attempt, bytes int64) {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,8 +1,8 @@
 // Package intake bounds what a process keeps of the responses of backend servers.
 //
 // Each response has a bound of its own, but many that reach it at once can exceed the memory of the
-// process together. A response keeps a little for free. What it keeps beyond that counts toward a budget
-// of the process; when the budget is exceeded, responses are dropped in an order.
+// process together. What a response keeps beyond FreeBytes counts toward a budget of the process. When the
+// budget is exceeded, responses are dropped in an order, and free what they keep.
 package intake
 
 import (
@@ -16,12 +16,14 @@
 const (
 	// FreeBytes is what each response may keep without counting toward the budget.
 	FreeBytes = 16 << 10
-	// memoryFraction is the part of the process's memory, as a divisor, that the budget is; it is
-	// minBudgetBytes at least.
+	// memoryFraction is by what the process's memory is divided to get the budget, which is minBudgetBytes at
+	// least.
 	memoryFraction = 8
 	minBudgetBytes = 8 << 20
-	// seniorFor is how long an old response goes before newer ones by NewestFirst. One without end may send a little
-	// now and then for ever.
+	// roomFraction is by what the budget is divided to get what must be free for HasRoom.
+	roomFraction = 4
+	// seniorFor is the age up to which NewestFirst drops newer responses before a response. Older ones are dropped
+	// before all others, because one without end may send a little now and then for ever.
 	seniorFor = 30 * time.Second
 )
 
@@ -32,8 +34,8 @@
 	// LargestFirst drops the response that keeps the most. It suits responses of which little is kept at a
 	// time, as one without end keeps more than the others.
 	LargestFirst Order = iota
-	// NewestFirst drops the response that began last, so that older ones come to an end. It suits responses
-	// that are kept whole.
+	// NewestFirst drops the response that began last, so that older ones come to an end; but first those that are
+	// older than seniorFor, the largest of them first. It suits responses that are kept whole.
 	NewestFirst
 )
 
@@ -50,7 +52,7 @@
 	total int64
 	// counted holds the accounts that keep more than FreeBytes.
 	counted map[*Account]struct{}
-	last    uint64
+	lastID  uint64
 }
 
 // NewBudget returns the budget of a process with processBytes of memory. It calls onDropped, if it is set,
@@ -76,19 +78,20 @@
 	return b.total
 }
 
-// HasRoom reports whether a quarter of the budget is free.
-func (b *Budget) HasRoom() bool { return b.Kept() <= b.limit-b.limit/4 }
+// HasRoom reports whether enough of the budget is free for another response to begin.
+func (b *Budget) HasRoom() bool { return b.Kept() <= b.limit-b.limit/roomFraction }
 
 // Account is what a process keeps of one response.
 type Account struct {
 	budget *Budget
 	// The fields below are guarded by the budget's lock. A response that began later has a higher id.
-	id      uint64
-	began   time.Time
+	id    uint64
+	began time.Time
+	// counted is how many of the bytes that are kept count toward the budget.
 	counted int64
 	pinned  bool
 	dropped bool
-	// release makes the holder of the account let go of its bytes; it may be nil.
+	// release tells the holder of the account to free its bytes; it may be nil.
 	release func()
 }
 
@@ -97,11 +100,11 @@
 func (b *Budget) Open(release func()) *Account {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.last++
-	return &Account{budget: b, id: b.last, began: time.Now(), release: release}
+	b.lastID++
+	return &Account{budget: b, id: b.lastID, began: time.Now(), release: release}
 }
 
-// Keep states that n bytes of the response are kept from now on. It returns ErrDropped if the account
+// Keep states that n bytes of the response in all are kept from now on. It returns ErrDropped if the account
 // has been dropped, now or before; then nothing of the response may be kept any more.
 func (a *Account) Keep(n int64) error {
 	a.budget.mu.Lock()
@@ -111,11 +114,11 @@
 	}
 	a.budget.count(a, max(n-FreeBytes, 0))
 	for a.budget.total > a.budget.limit {
-		next := a.budget.next(time.Now())
-		if next == nil {
+		first := a.budget.firstToDrop(time.Now())
+		if first == nil {
 			break
 		}
-		a.budget.drop(next)
+		a.budget.drop(first)
 	}
 	if a.dropped {
 		return ErrDropped
@@ -143,12 +146,12 @@
 }
 
 // Reopen states that another response goes on with what the account keeps, with another release function. If the
-// account was dropped, its holder has let go of all that it kept before.
+// account was dropped, its holder has freed all that it kept before.
 func (a *Account) Reopen(release func()) {
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.budget.last++
-	a.id, a.began = a.budget.last, time.Now()
+	a.budget.lastID++
+	a.id, a.began = a.budget.lastID, time.Now()
 	a.dropped, a.release = false, release
 }
 
@@ -178,26 +181,26 @@
 	delete(b.counted, a)
 }
 
-// next returns the account to drop next, or nil if there is none that may be dropped. The caller holds mu.
-func (b *Budget) next(now time.Time) *Account {
-	var found *Account
+// firstToDrop returns the account to drop first, or nil if there is none that may be dropped. The caller holds mu.
+func (b *Budget) firstToDrop(now time.Time) *Account {
+	var first *Account
 	for a := range b.counted {
-		if !a.pinned && (found == nil || b.precedes(a, found, now)) {
-			found = a
+		if !a.pinned && (first == nil || b.precedes(a, first, now)) {
+			first = a
 		}
 	}
-	return found
+	return first
 }
 
 // precedes reports whether x is dropped before y.
 func (b *Budget) precedes(x, y *Account, now time.Time) bool {
 	bySize := b.order == LargestFirst
 	if b.order == NewestFirst {
-		oldX, oldY := now.Sub(x.began) >= seniorFor, now.Sub(y.began) >= seniorFor
-		if oldX != oldY {
-			return oldX
+		seniorX, seniorY := now.Sub(x.began) >= seniorFor, now.Sub(y.began) >= seniorFor
+		if seniorX != seniorY {
+			return seniorX
 		}
-		bySize = oldX
+		bySize = seniorX
 	}
 	if bySize && x.counted != y.counted {
 		return x.counted > y.counted
@@ -205,7 +208,7 @@
 	return x.id > y.id
 }
 
-// drop drops an account. The caller holds mu.
+// drop drops an account, which frees its bytes at once. The caller holds mu.
 func (b *Budget) drop(a *Account) {
 	b.count(a, 0)
 	a.dropped = true
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -54,8 +54,8 @@
 	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
 
-// open begins to account for what is kept of a response. The connection is closed if the response is dropped.
-func (c *conn) open(memory *intake.Budget) {
+// openAccount begins to account for what is kept of a response. The connection is closed if the response is dropped.
+func (c *conn) openAccount(memory *intake.Budget) {
 	c.account = memory.Open(func() { _ = c.Close() })
 	c.bounded.keep = c.account.Keep
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -155,7 +155,7 @@
 		return nil, err
 	}
 	unwatch := closeOnDone(ctx, c)
-	c.open(p.opts.Memory)
+	c.openAccount(p.opts.Memory)
 	e := c.start(p.opts.Codec.Encode(r, a))
 	resp, info, err := e.readHead(r.ID, r.Method, p.opts.Codec) //nolint:bodyclose // Response.Close ends the connection
 	if err != nil {
@@ -217,7 +217,7 @@
 	return n, nil
 }
 
-// Keep states that the reader of the body keeps n bytes of it from now on. It returns an error if the
+// Keep states that the reader of the body keeps n bytes of it in all from now on. It returns an error if the
 // response is dropped to make room for others.
 func (r *Response) Keep(n int64) error { return r.exchange.conn.account.Keep(r.headBytes + n) }
 
