intake: the error of a dropped response no longer says that it kept the most

By NewestFirst, which the outputs of items have, the newest response is dropped and not the largest; the cause in item_requeued lines said the contrary. Only the text changes.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,7 +40,7 @@
 )
 
 // ErrDropped is returned for a response that was dropped to make room for others.
-var ErrDropped = errors.New("intake: too much is kept of responses, and most of this one")
+var ErrDropped = errors.New("intake: too much is kept of all responses, and this one was dropped")
 
 // Budget bounds the bytes that all accounts together keep. It is safe for concurrent use.
 type Budget struct {
