quarantine: the records of a kind are built in one place, and checkOne asks the hold for its step

Three of four kinds of suspects repeated the same construction, and the list of kinds stood twice. Verdict.Due was a length of time beside hold.due, a moment; it is DueFor. No change of behaviour.

--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -32,8 +32,8 @@
 	// sameCrash is the time in which reports on one server are about the same crash. A server
 	// takes longer to start again.
 	sameCrash = 1500 * time.Millisecond
-	// partEvidenceTime and requestEvidenceTime are how long a crash counts. Half of the traffic may
-	// share a part, while one request may come again after a long time only.
+	// partEvidenceTime and requestEvidenceTime are how long a crash counts against a part, and against a request or
+	// an item. Half of the traffic may share a part, while one request may come again after a long time only.
 	partEvidenceTime    = time.Minute
 	requestEvidenceTime = time.Hour
 	// completionMemory is how long a complete run speaks for its suspects.
@@ -78,35 +78,33 @@
 
 // NewTable returns an empty table of a process that has started at startedAt.
 func NewTable(startedAt time.Time) *Table {
-	return &Table{
+	t := &Table{
 		startedAt: startedAt,
-		parts: records{
-			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
-			crashes:   recent.New[string, evidence](partEvidenceTime, maxSuspects),
-			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
-			spacing:   partCrashSpacing, backoff: partBackoff,
-		},
-		items: records{
-			completed: recent.New[string, struct{}](completionMemory, maxSuspects),
-			crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
-			served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
-			backoff:   itemBackoff,
-		},
-		callers:  newRequestRecords(false),
-		requests: newRequestRecords(true),
-		held:     make(map[string]*hold),
+		callers:   newRecords(requestEvidenceTime, requestBackoff),
+		items:     newRecords(requestEvidenceTime, itemBackoff),
+		parts:     newRecords(partEvidenceTime, partBackoff),
+		requests:  newRecords(requestEvidenceTime, requestBackoff),
+		held:      make(map[string]*hold),
 	}
+	t.callers.immediate = true
+	t.parts.spacing = partCrashSpacing
+	t.requests.sharedByCallers = true
+	return t
 }
 
-func newRequestRecords(sharedByCallers bool) records {
+// newRecords returns the empty records of a kind, whose crashes count for evidenceTime.
+func newRecords(evidenceTime time.Duration, b backoff) records {
 	return records{
 		completed: recent.New[string, struct{}](completionMemory, maxSuspects),
-		crashes:   recent.New[string, evidence](requestEvidenceTime, maxSuspects),
+		crashes:   recent.New[string, evidence](evidenceTime, maxSuspects),
 		served:    recent.New[string, time.Duration](completionMemory, maxSuspects),
-		backoff:   requestBackoff, immediate: !sharedByCallers, sharedByCallers: sharedByCallers,
+		backoff:   b,
 	}
 }
 
+// kinds returns the records of all kinds, in the order in which they may explain crashes.
+func (t *Table) kinds() []*records { return []*records{&t.callers, &t.items, &t.parts, &t.requests} }
+
 func (t *Table) records(suspect string) *records {
 	switch {
 	case strings.HasPrefix(suspect, callerPrefix):
@@ -260,7 +258,7 @@
 func (t *Table) HoldSuspects(suspects []string, now time.Time) (found []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, kind := range []*records{&t.callers, &t.items, &t.parts, &t.requests} {
+	for _, kind := range t.kinds() {
 		proved := slices.DeleteFunc(slices.Clone(suspects), func(suspect string) bool {
 			return t.records(suspect) != kind || t.held[suspect] != nil || !t.proved(suspect, now)
 		})
@@ -281,7 +279,7 @@
 	}
 	t.held[suspect] = newHold(r.backoff, failures, now)
 	explained, _ := r.crashes.Get(suspect, now)
-	for _, others := range []*records{&t.callers, &t.items, &t.parts, &t.requests} {
+	for _, others := range t.kinds() {
 		if others != r && t.ofItems(others) && t.ofItems(r) {
 			continue // the trials show whether an item is guilty or its part
 		}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -17,13 +17,13 @@
 	Wait time.Duration
 	// Failures is how many trials of Suspect have ended their servers.
 	Failures int
-	// Due is for how long a trial of Suspect has been due.
-	Due time.Duration
+	// DueFor is for how long a trial of Suspect has been due.
+	DueFor time.Duration
 	// Proved states that Suspect has to be held at once, as the evidence needs no agreement of other gateways.
 	Proved bool
 }
 
-// Step is what may be done with a run.
+// Step is what may be done with a run. Of its suspects, the one with the highest step decides.
 type Step uint8
 
 // The steps.
@@ -45,11 +45,11 @@
 // Held reports whether any of the suspects is held.
 func (v Verdict) Held() bool { return v.Step != Start && v.Step != AwaitDecision }
 
-// Refuses reports whether a run need not look for a slot now.
+// Refuses reports whether a run must not look for a slot now.
 func (v Verdict) Refuses() bool { return v.Step > Announce }
 
-// WantsIdle reports whether the run may start at a backend server that runs nothing else only.
-func (v Verdict) WantsIdle() bool { return v.Held() && v.Due < idleWait }
+// WantsIdle reports whether the run may start only at a backend server that runs nothing else.
+func (v Verdict) WantsIdle() bool { return v.Held() && v.DueFor < idleWait }
 
 // Soon reports whether a run that must not start now may do so in a moment.
 func (v Verdict) Soon() bool { return v.Step == AwaitTurn || v.Step == AwaitDecision }
@@ -72,27 +72,33 @@
 	return longest
 }
 
+// checkOne returns the verdict on a run with one suspect. The caller holds mu.
 func (t *Table) checkOne(suspect string, class balance.Class, now time.Time) Verdict {
 	h := t.held[suspect]
 	if h == nil {
 		return t.checkEvidence(suspect, now)
 	}
-	v := Verdict{Suspect: suspect, Failures: h.failures, Due: now.Sub(h.due(class))}
-	at := h.claimable(class, t.endings.last())
+	step, wait := h.step(class, t.endings.last(), now)
+	return Verdict{Suspect: suspect, Step: step, Wait: wait, Failures: h.failures, DueFor: now.Sub(h.due(class))}
+}
+
+// step returns what may be done with a run of a class, and the time until that may change, given when a server has
+// last ended.
+func (h *hold) step(class balance.Class, lastEnding, now time.Time) (Step, time.Duration) {
+	claimable := h.claimable(class, lastEnding)
 	switch {
-	case now.Before(at):
-		v.Step, v.Wait = AwaitTrial, at.Sub(now)
+	case now.Before(claimable):
+		return AwaitTrial, claimable.Sub(now)
 	case !h.claimed(now):
-		v.Step, v.Wait = Announce, claimTime
+		return Announce, claimTime
 	case now.Sub(h.claimedAt) < claimTime:
-		v.Step, v.Wait = AwaitTurn, claimTime-now.Sub(h.claimedAt)
-	default:
-		v.Step = Try
+		return AwaitTurn, claimTime - now.Sub(h.claimedAt)
 	}
-	return v
+	return Try, 0
 }
 
-// checkEvidence returns the verdict on a suspect that is not held: no run starts while the gateways decide.
+// checkEvidence returns the verdict on a suspect that is not held: no run starts while the gateways decide. The caller
+// holds mu.
 func (t *Table) checkEvidence(suspect string, now time.Time) Verdict {
 	if !t.proved(suspect, now) {
 		return Verdict{}
@@ -194,7 +200,8 @@
 	}
 }
 
-// OthersEnded reports whether servers that ran nothing with any held suspect have ended at the moment at.
+// OthersEnded reports whether servers that ran nothing with any held suspect have ended together, within momentWidth
+// of at.
 func (t *Table) OthersEnded(at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
