--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -180,7 +180,7 @@
 		epoch := sh.currentEpoch()
 		report, known := s.opts.Peers.ShardReport(i)
 		if epoch > 0 && known && report.Epoch > epoch {
-			sh.release(0, "a peer reports a higher epoch", "epoch", epoch, "peer_epoch", report.Epoch)
+			sh.release(noGeneration, "a peer reports a higher epoch", "epoch", epoch, "peer_epoch", report.Epoch)
 		}
 	}
 }
@@ -220,6 +220,6 @@
 		event.Log(s.opts.Logger, event.LogDown, "call", "leave", "cause", err)
 	}
 	for _, sh := range s.shards {
-		sh.release(0, "stopped")
+		sh.release(noGeneration, "stopped")
 	}
 }
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -118,9 +118,11 @@
 	v.sh.s.runner.wake()
 }
 
-// release gives up the shard, unless it was neither claimed nor owned, and logs the cause, further fields and the
-// open work that the shard has. The shard can be claimed again only once the state of its jobs is cleared, because a
-// new claim reads that state anew.
+// noGeneration is stated for a release that no assignment of the group has caused.
+const noGeneration = 0
+
+// release gives up a claimed or owned shard, and logs the cause, further fields and the open work that the shard has.
+// The shard can be claimed again only once the state of its jobs is cleared, because a new claim reads that state anew.
 func (sh *shard) release(generation int64, cause any, kv ...any) {
 	previous, released := sh.beginRelease()
 	if !released {
@@ -284,7 +286,7 @@
 	stale := sh.phase == owning && sh.epoch == epoch && sh.end == end && (err != nil || h.End > end)
 	sh.mu.Unlock()
 	if stale {
-		sh.release(0, "another owner has written")
+		sh.release(noGeneration, "another owner has written")
 	}
 	return nil
 }
--- a/jobs/writer.go
+++ b/jobs/writer.go
@@ -185,7 +185,7 @@
 			return true
 		}
 		if errors.Is(err, keyedlog.ErrFenced) || errors.Is(err, keyedlog.ErrSequence) {
-			sh.release(0, err)
+			sh.release(noGeneration, err)
 			return false
 		}
 		if cond.Epoch != sh.currentEpoch() {
