--- a/event/event.go
+++ b/event/event.go
@@ -142,12 +142,12 @@
 	{SourceChanged, "source_changed", log.InfoLevel, "a gateway reads the registrations of backend servers from another source"},
 	{BackendCrashed, "backend_crashed", log.WarnLevel, "a backend server has ended under running requests; the line names the parts of their prompts and their identities"},
 	{PartHeld, "part_held", log.WarnLevel, "requests with a prompt part, the repetitions of one request, or an item of a batch job, are held, because backend servers end under them"},
-	{PartReleased, "part_released", log.InfoLevel, "a request that was held, or one with a held prompt part, has completed, and others are served again"},
+	{PartReleased, "part_released", log.InfoLevel, "a prompt part, request or item is no longer held: a run of it has completed or was served for a second, or its item needs no run any more"},
 	{BackendLimited, "backend_limited", log.InfoLevel, "a backend server names a limit for the requests a second that it takes from all gateways together, or another one, or none any more"},
 	{LimitMalformed, "limit_malformed", log.WarnLevel, "a backend server names a limit that cannot be read; the last one stays in force"},
 	{QuotaOwner, "quota_owner", log.InfoLevel, "a gateway begins to hand out the permits of a workspace, or another one takes over"},
 	{SoftwareRecorded, "software_recorded", log.InfoLevel, "a gateway records in the store which software is in service, or that some has left"},
-	{TrialStarted, "trial_started", log.InfoLevel, "a run with a held prompt part, or of a held request, is tried at one backend server"},
+	{TrialStarted, "trial_started", log.InfoLevel, "a run with a held prompt part, or of a held request or item, is tried at one backend server"},
 	{TrialEnded, "trial_ended", log.InfoLevel, "a trial has ended, and what it tried is still held"},
 }
 
