--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -111,7 +111,7 @@
 	KeptOutputs Kept = "output"
 )
 
-// ObserveKept shows what is kept beyond what each response or output may keep for free.
+// ObserveKept shows the bytes that count toward a budget.
 func (m *Metrics) ObserveKept(what Kept, kept func() int64) {
 	m.set.GetOrCreateGauge(series("catkinrudder_gateway_kept_bytes", label{"what", string(what)}), func() float64 { return float64(kept()) })
 }
