review: case 8, sound items wait behind those that end their workers

Cause: an innocent prompt part that stands beside a deadly one is held with it, and its trials are used up by the items that carry both.

Tested with three gateway processes and nine workers that end under 2 of 78 items: review/8/run.sh.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -26,8 +28,14 @@
 	if _, err := os.Stat(gatewayProgram); err != nil {
 		cannotRun(err.Error())
 	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		cannotRun("it was stopped")
+	}()
 	time.AfterFunc(118*time.Second, func() { cannotRun("it takes longer than 118 s") })
-	run, known := map[string]func() bool{"content": mixedContent, "deadly": deadlyItem, "stale": staleOwner, "regions": lostRegion}[os.Args[1]]
+	run, known := map[string]func() bool{"content": mixedContent, "held": heldPart, "stale": staleOwner, "regions": lostRegion}[os.Args[1]]
 	if !known {
 		cannotRun("no such case")
 	}
