--- a/review/standin-2/held.go
+++ b/review/standin-2/held.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -11,11 +12,13 @@
 )
 
 const (
-	// otherItems are items of batch jobs with other shared parts; guiltyItems carry the part that ends workers: 2 of
-	// 78 are less than the share .03 of the day in the seventh letter.
-	otherItems  = 68
-	guiltyItems = 2
+	// otherItems are items of batch jobs with other shared parts; guiltyItems carry the part that ends workers: 3 of
+	// 105 are less than the share .03 of the day in the seventh letter.
+	otherItems  = 94
+	guiltyItems = 3
 	soundItems  = 8
+	// soundAfter is when the sound batch job comes after the other two.
+	soundAfter = 4 * time.Second
 	// observation is the time after their start for which the gateways watch before the first batch job is handed in.
 	observation = 8 * time.Second
 	// trafficEnds is when the last request of a client is sent, after the first batch job; finishTime is FinishS.
@@ -40,8 +43,15 @@
 	return id, items
 }
 
-// heldPart: two items of a batch job carry a prompt part that ends each worker that begins to run it. Another batch job shares
-// only their first part, with which nothing is wrong.
+// partitionOf returns the partition of the store that the gateways keep a batch job in.
+func partitionOf(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32() % 12
+}
+
+// heldPart: three items of a batch job carry a prompt part that ends each worker that begins to run it. Another batch job shares
+// with them only the first part, with which nothing is wrong.
 func heldPart() (broken bool) {
 	st := newStore(12)
 	all := &runs{}
@@ -76,15 +86,18 @@
 	others, otherList := partItems("others", otherItems, func(i int) string { return fmt.Sprintf("9c2e41b%d:100", i%9) })
 	bad, badList := partItems("bad", guiltyItems, func(int) string { return sharedPart + ":100," + deadlyPart + ":50" })
 	sound, soundList := partItems("sound", soundItems, func(int) string { return sharedPart + ":100" })
+	for n := 0; partitionOf(sound) != partitionOf(bad); n++ { // one gateway runs both
+		sound, soundList = partItems(fmt.Sprint("sound", n), soundItems, func(int) string { return sharedPart + ":100" })
+	}
 	for _, it := range badList {
 		guilty[it.ID] = true
 	}
-	rec.line("three gateways are ready; disruption: %v, items %s and %s", trouble, badList[0].ID, badList[1].ID)
+	rec.line("three gateways are ready; disruption: %v, batch job %s", trouble, bad)
 	begin := time.Now()
 	if !submit(gateways, others, otherList) || !submit(gateways, bad, badList) {
 		cannotRun("a batch job was not accepted")
 	}
-	time.Sleep(1500 * time.Millisecond)
+	time.Sleep(soundAfter)
 	if !submit(gateways, sound, soundList) {
 		cannotRun("a batch job was not accepted")
 	}
