review: cases 6 and 8 wait for what they judge

Case 8 hands the sound batch job in after both trials have failed, and shows the log lines of the quarantine.

--- a/review/standin-2/held.go
+++ b/review/standin-2/held.go
@@ -18,7 +18,7 @@
 	guiltyItems = 3
 	soundItems  = 8
 	// soundAfter is when the sound batch job comes after the other two.
-	soundAfter = 4 * time.Second
+	soundAfter = 20 * time.Second
 	// observation is the time after their start for which the gateways watch before the first batch job is handed in.
 	observation = 8 * time.Second
 	// trafficEnds is when the last request of a client is sent, after the first batch job; finishTime is FinishS.
@@ -126,6 +126,9 @@
 		}
 	}
 	rec.line("%d runs carried the deadly part; the last one was %s ago", len(slices.DeleteFunc(all.all(), func(x run) bool { return !strings.Contains(x.header.Get("Prompt-Prefix"), deadlyPart) })), calm.Round(time.Millisecond))
+	for _, event := range []string{"msg=part_held", "msg=part_released", "msg=trial_started", "msg=trial_ended"} {
+		quoteLogs(event, 12)
+	}
 	if calm < 20*time.Second {
 		cannotRun("a worker has ended in the last 20 s")
 	}
--- a/review/standin-2/regions.go
+++ b/review/standin-2/regions.go
@@ -105,6 +105,10 @@
 	}
 	for id, want := range map[string]int{early: len(earlyItems), late: len(lateItems)} {
 		results, total, readable, last := readAll(far, id, healed.Add(afterLoss))
+		for readable && len(results) < want && time.Since(healed) < afterLoss { // it is not done yet
+			time.Sleep(500 * time.Millisecond)
+			results, total, readable, last = readAll(far, id, healed.Add(afterLoss))
+		}
 		rec.line("batch job %s: read in georgia until %s after the partition: readable %v, %d of %d results (%s)", id, time.Since(healed).Round(time.Millisecond), readable, len(results), total, last)
 		nearResults, _, _, nearLast := readAll(near, id, time.Now().Add(2*time.Second))
 		rec.line("batch job %s: read in carolinas: %d results (%s)", id, len(nearResults), nearLast)
