--- a/review/standin-2/regions.go
+++ b/review/standin-2/regions.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -14,6 +16,9 @@
 	regionDelay = 60 * time.Millisecond
 	// afterLoss is the time after the partition for which the batch jobs are read: RecoveryS, ContactMs and more.
 	afterLoss = 24 * time.Second
+
+	// earlyJobs are done before the partition, lateJobs come after it.
+	earlyJobs, lateJobs, regionItems = 8, 4, 6
 )
 
 func smallJob(seed string, n int) (id string, items []item) {
@@ -28,6 +33,18 @@
 	return id, items
 }
 
+// readDone reads a batch job at gateways of one region until it is done or the time is over.
+func readDone(gateways []*gateway, id string, want int, end time.Time) (results int, readable bool, last string) {
+	for {
+		var list []result
+		list, _, readable, last = readAll(gateways, id, end)
+		if results = len(list); results >= want || !readable || !time.Now().Before(end) {
+			return results, readable, last
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // lostRegion: the regions lose each other for a minute. Gateways of georgia reach their clients and workers meanwhile, and
 // neither the other gateways nor the store.
 func lostRegion() (broken bool) {
@@ -72,15 +89,30 @@
 	time.Sleep(4 * time.Second)
 	near, far := gateways[:2], gateways[2:]
 	rec.line("four gateways are ready; disruption: %v", trouble)
-	early, earlyItems := smallJob("early", 24)
-	if !submit(far, early, earlyItems) {
+	want := make(map[string]int)
+	var ids []string
+	handIn := func(name string, n int) {
+		for i := range n {
+			id, items := smallJob(fmt.Sprint(name, i), regionItems)
+			if !submit(far, id, items) {
+				rec.line("batch job %s was not accepted", id)
+				continue
+			}
+			ids = append(ids, id)
+			want[id] = len(items)
+		}
+	}
+	handIn("early", earlyJobs)
+	if len(ids) != earlyJobs {
 		cannotRun("a batch job was not accepted")
 	}
-	time.Sleep(3 * time.Second)
-	results, total, _, last := readAll(far, early, time.Now().Add(4*time.Second))
-	rec.line("batch job %s: %d of %d results read in georgia (%s)", early, len(results), total, last)
-	if len(results) != len(earlyItems) {
-		cannotRun("the first batch job was not done")
+	time.Sleep(4 * time.Second)
+	for _, id := range ids {
+		results, total, _, last := readAll(far, id, time.Now().Add(2*time.Second))
+		rec.line("batch job %s: %d of %d results read in georgia (%s)", id, len(results), total, last)
+		if len(results) != want[id] {
+			cannotRun("a batch job was not done")
+		}
 	}
 	cut := func(on bool) {
 		for _, l := range between {
@@ -99,24 +131,23 @@
 	rec.line("the regions reach each other again")
 	healed := time.Now()
 	time.Sleep(6 * time.Second)
-	late, lateItems := smallJob("late", 24)
-	if !submit(far, late, lateItems) {
-		rec.line("batch job %s, sent after the partition, was not accepted", late)
-	}
-	for id, want := range map[string]int{early: len(earlyItems), late: len(lateItems)} {
-		results, total, readable, last := readAll(far, id, healed.Add(afterLoss))
-		for readable && len(results) < want && time.Since(healed) < afterLoss { // it is not done yet
-			time.Sleep(500 * time.Millisecond)
-			results, total, readable, last = readAll(far, id, healed.Add(afterLoss))
-		}
-		rec.line("batch job %s: read in georgia until %s after the partition: readable %v, %d of %d results (%s)", id, time.Since(healed).Round(time.Millisecond), readable, len(results), total, last)
-		nearResults, _, _, nearLast := readAll(near, id, time.Now().Add(2*time.Second))
-		rec.line("batch job %s: read in carolinas: %d results (%s)", id, len(nearResults), nearLast)
-		if !readable || len(results) < want {
-			rec.line("LOST: batch job %s can't be read by the clients of georgia", id)
-			broken = true
+	handIn("late", lateJobs)
+	var unread atomic.Int64
+	var reads sync.WaitGroup
+	for _, id := range ids {
+		for region, own := range map[string][]*gateway{"georgia": far, "carolinas": near} {
+			reads.Go(func() {
+				results, readable, last := readDone(own, id, want[id], healed.Add(afterLoss))
+				rec.line("batch job %s: read in %s, %s after the partition: readable %v, %d of %d results (%s)", id, region, time.Since(healed).Round(time.Millisecond), readable, results, want[id], last)
+				if !readable || results < want[id] {
+					rec.line("LOST: batch job %s can't be read by the clients of %s", id, region)
+					unread.Add(1)
+				}
+			})
 		}
 	}
+	reads.Wait()
+	broken = unread.Load() > 0
 	if broken {
 		quoteLogs("peer=", 12)
 	}
