--- a/review/standin-2/held.go
+++ b/review/standin-2/held.go
@@ -129,6 +129,11 @@
 	for _, event := range []string{"msg=part_held", "msg=part_released", "msg=trial_started", "msg=trial_ended"} {
 		quoteLogs(event, 12)
 	}
+	for _, x := range all.all() {
+		if x.end == "" || time.Since(x.ended) < 6*time.Second {
+			cannotRun("a worker has, or has just had, item " + x.id)
+		}
+	}
 	if calm < 20*time.Second {
 		cannotRun("a worker has ended in the last 20 s")
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -35,7 +35,7 @@
 		cannotRun("it was stopped")
 	}()
 	time.AfterFunc(118*time.Second, func() { cannotRun("it takes longer than 118 s") })
-	run, known := map[string]func() bool{"content": mixedContent, "held": heldPart, "silence": silentWorker, "stale": staleOwner, "regions": lostRegion}[os.Args[1]]
+	run, known := map[string]func() bool{"content": mixedContent, "held": heldPart, "stale": staleOwner, "regions": lostRegion}[os.Args[1]]
 	if !known {
 		cannotRun("no such case")
 	}
