jobs: log lines tell the encodings of a submission apart

The lines of the gateways said that a record of the content could not be decoded, but neither which key, nor which encodings of the submission had been written, so that a random order of maps, two submissions with different fields and a lost record looked the same.

content_stored and content_unknown (318, 319) name the digest of the content that a gateway has written or may have written; record_skipped of batch jobs names the key.

--- a/event/event.go
+++ b/event/event.go
@@ -54,6 +54,8 @@
 	ItemPanicked     ID = 315
 	JobWithoutRoute  ID = 316
 	ItemWaits        ID = 317
+	ContentStored    ID = 318
+	ContentUnknown   ID = 319
 	AttemptAdmitted  ID = 401
 	AttemptRefused   ID = 402
 	BatchPreempted   ID = 403
@@ -119,6 +121,8 @@
 	{ItemPanicked, "item_panicked", log.ErrorLevel, "a fault of this process ended a run of a batch item, which is run again"},
 	{JobWithoutRoute, "job_without_route", log.WarnLevel, "the configuration has no route for the items of an accepted batch job"},
 	{ItemWaits, "item_waits", log.InfoLevel, "an open batch item has waited for 5 s for one reason or without any run, then for 10 s, 20 s and so on"},
+	{ContentStored, "content_stored", log.InfoLevel, "the content of a submission is on the log; its job is not accepted yet"},
+	{ContentUnknown, "content_unknown", log.WarnLevel, "appends of the content of a submission had no response and may be executed later"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an arriving online request"},
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/errkind"
+	"github.com/catkinrudder/catkinrudder/event"
 	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
@@ -81,7 +82,7 @@
 	s.acceptMu.Lock()
 	defer s.acceptMu.Unlock()
 	sh := s.shards[shardOf(job.ID, len(s.shards))]
-	if err := s.writeContent(ctx, sh, splitValue(contentKey(job.ID), content, s.opts.RecordBytes)); err != nil {
+	if err := s.writeContent(ctx, sh, job.ID, splitValue(contentKey(job.ID), content, s.opts.RecordBytes)); err != nil {
 		return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(submitRetryAfter)
 	}
 	return s.accept(ctx, job, splitValue(jobKey(job.ID), value, s.opts.RecordBytes), quota)
@@ -90,10 +91,18 @@
 // writeContent appends the items of a job, which have no effect without its
 // summary. The content of a refused job stays until the shard's owner deletes it,
 // because another process may accept the same job at the same time.
-func (s *Service) writeContent(ctx context.Context, sh *shard, records []keyedlog.Record) error {
+func (s *Service) writeContent(ctx context.Context, sh *shard, id string, records []keyedlog.Record) error {
+	digest := digestOf(chunksOf(records))
 	var err error
 	for range maxUnknownAppends {
-		if _, err = s.appendWithTimeout(ctx, sh.content, records, keyedlog.Condition{}); err == nil || ctx.Err() != nil {
+		if _, err = s.appendWithTimeout(ctx, sh.content, records, keyedlog.Condition{}); err == nil {
+			event.Log(s.opts.Logger, event.ContentStored, "job", id, "shard", sh.part.Index, "content", digest, "records", len(records))
+			return nil
+		}
+		if !errors.Is(err, keyedlog.ErrRefused) {
+			event.Log(s.opts.Logger, event.ContentUnknown, "job", id, "shard", sh.part.Index, "content", digest, "records", len(records), "cause", err)
+		}
+		if ctx.Err() != nil {
 			return err
 		}
 	}
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -248,5 +248,5 @@
 }
 
 func (s *Service) logUnreadable(p keyedlog.Partition, r keyedlog.Record, err error) {
-	event.Log(s.opts.Logger, event.RecordSkipped, "topic", p.Topic, "part", p.Index, "offset", r.Offset, "cause", err)
+	event.Log(s.opts.Logger, event.RecordSkipped, "topic", p.Topic, "part", p.Index, "offset", r.Offset, "key", r.Key, "cause", err)
 }
