jobs: content is stored under its digest, which the summary names

Cause: all submissions of a job wrote its content under the same keys (content/ID#i), without a condition, and nothing tied the summary to the content which the job was accepted with. An append without a response goes on living at the log while the same job arrives at another gateway; executed late, it replaces a part of the accepted content wherever the two encodings differ. The owner in office does not notice, as it has read the first one; the next owner reads the mix.

Change: the key ends with the digest of the chunks (items/ID/DIGEST#i), so that two writers of a key write the same bytes, whatever the sizes and boundaries, and content of one call as well. The summary names the digest, only that content becomes the items, and the owner checks it. Equal values are encoded equally, so that a forwarded submission writes the same keys again. All contents of a job, whole or in part, are deleted with it, not earlier: the newest summary may be one that was executed late and names another of them. Content that no job was accepted with is deleted after the retention and then forgotten; before, its tombstones were appended again every 5 s.

Two releases at a time: stored jobs of the older one are read as they are. Gateways state the format which they read in their directory record and their reports; while one reads only the older format, content is written in both, with the old risk for that copy.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -71,36 +72,39 @@
 	if !s.Ready() {
 		return errkind.New(errkind.LogUnavailable, "jobs are not known yet").WithRetryAfter(submitRetryAfter)
 	}
-	content, err := encode(job)
+	encoded, err := encode(job)
 	if err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "job %s", job.ID)
 	}
-	value, err := encode(job.summary())
+	contents := contentValues(job.ID, encoded, s.opts.RecordBytes, s.opts.Peers.OldestFormat())
+	summary, err := encode(job.summary(contents[0].id.digest))
 	if err != nil {
 		return errkind.Wrap(err, errkind.BadRequest, "job %s", job.ID)
 	}
 	s.acceptMu.Lock()
 	defer s.acceptMu.Unlock()
 	sh := s.shards[shardOf(job.ID, len(s.shards))]
-	if err := s.writeContent(ctx, sh, job.ID, splitValue(contentKey(job.ID), content, s.opts.RecordBytes)); err != nil {
-		return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(submitRetryAfter)
+	for _, c := range contents {
+		if err := s.writeContent(ctx, sh, c); err != nil {
+			return errkind.Wrap(err, errkind.LogUnavailable, "job %s is not accepted", job.ID).WithRetryAfter(submitRetryAfter)
+		}
 	}
-	return s.accept(ctx, job, splitValue(jobKey(job.ID), value, s.opts.RecordBytes), quota)
+	return s.accept(ctx, job, splitValue(jobKey(job.ID), summary, s.opts.RecordBytes), quota)
 }
 
-// writeContent appends the items of a job, which have no effect without its
-// summary. The content of a refused job stays until the shard's owner deletes it,
-// because another process may accept the same job at the same time.
-func (s *Service) writeContent(ctx context.Context, sh *shard, id string, records []keyedlog.Record) error {
-	digest := digestOf(chunksOf(records))
+// writeContent appends content, which has no effect without a summary that names it. The
+// content of a refused job stays until the shard's owner deletes it, because a summary
+// that names it may still be executed late.
+func (s *Service) writeContent(ctx context.Context, sh *shard, c contentValue) error {
+	fields := []any{"job", c.id.job, "shard", sh.part.Index, "content", c.id.digest, "records", len(c.records)}
 	var err error
 	for range maxUnknownAppends {
-		if _, err = s.appendWithTimeout(ctx, sh.content, records, keyedlog.Condition{}); err == nil {
-			event.Log(s.opts.Logger, event.ContentStored, "job", id, "shard", sh.part.Index, "content", digest, "records", len(records))
+		if _, err = s.appendWithTimeout(ctx, sh.content, c.records, keyedlog.Condition{}); err == nil {
+			event.Log(s.opts.Logger, event.ContentStored, fields...)
 			return nil
 		}
 		if !errors.Is(err, keyedlog.ErrRefused) {
-			event.Log(s.opts.Logger, event.ContentUnknown, "job", id, "shard", sh.part.Index, "content", digest, "records", len(records), "cause", err)
+			event.Log(s.opts.Logger, event.ContentUnknown, append(slices.Clip(fields), "cause", err)...)
 		}
 		if ctx.Err() != nil {
 			return err
--- a/jobs/chunks.go
+++ b/jobs/chunks.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -65,19 +66,18 @@
 
 func newAssembler() assembler { return assembler{partial: make(map[string][][]byte)} }
 
-// add stores a chunk. Once all chunks of the value are there, it returns the value
-// and the number of its chunks.
-func (a assembler) add(key string, i int, raw []byte) (value []byte, count int, whole bool, err error) {
+// add stores a chunk and returns how many chunks the value has. Once all of them are there, it returns them.
+func (a assembler) add(key string, i int, raw []byte) (chunks [][]byte, count int, err error) {
 	if len(raw) < chunkHeaderBytes {
-		return nil, 0, false, errors.Errorf("jobs: chunk %d of %s: value of %d bytes is too short", i, key, len(raw))
+		return nil, 0, errors.Errorf("jobs: chunk %d of %s: value of %d bytes is too short", i, key, len(raw))
 	}
 	count = int(binary.BigEndian.Uint16(raw))
 	part := raw[chunkHeaderBytes:]
 	if i < 0 || i >= count {
-		return nil, 0, false, errors.Errorf("jobs: chunk %d of %s: index is out of range, chunk count is %d", i, key, count)
+		return nil, 0, errors.Errorf("jobs: chunk %d of %s: index is out of range, chunk count is %d", i, key, count)
 	}
 	if count == 1 {
-		return part, count, true, nil
+		return [][]byte{part}, count, nil
 	}
 	parts := a.partial[key]
 	if len(parts) != count {
@@ -85,12 +85,12 @@
 		a.partial[key] = parts
 	}
 	parts[i] = part
-	for _, p := range parts {
-		if p == nil {
-			return nil, count, false, nil
-		}
-		value = append(value, p...)
+	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
+		return nil, count, nil
 	}
 	delete(a.partial, key)
-	return value, count, true, nil
+	return parts, count, nil
 }
+
+// drop discards the chunks of a value that is deleted.
+func (a assembler) drop(key string) { delete(a.partial, key) }
--- a/jobs/cluster_peers_test.go
+++ b/jobs/cluster_peers_test.go
@@ -124,6 +124,13 @@
 	return len(p.self.cluster.nodes) - 1
 }
 
+func (p clusterPeers) OldestFormat() int {
+	if p.self.cluster.olderRelease {
+		return jobs.StoredFormat - 1
+	}
+	return jobs.StoredFormat
+}
+
 func (p clusterPeers) Submit(ctx context.Context, address string, job *jobs.Job, quota int64) error {
 	p.self.cluster.mu.Lock()
 	n := p.self.cluster.nodes[address]
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -47,6 +47,8 @@
 	outOfOrder func(eventstream.Reason)
 	// logs, if set, receives the log lines of all processes.
 	logs io.Writer
+	// olderRelease states that a process of an older release runs, which reads an older format of stored jobs.
+	olderRelease bool
 	// now is the clock of all processes; nil is the real one.
 	now func() time.Time
 
--- a/jobs/expire.go
+++ b/jobs/expire.go
@@ -40,7 +40,7 @@
 		sh := s.shards[shardOf(job.id, len(s.shards))]
 		records := append(tombstones(jobKey(job.id), job.summaryChunks), tombstones(cancelKey(job.id), 1)...)
 		ok := s.appendTombstones(ctx, sh.part, job.results) &&
-			s.appendTombstones(ctx, sh.content, tombstones(contentKey(job.id), job.contentChunks)) &&
+			s.appendTombstones(ctx, sh.content, job.contents) &&
 			s.appendTombstones(ctx, keyedlog.Partition{Topic: s.opts.JobTopic}, records)
 		if !ok {
 			return
@@ -52,15 +52,16 @@
 type expiredJob struct {
 	id            string
 	summaryChunks int
-	contentChunks int
-	results       []keyedlog.Record
+	// contents and results are the tombstones of the job's contents and of its results and progress.
+	contents []keyedlog.Record
+	results  []keyedlog.Record
 }
 
 // expiredBefore reports whether the job was submitted before at and either gets no more
 // results or was never accepted.
 func (e *entry) expiredBefore(at time.Time) bool {
 	if e.job == nil {
-		return e.items != nil && time.UnixMilli(e.contentSubmittedMs).Before(at)
+		return e.contentExpiredBefore(at)
 	}
 	return !e.open() && e.job.submitted().Before(at)
 }
@@ -75,7 +76,7 @@
 		if !include(id) || !e.expiredBefore(at) {
 			continue
 		}
-		job := expiredJob{id: id, summaryChunks: e.summaryChunks, contentChunks: e.contentChunks}
+		job := expiredJob{id: id, summaryChunks: e.summaryChunks, contents: e.contentTombstones(id)}
 		for position := range e.results {
 			job.results = append(job.results, tombstones(resultKey(id, position), e.resultChunks[position])...)
 		}
--- a/jobs/fuzz_test.go
+++ b/jobs/fuzz_test.go
@@ -34,7 +34,7 @@
 		job := Job{ID: "j", Items: []Item{{ID: "a", Tokens: 1}, {ID: "b", Tokens: 1}}}
 		v := view{table, keyedlog.Partition{}}
 		v.Apply([]keyedlog.Record{
-			{Key: "job/j#0", Value: wholeChunk(t, job.summary())}, {Key: "content/j#0", Value: wholeChunk(t, job)}, {Key: key, Value: value},
+			{Key: "job/j#0", Value: wholeChunk(t, job.summary(""))}, {Key: "content/j#0", Value: wholeChunk(t, job)}, {Key: key, Value: value},
 		})
 		_, _, _ = table.list("j", 0)
 		_, _, _ = table.itemBody("j", "a")
--- a/jobs/job.go
+++ b/jobs/job.go
@@ -51,11 +51,15 @@
 }
 
 // Tokens returns the total tokens of all items.
-func (j *Job) Tokens() int64 { return j.summary().totalTokens() }
-
-// summary returns the part of the job that every process stores.
-func (j *Job) summary() *summary {
-	s := &summary{Host: j.Host, Route: j.Route, SubmittedMs: j.SubmittedMs, Workspace: j.Workspace, Tokens: make([]int64, len(j.Items))}
+func (j *Job) Tokens() int64 { return j.summary("").totalTokens() }
+
+// summary returns the part of the job that every process stores. content is the digest of the
+// content that the job is accepted with.
+func (j *Job) summary(content string) *summary {
+	s := &summary{
+		Host: j.Host, Route: j.Route, SubmittedMs: j.SubmittedMs, Workspace: j.Workspace, Content: content,
+		Tokens: make([]int64, len(j.Items)),
+	}
 	for i := range j.Items {
 		s.Tokens[i] = j.Items[i].Tokens
 	}
@@ -71,6 +75,9 @@
 	// Tokens holds the tokens of each item.
 	Tokens    []int64 `cbor:"4,keyasint"`
 	Workspace string  `cbor:"5,keyasint,omitempty"`
+	// Content is the digest of the content that the job was accepted with. It is empty for a
+	// job that an older release has accepted.
+	Content string `cbor:"6,keyasint,omitempty"`
 }
 
 // submitted returns when the job was first received.
@@ -144,8 +151,19 @@
 	return int(h.Sum32() % uint32(shards))
 }
 
+// encoder writes equal values as equal bytes.
+var encoder = must(cbor.CoreDetEncOptions().EncMode())
+
+// must returns v; err is nil for constant options.
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
 func encode(v any) ([]byte, error) {
-	raw, err := cbor.Marshal(v)
+	raw, err := encoder.Marshal(v)
 	return raw, errors.Wrap(err, "jobs: encode")
 }
 
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,12 +12,13 @@
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
-// The prefixes of record keys: the summary of a job, its content, its cancellation, a
-// result by position, the progress of an item by index. ownerKey is the key of the name of
-// the process that has claimed a shard.
+// The prefixes of record keys: the summary of a job, its content by digest, its content as older
+// releases write it, its cancellation, a result by position, the progress of an item by index.
+// ownerKey is the key of the name of the process that has claimed a shard.
 const (
 	jobPrefix      = "job/"
-	contentPrefix  = "content/"
+	contentPrefix  = "items/"
+	sharedPrefix   = "content/"
 	cancelPrefix   = "end/"
 	resultPrefix   = "result/"
 	progressPrefix = "progress/"
@@ -26,8 +28,6 @@
 
 func jobKey(id string) string { return jobPrefix + id }
 
-func contentKey(id string) string { return contentPrefix + id }
-
 func cancelKey(id string) string { return cancelPrefix + id }
 
 func resultKey(id string, position int) string {
@@ -42,12 +42,11 @@
 	// the clock of this process.
 	job       *summary
 	submitted time.Time
-	// items is nil until the content has been read, which only the shard's owner
-	// does.
+	// items are those of the content that the job was accepted with. They are nil until it has been
+	// read, which only the shard's owner does.
 	items []Item
-	// contentSubmittedMs is the submission time that the content holds, in Unix
-	// milliseconds. It is known even if the job was never accepted.
-	contentSubmittedMs int64
+	// contents are all that submissions of the job have written, by digest.
+	contents map[string]*content
 	// offset is the offset of the job's summary.
 	offset    int64
 	cancelled bool
@@ -55,11 +54,10 @@
 	// done holds the indices of the items that have a result.
 	done     map[int]bool
 	progress map[int]Progress
-	// summaryChunks, contentChunks, resultChunks and progressChunks count the records
-	// that hold the summary, the content, each result by position and the progress of
-	// each item. They determine the tombstones that delete the job.
+	// summaryChunks, resultChunks and progressChunks count the records that hold the summary, each
+	// result by position and the progress of each item. They and those of the contents determine the
+	// tombstones that delete the job.
 	summaryChunks  int
-	contentChunks  int
 	resultChunks   map[int]int
 	progressChunks map[int]int
 	// changed is closed at the next result or when the job is cancelled.
@@ -68,7 +66,7 @@
 
 func newEntry() *entry {
 	return &entry{
-		done: make(map[int]bool), progress: make(map[int]Progress),
+		contents: make(map[string]*content), done: make(map[int]bool), progress: make(map[int]Progress),
 		resultChunks: make(map[int]int), progressChunks: make(map[int]int), changed: make(chan struct{}),
 	}
 }
@@ -140,16 +138,21 @@
 		t.applyTombstone(key)
 		return nil
 	}
-	value, count, whole, err := t.chunks.add(key, i, r.Value)
-	if err != nil || !whole {
+	chunks, count, err := t.chunks.add(key, i, r.Value)
+	if err != nil {
 		return err
 	}
+	if c, ok := parseContentKey(key); ok {
+		return t.applyContent(c, chunks, count)
+	}
+	if chunks == nil {
+		return nil
+	}
+	value := bytes.Join(chunks, nil)
 	kind, name, _ := strings.Cut(key, "/")
 	switch kind + "/" {
 	case jobPrefix:
 		return t.applyJob(name, value, count, r.Offset, accepted)
-	case contentPrefix:
-		return t.applyContent(name, value, count)
 	case cancelPrefix:
 		t.applyCancel(name)
 		return nil
@@ -184,23 +187,11 @@
 	}
 	e.job, e.summaryChunks, e.offset = job, chunks, offset
 	e.submitted = localTime(job.submitted(), t.now(), time.Now())
+	e.selectContent()
 	accepted[id] = job
 	return nil
 }
 
-func (t *Table) applyContent(id string, value []byte, chunks int) error {
-	e := t.entry(id)
-	if e.items != nil {
-		return nil
-	}
-	var job Job
-	if err := decode(value, &job); err != nil {
-		return err
-	}
-	e.items, e.contentChunks, e.contentSubmittedMs = job.Items, chunks, job.SubmittedMs
-	return nil
-}
-
 func (t *Table) applyCancel(id string) {
 	e := t.entry(id)
 	if !e.cancelled {
@@ -284,6 +275,7 @@
 			continue
 		}
 		e.items, e.results = nil, nil
+		clear(e.contents)
 		clear(e.done)
 		clear(e.progress)
 		clear(e.resultChunks)
@@ -292,11 +284,16 @@
 	}
 }
 
-// applyTombstone applies a tombstone: that of a summary deletes the job, tombstones of
-// the job's other records have no effect.
+// applyTombstone applies a tombstone: that of a summary deletes the job, that of content which no
+// job was accepted with deletes the content. Those of other records have no effect.
 func (t *Table) applyTombstone(key string) {
 	if id, ok := strings.CutPrefix(key, jobPrefix); ok {
 		delete(t.byID, id)
+		return
+	}
+	if c, ok := parseContentKey(key); ok {
+		t.chunks.drop(key)
+		t.deleteContent(c)
 	}
 }
 
--- a/peering/owners.go
+++ b/peering/owners.go
@@ -103,3 +103,14 @@
 	}
 	return addresses
 }
+
+// OldestFormat implements jobs.Peers.
+func (p *Peering) OldestFormat() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	oldest := jobs.StoredFormat
+	for _, other := range p.peers {
+		oldest = min(oldest, other.jobFormat)
+	}
+	return oldest
+}
--- a/peering/peering.go
+++ b/peering/peering.go
@@ -73,6 +73,8 @@
 	ConfigVersion int64 `cbor:"21,keyasint,omitempty"`
 	// Capacity is what the sender can do at present, in cores; 0 if its settings do not say.
 	Capacity float64 `cbor:"19,keyasint,omitempty"`
+	// JobFormat is the newest jobs.StoredFormat that the sender reads; reports of older releases lack it.
+	JobFormat int `cbor:"22,keyasint,omitempty"`
 }
 
 // datagram is a report or, if one of the other fields is set, the summary of a region, the
@@ -97,6 +99,9 @@
 	Zone string `cbor:"4,keyasint,omitempty"`
 	// Capacity is the gateway's capacity in cores, by its settings; 0 if they do not say.
 	Capacity float64 `cbor:"5,keyasint,omitempty"`
+	// JobFormat is the newest jobs.StoredFormat that the gateway reads; records of older releases do not hold it.
+	// EncodePeer sets it.
+	JobFormat int `cbor:"6,keyasint,omitempty"`
 }
 
 // Options are the settings of Peering.
@@ -183,6 +188,8 @@
 	// capacity is the peer's stated capacity, from the directory, presentCapacity that of its
 	// last report.
 	capacity, presentCapacity float64
+	// jobFormat is the newest format of stored jobs that the peer reads.
+	jobFormat int
 	// boot and seq order the reports: seq counts those of one start of the peer.
 	// lastReport is when the last report was received, or when the record of a peer
 	// that has sent none was read.
@@ -226,8 +233,9 @@
 	}
 }
 
-// EncodePeer returns the directory record of a gateway.
+// EncodePeer returns the directory record of a gateway of this release.
 func EncodePeer(p Peer) ([]byte, error) {
+	p.JobFormat = jobs.StoredFormat
 	raw, err := cbor.Marshal(p)
 	return raw, errors.Wrap(err, "peering: encode directory record")
 }
@@ -270,6 +278,7 @@
 		p.peers[r.Key] = listed
 	}
 	listed.addr, listed.region, listed.zone, listed.linkMbps, listed.capacity = addr, rec.Region, rec.Zone, rec.LinkMbps, rec.Capacity
+	listed.jobFormat = rec.JobFormat
 	listed.far = rec.Region != p.opts.Region
 	listed.otherZone = !listed.far && rec.Zone != p.opts.Zone
 }
@@ -311,7 +320,7 @@
 		Loads: encodeCounts(p.opts.Table.LocalCounts()), Shards: p.opts.Shards(), Failures: p.opts.Table.Failures(time.Now()), Started: p.opts.Table.Started(), ConfigVersion: version,
 		Paces:      encodePaces(p.opts.Table.FreshPaces(time.Now())),
 		StoreAgeMs: p.opts.StoreAge().Milliseconds(), StoreRTTUs: p.opts.StoreRTT().Microseconds(), Capacity: p.measured.now(),
-		Waiting: p.waiting(),
+		Waiting: p.waiting(), JobFormat: jobs.StoredFormat,
 	}
 }
 
@@ -372,7 +381,7 @@
 	}
 	sender.boot, sender.seq, sender.lastReport, sender.reachable = r.Boot, r.Seq, now, true
 	sender.shards, sender.leaving, sender.presentCapacity = r.Shards, r.Leaving, r.Capacity
-	sender.configVersion = r.ConfigVersion
+	sender.configVersion, sender.jobFormat = r.ConfigVersion, r.JobFormat
 	p.noteConfigVersion(r.ConfigVersion)
 	sender.storeRTT = time.Duration(r.StoreRTTUs) * time.Microsecond
 	sender.storeAge = time.Duration(r.StoreAgeMs) * time.Millisecond
