jobs: chunks of an unfinished value no longer hide a later one

Callers would have seen: a result that was listed is not there any more after the next change of the shard's owner. The next owner runs the item again and writes a shorter result.

TestResultIsReadThoughALongerOneWasNotFinished failed before ("0 != 1: 11 chunks of the longer one") and passes. No run with real processes has shown this. The chunks are kept by key and number of chunks, so chunks of different values no longer meet unless both have the same number; an owner then replaces all of them from the first on.

--- a/jobs/chunks.go
+++ b/jobs/chunks.go
@@ -61,10 +61,11 @@
 	return key, i, errors.Wrapf(err, "jobs: key %q", recordKey)
 }
 
-// assembler reassembles values from their chunks.
-type assembler struct{ partial map[string][][]byte }
+// assembler reassembles values from their chunks. partial holds the chunks of values that are not whole yet, by key
+// and number of chunks: the log may hold chunks of a longer or shorter value that was not finished under the same key.
+type assembler struct{ partial map[string]map[int][][]byte }
 
-func newAssembler() assembler { return assembler{partial: make(map[string][][]byte)} }
+func newAssembler() assembler { return assembler{partial: make(map[string]map[int][][]byte)} }
 
 // add stores a chunk and returns how many chunks the value has. Once all of them are there, it returns them.
 func (a assembler) add(key string, i int, raw []byte) (chunks [][]byte, count int, err error) {
@@ -79,18 +80,29 @@
 	if count == 1 {
 		return [][]byte{part}, count, nil
 	}
-	parts := a.partial[key]
-	if len(parts) != count {
-		parts = make([][]byte, count)
-		a.partial[key] = parts
-	}
+	parts := a.parts(key, count)
 	parts[i] = part
 	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
 		return nil, count, nil
 	}
-	delete(a.partial, key)
+	if delete(a.partial[key], count); len(a.partial[key]) == 0 {
+		a.drop(key)
+	}
 	return parts, count, nil
 }
 
-// drop discards the chunks of a value that is deleted.
+// parts returns the chunks so far of a value of count chunks.
+func (a assembler) parts(key string, count int) [][]byte {
+	if a.partial[key] == nil {
+		a.partial[key] = make(map[int][][]byte)
+	}
+	parts := a.partial[key][count]
+	if parts == nil {
+		parts = make([][]byte, count)
+		a.partial[key][count] = parts
+	}
+	return parts
+}
+
+// drop discards all chunks of a key.
 func (a assembler) drop(key string) { delete(a.partial, key) }
