upstream: a response without length that was reset while its request was written is not complete

Callers saw: a backend server answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written; the part reaches the caller as the complete response, and an item is listed with a part of its output.

Cause: the kernel reports the reset of a connection to one caller only. The request is written by one goroutine and the response read by another one. If the write gets the reset, the read gets what has arrived and then an end like that of a connection which the server has closed. The server serves on, so the examination of its process (same_process) confirmed the end. The error of the write was used for nothing but the reuse of the connection.

Change: connend.Conn remembers the first error of a write.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/catkinrudder/catkinrudder/internal/connend"
 	"github.com/catkinrudder/catkinrudder/internal/intake"
 	"github.com/catkinrudder/catkinrudder/serving"
 )
@@ -33,7 +34,7 @@
 
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*connend.Conn
 	// r reads from bounded, which reads from Conn.
 	r       *bufio.Reader
 	bounded *boundedReader
@@ -49,7 +50,8 @@
 	rejected []string
 }
 
-func newConn(c net.Conn) *conn {
+func newConn(raw net.Conn) *conn {
+	c := connend.New(raw)
 	bounded := &boundedReader{r: c}
 	return &conn{Conn: c, bounded: bounded, r: bufio.NewReaderSize(bounded, readBufferBytes), w: bufio.NewWriterSize(c, writeBufferBytes)}
 }
