upstream, sidecar: a response whose status ends no request is no response

Callers saw: a backend server in trouble sends a response with the status 000. The sidecar passes it on as a response with status 0. The gateway skips its head like an informational one and reads its body as the next head: if that holds a response, the caller gets it.

Cause: net/http reads any three characters that form a number as a status: 000, 099, -00, +99. The gateway took all below 200 for informational, 101 included, which ends the use of HTTP on the connection; the sidecar checked nothing. An order to an engine counted as accepted below 300, and a probe took the identity in such a response for a proof that the process serves.

(99, -1, 1000, 2 00 and the like were failures before.)

Change: below 100 and 101 are failures of the backend server, at the gateway for calls, streams, items and probes, at the sidecar for every use of its client. Informational responses are skipped as before; 200 without a reason and statuses up to 999 are passed on as before.

The clients of the store, of the log service and of peers take only 200 for a success (read).

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -39,10 +39,24 @@
 	return &backend{
 		address: addr,
 		base:    "http://" + addr,
-		client:  &http.Client{Transport: transport, CheckRedirect: noRedirect},
+		client:  &http.Client{Transport: statusChecker{transport}, CheckRedirect: noRedirect},
 	}
 }
 
+// statusChecker fails for a response whose status ends no request: one below 100, which package net/http accepts, and 101,
+// which no request asks for.
+type statusChecker struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (c statusChecker) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTripper.RoundTrip(r)
+	if err != nil || resp.StatusCode >= http.StatusOK {
+		return resp, err //nolint:wrapcheck // as the transport returns it
+	}
+	_ = resp.Body.Close()
+	return nil, errors.Errorf("the response has no status: %.40q", resp.Status)
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // completion is the part of a streamed chat completion chunk that is used.
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -163,9 +163,12 @@
 		if joinsHeads(resp) {
 			return nil, serving.ResponseInfo{}, errors.New("upstream: a head was cut off and another one follows")
 		}
-		if resp.StatusCode < http.StatusOK {
+		if isInformational(resp.StatusCode) {
 			continue
 		}
+		if err := checkStatus(resp); err != nil {
+			return nil, serving.ResponseInfo{}, err
+		}
 		info := codec.Decode(resp)
 		if info.RequestID == id || (info.RequestID == "" && info.NotRun && !e.conn.reused) {
 			return resp, info, nil
@@ -178,6 +181,24 @@
 	return nil, serving.ResponseInfo{}, ErrMismatchedResponse
 }
 
+// errNoStatus is returned for a response whose status ends no request.
+var errNoStatus = errors.New("upstream: the response has no status")
+
+// isInformational reports whether a response with the status precedes another one. One with 101 does not: it ends the
+// use of HTTP on the connection, which no request asks for.
+func isInformational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// checkStatus returns errNoStatus unless the status of resp ends its request. Three characters that form a number are
+// read as a status, such as 000 or +99.
+func checkStatus(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return errors.Wrapf(errNoStatus, "%.40q", resp.Status)
+	}
+	return nil
+}
+
 // statusLine is the begin of the first line of a response.
 const statusLine = "HTTP/1."
 
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -87,6 +87,9 @@
 		return serving.Process{}, false, errors.Wrap(err, "read identity")
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if err := checkStatus(resp); err != nil {
+		return serving.Process{}, false, err
+	}
 	process = codec.DecodeProcess(resp)
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return serving.Process{}, false, errors.Wrap(err, "read identity")
