jobs: a job whose content can't be read is deleted after its retention

Content that has all of its records and can't be decoded, or does not have the digest of its key, is marked, and the job then expires like one that is done. Content of which records are not read yet is not.

TestJobWithUnreadableContentIsDeleted failed before (with the condition taken out) and passes.

--- a/jobs/content.go
+++ b/jobs/content.go
@@ -101,6 +101,8 @@
 	// Unix milliseconds.
 	whole       bool
 	submittedMs int64
+	// unreadable states that all records were there and are not those of one submission.
+	unreadable bool
 	// items are dropped once it is known which content the job was accepted with.
 	items []Item
 }
@@ -126,11 +128,8 @@
 	if chunks == nil || c.whole {
 		return nil
 	}
-	if actual := digestOf(chunks); id.digest != "" && actual != id.digest {
-		return errors.Errorf("jobs: content of job %s has digest %s", id.job, actual)
-	}
-	var job Job
-	if err := decode(bytes.Join(chunks, nil), &job); err != nil {
+	job, err := decodeContent(id, chunks)
+	if c.unreadable = err != nil; c.unreadable {
 		return err
 	}
 	c.whole, c.submittedMs, c.items = true, job.SubmittedMs, job.Items
@@ -138,6 +137,21 @@
 	return nil
 }
 
+// decodeContent returns the job that the chunks of content hold.
+func decodeContent(id contentID, chunks [][]byte) (*Job, error) {
+	if actual := digestOf(chunks); id.digest != "" && actual != id.digest {
+		return nil, errors.Errorf("jobs: content of job %s has digest %s", id.job, actual)
+	}
+	job := &Job{}
+	return job, decode(bytes.Join(chunks, nil), job)
+}
+
+// lacksContent reports whether the content that the job was accepted with can't be read.
+func (e *entry) lacksContent() bool {
+	c := e.contents[e.job.Content]
+	return e.items == nil && c != nil && c.unreadable
+}
+
 // selectContent makes the items of the content that the job was accepted with those of the job, and drops those of other
 // content, whose records stay until the job is deleted: another process may know the job by them.
 func (e *entry) selectContent() {
--- a/jobs/content_test.go
+++ b/jobs/content_test.go
@@ -151,3 +151,17 @@
 		assert.Equal(t, len(table.chunks.partial), 0, name)
 	}
 }
+
+// TestJobWithUnreadableContentIsDeleted guards against a job that is kept for ever, as an older release has stored a mix of two
+// submissions and none of its items can be run.
+func TestJobWithUnreadableContentIsDeleted(t *testing.T) {
+	j := Job{ID: "j", SubmittedMs: time.Now().Add(-2 * testRetention).UnixMilli(), Items: []Item{{ID: "i", Tokens: 1}}}
+	for name, chunk := range map[string][]byte{"unreadable": {0, 1, 0xff}, "readable": wholeChunk(t, j), "not read yet": {0, 2, 1}} {
+		table := newTable(time.Now, func(string, *summary) {}, func(keyedlog.Partition, keyedlog.Record, error) {})
+		view{table, keyedlog.Partition{}}.Apply([]keyedlog.Record{
+			{Key: "job/j#0", Value: wholeChunk(t, j.summary(""))}, {Key: "content/j#0", Value: chunk},
+		})
+		expired := table.expiredBefore(time.Now().Add(-testRetention), func(string) bool { return true })
+		assert.Equal(t, len(expired) == 1, name == "unreadable", name)
+	}
+}
--- a/jobs/expire.go
+++ b/jobs/expire.go
@@ -58,12 +58,12 @@
 }
 
 // expiredBefore reports whether the job was submitted before at and either gets no more
-// results or was never accepted.
+// results, as all are there or as its items can't be read, or was never accepted.
 func (e *entry) expiredBefore(at time.Time) bool {
 	if e.job == nil {
 		return e.contentExpiredBefore(at)
 	}
-	return !e.open() && e.job.submitted().Before(at)
+	return (!e.open() || e.lacksContent()) && e.job.submitted().Before(at)
 }
 
 // expiredBefore returns the jobs selected by include that can be deleted when jobs
