--- a/jobs/content.go
+++ b/jobs/content.go
@@ -129,9 +129,11 @@
 		return nil
 	}
 	job, err := decodeContent(id, chunks)
-	if c.unreadable = err != nil; c.unreadable {
+	if err != nil {
+		c.unreadable = true
 		return err
 	}
+	c.unreadable = false
 	c.whole, c.submittedMs, c.items = true, job.SubmittedMs, job.Items
 	e.selectContent()
 	return nil
--- a/jobs/fuzz_test.go
+++ b/jobs/fuzz_test.go
@@ -26,6 +26,8 @@
 	f.Add("result/j/-1#0", wholeChunk(f, Result{Item: 1}))
 	f.Add("progress/j/7#0", wholeChunk(f, Progress{Events: -1}))
 	f.Add("content/j#0", wholeChunk(f, Job{ID: "j"}))
+	f.Add("items/j/digest#0", wholeChunk(f, Job{ID: "j"}))
+	f.Add("items/j#1", []byte{0, 3, 1})
 	f.Add("job/j#0", wholeChunk(f, summary{Tokens: []int64{-1, 1 << 62}}))
 	f.Add("end/j#0", []byte{0, 1, 1})
 	f.Add("result/j/0#0", []byte{255, 255, 1})
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -110,8 +110,7 @@
 	Capacities(maxRTT time.Duration) (own float64, peers []float64)
 	// ReachableCount returns the number of reachable processes.
 	ReachableCount() int
-	// OldestFormat returns the oldest format of stored jobs that is the newest one which
-	// another process reads; see StoredFormat.
+	// OldestFormat returns the lowest StoredFormat of all processes.
 	OldestFormat() int
 	// Submit forwards a submission to another process.
 	Submit(ctx context.Context, address string, job *Job, quota int64) error
