--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -23,27 +23,14 @@
 // fullFixture is a gateway whose budget for responses is used up, and whose backend server sends body.
 func fullFixture(t *testing.T, contentType, body string) *fixture {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				req, err := http.ReadRequest(bufio.NewReader(c))
-				if err == nil {
-					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
-						req.Header.Get("Request-Id"), contentType, len(body), body) // a dropped response is closed
-				}
-				_ = c.Close()
-			}()
+	address := platformtest.ServeConns(t, func(c net.Conn) {
+		if req, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
+				req.Header.Get("Request-Id"), contentType, len(body), body) // a dropped response is closed
 		}
-	}()
+	})
 	b := platformtest.NewBackend(t, "a")
-	b.Address = ln.Addr().String()
+	b.Address = address
 	f := newFixture(t, b)
 	budget := intake.NewBudget(intake.LargestFirst, 0, nil)
 	other := budget.Open(nil)
--- a/internal/sidecar/late_copy_test.go
+++ b/internal/sidecar/late_copy_test.go
@@ -11,29 +11,12 @@
 	"gotest.tools/v3/assert"
 
 	peerv1 "github.com/catkinrudder/catkinrudder/peer/v1"
+	"github.com/catkinrudder/catkinrudder/platform/platformtest"
 )
 
-// serveLateCopies serves calls on connections that stay open. Before the answer to a later call on a
-// connection it sends the answer to the former one once more.
-func serveLateCopies(t *testing.T) (address string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go answerTwice(c)
-		}
-	}()
-	return ln.Addr().String()
-}
-
+// answerTwice serves calls on a connection that stays open. Before the answer to a later call it sends the answer to the
+// former one once more.
 func answerTwice(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	r := bufio.NewReader(c)
 	last := ""
 	for {
@@ -54,7 +37,7 @@
 // second time while another one waits on the connection. Engines and plain services name no request
 // in their answers, so the second caller used to get the answer of the first.
 func TestLateCopyOfAnAnswerReachesNobody(t *testing.T) {
-	b := newBackend(serveLateCopies(t))
+	b := newBackend(platformtest.ServeConns(t, answerTwice))
 	for i := range 5 {
 		path := fmt.Sprintf("/call-%d", i)
 		var body []byte
