--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -22,6 +22,8 @@
 	host    = "desk.example"
 	// jobPrefix is the prefix of the batch route.
 	jobPrefix = "/lists/"
+	// lookPrefix is that of a route for safe requests.
+	lookPrefix = "/look/"
 )
 
 // recorder writes what was sent, answered and run.
@@ -118,6 +120,7 @@
 		"Routes": []map[string]any{
 			{"Name": "r-lists", "Host": host, "PathPrefix": jobPrefix, "RouteType": "batch", "TimeoutMs": 15000, "TargetLatencyMs": 400, "CompletionTargetMs": 18000, "RetentionS": 60, "MaxAttempts": 3, "Priority": 2, "Service": service, "Cap": o.cap, "SessionAffinity": true, "Resumable": true, "GapAimMs": 200},
 			{"Name": "r-talk", "Host": host, "PathPrefix": "/talk/", "RouteType": "stream", "TimeoutMs": 5000, "TargetLatencyMs": 300, "Priority": 0, "Service": service, "MaxAttempts": 2, "SessionAffinity": true, "Resumable": true, "GapAimMs": 200},
+			{"Name": "r-look", "Host": host, "PathPrefix": lookPrefix, "RouteType": "safe", "TimeoutMs": 2000, "TargetLatencyMs": 500, "MaxAttempts": 2, "Priority": 2, "Service": service},
 		},
 		"Services": []map[string]any{{"Name": service, "HealthPath": "/health", "MaxConnections": 370, "Protocol": "h1", "Tls": false, "Engine": map[string]any{"Slots": o.slots, "KvCapacityTokens": 101495}}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
@@ -235,10 +238,37 @@
 	if cmd == nil {
 		return
 	}
+	g.record.add("signal", "%s is killed for good", g.name)
 	_ = cmd.Process.Kill()
 	<-done
 }
 
+// watchMemory kills the gateways that exceed their memory, as the platform does, and starts them again after a delay.
+func (d *deployment) watchMemory() {
+	const interval = 20 * time.Millisecond
+	go func() {
+		for n := 0; ; n++ {
+			time.Sleep(interval)
+			text := ""
+			for _, g := range d.gateways {
+				mb := g.residentMB()
+				text += fmt.Sprintf(" %s %.0f MB", g.name, mb)
+				if mb > float64(d.memoryMB) {
+					d.record.add("memory", "%s has %.0f MB of %d MB and is killed by the platform", g.name, mb, d.memoryMB)
+					g.kill()
+					time.AfterFunc(restartDelay, g.start)
+				}
+			}
+			if n%int(time.Second/interval) == 0 {
+				d.record.add("memory", "%s", text)
+			}
+		}
+	}()
+}
+
+// restartDelay is the delay after which the platform starts a process again.
+const restartDelay = 500 * time.Millisecond
+
 func (d *deployment) close() {
 	for _, g := range d.gateways {
 		g.close()
@@ -280,8 +310,13 @@
 // residentMB returns the resident memory of the process in MB, or 0 if it has ended.
 func (g *gateway) residentMB() float64 {
 	g.mu.Lock()
-	pid := g.cmd.Process.Pid
+	pid, done := g.cmd.Process.Pid, g.done
 	g.mu.Unlock()
+	select {
+	case <-done:
+		return 0
+	default:
+	}
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
 		return 0
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -61,6 +62,12 @@
 	s.put("keyed.servers", w.id, raw)
 }
 
+const (
+	// lookTime is the work of a safe request, lookBytes the length of its answer.
+	lookTime  = 300 * time.Millisecond
+	lookBytes = 800
+)
+
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	h := out.Header()
@@ -91,6 +98,12 @@
 	defer w.end()
 	h.Set("Request-Id", u.id)
 	h.Set("Response-Stamp", "stamp-"+w.id)
+	if strings.HasPrefix(r.URL.Path, lookPrefix) {
+		time.Sleep(lookTime)
+		h.Set("Content-Length", strconv.Itoa(lookBytes))
+		_, _ = out.Write(make([]byte, lookBytes))
+		return
+	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", w.load(), w.slots))
 	first, _ := strconv.Atoi(u.after)
