--- a/review/standins-3/client.go
+++ b/review/standins-3/client.go
@@ -125,3 +125,27 @@
 	}
 	return n
 }
+
+// callResult is what a client learns from the answer to a request with a single answer.
+type callResult struct {
+	status  int
+	leaving bool
+}
+
+// callOnce sends one request with a single answer.
+func callOnce(ctx context.Context, client *http.Client, g *gateway, prefix, id string) (callResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8144"+prefix+id, nil)
+	must(err)
+	req.Host = host
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Deadline-Ms", "2000")
+	resp, err := client.Do(req)
+	if err != nil {
+		return callResult{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return callResult{resp.StatusCode, resp.Header.Get("Server-Leaving") == "1"}, err
+}
--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -24,6 +24,8 @@
 	jobPrefix = "/lists/"
 	// lookPrefix is that of a route for safe requests.
 	lookPrefix = "/look/"
+	// bookPrefix is that of a route for requests that may run once at most.
+	bookPrefix = "/book/"
 )
 
 // recorder writes what was sent, answered and run.
@@ -121,6 +123,7 @@
 			{"Name": "r-lists", "Host": host, "PathPrefix": jobPrefix, "RouteType": "batch", "TimeoutMs": 15000, "TargetLatencyMs": 400, "CompletionTargetMs": 18000, "RetentionS": 60, "MaxAttempts": 3, "Priority": 2, "Service": service, "Cap": o.cap, "SessionAffinity": true, "Resumable": true, "GapAimMs": 200},
 			{"Name": "r-talk", "Host": host, "PathPrefix": "/talk/", "RouteType": "stream", "TimeoutMs": 5000, "TargetLatencyMs": 300, "Priority": 0, "Service": service, "MaxAttempts": 2, "SessionAffinity": true, "Resumable": true, "GapAimMs": 200},
 			{"Name": "r-look", "Host": host, "PathPrefix": lookPrefix, "RouteType": "safe", "TimeoutMs": 2000, "TargetLatencyMs": 500, "MaxAttempts": 2, "Priority": 2, "Service": service},
+			{"Name": "r-book", "Host": host, "PathPrefix": bookPrefix, "RouteType": "unsafe", "TimeoutMs": 2000, "TargetLatencyMs": 500, "MaxAttempts": 1, "Priority": 0, "Service": service},
 		},
 		"Services": []map[string]any{{"Name": service, "HealthPath": "/health", "MaxConnections": 370, "Protocol": "h1", "Tls": false, "Engine": map[string]any{"Slots": o.slots, "KvCapacityTokens": 101495}}},
 		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(rec *recorder, trouble bool) outcome{
 	"memory":  memoryCase,
 	"refused": refusedCase,
+	"leaving": leavingCase,
 }
 
 func main() {
--- a/review/standins-3/memory.go
+++ b/review/standins-3/memory.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -87,7 +86,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
 	for n := 0; ctx.Err() == nil; n++ {
 		id := fmt.Sprintf("look-%d-%d", channel, n)
-		err := lookOnce(ctx, client, g, id)
+		_, err := callOnce(ctx, client, g, lookPrefix, id)
 		if err == nil {
 			kept++
 			continue
@@ -104,25 +103,3 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 }
-
-func lookOnce(ctx context.Context, client *http.Client, g *gateway, id string) error {
-	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+g.ip+":8144"+lookPrefix+id, nil)
-	must(err)
-	req.Host = host
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Deadline-Ms", "2000")
-	resp, err := client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil // an answer, if no success
-	}
-	return nil
-}
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -31,46 +31,80 @@
 	mu      sync.Mutex
 	seq     int64
 	running int
-	runs    []*run
-	record  *recorder
+	// leaving states that the worker says in all answers that it leaves; silent that it writes nothing any more.
+	leaving, silent bool
+	server          *http.Server
+	runs            []*run
+	record          *recorder
 }
 
 func startWorker(s *store, id, service string, slots, events int, interval time.Duration, rec *recorder) *worker {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	w := &worker{id: id, address: ln.Addr().String(), service: service, slots: slots, events: events, interval: interval, born: time.Now().UnixMilli(), record: rec}
-	go func() { _ = (&http.Server{Handler: w}).Serve(ln) }()
+	w.server = &http.Server{Handler: w}
+	go func() { _ = w.server.Serve(ln) }()
 	go func() {
 		for {
-			w.register(s)
+			if entry, ok := w.nextEntry(); ok {
+				s.put(workerTopic, w.id, entry)
+			}
 			time.Sleep(heartbeat)
 		}
 	}()
 	return w
 }
 
-const heartbeat = 1200 * time.Millisecond
+const (
+	heartbeat = 1200 * time.Millisecond
+	// silentBeats is after how many intervals without a heartbeat the platform removes an entry.
+	silentBeats = 3
+	workerTopic = "keyed.servers"
+)
 
-// register writes the worker's entry to the store.
-func (w *worker) register(s *store) {
+// nextEntry returns the worker's next entry, or false if it writes nothing any more.
+func (w *worker) nextEntry() ([]byte, bool) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.silent {
+		return nil, false
+	}
 	w.seq++
-	entry := map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": "v1", "Slots": w.slots, "State": "ready", "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born}
-	w.mu.Unlock()
-	raw, err := json.Marshal(entry)
+	raw, err := json.Marshal(map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": "v1", "Slots": w.slots, "State": "ready", "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born})
 	must(err)
-	s.put("keyed.servers", w.id, raw)
+	return raw, true
+}
+
+// leave makes the worker say in all answers that it leaves, and removes its entry.
+func (w *worker) leave(s *store) {
+	w.mu.Lock()
+	w.leaving, w.silent = true, true
+	w.mu.Unlock()
+	s.put(workerTopic, w.id, nil)
+}
+
+// exit ends the worker: it closes all channels.
+func (w *worker) exit() { _ = w.server.Close() }
+
+// isLeaving reports whether the worker says that it leaves.
+func (w *worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
 }
 
 const (
-	// lookTime is the work of a safe request, lookBytes the length of its answer.
-	lookTime  = 300 * time.Millisecond
-	lookBytes = 800
+	// callTime is the work of a request with a single answer, callBytes the length of the answer.
+	callTime  = 300 * time.Millisecond
+	callBytes = 800
 )
 
 // ServeHTTP implements http.Handler.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	h := out.Header()
+	if w.isLeaving() {
+		h.Set("Server-Leaving", "1")
+	}
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != w.id {
 		h.Set("Request-Id", r.Header.Get("Request-Id"))
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -98,10 +132,10 @@
 	defer w.end()
 	h.Set("Request-Id", u.id)
 	h.Set("Response-Stamp", "stamp-"+w.id)
-	if strings.HasPrefix(r.URL.Path, lookPrefix) {
-		time.Sleep(lookTime)
-		h.Set("Content-Length", strconv.Itoa(lookBytes))
-		_, _ = out.Write(make([]byte, lookBytes))
+	if strings.HasPrefix(r.URL.Path, lookPrefix) || strings.HasPrefix(r.URL.Path, bookPrefix) {
+		time.Sleep(callTime)
+		h.Set("Content-Length", strconv.Itoa(callBytes))
+		_, _ = out.Write(make([]byte, callBytes))
 		return
 	}
 	h.Set("Content-Type", "text/event-stream")
