--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -69,6 +69,8 @@
 	gateways []*gateway
 	workers  []*worker
 	memoryMB int
+	// link is between the first two gateways, if the options ask for one.
+	link *link
 }
 
 // options are the figures of a deployment.
@@ -78,6 +80,7 @@
 	memoryMB                         int
 	cap                              int64
 	appendTime                       time.Duration
+	linked                           bool
 }
 
 func deploy(o options, rec *recorder) *deployment {
@@ -93,6 +96,9 @@
 	for i := range o.gateways {
 		d.gateways = append(d.gateways, d.newGateway(fmt.Sprintf("front-%s-%d", zone, i+1), freeIP(i), binary, o))
 	}
+	if o.linked {
+		d.link = connect(d.store, d.gateways[0], d.gateways[1], [2]string{freeIP(20), freeIP(21)})
+	}
 	for _, g := range d.gateways {
 		g.start()
 	}
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -23,6 +23,7 @@
 	"memory":  memoryCase,
 	"refused": refusedCase,
 	"leaving": leavingCase,
+	"stale":   staleCase,
 }
 
 func main() {
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -72,6 +72,19 @@
 	fault func(c storeCall) callFault
 	// released is closed when hanging calls may end.
 	released chan struct{}
+	// viewOf replaces what a gateway reads of the directory of gateways.
+	viewOf map[string]func([]byte) []byte
+}
+
+// directoryTopic is the directory of gateways.
+const directoryTopic = "keyed.gateways"
+
+// view returns what a gateway reads in place of raw.
+func (s *store) view(gateway, topic string, raw []byte) []byte {
+	if f := s.viewOf[gateway]; f != nil && topic == directoryTopic {
+		return f(raw)
+	}
+	return raw
 }
 
 // storeCall is one call as a fault sees it.
@@ -164,9 +177,9 @@
 		if err != nil {
 			maxKB = 1024
 		}
-		return http.StatusOK, nil, s.read(r, c.topic, c.part, from, time.Duration(wait)*time.Millisecond, maxKB<<10)
+		return http.StatusOK, nil, s.view(c.gateway, c.topic, s.read(r, c.topic, c.part, from, time.Duration(wait)*time.Millisecond, maxKB<<10))
 	case "newest":
-		return http.StatusOK, s.newest(c.topic, c.part, q("After")), nil
+		return http.StatusOK, s.newest(c, q("After")), nil
 	case "join":
 		status, out = s.join(c.body)
 	case "leave":
@@ -317,10 +330,10 @@
 	pageBytes   = 1 << 20
 )
 
-func (s *store) newest(topic string, part int, after string) any {
+func (s *store) newest(c storeCall, after string) any {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.part(topic, part)
+	p := s.part(c.topic, c.part)
 	keys := make([]string, 0, len(p.newest))
 	for k := range p.newest {
 		if k > after {
@@ -335,7 +348,7 @@
 		if size += len(r.value); len(items) == pageRecords || size > pageBytes && len(items) > 0 {
 			break
 		}
-		items = append(items, newestItem{k, base64.StdEncoding.EncodeToString(r.value), r.offset})
+		items = append(items, newestItem{k, base64.StdEncoding.EncodeToString(s.view(c.gateway, c.topic, r.value)), r.offset})
 	}
 	return map[string]any{"Items": items, "HasMore": len(items) < len(keys), "End": p.end()}
 }
@@ -494,3 +507,16 @@
 		panic(err)
 	}
 }
+
+// shardsOf returns the partitions of the group that a gateway has. Members are named after their gateway.
+func (s *store) shardsOf(gateway string) map[int]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[int]bool)
+	for p, name := range s.group.holder {
+		if strings.HasPrefix(name, gateway+"-") {
+			out[p] = true
+		}
+	}
+	return out
+}
