--- a/review/standins-3/fleet.go
+++ b/review/standins-3/fleet.go
@@ -238,6 +238,19 @@
 	<-g.done
 }
 
+// restart stops the process as the platform does, and starts it again once it has ended.
+func (g *gateway) restart() {
+	g.signal(syscall.SIGTERM)
+	g.mu.Lock()
+	done := g.done
+	g.mu.Unlock()
+	go func() {
+		<-done
+		time.Sleep(restartDelay)
+		g.start()
+	}()
+}
+
 // close ends the process for good.
 func (g *gateway) close() {
 	g.mu.Lock()
