--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -24,6 +24,7 @@
 	"refused": refusedCase,
 	"leaving": leavingCase,
 	"stale":   staleCase,
+	"joined":  joinedCase,
 }
 
 func main() {
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -31,6 +31,7 @@
 	mu      sync.Mutex
 	seq     int64
 	running int
+	version string
 	// leaving states that the worker says in all answers that it leaves; silent that it writes nothing any more.
 	leaving, silent bool
 	server          *http.Server
@@ -41,9 +42,8 @@
 func startWorker(s *store, id, service string, slots, events int, interval time.Duration, rec *recorder) *worker {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	w := &worker{id: id, address: ln.Addr().String(), service: service, slots: slots, events: events, interval: interval, born: time.Now().UnixMilli(), record: rec}
-	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(ln) }()
+	w := &worker{id: id, address: ln.Addr().String(), service: service, slots: slots, events: events, interval: interval, record: rec}
+	w.serve(ln, firstVersion)
 	go func() {
 		for {
 			if entry, ok := w.nextEntry(); ok {
@@ -70,7 +70,7 @@
 		return nil, false
 	}
 	w.seq++
-	raw, err := json.Marshal(map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": "v1", "Slots": w.slots, "State": "ready", "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born})
+	raw, err := json.Marshal(map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": w.version, "Slots": w.slots, "State": "ready", "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born})
 	must(err)
 	return raw, true
 }
@@ -83,8 +83,51 @@
 	s.put(workerTopic, w.id, nil)
 }
 
+// The versions of the workers' software.
+const firstVersion, nextVersion = "v1", "v2"
+
+// serve starts a boot of the worker.
+func (w *worker) serve(ln net.Listener, version string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.born, w.version = time.Now().UnixMilli(), version
+	w.server = &http.Server{Handler: w}
+	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
+}
+
 // exit ends the worker: it closes all channels.
-func (w *worker) exit() { _ = w.server.Close() }
+func (w *worker) exit() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_ = w.server.Close()
+}
+
+// crash ends the worker, and it writes nothing any more.
+func (w *worker) crash() {
+	w.mu.Lock()
+	w.silent = true
+	w.mu.Unlock()
+	w.exit()
+	w.record.add("worker", "%s crashes", w.id)
+}
+
+// replaceInPlace ends the worker and starts it again under its id, at its address, with the next version.
+func (w *worker) replaceInPlace(s *store) {
+	w.exit()
+	ln, err := net.Listen("tcp", w.address)
+	must(err)
+	w.serve(ln, nextVersion)
+	entry, _ := w.nextEntry()
+	s.put(workerTopic, w.id, entry)
+	w.record.add("worker", "%s starts again with version %s", w.id, nextVersion)
+}
+
+// runsVersion returns the version of the worker's software.
+func (w *worker) runsVersion() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.version
+}
 
 // isLeaving reports whether the worker says that it leaves.
 func (w *worker) isLeaving() bool {
@@ -115,7 +158,7 @@
 		h.Set("Instance-Id", w.id)
 		return
 	case "/api/report":
-		_ = json.NewEncoder(out).Encode(map[string]any{"Stage": "both", "born": w.born, "Running": w.running, "Waiting": 0})
+		_ = json.NewEncoder(out).Encode(w.report())
 		return
 	}
 	_, err := io.Copy(io.Discard, r.Body)
@@ -140,6 +183,7 @@
 	}
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Server-Load", fmt.Sprintf("%d,0,%d", w.load(), w.slots))
+	version := w.runsVersion()
 	first, _ := strconv.Atoi(u.after)
 	for n := first + 1; n <= w.events; n++ {
 		select {
@@ -147,7 +191,7 @@
 			return
 		case <-time.After(w.interval):
 		}
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, eventData(u.id, n)); err != nil {
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, eventData(u.id, n, version)); err != nil {
 			return
 		}
 		if http.NewResponseController(out).Flush() != nil {
@@ -162,8 +206,10 @@
 	w.mu.Unlock()
 }
 
-// eventData is the data of event n of a request: the same at every worker.
-func eventData(id string, n int) string { return fmt.Sprintf("%s.%d", id, n) }
+// eventData is the data of event n of a request: the same at every worker that runs a version.
+func eventData(id string, n int, version string) string {
+	return fmt.Sprintf("%s.%d.%s", id, n, version)
+}
 
 func (w *worker) begin(r *http.Request) *run {
 	w.mu.Lock()
@@ -184,6 +230,13 @@
 	w.running--
 }
 
+// report is what the worker says of itself.
+func (w *worker) report() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return map[string]any{"Stage": "both", "born": w.born, "Running": w.running, "Waiting": 0}
+}
+
 func (w *worker) load() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
