--- a/review/standins-3/stale.go
+++ b/review/standins-3/stale.go
@@ -81,6 +81,7 @@
 			out = held
 		}
 		if d.lost(first, j) {
+			d.readIDs(second, j.id) // for the record
 			out = broken
 		}
 	}
