--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -27,12 +27,20 @@
 	"joined":  joinedCase,
 }
 
+// timeLimit bounds a case.
+const timeLimit = 115 * time.Second
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standins CASE RECORD")
 		os.Exit(int(notRun))
 	}
 	rec := newRecorder(os.Args[2])
+	// The gateways end with this process.
+	time.AfterFunc(timeLimit, func() {
+		rec.add("error", "not done after %s", timeLimit)
+		os.Exit(int(notRun))
+	})
 	os.Exit(int(play(rec, cases[os.Args[1]], os.Getenv("TROUBLE") != "0")))
 }
 
--- a/review/standins-3/worker.go
+++ b/review/standins-3/worker.go
@@ -34,9 +34,11 @@
 	version string
 	// leaving states that the worker says in all answers that it leaves; silent that it writes nothing any more.
 	leaving, silent bool
-	server          *http.Server
-	runs            []*run
-	record          *recorder
+	// draining states that the worker's entry says so.
+	draining bool
+	server   *http.Server
+	runs     []*run
+	record   *recorder
 }
 
 func startWorker(s *store, id, service string, slots, events int, interval time.Duration, rec *recorder) *worker {
@@ -70,7 +72,11 @@
 		return nil, false
 	}
 	w.seq++
-	raw, err := json.Marshal(map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": w.version, "Slots": w.slots, "State": "ready", "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born})
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
+	raw, err := json.Marshal(map[string]any{"Service": w.service, "Address": w.address, "Zone": zone, "Version": w.version, "Slots": w.slots, "State": state, "ColdRemainingMs": 0, "Seq": w.seq, "born": w.born})
 	must(err)
 	return raw, true
 }
@@ -91,6 +97,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.born, w.version = time.Now().UnixMilli(), version
+	w.leaving, w.draining = false, false
 	w.server = &http.Server{Handler: w}
 	go func(s *http.Server) { _ = s.Serve(ln) }(w.server)
 }
@@ -111,8 +118,19 @@
 	w.record.add("worker", "%s crashes", w.id)
 }
 
-// replaceInPlace ends the worker and starts it again under its id, at its address, with the next version.
-func (w *worker) replaceInPlace(s *store) {
+// drain makes the worker report that it drains, and say so in all answers from now on.
+func (w *worker) drain(s *store) {
+	w.mu.Lock()
+	w.leaving, w.draining = true, true
+	w.mu.Unlock()
+	entry, _ := w.nextEntry()
+	s.put(workerTopic, w.id, entry)
+	w.record.add("worker", "%s drains", w.id)
+}
+
+// startAgain ends the worker and starts it again under its id, at its address, with the next version.
+func (w *worker) startAgain(s *store) {
+	w.record.add("worker", "%s ends, %d requests in progress", w.id, w.load())
 	w.exit()
 	ln, err := net.Listen("tcp", w.address)
 	must(err)
