jobs: log a membership of the shards' group that lapsed or has another generation

Change: event 320, membership_broken, with the time since the last confirmation, both generations and the number of shards that are owned and listed.

--- a/event/event.go
+++ b/event/event.go
@@ -56,6 +56,7 @@
 	ItemWaits        ID = 317
 	ContentStored    ID = 318
 	ContentUnknown   ID = 319
+	MembershipBroken ID = 320
 	AttemptAdmitted  ID = 401
 	AttemptRefused   ID = 402
 	BatchPreempted   ID = 403
@@ -123,6 +124,7 @@
 	{ItemWaits, "item_waits", log.InfoLevel, "an open batch item has waited for 5 s for one reason or without any run, then for 10 s, 20 s and so on"},
 	{ContentStored, "content_stored", log.InfoLevel, "the content of a submission is on the log; its job is not accepted yet"},
 	{ContentUnknown, "content_unknown", log.WarnLevel, "appends of the content of a submission had no response and may be executed later"},
+	{MembershipBroken, "membership_broken", log.InfoLevel, "the group renewed a membership that had lapsed, or that has another generation"},
 	{AttemptAdmitted, "attempt_admitted", log.InfoLevel, "a sidecar started an attempt at its backend server"},
 	{AttemptRefused, "attempt_refused", log.InfoLevel, "a sidecar refused an attempt"},
 	{BatchPreempted, "batch_preempted", log.InfoLevel, "a sidecar cancelled a batch stream for an arriving online request"},
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -87,11 +87,23 @@
 		return
 	}
 	s.recordRTT(time.Since(begin))
+	m.reportBreak(membership)
 	s.lastJoin.Set()
 	m.generation, m.joined = membership.Generation, true
 	s.assign(ctx, membership.Generation, ownedShards(membership.Owned, s.opts.ResultTopic, len(s.shards)))
 }
 
+// reportBreak logs an answer of the group to a membership that had lapsed or has another generation.
+func (m *member) reportBreak(next keyedlog.Membership) {
+	s := m.service
+	age, joined := s.lastJoin.Age()
+	if !joined || age <= membershipTTL && next.Generation == m.generation {
+		return
+	}
+	event.Log(s.opts.Logger, event.MembershipBroken, "unconfirmed", age, "from", m.generation, "generation", next.Generation,
+		"owned", s.Work().OwnedShards, "listed", len(next.Owned))
+}
+
 // eligible reports whether this process should own shards. It should not if a
 // reachable peer is nearer to the log by more than maxExtraRTT, because every result
 // that is written and every shard that is taken over would cross the link between
