jobs: each claim of a process has an epoch of its own

What callers could see: a result that is listed by nobody. A process that gave a shard up and claimed it again took the time of day for its epoch, which after a step of the clock can be one under which it has owned the shard. Its sequence numbers begin anew, so the log takes an append for a repetition of an earlier one, answers with that one's response and stores nothing.

Cause: the epoch was compared with those of other processes only (claimedBy), never with the process's own.

Change: the epoch is more than any under which this process has owned the shard.

By reading, no run of real processes has shown it.

--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -170,7 +170,7 @@
 // reads everything that they have written. If the record of the claim is that of another
 // process, which has chosen the same epoch, it claims the shard again under a higher one.
 func (sh *shard) takeOver(ctx context.Context) {
-	epoch := sh.s.opts.Now().UnixMilli()
+	epoch := sh.nextEpoch()
 	for {
 		var ok bool
 		if epoch, ok = sh.fence(ctx, epoch); !ok {
@@ -189,6 +189,14 @@
 	}
 }
 
+// nextEpoch returns the epoch under which to claim the shard: the time, and more than any epoch under which this process has
+// owned it. The log would take appends under an epoch that was used before for repetitions.
+func (sh *shard) nextEpoch() int64 {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return max(sh.s.opts.Now().UnixMilli(), sh.epoch+1)
+}
+
 // fence appends a record with this process's name under an epoch that is at least first
 // and higher than all others. If another process has used the same epoch before, the log
 // takes the append for a repetition of that process's and ignores the record.
