jobs: an owner answers for a shard only if it is proved since the membership broke

Cause: the first answer of the group after a lapse listed the shards again, as the owner in between had left.

Change: an answer later than the time to live after the beginning of the last confirmed heartbeat, or under another generation, breaks the membership. Shards that are owned through a break are proved on the log: a claim by another process after this one's last append ends the ownership. Until then, and if the log does not answer, "no more results" is a 503. The confirmation counts from the beginning of a heartbeat. A claim is sent under a confirmed membership only, and a former owner deletes no expired jobs. The check looks for claims and no longer for the end of the partition, which the owner's own records move too.

Why it works: nobody can write to a shard without a claim, which is a record; a read after the answer of the group that finds none shows that nobody has written before, and the group lists the shard for nobody else for the time to live.

--- a/jobs/cluster_peers_test.go
+++ b/jobs/cluster_peers_test.go
@@ -59,7 +59,7 @@
 	var best *node
 	var newest jobs.ShardReport
 	for _, n := range p.self.cluster.nodes {
-		if n == p.self {
+		if n == p.self || n.isolated.Load() || p.self.isolated.Load() {
 			continue
 		}
 		for _, r := range n.Reports() {
--- a/jobs/cluster_test.go
+++ b/jobs/cluster_test.go
@@ -65,6 +65,8 @@
 	guard   *quarantine.Guard
 	// disconnected simulates that the process can't reach the log.
 	disconnected atomic.Bool
+	// isolated simulates that no reports pass between the process and the others.
+	isolated atomic.Bool
 	// capacity is the process's capacity; 0 is unknown.
 	capacity float64
 	stop     context.CancelFunc
--- a/jobs/expire.go
+++ b/jobs/expire.go
@@ -31,12 +31,12 @@
 
 // deleteExpired deletes the expired jobs of owned shards. It deletes the results of a
 // job first and the job last, so that every job that is still known has all its
-// results.
+// results. A process that may lack some of a job's results leaves the job to the owner that has them.
 func (s *Service) deleteExpired(ctx context.Context, now time.Time) {
 	if s.opts.Retention <= 0 {
 		return
 	}
-	for _, job := range s.table.expiredBefore(now.Add(-s.opts.Retention-clockSkewMargin), s.runner.ownsJob) {
+	for _, job := range s.table.expiredBefore(now.Add(-s.opts.Retention-clockSkewMargin), s.confirmedOwner) {
 		sh := s.shards[shardOf(job.id, len(s.shards))]
 		records := append(tombstones(jobKey(job.id), job.summaryChunks), tombstones(cancelKey(job.id), 1)...)
 		ok := s.appendTombstones(ctx, sh.part, job.results) &&
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/catkinrudder/catkinrudder/event"
+	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 )
 
@@ -81,29 +82,22 @@
 		m.leave(ctx)
 		return
 	}
-	begin := time.Now()
+	began := boottime.Now()
 	membership, err := s.opts.Groups.Join(ctx, groupName, s.opts.Member, s.opts.ResultTopic, max(membershipTTL, s.opts.MinTTL), m.generation)
 	if err != nil || s.stopping.Load() {
 		return
 	}
-	s.recordRTT(time.Since(begin))
-	m.reportBreak(membership)
-	s.lastJoin.Set()
+	s.recordRTT(boottime.Now() - began)
+	if m.breaks(membership) {
+		m.reportBreak(membership)
+		s.breaks.Add(1) // before the confirmation, which holds for proved shards only
+	}
+	s.lastJoin.SetAt(began)
 	m.generation, m.joined = membership.Generation, true
+	s.proveOwned(ctx)
 	s.assign(ctx, membership.Generation, ownedShards(membership.Owned, s.opts.ResultTopic, len(s.shards)))
 }
 
-// reportBreak logs an answer of the group to a membership that had lapsed or has another generation.
-func (m *member) reportBreak(next keyedlog.Membership) {
-	s := m.service
-	age, joined := s.lastJoin.Age()
-	if !joined || age <= membershipTTL && next.Generation == m.generation {
-		return
-	}
-	event.Log(s.opts.Logger, event.MembershipBroken, "unconfirmed", age, "from", m.generation, "generation", next.Generation,
-		"owned", s.Work().OwnedShards, "listed", len(next.Owned))
-}
-
 // eligible reports whether this process should own shards. It should not if a
 // reachable peer is nearer to the log by more than maxExtraRTT, because every result
 // that is written and every shard that is taken over would cross the link between
@@ -197,13 +191,6 @@
 	}
 }
 
-// membershipConfirmed reports whether the group has confirmed the membership within
-// membershipTTL. A suspension of the machine counts.
-func (s *Service) membershipConfirmed() bool {
-	age, joined := s.lastJoin.Age()
-	return joined && age <= membershipTTL
-}
-
 // assign claims newly assigned shards and releases the others.
 func (s *Service) assign(ctx context.Context, generation int64, owned map[int]bool) {
 	for i, sh := range s.shards {
--- a/jobs/ownership_test.go
+++ b/jobs/ownership_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/catkinrudder/catkinrudder/internal/boottime"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 )
@@ -73,6 +74,92 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
+// lapse makes the last confirmation of the membership older than the time to live.
+func (f *ownerFixture) lapse() { f.service.lastJoin.SetAt(boottime.Now() - 2*membershipTTL) }
+
+// anotherOwner is a process that claims the shard after this one.
+func (f *ownerFixture) anotherOwner() {
+	f.t.Helper()
+	claim := splitValue(ownerKey, []byte("other"), f.service.opts.RecordBytes)
+	_, err := f.log.Append(f.t.Context(), f.shard.part, claim,
+		keyedlog.Condition{Producer: producerName, Epoch: f.shard.currentEpoch() + 1000, Sequence: claimSequence})
+	assert.NilError(f.t, err)
+}
+
+// changeGeneration lets another member join and leave.
+func (f *ownerFixture) changeGeneration() {
+	f.t.Helper()
+	_, err := f.log.Join(f.t.Context(), groupName, "other", f.service.opts.ResultTopic, time.Minute, 0)
+	assert.NilError(f.t, err)
+	assert.NilError(f.t, f.log.Leave(f.t.Context(), groupName, "other"))
+}
+
+// TestShardOfABrokenMembershipIsProvedOnTheLog guards against a heartbeat whose answer confirms a shard that another
+// process has owned since the last one.
+func TestShardOfABrokenMembershipIsProvedOnTheLog(t *testing.T) {
+	for name, interrupt := range map[string]func(f *ownerFixture){
+		"another generation within the time to live": (*ownerFixture).changeGeneration,
+		"a lapse without another generation":         (*ownerFixture).lapse,
+		"a lapse and another generation":             func(f *ownerFixture) { f.lapse(); f.changeGeneration() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newOwnerFixture(t)
+			before := f.shard.currentEpoch()
+			f.anotherOwner()
+			interrupt(f)
+			f.member.heartbeat(t.Context())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				f.member.heartbeat(t.Context())
+				if f.shard.currentEpoch() <= before {
+					return poll.Continue("the shard is still owned under the former epoch")
+				}
+				return poll.Success()
+			}, poll.WithDelay(10*time.Millisecond), poll.WithTimeout(2*time.Second))
+		})
+	}
+}
+
+// TestAnswerThatWasHeldUpConfirmsNothing guards against a confirmation that is older than the time to live.
+func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
+	f := newOwnerFixture(t)
+	f.hold = func() { time.Sleep(membershipTTL) }
+	f.member.heartbeat(t.Context())
+	assert.Assert(t, !f.service.membershipConfirmed())
+	f.hold = func() {}
+	f.member.heartbeat(t.Context())
+	assert.Assert(t, f.service.membershipConfirmed())
+}
+
+// TestOwnAppendsDoNotEndAnOwnership guards against an owner that takes its own records for those of another one.
+func TestOwnAppendsDoNotEndAnOwnership(t *testing.T) {
+	f := newOwnerFixture(t)
+	epoch := f.shard.currentEpoch()
+	lost := []keyedlog.Record{{Key: progressKey("j", 0), Value: []byte("lost response")}}
+	_, err := f.log.Append(t.Context(), f.shard.part, lost, keyedlog.Condition{Producer: producerName, Epoch: epoch, Sequence: claimSequence + 1})
+	assert.NilError(t, err)
+	assert.Assert(t, f.service.appendTombstones(t.Context(), f.shard.part, tombstones(resultKey("expired", 0), 1)))
+	assert.NilError(t, f.shard.verify(t.Context()))
+	assert.Equal(t, f.shard.currentEpoch(), epoch)
+	f.anotherOwner()
+	assert.NilError(t, f.shard.verify(t.Context()))
+	assert.Equal(t, f.shard.currentEpoch(), int64(0))
+}
+
+// TestClaimWaitsForAConfirmedMembership guards against a process that was assigned a shard, stood still, and takes it from
+// its new owner.
+func TestClaimWaitsForAConfirmedMembership(t *testing.T) {
+	f := newOwnerFixture(t)
+	epoch := f.shard.currentEpoch()
+	f.shard.release(noGeneration, "test")
+	f.lapse()
+	assert.Assert(t, f.shard.claim(t.Context()))
+	go f.shard.takeOver(t.Context())
+	time.Sleep(3 * shardRetryDelay)
+	assert.Assert(t, !f.shard.owned(), "the shard is claimed under a membership that has lapsed")
+	f.member.heartbeat(t.Context())
+	f.waitUntilOwned(epoch)
+}
+
 // TestEachClaimOfAProcessHasItsOwnEpoch guards against results that the log takes for repetitions of those that the process
 // has appended under the same epoch before.
 func TestEachClaimOfAProcessHasItsOwnEpoch(t *testing.T) {
@@ -80,7 +167,7 @@
 	at := time.UnixMilli(f.shard.currentEpoch())
 	f.service.opts.Now = func() time.Time { return at }
 	write := func(id string) {
-		f.shard.enqueue(id, Result{Completed: true}, 0)
+		f.shard.enqueue(id, Result{Completed: true}, notOwnedEpoch)
 		records, cond, ok := f.shard.nextBatch()
 		assert.Assert(t, ok)
 		assert.Assert(t, f.shard.appendUntilKnown(t.Context(), records, cond))
@@ -88,7 +175,7 @@
 	write("first")
 	f.shard.release(noGeneration, "test")
 	f.member.heartbeat(t.Context())
-	f.waitUntilOwned(0)
+	f.waitUntilOwned(notOwnedEpoch)
 	write("second")
 	page, err := f.log.Newest(t.Context(), f.shard.part, resultPrefix)
 	assert.NilError(t, err)
--- a/jobs/query.go
+++ b/jobs/query.go
@@ -12,10 +12,8 @@
 	// maxListingBytes bounds the bytes of text in one listing.
 	maxListingBytes = 900 << 10
 	// ownerTimeout bounds the owner's response time, beyond the time that the owner
-	// may wait for a result. verifyTimeout bounds the check on the log whether
-	// another owner has written.
-	ownerTimeout  = 400 * time.Millisecond
-	verifyTimeout = 300 * time.Millisecond
+	// may wait for a result.
+	ownerTimeout = 400 * time.Millisecond
 	// ownerRetryAfter is the Retry-After of a request that found no owner.
 	ownerRetryAfter = 300 * time.Millisecond
 )
@@ -56,29 +54,37 @@
 	return listing, nil
 }
 
-// ListLocal returns results from a shard that this process owns. If the group has not
-// confirmed the membership recently, it first checks that no other owner has
-// written.
+// ListLocal returns results from a shard that this process owns. That there is none after a position is only said by a
+// confirmed owner: another one could have listed it. The listing is that of one ownership.
 func (s *Service) ListLocal(ctx context.Context, id string, after int, wait time.Duration) (Listing, error) {
 	sh := s.shards[shardOf(id, len(s.shards))]
+	epoch := sh.currentEpoch()
 	listing, known := s.table.waitResults(ctx, id, after, wait)
-	if !sh.owned() {
+	if known && len(listing.Results) == 0 && !sh.confirmed() {
+		if err := sh.verifyFor(ctx); err != nil {
+			return Listing{}, err
+		}
+	}
+	if epoch == notOwnedEpoch || sh.currentEpoch() != epoch {
 		return Listing{}, errkind.New(errkind.LogUnavailable, "shard %d is not owned here", sh.part.Index).WithRetryAfter(ownerRetryAfter)
 	}
 	if !known {
 		return Listing{}, errkind.New(errkind.LogUnavailable, "batch job %s is not known to the owner yet", id).WithRetryAfter(ownerRetryAfter)
 	}
-	if len(listing.Results) == 0 && !s.membershipConfirmed() {
-		if err := sh.verify(ctx); err != nil {
-			event.Log(s.opts.Logger, event.LogDown, "call", "verify ownership", "shard", sh.part.Index, "cause", err)
-		}
-	}
-	if !sh.owned() {
-		return Listing{}, errkind.New(errkind.LogUnavailable, "shard %d is not owned here", sh.part.Index).WithRetryAfter(ownerRetryAfter)
-	}
 	return listing, nil
 }
 
+// verifyFor is verify for a caller who waits.
+func (sh *shard) verifyFor(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
+	defer cancel()
+	if err := sh.verify(ctx); err != nil {
+		event.Log(sh.s.opts.Logger, event.LogDown, "call", "verify ownership", "shard", sh.part.Index, "cause", err)
+		return errkind.Wrap(err, errkind.LogUnavailable, "shard %d may have another owner", sh.part.Index).WithRetryAfter(ownerRetryAfter)
+	}
+	return nil
+}
+
 // waitResults returns the results from a position on, and waits up to wait for one if
 // there is none. It returns false if the job or its content is not known.
 func (t *Table) waitResults(ctx context.Context, id string, after int, wait time.Duration) (Listing, bool) {
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -142,8 +142,10 @@
 	rttMu   sync.Mutex
 	rtts    [rttSamples]time.Duration
 	rttNext int
-	// lastJoin is when the group last confirmed the membership.
+	// lastJoin is when the heartbeat began that the group last answered. breaks counts the answers that did not
+	// continue the membership.
 	lastJoin boottime.Stamp
+	breaks   atomic.Int64
 }
 
 const (
--- a/jobs/shard.go
+++ b/jobs/shard.go
@@ -41,14 +41,17 @@
 	// owns states that the phase is owning. It is set under mu, and read without it: the table asks for it under
 	// its own lock, which the writer takes under mu.
 	owns atomic.Bool
+	// provedBreaks is how often the membership had broken when the ownership was last proved; proving states that a
+	// proof is in progress.
+	provedBreaks atomic.Int64
+	proving      atomic.Bool
 
 	mu       sync.Mutex
 	phase    phase
 	epoch    int64
 	sequence int64
-	// end is the end of the partition after everything that this owner has read and
-	// written, provided that no append is in progress.
-	end int64
+	// checked is the offset before which no other process has claimed the shard since this one has.
+	checked int64
 	// nextPositions is the next free position of each job that has results which are not
 	// applied yet.
 	nextPositions map[string]int
@@ -124,7 +127,15 @@
 // release gives up a claimed or owned shard, and logs the cause, further fields and the open work that the shard has.
 // The shard can be claimed again only once the state of its jobs is cleared, because a new claim reads that state anew.
 func (sh *shard) release(generation int64, cause any, kv ...any) {
-	previous, released := sh.beginRelease()
+	sh.releaseEpoch(anyEpoch, generation, cause, kv...)
+}
+
+// anyEpoch is stated for the release of a shard that is claimed, or owned under any epoch.
+const anyEpoch = 0
+
+// releaseEpoch is release for a shard that is owned under an epoch; under another one it stays.
+func (sh *shard) releaseEpoch(epoch, generation int64, cause any, kv ...any) {
+	previous, released := sh.beginRelease(epoch)
 	if !released {
 		return
 	}
@@ -138,11 +149,12 @@
 	event.Log(sh.s.opts.Logger, event.ShardReleased, append(kv, open.fields()...)...)
 }
 
-// beginRelease ends the claim or the ownership, and returns which of them it was. It returns false if there was none.
-func (sh *shard) beginRelease() (previous phase, released bool) {
+// beginRelease ends the claim or the ownership, and returns which of them it was. It returns false if there was none, or
+// none under the epoch.
+func (sh *shard) beginRelease(epoch int64) (previous phase, released bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if sh.phase != claiming && sh.phase != owning {
+	if sh.phase != claiming && sh.phase != owning || epoch != anyEpoch && (sh.phase != owning || sh.epoch != epoch) {
 		return sh.phase, false
 	}
 	previous = sh.phase
@@ -172,6 +184,7 @@
 func (sh *shard) takeOver(ctx context.Context) {
 	epoch := sh.nextEpoch()
 	for {
+		sh.provedBreaks.Store(sh.s.breaks.Load())
 		var ok bool
 		if epoch, ok = sh.fence(ctx, epoch); !ok {
 			return
@@ -199,12 +212,17 @@
 
 // fence appends a record with this process's name under an epoch that is at least first
 // and higher than all others. If another process has used the same epoch before, the log
-// takes the append for a repetition of that process's and ignores the record.
+// takes the append for a repetition of that process's and ignores the record. It waits while the membership is not
+// confirmed: the shard may have another owner by then.
 func (sh *shard) fence(ctx context.Context, first int64) (epoch int64, ok bool) {
 	epoch = first
 	claim := splitValue(ownerKey, []byte(sh.s.opts.Member), sh.s.opts.RecordBytes)
 	raise := int64(1)
 	for ctx.Err() == nil && sh.claimed() {
+		if !sh.s.membershipConfirmed() {
+			delay.Wait(ctx, shardRetryDelay)
+			continue
+		}
 		_, err := sh.s.opts.Log.Append(ctx, sh.part, claim, keyedlog.Condition{Producer: producerName, Epoch: epoch, Sequence: claimSequence})
 		switch {
 		case err == nil:
@@ -264,7 +282,7 @@
 	sh.mu.Lock()
 	claimed := sh.phase == claiming
 	if claimed {
-		sh.phase, sh.epoch, sh.sequence, sh.end = owning, epoch, claimSequence+1, end
+		sh.phase, sh.epoch, sh.sequence, sh.checked = owning, epoch, claimSequence+1, end
 		sh.nextPositions = make(map[string]int)
 		sh.owns.Store(true)
 	}
@@ -278,27 +296,6 @@
 	sh.s.runner.wake()
 }
 
-// verify releases the shard if the log holds more records than this owner has read
-// and written.
-func (sh *shard) verify(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
-	defer cancel()
-	sh.mu.Lock()
-	end, epoch := sh.end, sh.epoch
-	sh.mu.Unlock()
-	h, err := sh.s.opts.Log.Read(ctx, sh.part, end, 0)
-	if err != nil && !errors.Is(err, keyedlog.ErrTruncated) {
-		return err
-	}
-	sh.mu.Lock()
-	stale := sh.phase == owning && sh.epoch == epoch && sh.end == end && (err != nil || h.End > end)
-	sh.mu.Unlock()
-	if stale {
-		sh.release(noGeneration, "another owner has written")
-	}
-	return nil
-}
-
 // enqueue passes a result to the writer unless this was done in the current epoch, and
 // returns the epoch, or 0 if the shard is not owned.
 func (sh *shard) enqueue(job string, r Result, enqueuedEpoch int64) int64 {
@@ -341,7 +338,7 @@
 	sh.mu.Lock()
 	current := sh.phase == owning && sh.epoch == epoch
 	if current {
-		sh.end = max(sh.end, at.End)
+		sh.checked = max(sh.checked, at.End)
 	}
 	sh.mu.Unlock()
 	if current {
@@ -349,11 +346,15 @@
 	}
 }
 
+// notOwnedEpoch is the epoch of a shard that is not owned by this process.
+const notOwnedEpoch = 0
+
+// currentEpoch returns the epoch under which this process owns the shard, or notOwnedEpoch.
 func (sh *shard) currentEpoch() int64 {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if sh.phase != owning {
-		return 0
+		return notOwnedEpoch
 	}
 	return sh.epoch
 }
