jobs: parts of long values are dropped with the shard that they belong to

Cause: a shard that is given up clears its jobs, but the assembler kept the records of values that were not whole yet. When the shard was claimed again, they completed the value that another owner had written since.

Change: clearing a shard drops them.

--- a/jobs/chunks.go
+++ b/jobs/chunks.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -106,3 +107,8 @@
 
 // drop discards all chunks of a key.
 func (a assembler) drop(key string) { delete(a.partial, key) }
+
+// dropIf discards the chunks of all keys for which dropped returns true.
+func (a assembler) dropIf(dropped func(key string) bool) {
+	maps.DeleteFunc(a.partial, func(key string, _ map[int][][]byte) bool { return dropped(key) })
+}
--- a/jobs/table.go
+++ b/jobs/table.go
@@ -266,7 +266,8 @@
 }
 
 // clearJobs clears the content, the results and the progress of the jobs selected by
-// include, because this process does not read what another owner writes.
+// include, because this process does not read what another owner writes. Values of which
+// only some records have been read are cleared too: another owner may replace them.
 func (t *Table) clearJobs(include func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -282,6 +283,23 @@
 		clear(e.progressChunks)
 		e.notify()
 	}
+	t.chunks.dropIf(func(key string) bool {
+		id, ok := shardJob(key)
+		return ok && include(id)
+	})
+}
+
+// shardJob returns the job of a value that is in a shard. It returns false for keys of other values.
+func shardJob(key string) (id string, ok bool) {
+	if c, ok := parseContentKey(key); ok {
+		return c.job, true
+	}
+	name, ok := strings.CutPrefix(key, resultPrefix)
+	if !ok {
+		name, ok = strings.CutPrefix(key, progressPrefix)
+	}
+	id, _, err := cutIndex(name)
+	return id, ok && err == nil
 }
 
 // applyTombstone applies a tombstone: that of a summary deletes the job, that of content which no
