errkind: a status that promises "not run" leaves with that outcome only

Cause: an error has a kind and an outcome, and the status followed the kind alone. After an append without a response, with the quota exceeded meanwhile and the log out of reach, the error was log_unavailable with the outcome unknown, and left as 503.

Evidence: the refusal in the log of the gateway, "does not fit by what is known here: ... log-read ... deadline exceeded", is the only one of the job after an append. The log line of a refused submission names the outcome now.

Change: Error.Response chooses the status from both; with another outcome than not_run, 408, 421, 429 and 503 become 504.

--- a/errkind/docs_test.go
+++ b/errkind/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -61,3 +62,17 @@
 	assert.Equal(t, From(cause).Kind, Internal)
 	assert.Equal(t, Lookup("no such kind"), Lookup(Internal))
 }
+
+// TestPromisingStatusNeedsTheOutcome guards against a status that promises that a request has not run beside an outcome that
+// does not.
+func TestPromisingStatusNeedsTheOutcome(t *testing.T) {
+	promising := map[int]bool{408: true, 421: true, 429: true, 503: true}
+	for k, r := range Kinds() {
+		for _, o := range []Outcome{"", NotRun, Unknown, Complete} {
+			got := New(k, "").WithOutcome(o).WithRetryAfter(time.Second).Response()
+			assert.Assert(t, !promising[got.Status] || got.Outcome == NotRun, "%s with outcome %q: status %d", k, o, got.Status)
+			assert.Assert(t, got.Status == r.Status || promising[r.Status] && o != NotRun, "%s with outcome %q: status %d", k, o, got.Status)
+			assert.Equal(t, got.RetryAfter, time.Second)
+		}
+	}
+}
--- a/errkind/errkind.go
+++ b/errkind/errkind.go
@@ -173,8 +173,18 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// promisesNotRun reports whether a status promises that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Response returns the response for the error's kind with the error's overrides
-// applied.
+// applied. A status that promises that the request has not run is replaced by 504 if the
+// outcome does not say so.
 func (e *Error) Response() Response {
 	r := Lookup(e.Kind)
 	if e.Outcome != "" {
@@ -183,6 +193,9 @@
 	if e.RetryAfter > 0 {
 		r.RetryAfter = e.RetryAfter
 	}
+	if r.Outcome != NotRun && promisesNotRun(r.Status) {
+		r.Status = http.StatusGatewayTimeout
+	}
 	return r
 }
 
--- a/internal/chaos/live_test.go
+++ b/internal/chaos/live_test.go
@@ -190,7 +190,8 @@
 	read := request{method: http.MethodGet, path: chatPath + "/" + apiObject{}.idOf(got.body)}
 	reread := r.do(t.Context(), read)
 	assert.Equal(t, reread.entry, behind)
-	assert.Equal(t, reread.status, http.StatusServiceUnavailable, "%+v", reread)
+	assert.Equal(t, reread.status, http.StatusGatewayTimeout, "%+v", reread)
+	assert.Equal(t, reread.outcome, errkind.Complete, "%+v", reread)
 	behind.Links().Log.Restore()
 	reread = r.do(t.Context(), read)
 	assert.Equal(t, reread.status, http.StatusOK, "%+v", reread)
--- a/internal/entry/api_test.go
+++ b/internal/entry/api_test.go
@@ -179,7 +179,7 @@
 	assert.NilError(t, json.Unmarshal(r.body, &f), "%s", r.body)
 	assert.Equal(t, f.Error.Kind, kind, "%s", r.body)
 	assert.Equal(t, f.Error.Outcome, outcome, "%s", r.body)
-	want := errkind.Lookup(kind)
+	want := errkind.New(kind, "").WithOutcome(outcome).Response()
 	assert.Equal(t, r.status, want.Status)
 	assert.Equal(t, f.Error.Type, want.Type)
 	assert.Equal(t, r.header.Get("Retry-After") != "", want.RetryAfter > 0, "Retry-After %q", r.header.Get("Retry-After"))
@@ -325,10 +325,18 @@
 	}, poll.WithTimeout(callDeadline*5))
 	upload := testRequest{method: http.MethodPost, path: "/v1/files", body: multipartBody}
 	upload.header = http.Header{"Content-Type": {"multipart/form-data; boundary=b"}}
-	for _, tr := range []testRequest{stored, bookingRequest(uniqueKey("outage")), upload} {
+	for _, tc := range []struct {
+		request testRequest
+		status  int
+	}{
+		{stored, http.StatusServiceUnavailable},
+		{bookingRequest(uniqueKey("outage")), http.StatusGatewayTimeout}, // an earlier send under the key may have run
+		{upload, http.StatusServiceUnavailable},
+	} {
+		tr := tc.request
 		started := time.Now()
 		r := send(t, tr)
-		assert.Equal(t, r.status, http.StatusServiceUnavailable, "%s", r.body)
+		assert.Equal(t, r.status, tc.status, "%s", r.body)
 		assert.Assert(t, r.header.Get("Retry-After") != "")
 		assert.Assert(t, time.Since(started) < outageResponseTime, "%s took %s", tr.path, time.Since(started))
 	}
--- a/internal/entry/batchapi/faults_test.go
+++ b/internal/entry/batchapi/faults_test.go
@@ -202,8 +202,9 @@
 	_, file := f.upload(t, "a", "batch", lines(10))
 	f.log.SetDown(true)
 	status, o := f.json(t, "a", "POST", "/v1/batches", createBody(file.str("id")))
-	assert.Equal(t, status, 503)
+	assert.Equal(t, status, 504, "the batch may have been created")
 	assert.Equal(t, o.str("error", "kind"), string(errkind.LogUnavailable))
+	assert.Equal(t, o.str("error", "outcome"), string(errkind.Unknown))
 	f.log.SetDown(false)
 	// Some appends lose their response after they took effect, some are dropped and
 	// some are applied late.
--- a/internal/gateway/jobs.go
+++ b/internal/gateway/jobs.go
@@ -43,7 +43,7 @@
 		e := errkind.From(err)
 		g.Metrics.requestFailed(e.Kind)
 		g.Metrics.workspaceRefused(job.Workspace, e.Kind)
-		event.Log(g.Log, event.RequestRefused, "request", r.ID, "workspace", job.Workspace, "route", route.Name, "kind", e.Kind, "cause", e,
+		event.Log(g.Log, event.RequestRefused, "request", r.ID, "workspace", job.Workspace, "route", route.Name, "kind", e.Kind, "outcome", e.Response().Outcome, "cause", e,
 			"after", time.Since(r.ReceivedAt), "retry_after", e.Response().RetryAfter)
 		return err
 	}
--- a/peering/peering_test.go
+++ b/peering/peering_test.go
@@ -283,7 +283,13 @@
 	return []byte("body"), nil
 }
 
+// quotaUnknown is a quota for which the peer can't tell whether it has accepted a job.
+const quotaUnknown = 1
+
 func (testHost) SubmitLocal(_ context.Context, job *jobs.Job, quota int64) error {
+	if quota == quotaUnknown {
+		return errkind.New(errkind.LogUnavailable, "an append had no response").WithOutcome(errkind.Unknown).WithRetryAfter(time.Second)
+	}
 	if job.Tokens() > quota {
 		return errkind.New(errkind.RateLimited, "too much").WithRetryAfter(time.Second)
 	}
@@ -300,6 +306,9 @@
 	answer := errkind.From(a.Submit(t.Context(), address, job, 4)).Response()
 	assert.Equal(t, answer.Status, http.StatusTooManyRequests)
 	assert.Equal(t, answer.Outcome, errkind.NotRun)
+	unknown := errkind.From(a.Submit(t.Context(), address, job, quotaUnknown)).Response()
+	assert.Equal(t, unknown.Status, http.StatusGatewayTimeout, "the status promises nothing")
+	assert.Equal(t, unknown.Outcome, errkind.Unknown)
 	server.Close()
 	assert.Equal(t, errkind.From(a.Submit(t.Context(), address, job, 5)).Response().Outcome, errkind.Unknown)
 }
