jobs: items that a lost owner has finished do not count against the quota

What callers saw: 429 for batch jobs that fit.

Cause: items of a shard that no reachable owner reports counted as waiting, all of them, back to the retention. A report was forgotten 0.9 s after its sender.

Change: each process keeps the last report on each shard, its own and those of peers. An old report is still a bound: an item that it counts as finished is on the log, so what it counts can only shrink. Jobs after it count in full, as before.

Measured: TestFinishedItemsOfALostOwnerDoNotCount: before, a job of 400 tokens is refused with "400 tokens wait" of 600, though none does; after, it is accepted, and the next one, which does not fit, is refused.

--- a/jobs/lapse_test.go
+++ b/jobs/lapse_test.go
@@ -119,3 +119,33 @@
 		return poll.Success()
 	})
 }
+
+// TestFinishedItemsOfALostOwnerDoNotCount guards against submissions that are refused for tokens that nobody waits for: the
+// owner that has finished them is lost, and the shards have no other one.
+func TestFinishedItemsOfALostOwnerDoNotCount(t *testing.T) {
+	c := newCluster(t, 2)
+	a := c.start("a")
+	waitForShards(t, a, keyedlogtest.Shards)
+	c.log.SetFault(func(call string, _ keyedlog.Partition) keyedlogtest.Fault {
+		if call == "join" {
+			return keyedlogtest.Refuse
+		}
+		return keyedlogtest.None
+	})
+	b := c.start("b")
+	finished, next := job("j1", 4), job("j2", 4)
+	quota := finished.Tokens() + next.Tokens()/2
+	assert.NilError(t, b.Submit(t.Context(), finished, quota))
+	c.checkComplete(finished, c.waitComplete(b, finished))
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // until b has had a report since
+		if waiting := b.WaitingTokens(finished.Route); waiting > 0 {
+			return poll.Continue("%d tokens wait", waiting)
+		}
+		return poll.Success()
+	})
+	a.kill()
+	err := b.Submit(t.Context(), next, quota)
+	assert.NilError(t, err)
+	err = b.Submit(t.Context(), job("j3", 4), quota)
+	assert.Assert(t, errkind.Is(err, errkind.RateLimited), "a job that waits since the last report counts: %v", err)
+}
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -45,6 +45,7 @@
 		if !s.stopping.Load() {
 			m.heartbeat(ctx)
 			s.releaseSuperseded()
+			s.recordReports()
 		}
 		select {
 		case <-ctx.Done():
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -138,6 +138,8 @@
 	reports       []ShardReport
 	reportedAt    time.Time
 	shardsChanged atomic.Bool
+	// history holds the last report on each shard.
+	history *reportHistory
 	// rttMu guards the measured durations of short calls to the log.
 	rttMu   sync.Mutex
 	rtts    [rttSamples]time.Duration
@@ -167,7 +169,7 @@
 	if opts.Memory == nil {
 		opts.Memory = intake.Unbounded()
 	}
-	s := &Service{opts: opts}
+	s := &Service{opts: opts, history: newReportHistory(opts.Shards)}
 	s.table = newTable(opts.Now, s.jobAccepted, s.logUnreadable)
 	s.jobs = s.follower(keyedlog.Partition{Topic: opts.JobTopic})
 	for i := range opts.Shards {
--- a/jobs/waiting.go
+++ b/jobs/waiting.go
@@ -60,13 +60,14 @@
 	return tokens, listed || !r.Partial
 }
 
-// waitingTokens sums the tokens of unfinished items of an account. Items that no owner has reported
+// waitingTokens sums the tokens of unfinished items of an account. Items that no owner has ever reported
 // count as unfinished.
 func (s *Service) waitingTokens(a account) int64 {
+	s.recordReports()
 	var sum int64
 	for _, sh := range s.shards {
 		from := int64(0)
-		if report, known := s.opts.Peers.ShardReport(sh.part.Index); known && !sh.owned() {
+		if report, known := s.history.of(sh.part.Index); known && !sh.owned() {
 			if tokens, stated := report.waitingOf(a); stated {
 				from = report.Offset
 				sum += tokens
