keyedlog: the test of shared confirmations holds reads until all callers have begun

Cause: the test starts 50 callers and allows 25 reads. A confirmation is shared by those that wait at the same time; on an idle machine without the race detector each caller was answered before the next one began, which is right, and up to 50 reads were counted.

Change: the first read is held until all 50 have begun. The bound stays.

--- a/keyedlog/confirm_test.go
+++ b/keyedlog/confirm_test.go
@@ -25,21 +25,30 @@
 	return keyedlog.History{}, errors.Wrap(ctx.Err(), "stale")
 }
 
-// countedReader counts reads and fails them if it is told to.
+// countedReader counts reads, and holds or fails them if it is told to.
 type countedReader struct {
 	keyedlog.Reader
 	reads atomic.Int64
 	fails atomic.Bool
+	held  sync.RWMutex
 }
 
 func (r *countedReader) Read(ctx context.Context, p keyedlog.Partition, from int64, wait time.Duration) (keyedlog.History, error) {
 	r.reads.Add(1)
+	r.held.RLock()
+	defer r.held.RUnlock()
 	if r.fails.Load() {
 		return keyedlog.History{}, keyedlog.ErrRefused
 	}
 	return r.Reader.Read(ctx, p, from, wait)
 }
 
+// hold makes reads wait until release is called.
+func (r *countedReader) hold() (release func()) {
+	r.held.Lock()
+	return r.held.Unlock
+}
+
 // TestConfirmedViewHoldsAllEarlierRecords guards against a conclusion from a view that lacks a record of a moment
 // ago, because its reads go to a relay that has missed it.
 func TestConfirmedViewHoldsAllEarlierRecords(t *testing.T) {
@@ -56,10 +65,19 @@
 		assert.Assert(t, view.holds(map[string]string{"a": value}) == poll.Success())
 	}
 	before := reader.reads.Load()
+	const callers = 50
+	release := reader.hold()
+	var begun sync.WaitGroup
 	var wg sync.WaitGroup
-	for range 50 {
-		wg.Go(func() { assert.Check(t, f.Confirm(t.Context()) == nil) })
+	begun.Add(callers)
+	for range callers {
+		wg.Go(func() {
+			begun.Done()
+			assert.Check(t, f.Confirm(t.Context()) == nil)
+		})
 	}
+	begun.Wait()
+	release()
 	wg.Wait()
 	assert.Assert(t, reader.reads.Load()-before <= 25, "%d reads", reader.reads.Load()-before)
 
