discovery: what is known of a server's start outlives its registration

Cause: that a server leaves, its start and the number of its record stood in its registration and went with it, and the number was never compared. A heartbeat that the store executed late brought the server back. The same held for the store's own notice (ready 5, draining 7, ready 6), for pages read late and for records of the start before; an answer of a former start marked the next.

Change: a table of starts keeps start, highest number and notice for a minute after the last sign. Older records are ignored (event 506); a notice is final for its start and is credited to the start that was asked; a later start counts at once. The relay asks the table about all heartbeats, also about those that it does not pass on.

Why it works: all writes of a server carry its start and a number that grows; what is executed late carries lower ones, or belongs to a start whose notice is known.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -141,6 +141,14 @@
 	// StartedMs is when this incarnation has started, in Unix milliseconds; 0 if it is
 	// unknown. A backend server may start again under its id.
 	StartedMs int64
+	// Seq numbers the registrations of one start in their order; 0 if it is unknown.
+	Seq int64
+}
+
+// Renews reports whether b says the same as o, in a registration of another number.
+func (b Backend) Renews(o Backend) bool {
+	b.Seq = o.Seq
+	return b == o
 }
 
 // Software identifies the software that a backend server runs. What two versions produce for
--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -13,7 +13,7 @@
 // Change is a change of the registration of one backend server.
 type Change struct {
 	Backend catalog.Backend
-	// Kind is one of Registered, DrainStarted, Lapsed, Returned, Removed and Refused.
+	// Kind is one of Registered, DrainStarted, Lapsed, Returned, Removed, Refused and Outdated.
 	Kind string
 	// Cause is why a record was refused. Backend then holds only its key as the id.
 	Cause error
@@ -34,6 +34,8 @@
 	Removed = "gone"
 	// Refused: a record names no backend server to use.
 	Refused = "refused"
+	// Outdated: a record is older than what is known of its backend server and was ignored. Backend is what it says.
+	Outdated = "outdated"
 )
 
 // maxRefused bounds the memory for keys whose records were refused.
@@ -52,7 +54,7 @@
 	outageAftermath = 3 * time.Second
 )
 
-// Backends holds the registered backend servers. It implements keyedlog.View
+// Backends holds the registered backend servers. It implements keyedlog.View and keyedlog.Filter
 // and is safe for concurrent use.
 type Backends struct {
 	decode  func(id string, raw []byte) (catalog.Backend, error)
@@ -65,6 +67,8 @@
 	mu        sync.RWMutex
 	byID      map[string]*registration
 	byService map[string][]catalog.Backend
+	// starts holds what is known of the servers' starts, also without a registration.
+	starts starts
 	// removed is when the last backend server with a software was removed.
 	removed map[catalog.Software]time.Time
 	// refused holds the keys whose newest record was refused, so that a record that is written again
@@ -79,8 +83,7 @@
 type registration struct {
 	backend catalog.Backend
 	record  keyedlog.Record
-	// leaving states that the backend server itself has said that it drains, whatever its
-	// registration says.
+	// leaving states that the backend server is known to drain, though the record says that it is ready.
 	leaving bool
 	// lapsedAt is when the registration disappeared; zero while it is present.
 	lapsedAt time.Time
@@ -93,7 +96,7 @@
 func NewBackends(decode func(id string, raw []byte) (catalog.Backend, error), changed func(Change), now func() time.Time) *Backends {
 	return &Backends{
 		decode: decode, changed: changed, now: now, loaded: make(chan struct{}),
-		byID: make(map[string]*registration), byService: make(map[string][]catalog.Backend),
+		byID: make(map[string]*registration), byService: make(map[string][]catalog.Backend), starts: make(starts),
 		removed: make(map[catalog.Software]time.Time), refused: make(map[string]bool),
 	}
 }
@@ -220,32 +223,58 @@
 	})
 }
 
-// SetLeaving records that a backend server has said in a response that it drains. Its
+// Current implements keyedlog.Filter.
+func (b *Backends) Current(records []keyedlog.Record) []keyedlog.Record {
+	current := make([]keyedlog.Record, 0, len(records))
+	b.update(func() (changes []Change) {
+		now := b.now()
+		for _, r := range records {
+			backend, err := b.decode(r.Key, r.Value)
+			if r.Value == nil || err != nil {
+				current = append(current, r)
+				continue
+			}
+			if !b.starts.outdated(backend, now) {
+				b.starts.record(backend, now)
+				current = append(current, r)
+				continue
+			}
+			changes = append(changes, Change{Backend: backend, Kind: Outdated})
+			if reg := b.byID[r.Key]; reg != nil && reg.lapsedAt.IsZero() {
+				current = append(current, reg.record)
+			}
+		}
+		return changes
+	})
+	return current
+}
+
+// SetLeaving records that a backend server that started at startedMs has said in a response that it drains. Its
 // registration may say so later, or never.
-func (b *Backends) SetLeaving(id string) {
-	if b.knownLeaving(id) {
+func (b *Backends) SetLeaving(id string, startedMs int64) {
+	if b.knownLeaving(id, startedMs) {
 		return
 	}
 	b.update(func() []Change {
-		reg := b.byID[id]
-		if reg == nil || reg.leaving {
+		if !b.starts.setDrains(id, startedMs, b.now()) {
 			return nil
 		}
-		reg.leaving = true
-		if reg.backend.State == catalog.Draining {
+		reg := b.byID[id]
+		if reg == nil || reg.backend.StartedMs != startedMs {
 			return nil
 		}
+		reg.leaving = true
 		reg.backend.State = catalog.Draining
 		return []Change{{Backend: reg.backend, Kind: DrainStarted}}
 	})
 }
 
-// knownLeaving reports whether SetLeaving has nothing to do for a backend server.
-func (b *Backends) knownLeaving(id string) bool {
+// knownLeaving reports whether SetLeaving has nothing to do for a start of a backend server.
+func (b *Backends) knownLeaving(id string, startedMs int64) bool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	reg := b.byID[id]
-	return reg == nil || reg.leaving
+	s, known := b.starts[id]
+	return known && (s.startedMs > startedMs || s.startedMs == startedMs && s.drains)
 }
 
 // SetStoreUnavailable records whether the store is unavailable.
@@ -268,7 +297,7 @@
 }
 
 // Expire removes the backend servers whose grace period has ended without a new
-// registration.
+// registration, and forgets starts that have long gone.
 func (b *Backends) Expire() {
 	b.update(func() []Change {
 		var changes []Change
@@ -276,10 +305,12 @@
 		for id, reg := range b.byID {
 			if !reg.lapsedAt.IsZero() && !now.Before(reg.removeAt) {
 				delete(b.byID, id)
+				b.starts.gone(id, now)
 				b.removed[reg.backend.Software()] = now
 				changes = append(changes, Change{Backend: reg.backend, Kind: Removed})
 			}
 		}
+		b.starts.forget(now, func(id string) bool { return b.byID[id] != nil })
 		return changes
 	})
 }
@@ -313,13 +344,17 @@
 		return append(b.lapse(r.Key), b.refuse(r.Key, err)...)
 	}
 	delete(b.refused, r.Key)
+	now := b.now()
+	if b.starts.outdated(backend, now) {
+		return []Change{{Backend: backend, Kind: Outdated}}
+	}
 	old := b.byID[r.Key]
-	leaving := old != nil && old.leaving && old.backend.StartedMs == backend.StartedMs
+	leaving := b.starts.record(backend, now) && backend.State != catalog.Draining
 	if leaving {
 		backend.State = catalog.Draining
 	}
 	if old != nil && old.backend.Software() != backend.Software() {
-		b.removed[old.backend.Software()] = b.now()
+		b.removed[old.backend.Software()] = now
 	}
 	b.byID[r.Key] = &registration{backend: backend, record: r, leaving: leaving}
 	switch {
@@ -329,7 +364,7 @@
 		return []Change{{Backend: backend, Kind: Returned}}
 	case old.backend.State != backend.State && backend.State == catalog.Draining:
 		return []Change{{Backend: backend, Kind: DrainStarted}}
-	case old.backend != backend:
+	case !old.backend.Renews(backend):
 		return []Change{{Backend: backend, Kind: Registered}}
 	}
 	return nil
--- a/discovery/discovery_test.go
+++ b/discovery/discovery_test.go
@@ -130,7 +130,7 @@
 func TestServerThatHasSaidThatItLeavesIsNotHandedOn(t *testing.T) {
 	b := discovery.NewBackends(decodeBackend, func(discovery.Change) {}, time.Now)
 	b.Apply([]keyedlog.Record{record("a", "ready"), record("b", "ready")})
-	b.SetLeaving("a")
+	b.SetLeaving("a", 0)
 	started := discovery.NewBackends(decodeBackend, func(discovery.Change) {}, time.Now)
 	started.Apply(b.Records())
 	assert.Equal(t, len(started.OfService("s")), 1)
--- a/discovery/software_test.go
+++ b/discovery/software_test.go
@@ -45,10 +45,10 @@
 	}
 	var changes []string
 	b := discovery.NewBackends(decode, func(ch discovery.Change) { changes = append(changes, ch.Kind) }, time.Now)
-	b.SetLeaving("a")
+	b.SetLeaving("a", 0)
 	b.Apply([]keyedlog.Record{record("a", "1")})
-	b.SetLeaving("a")
-	b.SetLeaving("a")
+	b.SetLeaving("a", 1)
+	b.SetLeaving("a", 1)
 	b.Apply([]keyedlog.Record{record("a", "1")})
 	assert.Equal(t, b.OfService("s")[0].State, catalog.Draining)
 	b.Apply([]keyedlog.Record{record("a", "22")})
--- a/event/event.go
+++ b/event/event.go
@@ -66,6 +66,7 @@
 	RecordSkipped    ID = 503
 	RetentionGap     ID = 504
 	RenewalFailed    ID = 505
+	RecordOutdated   ID = 506
 	ConfigInForce    ID = 601
 	ConfigRefused    ID = 602
 	ConfigFromPeer   ID = 603
@@ -134,6 +135,7 @@
 	{RecordSkipped, "record_skipped", log.ErrorLevel, "a record of the log could not be read and was skipped as specified"},
 	{RetentionGap, "retention_gap", log.ErrorLevel, "a reader fell behind the log's retention"},
 	{RenewalFailed, "renewal_failed", log.WarnLevel, "records that must outlive the log's retention could not be appended again; the append is retried"},
+	{RecordOutdated, "record_outdated", log.InfoLevel, "a registration that is older than what is known of its backend server was ignored"},
 	{ConfigInForce, "config_in_force", log.InfoLevel, "a configuration version is in force in this process"},
 	{ConfigRefused, "config_refused", log.WarnLevel, "a configuration record was refused"},
 	{ConfigFromPeer, "config_from_peer", log.WarnLevel, "a process has read from a peer a newer configuration than the one that it has from the store"},
--- a/internal/gateway/online.go
+++ b/internal/gateway/online.go
@@ -208,7 +208,7 @@
 	idle := o.startIdleTimer(b, cancel)
 	o.attemptBegan = time.Now()
 	response, err := o.g.Pool.Do(actx, o.r, serving.Attempt{
-		BackendID: b.ID, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent, Crossing: string(choice.Crossing),
+		BackendID: b.ID, StartedMs: b.StartedMs, Address: b.Address, Deadline: o.deadline, ResumeAfter: o.lastEvent, Crossing: string(choice.Crossing),
 	})
 	if err != nil {
 		idle.Stop()
--- a/internal/gatewayd/changes.go
+++ b/internal/gatewayd/changes.go
@@ -18,6 +18,10 @@
 		event.Log(d.log, event.RecordSkipped, "topic", platform.BackendTopic, "key", b.ID, "cause", c.Cause)
 		return
 	}
+	if c.Kind == discovery.Outdated {
+		event.Log(d.log, event.RecordOutdated, "topic", platform.BackendTopic, "key", b.ID, "started", b.StartedMs, "seq", b.Seq, "draining", b.State == catalog.Draining)
+		return
+	}
 	kv := []any{"backend", b.ID, "service", b.Service, "address", b.Address, "zone", b.Zone, "version", b.Version, "slots", b.Slots}
 	switch c.Kind {
 	case discovery.DrainStarted:
@@ -38,14 +42,14 @@
 }
 
 // responseReceived records what the head of a response says about its backend server.
-func (d *Daemon) responseReceived(backendID string, info serving.ResponseInfo) {
+func (d *Daemon) responseReceived(a serving.Attempt, info serving.ResponseInfo) {
 	if info.Leaving {
-		d.backends.SetLeaving(backendID)
+		d.backends.SetLeaving(a.BackendID, a.StartedMs)
 	}
 	if info.HasLoad && info.Load.HasPace {
-		d.gateway.Table.ObservePace(backendID, info.Load.Pace, time.Now())
+		d.gateway.Table.ObservePace(a.BackendID, info.Load.Pace, time.Now())
 	}
-	d.limits.Observe(backendID, info.RateLimit)
+	d.limits.Observe(a.BackendID, info.RateLimit)
 }
 
 // backendID returns the id of the backend server with the given key of package
--- a/jobs/run_item.go
+++ b/jobs/run_item.go
@@ -70,7 +70,7 @@
 	defer cancel(nil)
 	idle := time.AfterFunc(itemIdleTimeout, func() { cancel(errIdle) })
 	defer idle.Stop()
-	response, err := s.opts.Pool.Do(ctx, r, serving.Attempt{BackendID: b.ID, Address: b.Address, Batch: true, ResumeAfter: p.LastEvent})
+	response, err := s.opts.Pool.Do(ctx, r, serving.Attempt{BackendID: b.ID, StartedMs: b.StartedMs, Address: b.Address, Batch: true, ResumeAfter: p.LastEvent})
 	if err != nil {
 		return s.noResponse(ctx, b, p, err)
 	}
--- a/keyedlog/follower.go
+++ b/keyedlog/follower.go
@@ -20,6 +20,14 @@
 	Apply(records []Record)
 }
 
+// Filter is implemented by a View that can tell records that were executed or read late from current ones. A Relay asks
+// it about each record, also about those that it doesn't pass on because nothing has changed.
+type Filter interface {
+	// Current returns the records without outdated ones. In place of an outdated record of a key that the view holds it
+	// returns the record that it holds.
+	Current(records []Record) []Record
+}
+
 // Observer is called when a follower loses the log service, with the error, and when it
 // regains the service, with nil.
 type Observer func(p Partition, err error)
--- a/keyedlog/relay.go
+++ b/keyedlog/relay.go
@@ -16,6 +16,8 @@
 // View are called by the follower only.
 type Relay struct {
 	view View
+	// filter is the view as a Filter, or nil if it is none.
+	filter Filter
 	// canonical returns the canonical form of a value, which is comparable.
 	canonical func(value []byte) any
 
@@ -41,11 +43,21 @@
 // NewRelay returns a relay in front of view. Values with equal canonical
 // forms are equivalent.
 func NewRelay(view View, canonical func(value []byte) any) *Relay {
-	return &Relay{view: view, canonical: canonical, newest: make(map[string]entry), changed: make(chan struct{})}
+	filter, _ := view.(Filter)
+	return &Relay{view: view, filter: filter, canonical: canonical, newest: make(map[string]entry), changed: make(chan struct{})}
+}
+
+// current returns the records that the filter lets pass.
+func (r *Relay) current(records []Record) []Record {
+	if r.filter == nil {
+		return records
+	}
+	return r.filter.Current(records)
 }
 
 // Rebuild implements View.
 func (r *Relay) Rebuild(records []Record) {
+	records = r.current(records)
 	r.view.Rebuild(records)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,6 +73,7 @@
 
 // Apply implements View.
 func (r *Relay) Apply(records []Record) {
+	records = r.current(records)
 	if changes := r.store(records); len(changes) > 0 {
 		r.view.Apply(changes)
 	}
--- a/serving/request.go
+++ b/serving/request.go
@@ -75,6 +75,8 @@
 // Attempt is one attempt to send a request to one backend server.
 type Attempt struct {
 	BackendID string
+	// StartedMs is the start of the backend server that was chosen, in Unix milliseconds; 0 if it is unknown.
+	StartedMs int64
 	Address   string
 	// Batch states that the request is an item of a batch job.
 	Batch bool
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -83,7 +83,7 @@
 	Admit func(ctx context.Context, a serving.Attempt) error
 	// OnResponse, if set, is called with the head of each response of a backend server before
 	// the response is returned.
-	OnResponse func(backendID string, info serving.ResponseInfo)
+	OnResponse func(a serving.Attempt, info serving.ResponseInfo)
 	// OnTransfer, if set, is called at the end of each response with the bytes of the bodies of
 	// the request and the response.
 	OnTransfer func(a serving.Attempt, bytes int64)
@@ -166,7 +166,7 @@
 		return nil, err
 	}
 	if !info.Misdirected && p.opts.OnResponse != nil {
-		p.opts.OnResponse(a.BackendID, info)
+		p.opts.OnResponse(a, info)
 	}
 	return &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Info: info, requestID: r.ID,
