keyedlog: a relay asks its filter about one record after the other

Cause: a relay showed the filter all records of a read before it applied the first one. If a notice and the heartbeat after it came in one read, the heartbeat had raised the known number when the notice was applied, and the notice was taken for outdated; the heartbeat itself changes nothing and is not passed on. Trace: record_outdated seq=3 draining=true at three of four gateways.

Change: each record is shown, stored and applied before the next one.

--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -226,26 +226,25 @@
 // Current implements keyedlog.Filter.
 func (b *Backends) Current(records []keyedlog.Record) []keyedlog.Record {
 	current := make([]keyedlog.Record, 0, len(records))
-	b.update(func() (changes []Change) {
-		now := b.now()
-		for _, r := range records {
-			backend, err := b.decode(r.Key, r.Value)
-			if r.Value == nil || err != nil {
-				current = append(current, r)
-				continue
-			}
+	for _, r := range records {
+		backend, err := b.decode(r.Key, r.Value)
+		if r.Value == nil || err != nil {
+			current = append(current, r)
+			continue
+		}
+		b.update(func() []Change {
+			now := b.now()
 			if !b.starts.outdated(backend, now) {
 				b.starts.record(backend, now)
 				current = append(current, r)
-				continue
+				return nil
 			}
-			changes = append(changes, Change{Backend: backend, Kind: Outdated})
 			if reg := b.byID[r.Key]; reg != nil && reg.lapsedAt.IsZero() {
 				current = append(current, reg.record)
 			}
-		}
-		return changes
-	})
+			return []Change{{Backend: backend, Kind: Outdated}}
+		})
+	}
 	return current
 }
 
--- a/discovery/starts_test.go
+++ b/discovery/starts_test.go
@@ -189,6 +189,27 @@
 	assert.Assert(t, f.usable())
 }
 
+// TestNoticeAndHeartbeatReadTogetherCount guards against a notice that is taken for outdated, as the heartbeat after it, which
+// changes nothing, has been read at the same time.
+func TestNoticeAndHeartbeatReadTogetherCount(t *testing.T) {
+	for name, records := range map[string][]keyedlog.Record{
+		"draining":       {registration(firstStart, 3, draining), registration(firstStart, 4, draining)},
+		"ready again":    {registration(firstStart, 3, draining), registration(firstStart, 4, ready)},
+		"an older ready": {registration(firstStart, 3, draining), registration(firstStart, 2, ready)},
+		"the next start": {registration(nextStart, 1, draining), registration(nextStart, 2, draining)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newStartsFixture()
+			relay := keyedlog.NewRelay(f.Backends, platform.ComparableBackend)
+			relay.Rebuild([]keyedlog.Record{registration(firstStart, 1, ready)})
+			relay.Apply(records)
+			assert.Assert(t, !f.usable())
+			relay.Apply([]keyedlog.Record{registration(nextStart+1, 1, ready), registration(nextStart+1, 2, ready)})
+			assert.Assert(t, f.usable())
+		})
+	}
+}
+
 // write is a write to the store that is executed at a time.
 type write struct {
 	at     time.Duration
--- a/keyedlog/relay.go
+++ b/keyedlog/relay.go
@@ -73,7 +73,17 @@
 
 // Apply implements View.
 func (r *Relay) Apply(records []Record) {
-	records = r.current(records)
+	if r.filter == nil {
+		r.forward(records)
+		return
+	}
+	for i := range records { // the filter learns from each record
+		r.forward(r.current(records[i : i+1]))
+	}
+}
+
+// forward stores records and applies those that change a canonical form to the view.
+func (r *Relay) forward(records []Record) {
 	if changes := r.store(records); len(changes) > 0 {
 		r.view.Apply(changes)
 	}
