soak: a gateway that is left alone after a lapse, and heartbeats of servers that are executed late

A gateway is cut off from the store and the others, or suspended, and is back when the others have stopped. Servers number all registrations. The check that finds a former owner was there: results that were read have to be listed by all gateways in the end.

--- a/internal/chaos/soak/fault.go
+++ b/internal/chaos/soak/fault.go
@@ -15,6 +15,8 @@
 	ReloadGateway   FaultKind = "reload_gateway"
 	// RollGateways stops all gateways, one Delay after the other, and starts each again once it has ended.
 	RollGateways FaultKind = "roll_gateways"
+	// IsolateGateway leaves a gateway alone after it has been cut off or suspended; see isolateGateway.
+	IsolateGateway FaultKind = "isolate_gateway"
 	// FenceShards fences the owners of all shards of batch jobs, as claims of a process do that has not lived to
 	// take the shards over.
 	FenceShards FaultKind = "fence_shards"
@@ -73,6 +75,8 @@
 	RestartBackend FaultKind = "restart_backend"
 	PauseBackend   FaultKind = "pause_backend"
 
+	// BackendWritesLate: the store executes heartbeats of a backend server late.
+	BackendWritesLate FaultKind = "backend_writes_late"
 	// BackendNamesLimit: a backend server names a limit for the requests that it takes.
 	BackendNamesLimit FaultKind = "backend_names_limit"
 )
--- a/internal/chaos/soak/inject.go
+++ b/internal/chaos/soak/inject.go
@@ -28,6 +28,8 @@
 	switch f.Kind {
 	case KillGateway, KillAllGateways, FreezeGateway, StopGateway, ReloadGateway, RollGateways:
 		r.injectGatewayFault(ctx, f, gateway)
+	case IsolateGateway:
+		r.recordDisturbance(allGateways, func() { r.isolateGateway(ctx, f) })
 	case FenceShards:
 		r.fenceShards(ctx)
 	case ResetCallers, SlowCallers, LimitCallerRate:
@@ -50,6 +52,8 @@
 		r.recordError(server.restart(identity(f.Share)))
 	case PauseBackend:
 		server.current().backend.Pause(min(f.For, maxPause))
+	case BackendWritesLate:
+		r.writeLate(ctx, f, server.current())
 	case BackendNamesLimit:
 		r.limitBackend(ctx, f, server.current())
 	case CutBackend, ResetBackend, StallBackend, StallBackendResponses, SlowBackend:
--- a/internal/chaos/soak/plan.go
+++ b/internal/chaos/soak/plan.go
@@ -128,6 +128,7 @@
 		p.Faults = append(p.Faults, generator{chaos.NewRand(seed, 3)}.limits()...)
 		p.drawRestarts()
 		p.drawHandovers()
+		p.drawLapses()
 	}
 	return p
 }
--- a/internal/chaos/soak/round_test.go
+++ b/internal/chaos/soak/round_test.go
@@ -29,6 +29,10 @@
 	// without a length (TestForwarderResetIsNotAnOrderlyClose). On a busy machine, an
 	// unprocessable item was stopped three times before its response was read.
 	113,
+	// An owner of shards, alone after a lapse, listed none of the results that had been read.
+	7603,
+	// A notice that was read together with the heartbeat after it was ignored.
+	7605,
 }
 
 func TestShortRounds(t *testing.T) { runRounds(t, shortSeeds) }
--- a/internal/chaos/soak/server.go
+++ b/internal/chaos/soak/server.go
@@ -66,8 +66,11 @@
 
 	mu    sync.Mutex
 	state string
-	fault platformtest.Fault
-	share int
+	// seq numbers the registrations. lateBy is how late the store executes heartbeats; 0 is at once.
+	seq    int
+	lateBy time.Duration
+	fault  platformtest.Fault
+	share  int
 	// limits is the number of faults in effect that make the server name a limit.
 	limits int
 }
@@ -154,7 +157,7 @@
 // acknowledged the notice.
 func (i *incarnation) drain(ctx context.Context, log *keyedlogtest.Log) (notice time.Time) {
 	i.backend.SetLeaving()
-	for i.register(log, stateDraining, 0) != nil && ctx.Err() == nil {
+	for i.register(log, stateDraining) != nil && ctx.Err() == nil {
 		delay.Wait(ctx, heartbeatInterval)
 	}
 	return time.Now()
@@ -172,34 +175,52 @@
 // heartbeat renews the registration until ctx ends.
 func (i *incarnation) heartbeat(ctx context.Context, log *keyedlogtest.Log) {
 	defer close(i.done)
-	for seq := 1; ctx.Err() == nil; seq++ {
+	for ctx.Err() == nil {
 		i.mu.Lock()
 		// An unavailable store refuses the write. The next heartbeat retries it.
 		if i.state == stateReady || i.state == stateDraining {
-			_ = i.registerLocked(log, i.state, seq)
+			_ = i.registerLocked(log, i.state)
 		}
 		i.mu.Unlock()
 		delay.Wait(ctx, heartbeatInterval)
 	}
 }
 
-func (i *incarnation) register(log *keyedlogtest.Log, state string, seq int) error {
+func (i *incarnation) register(log *keyedlogtest.Log, state string) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return i.registerLocked(log, state, seq)
+	return i.registerLocked(log, state)
 }
 
-// registerLocked writes the registration. The caller holds mu, so that no older state is
-// written after a newer one.
-func (i *incarnation) registerLocked(log *keyedlogtest.Log, state string, seq int) error {
+// registerLocked writes the registration under the next number. The caller holds mu, so that no older state is
+// written after a newer one, unless the store executes heartbeats late.
+func (i *incarnation) registerLocked(log *keyedlogtest.Log, state string) error {
+	i.seq++
 	value, err := json.Marshal(map[string]any{
 		"Service": service, "Address": i.link.Addr, "Zone": i.zone, "Version": i.backend.Version, "Slots": serverSlots,
-		"State": state, "ColdRemainingMs": 0, "Seq": seq, "born": i.backend.Born,
+		"State": state, "ColdRemainingMs": 0, "Seq": i.seq, "born": i.backend.Born,
 	})
 	if err != nil {
 		return err
 	}
-	return write(log, platform.BackendTopic, keyedlog.Record{Key: i.backend.ID, Value: value})
+	record := keyedlog.Record{Key: i.backend.ID, Value: value}
+	if i.lateBy > 0 && state == stateReady {
+		time.AfterFunc(i.lateBy, func() { i.writeLate(log, record) })
+		return nil
+	}
+	return write(log, platform.BackendTopic, record)
+}
+
+// writeLate executes a heartbeat late. If the incarnation has ended, the registration expires again.
+func (i *incarnation) writeLate(log *keyedlogtest.Log, record keyedlog.Record) {
+	if write(log, platform.BackendTopic, record) != nil {
+		return
+	}
+	select {
+	case <-i.done:
+		time.AfterFunc(registrationTimeout, func() { i.remove(log) })
+	default:
+	}
 }
 
 // remove removes the registration, as the platform does. It retries while the store is
