jobs: a lost answer of a heartbeat does not break the membership

What callers could see: 503 or a later result where the store loses answers. A heartbeat waited 1.5 s for its answer, longer than the time to live of 1.2 s, so that each lost answer was a lapse; since the owner's shards are in doubt after it and claims wait.

Change: a heartbeat waits for 0.8 s, after which the next one is answered within the time to live. A store that takes longer than that for an answer lets memberships lapse anyway.

Measured: TestLostAnswerOfAHeartbeatBreaksNoMembership fails with the longer wait.

--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -18,6 +18,9 @@
 	// log requires a longer time; heartbeatInterval is the time between heartbeats.
 	membershipTTL     = 1200 * time.Millisecond
 	heartbeatInterval = 250 * time.Millisecond
+	// heartbeatTimeout bounds the wait for the answer to a heartbeat. If it is lost, another heartbeat is answered within
+	// membershipTTL.
+	heartbeatTimeout = 800 * time.Millisecond
 	// maxExtraRTT is how much longer this process's calls to the log may take than
 	// those of the nearest peer before it leaves the shards to others. It is also the
 	// call time above which a process that has no reachable peer yet waits for
@@ -84,7 +87,9 @@
 		return
 	}
 	began := boottime.Now()
-	membership, err := s.opts.Groups.Join(ctx, groupName, s.opts.Member, s.opts.ResultTopic, max(membershipTTL, s.opts.MinTTL), m.generation)
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
+	defer cancel()
+	membership, err := s.opts.Groups.Join(callCtx, groupName, s.opts.Member, s.opts.ResultTopic, max(membershipTTL, s.opts.MinTTL), m.generation)
 	if err != nil || s.stopping.Load() {
 		return
 	}
--- a/jobs/ownership_test.go
+++ b/jobs/ownership_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/catkinrudder/catkinrudder/internal/boottime"
+	"github.com/catkinrudder/catkinrudder/internal/delay"
 	"github.com/catkinrudder/catkinrudder/keyedlog"
 	"github.com/catkinrudder/catkinrudder/keyedlog/keyedlogtest"
 )
@@ -28,15 +29,20 @@
 // heldLog is a log whose answers to heartbeats are held up after the log has executed them.
 type heldLog struct {
 	*keyedlogtest.Log
-	hold func()
+	hold func(ctx context.Context) error
 }
 
 func (l heldLog) Join(ctx context.Context, group, member, topic string, ttl time.Duration, generation int64) (keyedlog.Membership, error) {
 	m, err := l.Log.Join(ctx, group, member, topic, ttl, generation)
-	l.hold()
+	if held := l.hold(ctx); held != nil {
+		return keyedlog.Membership{}, held
+	}
 	return m, err
 }
 
+// atOnce does not hold answers up.
+func atOnce(context.Context) error { return nil }
+
 // ownerFixture is a process that owns the first shard, with its membership in the group.
 type ownerFixture struct {
 	t       *testing.T
@@ -44,13 +50,13 @@
 	service *Service
 	member  *member
 	shard   *shard
-	// hold is called before the process gets the answer to a heartbeat.
-	hold func()
+	// hold is called before the process gets the answer to a heartbeat, or its error instead.
+	hold func(ctx context.Context) error
 }
 
 func newOwnerFixture(t *testing.T) *ownerFixture {
-	f := &ownerFixture{t: t, log: keyedlogtest.New(), hold: func() {}}
-	l := heldLog{f.log, func() { f.hold() }}
+	f := &ownerFixture{t: t, log: keyedlogtest.New(), hold: atOnce}
+	l := heldLog{f.log, func(ctx context.Context) error { return f.hold(ctx) }}
 	f.service = New(Options{
 		Log: l, Groups: l, Member: "self", ResultTopic: "keyed.results", ContentTopic: "keyed.contents", JobTopic: "keyed.jobs",
 		Shards: 1, RecordBytes: 2000, CallBytes: 20000, Logger: log.New(io.Discard), Peers: noPeers{},
@@ -122,12 +128,31 @@
 // TestAnswerThatWasHeldUpConfirmsNothing guards against a confirmation that is older than the time to live.
 func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
 	f := newOwnerFixture(t)
-	f.hold = func() { time.Sleep(membershipTTL) }
+	f.hold = func(context.Context) error {
+		time.Sleep(membershipTTL)
+		return nil
+	}
 	f.member.heartbeat(t.Context())
 	assert.Assert(t, !f.service.membershipConfirmed())
-	f.hold = func() {}
+	f.hold = atOnce
+	f.member.heartbeat(t.Context())
+	assert.Assert(t, f.service.membershipConfirmed())
+}
+
+// TestLostAnswerOfAHeartbeatBreaksNoMembership guards against owners that are in doubt after each answer that is lost.
+func TestLostAnswerOfAHeartbeatBreaksNoMembership(t *testing.T) {
+	const callTimeout = 1500 * time.Millisecond // that of a call to the log
+	f := newOwnerFixture(t)
+	breaks := f.service.breaks.Load()
+	f.hold = func(ctx context.Context) error {
+		delay.Wait(ctx, callTimeout)
+		return keyedlogtest.ErrNoResponse
+	}
+	f.member.heartbeat(t.Context())
+	f.hold = atOnce
 	f.member.heartbeat(t.Context())
 	assert.Assert(t, f.service.membershipConfirmed())
+	assert.Equal(t, f.service.breaks.Load(), breaks)
 }
 
 // TestOwnAppendsDoNotEndAnOwnership guards against an owner that takes its own records for those of another one.
