--- a/jobs/ownership_test.go
+++ b/jobs/ownership_test.go
@@ -128,8 +128,8 @@
 // TestAnswerThatWasHeldUpConfirmsNothing guards against a confirmation that is older than the time to live.
 func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
 	f := newOwnerFixture(t)
-	f.hold = func(context.Context) error {
-		time.Sleep(membershipTTL)
+	f.hold = func(ctx context.Context) error {
+		delay.Wait(ctx, membershipTTL)
 		return nil
 	}
 	f.member.heartbeat(t.Context())
@@ -179,7 +179,7 @@
 	f.lapse()
 	assert.Assert(t, f.shard.claim(t.Context()))
 	go f.shard.takeOver(t.Context())
-	time.Sleep(3 * shardRetryDelay)
+	delay.Wait(t.Context(), 3*shardRetryDelay)
 	assert.Assert(t, !f.shard.owned(), "the shard is claimed under a membership that has lapsed")
 	f.member.heartbeat(t.Context())
 	f.waitUntilOwned(epoch)
