--- a/discovery/backends.go
+++ b/discovery/backends.go
@@ -334,6 +334,7 @@
 		return nil
 	}
 	reg.lapsedAt = b.now()
+	b.starts.sign(id, reg.lapsedAt)
 	reg.removeAt = reg.lapsedAt.Add(b.grace(reg.lapsedAt))
 	return []Change{{Backend: reg.backend, Kind: Lapsed}}
 }
--- a/discovery/starts.go
+++ b/discovery/starts.go
@@ -19,7 +19,8 @@
 	seq int64
 	// drains states that the server has said that it drains, in a record or a response. It ends after that.
 	drains bool
-	// lastSign is when a record or a response of this start last came that was not outdated.
+	// lastSign is when a record or a response of this start last came that was not outdated, or its registration
+	// disappeared.
 	lastSign time.Time
 }
 
@@ -66,15 +67,21 @@
 	return isNew
 }
 
+// sign records a sign of the known start of a server.
+func (t starts) sign(id string, now time.Time) {
+	if known, ok := t[id]; ok {
+		known.lastSign = now
+		t[id] = known
+	}
+}
+
 // gone records that the registration of a server has gone. A start that can't be told from others is forgotten with it.
 func (t starts) gone(id string, now time.Time) {
-	known, ok := t[id]
-	if ok && known.startedMs == 0 {
+	if t[id].startedMs == 0 {
 		delete(t, id)
-	} else if ok {
-		known.lastSign = now
-		t[id] = known
+		return
 	}
+	t.sign(id, now)
 }
 
 // forget drops the starts that have given no sign for startMemory, other than those that are kept.
--- a/discovery/starts_test.go
+++ b/discovery/starts_test.go
@@ -84,6 +84,12 @@
 			f.pass(late)
 			f.apply(registration(firstStart, 6, ready))
 		},
+		"an older heartbeat at once after a removal, long after the last change": func(f startsFixture) {
+			f.apply(registration(firstStart, 7, ready))
+			f.pass(10 * time.Minute)
+			f.apply(gone, registration(firstStart, 6, ready))
+			f.pass(late)
+		},
 		"a heartbeat after a removal and a notice in a response": func(f startsFixture) {
 			f.apply(registration(firstStart, 5, ready))
 			f.SetLeaving("a", firstStart)
--- a/jobs/membership.go
+++ b/jobs/membership.go
@@ -94,7 +94,7 @@
 		return
 	}
 	s.recordRTT(boottime.Now() - began)
-	if m.breaks(membership) {
+	if m.brokenBy(membership) {
 		m.reportBreak(membership)
 		s.breaks.Add(1) // before the confirmation, which holds for proved shards only
 	}
--- a/jobs/ownership.go
+++ b/jobs/ownership.go
@@ -18,8 +18,8 @@
 // verifyTimeout bounds the check on the log for a caller who waits.
 const verifyTimeout = 300 * time.Millisecond
 
-// breaks reports whether the group's answer next does not continue the membership.
-func (m *member) breaks(next keyedlog.Membership) bool {
+// brokenBy reports whether the answer next of the group does not continue the membership.
+func (m *member) brokenBy(next keyedlog.Membership) bool {
 	age, joined := m.service.lastJoin.Age()
 	return !joined || age > membershipTTL || next.Generation != m.generation
 }
@@ -85,7 +85,7 @@
 		return err
 	}
 	if claimed {
-		sh.releaseEpoch(epoch, noGeneration, "another process has claimed it")
+		sh.releaseEpoch(epoch, noGeneration, "another process may have claimed it")
 		return nil
 	}
 	sh.recordProof(epoch, end, breaks)
