--- a/jobs/ownership_test.go
+++ b/jobs/ownership_test.go
@@ -128,8 +128,8 @@
 // TestAnswerThatWasHeldUpConfirmsNothing guards against a confirmation that is older than the time to live.
 func TestAnswerThatWasHeldUpConfirmsNothing(t *testing.T) {
 	f := newOwnerFixture(t)
-	f.hold = func(ctx context.Context) error {
-		delay.Wait(ctx, membershipTTL)
+	f.hold = func(ctx context.Context) error { // as for a process that stood still meanwhile
+		delay.Wait(context.WithoutCancel(ctx), membershipTTL)
 		return nil
 	}
 	f.member.heartbeat(t.Context())
