--- a/discovery/starts.go
+++ b/discovery/starts.go
@@ -13,7 +13,7 @@
 // start is what is known of one start of a backend server. It outlives the registration, which older records could
 // bring back otherwise.
 type start struct {
-	// startedMs tells the start from others under the same id; see catalog.Backend.
+	// startedMs distinguishes the start from others under the same id; see catalog.Backend.
 	startedMs int64
 	// seq is the highest number of a record of this start.
 	seq int64
@@ -75,7 +75,7 @@
 	}
 }
 
-// gone records that the registration of a server has gone. A start that can't be told from others is forgotten with it.
+// gone records that the registration of a server has gone. A start of which it is unknown when it began is forgotten with it.
 func (t starts) gone(id string, now time.Time) {
 	if t[id].startedMs == 0 {
 		delete(t, id)
